--- /dev/null
+++ b/packages/core/mod.ts
@@ -0,0 +1,87 @@
+/**
+ * Shared words of every package: identifiers, units, enums, errors, rows,
+ * configuration, and the kernel that features register on.
+ */
+export type { Clock, ManualClock, RandomSource } from "./clock.ts";
+export { createManualClock, createSystemClock } from "./clock.ts";
+export type {
+  CustomerConfig,
+  CustomerLimits,
+  EventConfig,
+  FleetConfiguration,
+  KindConfig,
+  LinkConfig,
+  ServiceConfig,
+  TargetConfig,
+  TeamConfig,
+} from "./configuration.ts";
+export { createEmptyConfiguration } from "./configuration.ts";
+export {
+  BudgetLean,
+  Priority,
+  RefusalKind,
+  Repeatability,
+  RequestOutcome,
+  ServiceType,
+  StalePolicy,
+} from "./enums.ts";
+export type {
+  InputError,
+  PlatformError,
+  Refusal,
+  TextPlace,
+} from "./errors.ts";
+export {
+  createNotRun,
+  formatInputError,
+  formatPlace,
+  InputErrorKind,
+  PlatformErrorKind,
+} from "./errors.ts";
+export type {
+  BodyDigest,
+  CustomerId,
+  DataCentreId,
+  EventId,
+  Incarnation,
+  KindId,
+  RegionId,
+  RequestKey,
+  ServiceId,
+  TargetId,
+  TeamId,
+  VmId,
+} from "./identifiers.ts";
+export type {
+  CommandHandler,
+  CommandType,
+  DumpWriter,
+  SliceType,
+  Undo,
+  UpdateContext,
+} from "./kernel.ts";
+export { combineUndo, createCommand, Kernel } from "./kernel.ts";
+export { computeHash, rankMembers } from "./rendezvous.ts";
+export type {
+  JsonValue,
+  Row,
+  RowDecision,
+  RowOperation,
+  RowView,
+  RowWrite,
+} from "./rows.ts";
+export type {
+  Bytes,
+  Millis,
+  MonotonicTime,
+  Tokens,
+  WallTime,
+} from "./units.ts";
+export {
+  BYTES_PER_KIB,
+  BYTES_PER_MIB,
+  computeRatePerSecond,
+  MILLIS_PER_HOUR,
+  MILLIS_PER_MINUTE,
+  MILLIS_PER_SECOND,
+} from "./units.ts";
--- /dev/null
+++ b/packages/stand_ins/memory_table.ts
@@ -0,0 +1,226 @@
+/**
+ * A table service in memory, with the rates, outages and lost answers of a
+ * real one. It is a fake at the {@link TablePort} interface; the HTTP stand-in
+ * serves it over a socket.
+ */
+import { Either, Left, Right } from "purify-ts";
+import {
+  MILLIS_PER_SECOND,
+  type MonotonicTime,
+  type PlatformError,
+  PlatformErrorKind,
+  type Row,
+} from "../core/mod.ts";
+import type {
+  RowPage,
+  TablePort,
+  TableTransaction,
+  TransactionAnswer,
+} from "../platform/mod.ts";
+
+/** What befalls one call. */
+export enum CallFault {
+  None = "none",
+  /** The service is down: nothing is done. */
+  Down = "down",
+  /** The effect happens and the answer is lost. */
+  AnswerLost = "answer-lost",
+}
+
+/** Limits and faults of the table. */
+export interface MemoryTableOptions {
+  /** Rows written per second before the table asks for fewer; unlimited if absent. */
+  readonly writesPerSecond?: number;
+  /** Rows read per second before the table asks for fewer; unlimited if absent. */
+  readonly readsPerSecond?: number;
+  readonly now?: () => MonotonicTime;
+  /** Chosen anew for each call. */
+  readonly chooseFault?: (call: "read" | "write") => CallFault;
+}
+
+/** Counts of what the table has done. */
+export interface TableCounts {
+  readonly rowsWritten: number;
+  readonly rowsRead: number;
+  readonly transactions: number;
+  readonly conflicts: number;
+  readonly throttled: number;
+}
+
+/** Allows a number of units per second, with a burst of one second. */
+class RateLimit {
+  readonly #perSecond: number;
+  #available: number;
+  #filledAt: MonotonicTime;
+
+  constructor(perSecond: number, now: MonotonicTime) {
+    this.#perSecond = perSecond;
+    this.#available = perSecond;
+    this.#filledAt = now;
+  }
+
+  /** Takes units; returns false and takes none when there are too few. */
+  take(units: number, now: MonotonicTime): boolean {
+    const gained = (now - this.#filledAt) * this.#perSecond / MILLIS_PER_SECOND;
+    this.#available = Math.min(this.#perSecond, this.#available + gained);
+    this.#filledAt = now;
+    if (this.#available < units) return false;
+    this.#available -= units;
+    return true;
+  }
+}
+
+/** Rows in memory behind the table port. */
+export class MemoryTable implements TablePort {
+  readonly #rows = new Map<string, Row>();
+  readonly #now: () => MonotonicTime;
+  readonly #chooseFault: (call: "read" | "write") => CallFault;
+  readonly #writeLimit: RateLimit | undefined;
+  readonly #readLimit: RateLimit | undefined;
+  #counts = {
+    rowsWritten: 0,
+    rowsRead: 0,
+    transactions: 0,
+    conflicts: 0,
+    throttled: 0,
+  };
+
+  constructor(options: MemoryTableOptions = {}) {
+    this.#now = options.now ?? (() => performance.now());
+    this.#chooseFault = options.chooseFault ?? (() => CallFault.None);
+    const start = this.#now();
+    this.#writeLimit = createLimit(options.writesPerSecond, start);
+    this.#readLimit = createLimit(options.readsPerSecond, start);
+  }
+
+  /** Returns what the table has done so far. */
+  readCounts(): TableCounts {
+    return { ...this.#counts };
+  }
+
+  /** Returns a row without counting it, for tests. */
+  peek(key: string): Row | undefined {
+    return this.#rows.get(key);
+  }
+
+  read(
+    keys: readonly string[],
+  ): Promise<Either<PlatformError, readonly Row[]>> {
+    return Promise.resolve(
+      this.#admit("read", keys.length).map(() => {
+        this.#counts.rowsRead += keys.length;
+        return keys.map((key) => this.#rows.get(key)).filter((row) =>
+          row !== undefined
+        );
+      }),
+    );
+  }
+
+  scan(
+    prefix: string,
+    options: { readonly after?: string; readonly limit: number },
+  ): Promise<Either<PlatformError, RowPage>> {
+    return Promise.resolve(
+      this.#admit("read", 1).map(() => {
+        const after = options.after ?? "";
+        const keys = [...this.#rows.keys()]
+          .filter((key) => key.startsWith(prefix) && key > after)
+          .sort();
+        const page = keys.slice(0, options.limit);
+        this.#counts.rowsRead += page.length;
+        const rows = page.map((key) => this.#rows.get(key)!);
+        const last = page.at(-1);
+        return keys.length > page.length && last !== undefined
+          ? { rows, next: last }
+          : { rows };
+      }),
+    );
+  }
+
+  transact(
+    transaction: TableTransaction,
+  ): Promise<Either<PlatformError, TransactionAnswer>> {
+    const fault = this.#chooseFault("write");
+    if (fault === CallFault.Down) {
+      return Promise.resolve(Left(createError(PlatformErrorKind.NotDone)));
+    }
+    const rows = Math.max(1, transaction.writes.length);
+    if (!takeUnits(this.#writeLimit, rows, this.#now())) {
+      this.#counts.throttled++;
+      return Promise.resolve(Left(createError(PlatformErrorKind.Throttled)));
+    }
+    const answer = this.#commit(transaction);
+    return Promise.resolve(
+      fault === CallFault.AnswerLost
+        ? Left(createError(PlatformErrorKind.AnswerLost))
+        : Right(answer),
+    );
+  }
+
+  #admit(call: "read", rows: number): Either<PlatformError, void> {
+    if (this.#chooseFault(call) !== CallFault.None) {
+      return Left(createError(PlatformErrorKind.NotDone));
+    }
+    if (!takeUnits(this.#readLimit, Math.max(1, rows), this.#now())) {
+      this.#counts.throttled++;
+      return Left(createError(PlatformErrorKind.Throttled));
+    }
+    return Right(undefined);
+  }
+
+  #commit(transaction: TableTransaction): TransactionAnswer {
+    const conflicts = transaction.checks
+      .filter((check) => this.#readVersion(check.key) !== check.version)
+      .map((check) => check.key);
+    if (conflicts.length > 0) {
+      this.#counts.conflicts++;
+      return { committed: false, conflicts };
+    }
+    for (const write of transaction.writes) {
+      const version = this.#readVersion(write.key) + 1;
+      if (write.value === undefined) this.#rows.delete(write.key);
+      else {
+        // A copy, so that no caller shares memory with the table.
+        const value = structuredClone(write.value);
+        this.#rows.set(write.key, { key: write.key, version, value });
+      }
+    }
+    this.#counts.transactions++;
+    this.#counts.rowsWritten += transaction.writes.length;
+    return { committed: true };
+  }
+
+  #readVersion(key: string): number {
+    return this.#rows.get(key)?.version ?? 0;
+  }
+}
+
+function createLimit(
+  perSecond: number | undefined,
+  now: MonotonicTime,
+): RateLimit | undefined {
+  return perSecond === undefined ? undefined : new RateLimit(perSecond, now);
+}
+
+function takeUnits(
+  limit: RateLimit | undefined,
+  units: number,
+  now: MonotonicTime,
+): boolean {
+  return limit === undefined || limit.take(units, now);
+}
+
+const REMEDIES = {
+  [PlatformErrorKind.NotDone]: "Try again later; nothing was written.",
+  [PlatformErrorKind.Throttled]: "Send fewer requests; nothing was written.",
+  [PlatformErrorKind.AnswerLost]: "Read the rows back before trying again.",
+  [PlatformErrorKind.BadAnswer]: "Check the service's version.",
+};
+
+function createError(kind: PlatformErrorKind): PlatformError {
+  return {
+    kind,
+    message: `table service: ${kind}`,
+    remedy: REMEDIES[kind],
+  };
+}
