Add platform adapters, the store writer and the stand-ins over HTTP

Cause: a whole path needs outside systems to talk to. Change: HTTP adapters of table, object store, VM list and targets; a writer that groups row operations and recovers from conflicts and lost answers by deciding again; stand-ins of each system on ports the kernel picks. Conclusion: the daemon can be composed on these ports.

--- /dev/null
+++ b/packages/platform/http_client.ts
@@ -0,0 +1,151 @@
+/**
+ * One bounded HTTP exchange over Node's `http` or `https`.
+ *
+ * What matters to callers is whether the other side may have acted: an
+ * exchange that failed before its connection was made has had no effect, any
+ * later failure leaves that open.
+ */
+import {
+  type Agent,
+  type IncomingMessage,
+  request as startHttp,
+} from "node:http";
+import { request as startHttps } from "node:https";
+import { type Either, Left, Right } from "purify-ts";
+import type { Bytes, Millis } from "../core/mod.ts";
+
+/** Largest answer body that is read, in bytes. */
+export const MAX_ANSWER_BYTES: Bytes = 16 * 1_048_576;
+
+/** One request to be sent. */
+export interface HttpRequest {
+  readonly method: "GET" | "POST" | "PUT" | "DELETE";
+  readonly url: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: Uint8Array | string;
+  /** Longest silence of the connection, in milliseconds. */
+  readonly idleTimeout: Millis;
+  readonly agent?: Agent;
+  readonly signal?: AbortSignal;
+}
+
+/** Why an exchange failed. */
+export interface HttpFailure {
+  /** False when the connection was never made, so that nothing was sent. */
+  readonly sent: boolean;
+  readonly cancelled: boolean;
+  readonly detail: string;
+}
+
+/** A whole answer. */
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: Uint8Array;
+}
+
+/** Sends a request and resolves when the answer's headers arrive. */
+export function startExchange(
+  input: HttpRequest,
+): Promise<Either<HttpFailure, IncomingMessage>> {
+  return new Promise((resolve) => {
+    let connected = false;
+    const fail = (detail: string) =>
+      resolve(Left({
+        sent: connected,
+        cancelled: input.signal?.aborted ?? false,
+        detail,
+      }));
+    if (input.signal?.aborted) return fail("cancelled before it was sent");
+    const start = input.url.startsWith("https:") ? startHttps : startHttp;
+    const length = input.body === undefined
+      ? 0
+      : Buffer.byteLength(input.body as string);
+    const outgoing = start(input.url, {
+      method: input.method,
+      headers: { "content-length": String(length), ...input.headers },
+      ...(input.agent === undefined ? {} : { agent: input.agent }),
+      ...(input.signal === undefined ? {} : { signal: input.signal }),
+    });
+    outgoing.on("socket", (socket) => {
+      // A pooled socket is connected already.
+      if (!socket.connecting) connected = true;
+      else socket.once("connect", () => (connected = true));
+    });
+    outgoing.setTimeout(
+      input.idleTimeout,
+      () => outgoing.destroy(new Error(`silent for ${input.idleTimeout} ms`)),
+    );
+    outgoing.on("error", (error) => fail(describeError(error)));
+    outgoing.on("response", (incoming) => resolve(Right(incoming)));
+    outgoing.end(input.body);
+  });
+}
+
+/** Sends a request and reads the whole answer. */
+export async function sendRequest(
+  input: HttpRequest,
+): Promise<Either<HttpFailure, HttpAnswer>> {
+  const started = await startExchange(input);
+  const incoming = started.extract();
+  if (!("statusCode" in incoming)) return Left(incoming as HttpFailure);
+  try {
+    const body = await readBody(incoming);
+    return Right({
+      status: incoming.statusCode ?? 0,
+      headers: incoming.headers,
+      body,
+    });
+  } catch (error) {
+    return Left({
+      sent: true,
+      cancelled: input.signal?.aborted ?? false,
+      detail: describeError(error),
+    });
+  }
+}
+
+/** Sends a request and parses the answer's body as JSON. */
+export async function sendJsonRequest(
+  input: HttpRequest,
+): Promise<Either<HttpFailure, { status: number; body: unknown }>> {
+  const headers = { "content-type": "application/json", ...input.headers };
+  const answer = await sendRequest({ ...input, headers });
+  return answer.chain((whole) => {
+    try {
+      const text = Buffer.from(whole.body).toString("utf8");
+      return Right({
+        status: whole.status,
+        body: text === "" ? undefined : JSON.parse(text),
+      });
+    } catch (error) {
+      return Left({
+        sent: true,
+        cancelled: false,
+        detail: describeError(error),
+      });
+    }
+  });
+}
+
+async function readBody(incoming: IncomingMessage): Promise<Uint8Array> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of incoming) {
+    size += (part as Buffer).length;
+    if (size > MAX_ANSWER_BYTES) {
+      incoming.destroy();
+      throw new Error(`answer is larger than ${MAX_ANSWER_BYTES} bytes`);
+    }
+    parts.push(part as Buffer);
+  }
+  if (!incoming.complete) throw new Error("answer broke off");
+  return Buffer.concat(parts);
+}
+
+/** Returns one line that describes anything thrown. */
+export function describeError(error: unknown): string {
+  if (!(error instanceof Error)) return String(error);
+  const code = (error as NodeJS.ErrnoException).code;
+  return code === undefined ? error.message : `${code} ${error.message}`;
+}
--- /dev/null
+++ b/packages/platform/http_targets.ts
@@ -0,0 +1,277 @@
+/**
+ * Adapter of targets over HTTP: model engines that speak the OpenAI chat
+ * completions protocol with server-sent events, and plain services.
+ *
+ * An engine is asked for `stream_options.continuous_usage_stats`; where it
+ * gives no usage with a chunk, the chunk counts as one token.
+ */
+import type { IncomingMessage } from "node:http";
+import { createParser } from "eventsource-parser";
+import { z } from "zod";
+import type { Clock, Millis, TargetConfig, Tokens } from "../core/mod.ts";
+import { ConnectionPools } from "./connection_pools.ts";
+import {
+  describeError,
+  type HttpFailure,
+  MAX_ANSWER_BYTES,
+  sendJsonRequest,
+  sendRequest,
+  startExchange,
+} from "./http_client.ts";
+import {
+  AttemptEnd,
+  type ChunkSink,
+  type TargetCall,
+  type TargetLoadReport,
+  type TargetPort,
+  type TargetResult,
+} from "./target_port.ts";
+
+/** Data of the event that ends an engine's stream. */
+export const STREAM_END = "[DONE]";
+
+const USAGE_SCHEMA = z.object({
+  usage: z.object({
+    prompt_tokens: z.number().int().nonnegative(),
+    completion_tokens: z.number().int().nonnegative(),
+  }).nullish(),
+});
+
+const LOAD_SCHEMA = z.object({
+  running: z.number().nonnegative(),
+  queued: z.number().nonnegative(),
+  leaving: z.boolean(),
+  models: z.array(z.string()),
+});
+
+const EMPTY_BODY = new Uint8Array();
+
+/** Calls targets over HTTP with a pool of connections for each. */
+export class HttpTargets implements TargetPort {
+  readonly #pools: ConnectionPools;
+
+  constructor(clock: Clock) {
+    this.#pools = new ConnectionPools(clock);
+  }
+
+  /** Forgets the kept connections of a target whose path is dead. */
+  dropPool(target: string): void {
+    this.#pools.dropPool(target);
+  }
+
+  /** Closes every idle connection. */
+  close(): void {
+    this.#pools.dropAll();
+  }
+
+  async stream(call: TargetCall, sink: ChunkSink): Promise<TargetResult> {
+    const started = await startExchange(this.#createRequest(call));
+    if (started.isLeft()) {
+      return createFailedResult(call, started.extract() as HttpFailure);
+    }
+    const incoming = started.unsafeCoerce();
+    if (incoming.statusCode !== 200) return await readRefusal(call, incoming);
+    return await new StreamReader(call, sink).read(incoming);
+  }
+
+  async call(call: TargetCall): Promise<TargetResult> {
+    const answer = await sendRequest(this.#createRequest(call));
+    return answer.caseOf({
+      Left: (failure) => createFailedResult(call, failure),
+      Right: (whole) => ({
+        end: classifyStatus(whole.status),
+        status: whole.status,
+        contentType: whole.headers["content-type"] ?? "application/json",
+        body: whole.body,
+        bytesSent: call.body.length,
+        bytesReceived: whole.body.length,
+        detail: `status ${whole.status}`,
+      }),
+    });
+  }
+
+  async probe(
+    target: TargetConfig,
+    timeout: Millis,
+  ): Promise<TargetLoadReport | undefined> {
+    // Without an agent's pool the probe always makes a new connection.
+    const answer = await sendJsonRequest({
+      method: "GET",
+      url: `${target.url}/load`,
+      headers: { connection: "close" },
+      idleTimeout: timeout,
+    });
+    return answer.map((whole) => LOAD_SCHEMA.safeParse(whole.body).data)
+      .toMaybe().extract();
+  }
+
+  #createRequest(call: TargetCall) {
+    return {
+      method: "POST" as const,
+      url: `${call.target.url}${call.path}`,
+      headers: createHeaders(call),
+      body: call.body,
+      idleTimeout: call.progressTimeout,
+      agent: this.#pools.getAgent(call.target.id),
+      signal: call.signal,
+    };
+  }
+}
+
+function createHeaders(call: TargetCall): Record<string, string> {
+  const headers: Record<string, string> = {
+    "content-type": "application/json",
+    "x-request-digest": call.digest,
+    "x-priority": call.priority,
+  };
+  if (call.requestKey !== undefined) {
+    headers["idempotency-key"] = call.requestKey;
+  }
+  if (call.resume !== undefined) {
+    headers["x-resume-stream"] = call.resume.streamId;
+    headers["x-resume-position"] = String(call.resume.position);
+  }
+  return headers;
+}
+
+/** Reads one engine stream and passes its chunks on in order. */
+class StreamReader {
+  readonly #call: TargetCall;
+  readonly #sink: ChunkSink;
+  readonly #events: string[] = [];
+  #position: number;
+  #outputTokens: Tokens = 0;
+  #usage: TargetResult["usage"];
+  #received = 0;
+  #ended = false;
+
+  constructor(call: TargetCall, sink: ChunkSink) {
+    this.#call = call;
+    this.#sink = sink;
+    this.#position = call.resume?.position ?? 0;
+  }
+
+  async read(incoming: IncomingMessage): Promise<TargetResult> {
+    const parser = createParser({
+      onEvent: (event) => void this.#events.push(event.data),
+      maxBufferSize: MAX_ANSWER_BYTES,
+    });
+    const decoder = new TextDecoder();
+    try {
+      for await (const part of incoming) {
+        this.#received += (part as Buffer).length;
+        parser.feed(decoder.decode(part as Buffer, { stream: true }));
+        await this.#passOn();
+      }
+    } catch (error) {
+      return this.#createResult(
+        this.#call.signal.aborted ? AttemptEnd.Cancelled : AttemptEnd.Broken,
+        describeError(error),
+      );
+    }
+    const end = this.#ended ? AttemptEnd.Complete : AttemptEnd.Broken;
+    return this.#createResult(end, this.#ended ? "complete" : "broke off");
+  }
+
+  async #passOn(): Promise<void> {
+    for (const data of this.#events.splice(0)) {
+      if (data === STREAM_END) this.#ended = true;
+      else await this.#passChunk(data);
+    }
+  }
+
+  async #passChunk(data: string): Promise<void> {
+    const usage = parseUsage(data);
+    const before = this.#outputTokens;
+    if (usage === undefined) this.#outputTokens += 1;
+    else {
+      this.#usage = usage;
+      this.#outputTokens = Math.max(before, usage.outputTokens);
+    }
+    const position = this.#position++;
+    const tokens = this.#outputTokens - before;
+    await this.#sink({ position, data, tokens });
+  }
+
+  #createResult(end: AttemptEnd, detail: string): TargetResult {
+    return {
+      end,
+      status: 200,
+      contentType: "text/event-stream",
+      body: EMPTY_BODY,
+      ...(this.#usage === undefined ? {} : { usage: this.#usage }),
+      bytesSent: this.#call.body.length,
+      bytesReceived: this.#received,
+      detail,
+    };
+  }
+}
+
+function parseUsage(data: string): TargetResult["usage"] {
+  // Most chunks carry no usage; looking first saves parsing them.
+  if (!data.includes('"usage"')) return undefined;
+  try {
+    const usage = USAGE_SCHEMA.parse(JSON.parse(data)).usage;
+    if (usage === null || usage === undefined) return undefined;
+    return {
+      promptTokens: usage.prompt_tokens,
+      outputTokens: usage.completion_tokens,
+    };
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * A status of 429 or 503 is the target's word that it ran nothing. Another
+ * status of 500 or more leaves it open.
+ */
+function classifyStatus(status: number): AttemptEnd {
+  if (status === 429 || status === 503) return AttemptEnd.Refused;
+  return status >= 500 ? AttemptEnd.Broken : AttemptEnd.Complete;
+}
+
+async function readRefusal(
+  call: TargetCall,
+  incoming: IncomingMessage,
+): Promise<TargetResult> {
+  const parts: Buffer[] = [];
+  try {
+    for await (const part of incoming) parts.push(part as Buffer);
+  } catch (error) {
+    return createFailedResult(call, {
+      sent: true,
+      cancelled: call.signal.aborted,
+      detail: describeError(error),
+    });
+  }
+  const status = incoming.statusCode ?? 0;
+  const body = Buffer.concat(parts);
+  return {
+    end: classifyStatus(status),
+    status,
+    contentType: incoming.headers["content-type"] ?? "application/json",
+    body,
+    bytesSent: call.body.length,
+    bytesReceived: body.length,
+    detail: `status ${status}`,
+  };
+}
+
+function createFailedResult(
+  call: TargetCall,
+  failure: HttpFailure,
+): TargetResult {
+  const end = !failure.sent
+    ? AttemptEnd.NotSent
+    : failure.cancelled
+    ? AttemptEnd.Cancelled
+    : AttemptEnd.Broken;
+  return {
+    end,
+    body: EMPTY_BODY,
+    bytesSent: failure.sent ? call.body.length : 0,
+    bytesReceived: 0,
+    detail: failure.detail,
+  };
+}
--- a/packages/platform/mod.ts
+++ b/packages/platform/mod.ts
@@ -19,3 +19,22 @@
   TargetResult,
 } from "./target_port.ts";
 export { AttemptEnd } from "./target_port.ts";
+export type { HttpAnswer, HttpFailure, HttpRequest } from "./http_client.ts";
+export {
+  describeError,
+  MAX_ANSWER_BYTES,
+  sendJsonRequest,
+  sendRequest,
+  startExchange,
+} from "./http_client.ts";
+export type { HttpServiceOptions } from "./http_platform.ts";
+export {
+  createPlatformError,
+  HttpObjectStore,
+  HttpTable,
+  HttpVmList,
+} from "./http_platform.ts";
+export type { StoreWriterCounts, StoreWriterOptions } from "./store_writer.ts";
+export { MAX_WAITING_OPERATIONS, StoreWriter } from "./store_writer.ts";
+export { ConnectionPools, MAX_POOL_AGE } from "./connection_pools.ts";
+export { HttpTargets, STREAM_END } from "./http_targets.ts";
--- /dev/null
+++ b/packages/stand_ins/engine_server.ts
@@ -0,0 +1,258 @@
+/**
+ * Stand-in of a model engine: the OpenAI chat completions protocol with
+ * server-sent events, a load report, cancel by hanging up, and resume of a
+ * stream by position. Its answer depends only on the request's body, so that
+ * any replica can go on where another stopped.
+ */
+import { createHash } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { z } from "zod";
+import type { Millis } from "../core/mod.ts";
+import {
+  readBytes,
+  type RunningServer,
+  sendJson,
+  startServer,
+} from "./http_server.ts";
+
+const CHAT_SCHEMA = z.object({
+  model: z.string(),
+  messages: z.array(z.object({ role: z.string(), content: z.string() })),
+  max_tokens: z.number().int().positive().optional(),
+  max_completion_tokens: z.number().int().positive().optional(),
+  stream: z.boolean().optional(),
+});
+
+type ChatBody = z.infer<typeof CHAT_SCHEMA>;
+
+/** How the engine behaves. */
+export interface EngineOptions {
+  readonly port?: number;
+  readonly name?: string;
+  /** Pause before the first token. */
+  readonly firstTokenDelay?: Millis;
+  /** Pause between tokens. */
+  readonly tokenDelay?: Millis;
+  /** Longest answer in tokens when the request asks for more. */
+  readonly answerTokens?: number;
+  /** Requests it runs at once; others wait. */
+  readonly slots?: number;
+}
+
+/** Faults that a test can switch on, and counts. */
+export interface EngineControls {
+  /** Breaks every open stream and refuses new connections' requests. */
+  crash(): void;
+  /** Answers again after a crash. */
+  recover(): void;
+  /** Stops sending on open streams without closing them. */
+  freeze(frozen: boolean): void;
+  /** Breaks each stream once after this many chunks; absent to switch off. */
+  breakAfter(chunks: number | undefined): void;
+  /** Says that it is leaving. */
+  leave(): void;
+  readCounts(): EngineCounts;
+}
+
+/** Counts since the start. */
+export interface EngineCounts {
+  readonly requests: number;
+  readonly completed: number;
+  readonly cancelled: number;
+  readonly tokens: number;
+}
+
+/** A running engine. */
+export type EngineServer = RunningServer & EngineControls;
+
+const WORDS = [
+  "the",
+  "bus",
+  "meets",
+  "you",
+  "at",
+  "gate",
+  "four",
+  "and",
+  "waits",
+];
+
+/** Returns the n-th piece of the answer to a body with this digest. */
+export function computePiece(digest: string, position: number): string {
+  const hash = createHash("sha256").update(`${digest}/${position}`).digest();
+  return ` ${WORDS[hash.readUInt32BE(0) % WORDS.length]}`;
+}
+
+class Engine {
+  readonly #options: Required<Omit<EngineOptions, "port">>;
+  readonly #open = new Set<ServerResponse>();
+  readonly #waiting: (() => void)[] = [];
+  #running = 0;
+  #crashed = false;
+  #frozen = false;
+  #leaving = false;
+  #breakAfter: number | undefined;
+  #counts = { requests: 0, completed: 0, cancelled: 0, tokens: 0 };
+
+  constructor(options: EngineOptions) {
+    this.#options = {
+      name: options.name ?? "engine",
+      firstTokenDelay: options.firstTokenDelay ?? 5,
+      tokenDelay: options.tokenDelay ?? 1,
+      answerTokens: options.answerTokens ?? 20,
+      slots: options.slots ?? 32,
+    };
+  }
+
+  createControls(): EngineControls {
+    return {
+      crash: () => this.#crash(),
+      recover: () => void (this.#crashed = false),
+      freeze: (frozen) => void (this.#frozen = frozen),
+      breakAfter: (chunks) => void (this.#breakAfter = chunks),
+      leave: () => void (this.#leaving = true),
+      readCounts: () => ({ ...this.#counts }),
+    };
+  }
+
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (this.#crashed) return void response.destroy();
+    if (request.url === "/load") return this.#reportLoad(response);
+    const bytes = await readBytes(request);
+    if (this.#frozen) return;
+    const body = CHAT_SCHEMA.parse(JSON.parse(bytes.toString("utf8")));
+    this.#counts.requests++;
+    this.#open.add(response);
+    await this.#takeSlot();
+    try {
+      await this.#answer({ request, response, bytes, body });
+    } finally {
+      this.#open.delete(response);
+      this.#freeSlot();
+    }
+  }
+
+  #crash(): void {
+    this.#crashed = true;
+    for (const response of this.#open) response.destroy();
+  }
+
+  #reportLoad(response: ServerResponse): void {
+    sendJson(response, 200, {
+      running: this.#running,
+      queued: this.#waiting.length,
+      leaving: this.#leaving,
+      models: ["stand-in"],
+    });
+  }
+
+  async #answer(input: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly bytes: Buffer;
+    readonly body: ChatBody;
+  }): Promise<void> {
+    const { request, response, body } = input;
+    // The digest leaves out what does not change the answer.
+    const digest = createHash("sha256").update(JSON.stringify(body.messages))
+      .digest("hex");
+    const asked = body.max_tokens ?? body.max_completion_tokens ?? Infinity;
+    const length = Math.min(asked, this.#options.answerTokens);
+    const promptTokens = Math.ceil(JSON.stringify(body.messages).length / 4);
+    const from = Number(request.headers["x-resume-position"] ?? 0);
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    await pause(this.#options.firstTokenDelay);
+    for (let position = from; position < length; position++) {
+      if (!(await this.#sendPiece({ response, position, digest }))) return;
+      await pause(this.#options.tokenDelay);
+    }
+    this.#sendEnd(response, { id: digest.slice(0, 12), length, promptTokens });
+  }
+
+  async #sendPiece(input: {
+    readonly response: ServerResponse;
+    readonly position: number;
+    readonly digest: string;
+  }): Promise<boolean> {
+    const { response, position, digest } = input;
+    while (this.#frozen && !response.destroyed) await pause(10);
+    if (response.destroyed) {
+      this.#counts.cancelled++;
+      return false;
+    }
+    if (this.#breakAfter !== undefined && position >= this.#breakAfter) {
+      this.#breakAfter = undefined;
+      response.destroy();
+      return false;
+    }
+    this.#counts.tokens++;
+    const chunk = {
+      id: `chatcmpl-${digest.slice(0, 12)}`,
+      object: "chat.completion.chunk",
+      created: 0,
+      model: "stand-in",
+      choices: [{
+        index: 0,
+        delta: { content: computePiece(digest, position) },
+        finish_reason: null,
+      }],
+    };
+    response.write(`data: ${JSON.stringify(chunk)}\n\n`);
+    return true;
+  }
+
+  #sendEnd(
+    response: ServerResponse,
+    end: { id: string; length: number; promptTokens: number },
+  ): void {
+    this.#counts.completed++;
+    const common = {
+      id: `chatcmpl-${end.id}`,
+      object: "chat.completion.chunk",
+      created: 0,
+      model: "stand-in",
+    };
+    const stop = {
+      ...common,
+      choices: [{ index: 0, delta: {}, finish_reason: "stop" }],
+      usage: {
+        prompt_tokens: end.promptTokens,
+        completion_tokens: end.length,
+        total_tokens: end.promptTokens + end.length,
+      },
+    };
+    response.write(`data: ${JSON.stringify(stop)}\n\n`);
+    response.end("data: [DONE]\n\n");
+  }
+
+  async #takeSlot(): Promise<void> {
+    if (this.#running >= this.#options.slots) {
+      await new Promise<void>((resolve) => this.#waiting.push(resolve));
+    }
+    this.#running++;
+  }
+
+  #freeSlot(): void {
+    this.#running--;
+    this.#waiting.shift()?.();
+  }
+}
+
+function pause(duration: Millis): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
+
+/** Starts an engine. */
+export async function startEngineServer(
+  options: EngineOptions = {},
+): Promise<EngineServer> {
+  const engine = new Engine(options);
+  const server = await startServer(
+    (request, response) => engine.handle(request, response),
+    options.port,
+  );
+  return { ...server, ...engine.createControls() };
+}
--- a/packages/stand_ins/memory_table.ts
+++ b/packages/stand_ins/memory_table.ts
@@ -73,6 +73,8 @@
 /** Rows in memory behind the table port. */
 export class MemoryTable implements TablePort {
   readonly #rows = new Map<string, Row>();
+  /** Versions of deleted rows, so that a row created anew never repeats one. */
+  readonly #deleted = new Map<string, number>();
   readonly #now: () => MonotonicTime;
   readonly #chooseFault: (call: "read" | "write") => CallFault;
   readonly #writeLimit: RateLimit | undefined;
@@ -177,9 +179,13 @@
       return { committed: false, conflicts };
     }
     for (const write of transaction.writes) {
-      const version = this.#readVersion(write.key) + 1;
-      if (write.value === undefined) this.#rows.delete(write.key);
-      else {
+      const before = this.#rows.get(write.key)?.version ??
+        this.#deleted.get(write.key) ?? 0;
+      const version = before + 1;
+      if (write.value === undefined) {
+        this.#rows.delete(write.key);
+        this.#deleted.set(write.key, version);
+      } else {
         // A copy, so that no caller shares memory with the table.
         const value = structuredClone(write.value);
         this.#rows.set(write.key, { key: write.key, version, value });
--- a/packages/stand_ins/mod.ts
+++ b/packages/stand_ins/mod.ts
@@ -1,3 +1,24 @@
 /** Small fakes of the outside systems, in process and over HTTP. */
 export type { MemoryTableOptions, TableCounts } from "./memory_table.ts";
 export { CallFault, MemoryTable } from "./memory_table.ts";
+export type {
+  EngineControls,
+  EngineCounts,
+  EngineOptions,
+  EngineServer,
+} from "./engine_server.ts";
+export { computePiece, startEngineServer } from "./engine_server.ts";
+export type { RunningServer, StandInHandler } from "./http_server.ts";
+export { startServer } from "./http_server.ts";
+export type { TableServer, VmListServer } from "./platform_servers.ts";
+export {
+  startObjectServer,
+  startTableServer,
+  startVmListServer,
+} from "./platform_servers.ts";
+export type {
+  PlainServiceControls,
+  PlainServiceOptions,
+  PlainServiceServer,
+} from "./service_server.ts";
+export { startPlainServer } from "./service_server.ts";
