--- /dev/null
+++ b/packages/daemon/event_log.ts
@@ -0,0 +1,83 @@
+/**
+ * Structured logs: one line of key=value pairs for each event, on standard
+ * error, through winston.
+ */
+import { createLogger, format, type Logger, transports } from "winston";
+
+/** Names of all events that the daemon logs. */
+export enum LogEvent {
+  Started = "started",
+  Listening = "listening",
+  DrainStarted = "drain_started",
+  DrainHurried = "drain_hurried",
+  Stopped = "stopped",
+  RequestEnded = "request_ended",
+  RequestRefused = "request_refused",
+  AttemptFailed = "attempt_failed",
+  GrantTaken = "grant_taken",
+  GrantClosed = "grant_closed",
+  GrantRefused = "grant_refused",
+  StoreFailed = "store_failed",
+  BillsFlushed = "bills_flushed",
+  BillsLost = "bills_lost",
+  ClaimUnfinished = "claim_unfinished",
+  DocumentApplied = "document_applied",
+  DocumentRefused = "document_refused",
+  MemberChanged = "member_changed",
+  ForwardFailed = "forward_failed",
+  TargetChanged = "target_changed",
+  ProcessFailed = "process_failed",
+}
+
+/** Values that a log line may carry. */
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+/** Writes events. */
+export interface EventLog {
+  info(event: LogEvent, fields?: LogFields): void;
+  warn(event: LogEvent, fields?: LogFields): void;
+  error(event: LogEvent, fields?: LogFields): void;
+}
+
+/** Returns a log that writes lines at or above a level. */
+export function createEventLog(level: string): EventLog {
+  const logger = createLogger({
+    level,
+    format: format.printf((entry) =>
+      `ts=${new Date().toISOString()} level=${entry.level} ${entry.message}`
+    ),
+    transports: [new transports.Console({ stderrLevels: ALL_LEVELS })],
+  });
+  return createLog(logger);
+}
+
+/** Returns a log that drops every line, for tests. */
+export function createSilentLog(): EventLog {
+  const drop = () => {};
+  return { info: drop, warn: drop, error: drop };
+}
+
+const ALL_LEVELS = ["error", "warn", "info", "debug"];
+
+function createLog(logger: Logger): EventLog {
+  return {
+    info: (event, fields) => void logger.info(formatLine(event, fields)),
+    warn: (event, fields) => void logger.warn(formatLine(event, fields)),
+    error: (event, fields) => void logger.error(formatLine(event, fields)),
+  };
+}
+
+/** Formats one event as `event=NAME key=value ...`. */
+export function formatLine(event: LogEvent, fields: LogFields = {}): string {
+  const pairs = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([key, value]) => `${key}=${formatValue(value)}`);
+  return [`event=${event}`, ...pairs].join(" ");
+}
+
+function formatValue(value: string | number | boolean | undefined): string {
+  const text = String(value);
+  return /^[\w.:/@+-]+$/.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/packages/daemon/node_context.ts
@@ -0,0 +1,43 @@
+/** What every feature of one daemon shares. */
+import type {
+  Clock,
+  FleetConfiguration,
+  Incarnation,
+  Kernel,
+  RandomSource,
+  SliceType,
+} from "../core/mod.ts";
+import { createEmptyConfiguration } from "../core/mod.ts";
+import type { StoreWriter, TablePort } from "../platform/mod.ts";
+import type { HttpTargets, ObjectPort, VmListPort } from "../platform/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import type { EventLog } from "./event_log.ts";
+import type { NodeMetrics } from "./node_metrics.ts";
+
+/** The daemon's surroundings: its settings, ports, state and reports. */
+export interface NodeContext {
+  readonly settings: Settings;
+  readonly incarnation: Incarnation;
+  readonly kernel: Kernel;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly table: TablePort;
+  readonly writer: StoreWriter;
+  readonly objects: ObjectPort | undefined;
+  readonly vmList: VmListPort | undefined;
+  readonly targets: HttpTargets;
+  readonly log: EventLog;
+  readonly metrics: NodeMetrics;
+}
+
+/** The configuration in force. */
+export const CONFIGURATION: SliceType<FleetConfiguration> = {
+  name: "configuration",
+  createInitial: createEmptyConfiguration,
+};
+
+/** Whether the daemon is being stopped. */
+export const DRAINING: SliceType<boolean> = {
+  name: "draining",
+  createInitial: () => false,
+};
--- a/packages/platform/http_targets.ts
+++ b/packages/platform/http_targets.ts
@@ -25,6 +25,7 @@
   type TargetLoadReport,
   type TargetPort,
   type TargetResult,
+  type TokenUsage,
 } from "./target_port.ts";
 
 /** Data of the event that ends an engine's stream. */
@@ -90,6 +91,21 @@
     });
   }
 
+  async cancel(
+    target: TargetConfig,
+    options: { readonly streamId: string; readonly timeout: Millis },
+  ): Promise<TokenUsage | undefined> {
+    const path = `/v1/streams/${encodeURIComponent(options.streamId)}/cancel`;
+    const answer = await sendJsonRequest({
+      method: "POST",
+      url: `${target.url}${path}`,
+      headers: { connection: "close" },
+      idleTimeout: options.timeout,
+    });
+    return answer.map((whole) => parseUsage(JSON.stringify(whole.body)))
+      .toMaybe().extract();
+  }
+
   async probe(
     target: TargetConfig,
     timeout: Millis,
@@ -127,6 +143,7 @@
   if (call.requestKey !== undefined) {
     headers["idempotency-key"] = call.requestKey;
   }
+  if (call.streamId !== undefined) headers["x-stream-id"] = call.streamId;
   if (call.resume !== undefined) {
     headers["x-resume-stream"] = call.resume.streamId;
     headers["x-resume-position"] = String(call.resume.position);
@@ -141,7 +158,7 @@
   readonly #events: string[] = [];
   #position: number;
   #outputTokens: Tokens = 0;
-  #usage: TargetResult["usage"];
+  #usage: TokenUsage | undefined;
   #received = 0;
   #ended = false;
 
@@ -207,7 +224,7 @@
   }
 }
 
-function parseUsage(data: string): TargetResult["usage"] {
+function parseUsage(data: string): TokenUsage | undefined {
   // Most chunks carry no usage; looking first saves parsing them.
   if (!data.includes('"usage"')) return undefined;
   try {
--- a/packages/platform/mod.ts
+++ b/packages/platform/mod.ts
@@ -17,6 +17,7 @@
   TargetLoadReport,
   TargetPort,
   TargetResult,
+  TokenUsage,
 } from "./target_port.ts";
 export { AttemptEnd } from "./target_port.ts";
 export type { HttpAnswer, HttpFailure, HttpRequest } from "./http_client.ts";
--- a/packages/platform/target_port.ts
+++ b/packages/platform/target_port.ts
@@ -38,7 +38,9 @@
   readonly progressTimeout: Millis;
   /** Continue a stream of this id after this many chunks; engines only. */
   readonly resume?: { readonly streamId: string; readonly position: number };
-  /** Aborting it cancels the attempt at the target. */
+  /** Names the stream at the engine, for cancel and resume; absent for services. */
+  readonly streamId?: string;
+  /** Aborting it closes the attempt's connection. */
   readonly signal: AbortSignal;
 }
 
@@ -52,6 +54,12 @@
   readonly tokens: Tokens;
 }
 
+/** An engine's own count of one stream. */
+export interface TokenUsage {
+  readonly promptTokens: Tokens;
+  readonly outputTokens: Tokens;
+}
+
 /** What an attempt ended with. */
 export interface TargetResult {
   readonly end: AttemptEnd;
@@ -61,10 +69,7 @@
   /** Body of a plain answer; empty for streams. */
   readonly body: Uint8Array;
   /** Tokens by the engine's own final count, where it gave one. */
-  readonly usage?: {
-    readonly promptTokens: Tokens;
-    readonly outputTokens: Tokens;
-  };
+  readonly usage?: TokenUsage;
   readonly bytesSent: Bytes;
   readonly bytesReceived: Bytes;
   /** One line for logs. */
@@ -80,6 +85,14 @@
   stream(call: TargetCall, sink: ChunkSink): Promise<TargetResult>;
   /** Calls a plain service. */
   call(call: TargetCall): Promise<TargetResult>;
+  /**
+   * Cancels a stream at its engine and returns what it used, over a new
+   * connection; undefined when the engine did not answer in time.
+   */
+  cancel(
+    target: TargetConfig,
+    options: { readonly streamId: string; readonly timeout: Millis },
+  ): Promise<TokenUsage | undefined>;
   /** Asks a target for its load over a new connection. */
   probe(
     target: TargetConfig,
--- /dev/null
+++ b/packages/settings/parse_settings.ts
@@ -0,0 +1,171 @@
+/** Parses a settings file and says where and how it is wrong. */
+import { distance } from "fastest-levenshtein";
+import {
+  findNodeAtLocation,
+  getNodeValue,
+  type Node,
+  type ParseError,
+  parseTree,
+  printParseErrorCode,
+} from "jsonc-parser";
+import { type Either, Left, Right } from "purify-ts";
+import type { z } from "zod";
+import {
+  type InputError,
+  InputErrorKind,
+  type TextPlace,
+} from "../core/mod.ts";
+import { type Settings, SETTINGS_SCHEMA } from "./settings.ts";
+
+/** A text with the tree that was parsed from it. */
+interface ParsedText {
+  readonly text: string;
+  readonly source: string;
+  readonly root: Node;
+}
+
+/** Parses settings; every fault found is returned, in the order of the text. */
+export function parseSettings(
+  text: string,
+  source: string,
+): Either<readonly InputError[], Settings> {
+  return parseText(text, source).chain((parsed) => {
+    const result = SETTINGS_SCHEMA.safeParse(getNodeValue(parsed.root));
+    if (!result.success) {
+      return Left(
+        result.error.issues.flatMap((issue) => describeIssue(issue, parsed)),
+      );
+    }
+    const key = checkPeerKey(result.data, parsed);
+    return key === undefined ? Right(result.data) : Left([key]);
+  });
+}
+
+function parseText(
+  text: string,
+  source: string,
+): Either<readonly InputError[], ParsedText> {
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, { allowTrailingComma: true });
+  if (root !== undefined && errors.length === 0) {
+    return Right({ text, source, root });
+  }
+  return Left(errors.map((error) => ({
+    kind: InputErrorKind.Syntax,
+    message: `The text is not JSON: ${printParseErrorCode(error.error)}`,
+    remedy: "Correct the text at this place; comments are allowed.",
+    place: computePlace(text, { source, offset: error.offset }),
+  })));
+}
+
+function describeIssue(
+  issue: z.core.$ZodIssue,
+  parsed: ParsedText,
+): InputError[] {
+  const path = issue.path as (string | number)[];
+  if (issue.code === "unrecognized_keys") {
+    return issue.keys.map((key) => describeUnknownKey([...path, key], parsed));
+  }
+  const missing = issue.code === "invalid_type" &&
+    findNodeAtLocation(parsed.root, path) === undefined;
+  const name = path.join(".");
+  if (missing) {
+    return [{
+      kind: InputErrorKind.MissingKey,
+      message: `The setting ${name} is missing`,
+      remedy: `Add it; the example settings show its form.`,
+      place: findPlace(parsed, path.slice(0, -1)),
+    }];
+  }
+  const kind = issue.code === "invalid_type"
+    ? InputErrorKind.WrongType
+    : InputErrorKind.OutOfRange;
+  return [{
+    kind,
+    message: `The setting ${name} does not fit: ${issue.message}`,
+    remedy: "Give a value of the form that the example settings show.",
+    place: findPlace(parsed, path),
+  }];
+}
+
+function describeUnknownKey(
+  path: (string | number)[],
+  parsed: ParsedText,
+): InputError {
+  const key = String(path.at(-1));
+  const nearest = findNearestKey(key);
+  return {
+    kind: InputErrorKind.UnknownKey,
+    message: `There is no setting ${path.join(".")}`,
+    remedy: nearest === undefined
+      ? "Remove it."
+      : `Did you mean ${nearest}? Otherwise remove it.`,
+    place: findPlace(parsed, path),
+  };
+}
+
+/** Longest edit distance at which a known key is offered. */
+const MAX_KEY_DISTANCE = 4;
+
+function findNearestKey(key: string): string | undefined {
+  const scored = [...collectKeys(SETTINGS_SCHEMA)]
+    .map((known) => ({ known, distance: distance(key, known) }))
+    .sort((left, right) => left.distance - right.distance);
+  const best = scored[0];
+  return best !== undefined && best.distance <= MAX_KEY_DISTANCE
+    ? best.known
+    : undefined;
+}
+
+function collectKeys(schema: unknown, keys = new Set<string>()): Set<string> {
+  const definition = (schema as z.core.$ZodType)._zod?.def as {
+    shape?: Record<string, unknown>;
+    innerType?: unknown;
+  };
+  if (definition?.innerType !== undefined) {
+    collectKeys(definition.innerType, keys);
+  }
+  for (const [key, value] of Object.entries(definition?.shape ?? {})) {
+    keys.add(key);
+    collectKeys(value, keys);
+  }
+  return keys;
+}
+
+function checkPeerKey(
+  settings: Settings,
+  parsed: ParsedText,
+): InputError | undefined {
+  if (settings.peerKey !== undefined || settings.peerKeyFile !== undefined) {
+    return undefined;
+  }
+  return {
+    kind: InputErrorKind.MissingKey,
+    message: "Neither peerKey nor peerKeyFile is set",
+    remedy: "Set peerKeyFile to a file that holds the entry VMs' shared key.",
+    place: findPlace(parsed, []),
+  };
+}
+
+function findPlace(
+  parsed: ParsedText,
+  path: readonly (string | number)[],
+): TextPlace {
+  let node = findNodeAtLocation(parsed.root, [...path]);
+  // A key's place is more useful than that of its value.
+  if (node?.parent?.type === "property") node = node.parent;
+  const offset = node?.offset ?? parsed.root.offset;
+  return computePlace(parsed.text, { source: parsed.source, offset });
+}
+
+function computePlace(
+  text: string,
+  position: { readonly source: string; readonly offset: number },
+): TextPlace {
+  const before = text.slice(0, position.offset).split("\n");
+  return {
+    source: position.source,
+    line: before.length,
+    column: (before.at(-1) ?? "").length + 1,
+  };
+}
--- a/packages/stand_ins/engine_server.ts
+++ b/packages/stand_ins/engine_server.ts
@@ -83,10 +83,21 @@
   return ` ${WORDS[hash.readUInt32BE(0) % WORDS.length]}`;
 }
 
+interface StreamUsage {
+  promptTokens: number;
+  outputTokens: number;
+  cancelled: boolean;
+}
+
+/** Streams whose usage is remembered. */
+const MAX_STREAMS = 10_000;
+
 class Engine {
   readonly #options: Required<Omit<EngineOptions, "port">>;
   readonly #open = new Set<ServerResponse>();
   readonly #waiting: (() => void)[] = [];
+  /** Usage of each named stream so far; cancelled ones generate no more. */
+  readonly #streams = new Map<string, StreamUsage>();
   #running = 0;
   #crashed = false;
   #frozen = false;
@@ -122,6 +133,8 @@
     if (this.#crashed) return void response.destroy();
     if (request.url === "/load") return this.#reportLoad(response);
     const bytes = await readBytes(request);
+    const cancel = /^\/v1\/streams\/([^/]+)\/cancel$/.exec(request.url ?? "");
+    if (cancel !== null) return this.#cancelStream(cancel[1] ?? "", response);
     if (this.#frozen) return;
     const body = CHAT_SCHEMA.parse(JSON.parse(bytes.toString("utf8")));
     this.#counts.requests++;
@@ -140,6 +153,30 @@
     for (const response of this.#open) response.destroy();
   }
 
+  #cancelStream(id: string, response: ServerResponse): void {
+    const stream = this.#streams.get(decodeURIComponent(id));
+    if (stream === undefined) return sendJson(response, 404, {});
+    stream.cancelled = true;
+    sendJson(response, 200, {
+      usage: {
+        prompt_tokens: stream.promptTokens,
+        completion_tokens: stream.outputTokens,
+      },
+    });
+  }
+
+  #openStream(id: string, promptTokens: number): StreamUsage {
+    const stream = { promptTokens, outputTokens: 0, cancelled: false };
+    if (id !== "") this.#streams.set(id, stream);
+    if (this.#streams.size > MAX_STREAMS) {
+      for (const oldest of this.#streams.keys()) {
+        this.#streams.delete(oldest);
+        break;
+      }
+    }
+    return stream;
+  }
+
   #reportLoad(response: ServerResponse): void {
     sendJson(response, 200, {
       running: this.#running,
@@ -163,10 +200,14 @@
     const length = Math.min(asked, this.#options.answerTokens);
     const promptTokens = Math.ceil(JSON.stringify(body.messages).length / 4);
     const from = Number(request.headers["x-resume-position"] ?? 0);
+    const id = String(request.headers["x-stream-id"] ?? "");
+    const stream = this.#openStream(id, promptTokens);
     response.writeHead(200, { "content-type": "text/event-stream" });
     await pause(this.#options.firstTokenDelay);
     for (let position = from; position < length; position++) {
-      if (!(await this.#sendPiece({ response, position, digest }))) return;
+      if (!(await this.#sendPiece({ response, position, digest, stream }))) {
+        return;
+      }
       await pause(this.#options.tokenDelay);
     }
     this.#sendEnd(response, { id: digest.slice(0, 12), length, promptTokens });
@@ -176,10 +217,11 @@
     readonly response: ServerResponse;
     readonly position: number;
     readonly digest: string;
+    readonly stream: StreamUsage;
   }): Promise<boolean> {
-    const { response, position, digest } = input;
+    const { response, position, digest, stream } = input;
     while (this.#frozen && !response.destroyed) await pause(10);
-    if (response.destroyed) {
+    if (response.destroyed || stream.cancelled) {
       this.#counts.cancelled++;
       return false;
     }
@@ -189,6 +231,7 @@
       return false;
     }
     this.#counts.tokens++;
+    stream.outputTokens++;
     const chunk = {
       id: `chatcmpl-${digest.slice(0, 12)}`,
       object: "chat.completion.chunk",
