Choose targets by discounted reports, prefixes, health and link room

Cause: the first version compared own attempts alone, copied the table of targets for each attempt and knew neither leaving nor failing targets. Change: one table with immutable records that are replaced one at a time; reports discounted by age towards the mean of the group; prefix holders with a load bound; leaving signs from the VM list, the target and peers; ejection of at most a third of a group, probation and slow start; bytes between regions counted and limited. routing may now import platform's types.

--- /dev/null
+++ b/packages/routing/commands/apply_leaving.ts
@@ -0,0 +1,90 @@
+/**
+ * Signs that targets are leaving: from the VM list, from their own word, and
+ * from peers that heard their word. Whichever comes first stops new work.
+ */
+import type { Millis, MonotonicTime, TargetId } from "../../core/mod.ts";
+import type { RoutingState } from "../state.ts";
+import {
+  computeHealth,
+  type LeavingWord,
+  TargetHealth,
+} from "../target_state.ts";
+
+/** A target's word on leaving, as VMs pass it on. */
+export interface LeavingSign {
+  readonly target: TargetId;
+  readonly leaving: boolean;
+  /** Time since the target said so; clocks of VMs are not compared. */
+  readonly age: Millis;
+}
+
+/** How much later a word must be to take back that a target is leaving. */
+const SIGN_SLACK: Millis = 1_000;
+
+/** Folds in the VM list: targets it calls leaving, or no longer shows. */
+export function applyListedTargets(
+  state: RoutingState,
+  leaving: ReadonlySet<TargetId>,
+): RoutingState {
+  for (const target of [...state.targets.values()]) {
+    const listedLeaving = leaving.has(target.config.id);
+    if (listedLeaving === target.listedLeaving) continue;
+    state.targets.put({ ...target, listedLeaving });
+  }
+  return state;
+}
+
+/** Records a target's word on whether it is leaving; the newest word stands. */
+export function recordLeavingWord(
+  state: RoutingState,
+  target: TargetId,
+  word: LeavingWord,
+): RoutingState {
+  const known = state.targets.get(target);
+  if (known === undefined) return state;
+  const newest = known.word;
+  if (newest === undefined && !word.leaving) return state;
+  const slack = newest?.leaving === true && !word.leaving ? SIGN_SLACK : 0;
+  if (newest !== undefined && word.at <= newest.at + slack) return state;
+  state.targets.put({ ...known, word });
+  return state;
+}
+
+/** Folds in what a peer heard. */
+export function applyLeavingSigns(
+  state: RoutingState,
+  input: {
+    readonly signs: readonly LeavingSign[];
+    readonly now: MonotonicTime;
+  },
+): RoutingState {
+  for (const { target, leaving, age } of input.signs) {
+    recordLeavingWord(state, target, { leaving, at: input.now - age });
+  }
+  return state;
+}
+
+/** Returns the words on leaving to pass on to peers. */
+export function listLeavingSigns(
+  state: RoutingState,
+  now: MonotonicTime,
+): LeavingSign[] {
+  return [...state.targets.values()].flatMap((target) =>
+    target.word === undefined ? [] : [{
+      target: target.config.id,
+      leaving: target.word.leaving,
+      age: now - target.word.at,
+    }]
+  );
+}
+
+/** Returns whether a target is known to be leaving. */
+export function isLeaving(
+  state: RoutingState,
+  target: TargetId,
+  now: MonotonicTime,
+): boolean {
+  const known = state.targets.get(target);
+  return known !== undefined &&
+    computeHealth(known, now) === TargetHealth.Leaving;
+}
--- a/packages/routing/queries/choose_target.ts
+++ b/packages/routing/queries/choose_target.ts
@@ -2,46 +2,223 @@
 import { type Either, Left, Right } from "purify-ts";
 import {
   createNotRun,
+  type Millis,
   type MonotonicTime,
   type RandomSource,
   type Refusal,
   RefusalKind,
+  type RegionId,
   type TargetConfig,
+  type TargetId,
 } from "../../core/mod.ts";
 import {
+  DEFAULT_PRIORITY,
   type RoutedRequest,
   type RoutingState,
-  TargetHealth,
 } from "../state.ts";
+import {
+  computeHealth,
+  TargetHealth,
+  type TargetState,
+} from "../target_state.ts";
+import { computeLoad } from "./compute_load.ts";
+
+const NO_TARGET_RETRY_AFTER: Millis = 2_000;
+const NO_ROOM_RETRY_AFTER: Millis = 1_000;
+
+/** Draws before a group is searched as a whole. */
+const MOST_DRAWS = 8;
+
+/** How far above the sampled load a holder of the prefix may be. */
+const AFFINITY_SLACK = 0.25;
+
+/** Load of the own region from which another region is considered. */
+const SPILL_LOAD = 1;
 
-const NO_TARGET_RETRY_AFTER = 2_000;
+/** Load by which another region must be better, as the price of its link. */
+const REGION_COST = 0.5;
 
-/** Returns the less busy of two sampled targets that may get new work. */
+/** What a choice is made from. */
+export interface ChooseInput {
+  readonly request: RoutedRequest;
+  readonly now: MonotonicTime;
+  readonly random: RandomSource;
+  /** Load at which a target counts as full; unlimited if absent. */
+  readonly mostLoad?: number;
+}
+
+interface Candidate {
+  readonly target: TargetState;
+  readonly load: number;
+}
+
+/**
+ * Returns the target of an attempt: a holder of the prompt's prefix unless it
+ * is much busier, else the less busy of two sampled ones; another region only
+ * when the own one is full and the link has room.
+ */
 export function chooseTarget(
   state: RoutingState,
-  input: {
-    readonly request: RoutedRequest;
-    readonly now: MonotonicTime;
-    readonly random: RandomSource;
-  },
+  input: ChooseInput,
 ): Either<Refusal, TargetConfig> {
-  const { request, random } = input;
-  const ids = state.byService.get(request.service) ?? [];
+  const regions = state.targets.listRegions(input.request.service);
+  const own = chooseInRegions(state, input, regions.filter(isOwn));
+  const spill = own === undefined || own.load >= SPILL_LOAD;
+  const remote = spill ? chooseRemote(state, input, regions) : undefined;
+  const best = chooseCheaper(own, remote);
+  if (best === undefined) return Left(createNoTarget());
+  const full = input.mostLoad !== undefined && best.load >= input.mostLoad;
+  return full ? Left(createNoRoom()) : Right(best.target.config);
+
+  function isOwn(region: RegionId): boolean {
+    return state.region === undefined || region === state.region;
+  }
+}
+
+function chooseRemote(
+  state: RoutingState,
+  input: ChooseInput,
+  regions: readonly RegionId[],
+): Candidate | undefined {
+  const priority = input.request.priority ?? DEFAULT_PRIORITY;
+  const reachable = regions
+    .filter((region) => state.region !== undefined && region !== state.region)
+    .filter((region) =>
+      state.links.hasRoom(region, { priority, now: input.now })
+    );
+  return chooseInRegions(state, input, reachable);
+}
+
+function chooseCheaper(
+  own: Candidate | undefined,
+  remote: Candidate | undefined,
+): Candidate | undefined {
+  if (own === undefined || remote === undefined) return own ?? remote;
+  return remote.load + REGION_COST < own.load ? remote : own;
+}
+
+function chooseInRegions(
+  state: RoutingState,
+  input: ChooseInput,
+  regions: readonly RegionId[],
+): Candidate | undefined {
+  const { service } = input.request;
+  const [region] = regions;
+  const ids = regions.length === 1 && region !== undefined
+    ? state.targets.listRegion(service, region)
+    : regions.flatMap((each) => state.targets.listRegion(service, each));
+  const sampled = chooseOfTwo(state, input, ids);
+  if (sampled === undefined) return undefined;
+  const holder = findHolder(state, input, ids);
+  if (holder !== undefined && holder.load <= sampled.load + AFFINITY_SLACK) {
+    return holder;
+  }
+  return sampled;
+}
+
+function chooseOfTwo(
+  state: RoutingState,
+  input: ChooseInput,
+  ids: readonly TargetId[],
+): Candidate | undefined {
+  const found: Candidate[] = [];
+  for (let draw = 0; draw < MOST_DRAWS && found.length < 2; draw++) {
+    const id = ids[Math.floor(input.random() * ids.length)];
+    if (found.some((each) => each.target.config.id === id)) continue;
+    const candidate = readCandidate(state, input, id);
+    if (candidate !== undefined) found.push(candidate);
+  }
+  const best = chooseLighter(found);
+  if (best !== undefined && hasRoom(best, input)) return best;
+  return chooseAmongAll(state, input, ids) ?? best;
+}
+
+/** Draws among all usable targets with room, or any if none has. */
+function chooseAmongAll(
+  state: RoutingState,
+  input: ChooseInput,
+  ids: readonly TargetId[],
+): Candidate | undefined {
   const usable = ids
-    .map((id) => state.targets.get(id))
-    .filter((target) => target !== undefined)
-    .filter((target) => target.health === TargetHealth.Healthy)
-    .filter((target) => !request.tried.includes(target.config.id));
-  const first = usable[Math.floor(random() * usable.length)];
-  const second = usable[Math.floor(random() * usable.length)];
-  if (first === undefined || second === undefined) {
-    return Left(createNotRun(
-      RefusalKind.NoTarget,
-      "We could not reach a service that can answer this right now. Nothing was done. Please try again shortly.",
-      { retryAfter: NO_TARGET_RETRY_AFTER },
-    ));
+    .map((id) => readCandidate(state, input, id))
+    .filter((candidate) => candidate !== undefined);
+  const roomy = usable.filter((candidate) => hasRoom(candidate, input));
+  const pool = roomy.length > 0 ? roomy : usable;
+  return pool[Math.floor(input.random() * pool.length)];
+}
+
+function findHolder(
+  state: RoutingState,
+  input: ChooseInput,
+  ids: readonly TargetId[],
+): Candidate | undefined {
+  const prefixes = input.request.prefixes ?? [];
+  for (const prefix of prefixes.toReversed()) {
+    const holders = state.prefixes.list(prefix)
+      .filter(({ target, epoch }) =>
+        state.targets.get(target)?.cacheEpoch === epoch && ids.includes(target)
+      )
+      .map(({ target }) => readCandidate(state, input, target))
+      .filter((candidate) => candidate !== undefined);
+    const best = chooseLighter(holders);
+    if (best !== undefined) return best;
   }
-  return Right(
-    first.inFlight <= second.inFlight ? first.config : second.config,
+  return undefined;
+}
+
+function chooseLighter(
+  candidates: readonly Candidate[],
+): Candidate | undefined {
+  return candidates.reduce<Candidate | undefined>(
+    (best, each) => best === undefined || each.load < best.load ? each : best,
+    undefined,
+  );
+}
+
+function hasRoom(candidate: Candidate, input: ChooseInput): boolean {
+  return input.mostLoad === undefined || candidate.load < input.mostLoad;
+}
+
+function readCandidate(
+  state: RoutingState,
+  input: ChooseInput,
+  id: TargetId | undefined,
+): Candidate | undefined {
+  const target = id === undefined ? undefined : state.targets.get(id);
+  if (target === undefined || !isUsable(target, input)) return undefined;
+  return { target, load: computeLoad(state, target, input.now) };
+}
+
+function isUsable(target: TargetState, input: ChooseInput): boolean {
+  const { request, now } = input;
+  const { id } = target.config;
+  if (request.tried.includes(id)) return false;
+  if (request.avoided?.includes(id) === true) return false;
+  const health = computeHealth(target, now);
+  if (health === TargetHealth.Probation) return target.inFlight === 0;
+  if (health !== TargetHealth.Healthy) return false;
+  return hasModels(target, request.models ?? []);
+}
+
+function hasModels(target: TargetState, wanted: readonly string[]): boolean {
+  const loaded = target.report?.models ?? [];
+  // A target that names no model is a plain service or has not reported yet.
+  if (loaded.length === 0) return true;
+  return wanted.every((model) => loaded.includes(model));
+}
+
+function createNoTarget(): Refusal {
+  return createNotRun(
+    RefusalKind.NoTarget,
+    "We could not reach a service that can answer this right now. Nothing was done. Please try again shortly.",
+    { retryAfter: NO_TARGET_RETRY_AFTER },
+  );
+}
+
+function createNoRoom(): Refusal {
+  return createNotRun(
+    RefusalKind.Overloaded,
+    "We are very busy at the moment. Nothing was done. Please try again shortly.",
+    { retryAfter: NO_ROOM_RETRY_AFTER },
   );
 }
--- /dev/null
+++ b/packages/routing/queries/choose_target_test.ts
@@ -0,0 +1,274 @@
+/** Tests of the choice of target under stale reports, failures and leaving. */
+import test from "ava";
+import { Priority, RefusalKind } from "../../core/mod.ts";
+import { AttemptEnd } from "../../platform/mod.ts";
+import {
+  applyCacheEvents,
+  applyLeavingSigns,
+  applyListedTargets,
+  applyReport,
+  applyTargets,
+  CacheChange,
+  chooseTarget,
+  computeHealth,
+  createRoutingState,
+  listLeavingSigns,
+  recordAttemptEnd,
+  recordAttemptStart,
+  type RoutedRequest,
+  type RoutingState,
+  TargetHealth,
+} from "../mod.ts";
+import {
+  createFleet,
+  createRandom,
+  createRequest,
+  createTarget,
+} from "../test_fleet.ts";
+
+const TWELVE = Array.from(
+  { length: 12 },
+  (_, index) => createTarget(`t${index}`),
+);
+
+function createState(targets = TWELVE): RoutingState {
+  const configuration = createFleet(targets, [{
+    from: "addis",
+    to: "dire",
+    bytesPerSecond: 2_500_000,
+    oneWay: 30,
+  }]);
+  const state = createRoutingState({ region: "addis" });
+  return applyTargets(state, { configuration, now: 0, vms: 8 });
+}
+
+function createReport(running: number, options: { leaving?: boolean } = {}) {
+  return { running, queued: 0, leaving: false, models: [], ...options };
+}
+
+/** Chooses and starts many attempts, and counts them by target. */
+function dispatchMany(
+  state: RoutingState,
+  count: number,
+  options: { now: number; request?: Partial<RoutedRequest>; seed?: number },
+): Map<string, number> {
+  const random = createRandom(options.seed);
+  const counts = new Map<string, number>();
+  const request = createRequest(options.request);
+  for (let index = 0; index < count; index++) {
+    chooseTarget(state, { request, now: options.now, random }).ifRight((to) => {
+      recordAttemptStart(state, to.id, { now: options.now });
+      counts.set(to.id, (counts.get(to.id) ?? 0) + 1);
+    });
+  }
+  return counts;
+}
+
+function recordFailures(
+  state: RoutingState,
+  target: string,
+  now: number,
+  times = 3,
+) {
+  for (let index = 0; index < times; index++) {
+    recordAttemptStart(state, target);
+    recordAttemptEnd(state, target, { now, end: AttemptEnd.Broken });
+  }
+}
+
+test("VMs that share one stale report do not herd to the target that looked idle", (t) => {
+  const totals = new Map<string, number>();
+  for (let vm = 1; vm <= 8; vm++) {
+    const state = createState();
+    for (const { id } of TWELVE) {
+      applyReport(state, id, {
+        report: createReport(id === "t0" ? 0 : 9),
+        now: 0,
+      });
+    }
+    for (
+      const [id, count] of dispatchMany(state, 24, {
+        now: 5_000,
+        seed: vm * 97,
+      })
+    ) {
+      totals.set(id, (totals.get(id) ?? 0) + count);
+    }
+  }
+  const mean = 8 * 24 / 12;
+  t.true((totals.get("t0") ?? 0) < 3 * mean, `${totals.get("t0")} at t0`);
+});
+
+test("a fresh report of a busy target keeps work away from it", (t) => {
+  const state = createState();
+  for (const { id } of TWELVE) {
+    applyReport(state, id, {
+      report: createReport(id === "t0" ? 30 : 0),
+      now: 0,
+    });
+  }
+  t.is(dispatchMany(state, 60, { now: 10 }).get("t0"), undefined);
+});
+
+test("a report does not count own attempts as the work of others", (t) => {
+  const state = createState([createTarget("t0"), createTarget("t1")]);
+  for (let index = 0; index < 5; index++) recordAttemptStart(state, "t0");
+  applyReport(state, "t0", { report: createReport(5), now: 0 });
+  applyReport(state, "t1", { report: createReport(5), now: 0 });
+  const counts = dispatchMany(state, 4, { now: 0 });
+  t.deepEqual([counts.get("t0"), counts.get("t1")], [2, 2]);
+});
+
+test("the first sign of leaving from any source stops new work", (t) => {
+  const byList = createState();
+  applyListedTargets(byList, new Set(["t0"]));
+  const byWord = createState();
+  applyReport(byWord, "t0", {
+    report: createReport(0, { leaving: true }),
+    now: 5,
+  });
+  const byPeer = createState();
+  const signs = listLeavingSigns(byWord, 400);
+  applyLeavingSigns(byPeer, { signs, now: 90_000 });
+  for (const state of [byList, byWord, byPeer]) {
+    t.is(dispatchMany(state, 100, { now: 90_000 }).get("t0"), undefined);
+  }
+});
+
+test("an older word or the lagging VM list does not take back a leaving sign", (t) => {
+  const state = createState();
+  applyReport(state, "t0", {
+    report: createReport(0, { leaving: true }),
+    now: 5_000,
+  });
+  applyListedTargets(state, new Set());
+  const old = [{ target: "t0", leaving: false, age: 3_000 }];
+  applyLeavingSigns(state, { signs: old, now: 6_000 });
+  t.is(computeHealth(state.targets.get("t0")!, 6_000), TargetHealth.Leaving);
+  applyReport(state, "t0", { report: createReport(0), now: 9_000 });
+  t.is(computeHealth(state.targets.get("t0")!, 9_000), TargetHealth.Healthy);
+});
+
+test("failures eject a target, and one good attempt after that lets it back slowly", (t) => {
+  const state = createState();
+  recordFailures(state, "t0", 0);
+  t.is(dispatchMany(state, 50, { now: 4_000 }).get("t0"), undefined);
+  t.is(dispatchMany(state, 200, { now: 6_000 }).get("t0"), 1);
+  recordAttemptEnd(state, "t0", { now: 6_500, end: AttemptEnd.Complete });
+  t.is(computeHealth(state.targets.get("t0")!, 6_500), TargetHealth.Healthy);
+  const counts = dispatchMany(closeAll(state), 60, { now: 6_600 });
+  t.true((counts.get("t0") ?? 0) <= 2, `${counts.get("t0")} at t0`);
+});
+
+/** Ends every open attempt. */
+function closeAll(state: RoutingState): RoutingState {
+  for (const target of state.targets.values()) {
+    for (let open = target.inFlight; open > 0; open--) {
+      recordAttemptEnd(state, target.config.id);
+    }
+  }
+  return state;
+}
+
+test("a failure in probation ejects for longer", (t) => {
+  const state = createState();
+  recordFailures(state, "t0", 0);
+  recordFailures(state, "t0", 6_000, 1);
+  const target = state.targets.get("t0")!;
+  t.is(computeHealth(target, 15_000), TargetHealth.Ejected);
+  t.is(computeHealth(target, 16_001), TargetHealth.Probation);
+});
+
+test("never more than a third of a group is ejected", (t) => {
+  const state = createState();
+  for (const { id } of TWELVE) recordFailures(state, id, 0);
+  const ejected = [...state.targets.values()]
+    .filter((each) => computeHealth(each, 1) === TargetHealth.Ejected);
+  t.is(ejected.length, 4);
+});
+
+test("a dead path and a cancelled attempt are not held against the target", (t) => {
+  const state = createState();
+  for (let index = 0; index < 9; index++) {
+    const end = AttemptEnd.Broken;
+    recordAttemptEnd(state, "t0", { now: 0, end, pathDead: true });
+    recordAttemptEnd(state, "t0", { now: 0, end: AttemptEnd.Cancelled });
+  }
+  t.is(computeHealth(state.targets.get("t0")!, 1), TargetHealth.Healthy);
+});
+
+test("a holder of the prefix is preferred until it is much busier", (t) => {
+  const state = createState();
+  recordAttemptStart(state, "t3", { now: 0, prefixes: ["p"] });
+  const request = { prefixes: ["p"] };
+  t.is(dispatchMany(state, 2, { now: 0, request }).get("t3"), 2);
+  const counts = dispatchMany(state, 58, { now: 0, request });
+  t.true((counts.get("t3") ?? 0) < 12, `${counts.get("t3")} at t3`);
+});
+
+test("a gap in cache events puts older holdings in doubt", (t) => {
+  const state = createState();
+  const stored = { change: CacheChange.Stored, prefix: "p" };
+  applyCacheEvents(state, "t3", [{ ...stored, sequence: 1 }]);
+  const input = {
+    request: createRequest({ prefixes: ["p"] }),
+    now: 0,
+    random: () => 0,
+  };
+  t.is(chooseTarget(state, input).unsafeCoerce().id, "t3");
+  applyCacheEvents(state, "t3", [{ ...stored, prefix: "q", sequence: 4 }]);
+  t.not(chooseTarget(state, input).unsafeCoerce().id, "t3");
+  applyCacheEvents(state, "t3", [{ ...stored, sequence: 2 }]);
+  t.not(chooseTarget(state, input).unsafeCoerce().id, "t3");
+});
+
+test("another region is used only when the own one is full and its link has room", (t) => {
+  const targets = [
+    createTarget("near"),
+    createTarget("far", { region: "dire", dataCentre: "dire-1" }),
+  ];
+  const state = createState(targets);
+  t.is(dispatchMany(state, 9, { now: 0 }).get("far"), undefined);
+  t.true((dispatchMany(state, 20, { now: 0 }).get("far") ?? 0) > 0);
+  const bytes = 2_500_000;
+  recordAttemptStart(state, "far", { now: 0, expectedBytes: bytes });
+  t.is(dispatchMany(state, 20, { now: 0 }).get("far"), undefined);
+});
+
+test("bulk work leaves a part of the link to work before it", (t) => {
+  const far = createTarget("far", { region: "dire", dataCentre: "dire-1" });
+  const state = createState([far]);
+  recordAttemptStart(state, "far", { now: 0, expectedBytes: 300_000 });
+  const bulk = createRequest({ priority: Priority.Bulk });
+  const chat = createRequest({ priority: Priority.Interactive });
+  const options = { now: 0, random: createRandom() };
+  t.true(chooseTarget(state, { request: bulk, ...options }).isLeft());
+  t.true(chooseTarget(state, { request: chat, ...options }).isRight());
+});
+
+test("a target without the model is left out", (t) => {
+  const state = createState([createTarget("t0"), createTarget("t1")]);
+  const models = ["m:2", "adapter"];
+  applyReport(state, "t0", {
+    report: { ...createReport(0), models: ["m:1"] },
+    now: 0,
+  });
+  applyReport(state, "t1", { report: { ...createReport(9), models }, now: 0 });
+  const request = { models: ["m:2"] };
+  t.is(dispatchMany(state, 5, { now: 0, request }).get("t1"), 5);
+});
+
+test("a retry gets a new target, and none when all were tried or are full", (t) => {
+  const state = createState([createTarget("t0"), createTarget("t1")]);
+  const options = { now: 0, random: createRandom() };
+  const second = createRequest({ tried: ["t0"] });
+  const to = chooseTarget(state, { request: second, ...options });
+  t.is(to.unsafeCoerce().id, "t1");
+  const third = createRequest({ tried: ["t0", "t1"] });
+  chooseTarget(state, { request: third, ...options })
+    .ifLeft((refusal) => t.is(refusal.kind, RefusalKind.NoTarget))
+    .ifRight(() => t.fail());
+  chooseTarget(state, { request: second, ...options, mostLoad: 0 })
+    .ifLeft((refusal) => t.is(refusal.kind, RefusalKind.Overloaded))
+    .ifRight(() => t.fail());
+});
--- a/packages/routing/state.ts
+++ b/packages/routing/state.ts
@@ -1,38 +1,33 @@
 /**
- * What one VM knows of the targets of its services. It is a snapshot: commands
- * return a new one.
+ * What one VM knows of the targets of its services.
+ *
+ * The tables are changed only by this package's commands, which the kernel's
+ * handlers run one at a time; each command returns the state it was given. The
+ * records in the tables are immutable snapshots. Copying tables of a thousand
+ * targets for every attempt would cost more than the attempt.
  */
-import type {
-  BodyDigest,
-  CustomerId,
-  MonotonicTime,
-  ServiceId,
-  TargetConfig,
-  TargetId,
+import {
+  type BodyDigest,
+  type Bytes,
+  type CustomerId,
+  Priority,
+  type RegionId,
+  type ServiceConfig,
+  type ServiceId,
+  type TargetId,
 } from "../core/mod.ts";
+import { LinkTable } from "./link_table.ts";
+import { type PrefixDigest, PrefixTable } from "./prefix_table.ts";
+import { TargetTable } from "./target_table.ts";
 
-/** Whether a target is given new work. */
-export enum TargetHealth {
-  Healthy = "healthy",
-  /** Said to be leaving; it keeps what it has and gets nothing new. */
-  Leaving = "leaving",
-  /** Taken out for a while because its attempts failed. */
-  Ejected = "ejected",
-}
-
-/** What is known of one target. */
-export interface TargetState {
-  readonly config: TargetConfig;
-  readonly health: TargetHealth;
-  /** Attempts that this VM has open at it. */
-  readonly inFlight: number;
-  readonly knownSince: MonotonicTime;
-}
-
-/** Immutable snapshot of all targets and of admission. */
+/** All targets, prefixes and links that one VM knows. */
 export interface RoutingState {
-  readonly targets: ReadonlyMap<TargetId, TargetState>;
-  readonly byService: ReadonlyMap<ServiceId, readonly TargetId[]>;
+  /** The VM's own region; absent when it does not care. */
+  readonly region?: RegionId;
+  readonly targets: TargetTable;
+  readonly prefixes: PrefixTable;
+  readonly links: LinkTable;
+  readonly services: Map<ServiceId, ServiceConfig>;
 }
 
 /** What routing needs to know of a request. */
@@ -42,9 +37,30 @@
   readonly digest: BodyDigest;
   /** Targets that attempts of this request have used. */
   readonly tried: readonly TargetId[];
+  /** Targets to leave out as well, such as those that run other suspects. */
+  readonly avoided?: readonly TargetId[];
+  /** Standard if absent. */
+  readonly priority?: Priority;
+  /** Model, version and adapters that the target must have loaded. */
+  readonly models?: readonly string[];
+  /** Digests of the prompt's beginning, the shortest first. */
+  readonly prefixes?: readonly PrefixDigest[];
+  /** Bytes that the request and its answer are expected to take. */
+  readonly expectedBytes?: Bytes;
 }
 
+/** Default priority of a routed request. */
+export const DEFAULT_PRIORITY = Priority.Standard;
+
 /** Returns the state of a VM that knows no target. */
-export function createRoutingState(): RoutingState {
-  return { targets: new Map(), byService: new Map() };
+export function createRoutingState(
+  options: { readonly region?: RegionId } = {},
+): RoutingState {
+  return {
+    ...options,
+    targets: new TargetTable(),
+    prefixes: new PrefixTable(),
+    links: new LinkTable(),
+    services: new Map(),
+  };
 }
--- /dev/null
+++ b/packages/routing/target_table.ts
@@ -0,0 +1,109 @@
+/**
+ * The table of targets. Records are immutable and replaced one at a time, so
+ * that a request changes one entry however many targets there are.
+ */
+import type { RegionId, ServiceId, TargetId } from "../core/mod.ts";
+import type { TargetState } from "./target_state.ts";
+
+/** Holds the records of all targets, by service and region. */
+export class TargetTable {
+  readonly #records = new Map<TargetId, TargetState>();
+  readonly #groups = new Map<ServiceId, Map<RegionId, TargetId[]>>();
+  readonly #othersSum = new Map<ServiceId, number>();
+  readonly #reportCount = new Map<ServiceId, number>();
+
+  /** Number of targets. */
+  get size(): number {
+    return this.#records.size;
+  }
+
+  /** Returns a target's record. */
+  get(id: TargetId): TargetState | undefined {
+    return this.#records.get(id);
+  }
+
+  /** Returns every record. */
+  values(): IterableIterator<TargetState> {
+    return this.#records.values();
+  }
+
+  /** Returns the targets of a service in one region. */
+  listRegion(service: ServiceId, region: RegionId): readonly TargetId[] {
+    return this.#groups.get(service)?.get(region) ?? [];
+  }
+
+  /** Returns the regions in which a service has targets. */
+  listRegions(service: ServiceId): readonly RegionId[] {
+    return [...this.#groups.get(service)?.keys() ?? []];
+  }
+
+  /** Returns the records of a service's targets. */
+  listService(service: ServiceId): readonly TargetState[] {
+    const ids = [...this.#groups.get(service)?.values() ?? []].flat();
+    return ids.map((id) => this.#records.get(id)!);
+  }
+
+  /** Returns the mean work of other VMs at a service's targets, by their reports. */
+  computeMeanOthers(service: ServiceId): number {
+    const count = this.#reportCount.get(service) ?? 0;
+    if (count === 0) return 0;
+    return (this.#othersSum.get(service) ?? 0) / count;
+  }
+
+  /** Adds a record or replaces the one of the same target. */
+  put(record: TargetState): void {
+    const known = this.#records.get(record.config.id);
+    if (known !== undefined && hasMoved(known, record)) {
+      this.remove(record.config.id);
+    }
+    const added = !this.#records.has(record.config.id);
+    if (!added) this.#addReport(known!, -1);
+    this.#records.set(record.config.id, record);
+    this.#addReport(record, 1);
+    if (added) this.#addToGroup(record);
+  }
+
+  /** Removes a target. */
+  remove(id: TargetId): void {
+    const record = this.#records.get(id);
+    if (record === undefined) return;
+    this.#records.delete(id);
+    this.#addReport(record, -1);
+    const { service, region } = record.config;
+    const regions = this.#groups.get(service)!;
+    const rest = regions.get(region)!.filter((each) => each !== id);
+    if (rest.length > 0) regions.set(region, rest);
+    else regions.delete(region);
+  }
+
+  #addToGroup(record: TargetState): void {
+    const { id, service, region } = record.config;
+    const regions = this.#groups.get(service) ??
+      new Map<RegionId, TargetId[]>();
+    this.#groups.set(service, regions);
+    const ids = regions.get(region) ?? [];
+    regions.set(region, ids);
+    ids.push(id);
+  }
+
+  #addReport(record: TargetState, sign: 1 | -1): void {
+    if (record.report === undefined) return;
+    const { service } = record.config;
+    const sum = this.#othersSum.get(service) ?? 0;
+    const count = this.#reportCount.get(service) ?? 0;
+    this.#othersSum.set(service, sum + sign * computeReportedOthers(record));
+    this.#reportCount.set(service, count + sign);
+  }
+}
+
+/** Returns the work of other VMs that a target last reported. */
+export function computeReportedOthers(record: TargetState): number {
+  const report = record.report;
+  if (report === undefined) return 0;
+  return Math.max(0, report.running + report.queued - report.ownThen);
+}
+
+function hasMoved(left: TargetState, right: TargetState): boolean {
+  return left.config.service !== right.config.service ||
+    left.config.region !== right.config.region;
+}
--- a/tools/check_imports.ts
+++ b/tools/check_imports.ts
@@ -14,7 +14,7 @@
   platform: ["core"],
   budget: ["core"],
   request: ["core"],
-  routing: ["core"],
+  routing: ["core", "platform"],
   document: ["core"],
   membership: ["core"],
   peer: ["core", "membership"],
