--- a/packages/daemon/node_metrics.ts
+++ b/packages/daemon/node_metrics.ts
@@ -27,7 +27,7 @@
   readonly firstToken: Histogram<"priority">;
   readonly duration: Histogram<"priority">;
   readonly attempts: Counter<"service" | "end">;
-  readonly tokensSpent: Counter<"event">;
+  readonly tokensSpent: Counter;
   readonly grantsTaken: Counter;
   readonly storeRowsWritten: Gauge;
   readonly storeTransactions: Gauge;
@@ -82,8 +82,7 @@
     }),
     tokensSpent: new Counter({
       name: "anvilrail_tokens_spent_total",
-      help: "Tokens settled, by event.",
-      labelNames: ["event"],
+      help: "Tokens settled.",
       registers,
     }),
     grantsTaken: new Counter({
