Parse the operators' document into a configuration

The daemon needs a checked configuration. The text is cut into entries by an iterative scan, so nesting cannot exhaust the stack; each entry is parsed by itself and checked against indexes (owners, uses, unique names) that a later change of one entry reuses. Faults bear line, column and a remedy that names the nearest known word.

--- /dev/null
+++ b/packages/document/queries/parse_document.ts
@@ -0,0 +1,216 @@
+/** Parses a whole document from one text. */
+import { type Either, Left, Right } from "purify-ts";
+import {
+  type FleetConfiguration,
+  type InputError,
+  InputErrorKind,
+  type TeamId,
+} from "../../core/mod.ts";
+import { applyEntries, type EntryChange } from "../commands/apply_entries.ts";
+import {
+  applyGeneral,
+  type SkeletonChange,
+} from "../commands/apply_general.ts";
+import {
+  computeConfiguration,
+  createFleetIndex,
+  FLEET_SECTION,
+  type FleetIndex,
+} from "../fleet_index.ts";
+import { describeNearest, quote } from "../schema/node_reader.ts";
+import {
+  checkEnd,
+  type Member,
+  parseMembers,
+  type ScanFault,
+} from "../text/members.ts";
+import { parseSectionParts } from "../text/section_parts.ts";
+import { SourceText } from "../text/source_text.ts";
+
+/** Version of a configuration that comes from a text and not from the store. */
+const TEXT_VERSION = 1;
+
+const ROOT_KEYS = ["teams", "sections"];
+
+/** One section as it stands in a text. */
+export interface SectionInput {
+  readonly section: TeamId;
+  readonly text: string;
+  /** Text for places, and the section's offset in it. */
+  readonly source: SourceText;
+  readonly offset: number;
+}
+
+/** Parses and checks a whole document; faults bear the source's name. */
+export function parseDocument(
+  text: string,
+  source: string,
+): Either<readonly InputError[], FleetConfiguration> {
+  return parseDocumentSections(text, source)
+    .chain(parseSections)
+    .map((index) => computeConfiguration(index, TEXT_VERSION));
+}
+
+/** Cuts a whole document into the texts of its sections. */
+export function parseDocumentSections(
+  text: string,
+  name: string,
+): Either<readonly InputError[], readonly SectionInput[]> {
+  const source = new SourceText(name, text);
+  const root = parseMembers(text, 0);
+  return root
+    .mapLeft((fault) => [createSyntaxError(source, fault)])
+    .chain(({ members, end }) => {
+      const rest = checkEnd(text, end + 1);
+      if (rest !== undefined) return Left([createSyntaxError(source, rest)]);
+      const faults = listRootFaults(source, members);
+      if (faults.length > 0) return Left(faults);
+      return cutRoot(source, members);
+    });
+}
+
+/** Parses sections together, checking every reference among them. */
+export function parseSections(
+  sections: readonly SectionInput[],
+): Either<readonly InputError[], FleetIndex> {
+  const faults: InputError[] = [];
+  const entries: EntryChange[] = [];
+  const skeletons: SkeletonChange[] = [];
+  for (const input of sections) {
+    collectSection(input, { faults, entries, skeletons });
+  }
+  let index = createFleetIndex();
+  for (const skeleton of skeletons) {
+    if (skeleton.section === FLEET_SECTION) continue;
+    applyGeneral(index, skeleton).caseOf({
+      Left: (found) => void faults.push(...found),
+      Right: (next) => void (index = next),
+    });
+  }
+  if (faults.length > 0) return Left(faults);
+  return applyEntries(index, entries).chain((next) => {
+    const strangers = listStrangers(next, sections);
+    return strangers.length > 0 ? Left(strangers) : Right(next);
+  });
+}
+
+/** Returns the error of a text that could not be scanned. */
+export function createSyntaxError(
+  source: SourceText,
+  fault: ScanFault,
+  offset = 0,
+): InputError {
+  return {
+    kind: InputErrorKind.Syntax,
+    message: `The text cannot be parsed: ${fault.message}`,
+    remedy: "Correct the text here; comments and trailing commas are allowed.",
+    place: source.findPlace(offset + fault.offset),
+  };
+}
+
+function listRootFaults(
+  source: SourceText,
+  members: readonly Member[],
+): InputError[] {
+  const seen = new Set<string>();
+  return members.flatMap(({ key, keyOffset }): InputError[] => {
+    const place = source.findPlace(keyOffset);
+    const twice = seen.has(key);
+    seen.add(key);
+    if (twice) {
+      return [{
+        kind: InputErrorKind.Duplicate,
+        message: `The document has the key ${quote(key)} twice`,
+        remedy: "Keep one of the two.",
+        place,
+      }];
+    }
+    if (ROOT_KEYS.includes(key)) return [];
+    return [{
+      kind: InputErrorKind.UnknownKey,
+      message: `The document has an unknown key ${quote(key)}`,
+      remedy: describeNearest(key, ROOT_KEYS),
+      place,
+    }];
+  });
+}
+
+function cutRoot(
+  source: SourceText,
+  members: readonly Member[],
+): Either<readonly InputError[], readonly SectionInput[]> {
+  const { text } = source;
+  const teams = members.find((member) => member.key === "teams");
+  const sections = members.find((member) => member.key === "sections");
+  const fleet = teams === undefined ? [] : [createFleetInput(source, teams)];
+  if (sections === undefined) return Right(fleet);
+  return parseMembers(text, sections.valueOffset)
+    .mapLeft((fault) => [createSyntaxError(source, fault)])
+    .map((object) => [
+      ...fleet,
+      ...object.members.map((member) => ({
+        section: member.key,
+        text: text.slice(member.valueOffset, member.valueEnd),
+        source,
+        offset: member.valueOffset,
+      })),
+    ]);
+}
+
+/** Puts the teams into a section of their own, with the offsets kept. */
+function createFleetInput(source: SourceText, teams: Member): SectionInput {
+  const head = '{"teams":';
+  const value = source.text.slice(teams.valueOffset, teams.valueEnd);
+  return {
+    section: FLEET_SECTION,
+    text: `${head}${value}}`,
+    source,
+    offset: teams.valueOffset - head.length,
+  };
+}
+
+function collectSection(
+  input: SectionInput,
+  found: {
+    readonly faults: InputError[];
+    readonly entries: EntryChange[];
+    readonly skeletons: SkeletonChange[];
+  },
+): void {
+  const { section, source, offset } = input;
+  parseSectionParts(input.text).caseOf({
+    Left: (fault) =>
+      void found.faults.push(createSyntaxError(source, fault, offset)),
+    Right: ({ skeleton, cuts, entries }) => {
+      found.skeletons.push({ section, skeleton, cuts, source, offset });
+      for (const [container, placed] of entries) {
+        for (const entry of placed) {
+          found.entries.push({
+            section,
+            container,
+            key: entry.key,
+            text: entry.text,
+            source,
+            offset: offset + entry.offset,
+          });
+        }
+      }
+    },
+  });
+}
+
+/** Faults of sections whose team the document does not know. */
+function listStrangers(
+  index: FleetIndex,
+  sections: readonly SectionInput[],
+): InputError[] {
+  return sections
+    .filter(({ section }) => section !== FLEET_SECTION)
+    .filter(({ section }) => !index.teams.has(section))
+    .map(({ section, source, offset }) => ({
+      kind: InputErrorKind.UnknownReference,
+      message: `The section ${quote(section)} belongs to no team`,
+      remedy: describeNearest(section, [...index.teams.keys()]),
+      place: source.findPlace(offset),
+    }));
+}
--- /dev/null
+++ b/packages/document/queries/parse_document_test.ts
@@ -0,0 +1,95 @@
+/** Tests of parsing a whole document. */
+import test from "ava";
+import {
+  formatInputError,
+  InputErrorKind,
+  Repeatability,
+} from "../../core/mod.ts";
+import { parseDocument } from "../mod.ts";
+
+const HASH = "a".repeat(64);
+
+const DOCUMENT = `// the fleet
+{
+  "teams": { "depot": { "keyHashes": ["${HASH}"] } },
+  "sections": {
+    "depot": {
+      "events": {
+        // the monthly audit
+        "audit": {
+          "budgetTokens": 5000,
+          "customers": ["kosice"],
+          "kinds": {
+            "draft": { "service": "engines", "maxOutputTokens": 500 }, // large
+          },
+        },
+      },
+      "customers": { "kosice": { "keyHashes": ["${HASH}"] } },
+      "services": {
+        "engines": {
+          "type": "model-engine",
+          "targets": {
+            "e1": { "url": "http://10.0.0.5:8000", "region": "west", "dataCentre": "w1" }
+          }
+        }
+      },
+      "links": [{ "from": "west", "to": "east", "megabitsPerSecond": 20, "oneWayMillis": 30 }],
+      "staleAfterMillis": 30000,
+      "messages": { "budget-spent": "The budget is used up." }
+    }
+  }
+}
+`;
+
+function listFaults(change: readonly [from: string, to: string]): string[] {
+  return parseDocument(DOCUMENT.replace(...change), "doc").caseOf({
+    Left: (errors) => errors.map(formatInputError),
+    Right: () => [],
+  });
+}
+
+test("a document becomes a configuration with defaults", (t) => {
+  const configuration = parseDocument(DOCUMENT, "doc").unsafeCoerce();
+  const event = configuration.events.get("audit");
+  t.is(event?.budgetTokens, 5000);
+  t.is(event?.kinds.get("draft")?.repeatability, Repeatability.Once);
+  t.is(configuration.services.get("engines")?.path, "/v1/chat/completions");
+  t.is(configuration.links[0]?.bytesPerSecond, 2_500_000);
+  t.is(configuration.staleAfter, 30_000);
+  t.true(configuration.teams.has("depot"));
+});
+
+test("every fault names its place and a remedy", (t) => {
+  const cases: [from: string, to: string, expected: RegExp][] = [
+    ['"budgetTokens"', '"budgetTokns"', /^doc:9:11: .*budgetTokens"\?$/m],
+    ['"budgetTokens": 5000', '"budgetTokens": -1', /^doc:9:27: .*whole number/],
+    ['["kosice"]', '["kosica"]', /^doc:10:25: .*Did you mean "kosice"\?/],
+    ['"service": "engines"', '"service": "engine"', /unknown-reference/],
+    [', "maxOutputTokens": 500', "", /maxOutputTokens/],
+    ['"model-engine"', '"model-engin"', /^doc:19:19: .*model-engine/],
+    ["http://10", "ftp://10", /base URL/],
+    ['"staleAfterMillis": 30000', '"staleAfterMillis": "x"', /^doc:26:27: /],
+    ['"budget-spent"', '"budget-spend"', /^doc:27:21: .*budget-spent/],
+    ['"depot": {\n', '"depo": {\n', /belongs to no team/],
+    ['"teams"', '"team"', /^doc:3:3: .*Did you mean "teams"/],
+    ['"audit": {', '"audit" {', /^doc:8:17: .*colon/],
+    ['"events": {', '"events": [', /doc:/],
+  ];
+  for (const [from, to, expected] of cases) {
+    t.regex(listFaults([from, to])[0] ?? "no fault", expected, to);
+  }
+});
+
+test("a name that is taken is refused", (t) => {
+  const twice = DOCUMENT.replace(
+    '"services": {',
+    '"services": { "engines": { "type": "plain-service", "targets": {} },',
+  );
+  const errors = parseDocument(twice, "doc").swap().unsafeCoerce();
+  t.true(errors.some((error) => error.kind === InputErrorKind.Duplicate));
+});
+
+test("nesting without end is refused and does not exhaust the stack", (t) => {
+  const deep = `{"sections":{"a":${"[".repeat(200_000)}`;
+  t.true(parseDocument(deep, "doc").isLeft());
+});
--- /dev/null
+++ b/packages/document/schema/parse_entry.ts
@@ -0,0 +1,110 @@
+/** Parses the text of one entry of a section. */
+import { type ParseError, parseTree, printParseErrorCode } from "jsonc-parser";
+import {
+  type CustomerConfig,
+  type EventConfig,
+  InputErrorKind,
+  type ServiceConfig,
+  type TeamConfig,
+  type TeamId,
+} from "../../core/mod.ts";
+import { Container } from "../text/section_parts.ts";
+import { FaultList, ObjectReader } from "./node_reader.ts";
+import { readCustomer, readTeam } from "./read_customer.ts";
+import { readEvent } from "./read_event.ts";
+import { checkIdentifier } from "./read_identifier.ts";
+import { readService } from "./read_service.ts";
+import type { Reference } from "./reference.ts";
+
+/** The configuration that an entry stands for. */
+export type EntryConfig =
+  | { readonly container: Container.Events; readonly config: EventConfig }
+  | { readonly container: Container.Customers; readonly config: CustomerConfig }
+  | { readonly container: Container.Services; readonly config: ServiceConfig }
+  | { readonly container: Container.Teams; readonly config: TeamConfig };
+
+/** A parsed entry; offsets of references are into the entry's text. */
+export interface ParsedEntry {
+  readonly entry: EntryConfig;
+  readonly references: readonly Reference[];
+}
+
+/** Offset of an entry's text within the object that it is parsed in. */
+const WRAP = 1;
+
+/** Parses an entry; undefined when it is faulty beyond reading. */
+export function parseEntry(
+  text: string,
+  options: {
+    readonly container: Container;
+    readonly path: string;
+    readonly key: string;
+    readonly team: TeamId;
+    readonly faults: FaultList;
+  },
+): ParsedEntry | undefined {
+  const root = parseObject(`{${text}}`, options);
+  if (root === undefined) return undefined;
+  const reader = new ObjectReader(root, options.path, options.faults);
+  const { container, key, team } = options;
+  checkIdentifier(reader, key, reader.listKeys().get(key) ?? WRAP);
+  const object = reader.readObject(key, { required: true });
+  if (object === undefined) return undefined;
+  const references: Reference[] = [];
+  const entry = readEntry(object, { container, id: key, team, references });
+  return { entry, references };
+}
+
+/** Returns the offset in an entry's text of an offset that the parser gave. */
+export function computeEntryOffset(offset: number): number {
+  return Math.max(0, offset - WRAP);
+}
+
+/** Parses a text whose root is an object and adds its syntax errors. */
+export function parseObject(
+  text: string,
+  options: { readonly path: string; readonly faults: FaultList },
+) {
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, { allowTrailingComma: true });
+  for (const { error, offset } of errors) {
+    options.faults.add(InputErrorKind.Syntax, offset, {
+      message: `${options.path} cannot be parsed: ${
+        printParseErrorCode(error)
+      }`,
+      remedy:
+        "Correct the text here; comments and trailing commas are allowed.",
+    });
+  }
+  return errors.length === 0 && root?.type === "object" ? root : undefined;
+}
+
+function readEntry(
+  reader: ObjectReader,
+  options: {
+    readonly container: Container;
+    readonly id: string;
+    readonly team: TeamId;
+    readonly references: Reference[];
+  },
+): EntryConfig {
+  switch (options.container) {
+    case Container.Events:
+      return {
+        container: Container.Events,
+        config: readEvent(reader, options),
+      };
+    case Container.Customers:
+      return {
+        container: Container.Customers,
+        config: readCustomer(reader, options),
+      };
+    case Container.Services:
+      return {
+        container: Container.Services,
+        config: readService(reader, options),
+      };
+    case Container.Teams:
+      return { container: Container.Teams, config: readTeam(reader, options) };
+  }
+}
--- /dev/null
+++ b/packages/document/schema/read_general.ts
@@ -0,0 +1,103 @@
+/** Reads what a section says besides its entries: links, staleness, messages. */
+import type { Node } from "jsonc-parser";
+import {
+  InputErrorKind,
+  type LinkConfig,
+  type Millis,
+  MILLIS_PER_HOUR,
+  MILLIS_PER_SECOND,
+  RefusalKind,
+} from "../../core/mod.ts";
+import {
+  describeNearest,
+  type FaultList,
+  ObjectReader,
+  quote,
+} from "./node_reader.ts";
+
+const SECTION_KEYS = [
+  "events",
+  "customers",
+  "services",
+  "links",
+  "staleAfterMillis",
+  "messages",
+];
+const LINK_KEYS = ["from", "to", "megabitsPerSecond", "oneWayMillis"];
+
+const BYTES_PER_MEGABIT = 125_000;
+const MAX_MEGABITS = 1e6;
+const MAX_ONE_WAY = 10 * MILLIS_PER_SECOND;
+const MAX_MESSAGE_LENGTH = 1_000;
+
+/** What a section says besides its entries. */
+export interface SectionGeneral {
+  readonly links: readonly LinkConfig[];
+  /** Absent when the section does not say. */
+  readonly staleAfter?: Millis;
+  readonly messages: ReadonlyMap<string, string>;
+}
+
+/** Reads the skeleton of a section. */
+export function readGeneral(root: ObjectReader, faults: FaultList) {
+  root.checkKeys(SECTION_KEYS);
+  for (const container of ["events", "customers", "services"]) {
+    root.readObject(container, { required: false });
+  }
+  const links = root.readList("links", { required: false })
+    .flatMap((node, index) => readLink(node, `${root.path}.links[${index}]`));
+  const messages = readMessages(root);
+  const general: SectionGeneral = { links, messages };
+  if (root.findNode("staleAfterMillis") === undefined) return general;
+  const staleAfter = root.readNumber("staleAfterMillis", {
+    least: MILLIS_PER_SECOND,
+    most: 24 * MILLIS_PER_HOUR,
+  });
+  return { ...general, staleAfter };
+
+  function readLink(node: Node, path: string): LinkConfig[] {
+    if (node.type !== "object") {
+      faults.add(InputErrorKind.WrongType, node.offset, {
+        message: `${path} is no object`,
+        remedy: 'Give {"from": .., "to": .., "megabitsPerSecond": ..}.',
+      });
+      return [];
+    }
+    const link = new ObjectReader(node, path, faults);
+    link.checkKeys(LINK_KEYS);
+    const megabits = link.readNumber("megabitsPerSecond", {
+      least: 0.001,
+      most: MAX_MEGABITS,
+    });
+    return [{
+      from: link.readText("from"),
+      to: link.readText("to"),
+      bytesPerSecond: megabits * BYTES_PER_MEGABIT,
+      oneWay: link.readNumber("oneWayMillis", { least: 0, most: MAX_ONE_WAY }),
+    }];
+  }
+}
+
+function readMessages(root: ObjectReader): ReadonlyMap<string, string> {
+  const messages = new Map<string, string>();
+  const reader = root.readObject("messages", { required: false });
+  if (reader === undefined) return messages;
+  const kinds: readonly string[] = Object.values(RefusalKind);
+  for (const [kind, offset] of reader.listKeys()) {
+    const text = reader.readText(kind);
+    messages.set(kind, text);
+    if (!kinds.includes(kind)) {
+      reader.addFault(InputErrorKind.UnknownKey, offset, {
+        message: `${reader.path} has no refusal kind ${quote(kind)}`,
+        remedy: describeNearest(kind, kinds),
+      });
+    }
+    if (text.length > MAX_MESSAGE_LENGTH) {
+      reader.addFault(InputErrorKind.OutOfRange, offset, {
+        message: `${reader.path}.${kind} has ${text.length} characters`,
+        remedy: `Give at most ${MAX_MESSAGE_LENGTH} characters.`,
+      });
+    }
+  }
+  return messages;
+}
--- /dev/null
+++ b/packages/document/schema/read_identifier.ts
@@ -0,0 +1,39 @@
+/** Checks of identifiers and key hashes, which become parts of row keys. */
+import { InputErrorKind } from "../../core/mod.ts";
+import { type ObjectReader, quote } from "./node_reader.ts";
+
+const IDENTIFIER = /^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/;
+const KEY_HASH = /^[0-9a-f]{64}$/;
+
+/** Returns whether a text can name an event, customer, service or target. */
+export function isIdentifier(text: string): boolean {
+  return IDENTIFIER.test(text);
+}
+
+/** Adds a fault when a member's key is no identifier. */
+export function checkIdentifier(
+  reader: ObjectReader,
+  id: string,
+  offset: number,
+): void {
+  if (isIdentifier(id)) return;
+  reader.addFault(InputErrorKind.OutOfRange, offset, {
+    message: `${quote(id)} cannot be a name`,
+    remedy:
+      "Use 1 to 128 letters, digits, dots, dashes and underscores, beginning with a letter or digit.",
+  });
+}
+
+/** Returns the key hashes of a member and adds a fault for each wrong one. */
+export function readKeyHashes(reader: ObjectReader): readonly string[] {
+  const hashes = reader.readTexts("keyHashes", { required: true });
+  for (const { text, offset } of hashes) {
+    if (KEY_HASH.test(text)) continue;
+    reader.addFault(InputErrorKind.OutOfRange, offset, {
+      message: `${reader.path}.keyHashes has ${quote(text)}`,
+      remedy:
+        "Give the SHA-256 of the key as 64 lower-case hexadecimal digits.",
+    });
+  }
+  return hashes.map((hash) => hash.text);
+}
--- /dev/null
+++ b/packages/document/text/members.ts
@@ -0,0 +1,146 @@
+/**
+ * Finds the members of one object in a JSON text with comments without building
+ * a tree of their values. The scan is iterative, so no depth of nesting can
+ * exhaust the stack.
+ */
+import { createScanner, type JSONScanner } from "jsonc-parser";
+import { type Either, Left, Right } from "purify-ts";
+
+/** One `"key": value` of an object; all offsets are into the scanned text. */
+export interface Member {
+  readonly key: string;
+  /** Start of the key's opening quote. */
+  readonly keyOffset: number;
+  readonly valueOffset: number;
+  /** End of the value, exclusive. */
+  readonly valueEnd: number;
+  /** End after the comma and a comment on the rest of its line. */
+  readonly end: number;
+  readonly hasComma: boolean;
+}
+
+/** The members of one object. */
+export interface ObjectMembers {
+  readonly members: readonly Member[];
+  /** Offset after the opening brace. */
+  readonly start: number;
+  /** Offset of the closing brace. */
+  readonly end: number;
+}
+
+/** Where and why a text is no object. */
+export interface ScanFault {
+  readonly offset: number;
+  readonly message: string;
+}
+
+/** Deepest nesting of objects and lists that a document may have. */
+export const MAX_DEPTH = 32;
+
+/** Token kinds of jsonc-parser, whose own enum exists only at compile time. */
+const Token = {
+  OpenBrace: 1,
+  CloseBrace: 2,
+  OpenBracket: 3,
+  CloseBracket: 4,
+  Comma: 5,
+  Colon: 6,
+  String: 10,
+  Unknown: 16,
+  EndOfText: 17,
+} as const;
+
+const REST_OF_LINE = /[ \t]*(?:\/\/[^\n]*\n?|\/\*[^*\n]*\*\/[ \t]*(?=\r?\n))/y;
+
+/** Returns the members of the object that starts at or after the offset. */
+export function parseMembers(
+  text: string,
+  offset: number,
+): Either<ScanFault, ObjectMembers> {
+  const scanner = createScanner(text, true);
+  scanner.setPosition(offset);
+  if (readToken(scanner) !== Token.OpenBrace) {
+    return Left(createFault(scanner, "an object in braces was expected"));
+  }
+  const start = scanner.getPosition();
+  const members: Member[] = [];
+  let token = readToken(scanner);
+  while (token !== Token.CloseBrace) {
+    const previous = members.at(-1);
+    if (previous !== undefined && !previous.hasComma) {
+      return Left(
+        createFault(scanner, "a comma or a closing brace is missing"),
+      );
+    }
+    const member = parseMember(text, scanner, token);
+    if (typeof member === "string") return Left(createFault(scanner, member));
+    members.push(member);
+    token = scanner.getToken() === Token.Comma
+      ? readToken(scanner)
+      : scanner.getToken();
+  }
+  return Right({ members, start, end: scanner.getTokenOffset() });
+}
+
+/** Returns a fault when something other than trivia follows the offset. */
+export function checkEnd(text: string, offset: number): ScanFault | undefined {
+  const scanner = createScanner(text, true);
+  scanner.setPosition(offset);
+  if (readToken(scanner) === Token.EndOfText) return undefined;
+  return createFault(scanner, "the text should end here");
+}
+
+/** Reads one member; the scanner is left on the token after its value. */
+function parseMember(
+  text: string,
+  scanner: JSONScanner,
+  token: number,
+): Member | string {
+  if (token !== Token.String) return "a key in double quotes was expected";
+  const key = scanner.getTokenValue();
+  const keyOffset = scanner.getTokenOffset();
+  if (readToken(scanner) !== Token.Colon) return "a colon was expected";
+  readToken(scanner);
+  const valueOffset = scanner.getTokenOffset();
+  const fault = skipValue(scanner);
+  if (fault !== undefined) return fault;
+  const valueEnd = scanner.getPosition();
+  const hasComma = readToken(scanner) === Token.Comma;
+  const tokenEnd = hasComma ? scanner.getPosition() : valueEnd;
+  const end = findRestOfLine(text, tokenEnd);
+  return { key, keyOffset, valueOffset, valueEnd, end, hasComma };
+}
+
+/** Moves the scanner to the last token of the value it stands on. */
+function skipValue(scanner: JSONScanner): string | undefined {
+  let depth = 0;
+  let token: number = scanner.getToken();
+  for (;;) {
+    if (token === Token.OpenBrace || token === Token.OpenBracket) depth++;
+    else if (token === Token.CloseBrace || token === Token.CloseBracket) {
+      depth--;
+    } else if (token === Token.EndOfText) return "the text ends too early";
+    else if (depth === 0 && isSeparator(token)) return "a value was expected";
+    if (depth < 0) return "a value was expected";
+    if (depth > MAX_DEPTH) return "the text is nested too deep";
+    if (depth === 0) return undefined;
+    token = readToken(scanner);
+  }
+}
+
+function isSeparator(token: number): boolean {
+  return token === Token.Comma || token === Token.Colon;
+}
+
+function findRestOfLine(text: string, offset: number): number {
+  REST_OF_LINE.lastIndex = offset;
+  return REST_OF_LINE.test(text) ? REST_OF_LINE.lastIndex : offset;
+}
+
+function readToken(scanner: JSONScanner): number {
+  return scanner.scan();
+}
+
+function createFault(scanner: JSONScanner, message: string): ScanFault {
+  return { offset: scanner.getTokenOffset(), message };
+}
