Add the harness of the experiments

Cause: the experiments on budgets, routing and capacity need one small base. Change: packages/bench/harness has a virtual clock, seeded random numbers, histograms, a table in virtual time, a link, an engine and the two users' traffic; packages/bench/report has the shape of an experiment and of its recorded run. Conclusion: experiments can be written against it.

--- /dev/null
+++ b/packages/bench/experiments.ts
@@ -0,0 +1,5 @@
+/** Every experiment, in the order in which `anvilrail bench` runs them. */
+import type { Experiment } from "./report/experiment.ts";
+
+/** Each package of experiments adds a line here. */
+export const EXPERIMENTS: readonly Experiment[] = [];
--- /dev/null
+++ b/packages/bench/harness/harness_test.ts
@@ -0,0 +1,191 @@
+/** Tests of the harness: order of time, determinism by seed, and the fakes. */
+import test from "ava";
+import { Priority } from "../../core/mod.ts";
+import { EngineEnd, FakeEngine, SMALL_ENGINE } from "./fake_engine.ts";
+import { FakeLink } from "./fake_link.ts";
+import { createZipfChoice, SeededRandom } from "./random.ts";
+import { TimedTable } from "./timed_table.ts";
+import { VirtualClock } from "./virtual_clock.ts";
+import { createArrivals, PALIVOKNIH_MIX, SELAM_MIX } from "./workload.ts";
+
+function createTestArrivals(seed: number) {
+  return createArrivals({
+    mix: SELAM_MIX,
+    random: new SeededRandom(seed),
+    requestsPerSecond: 50,
+    duration: 2_000,
+    waves: [{ start: 1_000, spread: 100, requests: 200 }],
+  });
+}
+
+test("actions run by time, then in the order they were scheduled", async (t) => {
+  const clock = new VirtualClock();
+  const random = new SeededRandom(7);
+  const seen: [number, number][] = [];
+  for (let index = 0; index < 500; index++) {
+    const delay = random.drawInteger(0, 20);
+    clock.schedule(delay, () => seen.push([clock.readMonotonic(), index]));
+  }
+  await clock.runUntil(100);
+  const sorted = [...seen].sort((left, right) =>
+    left[0] - right[0] || left[1] - right[1]
+  );
+  t.is(seen.length, 500);
+  t.deepEqual(seen, sorted);
+  t.is(clock.readMonotonic(), 100);
+});
+
+test("a promise is handled at the virtual time that resolved it", async (t) => {
+  const clock = new VirtualClock();
+  const seen: number[] = [];
+  const run = async () => {
+    await clock.wait(10);
+    await Promise.resolve();
+    seen.push(clock.readMonotonic());
+    await clock.wait(5);
+    seen.push(clock.readMonotonic());
+  };
+  void run();
+  clock.schedule(11, () => seen.push(11));
+  await clock.runUntil(20);
+  t.deepEqual(seen, [10, 11, 15]);
+});
+
+test("a cancelled action does not run", (t) => {
+  const clock = new VirtualClock();
+  const cancel = clock.schedule(1, () => t.fail());
+  cancel();
+  clock.runSynchronouslyUntil(2);
+  t.is(clock.readMonotonic(), 2);
+});
+
+test("one seed gives one traffic and another seed another", (t) => {
+  t.deepEqual(createTestArrivals(3), createTestArrivals(3));
+  t.notDeepEqual(createTestArrivals(3), createTestArrivals(4));
+});
+
+test("arrivals come in order and the wave lies within its spread", (t) => {
+  const arrivals = createTestArrivals(3);
+  const times = arrivals.map((each) => each.at);
+  t.deepEqual(times, [...times].sort((left, right) => left - right));
+  const inWave = times.filter((at) => at >= 1_000 && at < 1_100).length;
+  t.true(inWave >= 200);
+});
+
+test("answers never exceed what their kind allows", (t) => {
+  const arrivals = createArrivals({
+    mix: PALIVOKNIH_MIX,
+    random: new SeededRandom(1),
+    requestsPerSecond: 500,
+    duration: 10_000,
+  });
+  t.true(arrivals.length > 4_000);
+  t.true(
+    arrivals.every((each) => each.outputTokens <= each.kind.maxOutputTokens),
+  );
+});
+
+test("a branch of a random source does not depend on other draws", (t) => {
+  const first = new SeededRandom(5);
+  const second = new SeededRandom(5);
+  second.uniform();
+  t.is(
+    first.createBranch("a").uniform(),
+    second.createBranch("a").uniform(),
+  );
+});
+
+test("a zipf choice takes the first most often", (t) => {
+  const random = new SeededRandom(1);
+  const choose = createZipfChoice(10, 1);
+  const counts = Array.from({ length: 10 }, () => 0);
+  for (let count = 0; count < 10_000; count++) counts[choose(random)]!++;
+  t.true(counts[0]! > 3 * counts[4]!);
+  t.true(counts[9]! > 0);
+});
+
+test("the table is down in its outages and answers after its latency", async (t) => {
+  const clock = new VirtualClock();
+  const table = new TimedTable({
+    clock,
+    random: new SeededRandom(1),
+    latency: 4,
+    outages: [{ start: 100, end: 200 }],
+  });
+  const write = () =>
+    table.transact({ checks: [], writes: [{ key: "a", value: 1 }] });
+  const seen: boolean[] = [];
+  clock.schedule(
+    0,
+    () => void write().then((each) => seen.push(each.isRight())),
+  );
+  clock.schedule(
+    150,
+    () => void write().then((each) => seen.push(each.isRight())),
+  );
+  await clock.runUntil(300);
+  t.deepEqual(seen, [true, false]);
+  t.is(table.memory.peek("a")?.version, 1);
+});
+
+test("a link delays, queues by bandwidth and loses what a partition cuts", (t) => {
+  const clock = new VirtualClock();
+  const link = new FakeLink({
+    clock,
+    oneWay: 30,
+    bytesPerSecond: 1_000,
+    partitions: [{ start: 1_000, end: 2_000 }],
+  });
+  const arrivals: number[] = [];
+  const send = () => link.send(100, () => arrivals.push(clock.readMonotonic()));
+  send();
+  send();
+  clock.schedule(900, send);
+  clock.schedule(2_000, send);
+  clock.runSynchronouslyUntil(3_000);
+  t.deepEqual(arrivals, [130, 230, 2_130]);
+  t.is(link.readCounts().lost, 1);
+});
+
+test("an engine serves safety first, reuses prefixes and breaks all on a crash", (t) => {
+  const clock = new VirtualClock();
+  const engine = new FakeEngine({
+    ...SMALL_ENGINE,
+    maxBatch: 1,
+    clock,
+    random: new SeededRandom(1),
+  });
+  const ended: string[] = [];
+  const firstTokens: number[] = [];
+  const submit = (name: string, priority: Priority, poison = false) =>
+    engine.submit({
+      promptTokens: 1_000,
+      outputTokens: 10,
+      priority,
+      poison,
+      prefix: { id: "p", tokens: 900 },
+      onToken: (index) => {
+        if (index === 0) firstTokens.push(clock.readMonotonic());
+      },
+      onEnd: (end) => ended.push(`${name} ${end}`),
+    });
+  submit("draft", Priority.Bulk);
+  clock.schedule(1, () => submit("bulk", Priority.Bulk));
+  clock.schedule(2, () => submit("safety", Priority.Safety));
+  clock.runSynchronouslyUntil(2_000);
+  t.deepEqual(ended, [
+    `draft ${EngineEnd.Complete}`,
+    `safety ${EngineEnd.Complete}`,
+    `bulk ${EngineEnd.Complete}`,
+  ]);
+  const [first = 0, second = 0, third = 0] = firstTokens;
+  t.true(third - second < second - first);
+  ended.length = 0;
+  submit("poison", Priority.Safety, true);
+  submit("victim", Priority.Bulk);
+  clock.runSynchronouslyUntil(3_000);
+  t.deepEqual(ended, [
+    `poison ${EngineEnd.Broken}`,
+    `victim ${EngineEnd.Broken}`,
+  ]);
+});
--- /dev/null
+++ b/packages/bench/harness/histogram.ts
@@ -0,0 +1,40 @@
+/** Histograms of durations and sizes, three significant digits. */
+import { build, type Histogram as HdrHistogram } from "hdr-histogram-js";
+
+/** Fractions of one unit that are told apart. */
+const STEPS_PER_UNIT = 1_000;
+
+/** Records values of at least 0. */
+export class Histogram {
+  readonly #histogram: HdrHistogram = build({ bitBucketSize: 64 });
+  #sum = 0;
+
+  /** Records one value. */
+  record(value: number): void {
+    this.#sum += value;
+    this.#histogram.recordValue(
+      Math.max(0, Math.round(value * STEPS_PER_UNIT)),
+    );
+  }
+
+  /** Returns the value below which this percentage of the values lie. */
+  computePercentile(percent: number): number {
+    return this.#histogram.getValueAtPercentile(percent) / STEPS_PER_UNIT;
+  }
+
+  /** Returns count, mean and percentiles; zeros when nothing was recorded. */
+  readSummary() {
+    const count = this.#histogram.totalCount;
+    return {
+      count,
+      mean: count === 0 ? 0 : this.#sum / count,
+      p50: this.computePercentile(50),
+      p95: this.computePercentile(95),
+      p99: this.computePercentile(99),
+      max: this.#histogram.maxValue / STEPS_PER_UNIT,
+    };
+  }
+}
+
+/** What a histogram says, in the unit of its values. */
+export type HistogramSummary = ReturnType<Histogram["readSummary"]>;
--- /dev/null
+++ b/packages/bench/report/result.ts
@@ -0,0 +1,101 @@
+/** What a run is recorded with: the machine, the commit and the seed. */
+import { existsSync, readFileSync } from "node:fs";
+import { cpus, loadavg, platform, release, totalmem } from "node:os";
+import { dirname, join, resolve } from "node:path";
+import { BYTES_PER_MIB } from "../../core/mod.ts";
+import type { Experiment, ExperimentOptions, Figures } from "./experiment.ts";
+
+/** The machine that a run was made on. */
+export interface MachineInfo {
+  readonly processor: string;
+  readonly cores: number;
+  readonly memoryMib: number;
+  readonly system: string;
+  readonly node: string;
+  /** Load average of the last minute when the run began. */
+  readonly load: number;
+}
+
+/** One run of one experiment. */
+export interface ExperimentRun {
+  readonly experiment: string;
+  readonly description: string;
+  readonly quick: boolean;
+  readonly seed: number;
+  readonly commit: string;
+  readonly startedAt: string;
+  readonly seconds: number;
+  readonly machine: MachineInfo;
+  readonly figures: Figures;
+}
+
+/** Returns what is known of this machine. */
+export function readMachine(): MachineInfo {
+  const [processor] = cpus();
+  return {
+    processor: processor?.model ?? "unknown",
+    cores: cpus().length,
+    memoryMib: Math.round(totalmem() / BYTES_PER_MIB),
+    system: `${platform()} ${release()}`,
+    node: process.version,
+    load: loadavg()[0] ?? 0,
+  };
+}
+
+/** Returns the commit that is checked out around a directory, or `unknown`. */
+export function readCommit(directory: string): string {
+  const git = findGit(resolve(directory));
+  if (git === undefined) return "unknown";
+  const head = readFileSync(join(git, "HEAD"), "utf8").trim();
+  if (!head.startsWith("ref: ")) return head;
+  const reference = head.slice("ref: ".length);
+  const common = join(git, "commondir");
+  const shared = existsSync(common)
+    ? resolve(git, readFileSync(common, "utf8").trim())
+    : git;
+  const path = join(shared, reference);
+  if (existsSync(path)) return readFileSync(path, "utf8").trim();
+  return findPackedReference(join(shared, "packed-refs"), reference);
+}
+
+/** Runs one experiment and returns the record of the run. */
+export async function runExperiment(
+  experiment: Experiment,
+  options: ExperimentOptions,
+): Promise<ExperimentRun> {
+  const machine = readMachine();
+  const startedAt = new Date();
+  const figures = await experiment.run(options);
+  return {
+    experiment: experiment.name,
+    description: experiment.description,
+    quick: options.quick,
+    seed: options.seed,
+    commit: readCommit("."),
+    startedAt: startedAt.toISOString(),
+    seconds: (Date.now() - startedAt.getTime()) / 1_000,
+    machine,
+    figures,
+  };
+}
+
+function findGit(directory: string): string | undefined {
+  const path = join(directory, ".git");
+  if (!existsSync(path)) {
+    const parent = dirname(directory);
+    return parent === directory ? undefined : findGit(parent);
+  }
+  if (existsSync(join(path, "HEAD"))) return path;
+  // A worktree's .git is a file that names the real directory.
+  return resolve(
+    directory,
+    readFileSync(path, "utf8").slice("gitdir: ".length).trim(),
+  );
+}
+
+function findPackedReference(path: string, reference: string): string {
+  if (!existsSync(path)) return "unknown";
+  const line = readFileSync(path, "utf8").split("\n")
+    .find((each) => each.endsWith(` ${reference}`));
+  return line?.split(" ")[0] ?? "unknown";
+}
