--- /dev/null
+++ b/packages/daemon/entry/caller_face.ts
@@ -0,0 +1,199 @@
+/** The callers' face: chat completions and plain service calls over HTTP. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import readRawBody from "raw-body";
+import { type Either, Left, Right } from "purify-ts";
+import {
+  MILLIS_PER_SECOND,
+  type Refusal,
+  RefusalKind,
+} from "../../core/mod.ts";
+import { LogEvent } from "../event_log.ts";
+import { CONFIGURATION, DRAINING, type NodeContext } from "../node_context.ts";
+import type { RunEnd } from "./answer_run.ts";
+import type { CallerRequest } from "./caller_request.ts";
+import { createCallerRequest, readCallerHeaders } from "./read_caller_request.ts";
+import { createBadRequest, createRefusal } from "./refusals.ts";
+import type { RequestRunner } from "./request_runner.ts";
+import { AnswerWriter, writeRefusal } from "./write_answer.ts";
+
+/** Path of chat completions. */
+export const CHAT_PATH = "/v1/chat/completions";
+
+/** Path of plain service calls. */
+export const CALLS_PATH = "/v1/calls";
+
+/** Answers callers. */
+export class CallerFace {
+  readonly #context: NodeContext;
+  readonly #runner: RequestRunner;
+
+  constructor(context: NodeContext, runner: RequestRunner) {
+    this.#context = context;
+    this.#runner = runner;
+  }
+
+  /** Handles one HTTP request. */
+  handle(request: IncomingMessage, response: ServerResponse): void {
+    response.on("error", () => response.destroy());
+    if (request.url === "/healthz") return sendText(response, 200, "ok\n");
+    if (request.url === "/readyz") return this.#sendReadiness(response);
+    this.#serve(request, response).catch((error) => {
+      this.#context.log.error(LogEvent.ProcessFailed, {
+        process: "caller_face",
+        reason: String(error),
+      });
+      this.#refuse(response, createRefusal(RefusalKind.Internal));
+    });
+  }
+
+  #sendReadiness(response: ServerResponse): void {
+    const { kernel } = this.#context;
+    const ready = !kernel.read(DRAINING) &&
+      kernel.read(CONFIGURATION).version > 0;
+    sendText(response, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const read = await this.#readRequest(request);
+    if (read.isLeft()) {
+      const refusal = read.extract() as Refusal;
+      // A body that was not read makes the connection useless.
+      if (!request.complete) response.setHeader("connection", "close");
+      return this.#refuse(response, refusal);
+    }
+    const accepted = read.unsafeCoerce();
+    this.#runner.start(accepted).caseOf({
+      Left: (refusal) => this.#refuse(response, refusal, accepted),
+      Right: (run) => {
+        const report = this.#createReport(accepted);
+        const { stream } = accepted;
+        new AnswerWriter(response, { run, stream, report });
+      },
+    });
+  }
+
+  async #readRequest(
+    request: IncomingMessage,
+  ): Promise<Either<Refusal, CallerRequest>> {
+    const path = request.url?.split("?")[0];
+    if (request.method !== "POST" || !isKnownPath(path)) {
+      return Left(createBadRequest(
+        `it was sent to ${request.method} ${path}; use POST ${CHAT_PATH} or POST ${CALLS_PATH}`,
+      ));
+    }
+    const { kernel, clock } = this.#context;
+    const configuration = kernel.read(CONFIGURATION);
+    const { headers } = request;
+    const now = clock.readMonotonic();
+    const checked = readCallerHeaders(configuration, headers);
+    if (checked.isLeft()) return Left(checked.extract() as Refusal);
+    const body = await this.#readBody(request);
+    return body.chain((bytes) =>
+      createCallerRequest({
+        ...checked.unsafeCoerce(),
+        configuration,
+        headers,
+        body: bytes,
+        now,
+      })
+    );
+  }
+
+  async #readBody(
+    request: IncomingMessage,
+  ): Promise<Either<Refusal, Uint8Array>> {
+    const { maxBodyBytes, slowSenderMillis } = this.#context.settings.limits;
+    let slow = false;
+    const timer = setTimeout(() => {
+      slow = true;
+      request.emit("error", new Error("the sender is too slow"));
+    }, slowSenderMillis);
+    try {
+      const length = request.headers["content-length"];
+      return Right(
+        await readRawBody(request, {
+          limit: maxBodyBytes,
+          ...(length === undefined ? {} : { length }),
+        }),
+      );
+    } catch (error) {
+      if (slow) return Left(createRefusal(RefusalKind.SlowSender));
+      const type = (error as { type?: string }).type;
+      return Left(
+        type === "entity.too.large"
+          ? createRefusal(RefusalKind.BodyTooLarge)
+          : createBadRequest("its body did not arrive whole"),
+      );
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  #refuse(
+    response: ServerResponse,
+    refusal: Refusal,
+    request?: CallerRequest,
+  ): void {
+    this.#countRefusal(refusal, request);
+    writeRefusal(response, refusal);
+  }
+
+  #countRefusal(refusal: Refusal, request?: CallerRequest): void {
+    const { metrics, log } = this.#context;
+    const kind = request?.kind.id ?? "";
+    metrics.refusals.inc({ kind, reason: refusal.kind });
+    metrics.requests.inc({ kind, outcome: refusal.outcome });
+    log.info(LogEvent.RequestRefused, {
+      event_id: request?.event.id,
+      kind,
+      customer: request?.customer.id,
+      reason: refusal.kind,
+      outcome: refusal.outcome,
+    });
+  }
+
+  #createReport(request: CallerRequest) {
+    const { metrics, clock } = this.#context;
+    const { priority } = request.kind;
+    const readSeconds = () =>
+      (clock.readMonotonic() - request.arrivedAt) / MILLIS_PER_SECOND;
+    return {
+      onFirstChunk: () => metrics.firstToken.observe({ priority }, readSeconds()),
+      onEnd: (end: RunEnd | undefined) => {
+        metrics.duration.observe({ priority }, readSeconds());
+        this.#countEnd(request, end);
+      },
+    };
+  }
+
+  #countEnd(request: CallerRequest, end: RunEnd | undefined): void {
+    if (end?.type === "refused") {
+      return this.#countRefusal(end.refusal, request);
+    }
+    const { metrics, log } = this.#context;
+    const outcome = end === undefined ? "caller-left" : "ran";
+    metrics.requests.inc({ kind: request.kind.id, outcome });
+    log.info(LogEvent.RequestEnded, {
+      event_id: request.event.id,
+      kind: request.kind.id,
+      customer: request.customer.id,
+      outcome,
+    });
+  }
+}
+
+function isKnownPath(path: string | undefined): boolean {
+  return path === CHAT_PATH || path === CALLS_PATH;
+}
+
+function sendText(
+  response: ServerResponse,
+  status: number,
+  text: string,
+): void {
+  response.writeHead(status, { "content-type": "text/plain" });
+  response.end(text);
+}
--- /dev/null
+++ b/packages/daemon/entry/caller_request.ts
@@ -0,0 +1,40 @@
+/** A caller's request after its headers and body were checked. */
+import type {
+  BodyDigest,
+  CustomerConfig,
+  EventConfig,
+  FleetConfiguration,
+  KindConfig,
+  MonotonicTime,
+  RequestKey,
+  ServiceConfig,
+  Tokens,
+} from "../../core/mod.ts";
+
+/** One request, with the configuration it began with. */
+export interface CallerRequest {
+  readonly configuration: FleetConfiguration;
+  readonly customer: CustomerConfig;
+  readonly event: EventConfig;
+  readonly kind: KindConfig;
+  readonly service: ServiceConfig;
+  /** The caller's key, or one made for this request alone. */
+  readonly requestKey: RequestKey;
+  /** Whether the caller gave the key, so that a retry can name it. */
+  readonly keyGiven: boolean;
+  readonly digest: BodyDigest;
+  readonly body: Uint8Array;
+  /** Whether the caller wants server-sent events. */
+  readonly stream: boolean;
+  /** Upper bound of prompt tokens; 0 for plain services. */
+  readonly promptBound: Tokens;
+  /** Upper bound of generated tokens; 0 for plain services. */
+  readonly outputBound: Tokens;
+  readonly arrivedAt: MonotonicTime;
+  readonly deadline: MonotonicTime;
+}
+
+/** Names a request among those in flight: customer and key. */
+export function formatFlightKey(request: CallerRequest): string {
+  return `${request.customer.id}/${request.requestKey}`;
+}
--- /dev/null
+++ b/packages/daemon/entry/refusals.ts
@@ -0,0 +1,136 @@
+/** Refusals as callers see them: HTTP status, gentle sentence, retry hint. */
+import {
+  createNotRun,
+  type Millis,
+  MILLIS_PER_SECOND,
+  type Refusal,
+  RefusalKind,
+  RequestOutcome,
+} from "../../core/mod.ts";
+
+const STATUS: Readonly<Record<RefusalKind, number>> = {
+  [RefusalKind.BadRequest]: 400,
+  [RefusalKind.BodyTooLarge]: 413,
+  [RefusalKind.SlowSender]: 408,
+  [RefusalKind.BadKey]: 401,
+  [RefusalKind.UnknownEvent]: 404,
+  [RefusalKind.UnknownKind]: 404,
+  [RefusalKind.CustomerNotAllowed]: 403,
+  [RefusalKind.RequestKeyMissing]: 400,
+  [RefusalKind.RequestKeyReused]: 422,
+  [RefusalKind.BudgetSpent]: 402,
+  [RefusalKind.BudgetUnreachable]: 503,
+  [RefusalKind.StoreUnavailable]: 503,
+  [RefusalKind.RateLimited]: 429,
+  [RefusalKind.Overloaded]: 503,
+  [RefusalKind.DeadlineTooSoon]: 503,
+  [RefusalKind.NoTarget]: 503,
+  [RefusalKind.Quarantined]: 422,
+  [RefusalKind.ConfigurationStale]: 503,
+  [RefusalKind.Draining]: 503,
+  [RefusalKind.TargetFailed]: 502,
+  [RefusalKind.OutcomeUnknown]: 502,
+  [RefusalKind.StillRunning]: 409,
+  [RefusalKind.Internal]: 500,
+};
+
+/** Sentences for refusals that need no more than their kind. */
+const SENTENCES: Partial<Record<RefusalKind, string>> = {
+  [RefusalKind.BodyTooLarge]:
+    "This request is larger than we can take. Nothing was done. Please send it in smaller parts.",
+  [RefusalKind.SlowSender]:
+    "The request did not arrive in full in time. Nothing was done. Please check the connection and send it again.",
+  [RefusalKind.BadKey]:
+    "We do not know this access key. Nothing was done. Please check the key with the person who gave it to you.",
+  [RefusalKind.UnknownEvent]:
+    "We do not know this event. Nothing was done. Please check its name.",
+  [RefusalKind.UnknownKind]:
+    "This event does not take this kind of request. Nothing was done. Please check the name of the kind.",
+  [RefusalKind.CustomerNotAllowed]:
+    "This event is not open to your organisation. Nothing was done. Please ask the person who looks after the event.",
+  [RefusalKind.RequestKeyMissing]:
+    "This kind of request needs an Idempotency-Key, so that it is never done twice. Nothing was done. Please add one and send it again.",
+  [RefusalKind.RequestKeyReused]:
+    "This Idempotency-Key was used for another request. Nothing was done for this one. Please use a new key.",
+  [RefusalKind.StoreUnavailable]:
+    "We could not make sure that this would be done only once, so nothing was done. Please try again shortly.",
+  [RefusalKind.Draining]:
+    "This machine is being replaced. Nothing was done. Please send the request again now.",
+  [RefusalKind.StillRunning]:
+    "This request is already being worked on. Please ask again shortly with the same Idempotency-Key to get its answer.",
+  [RefusalKind.OutcomeUnknown]:
+    "We cannot tell whether this was done. Please do not send it as a new request; check with the service first, or ask again with the same Idempotency-Key.",
+  [RefusalKind.TargetFailed]:
+    "The answer broke off before it was complete. Please send the request again with the same Idempotency-Key.",
+  [RefusalKind.Internal]:
+    "Something went wrong on our side. Please try again shortly.",
+};
+
+/** Returns a not-run refusal with the sentence of its kind. */
+export function createRefusal(
+  kind: RefusalKind,
+  options: { readonly retryAfter?: Millis } = {},
+): Refusal {
+  return createNotRun(kind, readSentence(kind), options);
+}
+
+/** Returns a refusal of a request that a target may have run. */
+export function createUnknown(
+  kind: RefusalKind,
+  options: { readonly retryAfter?: Millis } = {},
+): Refusal {
+  return {
+    kind,
+    outcome: RequestOutcome.Unknown,
+    message: readSentence(kind),
+    ...options,
+  };
+}
+
+/** Returns a refusal of a malformed request, with what to correct. */
+export function createBadRequest(reason: string): Refusal {
+  return createNotRun(
+    RefusalKind.BadRequest,
+    `We could not read this request: ${reason}. Nothing was done. Please correct it and send it again.`,
+  );
+}
+
+/** Returns the HTTP status of a refusal. */
+export function readRefusalStatus(refusal: Refusal): number {
+  return STATUS[refusal.kind];
+}
+
+/** Returns the body of a refusal, in the shape of the OpenAI protocol's errors. */
+export function formatRefusalBody(refusal: Refusal): string {
+  return JSON.stringify({
+    error: {
+      message: refusal.message,
+      type: refusal.kind,
+      code: refusal.kind,
+      outcome: refusal.outcome,
+      ...(refusal.retryAfter === undefined
+        ? {}
+        : { retry_after_ms: Math.ceil(refusal.retryAfter) }),
+    },
+  });
+}
+
+/** Returns the headers of a refusal. */
+export function createRefusalHeaders(
+  refusal: Refusal,
+): Record<string, string> {
+  const headers: Record<string, string> = {
+    "content-type": "application/json",
+    "x-anvilrail-outcome": refusal.outcome,
+    "x-anvilrail-reason": refusal.kind,
+  };
+  if (refusal.retryAfter !== undefined) {
+    const seconds = Math.ceil(refusal.retryAfter / MILLIS_PER_SECOND);
+    headers["retry-after"] = String(Math.max(1, seconds));
+  }
+  return headers;
+}
+
+function readSentence(kind: RefusalKind): string {
+  return SENTENCES[kind] ?? "Nothing was done. Please try again shortly.";
+}
--- /dev/null
+++ b/packages/daemon/entry/run_service_request.ts
@@ -0,0 +1,275 @@
+/**
+ * Runs a call of a plain service.
+ *
+ * A call that may not be repeated is claimed in the table before a byte of it
+ * is sent, and is sent again only when the target provably ran nothing, or when
+ * the targets check request keys themselves.
+ */
+import { Left, Right } from "purify-ts";
+import type { Either } from "purify-ts";
+import {
+  type Millis,
+  PlatformErrorKind,
+  type Refusal,
+  RefusalKind,
+  Repeatability,
+  type TargetConfig,
+  type TargetId,
+} from "../../core/mod.ts";
+import type { Reservation } from "../../budget/mod.ts";
+import { AttemptEnd, type TargetResult } from "../../platform/mod.ts";
+import {
+  type ClaimEnd,
+  type ClaimInput,
+  ClaimState,
+  createFinishClaim,
+  createTakeClaim,
+  type KeptAnswer,
+  type TakeClaimResult,
+} from "../../request/mod.ts";
+import { LogEvent } from "../event_log.ts";
+import type { AnswerRun, RunEnd } from "./answer_run.ts";
+import type { CallerRequest } from "./caller_request.ts";
+import { createRefusal, createUnknown } from "./refusals.ts";
+import { MAX_ATTEMPTS } from "./run_engine_request.ts";
+import type { RunServices } from "./run_services.ts";
+
+const STORE_RETRY_AFTER: Millis = 2_000;
+const STILL_RUNNING_RETRY_AFTER: Millis = 1_000;
+
+/** How the attempts of a call ended together. */
+type CallOutcome =
+  | { readonly type: "ran"; readonly result: TargetResult }
+  | { readonly type: "not-run"; readonly refusal: Refusal }
+  | { readonly type: "unknown" };
+
+/** Runs one service call to its end. */
+export class ServiceRequestRun {
+  readonly #services: RunServices;
+  readonly #request: CallerRequest;
+  readonly #run: AnswerRun;
+
+  constructor(
+    services: RunServices,
+    input: { readonly request: CallerRequest; readonly run: AnswerRun },
+  ) {
+    this.#services = services;
+    this.#request = input.request;
+    this.#run = input.run;
+  }
+
+  /** Runs the call; ends the run. */
+  async execute(): Promise<void> {
+    const { kind, event, deadline } = this.#request;
+    const reserved = await this.#services.escrow.reserve(event, {
+      tokens: kind.flatTokens,
+      deadline,
+    });
+    if (reserved.isLeft()) {
+      const refusal = reserved.extract() as Refusal;
+      return this.#run.finish({ type: "refused", refusal });
+    }
+    const reservation = reserved.unsafeCoerce();
+    if (kind.repeatability === Repeatability.Repeatable) {
+      const outcome = await this.#runAttempts();
+      this.#settle(reservation, outcome);
+      return await this.#finish(outcome);
+    }
+    await this.#runClaimed(reservation);
+  }
+
+  async #runClaimed(reservation: Reservation): Promise<void> {
+    const claim = this.#services.createClaim(this.#request);
+    const taken = await this.#takeClaim(claim);
+    if (taken.isLeft()) {
+      this.#services.escrow.settle(reservation, 0);
+      return this.#run.finish(taken.extract() as RunEnd);
+    }
+    const outcome = await this.#runAttempts();
+    this.#settle(reservation, outcome);
+    // The claim is finished before the caller hears, so that a retry elsewhere
+    // finds what this caller was told.
+    await this.#finishClaim(claim, outcome);
+    await this.#finish(outcome);
+  }
+
+  /** Returns the end of the run when the claim is not this attempt's. */
+  async #takeClaim(claim: ClaimInput): Promise<Either<RunEnd, void>> {
+    const { writer } = this.#services.context;
+    const giveUpAt = this.#request.deadline;
+    const answer = await writer.run(createTakeClaim(claim), { giveUpAt });
+    return answer.caseOf<Either<RunEnd, void>>({
+      Left: (error) => {
+        // A claim that may have been written is released when possible.
+        if (error.kind === PlatformErrorKind.AnswerLost) {
+          void this.#finishClaim(claim, {
+            type: "not-run",
+            refusal: createRefusal(RefusalKind.StoreUnavailable),
+          });
+        }
+        return Left({
+          type: "refused",
+          refusal: createRefusal(RefusalKind.StoreUnavailable, {
+            retryAfter: STORE_RETRY_AFTER,
+          }),
+        });
+      },
+      Right: (result) =>
+        result.state === ClaimState.Taken
+          ? Right(undefined)
+          : Left(this.#describeHeldClaim(result)),
+    });
+  }
+
+  #describeHeldClaim(result: TakeClaimResult): RunEnd {
+    if (result.state === ClaimState.Ran && result.answer !== undefined) {
+      return createAnsweredEnd(result.answer);
+    }
+    if (result.state === ClaimState.OtherBody) {
+      const refusal = createRefusal(RefusalKind.RequestKeyReused);
+      return { type: "refused", refusal };
+    }
+    const live = result.holder !== undefined &&
+      this.#services.isHolderLive(result.holder);
+    const refusal = live
+      ? createUnknown(RefusalKind.StillRunning, {
+        retryAfter: STILL_RUNNING_RETRY_AFTER,
+      })
+      : createUnknown(RefusalKind.OutcomeUnknown);
+    return { type: "refused", refusal };
+  }
+
+  async #runAttempts(): Promise<CallOutcome> {
+    const tried: TargetId[] = [];
+    let last: TargetResult | undefined;
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      const chosen = this.#chooseTarget(tried);
+      if (chosen.isLeft()) {
+        const refusal = chosen.extract() as Refusal;
+        return last?.end === AttemptEnd.Broken
+          ? { type: "unknown" }
+          : { type: "not-run", refusal };
+      }
+      const target = chosen.unsafeCoerce();
+      tried.push(target.id);
+      last = await this.#call(target);
+      if (last.end === AttemptEnd.Complete) {
+        return { type: "ran", result: last };
+      }
+      if (!this.#mayRepeat(last)) return { type: "unknown" };
+    }
+    return last?.end === AttemptEnd.Broken ? { type: "unknown" } : {
+      type: "not-run",
+      refusal: createRefusal(RefusalKind.NoTarget, {
+        retryAfter: STORE_RETRY_AFTER,
+      }),
+    };
+  }
+
+  #mayRepeat(result: TargetResult): boolean {
+    if (result.end === AttemptEnd.NotSent) return true;
+    if (result.end === AttemptEnd.Refused) return true;
+    const { kind, service } = this.#request;
+    return kind.repeatability === Repeatability.Repeatable ||
+      service.checksRequestKeys;
+  }
+
+  #chooseTarget(tried: readonly TargetId[]) {
+    const { service, customer, digest } = this.#request;
+    return this.#services.router.choose({
+      service: service.id,
+      customer: customer.id,
+      digest,
+      tried,
+    });
+  }
+
+  async #call(target: TargetConfig): Promise<TargetResult> {
+    const { context, router } = this.#services;
+    const { service, kind, body, digest, requestKey } = this.#request;
+    router.startAttempt(target.id);
+    const result = await context.targets.call({
+      target,
+      path: service.path,
+      body,
+      priority: kind.priority,
+      requestKey,
+      digest,
+      progressTimeout: service.progressTimeout,
+      // A caller that hangs up does not stop what may have begun.
+      signal: new AbortController().signal,
+    });
+    router.endAttempt(target.id, result.end);
+    context.metrics.attempts.inc({ service: service.id, end: result.end });
+    if (result.end !== AttemptEnd.Complete) {
+      context.targets.dropPool(target.id);
+      context.log.warn(LogEvent.AttemptFailed, {
+        target: target.id,
+        kind: kind.id,
+        end: result.end,
+        detail: result.detail,
+      });
+    }
+    return result;
+  }
+
+  #settle(reservation: Reservation, outcome: CallOutcome): void {
+    const spent = outcome.type === "not-run" ? 0 : reservation.tokens;
+    this.#services.escrow.settle(reservation, spent);
+  }
+
+  /** Writes how the call ended; the writer goes on until that is durable. */
+  async #finishClaim(claim: ClaimInput, outcome: CallOutcome): Promise<void> {
+    const { writer, log } = this.#services.context;
+    const end = createClaimEnd(outcome, this.#request.kind.flatTokens);
+    if (end === undefined) return;
+    const written = writer.run(createFinishClaim(claim, end), {
+      giveUpAt: Infinity,
+    });
+    const inTime = await this.#services.waitBriefly(written);
+    if (!inTime) {
+      log.warn(LogEvent.ClaimUnfinished, { request_key: claim.requestKey });
+    }
+  }
+
+  async #finish(outcome: CallOutcome): Promise<void> {
+    if (outcome.type === "ran") {
+      const { kind } = this.#request;
+      await this.#services.addBill(this.#request, kind.flatTokens);
+      const { status = 502, contentType = "", body } = outcome.result;
+      return this.#run.finish({ type: "answered", status, contentType, body });
+    }
+    const refusal = outcome.type === "not-run"
+      ? outcome.refusal
+      : createUnknown(RefusalKind.OutcomeUnknown);
+    this.#run.finish({ type: "refused", refusal });
+  }
+}
+
+function createAnsweredEnd(answer: KeptAnswer): RunEnd {
+  return {
+    type: "answered",
+    status: answer.status,
+    contentType: answer.contentType,
+    body: Buffer.from(answer.bodyBase64, "base64"),
+  };
+}
+
+/** A call whose outcome is unknown leaves its claim open for good. */
+function createClaimEnd(
+  outcome: CallOutcome,
+  tokens: number,
+): ClaimEnd | undefined {
+  if (outcome.type === "unknown") return undefined;
+  if (outcome.type === "not-run") return { state: "not-run" };
+  const { status = 502, contentType = "", body } = outcome.result;
+  return {
+    state: "ran",
+    answer: {
+      status,
+      contentType,
+      bodyBase64: Buffer.from(body).toString("base64"),
+    },
+    tokens,
+  };
+}
--- /dev/null
+++ b/packages/daemon/entry/run_services.ts
@@ -0,0 +1,24 @@
+/** What the run of a request uses of the daemon. */
+import type { Tokens } from "../../core/mod.ts";
+import type { ClaimInput } from "../../request/mod.ts";
+import type { Escrow } from "../features/escrow.ts";
+import type { TargetRouter } from "../features/target_router.ts";
+import type { NodeContext } from "../node_context.ts";
+import type { CallerRequest } from "./caller_request.ts";
+
+/** Features and helpers that runs share. */
+export interface RunServices {
+  readonly context: NodeContext;
+  readonly escrow: Escrow;
+  readonly router: TargetRouter;
+  /** Adds the request's bill; resolves when it is durable or after a bounded wait. */
+  addBill(request: CallerRequest, tokens: Tokens): Promise<void>;
+  /** Returns a claim of the request by a new attempt of this VM. */
+  createClaim(request: CallerRequest): ClaimInput;
+  /** Says whether the VM life that holds a claim may still finish it. */
+  isHolderLive(
+    holder: { readonly vm: string; readonly incarnation: string },
+  ): boolean;
+  /** Resolves true when the promise does within a short bound, else false. */
+  waitBriefly(promise: Promise<unknown>): Promise<boolean>;
+}
--- /dev/null
+++ b/packages/daemon/entry/write_answer.ts
@@ -0,0 +1,193 @@
+/** Writes the answer of a run to a caller over HTTP. */
+import type { ServerResponse } from "node:http";
+import { type Millis, type Refusal, RequestOutcome } from "../../core/mod.ts";
+import { STREAM_END } from "../../platform/mod.ts";
+import type { AnswerRun, RunEnd } from "./answer_run.ts";
+import {
+  createRefusalHeaders,
+  formatRefusalBody,
+  readRefusalStatus,
+} from "./refusals.ts";
+
+/** Longest time a caller may leave its stream unread, in milliseconds. */
+export const MAX_CALLER_SILENCE: Millis = 60_000;
+
+/** What is told of an answer when it is over. */
+export interface AnswerReport {
+  onFirstChunk(): void;
+  onEnd(end: RunEnd | undefined): void;
+}
+
+/** Writes one refusal as a whole answer. */
+export function writeRefusal(response: ServerResponse, refusal: Refusal): void {
+  if (response.headersSent) return;
+  const body = formatRefusalBody(refusal);
+  response.writeHead(readRefusalStatus(refusal), {
+    ...createRefusalHeaders(refusal),
+    "content-length": Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/** Follows a run and writes what it yields, until it ends or the caller leaves. */
+export class AnswerWriter {
+  readonly #response: ServerResponse;
+  readonly #run: AnswerRun;
+  readonly #stream: boolean;
+  readonly #report: AnswerReport;
+  readonly #removeListener: () => void;
+  #written = 0;
+  #blocked = false;
+  #over = false;
+  #stall: NodeJS.Timeout | undefined;
+
+  constructor(
+    response: ServerResponse,
+    input: {
+      readonly run: AnswerRun;
+      readonly stream: boolean;
+      readonly report: AnswerReport;
+    },
+  ) {
+    this.#response = response;
+    this.#run = input.run;
+    this.#stream = input.stream;
+    this.#report = input.report;
+    this.#removeListener = this.#run.addListener(() => this.#advance());
+    response.on("drain", () => this.#unblock());
+    response.on("close", () => this.#leave());
+    this.#advance();
+  }
+
+  #advance(): void {
+    if (this.#over || this.#blocked) return;
+    if (this.#stream) this.#writeChunks();
+    const end = this.#run.readEnd();
+    if (end === undefined || this.#blocked) return;
+    this.#over = true;
+    this.#report.onEnd(end);
+    this.#removeListener();
+    this.#writeEnd(end);
+  }
+
+  #writeChunks(): void {
+    const chunks = this.#run.readChunks();
+    while (this.#written < chunks.length && !this.#blocked) {
+      if (this.#written === 0) this.#startStream();
+      const chunk = chunks[this.#written++] ?? "";
+      const room = this.#response.write(`data: ${chunk}\n\n`);
+      if (!room) this.#block();
+    }
+    this.#run.recordRead(this.#written);
+  }
+
+  #startStream(): void {
+    this.#report.onFirstChunk();
+    this.#response.writeHead(200, {
+      "content-type": "text/event-stream",
+      "cache-control": "no-store",
+      trailer: "x-anvilrail-outcome",
+    });
+  }
+
+  #block(): void {
+    this.#blocked = true;
+    this.#stall = setTimeout(
+      () => this.#response.destroy(),
+      MAX_CALLER_SILENCE,
+    );
+  }
+
+  #unblock(): void {
+    clearTimeout(this.#stall);
+    this.#blocked = false;
+    this.#advance();
+  }
+
+  #leave(): void {
+    clearTimeout(this.#stall);
+    if (this.#over) return;
+    this.#over = true;
+    this.#report.onEnd(undefined);
+    this.#removeListener();
+  }
+
+  #writeEnd(end: RunEnd): void {
+    if (end.type === "refused") return this.#writeRefusedEnd(end.refusal);
+    if (end.type === "answered") return this.#writePlainAnswer(end);
+    if (!this.#stream) return this.#writeAssembled();
+    if (!this.#response.headersSent) this.#startStream();
+    const outcome = RequestOutcome.Ran;
+    this.#response.write(`: outcome=${outcome}\n\ndata: ${STREAM_END}\n\n`);
+    this.#response.addTrailers({ "x-anvilrail-outcome": outcome });
+    this.#response.end();
+  }
+
+  #writeRefusedEnd(refusal: Refusal): void {
+    if (!this.#response.headersSent) {
+      return writeRefusal(this.#response, refusal);
+    }
+    // The stream has begun, so the refusal goes into it as its last event.
+    this.#response.write(`data: ${formatRefusalBody(refusal)}\n\n`);
+    this.#response.addTrailers({ "x-anvilrail-outcome": refusal.outcome });
+    this.#response.end();
+  }
+
+  #writePlainAnswer(end: RunEnd & { type: "answered" }): void {
+    this.#response.writeHead(end.status, {
+      "content-type": end.contentType,
+      "content-length": end.body.length,
+      "x-anvilrail-outcome": RequestOutcome.Ran,
+    });
+    this.#response.end(end.body);
+  }
+
+  #writeAssembled(): void {
+    const body = assembleCompletion(this.#run.readChunks());
+    this.#response.writeHead(200, {
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(body),
+      "x-anvilrail-outcome": RequestOutcome.Ran,
+    });
+    this.#response.end(body);
+  }
+}
+
+interface ChunkShape {
+  readonly id?: string;
+  readonly created?: number;
+  readonly model?: string;
+  readonly choices?: readonly {
+    readonly delta?: { readonly content?: string | null };
+    readonly finish_reason?: string | null;
+  }[];
+  readonly usage?: unknown;
+}
+
+/** Joins the chunks of a stream into one chat completion. */
+export function assembleCompletion(chunks: readonly string[]): string {
+  let content = "";
+  let finishReason: string | null = null;
+  let usage: unknown = undefined;
+  let first: ChunkShape | undefined;
+  for (const data of chunks) {
+    const chunk = JSON.parse(data) as ChunkShape;
+    first ??= chunk;
+    const choice = chunk.choices?.[0];
+    content += choice?.delta?.content ?? "";
+    finishReason = choice?.finish_reason ?? finishReason;
+    usage = chunk.usage ?? usage;
+  }
+  return JSON.stringify({
+    id: first?.id,
+    object: "chat.completion",
+    created: first?.created,
+    model: first?.model,
+    choices: [{
+      index: 0,
+      message: { role: "assistant", content },
+      finish_reason: finishReason,
+    }],
+    usage,
+  });
+}
--- a/packages/daemon/features/escrow.ts
+++ b/packages/daemon/features/escrow.ts
@@ -4,8 +4,8 @@
  */
 import { type Either, Left, Right } from "purify-ts";
 import {
-  createEventAccount,
   createCloseGrant,
+  createEventAccount,
   createTakeGrant,
   dropGrant,
   type EventAccount,
@@ -109,6 +109,7 @@
     input: { readonly tokens: Tokens; readonly deadline: MonotonicTime },
   ): Promise<Either<Refusal, Reservation>> {
     const { clock } = this.#context;
+    if (input.tokens === 0) return Right(createEmptyReservation(event.id));
     this.#configs.set(event.id, event);
     const giveUpAt = Math.min(
       input.deadline,
@@ -143,12 +144,14 @@
 
   /** Closes every grant that nothing is reserved from, for a planned stop. */
   async returnGrants(): Promise<void> {
-    await Promise.all([...this.#readAccounts().values()].map((account) =>
-      this.#closeGrants(
-        account,
-        account.grants.filter((grant) => grant.reserved === 0),
-      )
-    ));
+    await Promise.all(
+      [...this.#readAccounts().values()].map((account) =>
+        this.#closeGrants(
+          account,
+          account.grants.filter((grant) => grant.reserved === 0),
+        )
+      ),
+    );
   }
 
   #readAccounts(): Map<EventId, EventAccount> {
@@ -162,14 +165,17 @@
   #tryReserve(eventId: EventId, tokens: Tokens): Reservation | undefined {
     const now = this.#context.clock.readMonotonic();
     let reservation: Reservation | undefined;
-    this.#change(eventId, (account) =>
-      reserveTokens(account, { tokens, now }).caseOf({
-        Left: () => account,
-        Right: (result) => {
-          reservation = result.reservation;
-          return result.account;
-        },
-      }));
+    this.#change(
+      eventId,
+      (account) =>
+        reserveTokens(account, { tokens, now }).caseOf({
+          Left: () => account,
+          Right: (result) => {
+            reservation = result.reservation;
+            return result.account;
+          },
+        }),
+    );
     return reservation;
   }
 
@@ -221,8 +227,11 @@
         this.#budgetLeft.set(event.id, result.budgetLeft);
         if (result.size === 0) return GrantAnswer.Spent;
         const deadline = now + settings.intervals.grantLifeMillis;
-        this.#change(event.id, (before) =>
-          receiveGrant(before, { grantId, size: result.size, deadline }));
+        this.#change(
+          event.id,
+          (before) =>
+            receiveGrant(before, { grantId, size: result.size, deadline }),
+        );
         metrics.grantsTaken.inc();
         log.info(LogEvent.GrantTaken, {
           event_id: event.id,
@@ -280,6 +289,11 @@
   }
 }
 
+/** Holds nothing; settling it changes nothing. */
+function createEmptyReservation(eventId: EventId): Reservation {
+  return { eventId, grantId: "", tokens: 0 };
+}
+
 enum GrantAnswer {
   Taken = "taken",
   Spent = "spent",
--- a/packages/daemon/features/target_router.ts
+++ b/packages/daemon/features/target_router.ts
@@ -136,7 +136,7 @@
     const ids = services.flatMap((service) => service.targets)
       .map((target) => target.id)
       .filter((id) => leaving.has(id));
-    this.#change((state) => applyListedTargets(state, ids));
+    this.#change((state) => applyListedTargets(state, new Set(ids)));
   }
 
   #describe(): unknown {
--- /dev/null
+++ b/packages/daemon/http_face.ts
@@ -0,0 +1,87 @@
+/** Listens on one face of the daemon, with or without TLS. */
+import { readFileSync } from "node:fs";
+import { createServer, type Server, type ServerOptions } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { FaceSettings, Settings } from "../settings/mod.ts";
+
+/** Answers requests of one face. */
+export type FaceHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
+/** A face that listens. */
+export interface RunningFace {
+  /** `host:port` that others use. */
+  readonly address: string;
+  readonly server: Server;
+  /** Stops listening; resolves when every connection is closed. */
+  close(): Promise<void>;
+  /** Closes every connection at once. */
+  destroy(): void;
+}
+
+const HEADERS_TIMEOUT_MILLIS = 10_000;
+const KEEP_ALIVE_MILLIS = 30_000;
+
+/** Starts listening; rejects when the address cannot be had. */
+export async function startFace(
+  face: FaceSettings,
+  input: {
+    readonly limits: Settings["limits"];
+    readonly handler: FaceHandler;
+  },
+): Promise<RunningFace> {
+  const server = createFaceServer(face, input);
+  server.maxConnections = input.limits.maxConnections;
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(face.port, face.host, resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: face.advertise ?? `${face.host}:${port}`,
+    server,
+    close: () => closeServer(server),
+    destroy: () => server.closeAllConnections(),
+  };
+}
+
+function createFaceServer(
+  face: FaceSettings,
+  input: {
+    readonly limits: Settings["limits"];
+    readonly handler: FaceHandler;
+  },
+): Server {
+  const options: ServerOptions = {
+    maxHeaderSize: input.limits.maxHeaderBytes,
+    headersTimeout: HEADERS_TIMEOUT_MILLIS,
+    keepAliveTimeout: KEEP_ALIVE_MILLIS,
+    // The entry watches slow bodies itself, to answer them in its own words.
+    requestTimeout: 0,
+  };
+  if (face.tls === undefined) return createServer(options, input.handler);
+  const { certificateFile, keyFile, clientAuthorityFile } = face.tls;
+  const authority = clientAuthorityFile === undefined ? {} : {
+    ca: readFileSync(clientAuthorityFile),
+    requestCert: true,
+    rejectUnauthorized: true,
+  };
+  const tls = {
+    ...options,
+    cert: readFileSync(certificateFile),
+    key: readFileSync(keyFile),
+    ...authority,
+  };
+  return createTlsServer(tls, input.handler);
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+}
--- /dev/null
+++ b/packages/daemon/mod.ts
@@ -0,0 +1,5 @@
+/** The daemon as a library. */
+export type { DaemonOptions, RunningDaemon } from "./daemon.ts";
+export { startDaemon } from "./daemon.ts";
+export type { EventLog, LogFields } from "./event_log.ts";
+export { createEventLog, createSilentLog, LogEvent } from "./event_log.ts";
