--- a/packages/budget/account.ts
+++ b/packages/budget/account.ts
@@ -1,13 +1,36 @@
 /**
- * One event's account on one VM: the grants it holds, what is reserved and
- * what is spent. Tokens are reserved and spent from grants in memory; the
- * table hears of them when a grant is closed.
+ * One event's account on one VM: the grants it holds, what is reserved, lent
+ * and spent. Tokens are reserved and spent from grants in memory; the table
+ * hears of them when a grant is closed.
+ *
+ * Invariant of every grant: `spent + reserved + lent <= size`.
  */
-import type { EventId, MonotonicTime, Tokens } from "../core/mod.ts";
+import type {
+  EventId,
+  Incarnation,
+  MonotonicTime,
+  Tokens,
+  VmId,
+} from "../core/mod.ts";
+import type { GrantExchange } from "./rows/exchange_grants.ts";
 
-/** Tokens moved from an event's budget to one VM. */
+/** One life of the process on one VM. */
+export interface VmLife {
+  readonly vm: VmId;
+  readonly incarnation: Incarnation;
+}
+
+/** Tokens lent from one grant; they count as out until the table says otherwise. */
+export interface LoanOut {
+  /** Chosen by the borrower, unique over all VMs and lives. */
+  readonly transferId: string;
+  readonly tokens: Tokens;
+  readonly borrower: VmLife;
+}
+
+/** Tokens moved from an event's budget to one VM, or lent by another VM. */
 export interface Grant {
-  /** Unique over all VMs and lives: `vm/incarnation/number`. */
+  /** Unique over all VMs and lives: `vm/incarnation/number`; a loan's transfer id. */
   readonly id: string;
   readonly size: Tokens;
   /** Settled by requests that ended. */
@@ -16,30 +39,112 @@
   readonly reserved: Tokens;
   /** After this reading the grant takes no new reservation. */
   readonly deadline: MonotonicTime;
+  /** True once its closing was planned: it takes no new reservation or loan. */
+  readonly closing: boolean;
+  /** Number of times its size was lowered. */
+  readonly changes: number;
+  /** Loans that were made from it. */
+  readonly loans: readonly LoanOut[];
+  /** The lender's grant, when these tokens are a loan from another VM. */
+  readonly lenderGrantId?: string;
+}
+
+/** A loan that was asked for and not yet received. */
+export interface PendingLoan {
+  readonly transferId: string;
+  readonly lender: VmId;
+  readonly wanted: Tokens;
+  readonly askedAt: MonotonicTime;
+}
+
+/** What a lender answered; zero tokens are a refusal. */
+export interface LoanAnswer {
+  readonly transferId: string;
+  readonly tokens: Tokens;
+  /** The grant that the tokens come from; empty for a refusal. */
+  readonly lenderGrantId: string;
 }
 
 /** Immutable snapshot of one event's account. */
 export interface EventAccount {
   readonly eventId: EventId;
   readonly grants: readonly Grant[];
-  /** Drawing rate in tokens per second, smoothed. */
+  /** Drawing rate in tokens per second, smoothed, as of {@link lastDraw}. */
   readonly drawRate: number;
+  /** Rate of reserving in tokens per second, smoothed, as of {@link lastDraw}. */
+  readonly demandRate: number;
+  /** When the rates were last brought up to date. */
   readonly lastDraw: MonotonicTime;
+  /** When tokens were last returned because the rate had fallen. */
+  readonly lastReturn: MonotonicTime;
+  readonly pendingLoans: readonly PendingLoan[];
+  /** Latest answers to loan requests, given again when a request is repeated. */
+  readonly loanAnswers: readonly LoanAnswer[];
+  /** The exchange that was sent to the table and is not confirmed yet. */
+  readonly exchange?: GrantExchange;
 }
 
-/** Part of one grant held for one request. */
+/** Tokens of one grant held for one request. */
+export interface ReservationPart {
+  readonly grantId: string;
+  readonly tokens: Tokens;
+}
+
+/** Tokens held for one request, from as many grants as it took. */
 export interface Reservation {
   readonly eventId: EventId;
-  readonly grantId: string;
   readonly tokens: Tokens;
+  /** Their tokens add up to `tokens`. */
+  readonly parts: readonly ReservationPart[];
 }
 
 /** Returns the account of an event that holds no grant. */
 export function createEventAccount(eventId: EventId): EventAccount {
-  return { eventId, grants: [], drawRate: 0, lastDraw: 0 };
+  return {
+    eventId,
+    grants: [],
+    drawRate: 0,
+    demandRate: 0,
+    lastDraw: 0,
+    lastReturn: 0,
+    pendingLoans: [],
+    loanAnswers: [],
+  };
 }
 
-/** Returns the tokens of a grant that are neither spent nor reserved. */
+/** Returns the tokens lent from a grant. */
+export function computeLent(grant: Grant): Tokens {
+  return grant.loans.reduce((sum, loan) => sum + loan.tokens, 0);
+}
+
+/** Returns the tokens of a grant that are neither spent, reserved nor lent. */
 export function computeGrantRoom(grant: Grant): Tokens {
-  return grant.size - grant.spent - grant.reserved;
+  return grant.size - grant.spent - grant.reserved - computeLent(grant);
+}
+
+/** Tells whether a grant may take a new reservation or make a new loan. */
+export function isGrantOpen(grant: Grant, now: MonotonicTime): boolean {
+  return !grant.closing && now < grant.deadline;
+}
+
+/** Returns the tokens that can be reserved now, over all open grants. */
+export function computeAccountRoom(
+  account: EventAccount,
+  now: MonotonicTime,
+): Tokens {
+  return account.grants
+    .filter((grant) => isGrantOpen(grant, now))
+    .reduce((sum, grant) => sum + computeGrantRoom(grant), 0);
+}
+
+/** Returns the account with one grant replaced. */
+export function changeGrant(
+  account: EventAccount,
+  grantId: string,
+  change: (grant: Grant) => Grant,
+): EventAccount {
+  const grants = account.grants.map((grant) =>
+    grant.id === grantId ? change(grant) : grant
+  );
+  return { ...account, grants };
 }
--- /dev/null
+++ b/packages/budget/account_schedule.ts
@@ -0,0 +1,108 @@
+/**
+ * Which accounts need a plan, by the time they are next due. Taking the due
+ * ones costs in proportion to their number and not to the number of budgets: a
+ * binary heap whose outdated entries are skipped when they come up.
+ */
+import type { EventId, MonotonicTime } from "../core/mod.ts";
+
+interface HeapEntry {
+  readonly due: MonotonicTime;
+  readonly eventId: EventId;
+}
+
+/** Entries beyond the live ones at which the heap is built anew. */
+const MAX_OUTDATED = 1_024;
+
+/** Index of events by due time. */
+export class AccountSchedule {
+  readonly #due = new Map<EventId, MonotonicTime>();
+  #heap: HeapEntry[] = [];
+
+  /** Number of events that will become due. */
+  get size(): number {
+    return this.#due.size;
+  }
+
+  /** Sets when an event is due; undefined when it needs no look. */
+  change(eventId: EventId, due: MonotonicTime | undefined): void {
+    if (due === undefined) {
+      this.#due.delete(eventId);
+      return;
+    }
+    if (this.#due.get(eventId) === due) return;
+    this.#due.set(eventId, due);
+    this.#push({ due, eventId });
+    if (this.#heap.length > 2 * this.#due.size + MAX_OUTDATED) this.#rebuild();
+  }
+
+  /** Returns when the first event is due, or undefined when none will be. */
+  readNextDue(): MonotonicTime | undefined {
+    this.#dropOutdated();
+    return this.#heap[0]?.due;
+  }
+
+  /** Removes and returns the events that are due, at most so many. */
+  takeDue(now: MonotonicTime, most: number): EventId[] {
+    const taken: EventId[] = [];
+    while (taken.length < most) {
+      const due = this.readNextDue();
+      if (due === undefined || due > now) break;
+      const entry = this.#pop();
+      this.#due.delete(entry.eventId);
+      taken.push(entry.eventId);
+    }
+    return taken;
+  }
+
+  #dropOutdated(): void {
+    for (;;) {
+      const first = this.#heap[0];
+      if (first === undefined) return;
+      if (this.#due.get(first.eventId) === first.due) return;
+      this.#pop();
+    }
+  }
+
+  #rebuild(): void {
+    this.#heap = [...this.#due].map(([eventId, due]) => ({ due, eventId }));
+    // A sorted array is a heap.
+    this.#heap.sort((left, right) => left.due - right.due);
+  }
+
+  #push(entry: HeapEntry): void {
+    const heap = this.#heap;
+    let index = heap.length;
+    heap.push(entry);
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      const above = heap[parent]!;
+      if (above.due <= entry.due) break;
+      heap[index] = above;
+      index = parent;
+    }
+    heap[index] = entry;
+  }
+
+  #pop(): HeapEntry {
+    const heap = this.#heap;
+    const first = heap[0]!;
+    const last = heap.pop()!;
+    if (heap.length > 0) this.#sink(last);
+    return first;
+  }
+
+  #sink(entry: HeapEntry): void {
+    const heap = this.#heap;
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      if (child >= heap.length) break;
+      const right = heap[child + 1];
+      if (right !== undefined && right.due < heap[child]!.due) child++;
+      if (heap[child]!.due >= entry.due) break;
+      heap[index] = heap[child]!;
+      index = child;
+    }
+    heap[index] = entry;
+  }
+}
--- /dev/null
+++ b/packages/budget/commands/plan_exchange.ts
@@ -0,0 +1,166 @@
+/**
+ * One exchange with the table at a time for each account: planning it changes
+ * the account at once, so that nothing on its way back can be reserved, and
+ * the table's answer completes it.
+ */
+import type {
+  EventId,
+  MonotonicTime,
+  Tokens,
+  WallTime,
+} from "../../core/mod.ts";
+import type { EventAccount, Grant, VmLife } from "../account.ts";
+import { planGrants, type PlanInput } from "../queries/plan_grants.ts";
+import type {
+  GrantExchange,
+  GrantExchangeResult,
+} from "../rows/exchange_grants.ts";
+import type { GrantShrink } from "../rows/row_changes.ts";
+import { changeGrantSize, closeGrants } from "./close_grants.ts";
+import { receiveGrant } from "./receive_grant.ts";
+
+/** Inputs of an exchange besides those of its plan. */
+export interface ExchangeInput extends PlanInput {
+  /** Unique over all VMs and lives; names the exchange and its new grant. */
+  readonly grantId: string;
+  readonly holder: VmLife;
+  readonly initialLimit: Tokens;
+  readonly wallTime: WallTime;
+}
+
+/**
+ * Plans what the account has to tell the table. When the account returned has
+ * an `exchange` that it had not before, run `createGrantExchange` on it and
+ * give the result to {@link receiveExchange}. While an exchange is open
+ * nothing more is planned; run it again until the table confirms it.
+ */
+export function planExchange(
+  account: EventAccount,
+  input: ExchangeInput,
+): EventAccount {
+  if (account.exchange !== undefined) return account;
+  const plan = planGrants(account, input);
+  const { now } = input;
+  const { closing, shrinking } = sortGiveBacks(plan.giveBack);
+  const closes = [...plan.close, ...closing];
+  let changed = closeGrants(account, closes.map((grant) => grant.id));
+  const shrinks: GrantShrink[] = [];
+  for (const { grant, tokens } of shrinking) {
+    changed = changeGrantSize(changed, {
+      grantId: grant.id,
+      returned: tokens,
+      now,
+    });
+    shrinks.push({
+      grantId: grant.id,
+      size: grant.size - tokens,
+      changes: grant.changes + 1,
+    });
+  }
+  if (closing.length > 0) changed = { ...changed, lastReturn: now };
+  const exchange = {
+    ...createSettlement(account.eventId, input, closes),
+    shrinks,
+    ...(plan.take === undefined ? {} : { take: createTake(input, plan.take) }),
+  };
+  // A loan that was spent whole ends without a word to the table.
+  changed = removeSpentLoans(changed, closes);
+  return hasWork(exchange) ? { ...changed, exchange } : changed;
+}
+
+/** Completes the open exchange with the table's answer. */
+export function receiveExchange(
+  account: EventAccount,
+  input: {
+    readonly result: GrantExchangeResult;
+    /** When its new grant ends: asking time plus the grant's term. */
+    readonly deadline: MonotonicTime;
+  },
+): EventAccount {
+  const { exchange, ...rest } = account;
+  if (exchange === undefined) return account;
+  const done = [
+    ...(exchange.closes ?? []).map((close) => close.grantId),
+    ...(exchange.returns ?? []).map((loan) => loan.transferId),
+  ];
+  const grants = rest.grants.filter((grant) => !done.includes(grant.id));
+  const completed = { ...rest, grants };
+  if (exchange.take === undefined || input.result.size === 0) return completed;
+  return receiveGrant(completed, {
+    grantId: exchange.take.grantId,
+    size: input.result.size,
+    deadline: input.deadline,
+  });
+}
+
+/** Plans the return of everything that is not reserved, for a planned stop. */
+export function planLastExchange(
+  account: EventAccount,
+  input: ExchangeInput,
+): EventAccount {
+  if (account.exchange !== undefined) return account;
+  const stopped = closeGrants(account, account.grants.map((each) => each.id));
+  const idle = stopped.grants.filter((grant) => grant.reserved === 0);
+  const exchange = createSettlement(account.eventId, input, idle);
+  const changed = removeSpentLoans(stopped, idle);
+  return hasWork(exchange) ? { ...changed, exchange } : changed;
+}
+
+function sortGiveBacks(
+  giveBacks: readonly { readonly grant: Grant; readonly tokens: Tokens }[],
+) {
+  const isWhole = ({ grant, tokens }: { grant: Grant; tokens: Tokens }) =>
+    grant.reserved === 0 && grant.size - grant.spent === tokens;
+  const closing = giveBacks.filter(isWhole).map((each) => each.grant);
+  const shrinking = giveBacks.filter((each) =>
+    !isWhole(each) && each.grant.lenderGrantId === undefined
+  );
+  return { closing, shrinking };
+}
+
+function createTake(
+  input: ExchangeInput,
+  take: { readonly wanted: Tokens; readonly least: Tokens },
+) {
+  const { grantId, holder, wallTime } = input;
+  return { grantId, holder, wallTime, ...take };
+}
+
+function createSettlement(
+  eventId: EventId,
+  input: ExchangeInput,
+  grants: readonly Grant[],
+): GrantExchange {
+  const own = grants.filter((grant) => grant.lenderGrantId === undefined);
+  const borrowed = grants.filter((grant) => !isSpentLoan(grant));
+  return {
+    eventId,
+    id: input.grantId,
+    initialLimit: input.initialLimit,
+    closes: own.map(({ id, spent, loans }) => ({ grantId: id, spent, loans })),
+    returns: borrowed.flatMap(({ id, lenderGrantId, size, spent }) =>
+      lenderGrantId === undefined
+        ? []
+        : [{ transferId: id, lenderGrantId, unspent: size - spent }]
+    ),
+  };
+}
+
+function isSpentLoan(grant: Grant): boolean {
+  return grant.lenderGrantId !== undefined && grant.spent === grant.size;
+}
+
+function removeSpentLoans(
+  account: EventAccount,
+  closed: readonly Grant[],
+): EventAccount {
+  const spent = closed.filter(isSpentLoan).map((grant) => grant.id);
+  if (spent.length === 0) return account;
+  const grants = account.grants.filter((grant) => !spent.includes(grant.id));
+  return { ...account, grants };
+}
+
+function hasWork(exchange: GrantExchange): boolean {
+  return exchange.take !== undefined || (exchange.closes ?? []).length > 0 ||
+    (exchange.returns ?? []).length > 0 || (exchange.shrinks ?? []).length > 0;
+}
--- a/packages/budget/commands/receive_grant.ts
+++ b/packages/budget/commands/receive_grant.ts
@@ -2,13 +2,18 @@
 import type { MonotonicTime, Tokens } from "../../core/mod.ts";
 import type { EventAccount } from "../account.ts";
 
-/** Adds a confirmed grant; a grant the account has already is left alone. */
+/**
+ * Adds a confirmed grant; a grant the account has already is left alone. The
+ * deadline counts from when the grant was asked for, not from the answer.
+ */
 export function receiveGrant(
   account: EventAccount,
   input: {
     readonly grantId: string;
     readonly size: Tokens;
     readonly deadline: MonotonicTime;
+    /** The lender's grant, when another VM lent these tokens. */
+    readonly lenderGrantId?: string;
   },
 ): EventAccount {
   if (account.grants.some((grant) => grant.id === input.grantId)) {
@@ -20,6 +25,12 @@
     spent: 0,
     reserved: 0,
     deadline: input.deadline,
+    closing: false,
+    changes: 0,
+    loans: [],
+    ...(input.lenderGrantId === undefined
+      ? {}
+      : { lenderGrantId: input.lenderGrantId }),
   };
   return { ...account, grants: [...account.grants, grant] };
 }
--- a/packages/budget/commands/reserve_tokens.ts
+++ b/packages/budget/commands/reserve_tokens.ts
@@ -1,8 +1,14 @@
 /** Holds tokens for a request before it is dispatched. */
 import { type Either, Left, Right } from "purify-ts";
 import type { MonotonicTime, Tokens } from "../../core/mod.ts";
-import { computeGrantRoom } from "../account.ts";
-import type { EventAccount, Reservation } from "../account.ts";
+import { computeGrantRoom, isGrantOpen } from "../account.ts";
+import type {
+  EventAccount,
+  Grant,
+  Reservation,
+  ReservationPart,
+} from "../account.ts";
+import { recordDraw } from "../draw_rate.ts";
 
 /** Says how many tokens the account lacks. */
 export interface Shortfall {
@@ -15,27 +21,50 @@
   readonly reservation: Reservation;
 }
 
-/** Reserves tokens from one grant that is open and has room for all of them. */
+/**
+ * Reserves tokens from the open grants, spread over as many as it takes. The
+ * grant that ends first gives first, so that old grants empty and close.
+ */
 export function reserveTokens(
   account: EventAccount,
   input: { readonly tokens: Tokens; readonly now: MonotonicTime },
 ): Either<Shortfall, ReserveResult> {
-  const open = account.grants.filter((grant) => input.now < grant.deadline);
-  const grant = open.find((each) => computeGrantRoom(each) >= input.tokens);
-  if (grant === undefined) {
-    const room = Math.max(0, ...open.map(computeGrantRoom));
-    return Left({ missing: input.tokens - room });
-  }
-  const changed = { ...grant, reserved: grant.reserved + input.tokens };
+  const { tokens, now } = input;
+  const open = account.grants
+    .filter((grant) => isGrantOpen(grant, now))
+    .sort((left, right) => left.deadline - right.deadline);
+  const parts = chooseParts(open, tokens);
+  const held = parts.reduce((sum, part) => sum + part.tokens, 0);
+  if (held < tokens) return Left({ missing: tokens - held });
+  const drawn = recordDraw(account, { reserved: tokens, now });
   return Right({
-    account: {
-      ...account,
-      grants: account.grants.map((each) => each === grant ? changed : each),
-    },
-    reservation: {
-      eventId: account.eventId,
-      grantId: grant.id,
-      tokens: input.tokens,
-    },
+    account: { ...drawn, grants: addReserved(account.grants, parts) },
+    reservation: { eventId: account.eventId, tokens, parts },
+  });
+}
+
+function chooseParts(
+  open: readonly Grant[],
+  tokens: Tokens,
+): ReservationPart[] {
+  const parts: ReservationPart[] = [];
+  let missing = tokens;
+  for (const grant of open) {
+    const taken = Math.min(missing, computeGrantRoom(grant));
+    if (taken <= 0) continue;
+    parts.push({ grantId: grant.id, tokens: taken });
+    missing -= taken;
+  }
+  return parts;
+}
+
+function addReserved(
+  grants: readonly Grant[],
+  parts: readonly ReservationPart[],
+): Grant[] {
+  return grants.map((grant) => {
+    const part = parts.find((each) => each.grantId === grant.id);
+    if (part === undefined) return grant;
+    return { ...grant, reserved: grant.reserved + part.tokens };
   });
 }
--- a/packages/budget/commands/settle_reservation.ts
+++ b/packages/budget/commands/settle_reservation.ts
@@ -1,34 +1,47 @@
 /** Turns a reservation into spent tokens when its request ends. */
 import type { MonotonicTime, Tokens } from "../../core/mod.ts";
+import { changeGrant } from "../account.ts";
 import type { EventAccount, Reservation } from "../account.ts";
+import { recordDraw } from "../draw_rate.ts";
 
 /**
  * Settles a reservation at what was really spent; the rest is free again.
- * Spending above the reservation is a broken invariant of the caller.
+ * Without `spent` the true figure cannot be known and the whole reservation
+ * counts as spent. Spending above the reservation is a broken invariant of the
+ * caller, as is settling a reservation twice.
  */
 export function settleReservation(
   account: EventAccount,
   input: {
     readonly reservation: Reservation;
-    readonly spent: Tokens;
+    readonly spent?: Tokens;
     readonly now: MonotonicTime;
   },
 ): EventAccount {
-  const { reservation, spent } = input;
+  const { reservation, now } = input;
+  const spent = input.spent ?? reservation.tokens;
   if (spent > reservation.tokens) {
     throw new Error(
       `Settling ${spent} tokens of a reservation of ${reservation.tokens}. Cancel the stream at its bound before settling.`,
     );
   }
-  return {
-    ...account,
-    lastDraw: input.now,
-    grants: account.grants.map((grant) =>
-      grant.id !== reservation.grantId ? grant : {
-        ...grant,
-        reserved: grant.reserved - reservation.tokens,
-        spent: grant.spent + spent,
+  let settled = recordDraw(account, { spent, now });
+  let unpaid = spent;
+  for (const part of reservation.parts) {
+    const paid = Math.min(unpaid, part.tokens);
+    unpaid -= paid;
+    settled = changeGrant(settled, part.grantId, (grant) => {
+      if (grant.reserved < part.tokens) {
+        throw new Error(
+          `Grant ${grant.id} holds ${grant.reserved} reserved tokens, not ${part.tokens}. Settle each reservation once.`,
+        );
       }
-    ),
-  };
+      return {
+        ...grant,
+        reserved: grant.reserved - part.tokens,
+        spent: grant.spent + paid,
+      };
+    });
+  }
+  return settled;
 }
--- /dev/null
+++ b/packages/budget/loans/loans_test.ts
@@ -0,0 +1,223 @@
+/** Tests of loans with lost, doubled and late messages and lost VMs. */
+import test from "ava";
+import { BudgetLean } from "../../core/mod.ts";
+import { MemoryRows } from "../../stand_ins/mod.ts";
+import {
+  computeAccountRoom,
+  computeBudgetLeft,
+  createEventAccount,
+  createGrantExchange,
+  createTakeGrant,
+  createWriteOff,
+  type EventAccount,
+  GRANT_TERM,
+  lendTokens,
+  type LoanRequest,
+  LossEvidenceKind,
+  MAX_LOANS_PER_GRANT,
+  parseBudgetRow,
+  planLastExchange,
+  planLoans,
+  receiveExchange,
+  receiveGrant,
+  receiveLoan,
+  recordLoanAsked,
+  reserveTokens,
+  settleReservation,
+} from "../mod.ts";
+
+const REQUEST: LoanRequest = {
+  transferId: "b/1/1",
+  wanted: 30,
+  least: 30,
+  borrower: { vm: "b", incarnation: "1" },
+};
+
+function createLender(rows: MemoryRows): EventAccount {
+  const { size } = rows.apply(createTakeGrant({
+    eventId: "e",
+    grantId: "a/1/1",
+    vm: "a",
+    incarnation: "1",
+    wanted: 100,
+    least: 1,
+    initialLimit: 100,
+    wallTime: 0,
+  }));
+  return receiveGrant(createEventAccount("e"), {
+    grantId: "a/1/1",
+    size,
+    deadline: GRANT_TERM,
+  });
+}
+
+function createBorrower(): EventAccount {
+  return recordLoanAsked(createEventAccount("e"), {
+    transferId: "b/1/1",
+    lender: "a",
+    wanted: 30,
+    askedAt: 0,
+  });
+}
+
+function readRow(rows: MemoryRows) {
+  return parseBudgetRow(rows.peek("budget/e") ?? null).unsafeCoerce();
+}
+
+function readLeft(rows: MemoryRows): number {
+  return computeBudgetLeft(readRow(rows));
+}
+
+function spend(account: EventAccount, tokens: number): EventAccount {
+  const held = reserveTokens(account, { tokens, now: 0 }).unsafeCoerce();
+  const { reservation } = held;
+  return settleReservation(held.account, { reservation, now: 0 });
+}
+
+/** Closes all of an account and lets the table decide twice. */
+function closeAll(rows: MemoryRows, account: EventAccount, vm: string) {
+  const planned = planLastExchange(account, {
+    now: 1,
+    need: 0,
+    lean: BudgetLean.FewerRefusals,
+    grantId: `${vm}/1/end`,
+    holder: { vm, incarnation: "1" },
+    initialLimit: 100,
+    wallTime: 1,
+  });
+  if (planned.exchange === undefined) return planned;
+  const operation = createGrantExchange(planned.exchange);
+  rows.apply(operation);
+  const result = rows.apply(operation);
+  return receiveExchange(planned, { result, deadline: 0 });
+}
+
+function lend(lender: EventAccount, request = REQUEST) {
+  return lendTokens(lender, { request, now: 0, keep: 0 });
+}
+
+test("a doubled request debits once and a doubled answer credits once", (t) => {
+  const rows = new MemoryRows();
+  const first = lend(createLender(rows));
+  const second = lend(first.account);
+  t.deepEqual(second.answer, first.answer);
+  t.is(computeAccountRoom(second.account, 0), 70);
+  const { answer } = first;
+  const once = receiveLoan(createBorrower(), { answer, deadline: 10 });
+  const twice = receiveLoan(once, { answer, deadline: 10 });
+  t.is(computeAccountRoom(twice, 0), 30);
+});
+
+test("an answer that comes after the loan went back credits nothing", (t) => {
+  const rows = new MemoryRows();
+  const { answer } = lend(createLender(rows));
+  let borrower = receiveLoan(createBorrower(), { answer, deadline: 10 });
+  borrower = closeAll(rows, borrower, "b");
+  t.deepEqual(borrower.grants, []);
+  borrower = receiveLoan(borrower, { answer, deadline: 10 });
+  t.is(computeAccountRoom(borrower, 0), 0);
+  t.is(readLeft(rows), 30);
+});
+
+test("a lost answer strands the tokens and makes none", (t) => {
+  const rows = new MemoryRows();
+  const lender = lend(createLender(rows)).account;
+  closeAll(rows, lender, "a");
+  t.is(readLeft(rows), 70);
+});
+
+for (const order of ["borrower first", "lender first"]) {
+  test(`an unspent loan returns once: ${order}`, (t) => {
+    const rows = new MemoryRows();
+    const { account, answer } = lend(createLender(rows));
+    const lender = spend(account, 20);
+    const borrower = spend(
+      receiveLoan(createBorrower(), { answer, deadline: 10 }),
+      10,
+    );
+    if (order === "lender first") closeAll(rows, lender, "a");
+    closeAll(rows, borrower, "b");
+    if (order === "borrower first") closeAll(rows, lender, "a");
+    t.is(readLeft(rows), 70);
+    t.deepEqual(readRow(rows).loans ?? {}, {});
+  });
+}
+
+test("a loan outlives a lender that was written off, and so does the lender's rest", (t) => {
+  const rows = new MemoryRows();
+  const { account, answer } = lend(createLender(rows));
+  const borrower = receiveLoan(createBorrower(), { answer, deadline: 10 });
+  const writeOff = createWriteOff({
+    eventId: "e",
+    evidence: {
+      kind: LossEvidenceKind.LaterLife,
+      vm: "a",
+      incarnation: "2",
+    },
+    initialLimit: 100,
+    wallTime: 5,
+  }).unsafeCoerce();
+  t.deepEqual(rows.apply(writeOff), { tokens: 100, total: 100 });
+  t.deepEqual(rows.apply(writeOff), { tokens: 0, total: 100 });
+  closeAll(rows, spend(borrower, 10), "b");
+  t.is(readLeft(rows), 20);
+  // The lender was only asleep: it wakes and closes what it had.
+  closeAll(rows, spend(account, 5), "a");
+  t.is(readLeft(rows), 85);
+  t.is(readRow(rows).writtenOff, 0);
+});
+
+test("a lost borrower's loan is written off from the lender's closed grant", (t) => {
+  const rows = new MemoryRows();
+  const { account } = lend(createLender(rows));
+  closeAll(rows, account, "a");
+  const writeOff = createWriteOff({
+    eventId: "e",
+    evidence: {
+      kind: LossEvidenceKind.Unlisted,
+      vm: "b",
+      incarnation: "1",
+      unlistedFor: 11,
+      required: 10,
+    },
+    initialLimit: 100,
+    wallTime: 5,
+  }).unsafeCoerce();
+  t.deepEqual(rows.apply(writeOff), { tokens: 30, total: 30 });
+  t.deepEqual(rows.apply(writeOff), { tokens: 0, total: 30 });
+  t.is(readLeft(rows), 70);
+});
+
+test("a request that is repeated after the lender closed is not lent again", (t) => {
+  const rows = new MemoryRows();
+  const { account, answer } = lend(createLender(rows));
+  let lender = closeAll(rows, account, "a");
+  lender = receiveGrant(lender, {
+    grantId: "a/1/2",
+    size: 70,
+    deadline: GRANT_TERM,
+  });
+  const repeated = lend(lender);
+  t.deepEqual(repeated.answer, answer);
+  t.is(computeAccountRoom(repeated.account, 0), 70);
+});
+
+test("a lender keeps what its own requests wait for and a bounded number of loans", (t) => {
+  let lender = createLender(new MemoryRows());
+  const kept = lendTokens(lender, { request: REQUEST, now: 0, keep: 90 });
+  t.is(kept.answer.tokens, 10);
+  for (let number = 0; number <= MAX_LOANS_PER_GRANT; number++) {
+    const request = { ...REQUEST, transferId: `b/1/${number}`, wanted: 1 };
+    lender = lend(lender, { ...request, least: 1 }).account;
+  }
+  t.is(lender.grants[0]?.loans.length, MAX_LOANS_PER_GRANT);
+});
+
+test("a request without an answer is sent again under its id", (t) => {
+  const input = { missing: 10, target: 50, peers: ["a", "c"] };
+  const early = planLoans(createBorrower(), { ...input, now: 100 });
+  t.deepEqual(early.resend, []);
+  t.deepEqual(early.ask, [{ lender: "c", wanted: 50 }]);
+  const late = planLoans(createBorrower(), { ...input, now: 1_000 });
+  t.deepEqual(late.resend.map((loan) => loan.transferId), ["b/1/1"]);
+});
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -1,24 +1,103 @@
-/** Budgets in escrow: grants, reservations, settlement and top-ups. */
-export type { EventAccount, Grant, Reservation } from "./account.ts";
-export { computeGrantRoom, createEventAccount } from "./account.ts";
+/**
+ * Budgets in escrow: grants, reservations, settlement, loans between VMs,
+ * write-offs and changes of limits.
+ */
+export type {
+  EventAccount,
+  Grant,
+  LoanAnswer,
+  LoanOut,
+  PendingLoan,
+  Reservation,
+  ReservationPart,
+  VmLife,
+} from "./account.ts";
+export {
+  computeAccountRoom,
+  computeGrantRoom,
+  computeLent,
+  createEventAccount,
+  isGrantOpen,
+} from "./account.ts";
+export { AccountSchedule } from "./account_schedule.ts";
+export { changeGrantSize, closeGrants } from "./commands/close_grants.ts";
 export { dropGrant } from "./commands/drop_grant.ts";
+export type { ExchangeInput } from "./commands/plan_exchange.ts";
+export {
+  planExchange,
+  planLastExchange,
+  receiveExchange,
+} from "./commands/plan_exchange.ts";
 export { receiveGrant } from "./commands/receive_grant.ts";
 export type { ReserveResult, Shortfall } from "./commands/reserve_tokens.ts";
 export { reserveTokens } from "./commands/reserve_tokens.ts";
 export { settleReservation } from "./commands/settle_reservation.ts";
-export type { GrantPlan } from "./queries/plan_grants.ts";
-export { planGrants } from "./queries/plan_grants.ts";
-export type { BudgetRow, GrantEntry } from "./rows/budget_row.ts";
+export { computeRates, RATE_WINDOW } from "./draw_rate.ts";
+export type { LoanPlan } from "./loans/borrow_tokens.ts";
+export {
+  LOAN_RETRY_TIME,
+  MAX_PENDING_LOANS,
+  planLoans,
+  receiveLoan,
+  recordLoanAsked,
+} from "./loans/borrow_tokens.ts";
+export type { LendResult, LoanRequest } from "./loans/lend_tokens.ts";
+export { lendTokens, MAX_LOANS_PER_GRANT } from "./loans/lend_tokens.ts";
+export type {
+  GrantSizing,
+  GrantTargets,
+  TargetInput,
+} from "./queries/compute_grant_targets.ts";
+export {
+  computeGrantTargets,
+  GRANT_SIZING,
+  REFILL_TIME,
+  START_FACTOR,
+} from "./queries/compute_grant_targets.ts";
+export type { GiveBack, GrantPlan, PlanInput } from "./queries/plan_grants.ts";
+export {
+  computeNextDue,
+  GRANT_TERM,
+  planGrants,
+  RENEW_TIME,
+} from "./queries/plan_grants.ts";
+export type {
+  BudgetRow,
+  GrantEntry,
+  LoanEntry,
+  WriteOffEntry,
+} from "./rows/budget_row.ts";
 export {
   computeBudgetLeft,
   computeGranted,
   createBudgetRow,
   formatBudgetKey,
+  MAX_LOANS_OUT,
+  MAX_WRITE_OFFS,
   parseBudgetRow,
 } from "./rows/budget_row.ts";
 export type { CloseGrantResult } from "./rows/close_grant.ts";
 export { createCloseGrant } from "./rows/close_grant.ts";
+export type {
+  GrantExchange,
+  GrantExchangeResult,
+} from "./rows/exchange_grants.ts";
+export { createGrantExchange } from "./rows/exchange_grants.ts";
+export type { LowerLimitResult } from "./rows/lower_limit.ts";
+export { createLowerLimit } from "./rows/lower_limit.ts";
+export type {
+  GrantClose,
+  GrantShrink,
+  GrantTake,
+  LoanReturn,
+} from "./rows/row_changes.ts";
 export type { TakeGrantInput, TakeGrantResult } from "./rows/take_grant.ts";
 export { createTakeGrant } from "./rows/take_grant.ts";
 export type { TopUpResult } from "./rows/top_up.ts";
 export { createTopUp } from "./rows/top_up.ts";
+export type {
+  LossEvidence,
+  WeakEvidence,
+  WriteOffResult,
+} from "./rows/write_off.ts";
+export { createWriteOff, LossEvidenceKind } from "./rows/write_off.ts";
--- /dev/null
+++ b/packages/budget/queries/compute_grant_targets.ts
@@ -0,0 +1,81 @@
+/**
+ * How many tokens a VM should hold for an event.
+ *
+ * The targets follow the rates of reserving and drawing and shrink as the
+ * budget empties. {@link BudgetLean} chooses how far ahead a VM provides and
+ * how much of what is left it may hold.
+ */
+import {
+  BudgetLean,
+  type Millis,
+  MILLIS_PER_SECOND,
+  type MonotonicTime,
+  type Tokens,
+} from "../../core/mod.ts";
+import type { EventAccount } from "../account.ts";
+import { computeRates } from "../draw_rate.ts";
+
+/** How one lean sizes grants. */
+export interface GrantSizing {
+  /** How long the tokens held should last at the present rate of drawing. */
+  readonly horizon: Millis;
+  /** Largest part of the budget's remainder that one VM may ask for. */
+  readonly share: number;
+  /** How long tokens may lie unused before they are given back. */
+  readonly returnAfter: Millis;
+}
+
+/** Sizing by lean. */
+export const GRANT_SIZING: Readonly<Record<BudgetLean, GrantSizing>> = {
+  [BudgetLean.FewerRefusals]: {
+    horizon: 900_000,
+    share: 1 / 8,
+    returnAfter: 120_000,
+  },
+  [BudgetLean.TighterBudget]: {
+    horizon: 120_000,
+    share: 1 / 32,
+    returnAfter: 30_000,
+  },
+};
+
+/** Time within which the table answers a request for a grant, batching included. */
+export const REFILL_TIME: Millis = 2_000;
+
+/** First grant of an event, in multiples of the request that needs it. */
+export const START_FACTOR = 8;
+
+/** What the targets are computed from. */
+export interface TargetInput {
+  readonly now: MonotonicTime;
+  readonly lean: BudgetLean;
+  /** Tokens left in the budget row when it was last read, if known. */
+  readonly budgetLeft?: Tokens;
+  /** Replaces the sizing of the lean, for experiments. */
+  readonly sizing?: GrantSizing;
+}
+
+/** Room below which a VM asks for more, and room up to which it asks. */
+export interface GrantTargets {
+  readonly low: Tokens;
+  readonly high: Tokens;
+  /** Most that one VM may ask for, unless a single request needs more. */
+  readonly most: Tokens;
+}
+
+/** Returns the targets of an account. */
+export function computeGrantTargets(
+  account: EventAccount,
+  input: TargetInput,
+): GrantTargets {
+  const sizing = input.sizing ?? GRANT_SIZING[input.lean];
+  const { drawRate, demandRate } = computeRates(account, input.now);
+  const low = demandRate * REFILL_TIME / MILLIS_PER_SECOND;
+  const high = low + drawRate * sizing.horizon / MILLIS_PER_SECOND;
+  const most = (input.budgetLeft ?? Infinity) * sizing.share;
+  return {
+    low: Math.round(Math.min(low, most)),
+    high: Math.round(Math.min(high, most)),
+    most: Math.floor(most),
+  };
+}
--- a/packages/budget/rows/budget_row.ts
+++ b/packages/budget/rows/budget_row.ts
@@ -2,27 +2,61 @@
  * The row of one event's budget: `budget/EVENT`.
  *
  * Invariant: `closed` plus the sizes of all open grants never exceed `limit`.
+ * Loans that are still out after their lender's grant was closed, and grants
+ * that were written off, are counted in `closed` already.
  */
 import { type Either, Left, Right } from "purify-ts";
 import { z } from "zod";
-import type { EventId, JsonValue, Tokens } from "../../core/mod.ts";
+import type { EventId, JsonValue, RowView, Tokens } from "../../core/mod.ts";
+
+const TOKENS_SCHEMA = z.number().int().nonnegative();
 
 const GRANT_SCHEMA = z.object({
   vm: z.string(),
   incarnation: z.string(),
-  size: z.number().int().nonnegative(),
+  size: TOKENS_SCHEMA,
   takenAt: z.number(),
+  /** Number of times the holder has lowered the size. */
+  changes: z.number().int().nonnegative().optional(),
+  /** Tokens that borrowers gave back, by transfer id; `size` is without them. */
+  returned: z.record(z.string(), TOKENS_SCHEMA).optional(),
+});
+
+const WRITE_OFF_SCHEMA = GRANT_SCHEMA.extend({ writtenOffAt: z.number() });
+
+const LOAN_SCHEMA = z.object({
+  tokens: TOKENS_SCHEMA,
+  vm: z.string(),
+  incarnation: z.string(),
 });
 
 const BUDGET_SCHEMA = z.object({
-  limit: z.number().int().nonnegative(),
-  closed: z.number().int().nonnegative(),
+  limit: TOKENS_SCHEMA,
+  closed: TOKENS_SCHEMA,
   grants: z.record(z.string(), GRANT_SCHEMA),
+  /** Loans that are out although the lender's grant is closed, by grant and transfer id. */
+  loans: z.record(z.string(), LOAN_SCHEMA).optional(),
+  /** Tokens lost with VMs and not accounted for, in all. */
+  writtenOff: TOKENS_SCHEMA.optional(),
+  /** The latest grants that were written off, by grant id. */
+  writeOffs: z.record(z.string(), WRITE_OFF_SCHEMA).optional(),
 });
 
+/** Most write-offs kept singly; older ones stay in the total only. */
+export const MAX_WRITE_OFFS = 64;
+
+/** Most loans kept after their lender's close; older ones can't be returned. */
+export const MAX_LOANS_OUT = 64;
+
 /** One open grant as the row keeps it. */
 export type GrantEntry = z.infer<typeof GRANT_SCHEMA>;
 
+/** One grant that was written off, as the row keeps it. */
+export type WriteOffEntry = z.infer<typeof WRITE_OFF_SCHEMA>;
+
+/** One loan whose lender's grant is closed, as the row keeps it. */
+export type LoanEntry = z.infer<typeof LOAN_SCHEMA>;
+
 /** The budget row's value. */
 export type BudgetRow = z.infer<typeof BUDGET_SCHEMA>;
 
@@ -45,6 +79,23 @@
   return Right(parsed.data);
 }
 
+/** Returns the budget row among the rows read, or that of a fresh event. */
+export function readBudgetRow(
+  rows: RowView,
+  input: { readonly eventId: EventId; readonly initialLimit: Tokens },
+): BudgetRow {
+  const row = rows.get(formatBudgetKey(input.eventId));
+  if (row === undefined) return createBudgetRow(input.initialLimit);
+  return parseBudgetRow(row.value).caseOf({
+    Left: (reason) => {
+      throw new Error(
+        `Row ${row.key} is damaged: ${reason}. Restore it from the table's backup.`,
+      );
+    },
+    Right: (value) => value,
+  });
+}
+
 /** Returns the tokens that open grants hold. */
 export function computeGranted(row: BudgetRow): Tokens {
   return Object.values(row.grants).reduce((sum, each) => sum + each.size, 0);
@@ -54,3 +105,20 @@
 export function computeBudgetLeft(row: BudgetRow): Tokens {
   return row.limit - row.closed - computeGranted(row);
 }
+
+/** Returns a record without one key. */
+export function removeKey<Value>(
+  record: Readonly<Record<string, Value>>,
+  key: string,
+): Record<string, Value> {
+  const { [key]: _removed, ...rest } = record;
+  return rest;
+}
+
+/** Returns a record's newest entries, in the order they were added. */
+export function filterNewest<Value>(
+  record: Readonly<Record<string, Value>>,
+  most: number,
+): Record<string, Value> {
+  return Object.fromEntries(Object.entries(record).slice(-most));
+}
--- a/packages/budget/rows/budget_rows_test.ts
+++ b/packages/budget/rows/budget_rows_test.ts
@@ -1,33 +1,18 @@
 /** Tests of the operations on budget rows. */
 import test from "ava";
-import type { Row, RowOperation, RowView } from "../../core/mod.ts";
+import { MemoryRows } from "../../stand_ins/mod.ts";
 import {
   computeBudgetLeft,
   createCloseGrant,
+  createLowerLimit,
   createTakeGrant,
   createTopUp,
   parseBudgetRow,
 } from "../mod.ts";
 
-class Rows {
-  readonly #rows = new Map<string, Row>();
-
-  apply<Result>(operation: RowOperation<Result>): Result {
-    const view: RowView = this.#rows;
-    const decision = operation.decide(view);
-    for (const write of decision.writes) {
-      const version = (this.#rows.get(write.key)?.version ?? 0) + 1;
-      const value = structuredClone(write.value ?? null);
-      this.#rows.set(write.key, { key: write.key, version, value });
-    }
-    return decision.result;
-  }
-
-  readLeft(): number {
-    const row = this.#rows.get("budget/e");
-    return parseBudgetRow(row?.value ?? null).map(computeBudgetLeft)
-      .unsafeCoerce();
-  }
+function readLeft(rows: MemoryRows): number {
+  return parseBudgetRow(rows.peek("budget/e") ?? null).map(computeBudgetLeft)
+    .unsafeCoerce();
 }
 
 function takeGrant(grantId: string, wanted: number) {
@@ -44,35 +29,44 @@
 }
 
 test("a grant that is decided again is granted once", (t) => {
-  const rows = new Rows();
-  t.deepEqual(rows.apply(takeGrant("g1", 60)), { size: 60, budgetLeft: 40 });
-  t.deepEqual(rows.apply(takeGrant("g1", 60)), { size: 60, budgetLeft: 40 });
-  t.is(rows.readLeft(), 40);
+  const rows = new MemoryRows();
+  t.deepEqual(rows.apply(takeGrant("g1", 60)), {
+    size: 60,
+    budgetLeft: 40,
+    limit: 100,
+  });
+  t.deepEqual(rows.apply(takeGrant("g1", 60)), {
+    size: 60,
+    budgetLeft: 40,
+    limit: 100,
+  });
+  t.is(readLeft(rows), 40);
 });
 
 test("grants never exceed the limit", (t) => {
-  const rows = new Rows();
+  const rows = new MemoryRows();
   rows.apply(takeGrant("g1", 60));
   t.is(rows.apply(takeGrant("g2", 60)).size, 40);
   t.is(rows.apply(takeGrant("g3", 60)).size, 0);
 });
 
 test("closing a grant twice gives its rest back once", (t) => {
-  const rows = new Rows();
+  const rows = new MemoryRows();
   rows.apply(takeGrant("g1", 60));
   const close = createCloseGrant({
     eventId: "e",
     grantId: "g1",
     spent: 10,
+    loans: [],
     initialLimit: 100,
   });
   t.true(rows.apply(close).closedNow);
   t.false(rows.apply(close).closedNow);
-  t.is(rows.readLeft(), 90);
+  t.is(readLeft(rows), 90);
 });
 
 test("a top-up id raises the limit once", (t) => {
-  const rows = new Rows();
+  const rows = new MemoryRows();
   const topUp = createTopUp({
     eventId: "e",
     topUpId: "t1",
@@ -82,5 +76,59 @@
   });
   t.true(rows.apply(topUp).appliedNow);
   t.false(rows.apply(topUp).appliedNow);
-  t.is(rows.readLeft(), 150);
+  t.is(readLeft(rows), 150);
+});
+
+test("a top-up id that comes back with another amount is pointed out", (t) => {
+  const rows = new MemoryRows();
+  const topUp = { eventId: "e", topUpId: "t1", initialLimit: 100, wallTime: 0 };
+  rows.apply(createTopUp({ ...topUp, tokens: 50 }));
+  const repeat = rows.apply(createTopUp({ ...topUp, tokens: 70 }));
+  t.deepEqual(repeat, { limit: 150, appliedNow: false, appliedTokens: 50 });
+});
+
+test("lowering stops at what is granted and goes on when grants return", (t) => {
+  const rows = new MemoryRows();
+  rows.apply(takeGrant("g1", 60));
+  const lower = createLowerLimit({
+    eventId: "e",
+    lowerId: "l1",
+    tokens: 70,
+    initialLimit: 100,
+    wallTime: 0,
+  });
+  const first = { limit: 60, lowered: 40, remaining: 30 };
+  t.deepEqual(rows.apply(lower), first);
+  t.deepEqual(rows.apply(lower), first);
+  rows.apply(createCloseGrant({
+    eventId: "e",
+    grantId: "g1",
+    spent: 10,
+    loans: [],
+    initialLimit: 100,
+  }));
+  t.deepEqual(rows.apply(lower), { limit: 30, lowered: 70, remaining: 0 });
+  t.deepEqual(rows.apply(lower), { limit: 30, lowered: 70, remaining: 0 });
+});
+
+test("the same top-up and a lowering that race in any order end alike", (t) => {
+  const raise = createTopUp({
+    eventId: "e",
+    topUpId: "t1",
+    tokens: 50,
+    initialLimit: 100,
+    wallTime: 0,
+  });
+  const lower = createLowerLimit({
+    eventId: "e",
+    lowerId: "l1",
+    tokens: 30,
+    initialLimit: 100,
+    wallTime: 0,
+  });
+  for (const order of [[raise, lower, raise], [lower, raise, lower, raise]]) {
+    const rows = new MemoryRows();
+    for (const operation of order) rows.apply<unknown>(operation);
+    t.is(readLeft(rows), 120);
+  }
 });
--- a/packages/budget/rows/close_grant.ts
+++ b/packages/budget/rows/close_grant.ts
@@ -5,8 +5,9 @@
   RowOperation,
   Tokens,
 } from "../../core/mod.ts";
-import { formatBudgetKey } from "./budget_row.ts";
-import { readBudgetRow } from "./take_grant.ts";
+import type { LoanOut } from "../account.ts";
+import { formatBudgetKey, readBudgetRow } from "./budget_row.ts";
+import { closeEntry } from "./row_changes.ts";
 
 /** What became of closing a grant. */
 export interface CloseGrantResult {
@@ -18,8 +19,10 @@
 export function createCloseGrant(input: {
   readonly eventId: EventId;
   readonly grantId: string;
-  /** Tokens that the holder spent, in all. */
+  /** Tokens that the holder's own requests spent, in all. */
   readonly spent: Tokens;
+  /** Every loan that was made from the grant. */
+  readonly loans: readonly LoanOut[];
   readonly initialLimit: Tokens;
 }): RowOperation<CloseGrantResult> {
   const key = formatBudgetKey(input.eventId);
@@ -27,18 +30,14 @@
     id: `close/${input.grantId}`,
     keys: [key],
     decide(rows) {
-      const row = readBudgetRow(rows, input);
-      if (row.grants[input.grantId] === undefined) {
-        return { writes: [], result: { closedNow: false } };
-      }
-      const grants = { ...row.grants };
-      delete grants[input.grantId];
-      const value: JsonValue = {
-        ...row,
-        closed: row.closed + input.spent,
-        grants,
+      const before = readBudgetRow(rows, input);
+      const row = closeEntry(before, input);
+      const closedNow = row !== before;
+      const value: JsonValue = { ...row };
+      return {
+        writes: closedNow ? [{ key, value }] : [],
+        result: { closedNow },
       };
-      return { writes: [{ key, value }], result: { closedNow: true } };
     },
   };
 }
--- /dev/null
+++ b/packages/budget/rows/exchange_grants.ts
@@ -0,0 +1,79 @@
+/**
+ * Everything a VM has to tell one budget, in one write of its row: grants to
+ * close, loans to return, sizes to lower and a new grant to take. A grant
+ * grows by taking a new one and closing the old ones in the same exchange.
+ */
+import type {
+  EventId,
+  JsonValue,
+  RowOperation,
+  Tokens,
+} from "../../core/mod.ts";
+import {
+  computeBudgetLeft,
+  formatBudgetKey,
+  readBudgetRow,
+} from "./budget_row.ts";
+import {
+  closeEntry,
+  findEntry,
+  type GrantClose,
+  type GrantShrink,
+  type GrantTake,
+  type LoanReturn,
+  returnLoan,
+  shrinkEntry,
+  takeEntry,
+} from "./row_changes.ts";
+
+/** What a VM wants of one budget. */
+export interface GrantExchange {
+  readonly eventId: EventId;
+  /** Unique over all VMs and lives, for logs. */
+  readonly id: string;
+  /** Limit of an event whose row does not exist yet. */
+  readonly initialLimit: Tokens;
+  readonly closes?: readonly GrantClose[];
+  readonly returns?: readonly LoanReturn[];
+  readonly shrinks?: readonly GrantShrink[];
+  /** Applied last, so that it can have what the others gave back. */
+  readonly take?: GrantTake;
+}
+
+/** What became of an exchange. Its closes, returns and shrinks always hold. */
+export interface GrantExchangeResult {
+  /** Tokens granted; 0 when none were asked for or the least was not there. */
+  readonly size: Tokens;
+  /** Tokens left to grant after this operation. */
+  readonly budgetLeft: Tokens;
+  readonly limit: Tokens;
+}
+
+/** Returns the operation that carries out an exchange. */
+export function createGrantExchange(
+  exchange: GrantExchange,
+): RowOperation<GrantExchangeResult> {
+  const key = formatBudgetKey(exchange.eventId);
+  return {
+    id: exchange.id,
+    keys: [key],
+    decide(rows) {
+      const before = readBudgetRow(rows, exchange);
+      let row = before;
+      for (const close of exchange.closes ?? []) row = closeEntry(row, close);
+      for (const loan of exchange.returns ?? []) row = returnLoan(row, loan);
+      for (const each of exchange.shrinks ?? []) row = shrinkEntry(row, each);
+      if (exchange.take !== undefined) row = takeEntry(row, exchange.take);
+      const taken = findEntry(row, exchange.take?.grantId ?? "");
+      const value: JsonValue = { ...row };
+      return {
+        writes: row === before ? [] : [{ key, value }],
+        result: {
+          size: taken?.size ?? 0,
+          budgetLeft: computeBudgetLeft(row),
+          limit: row.limit,
+        },
+      };
+    },
+  };
+}
--- /dev/null
+++ b/packages/budget/rows/lower_limit.ts
@@ -0,0 +1,76 @@
+/**
+ * Lowers an event's limit, in all by no more than was asked for under one id.
+ *
+ * Tokens that are spent or granted cannot be taken away, so the limit is never
+ * lowered below `closed` plus open grants. The receipt keeps how much was done;
+ * running the operation again under its id lowers the rest as grants return.
+ */
+import { z } from "zod";
+import type {
+  EventId,
+  JsonValue,
+  RowOperation,
+  RowView,
+  Tokens,
+  WallTime,
+} from "../../core/mod.ts";
+import {
+  computeBudgetLeft,
+  formatBudgetKey,
+  readBudgetRow,
+} from "./budget_row.ts";
+
+const RECEIPT_SCHEMA = z.object({
+  tokens: z.number().int().nonnegative(),
+  lowered: z.number().int().nonnegative(),
+  at: z.number(),
+});
+
+/** What became of lowering a limit. */
+export interface LowerLimitResult {
+  readonly limit: Tokens;
+  /** Tokens taken away under this id, in all. */
+  readonly lowered: Tokens;
+  /** Tokens still to be taken away: run the operation again later. */
+  readonly remaining: Tokens;
+}
+
+/** Returns the operation that lowers an event's limit by some tokens. */
+export function createLowerLimit(input: {
+  readonly eventId: EventId;
+  readonly lowerId: string;
+  readonly tokens: Tokens;
+  readonly initialLimit: Tokens;
+  readonly wallTime: WallTime;
+}): RowOperation<LowerLimitResult> {
+  const budgetKey = formatBudgetKey(input.eventId);
+  const receiptKey = `lower/${input.eventId}/${input.lowerId}`;
+  return {
+    id: receiptKey,
+    keys: [budgetKey, receiptKey],
+    decide(rows) {
+      const row = readBudgetRow(rows, input);
+      const receipt = readReceipt(rows, receiptKey) ??
+        { tokens: input.tokens, lowered: 0, at: input.wallTime };
+      const wanted = receipt.tokens - receipt.lowered;
+      const now = Math.min(wanted, computeBudgetLeft(row));
+      const lowered = receipt.lowered + now;
+      const limit = row.limit - now;
+      const result = { limit, lowered, remaining: receipt.tokens - lowered };
+      if (now === 0 && rows.has(receiptKey)) return { writes: [], result };
+      const value: JsonValue = { ...row, limit };
+      return {
+        writes: [
+          { key: budgetKey, value },
+          { key: receiptKey, value: { ...receipt, lowered } },
+        ],
+        result,
+      };
+    },
+  };
+}
+
+function readReceipt(rows: RowView, key: string) {
+  const row = rows.get(key);
+  return row === undefined ? undefined : RECEIPT_SCHEMA.parse(row.value);
+}
--- /dev/null
+++ b/packages/budget/rows/row_changes.ts
@@ -0,0 +1,180 @@
+/**
+ * Single changes of a budget row. Each returns the row it was given when the
+ * change has taken effect already or has nothing to act on, which makes the
+ * operations built from them idempotent.
+ */
+import type { Tokens, WallTime } from "../../core/mod.ts";
+import type { LoanOut, VmLife } from "../account.ts";
+import {
+  type BudgetRow,
+  computeBudgetLeft,
+  filterNewest,
+  type GrantEntry,
+  MAX_LOANS_OUT,
+  removeKey,
+} from "./budget_row.ts";
+
+/** Tokens to move from the budget to a VM. */
+export interface GrantTake {
+  readonly grantId: string;
+  readonly holder: VmLife;
+  readonly wanted: Tokens;
+  /** Fewer than this are of no use; then nothing is granted. */
+  readonly least: Tokens;
+  readonly wallTime: WallTime;
+}
+
+/** A grant that its holder closes. Nothing is reserved from it any more. */
+export interface GrantClose {
+  readonly grantId: string;
+  /** Tokens that the holder's own requests spent, in all. */
+  readonly spent: Tokens;
+  /** Every loan that was ever made from the grant. */
+  readonly loans: readonly LoanOut[];
+}
+
+/** A grant whose holder gives unreserved tokens back and keeps the rest. */
+export interface GrantShrink {
+  readonly grantId: string;
+  /** The new size as the holder counts it, loans included. */
+  readonly size: Tokens;
+  /** Number of this change; each is applied once and only in rising order. */
+  readonly changes: number;
+}
+
+/** A loan whose borrower is done with it. */
+export interface LoanReturn {
+  readonly transferId: string;
+  readonly lenderGrantId: string;
+  readonly unspent: Tokens;
+}
+
+/** Adds a grant; grants less than wanted near the end of the budget. */
+export function takeEntry(row: BudgetRow, take: GrantTake): BudgetRow {
+  if (findEntry(row, take.grantId) !== undefined) return row;
+  const size = Math.min(take.wanted, computeBudgetLeft(row));
+  if (size < take.least || size <= 0) return row;
+  const entry = { ...take.holder, size, takenAt: take.wallTime };
+  return { ...row, grants: { ...row.grants, [take.grantId]: entry } };
+}
+
+/** Returns an open or written-off grant. */
+export function findEntry(
+  row: BudgetRow,
+  grantId: string,
+): GrantEntry | undefined {
+  return row.grants[grantId] ?? row.writeOffs?.[grantId];
+}
+
+/**
+ * Closes a grant: what was spent and what is still lent stays closed, the rest
+ * is free. A written-off grant gives its rest back in the same way, once,
+ * because its entry goes with it.
+ */
+export function closeEntry(row: BudgetRow, close: GrantClose): BudgetRow {
+  const entry = findEntry(row, close.grantId);
+  if (entry === undefined) return row;
+  const { loans } = close;
+  const returned = entry.returned ?? {};
+  const used = loans.reduce(
+    (sum, loan) => sum + loan.tokens - (returned[loan.transferId] ?? 0),
+    close.spent,
+  );
+  if (used > entry.size) {
+    throw new Error(
+      `Grant ${close.grantId} of ${entry.size} tokens was closed with ${used} used. Report this as a fault of the holder; the row was not changed.`,
+    );
+  }
+  const out = loans.filter((loan) => returned[loan.transferId] === undefined);
+  const closed = addLoansOut(row, close.grantId, out);
+  if (row.grants[close.grantId] !== undefined) {
+    return {
+      ...closed,
+      closed: row.closed + used,
+      grants: removeKey(row.grants, close.grantId),
+    };
+  }
+  return {
+    ...closed,
+    closed: row.closed - (entry.size - used),
+    writtenOff: (row.writtenOff ?? 0) - entry.size,
+    writeOffs: removeKey(row.writeOffs ?? {}, close.grantId),
+  };
+}
+
+/** Lowers a grant's size. A written-off grant is left for its close. */
+export function shrinkEntry(row: BudgetRow, shrink: GrantShrink): BudgetRow {
+  const entry = row.grants[shrink.grantId];
+  if (entry === undefined || (entry.changes ?? 0) >= shrink.changes) return row;
+  const returned = Object.values(entry.returned ?? {})
+    .reduce((sum, tokens) => sum + tokens, 0);
+  const size = Math.min(entry.size, shrink.size - returned);
+  const changed = { ...entry, size, changes: shrink.changes };
+  return { ...row, grants: { ...row.grants, [shrink.grantId]: changed } };
+}
+
+/**
+ * Gives the unspent part of a loan back, once for its transfer id: from the
+ * lender's grant while that is open or written off, else from the loans that
+ * outlived it. A loan that the row no longer knows gives nothing back.
+ */
+export function returnLoan(row: BudgetRow, loan: LoanReturn): BudgetRow {
+  const open = row.grants[loan.lenderGrantId];
+  if (open !== undefined) {
+    const changed = returnToEntry(open, loan);
+    if (changed === open) return row;
+    return { ...row, grants: { ...row.grants, [loan.lenderGrantId]: changed } };
+  }
+  const lost = row.writeOffs?.[loan.lenderGrantId];
+  if (lost !== undefined) {
+    const changed = returnToEntry(lost, loan);
+    if (changed === lost) return row;
+    return {
+      ...row,
+      closed: row.closed - loan.unspent,
+      writtenOff: (row.writtenOff ?? 0) - loan.unspent,
+      writeOffs: { ...row.writeOffs, [loan.lenderGrantId]: changed },
+    };
+  }
+  const key = formatLoanKey(loan.lenderGrantId, loan.transferId);
+  if (row.loans?.[key] === undefined) return row;
+  return {
+    ...row,
+    closed: row.closed - loan.unspent,
+    loans: removeKey(row.loans, key),
+  };
+}
+
+function returnToEntry<Entry extends GrantEntry>(
+  entry: Entry,
+  loan: LoanReturn,
+): Entry {
+  if (entry.returned?.[loan.transferId] !== undefined) return entry;
+  return {
+    ...entry,
+    size: entry.size - loan.unspent,
+    returned: { ...entry.returned, [loan.transferId]: loan.unspent },
+  };
+}
+
+function formatLoanKey(lenderGrantId: string, transferId: string): string {
+  return `${lenderGrantId}>${transferId}`;
+}
+
+function addLoansOut(
+  row: BudgetRow,
+  grantId: string,
+  out: readonly LoanOut[],
+): BudgetRow {
+  if (out.length === 0) return row;
+  const added = Object.fromEntries(
+    out.map((loan) => [
+      formatLoanKey(grantId, loan.transferId),
+      { tokens: loan.tokens, ...loan.borrower },
+    ]),
+  );
+  return {
+    ...row,
+    loans: filterNewest({ ...row.loans, ...added }, MAX_LOANS_OUT),
+  };
+}
--- a/packages/budget/rows/top_up.ts
+++ b/packages/budget/rows/top_up.ts
@@ -2,18 +2,20 @@
 import type {
   EventId,
   JsonValue,
+  Row,
   RowOperation,
   Tokens,
   WallTime,
 } from "../../core/mod.ts";
-import { formatBudgetKey } from "./budget_row.ts";
-import { readBudgetRow } from "./take_grant.ts";
+import { formatBudgetKey, readBudgetRow } from "./budget_row.ts";
 
 /** What became of a top-up. */
 export interface TopUpResult {
   readonly limit: Tokens;
   /** False when this id had raised the limit before. */
   readonly appliedNow: boolean;
+  /** Present when the id had been used with this other amount. */
+  readonly appliedTokens?: Tokens;
 }
 
 /** Returns the operation that raises an event's limit. */
@@ -31,22 +33,35 @@
     keys: [budgetKey, receiptKey],
     decide(rows) {
       const row = readBudgetRow(rows, input);
-      if (rows.has(receiptKey)) {
+      const receipt = rows.get(receiptKey);
+      if (receipt !== undefined) {
         return {
           writes: [],
-          result: { limit: row.limit, appliedNow: false },
+          result: describeRepeat(row.limit, receipt, input.tokens),
         };
       }
       const limit = row.limit + input.tokens;
       const value: JsonValue = { ...row, limit };
-      const receipt = { tokens: input.tokens, at: input.wallTime };
+      const newReceipt = { tokens: input.tokens, at: input.wallTime };
       return {
-        writes: [{ key: budgetKey, value }, {
-          key: receiptKey,
-          value: receipt,
-        }],
+        writes: [
+          { key: budgetKey, value },
+          { key: receiptKey, value: newReceipt },
+        ],
         result: { limit, appliedNow: true },
       };
     },
   };
 }
+
+function describeRepeat(
+  limit: Tokens,
+  receipt: Row,
+  tokens: Tokens,
+): TopUpResult {
+  const applied = (receipt.value as { readonly tokens?: JsonValue }).tokens;
+  if (typeof applied !== "number" || applied === tokens) {
+    return { limit, appliedNow: false };
+  }
+  return { limit, appliedNow: false, appliedTokens: applied };
+}
