--- a/packages/daemon/entry/caller_face.ts
+++ b/packages/daemon/entry/caller_face.ts
@@ -11,7 +11,10 @@
 import { CONFIGURATION, DRAINING, type NodeContext } from "../node_context.ts";
 import type { RunEnd } from "./answer_run.ts";
 import type { CallerRequest } from "./caller_request.ts";
-import { createCallerRequest, readCallerHeaders } from "./read_caller_request.ts";
+import {
+  createCallerRequest,
+  readCallerHeaders,
+} from "./read_caller_request.ts";
 import { createBadRequest, createRefusal } from "./refusals.ts";
 import type { RequestRunner } from "./request_runner.ts";
 import { AnswerWriter, writeRefusal } from "./write_answer.ts";
@@ -161,7 +164,8 @@
     const readSeconds = () =>
       (clock.readMonotonic() - request.arrivedAt) / MILLIS_PER_SECOND;
     return {
-      onFirstChunk: () => metrics.firstToken.observe({ priority }, readSeconds()),
+      onFirstChunk: () =>
+        metrics.firstToken.observe({ priority }, readSeconds()),
       onEnd: (end: RunEnd | undefined) => {
         metrics.duration.observe({ priority }, readSeconds());
         this.#countEnd(request, end);
--- a/packages/daemon/entry/run_engine_request.ts
+++ b/packages/daemon/entry/run_engine_request.ts
@@ -168,17 +168,25 @@
     },
   ): void {
     const { result, usage } = input;
-    const spent = usage === undefined
-      ? isFree(result) ? 0 : reservation.tokens
-      : usage.promptTokens + usage.outputTokens +
-        this.#request.kind.flatTokens;
     this.#services.escrow.settle(
       reservation,
-      Math.min(spent, reservation.tokens),
+      this.#computeSpent({ result, usage, most: reservation.tokens }),
     );
     this.#promptTokens = usage?.promptTokens ?? this.#request.promptBound;
   }
 
+  #computeSpent(input: {
+    readonly result: TargetResult;
+    readonly usage: TokenUsage | undefined;
+    readonly most: Tokens;
+  }): Tokens | undefined {
+    if (isFree(input.result)) return 0;
+    if (input.usage === undefined) return undefined;
+    const { promptTokens, outputTokens } = input.usage;
+    const used = promptTokens + outputTokens + this.#request.kind.flatTokens;
+    return Math.min(used, input.most);
+  }
+
   async #complete(
     result: TargetResult,
     usage: TokenUsage | undefined,
--- a/packages/daemon/features/escrow.ts
+++ b/packages/daemon/features/escrow.ts
@@ -1,17 +1,22 @@
 /**
  * Budgets on this VM: reservations against grants in memory, and the grants'
- * traffic with the table.
+ * traffic with the table and with peers.
  */
 import { type Either, Left, Right } from "purify-ts";
 import {
-  createCloseGrant,
+  AccountSchedule,
+  computeAccountRoom,
+  computeNextDue,
   createEventAccount,
-  createTakeGrant,
-  dropGrant,
+  createGrantExchange,
   type EventAccount,
-  type Grant,
-  planGrants,
-  receiveGrant,
+  type ExchangeInput,
+  GRANT_TERM,
+  type GrantExchange,
+  type GrantExchangeResult,
+  planExchange,
+  planLastExchange,
+  receiveExchange,
   type Reservation,
   reserveTokens,
   settleReservation,
@@ -33,7 +38,8 @@
 } from "../../core/mod.ts";
 import { LogEvent } from "../event_log.ts";
 import type { NodeContext } from "../node_context.ts";
-import { type PeriodicProcess, startPeriodic } from "../processes.ts";
+import { startPeriodic } from "../processes.ts";
+import { type Waiter, WaitQueue } from "./wait_queue.ts";
 
 /** All accounts of this VM, by event. Changed in place, in handlers only. */
 const ACCOUNTS: SliceType<Map<EventId, EventAccount>> = {
@@ -41,45 +47,60 @@
   createInitial: () => new Map(),
 };
 
-/** Applies a change to one event's account and returns the change's result. */
-type AccountChange = (account: EventAccount) => EventAccount;
+/** Returns the account after a change. */
+export type AccountChange = (account: EventAccount) => EventAccount;
 
 const CHANGE_ACCOUNT: CommandType<
   { readonly eventId: EventId; readonly change: AccountChange },
-  void
+  EventAccount
 > = createCommand("escrow.change_account");
 
 const BUDGET_SPENT_RETRY_AFTER: Millis = 30_000;
 const UNREACHABLE_RETRY_AFTER: Millis = 2_000;
 
-/** Longest wait for a grant within a request, in milliseconds. */
-const MAX_GRANT_WAIT: Millis = 3_000;
+/** Longest wait for tokens within a request. */
+const MAX_TOKEN_WAIT: Millis = 3_000;
 
-/** What a VM asks its peers for when the table cannot give a grant. */
+/** Time without an answer of the table after which peers are asked too. */
+const LOAN_DELAY: Millis = 250;
+
+/** Due accounts looked at in one turn. */
+const MAX_DUE_ACCOUNTS = 1_000;
+
+/**
+ * Asks peers for tokens that the table does not give. Resolves when the account
+ * was credited or nobody is left to ask.
+ */
 export type LoanSource = (
-  eventId: EventId,
-  tokens: Tokens,
-) => Promise<boolean>;
+  event: EventConfig,
+  missing: Tokens,
+) => Promise<void>;
 
 /** Reserves and settles tokens. */
 export class Escrow {
   readonly #context: NodeContext;
-  readonly #taking = new Map<EventId, Promise<GrantAnswer>>();
-  readonly #budgetLeft = new Map<EventId, Tokens>();
-  readonly #configs = new Map<EventId, EventConfig>();
-  #grantNumber = 0;
+  readonly #queues = new Map<EventId, WaitQueue>();
+  readonly #schedule = new AccountSchedule();
+  readonly #exchanges = new Set<Promise<void>>();
+  #borrow: LoanSource = () => Promise.resolve();
+  #exchangeNumber = 0;
 
   constructor(context: NodeContext) {
     this.#context = context;
   }
 
+  /** Sets where loans come from. */
+  setLoanSource(source: LoanSource): void {
+    this.#borrow = source;
+  }
+
   /** Registers the feature's command, dump and periodic work. */
   register(): Undo {
     const { kernel, settings, random, log } = this.#context;
-    const periodic: PeriodicProcess = startPeriodic({
+    const periodic = startPeriodic({
       interval: settings.intervals.grantCheckMillis,
       random,
-      run: () => this.#closeIdleGrants(),
+      run: () => this.#visitDueAccounts(),
       reportError: (error) =>
         log.error(LogEvent.ProcessFailed, {
           process: "escrow",
@@ -87,11 +108,12 @@
         }),
     });
     return combineUndo([
-      kernel.registerCommand(CHANGE_ACCOUNT, (payload, update) => {
+      kernel.registerCommand(CHANGE_ACCOUNT, ({ eventId, change }, update) => {
         const accounts = update.read(ACCOUNTS);
-        const { eventId, change } = payload;
         const before = accounts.get(eventId) ?? createEventAccount(eventId);
-        accounts.set(eventId, change(before));
+        const after = change(before);
+        accounts.set(eventId, after);
+        return after;
       }),
       kernel.registerDump("accounts", () => [...this.#readAccounts().values()]),
       periodic.stop,
@@ -103,63 +125,85 @@
     return this.#readAccounts().get(eventId) ?? createEventAccount(eventId);
   }
 
-  /** Reserves tokens, with a new grant from the table if need be. */
-  async reserve(
+  /** Changes an event's account and serves the requests that wait for it. */
+  changeAccount(eventId: EventId, change: AccountChange): EventAccount {
+    const account = this.#change(eventId, change);
+    this.#serveWaiters(this.#queues.get(eventId));
+    return account;
+  }
+
+  /** Returns the tokens that this VM's waiting requests of an event need. */
+  readWaitingTokens(eventId: EventId): Tokens {
+    const waiters = this.#queues.get(eventId)?.waiters ?? [];
+    return waiters.reduce((sum, waiter) => sum + waiter.tokens, 0);
+  }
+
+  /** Reserves tokens, with a new grant or a loan if need be. */
+  reserve(
     event: EventConfig,
     input: { readonly tokens: Tokens; readonly deadline: MonotonicTime },
   ): Promise<Either<Refusal, Reservation>> {
-    const { clock } = this.#context;
-    if (input.tokens === 0) return Right(createEmptyReservation(event.id));
-    this.#configs.set(event.id, event);
+    const queue = this.#readQueue(event);
+    const { tokens } = input;
+    if (tokens === 0) return Promise.resolve(Right(createEmpty(event.id)));
+    // Those who wait go first.
+    const reserved = queue.waiters.length > 0
+      ? undefined
+      : this.#tryReserve(event.id, tokens);
+    if (reserved !== undefined) {
+      this.#scheduleVisit(queue);
+      return Promise.resolve(Right(reserved));
+    }
     const giveUpAt = Math.min(
       input.deadline,
-      clock.readMonotonic() + MAX_GRANT_WAIT,
+      this.#context.clock.readMonotonic() + MAX_TOKEN_WAIT,
     );
-    for (;;) {
-      const reserved = this.#tryReserve(event.id, input.tokens);
-      if (reserved !== undefined) return Right(reserved);
-      if (clock.readMonotonic() >= giveUpAt) {
-        return Left(createUnreachableRefusal());
-      }
-      const answer = await this.#takeGrant(event, {
-        need: input.tokens,
-        giveUpAt,
-      });
-      if (answer === GrantAnswer.Spent) return Left(createSpentRefusal());
-      if (answer === GrantAnswer.Unreachable) {
-        return Left(createUnreachableRefusal());
-      }
-    }
+    return new Promise((resolve) => {
+      this.#addWaiter(queue, { tokens, giveUpAt, resolve });
+    });
   }
 
-  /** Settles a reservation at the tokens that were really used. */
-  settle(reservation: Reservation, spent: Tokens): void {
+  /**
+   * Settles a reservation at the tokens that were really used; when that is not
+   * known, all of them count as spent.
+   */
+  settle(reservation: Reservation, spent?: Tokens): void {
     const now = this.#context.clock.readMonotonic();
-    this.#change(
+    const used = spent === undefined ? {} : { spent };
+    this.changeAccount(
       reservation.eventId,
-      (account) => settleReservation(account, { reservation, spent, now }),
+      (account) => settleReservation(account, { reservation, now, ...used }),
     );
-    this.#context.metrics.tokensSpent.inc(spent);
+    this.#context.metrics.tokensSpent.inc(spent ?? reservation.tokens);
+    this.#scheduleVisit(this.#queues.get(reservation.eventId));
   }
 
-  /** Closes every grant that nothing is reserved from, for a planned stop. */
+  /** Returns every unreserved token to the table, for a planned stop. */
   async returnGrants(): Promise<void> {
-    await Promise.all(
-      [...this.#readAccounts().values()].map((account) =>
-        this.#closeGrants(
-          account,
-          account.grants.filter((grant) => grant.reserved === 0),
-        )
-      ),
-    );
+    await Promise.all([...this.#exchanges]);
+    for (const queue of this.#queues.values()) {
+      this.#startExchange(queue, planLastExchange);
+    }
+    await Promise.all([...this.#exchanges]);
   }
 
   #readAccounts(): Map<EventId, EventAccount> {
     return this.#context.kernel.read(ACCOUNTS);
   }
 
-  #change(eventId: EventId, change: AccountChange): void {
-    this.#context.kernel.dispatch(CHANGE_ACCOUNT, { eventId, change });
+  #readQueue(event: EventConfig): WaitQueue {
+    const known = this.#queues.get(event.id);
+    if (known !== undefined) {
+      known.event = event;
+      return known;
+    }
+    const queue = new WaitQueue(event);
+    this.#queues.set(event.id, queue);
+    return queue;
+  }
+
+  #change(eventId: EventId, change: AccountChange): EventAccount {
+    return this.#context.kernel.dispatch(CHANGE_ACCOUNT, { eventId, change });
   }
 
   #tryReserve(eventId: EventId, tokens: Tokens): Reservation | undefined {
@@ -179,125 +223,188 @@
     return reservation;
   }
 
-  /** Takes one grant for an event at a time; others wait for the same one. */
-  #takeGrant(
-    event: EventConfig,
-    input: { readonly need: Tokens; readonly giveUpAt: MonotonicTime },
-  ): Promise<GrantAnswer> {
-    const known = this.#taking.get(event.id);
-    if (known !== undefined) return known;
-    const taking = this.#askForGrant(event, input)
-      .finally(() => this.#taking.delete(event.id));
-    this.#taking.set(event.id, taking);
-    return taking;
+  #addWaiter(queue: WaitQueue, waiter: Waiter): void {
+    queue.waiters.push(waiter);
+    const wait = waiter.giveUpAt - this.#context.clock.readMonotonic();
+    const timer = setTimeout(() => {
+      this.#refuse(queue, { waiter, refusal: createUnreachableRefusal() });
+    }, Math.max(0, wait));
+    const { resolve } = waiter;
+    waiter.resolve = (result) => {
+      clearTimeout(timer);
+      resolve(result);
+    };
+    this.#startExchange(queue, planExchange);
   }
 
-  async #askForGrant(
-    event: EventConfig,
-    input: { readonly need: Tokens; readonly giveUpAt: MonotonicTime },
-  ): Promise<GrantAnswer> {
-    const { settings, clock, writer, incarnation, log, metrics } =
-      this.#context;
-    const account = this.readAccount(event.id);
-    const now = clock.readMonotonic();
-    const budgetLeft = this.#budgetLeft.get(event.id);
-    const plan = planGrants(account, {
-      now,
+  #refuse(
+    queue: WaitQueue,
+    input: { readonly waiter: Waiter; readonly refusal: Refusal },
+  ): void {
+    const { waiter, refusal } = input;
+    if (!queue.waiters.includes(waiter)) return;
+    queue.waiters = queue.waiters.filter((each) => each !== waiter);
+    waiter.resolve(Left(refusal));
+  }
+
+  #serveWaiters(queue: WaitQueue | undefined): void {
+    while (queue !== undefined && queue.waiters.length > 0) {
+      const waiter = queue.waiters[0]!;
+      const reserved = this.#tryReserve(queue.event.id, waiter.tokens);
+      if (reserved === undefined) return;
+      queue.waiters.shift();
+      waiter.resolve(Right(reserved));
+    }
+  }
+
+  /** Sends one exchange for an event; nothing when one is under way. */
+  #startExchange(
+    queue: WaitQueue,
+    plan: (account: EventAccount, input: ExchangeInput) => EventAccount,
+  ): void {
+    if (queue.exchanging) return;
+    const input = this.#createExchangeInput(queue);
+    const account = this.#change(
+      queue.event.id,
+      (before) => plan(before, input),
+    );
+    if (account.exchange === undefined) return;
+    queue.exchanging = true;
+    const running = this.#runExchange(queue, account.exchange);
+    this.#exchanges.add(running);
+    void running.finally(() => this.#exchanges.delete(running));
+  }
+
+  #createExchangeInput(queue: WaitQueue): ExchangeInput {
+    const { settings, incarnation, clock } = this.#context;
+    const { event, budgetLeft } = queue;
+    return {
+      now: clock.readMonotonic(),
+      wallTime: clock.readWall(),
       lean: event.lean,
-      need: input.need,
+      need: queue.computeNeed(),
       ...(budgetLeft === undefined ? {} : { budgetLeft }),
-    });
-    if (plan.take === undefined) return GrantAnswer.Unreachable;
-    const grantId = `${settings.vm}/${incarnation}/${++this.#grantNumber}`;
-    const operation = createTakeGrant({
-      eventId: event.id,
-      grantId,
-      vm: settings.vm,
-      incarnation,
-      ...plan.take,
+      grantId: `${settings.vm}/${incarnation}/${++this.#exchangeNumber}`,
+      holder: { vm: settings.vm, incarnation },
       initialLimit: event.budgetTokens,
-      wallTime: clock.readWall(),
+    };
+  }
+
+  async #runExchange(
+    queue: WaitQueue,
+    exchange: GrantExchange,
+  ): Promise<void> {
+    const { writer, clock, log } = this.#context;
+    const askedAt = clock.readMonotonic();
+    const slow = setTimeout(() => this.#borrowFor(queue), LOAN_DELAY);
+    // The table may apply it after any time, so it is never abandoned.
+    const answer = await writer.run(createGrantExchange(exchange), {
+      giveUpAt: Infinity,
     });
-    // The table may grant after this VM gives up, so the operation itself is
-    // never abandoned: a late grant joins the account when it is known.
-    const taken = writer.run(operation, { giveUpAt: Infinity })
-      .then((answer) => {
-        const result = answer.toMaybe().extract();
-        if (result === undefined) return GrantAnswer.Unreachable;
-        this.#budgetLeft.set(event.id, result.budgetLeft);
-        if (result.size === 0) return GrantAnswer.Spent;
-        const deadline = now + settings.intervals.grantLifeMillis;
-        this.#change(
-          event.id,
-          (before) =>
-            receiveGrant(before, { grantId, size: result.size, deadline }),
-        );
-        metrics.grantsTaken.inc();
-        log.info(LogEvent.GrantTaken, {
-          event_id: event.id,
-          grant: grantId,
-          size: result.size,
+    clearTimeout(slow);
+    queue.exchanging = false;
+    answer.caseOf({
+      Left: (error) => {
+        log.error(LogEvent.StoreFailed, {
+          event_id: exchange.eventId,
+          reason: error.message,
         });
-        return GrantAnswer.Taken;
-      });
-    return await Promise.race([taken, this.#waitUntil(input.giveUpAt)]);
+        this.#refuseAll(queue, createUnreachableRefusal());
+      },
+      Right: (result) => this.#receive(queue, { exchange, result, askedAt }),
+    });
   }
 
-  #waitUntil(time: MonotonicTime): Promise<GrantAnswer> {
-    const wait = Math.max(0, time - this.#context.clock.readMonotonic());
-    return new Promise((resolve) => {
-      setTimeout(() => resolve(GrantAnswer.Unreachable), wait).unref();
+  #receive(
+    queue: WaitQueue,
+    input: {
+      readonly exchange: GrantExchange;
+      readonly result: GrantExchangeResult;
+      readonly askedAt: MonotonicTime;
+    },
+  ): void {
+    const { exchange, result, askedAt } = input;
+    const { metrics, log } = this.#context;
+    queue.budgetLeft = result.budgetLeft;
+    this.changeAccount(
+      exchange.eventId,
+      (account) =>
+        receiveExchange(account, { result, deadline: askedAt + GRANT_TERM }),
+    );
+    log.info(LogEvent.GrantExchanged, {
+      event_id: exchange.eventId,
+      exchange: exchange.id,
+      size: result.size,
+      closed: exchange.closes?.length ?? 0,
+      budget_left: result.budgetLeft,
     });
+    if (result.size > 0) metrics.grantsTaken.inc();
+    this.#scheduleVisit(queue);
+    if (queue.waiters.length === 0) {
+      queue.narrowed = false;
+      return;
+    }
+    if (exchange.take !== undefined && result.size === 0) {
+      return this.#handleShortage(queue);
+    }
+    this.#startExchange(queue, planExchange);
   }
 
-  async #closeIdleGrants(): Promise<void> {
-    const now = this.#context.clock.readMonotonic();
-    for (const account of this.#readAccounts().values()) {
-      const event = this.#configs.get(account.eventId);
-      if (event === undefined) continue;
-      const plan = planGrants(account, { now, lean: event.lean, need: 0 });
-      await this.#closeGrants(account, plan.close);
+  /** The table cannot cover what waits: narrow down, borrow, then refuse. */
+  #handleShortage(queue: WaitQueue): void {
+    if (!queue.narrowed && queue.waiters.length > 1) {
+      queue.narrowed = true;
+      return this.#startExchange(queue, planExchange);
     }
+    const waiter = queue.waiters[0]!;
+    void this.#borrowFor(queue).then(() => {
+      this.#refuse(queue, { waiter, refusal: createSpentRefusal() });
+      if (queue.waiters.length > 0) this.#startExchange(queue, planExchange);
+    });
   }
 
-  async #closeGrants(
-    account: EventAccount,
-    grants: readonly Grant[],
-  ): Promise<void> {
-    await Promise.all(
-      grants.map((grant) => this.#closeGrant(account.eventId, grant)),
-    );
+  async #borrowFor(queue: WaitQueue): Promise<void> {
+    if (queue.waiters.length === 0) return;
+    const account = this.readAccount(queue.event.id);
+    const now = this.#context.clock.readMonotonic();
+    const room = computeAccountRoom(account, now);
+    const missing = queue.computeNeed() - room;
+    if (missing > 0) await this.#borrow(queue.event, missing);
+    this.#serveWaiters(queue);
   }
 
-  /** Takes the grant out of use first, so that nothing is spent after closing. */
-  async #closeGrant(eventId: EventId, grant: Grant): Promise<void> {
-    const { writer, log } = this.#context;
-    this.#change(eventId, (account) => dropGrant(account, grant.id));
-    const operation = createCloseGrant({
-      eventId,
-      grantId: grant.id,
-      spent: grant.spent,
-      initialLimit: this.#configs.get(eventId)?.budgetTokens ?? 0,
-    });
-    await writer.run(operation, { giveUpAt: Infinity });
-    log.info(LogEvent.GrantClosed, {
-      event_id: eventId,
-      grant: grant.id,
-      spent: grant.spent,
-      size: grant.size,
+  #refuseAll(queue: WaitQueue, refusal: Refusal): void {
+    for (const waiter of [...queue.waiters]) {
+      this.#refuse(queue, { waiter, refusal });
+    }
+  }
+
+  #scheduleVisit(queue: WaitQueue | undefined): void {
+    if (queue === undefined) return;
+    const { event, budgetLeft } = queue;
+    const due = computeNextDue(this.readAccount(event.id), {
+      now: this.#context.clock.readMonotonic(),
+      lean: event.lean,
+      ...(budgetLeft === undefined ? {} : { budgetLeft }),
     });
+    this.#schedule.change(event.id, due);
   }
-}
 
-/** Holds nothing; settling it changes nothing. */
-function createEmptyReservation(eventId: EventId): Reservation {
-  return { eventId, grantId: "", tokens: 0 };
+  #visitDueAccounts(): Promise<void> {
+    const now = this.#context.clock.readMonotonic();
+    for (const eventId of this.#schedule.takeDue(now, MAX_DUE_ACCOUNTS)) {
+      const queue = this.#queues.get(eventId);
+      if (queue === undefined) continue;
+      this.#startExchange(queue, planExchange);
+      if (!queue.exchanging) this.#scheduleVisit(queue);
+    }
+    return Promise.resolve();
+  }
 }
 
-enum GrantAnswer {
-  Taken = "taken",
-  Spent = "spent",
-  Unreachable = "unreachable",
+/** Holds nothing; settling it changes nothing. */
+function createEmpty(eventId: EventId): Reservation {
+  return { eventId, tokens: 0, parts: [] };
 }
 
 function createSpentRefusal(): Refusal {
