--- a/packages/request/bill.ts
+++ b/packages/request/bill.ts
@@ -20,5 +20,6 @@
 
 /** Returns the identity under which a bill counts once. */
 export function formatBillIdentity(bill: Bill): string {
-  return `${bill.customer}/${bill.requestKey}`;
+  const customer = encodeURIComponent(bill.customer);
+  return `${customer}/${encodeURIComponent(bill.requestKey)}`;
 }
--- a/packages/request/rows/bill_batch.ts
+++ b/packages/request/rows/bill_batch.ts
@@ -3,12 +3,14 @@
  * readers count each bill identity once over all batches.
  */
 import { z } from "zod";
-import type {
-  Incarnation,
-  JsonValue,
-  Row,
-  RowOperation,
-  VmId,
+import {
+  type Bytes,
+  BYTES_PER_KIB,
+  type Incarnation,
+  type JsonValue,
+  type Row,
+  type RowOperation,
+  type VmId,
 } from "../../core/mod.ts";
 import { type Bill, formatBillIdentity } from "../bill.ts";
 
@@ -26,12 +28,19 @@
 /** Prefix of every batch row's key. */
 export const BILL_BATCH_PREFIX = "bills/";
 
+/** Largest value of a batch row as JSON. */
+export const MAX_BATCH_BYTES: Bytes = 64 * BYTES_PER_KIB;
+
+/** Bytes of a batch besides its bills, with some to spare. */
+const BATCH_OVERHEAD: Bytes = 64;
+
 const NUMBER_DIGITS = 10;
 
 /** Returns the operation that writes one batch. */
 export function createBillBatch(input: {
   readonly vm: VmId;
   readonly incarnation: Incarnation;
+  /** Counts the batches of this life; a number names one list of bills. */
   readonly number: number;
   readonly bills: readonly Bill[];
 }): RowOperation<void> {
@@ -49,13 +58,37 @@
   };
 }
 
-/** Returns the bills in batch rows, each identity once, the first in key order. */
-export function collectBills(rows: readonly Row[]): Bill[] {
+/** Splits bills, in their order, into batches of at most {@link MAX_BATCH_BYTES}. */
+export function planBillBatches(bills: readonly Bill[]): Bill[][] {
+  const batches: Bill[][] = [];
+  let room = 0;
+  for (const bill of bills) {
+    const size = Buffer.byteLength(JSON.stringify(bill)) + 1;
+    if (size > room) {
+      batches.push([]);
+      room = MAX_BATCH_BYTES - BATCH_OVERHEAD;
+    }
+    batches.at(-1)!.push(bill);
+    room -= size;
+  }
+  return batches;
+}
+
+/**
+ * Returns the bills in batch rows, each identity once, the first in key order.
+ * A reader that comes back passes the identities it has counted already; they
+ * stay as they were counted and are left out.
+ */
+export function collectBills(
+  rows: readonly Row[],
+  counted: ReadonlySet<string> = new Set(),
+): Bill[] {
   const seen = new Map<string, Bill>();
   for (const row of rows) {
     for (const bill of BATCH_SCHEMA.parse(row.value).bills) {
       const identity = formatBillIdentity(bill);
-      if (!seen.has(identity)) seen.set(identity, bill);
+      if (counted.has(identity) || seen.has(identity)) continue;
+      seen.set(identity, bill);
     }
   }
   return [...seen.values()];
--- /dev/null
+++ b/packages/request/rows/bill_batch_test.ts
@@ -0,0 +1,56 @@
+/** Tests that bills count once and that batches stay within a row. */
+import test from "ava";
+import { MemoryRows } from "../../stand_ins/mod.ts";
+import {
+  type Bill,
+  BILL_BATCH_PREFIX,
+  collectBills,
+  createBillBatch,
+  formatBillIdentity,
+  MAX_BATCH_BYTES,
+  planBillBatches,
+} from "../mod.ts";
+
+function createBill(requestKey: string, tokens = 1): Bill {
+  const bill = { customer: "c", requestKey, event: "e", kind: "k" };
+  return { ...bill, tokens, endedAt: 0 };
+}
+
+function write(rows: MemoryRows, vm: string, bills: readonly Bill[]) {
+  const input = { vm, incarnation: "1", number: 1, bills };
+  return rows.apply(createBillBatch(input));
+}
+
+test("a key that ran at two VMs and a batch written twice are billed once", (t) => {
+  const rows = new MemoryRows();
+  write(rows, "b", [createBill("x", 5), createBill("y")]);
+  write(rows, "b", [createBill("x", 5), createBill("y")]);
+  const early = collectBills(rows.list(BILL_BATCH_PREFIX));
+  t.is(early.length, 2);
+  write(rows, "a", [createBill("x", 9), createBill("z")]);
+  const counted = new Set(early.map(formatBillIdentity));
+  const late = collectBills(rows.list(BILL_BATCH_PREFIX), counted);
+  t.deepEqual(late.map((bill) => bill.requestKey), ["z"]);
+  t.is(collectBills(rows.list(BILL_BATCH_PREFIX)).length, 3);
+});
+
+test("customers and keys that contain the separator stay apart", (t) => {
+  const left = { ...createBill("b/c"), customer: "a" };
+  const right = { ...createBill("c"), customer: "a/b" };
+  t.not(formatBillIdentity(left), formatBillIdentity(right));
+});
+
+test("batches are split under the row's bound and lose nothing", (t) => {
+  const bills = Array.from(
+    { length: 3_000 },
+    (_, index) => createBill(`é${"k".repeat(index % 200)}${index}`),
+  );
+  const batches = planBillBatches(bills);
+  t.deepEqual(batches.flat(), bills);
+  const sizes = batches.map((each) =>
+    Buffer.byteLength(JSON.stringify({ bills: each }))
+  );
+  t.true(Math.max(...sizes) <= MAX_BATCH_BYTES);
+  t.true(batches.length <= 2 + sizes.reduce((a, b) => a + b) / MAX_BATCH_BYTES);
+  t.deepEqual(planBillBatches([]), []);
+});
--- a/packages/request/rows/finish_claim.ts
+++ b/packages/request/rows/finish_claim.ts
@@ -1,7 +1,12 @@
 /** Writes how a claimed call ended; only its holder does. */
 import type { JsonValue, RowOperation, Tokens } from "../../core/mod.ts";
-import { formatClaimKey, type KeptAnswer } from "./claim_row.ts";
-import { type ClaimInput, readClaimRow } from "./take_claim.ts";
+import {
+  formatClaimKey,
+  isHeldBy,
+  type KeptAnswer,
+  readClaimRow,
+} from "./claim_row.ts";
+import { type ClaimInput, createClaimValue } from "./take_claim.ts";
 
 /** How the call ended. */
 export type ClaimEnd =
@@ -10,7 +15,10 @@
     readonly answer: KeptAnswer;
     readonly tokens: Tokens;
   }
-  | { readonly state: "not-run" };
+  /** No byte reached a target: the key is free again. */
+  | { readonly state: "not-run" }
+  /** The connection broke after bytes were sent. */
+  | { readonly state: "unknown" };
 
 /** What became of finishing a claim. */
 export interface FinishClaimResult {
@@ -18,19 +26,27 @@
   readonly finishedNow: boolean;
 }
 
-/** Returns the operation that finishes a claim. */
+/**
+ * Returns the operation that finishes a claim. Finishing a claim as not run
+ * that never reached the table leaves a row too, so that a take which is still
+ * on its way finds another version and fails.
+ */
 export function createFinishClaim(
   claim: ClaimInput,
   end: ClaimEnd,
 ): RowOperation<FinishClaimResult> {
   const key = formatClaimKey(claim.customer, claim.requestKey);
   return {
-    id: `finish/${key}/${claim.vm}/${claim.incarnation}`,
+    id: `finish/${key}/${claim.vm}/${claim.incarnation}/${claim.attempt}`,
     keys: [key],
     decide(rows) {
       const row = readClaimRow(rows, key);
+      if (row === undefined && end.state === "not-run") {
+        const value = createClaimValue(claim, "not-run");
+        return { writes: [{ key, value }], result: { finishedNow: true } };
+      }
       const own = row !== undefined && row.state === "open" &&
-        row.vm === claim.vm && row.incarnation === claim.incarnation;
+        isHeldBy(row, claim);
       if (!own) return { writes: [], result: { finishedNow: false } };
       const value: JsonValue = { ...row, ...end };
       return { writes: [{ key, value }], result: { finishedNow: true } };
--- a/packages/request/rows/take_claim.ts
+++ b/packages/request/rows/take_claim.ts
@@ -2,19 +2,18 @@
 import type {
   BodyDigest,
   CustomerId,
-  Incarnation,
   JsonValue,
   RequestKey,
   RowOperation,
-  RowView,
-  VmId,
   WallTime,
 } from "../../core/mod.ts";
 import {
+  type ClaimHolder,
   type ClaimRow,
   formatClaimKey,
+  isHeldBy,
   type KeptAnswer,
-  parseClaimRow,
+  readClaimRow,
 } from "./claim_row.ts";
 
 /** What a claim attempt found. */
@@ -23,10 +22,14 @@
   Taken = "taken",
   /** The call ran; its answer is kept. */
   Ran = "ran",
+  /** The call may have run; nobody will know. */
+  Unknown = "unknown",
   /** Another attempt holds the claim. */
   HeldByOther = "held-by-other",
   /** The key was used with another body. */
   OtherBody = "other-body",
+  /** This attempt was finished already: dispatch nothing. */
+  Ended = "ended",
 }
 
 /** The answer to a claim attempt. */
@@ -34,17 +37,14 @@
   readonly state: ClaimState;
   readonly answer?: KeptAnswer;
   /** Who holds it, when another attempt does. */
-  readonly holder?: { readonly vm: VmId; readonly incarnation: Incarnation };
+  readonly holder?: ClaimHolder;
 }
 
 /** Who claims what. */
-export interface ClaimInput {
+export interface ClaimInput extends ClaimHolder {
   readonly customer: CustomerId;
   readonly requestKey: RequestKey;
   readonly digest: BodyDigest;
-  readonly vm: VmId;
-  /** The claiming attempt: the VM's incarnation and a number within it. */
-  readonly incarnation: Incarnation;
   readonly wallTime: WallTime;
 }
 
@@ -54,54 +54,51 @@
 ): RowOperation<TakeClaimResult> {
   const key = formatClaimKey(input.customer, input.requestKey);
   return {
-    id: `${key}/${input.vm}/${input.incarnation}`,
+    id: `${key}/${input.vm}/${input.incarnation}/${input.attempt}`,
     keys: [key],
     decide(rows) {
       const row = readClaimRow(rows, key);
-      if (row !== undefined && row.digest !== input.digest) {
-        return { writes: [], result: { state: ClaimState.OtherBody } };
+      if (row !== undefined) {
+        const found = describeClaim(row, input);
+        if (found !== undefined) return { writes: [], result: found };
       }
-      if (row === undefined || row.state === "not-run") {
-        const value: JsonValue = {
-          digest: input.digest,
-          vm: input.vm,
-          incarnation: input.incarnation,
-          state: "open",
-          claimedAt: input.wallTime,
-        };
-        return {
-          writes: [{ key, value }],
-          result: { state: ClaimState.Taken },
-        };
-      }
-      return { writes: [], result: describeHeldClaim(row, input) };
+      const value = createClaimValue(input, "open");
+      return {
+        writes: [{ key, value }],
+        result: { state: ClaimState.Taken },
+      };
     },
   };
 }
 
-/** Returns the claim row among the rows read. */
-export function readClaimRow(
-  rows: RowView,
-  key: string,
-): ClaimRow | undefined {
-  const row = rows.get(key);
-  if (row === undefined) return undefined;
-  return parseClaimRow(row.value).caseOf({
-    Left: (reason) => {
-      throw new Error(
-        `Row ${key} is damaged: ${reason}. Restore it from the table's backup.`,
-      );
-    },
-    Right: (value) => value,
-  });
+/** Returns a new claim row's value. */
+export function createClaimValue(
+  input: ClaimInput,
+  state: "open" | "not-run",
+): JsonValue {
+  const { digest, vm, incarnation, attempt, wallTime } = input;
+  return { digest, vm, incarnation, attempt, state, claimedAt: wallTime };
 }
 
-function describeHeldClaim(row: ClaimRow, input: ClaimInput): TakeClaimResult {
+/** Returns what stands in the way of a claim; undefined when it is free. */
+function describeClaim(
+  row: ClaimRow,
+  input: ClaimInput,
+): TakeClaimResult | undefined {
+  const own = isHeldBy(row, input);
+  if (row.digest !== input.digest) return { state: ClaimState.OtherBody };
   if (row.state === "ran" && row.answer !== undefined) {
     return { state: ClaimState.Ran, answer: row.answer };
   }
-  const own = row.vm === input.vm && row.incarnation === input.incarnation;
+  // A decision that is made again after the attempt ended must not reopen it.
+  if (row.state === "not-run") {
+    return own ? { state: ClaimState.Ended } : undefined;
+  }
+  if (row.state === "unknown") return { state: ClaimState.Unknown };
   if (own) return { state: ClaimState.Taken };
-  const holder = { vm: row.vm, incarnation: row.incarnation };
-  return { state: ClaimState.HeldByOther, holder };
+  const { vm, incarnation, attempt } = row;
+  return {
+    state: ClaimState.HeldByOther,
+    holder: { vm, incarnation, attempt },
+  };
 }
