Count the largest bill of an identity; let the incarnation name the attempt

Cause: a caller that hung up and its retry leave two bills of one identity with different amounts, and the first in key order depended on VM names. Change: the largest counts, a join over rows in any order and read any number of times. The attempt of a claim may be named by the incarnation alone.

--- a/packages/request/queries/describe_holder.ts
+++ b/packages/request/queries/describe_holder.ts
@@ -30,6 +30,6 @@
     return over ? HolderState.Lost : HolderState.Running;
   }
   const running = holder.incarnation === self.incarnation &&
-    input.isInProgress(holder.attempt);
+    input.isInProgress(holder.attempt ?? 0);
   return running ? HolderState.Running : HolderState.Lost;
 }
--- a/packages/request/queries/plan_kept_answer.ts
+++ b/packages/request/queries/plan_kept_answer.ts
@@ -1,8 +1,8 @@
 /** Says where the answer of a claimed call is kept: in its row or as an object. */
 import { type Bytes, BYTES_PER_KIB } from "../../core/mod.ts";
 import {
-  type ClaimHolder,
   formatClaimKey,
+  formatHolder,
   type KeptAnswer,
 } from "../rows/claim_row.ts";
 import type { ClaimInput } from "../rows/take_claim.ts";
@@ -38,7 +38,7 @@
 }
 
 /** Each attempt has its own object, so that none overwrites another's answer. */
-function formatAnswerKey(claim: ClaimInput & ClaimHolder): string {
+function formatAnswerKey(claim: ClaimInput): string {
   const key = formatClaimKey(claim.customer, claim.requestKey);
-  return `answers/${key}/${claim.vm}/${claim.incarnation}/${claim.attempt}`;
+  return `answers/${key}/${formatHolder(claim)}`;
 }
--- a/packages/request/rows/bill_batch.ts
+++ b/packages/request/rows/bill_batch.ts
@@ -1,6 +1,6 @@
 /**
  * Batches of bills: `bills/VM/INCARNATION/NUMBER`. A batch is written once;
- * readers count each bill identity once over all batches.
+ * readers count each bill identity once over all batches, at its largest.
  */
 import { z } from "zod";
 import {
@@ -75,21 +75,24 @@
 }
 
 /**
- * Returns the bills in batch rows, each identity once, the first in key order.
- * A reader that comes back passes the identities it has counted already; they
- * stay as they were counted and are left out.
+ * Returns the bills in batch rows, each identity once. Of several bills of one
+ * identity the largest counts: a caller that hung up is billed for what it
+ * used, and its retry under the same key, which ran to the end, for the whole.
+ * That is a join, so neither the order of rows nor reading them twice matters;
+ * a reader that comes back passes what it had as `earlier`.
  */
 export function collectBills(
   rows: readonly Row[],
-  counted: ReadonlySet<string> = new Set(),
+  earlier: readonly Bill[] = [],
 ): Bill[] {
-  const seen = new Map<string, Bill>();
-  for (const row of rows) {
-    for (const bill of BATCH_SCHEMA.parse(row.value).bills) {
-      const identity = formatBillIdentity(bill);
-      if (counted.has(identity) || seen.has(identity)) continue;
-      seen.set(identity, bill);
+  const bills = rows.flatMap((row) => BATCH_SCHEMA.parse(row.value).bills);
+  const largest = new Map<string, Bill>();
+  for (const bill of [...earlier, ...bills]) {
+    const identity = formatBillIdentity(bill);
+    const known = largest.get(identity);
+    if (known === undefined || bill.tokens > known.tokens) {
+      largest.set(identity, bill);
     }
   }
-  return [...seen.values()];
+  return [...largest.values()];
 }
--- a/packages/request/rows/bill_batch_test.ts
+++ b/packages/request/rows/bill_batch_test.ts
@@ -21,17 +21,24 @@
   return rows.apply(createBillBatch(input));
 }
 
-test("a key that ran at two VMs and a batch written twice are billed once", (t) => {
+function describeBills(bills: readonly Bill[]): string[] {
+  return bills.map((bill) => `${bill.requestKey}=${bill.tokens}`).sort();
+}
+
+test("a key that was billed at two VMs counts once, at its largest bill", (t) => {
   const rows = new MemoryRows();
   write(rows, "b", [createBill("x", 5), createBill("y")]);
   write(rows, "b", [createBill("x", 5), createBill("y")]);
   const early = collectBills(rows.list(BILL_BATCH_PREFIX));
-  t.is(early.length, 2);
+  t.deepEqual(describeBills(early), ["x=5", "y=1"]);
   write(rows, "a", [createBill("x", 9), createBill("z")]);
-  const counted = new Set(early.map(formatBillIdentity));
-  const late = collectBills(rows.list(BILL_BATCH_PREFIX), counted);
-  t.deepEqual(late.map((bill) => bill.requestKey), ["z"]);
-  t.is(collectBills(rows.list(BILL_BATCH_PREFIX)).length, 3);
+  write(rows, "c", [createBill("x", 7)]);
+  const all = rows.list(BILL_BATCH_PREFIX);
+  const expected = ["x=9", "y=1", "z=1"];
+  t.deepEqual(describeBills(collectBills(all)), expected);
+  t.deepEqual(describeBills(collectBills([...all].reverse())), expected);
+  t.deepEqual(describeBills(collectBills(all, early)), expected);
+  t.deepEqual(describeBills(collectBills([], collectBills(all))), expected);
 });
 
 test("customers and keys that contain the separator stay apart", (t) => {
--- a/packages/request/rows/claim_row.ts
+++ b/packages/request/rows/claim_row.ts
@@ -34,7 +34,7 @@
   digest: z.string(),
   vm: z.string(),
   incarnation: z.string(),
-  attempt: z.number().int(),
+  attempt: z.number().int().optional(),
   state: z.enum(["open", "ran", "not-run", "unknown"]),
   claimedAt: z.number(),
   tokens: z.number().int().nonnegative().optional(),
@@ -57,8 +57,11 @@
 export interface ClaimHolder {
   readonly vm: VmId;
   readonly incarnation: Incarnation;
-  /** Unique within the VM's life. */
-  readonly attempt: number;
+  /**
+   * Unique within the VM's life. It may be left out only where `incarnation`
+   * names the attempt already; two attempts must never be the same holder.
+   */
+  readonly attempt?: number;
 }
 
 /** Returns the key of a claim row. */
@@ -93,5 +96,16 @@
 /** Tells whether a claim row was written by an attempt. */
 export function isHeldBy(row: ClaimRow, holder: ClaimHolder): boolean {
   return row.vm === holder.vm && row.incarnation === holder.incarnation &&
-    row.attempt === holder.attempt;
+    (row.attempt ?? 0) === (holder.attempt ?? 0);
+}
+
+/** Returns the attempt that wrote a claim row. */
+export function readHolder(row: ClaimRow): ClaimHolder {
+  const { vm, incarnation, attempt } = row;
+  return { vm, incarnation, ...(attempt === undefined ? {} : { attempt }) };
+}
+
+/** Formats an attempt as `vm/incarnation/attempt`. */
+export function formatHolder(holder: ClaimHolder): string {
+  return `${holder.vm}/${holder.incarnation}/${holder.attempt ?? 0}`;
 }
--- a/packages/request/rows/finish_claim.ts
+++ b/packages/request/rows/finish_claim.ts
@@ -2,6 +2,7 @@
 import type { JsonValue, RowOperation, Tokens } from "../../core/mod.ts";
 import {
   formatClaimKey,
+  formatHolder,
   isHeldBy,
   type KeptAnswer,
   readClaimRow,
@@ -37,7 +38,7 @@
 ): RowOperation<FinishClaimResult> {
   const key = formatClaimKey(claim.customer, claim.requestKey);
   return {
-    id: `finish/${key}/${claim.vm}/${claim.incarnation}/${claim.attempt}`,
+    id: `finish/${key}/${formatHolder(claim)}`,
     keys: [key],
     decide(rows) {
       const row = readClaimRow(rows, key);
--- a/packages/request/rows/take_claim.ts
+++ b/packages/request/rows/take_claim.ts
@@ -11,9 +11,11 @@
   type ClaimHolder,
   type ClaimRow,
   formatClaimKey,
+  formatHolder,
   isHeldBy,
   type KeptAnswer,
   readClaimRow,
+  readHolder,
 } from "./claim_row.ts";
 
 /** What a claim attempt found. */
@@ -54,7 +56,7 @@
 ): RowOperation<TakeClaimResult> {
   const key = formatClaimKey(input.customer, input.requestKey);
   return {
-    id: `${key}/${input.vm}/${input.incarnation}/${input.attempt}`,
+    id: `${key}/${formatHolder(input)}`,
     keys: [key],
     decide(rows) {
       const row = readClaimRow(rows, key);
@@ -77,7 +79,8 @@
   state: "open" | "not-run",
 ): JsonValue {
   const { digest, vm, incarnation, attempt, wallTime } = input;
-  return { digest, vm, incarnation, attempt, state, claimedAt: wallTime };
+  const value = { digest, vm, incarnation, state, claimedAt: wallTime };
+  return attempt === undefined ? value : { ...value, attempt };
 }
 
 /** Returns what stands in the way of a claim; undefined when it is free. */
@@ -96,9 +99,5 @@
   }
   if (row.state === "unknown") return { state: ClaimState.Unknown };
   if (own) return { state: ClaimState.Taken };
-  const { vm, incarnation, attempt } = row;
-  return {
-    state: ClaimState.HeldByOther,
-    holder: { vm, incarnation, attempt },
-  };
+  return { state: ClaimState.HeldByOther, holder: readHolder(row) };
 }
