Add admission, retries, quarantine, streams, silence and duties

Cause: the daemon needs the decisions for waves, brown-outs, poison requests, silent connections and orders to engines. Change: limits by customer with a share that follows announced demand; a bounded queue by priority and weighted fair share with early refusal; retries under a budget that delays rather than loses them, replacement of lost work, hedging of plain repeatable calls; quarantine by digest with gossip and release; an assembler that never splices; probes that tell a dead path from a slow target; a duty's lease row, its watch on the monotonic clock, and the planning of orders under the weight store's rate.

--- /dev/null
+++ b/packages/routing/admission/admission_test.ts
@@ -0,0 +1,253 @@
+/** Tests of limits, fair share, priorities and early refusal. */
+import test from "ava";
+import {
+  type CustomerConfig,
+  Priority,
+  RefusalKind,
+  RequestOutcome,
+} from "../../core/mod.ts";
+import { Admission, DemandTable, type Ticket } from "../mod.ts";
+import { createRandom } from "../test_fleet.ts";
+
+const random = createRandom();
+let lastId = 0;
+
+function createTicket(options: Partial<Ticket> = {}): Ticket {
+  return {
+    id: `r${++lastId}`,
+    customer: "a",
+    service: "engine",
+    kind: "chat",
+    priority: Priority.Standard,
+    weight: 1,
+    tokens: 10,
+    deadline: 1_000_000,
+    arrivedAt: 0,
+    ...options,
+  };
+}
+
+function createCustomer(
+  limits: Partial<CustomerConfig["limits"]> = {},
+): CustomerConfig {
+  return {
+    id: "a",
+    keyHashes: [],
+    weight: 1,
+    limits: {
+      requestsPerSecond: 100,
+      tokensPerSecond: 10_000,
+      concurrentRequests: 100,
+      ...limits,
+    },
+  };
+}
+
+function createLimited(
+  limits: Partial<CustomerConfig["limits"]>,
+  share = 1,
+): Admission {
+  const admission = new Admission();
+  const options = { now: 0, computeShare: () => share };
+  admission.changeCustomers([createCustomer(limits)], options);
+  return admission;
+}
+
+function admitMany(admission: Admission, tickets: readonly Ticket[], now = 0) {
+  return tickets.map((ticket) => admission.admit(ticket, { now, random }));
+}
+
+function createMany(count: number, options: Partial<Ticket> = {}): Ticket[] {
+  return Array.from({ length: count }, () => createTicket(options));
+}
+
+/** Starts up to a number of tickets. */
+function startSome(admission: Admission, count: number, now = 0): Ticket[] {
+  let left = count;
+  return admission.takeReady("engine", { now, tryStart: () => left-- > 0 });
+}
+
+/** Runs one ticket after another, each for some time, and returns the end. */
+function runSome(
+  admission: Admission,
+  count: number,
+  options: { readonly from: number; readonly hold: number },
+): number {
+  let now = options.from;
+  for (let index = 0; index < count; index++) {
+    const [ticket] = startSome(admission, 1, now);
+    now += options.hold;
+    if (ticket === undefined) continue;
+    admission.finish(ticket.id, { now, tokens: 10, complete: true });
+  }
+  return now;
+}
+
+test("a burst above the request rate is refused as not run with a time to try again", (t) => {
+  const admission = createLimited({ requestsPerSecond: 5 });
+  const results = admitMany(admission, createMany(8));
+  t.is(results.filter((each) => each.isRight()).length, 5);
+  results[7]?.ifLeft((refusal) => {
+    t.is(refusal.kind, RefusalKind.RateLimited);
+    t.is(refusal.outcome, RequestOutcome.NotRun);
+    t.is(refusal.retryAfter, 200);
+  });
+  const later = admission.admit(createTicket(), { now: 200, random });
+  t.true(later.isRight());
+});
+
+test("tokens beyond the estimate are owed before the next request", (t) => {
+  const admission = createLimited({ tokensPerSecond: 100 });
+  const ticket = createTicket({ tokens: 50 });
+  admitMany(admission, [ticket]);
+  startSome(admission, 1);
+  admission.finish(ticket.id, { now: 0, tokens: 300 });
+  const [early] = admitMany(admission, [createTicket()], 1_900);
+  const [late] = admitMany(admission, [createTicket()], 2_100);
+  t.true(early?.isLeft());
+  t.true(late?.isRight());
+});
+
+test("requests at once are limited, and one that is given up on makes room", (t) => {
+  const admission = createLimited({ concurrentRequests: 10 }, 0.25);
+  const tickets = createMany(4);
+  const results = admitMany(admission, tickets);
+  t.deepEqual(results.map((each) => each.isRight()), [true, true, true, false]);
+  admission.finish(tickets[1]!.id, { now: 0, tokens: 0 });
+  t.true(admitMany(admission, [createTicket()])[0]?.isRight());
+  t.is(admission.listLoads(0)[0]?.queued, 3);
+});
+
+test("shares follow announced demand and add up to one", (t) => {
+  const tables = [new DemandTable(), new DemandTable()];
+  for (let at = 0; at < 3_000; at += 10) tables[0]!.recordRequest("a", at);
+  for (let at = 0; at < 3_000; at += 30) tables[1]!.recordRequest("a", at);
+  t.is(tables[0]!.computeShare("a", 2), 0.5);
+  const words = tables.map((table) => table.recordAnnouncement(3_000));
+  tables[0]!.applyAnnouncement("vm-2", words[1]!);
+  tables[1]!.applyAnnouncement("vm-1", words[0]!);
+  const shares = tables.map((table) => table.computeShare("a", 2));
+  t.true(Math.abs(shares[0]! + shares[1]! - 1) < 1e-9);
+  t.true(shares[0]! > 0.6 && shares[1]! >= 0.25, String(shares));
+});
+
+test("a VM that knows of no peer's demand takes at most half and its even part", (t) => {
+  const table = new DemandTable();
+  table.recordRequest("a", 0);
+  t.is(table.computeShare("a", 8), 1 / 8);
+  table.recordAnnouncement(0);
+  t.is(table.computeShare("a", 8), 0.5 / 8 + 0.5);
+});
+
+test("safety goes before bulk, and bulk still gets a start now and then", (t) => {
+  const admission = new Admission();
+  admitMany(admission, createMany(40, { priority: Priority.Bulk }));
+  admitMany(admission, createMany(40, { priority: Priority.Safety }));
+  const started = startSome(admission, 32);
+  const bulk = started.filter((each) => each.priority === Priority.Bulk);
+  t.is(bulk.length, 2);
+  t.is(started[0]?.priority, Priority.Safety);
+});
+
+test("a last priority that has no room does not hold up the first", (t) => {
+  const admission = new Admission();
+  admitMany(admission, createMany(1, { priority: Priority.Bulk }));
+  admitMany(admission, createMany(40, { priority: Priority.Safety }));
+  const started = admission.takeReady("engine", {
+    now: 0,
+    tryStart: (ticket) => ticket.priority === Priority.Safety,
+  });
+  t.is(started.length, 40);
+});
+
+test("backlogged customers get starts by weight, whatever they have queued", (t) => {
+  const admission = new Admission();
+  admitMany(admission, createMany(300, { customer: "large" }));
+  admitMany(admission, createMany(60, { customer: "small" }));
+  admitMany(admission, createMany(100, { customer: "paying", weight: 2 }));
+  const counts = new Map<string, number>();
+  for (const { customer } of startSome(admission, 80)) {
+    counts.set(customer, (counts.get(customer) ?? 0) + 1);
+  }
+  t.deepEqual([...counts.values()], [20, 20, 40]);
+});
+
+test("a customer that was idle does not save up starts", (t) => {
+  const admission = new Admission();
+  admitMany(admission, createMany(100, { customer: "a" }));
+  startSome(admission, 50);
+  admitMany(admission, createMany(50, { customer: "b" }));
+  const started = startSome(admission, 20);
+  t.is(started.filter((each) => each.customer === "b").length, 10);
+});
+
+test("once the drain rate is known, what cannot make its deadline is refused early", (t) => {
+  const admission = new Admission();
+  admitMany(admission, createMany(100));
+  const now = runSome(admission, 20, { from: 0, hold: 100 });
+  const tight = createTicket({ arrivedAt: now, deadline: now + 2_000 });
+  const wide = createTicket({ arrivedAt: now, deadline: now + 20_000 });
+  admission.admit(tight, { now, random })
+    .ifLeft((refusal) => {
+      t.is(refusal.kind, RefusalKind.DeadlineTooSoon);
+      t.is(refusal.outcome, RequestOutcome.NotRun);
+      t.true((refusal.retryAfter ?? 0) >= 2_000);
+    })
+    .ifRight(() => t.fail());
+  t.true(admission.admit(wide, { now, random }).isRight());
+  const urgent = { ...tight, id: "urgent", priority: Priority.Safety };
+  t.true(admission.admit(urgent, { now, random }).isRight());
+});
+
+test("time without a queue does not make a wave look hopeless", (t) => {
+  const admission = new Admission();
+  admitMany(admission, createMany(30));
+  const now = runSome(admission, 30, { from: 0, hold: 100 }) + 3_600_000;
+  const results = admitMany(
+    admission,
+    createMany(30, { deadline: now + 10_000 }),
+    now,
+  );
+  t.true(results.every((each) => each.isRight()));
+});
+
+test("a brown-out slows the drain rate and refusals follow", (t) => {
+  const admission = new Admission();
+  admitMany(admission, createMany(100));
+  let now = runSome(admission, 20, { from: 0, hold: 100 });
+  const before = admission.computeWait(createTicket(), now);
+  now = runSome(admission, 5, { from: now, hold: 2_000 });
+  const after = admission.computeWait(createTicket(), now);
+  t.true(after > 3 * before, `${before} then ${after}`);
+});
+
+test("a queued request is answered when it can no longer make its deadline", (t) => {
+  const admission = new Admission();
+  admitMany(admission, createMany(3, { deadline: 500 }));
+  admitMany(admission, createMany(1, { deadline: 5_000 }));
+  t.is(admission.expire({ now: 400, random }).length, 0);
+  const refused = admission.expire({ now: 501, random });
+  t.is(refused.length, 3);
+  t.is(refused[0]?.refusal.outcome, RequestOutcome.NotRun);
+  t.is(startSome(admission, 10, 501).length, 1);
+});
+
+test("a full queue turns away the newest of the largest backlog, later priority first", (t) => {
+  const admission = new Admission({ mostQueued: 4 });
+  const bulk = createMany(3, { priority: Priority.Bulk, customer: "large" });
+  admitMany(admission, bulk);
+  admitMany(admission, createMany(1, { priority: Priority.Bulk }));
+  t.true(admitMany(admission, createMany(1))[0]?.isRight());
+  const [result] = admitMany(
+    admission,
+    createMany(1, { priority: Priority.Safety }),
+  );
+  const displaced = result?.map((each) => each.displaced).orDefault([]);
+  t.is(displaced?.[0]?.ticket.id, bulk[1]?.id);
+  t.is(displaced?.[0]?.refusal.kind, RefusalKind.Overloaded);
+  const [refused] = admitMany(
+    admission,
+    createMany(1, { priority: Priority.Bulk }),
+  );
+  t.true(refused?.isLeft());
+});
--- /dev/null
+++ b/packages/routing/duties/duty_row.ts
@@ -0,0 +1,207 @@
+/**
+ * The row of one control duty: `duty/NAME`. Whoever holds it gives orders to
+ * targets, each with the row's fencing number. The number rises with every new
+ * holder and never falls.
+ */
+import { z } from "zod";
+import type {
+  Incarnation,
+  JsonValue,
+  Millis,
+  Row,
+  RowOperation,
+  RowView,
+  VmId,
+  WallTime,
+} from "../../core/mod.ts";
+
+const DUTY_SCHEMA = z.object({
+  vm: z.string(),
+  incarnation: z.string(),
+  fence: z.number().int().positive(),
+  renewals: z.number().int().nonnegative(),
+  released: z.boolean(),
+  longestOrder: z.number().nonnegative(),
+  changedAt: z.number(),
+});
+
+/** The duty row's value. */
+export type DutyRow = z.infer<typeof DUTY_SCHEMA>;
+
+/** Names one life of one VM. */
+export interface DutyHolder {
+  readonly vm: VmId;
+  readonly incarnation: Incarnation;
+}
+
+/** What a VM saw of a lease: it lapsed when this did not change for its length. */
+export interface SeenLease {
+  readonly fence: number;
+  readonly renewals: number;
+}
+
+/** What became of taking a duty. */
+export interface TakeDutyResult {
+  /** Whether the asking VM holds the duty now. */
+  readonly held: boolean;
+  readonly fence: number;
+  readonly renewals: number;
+  /** Longest order of the holder before, whose orders may be on their way. */
+  readonly previousLongestOrder: Millis;
+}
+
+/** What became of renewing or releasing a duty. */
+export interface KeepDutyResult {
+  /** False when another VM has taken the duty. */
+  readonly held: boolean;
+  readonly renewals: number;
+}
+
+/** Returns the key of a duty's row. */
+export function formatDutyKey(duty: string): string {
+  return `duty/${encodeURIComponent(duty)}`;
+}
+
+/** Reads a duty's row; undefined if no VM ever held it. */
+export function parseDutyRow(row: Row | undefined): DutyRow | undefined {
+  if (row === undefined) return undefined;
+  const parsed = DUTY_SCHEMA.safeParse(row.value);
+  if (parsed.success) return parsed.data;
+  throw new Error(
+    `Row ${row.key} is damaged: ${
+      z.prettifyError(parsed.error)
+    }. Restore it from the table's backup.`,
+  );
+}
+
+/**
+ * Returns the operation that takes a duty which is free, released, or lapsed.
+ * A lease is lapsed only if it still shows what the asking VM saw for a whole
+ * lease length on its own monotonic clock.
+ */
+export function createTakeDuty(
+  input: {
+    readonly duty: string;
+    readonly holder: DutyHolder;
+    readonly longestOrder: Millis;
+    readonly lapsed?: SeenLease;
+    readonly wallTime: WallTime;
+  },
+): RowOperation<TakeDutyResult> {
+  const key = formatDutyKey(input.duty);
+  const { vm, incarnation } = input.holder;
+  return {
+    id: `take/${key}/${vm}/${incarnation}`,
+    keys: [key],
+    decide(rows) {
+      const row = readRow(rows, key);
+      if (row !== undefined && isHeldBy(row, input.holder)) {
+        return { writes: [], result: createTakeResult(row, { held: true }) };
+      }
+      if (row !== undefined && !isFree(row, input.lapsed)) {
+        return { writes: [], result: createTakeResult(row, { held: false }) };
+      }
+      const taken: DutyRow = {
+        vm,
+        incarnation,
+        fence: (row?.fence ?? 0) + 1,
+        renewals: 0,
+        released: false,
+        longestOrder: Math.max(input.longestOrder, row?.longestOrder ?? 0),
+        changedAt: input.wallTime,
+      };
+      const value: JsonValue = { ...taken };
+      return {
+        writes: [{ key, value }],
+        result: createTakeResult(taken, { held: true }),
+      };
+    },
+  };
+}
+
+/** Returns the operation that renews a duty to a given count of renewals. */
+export function createRenewDuty(
+  input: {
+    readonly duty: string;
+    readonly holder: DutyHolder;
+    readonly fence: number;
+    /** One more than the holder's last; deciding again changes nothing. */
+    readonly renewals: number;
+    readonly wallTime: WallTime;
+  },
+): RowOperation<KeepDutyResult> {
+  const key = formatDutyKey(input.duty);
+  return {
+    id: `renew/${key}/${input.fence}/${input.renewals}`,
+    keys: [key],
+    decide(rows) {
+      const row = readRow(rows, key);
+      const held = row !== undefined && row.fence === input.fence &&
+        isHeldBy(row, input.holder);
+      if (!held) return createKept(false, row?.renewals ?? 0);
+      if (row.renewals >= input.renewals) return createKept(true, row.renewals);
+      const { renewals, wallTime } = input;
+      const value: JsonValue = { ...row, renewals, changedAt: wallTime };
+      return { ...createKept(true, renewals), writes: [{ key, value }] };
+    },
+  };
+}
+
+/** Returns the operation that gives a duty up, so that another VM need not wait. */
+export function createReleaseDuty(
+  input: {
+    readonly duty: string;
+    readonly holder: DutyHolder;
+    readonly fence: number;
+    readonly wallTime: WallTime;
+  },
+): RowOperation<KeepDutyResult> {
+  const key = formatDutyKey(input.duty);
+  return {
+    id: `release/${key}/${input.fence}`,
+    keys: [key],
+    decide(rows) {
+      const row = readRow(rows, key);
+      const held = row !== undefined && row.fence === input.fence &&
+        isHeldBy(row, input.holder);
+      if (!held) return createKept(false, row?.renewals ?? 0);
+      const value: JsonValue = {
+        ...row,
+        released: true,
+        changedAt: input.wallTime,
+      };
+      return { ...createKept(false, row.renewals), writes: [{ key, value }] };
+    },
+  };
+}
+
+function readRow(rows: RowView, key: string): DutyRow | undefined {
+  return parseDutyRow(rows.get(key));
+}
+
+function isHeldBy(row: DutyRow, holder: DutyHolder): boolean {
+  return !row.released && row.vm === holder.vm &&
+    row.incarnation === holder.incarnation;
+}
+
+function isFree(row: DutyRow, lapsed: SeenLease | undefined): boolean {
+  if (row.released) return true;
+  return lapsed !== undefined && lapsed.fence === row.fence &&
+    lapsed.renewals === row.renewals;
+}
+
+function createTakeResult(
+  row: DutyRow,
+  options: { readonly held: boolean },
+): TakeDutyResult {
+  return {
+    held: options.held,
+    fence: row.fence,
+    renewals: row.renewals,
+    previousLongestOrder: row.longestOrder,
+  };
+}
+
+function createKept(held: boolean, renewals: number) {
+  return { writes: [], result: { held, renewals } };
+}
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -1,4 +1,18 @@
-/** Choice of target, admission, retries, quarantine and drain. */
+/**
+ * Choice of target, admission, retries, quarantine, streams, connections and
+ * control duties. Everything here is a decision: time and random numbers are
+ * arguments, and nothing touches a socket.
+ */
+export type {
+  QueueResult,
+  RefusedTicket,
+  ServiceLoad,
+} from "./admission/admission.ts";
+export { Admission } from "./admission/admission.ts";
+export { PRIORITY_ORDER } from "./admission/fair_queue.ts";
+export type { CustomerDemand } from "./admission/limit_share.ts";
+export { DemandTable } from "./admission/limit_share.ts";
+export type { Ticket } from "./admission/ticket.ts";
 export type { LeavingSign } from "./commands/apply_leaving.ts";
 export {
   applyLeavingSigns,
@@ -19,11 +33,63 @@
   recordAttemptEnd,
   recordAttemptStart,
 } from "./commands/record_attempt.ts";
+export type { PooledConnection } from "./connection/decide_pooled.ts";
+export { isReusable } from "./connection/decide_pooled.ts";
+export type {
+  ProbeResult,
+  SilentAttempt,
+} from "./connection/decide_silence.ts";
+export { decideSilence, SilenceAction } from "./connection/decide_silence.ts";
+export type {
+  DutyHolder,
+  DutyRow,
+  KeepDutyResult,
+  SeenLease,
+  TakeDutyResult,
+} from "./duties/duty_row.ts";
+export {
+  createReleaseDuty,
+  createRenewDuty,
+  createTakeDuty,
+  formatDutyKey,
+  parseDutyRow,
+} from "./duties/duty_row.ts";
+export { DUTY_LEASE, DUTY_RENEWAL, DutyWatch } from "./duties/duty_watch.ts";
+export type {
+  OrderRight,
+  TargetFacts,
+  TargetOrder,
+  TargetWish,
+  WeightStoreLimit,
+} from "./duties/plan_orders.ts";
+export { OrderPlanner, OrderType } from "./duties/plan_orders.ts";
 export type { PrefixDigest } from "./prefix_table.ts";
+export type {
+  CrashResult,
+  CrashWord,
+  QuarantineWord,
+} from "./quarantine/quarantine.ts";
+export { CRASHES_TO_QUARANTINE, Quarantine } from "./quarantine/quarantine.ts";
 export type { ChooseInput } from "./queries/choose_target.ts";
 export { chooseTarget } from "./queries/choose_target.ts";
 export { computeLoad, computeOthers } from "./queries/compute_load.ts";
+export { describeRouting } from "./queries/describe_routing.ts";
+export type { SlowCall } from "./retry/decide_hedge.ts";
+export { decideHedge } from "./retry/decide_hedge.ts";
+export type { FailedAttempt, RetryDecision } from "./retry/decide_retry.ts";
+export {
+  computeBackoff,
+  decideRetry,
+  hasReachedTarget,
+  RetryAction,
+} from "./retry/decide_retry.ts";
+export { FirstByteTimes } from "./retry/first_byte_times.ts";
+export type { RetryCounts } from "./retry/retry_budget.ts";
+export { ExtraAttempt, RetryBudgets } from "./retry/retry_budget.ts";
 export type { RoutedRequest, RoutingState } from "./state.ts";
 export { createRoutingState } from "./state.ts";
+export type { AnswerProgress } from "./stream/answer_assembler.ts";
+export { AnswerAssembler, ChunkAction } from "./stream/answer_assembler.ts";
+export { decidePace, PaceAction } from "./stream/decide_pace.ts";
 export type { TargetState } from "./target_state.ts";
 export { computeHealth, TargetHealth } from "./target_state.ts";
--- /dev/null
+++ b/packages/routing/quarantine/quarantine.ts
@@ -0,0 +1,306 @@
+/**
+ * Requests that crash the targets they run on, by body digest.
+ *
+ * A crash makes suspects of the digests that were running at the target. If
+ * some of them were suspects before, the crash counts against those alone;
+ * otherwise against all. A digest that crashed two different targets is
+ * quarantined: no VM sends it to a target again until an operator releases it
+ * or the entry grows old. A whole answer clears a suspect. When many targets
+ * are lost within moments, that is a lost rack and not a request; each digest
+ * is spared once, unless it ran at two of them.
+ *
+ * Entries travel between VMs with ages, not times, and merge in any order: the
+ * higher release number wins, and at equal numbers the crashes are united.
+ */
+import {
+  type BodyDigest,
+  type Millis,
+  MILLIS_PER_HOUR,
+  MILLIS_PER_MINUTE,
+  type MonotonicTime,
+  type TargetId,
+} from "../../core/mod.ts";
+
+/** Crashed targets after which a digest is quarantined, over the whole fleet. */
+export const CRASHES_TO_QUARANTINE = 2;
+
+const SUSPECT_AGE: Millis = 10 * MILLIS_PER_MINUTE;
+const QUARANTINE_AGE: Millis = 24 * MILLIS_PER_HOUR;
+const RELEASE_AGE: Millis = 24 * MILLIS_PER_HOUR;
+
+/** Crashes of so many targets within the window are a common failure. */
+const COMMON_FAILURE_TARGETS = 3;
+const COMMON_FAILURE_WINDOW: Millis = 2_000;
+
+const MOST_ENTRIES = 10_000;
+
+/** One crash, as VMs pass it on. */
+export interface CrashWord {
+  readonly target: TargetId;
+  readonly age: Millis;
+}
+
+/** One digest's entry, as VMs pass it on and operators see it. */
+export interface QuarantineWord {
+  readonly digest: BodyDigest;
+  /** Rises by one with each release by an operator. */
+  readonly release: number;
+  readonly crashes: readonly CrashWord[];
+  readonly quarantined: boolean;
+  /** Time since the entry last changed. */
+  readonly age: Millis;
+}
+
+interface Entry {
+  readonly digest: BodyDigest;
+  readonly release: number;
+  readonly crashes: ReadonlyMap<TargetId, MonotonicTime>;
+  readonly spared: boolean;
+  readonly changedAt: MonotonicTime;
+}
+
+interface RecentCrash {
+  readonly target: TargetId;
+  readonly at: MonotonicTime;
+  readonly digests: readonly BodyDigest[];
+}
+
+/** What a crash changed. */
+export interface CrashResult {
+  /** Digests whose entries peers must know before anyone tries them again. */
+  readonly changed: readonly BodyDigest[];
+  readonly quarantined: readonly BodyDigest[];
+}
+
+/** Suspects and quarantined digests known to one VM. */
+export class Quarantine {
+  readonly #entries = new Map<BodyDigest, Entry>();
+  readonly #running = new Map<TargetId, Map<BodyDigest, number>>();
+  #recentCrashes: RecentCrash[] = [];
+
+  /** Returns whether a digest must not be sent to any target. */
+  isQuarantined(digest: BodyDigest, now: MonotonicTime): boolean {
+    const entry = this.#readEntry(digest, now);
+    return entry !== undefined && isQuarantinedEntry(entry);
+  }
+
+  /**
+   * Returns the targets that run other suspects. A suspect is kept away from
+   * them, so that the next crash tells which of them it was.
+   */
+  listSuspectTargets(digest: BodyDigest, now: MonotonicTime): TargetId[] {
+    if (!this.#isSuspect(digest, now)) return [];
+    return [...this.#running]
+      .filter(([, digests]) =>
+        [...digests.keys()].some((other) =>
+          other !== digest && this.#isSuspect(other, now)
+        )
+      )
+      .map(([target]) => target);
+  }
+
+  /** Notes that a request runs at a target. */
+  recordStart(digest: BodyDigest, target: TargetId): void {
+    const digests = this.#running.get(target) ?? new Map<BodyDigest, number>();
+    digests.set(digest, (digests.get(digest) ?? 0) + 1);
+    this.#running.set(target, digests);
+  }
+
+  /** Notes that an attempt ended without a crash; a whole answer clears it. */
+  recordEnd(
+    digest: BodyDigest,
+    options: { readonly target: TargetId; readonly complete: boolean },
+  ): void {
+    this.#dropRunning(digest, options.target);
+    const entry = this.#entries.get(digest);
+    if (!options.complete || entry === undefined) return;
+    if (!isQuarantinedEntry(entry) && entry.release === 0) {
+      this.#entries.delete(digest);
+    }
+  }
+
+  /** Counts a crash of a target against what ran there; call it once a crash. */
+  recordCrash(target: TargetId, now: MonotonicTime): CrashResult {
+    const digests = [...this.#running.get(target)?.keys() ?? []];
+    this.#running.delete(target);
+    const others = this.#listRecent(target, now);
+    this.#recentCrashes.push({ target, at: now, digests });
+    const suspects = digests.filter((digest) => this.#isSuspect(digest, now));
+    const blamed = suspects.length > 0 ? suspects : digests;
+    for (const digest of blamed) {
+      const common = isCommonFailure(digest, others);
+      this.#addCrash(digest, { target, common, now });
+    }
+    const changed = blamed.filter((digest) => this.#isSuspect(digest, now));
+    const quarantined = blamed
+      .filter((digest) => this.isQuarantined(digest, now));
+    return { changed, quarantined };
+  }
+
+  /** Releases a digest by an operator's word; peers follow. */
+  release(digest: BodyDigest, now: MonotonicTime): void {
+    const release = (this.#entries.get(digest)?.release ?? 0) + 1;
+    this.#put({
+      digest,
+      release,
+      crashes: new Map(),
+      spared: false,
+      changedAt: now,
+    });
+  }
+
+  /** Returns the entries that changed after a time, for peers and operators. */
+  listEntries(
+    options: { readonly now: MonotonicTime; readonly since?: MonotonicTime },
+  ): QuarantineWord[] {
+    const since = options.since ?? -Infinity;
+    return [...this.#entries.values()]
+      .filter((entry) => entry.changedAt > since)
+      .filter((entry) => !isOld(entry, options.now))
+      .map((entry) => describeEntry(entry, options.now));
+  }
+
+  /** Folds in a peer's entries; returns the digests whose entries changed. */
+  applyEntries(
+    words: readonly QuarantineWord[],
+    now: MonotonicTime,
+  ): BodyDigest[] {
+    return words.filter((word) => this.#applyEntry(word, now))
+      .map((word) => word.digest);
+  }
+
+  /** Forgets entries that are too old. */
+  expire(now: MonotonicTime): void {
+    for (const entry of [...this.#entries.values()]) {
+      if (isOld(entry, now)) this.#entries.delete(entry.digest);
+    }
+  }
+
+  #applyEntry(word: QuarantineWord, now: MonotonicTime): boolean {
+    const known = this.#readEntry(word.digest, now);
+    if (known !== undefined && known.release > word.release) return false;
+    const crashes = new Map(
+      word.crashes.map((crash) => [crash.target, now - crash.age]),
+    );
+    if (known?.release === word.release) {
+      const before = known.crashes.size;
+      for (const [target, at] of known.crashes) crashes.set(target, at);
+      if (crashes.size === before) return false;
+    }
+    this.#put({
+      digest: word.digest,
+      release: word.release,
+      crashes,
+      spared: known?.spared ?? false,
+      changedAt: now,
+    });
+    return true;
+  }
+
+  #addCrash(
+    digest: BodyDigest,
+    crash: {
+      readonly target: TargetId;
+      readonly common: boolean;
+      readonly now: MonotonicTime;
+    },
+  ): void {
+    const { target, common, now } = crash;
+    const known = this.#readEntry(digest, now) ?? createEntry(digest, now);
+    const spared = common && !known.spared;
+    const crashes = spared
+      ? known.crashes
+      : new Map([...known.crashes, [target, now] as const]);
+    this.#put({
+      ...known,
+      crashes,
+      spared: known.spared || spared,
+      changedAt: now,
+    });
+  }
+
+  /** Returns the crashes of other targets within the window. */
+  #listRecent(target: TargetId, now: MonotonicTime): readonly RecentCrash[] {
+    this.#recentCrashes = this.#recentCrashes
+      .filter((crash) => now - crash.at < COMMON_FAILURE_WINDOW);
+    return this.#recentCrashes.filter((crash) => crash.target !== target);
+  }
+
+  #isSuspect(digest: BodyDigest, now: MonotonicTime): boolean {
+    return (this.#readEntry(digest, now)?.crashes.size ?? 0) > 0;
+  }
+
+  #readEntry(digest: BodyDigest, now: MonotonicTime): Entry | undefined {
+    const entry = this.#entries.get(digest);
+    return entry === undefined || isOld(entry, now) ? undefined : entry;
+  }
+
+  #dropRunning(digest: BodyDigest, target: TargetId): void {
+    const digests = this.#running.get(target);
+    const count = digests?.get(digest);
+    if (digests === undefined || count === undefined) return;
+    if (count > 1) digests.set(digest, count - 1);
+    else digests.delete(digest);
+    if (digests.size === 0) this.#running.delete(target);
+  }
+
+  #put(entry: Entry): void {
+    this.#entries.delete(entry.digest);
+    this.#entries.set(entry.digest, entry);
+    if (this.#entries.size > MOST_ENTRIES) this.#dropOne();
+  }
+
+  /** Makes room: the oldest mere suspect goes first. */
+  #dropOne(): void {
+    for (const entry of this.#entries.values()) {
+      if (isQuarantinedEntry(entry)) continue;
+      this.#entries.delete(entry.digest);
+      return;
+    }
+    const [oldest] = this.#entries.keys();
+    if (oldest !== undefined) this.#entries.delete(oldest);
+  }
+}
+
+/** A digest that ran at another lost target may itself be the common cause. */
+function isCommonFailure(
+  digest: BodyDigest,
+  others: readonly RecentCrash[],
+): boolean {
+  if (others.some((crash) => crash.digests.includes(digest))) return false;
+  const targets = new Set(others.map((crash) => crash.target));
+  return targets.size + 1 >= COMMON_FAILURE_TARGETS;
+}
+
+function createEntry(digest: BodyDigest, now: MonotonicTime): Entry {
+  return {
+    digest,
+    release: 0,
+    crashes: new Map(),
+    spared: false,
+    changedAt: now,
+  };
+}
+
+function isQuarantinedEntry(entry: Entry): boolean {
+  return entry.crashes.size >= CRASHES_TO_QUARANTINE;
+}
+
+function isOld(entry: Entry, now: MonotonicTime): boolean {
+  const age = now - entry.changedAt;
+  if (isQuarantinedEntry(entry)) return age > QUARANTINE_AGE;
+  return age > (entry.release > 0 ? RELEASE_AGE : SUSPECT_AGE);
+}
+
+function describeEntry(entry: Entry, now: MonotonicTime): QuarantineWord {
+  return {
+    digest: entry.digest,
+    release: entry.release,
+    crashes: [...entry.crashes].map(([target, at]) => ({
+      target,
+      age: now - at,
+    })),
+    quarantined: isQuarantinedEntry(entry),
+    age: now - entry.changedAt,
+  };
+}
