Serve a request from one end to the other

Cause: nothing served a caller yet. Change: the daemon with its callers' and operators' faces, escrow on exchanges with the table, bills that are durable before an answer ends, claims before calls that may not be repeated, resume of a broken stream at its position, and a demo over real sockets. The demo found that an aborted call on a pooled connection ended the process, and that a resumed stream's usage was counted twice; both are mended.

--- /dev/null
+++ b/packages/cli/demo/run_demo.ts
@@ -0,0 +1,221 @@
+/**
+ * The demo: a handful of requests through two entry VMs, and a check of every
+ * promise that they show.
+ */
+import { createHash } from "node:crypto";
+import Table from "cli-table3";
+import { computeBudgetLeft, parseBudgetRow } from "../../budget/mod.ts";
+import { BILL_BATCH_PREFIX, collectBills } from "../../request/mod.ts";
+import { computePiece } from "../../stand_ins/mod.ts";
+import { callEntry, type DemoAnswer, readStreamText } from "./demo_caller.ts";
+import { BUDGET_TOKENS, type DemoFleet, startDemoFleet } from "./demo_fleet.ts";
+
+/** One promise and whether the demo saw it hold. */
+interface DemoCheck {
+  readonly promise: string;
+  readonly held: boolean;
+}
+
+/** One request and what its caller saw. */
+interface DemoStep {
+  readonly request: string;
+  readonly answer: DemoAnswer;
+}
+
+const BRIEFING_TOKENS = 60;
+const MAX_SCAN_ROWS = 1_000;
+
+/** Runs the demo; returns true when every promise that it shows held. */
+export async function runDemo(
+  print: (line: string) => void,
+): Promise<boolean> {
+  const fleet = await startDemoFleet();
+  try {
+    const steps = await runSteps(fleet);
+    const checks = await checkPromises(fleet, steps);
+    printSteps(print, steps);
+    await printBooks(print, fleet);
+    printChecks(print, checks);
+    return checks.every((check) => check.held);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function runSteps(fleet: DemoFleet): Promise<DemoStep[]> {
+  const [first, second] = fleet.daemons.map((daemon) => daemon.callerAddress);
+  const call = async (
+    request: string,
+    input: { address?: string | undefined; kind: string; key: string },
+  ): Promise<DemoStep> => ({
+    request,
+    answer: await callEntry({
+      address: input.address ?? "",
+      kind: input.kind,
+      requestKey: input.key,
+      body: createBody(input.kind, input.key.replace(/-again$/, "")),
+    }),
+  });
+  const steps = [
+    await call("long briefing, streamed", {
+      address: first,
+      kind: "briefing",
+      key: "b-1",
+    }),
+    await call("chat reply", { address: second, kind: "reply", key: "r-1" }),
+    await call("booking", { address: first, kind: "booking", key: "k-1" }),
+    await call("the same booking at the other VM", {
+      address: second,
+      kind: "booking",
+      key: "k-1",
+    }),
+    await call("request past the budget", {
+      address: first,
+      kind: "marathon",
+      key: "m-1",
+    }),
+  ];
+  // Each engine breaks its next stream in mid-answer, as a dying target does.
+  fleet.engines[0]?.breakAfter(BRIEFING_TOKENS / 2);
+  fleet.engines[1]?.breakAfter(BRIEFING_TOKENS / 2);
+  steps.push(
+    await call("briefing while its target dies", {
+      address: second,
+      kind: "briefing",
+      key: "b-2",
+    }),
+  );
+  return steps;
+}
+
+function createBody(kind: string, key: string): unknown {
+  if (kind === "booking") return { companion: "Almaz", gate: 4 };
+  return {
+    model: "stand-in",
+    stream: true,
+    messages: [{ role: "user", content: `Please plan the arrival. ${key}` }],
+  };
+}
+
+async function checkPromises(
+  fleet: DemoFleet,
+  steps: readonly DemoStep[],
+): Promise<DemoCheck[]> {
+  const [briefing, reply, booking, again, past, broken] = steps.map((step) =>
+    step.answer
+  );
+  const bills = await readBills(fleet);
+  const budget = readBudget(fleet);
+  const identities = bills.map((bill) => `${bill.customer}/${bill.requestKey}`);
+  return [
+    {
+      promise: "every admitted request got its whole answer",
+      held: isWhole(briefing, "b-1") && isWhole(broken, "b-2") &&
+        reply?.outcome === "ran",
+    },
+    {
+      promise: "a booking sent twice ran once and gave one answer",
+      held: fleet.booking.readRuns().get("k-1") === 1 &&
+        booking?.text === again?.text && again?.status === 200,
+    },
+    {
+      promise: "a request told that it was not run was not run",
+      held: past?.outcome === "not-run" && past.status === 402 &&
+        !identities.some((identity) => identity.endsWith("/m-1")),
+    },
+    {
+      promise: "each request was billed exactly once",
+      held: identities.length === 4 && new Set(identities).size === 4,
+    },
+    {
+      promise: "spent and granted tokens stay within the budget",
+      held: budget.limit === BUDGET_TOKENS && computeBudgetLeft(budget) >= 0,
+    },
+  ];
+}
+
+function isWhole(answer: DemoAnswer | undefined, key: string): boolean {
+  if (answer === undefined || answer.outcome !== "ran") return false;
+  const body = createBody("briefing", key) as { messages: unknown };
+  const digest = createHash("sha256").update(JSON.stringify(body.messages))
+    .digest("hex");
+  const pieces = Array.from(
+    { length: BRIEFING_TOKENS },
+    (_, position) => computePiece(digest, position),
+  );
+  return readStreamText(answer.text) === pieces.join("");
+}
+
+async function readBills(fleet: DemoFleet) {
+  const page = await fleet.table.table.scan(BILL_BATCH_PREFIX, {
+    limit: MAX_SCAN_ROWS,
+  });
+  return collectBills(page.unsafeCoerce().rows);
+}
+
+function readBudget(fleet: DemoFleet) {
+  const row = fleet.table.table.peek("budget/tour-arrival");
+  return parseBudgetRow(row?.value ?? null).unsafeCoerce();
+}
+
+function printSteps(
+  print: (line: string) => void,
+  steps: readonly DemoStep[],
+): void {
+  const table = new Table({
+    head: ["request", "status", "outcome", "answer"],
+    style: { head: [], border: [] },
+  });
+  for (const { request, answer } of steps) {
+    table.push([
+      request,
+      answer.status,
+      answer.outcome,
+      describeText(answer),
+    ]);
+  }
+  print("What the caller saw");
+  print(table.toString());
+}
+
+const MAX_SHOWN_CHARACTERS = 60;
+
+function describeText(answer: DemoAnswer): string {
+  const text = answer.text.startsWith("data:")
+    ? `${readStreamText(answer.text).trim().split(" ").length} words`
+    : answer.text;
+  return text.length > MAX_SHOWN_CHARACTERS
+    ? `${text.slice(0, MAX_SHOWN_CHARACTERS)}...`
+    : text;
+}
+
+async function printBooks(
+  print: (line: string) => void,
+  fleet: DemoFleet,
+): Promise<void> {
+  const bills = new Table({
+    head: ["billed request", "kind", "tokens"],
+    style: { head: [], border: [] },
+  });
+  for (const bill of await readBills(fleet)) {
+    bills.push([bill.requestKey, bill.kind, bill.tokens]);
+  }
+  print("What was billed");
+  print(bills.toString());
+  const budget = readBudget(fleet);
+  const left = computeBudgetLeft(budget);
+  print(
+    `Budget: limit ${budget.limit}, closed ${budget.closed}, granted ${
+      budget.limit - budget.closed - left
+    }, left ${left} tokens`,
+  );
+}
+
+function printChecks(
+  print: (line: string) => void,
+  checks: readonly DemoCheck[],
+): void {
+  for (const check of checks) {
+    print(`${check.held ? "held  " : "BROKEN"}  ${check.promise}`);
+  }
+}
--- a/packages/cli/mod.ts
+++ b/packages/cli/mod.ts
@@ -1,8 +1,26 @@
 /** The command line. */
+import process from "node:process";
 import yargs from "yargs";
+import { demoCommand } from "./commands/demo_command.ts";
+import { ExitCode } from "./exit_code.ts";
 
 /** Runs one command line and returns the exit code. */
 export async function runCommandLine(args: readonly string[]): Promise<number> {
-  await yargs(args).scriptName("anvilrail").help().strict().parseAsync();
-  return 0;
+  await yargs([...args])
+    .scriptName("anvilrail")
+    .usage("$0 COMMAND\n\nA router fleet for prepaid token budgets.")
+    .command(demoCommand)
+    .demandCommand(1, "Name a command; --help lists them.")
+    .recommendCommands()
+    .completion("completion", "print a completion script for the shell")
+    .strict()
+    .help()
+    .fail((message, error, parser) => {
+      if (error !== undefined && error !== null) throw error;
+      console.error(`${message}\n`);
+      parser.showHelp("error");
+      process.exitCode = ExitCode.BadInput;
+    })
+    .parseAsync();
+  return Number(process.exitCode ?? ExitCode.Ok);
 }
--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -62,7 +62,7 @@
     escrow,
     router,
     bills,
-    isHolderLive: () => false,
+    isLifeOver: () => false,
   });
   const undo = combineUndo([
     registerSettings(context),
--- a/packages/daemon/entry/answer_run.ts
+++ b/packages/daemon/entry/answer_run.ts
@@ -5,7 +5,7 @@
  * at its own pace, so duplicates of a request share one run and each gets the
  * whole answer.
  */
-import type { BodyDigest, Refusal } from "../../core/mod.ts";
+import type { BodyDigest, Bytes, Refusal } from "../../core/mod.ts";
 
 /** How a run ended. */
 export type RunEnd =
@@ -51,6 +51,12 @@
     return this.#chunks;
   }
 
+  /** Returns the size of the answer so far, in bytes. */
+  computeBytes(): Bytes {
+    const plain = this.#end?.type === "answered" ? this.#end.body.length : 0;
+    return this.#chunks.reduce((sum, chunk) => sum + chunk.length, plain);
+  }
+
   /** Returns how the run ended, or undefined while it goes on. */
   readEnd(): RunEnd | undefined {
     return this.#end;
--- a/packages/daemon/entry/caller_request.ts
+++ b/packages/daemon/entry/caller_request.ts
@@ -33,8 +33,3 @@
   readonly arrivedAt: MonotonicTime;
   readonly deadline: MonotonicTime;
 }
-
-/** Names a request among those in flight: customer and key. */
-export function formatFlightKey(request: CallerRequest): string {
-  return `${request.customer.id}/${request.requestKey}`;
-}
--- a/packages/daemon/entry/run_engine_request.ts
+++ b/packages/daemon/entry/run_engine_request.ts
@@ -6,6 +6,7 @@
  * position where the last one stopped.
  */
 import { randomUUID } from "node:crypto";
+import type { Either } from "purify-ts";
 import {
   type Millis,
   type Refusal,
@@ -84,14 +85,19 @@
     });
   }
 
-  #chooseTarget() {
+  /** A target that was tried is used again only when no other is left. */
+  #chooseTarget(): Either<Refusal, TargetConfig> {
     const { service, customer, digest } = this.#request;
-    return this.#services.router.choose({
-      service: service.id,
-      customer: customer.id,
-      digest,
-      tried: this.#tried,
-    });
+    const choose = (tried: readonly TargetId[]) =>
+      this.#services.router.choose({
+        service: service.id,
+        customer: customer.id,
+        digest,
+        tried,
+      });
+    return choose(this.#tried)
+      .alt(choose(this.#tried.slice(-1)))
+      .alt(choose([]));
   }
 
   /** Returns true when the run has ended. */
@@ -130,7 +136,9 @@
       digest,
       streamId,
       progressTimeout: service.progressTimeout,
-      ...(position === 0 ? {} : { resume: { streamId, position } }),
+      ...(position === 0
+        ? {}
+        : { resume: { streamId, position, tokens: this.#outputTokens } }),
       signal,
     }, (chunk) => this.#receive(chunk, cut));
   }
--- a/packages/daemon/entry/run_service_request.ts
+++ b/packages/daemon/entry/run_service_request.ts
@@ -13,6 +13,7 @@
   type Refusal,
   RefusalKind,
   Repeatability,
+  RequestOutcome,
   type TargetConfig,
   type TargetId,
 } from "../../core/mod.ts";
@@ -24,7 +25,9 @@
   ClaimState,
   createFinishClaim,
   createTakeClaim,
+  HolderState,
   type KeptAnswer,
+  planKeptAnswer,
   type TakeClaimResult,
 } from "../../request/mod.ts";
 import { LogEvent } from "../event_log.ts";
@@ -98,7 +101,7 @@
     const { writer } = this.#services.context;
     const giveUpAt = this.#request.deadline;
     const answer = await writer.run(createTakeClaim(claim), { giveUpAt });
-    return answer.caseOf<Either<RunEnd, void>>({
+    const held = answer.caseOf<Either<RunEnd | TakeClaimResult, void>>({
       Left: (error) => {
         // A claim that may have been written is released when possible.
         if (error.kind === PlatformErrorKind.AnswerLost) {
@@ -115,23 +118,24 @@
         });
       },
       Right: (result) =>
-        result.state === ClaimState.Taken
-          ? Right(undefined)
-          : Left(this.#describeHeldClaim(result)),
+        result.state === ClaimState.Taken ? Right(undefined) : Left(result),
     });
+    if (held.isRight()) return Right(undefined);
+    const result = held.extract() as TakeClaimResult | RunEnd;
+    return Left("state" in result ? await this.#describeHeld(result) : result);
   }
 
-  #describeHeldClaim(result: TakeClaimResult): RunEnd {
+  async #describeHeld(result: TakeClaimResult): Promise<RunEnd> {
     if (result.state === ClaimState.Ran && result.answer !== undefined) {
-      return createAnsweredEnd(result.answer);
+      return await this.#readAnswer(result.answer);
     }
     if (result.state === ClaimState.OtherBody) {
       const refusal = createRefusal(RefusalKind.RequestKeyReused);
       return { type: "refused", refusal };
     }
-    const live = result.holder !== undefined &&
-      this.#services.isHolderLive(result.holder);
-    const refusal = live
+    const running = result.holder !== undefined &&
+      this.#services.describeHolder(result.holder) === HolderState.Running;
+    const refusal = running
       ? createUnknown(RefusalKind.StillRunning, {
         retryAfter: STILL_RUNNING_RETRY_AFTER,
       })
@@ -139,6 +143,29 @@
     return { type: "refused", refusal };
   }
 
+  /** Returns a kept answer, from its row or from the object store. */
+  async #readAnswer(answer: KeptAnswer): Promise<RunEnd> {
+    const { status, contentType } = answer;
+    if ("bodyBase64" in answer) {
+      const body = Buffer.from(answer.bodyBase64, "base64");
+      return { type: "answered", status, contentType, body };
+    }
+    const got = await this.#services.context.objects?.get(answer.objectKey);
+    const body = got?.toMaybe().extract();
+    if (body !== undefined) {
+      return { type: "answered", status, contentType, body };
+    }
+    const refusal = {
+      ...createUnknown(RefusalKind.StillRunning, {
+        retryAfter: STORE_RETRY_AFTER,
+      }),
+      outcome: RequestOutcome.Ran,
+      message:
+        "This was done, but we cannot show its answer just now. Please ask again shortly with the same Idempotency-Key.",
+    };
+    return { type: "refused", refusal };
+  }
+
   async #runAttempts(): Promise<CallOutcome> {
     const tried: TargetId[] = [];
     let last: TargetResult | undefined;
@@ -220,18 +247,35 @@
 
   /** Writes how the call ended; the writer goes on until that is durable. */
   async #finishClaim(claim: ClaimInput, outcome: CallOutcome): Promise<void> {
-    const { writer, log } = this.#services.context;
-    const end = createClaimEnd(outcome, this.#request.kind.flatTokens);
-    if (end === undefined) return;
-    const written = writer.run(createFinishClaim(claim, end), {
-      giveUpAt: Infinity,
-    });
-    const inTime = await this.#services.waitBriefly(written);
+    const { log } = this.#services.context;
+    const inTime = await this.#services.waitBriefly(
+      this.#writeClaimEnd(claim, outcome),
+    );
     if (!inTime) {
       log.warn(LogEvent.ClaimUnfinished, { request_key: claim.requestKey });
     }
   }
 
+  async #writeClaimEnd(claim: ClaimInput, outcome: CallOutcome): Promise<void> {
+    const end = await this.#createClaimEnd(claim, outcome);
+    const operation = createFinishClaim(claim, end);
+    await this.#services.context.writer.run(operation, { giveUpAt: Infinity });
+  }
+
+  async #createClaimEnd(
+    claim: ClaimInput,
+    outcome: CallOutcome,
+  ): Promise<ClaimEnd> {
+    if (outcome.type !== "ran") return { state: outcome.type };
+    const { status = 502, contentType = "", body } = outcome.result;
+    const plan = planKeptAnswer(claim, { status, contentType, body });
+    if (plan.object !== undefined) {
+      await this.#services.putObject(plan.object);
+    }
+    const tokens = this.#request.kind.flatTokens;
+    return { state: "ran", answer: plan.answer, tokens };
+  }
+
   async #finish(outcome: CallOutcome): Promise<void> {
     if (outcome.type === "ran") {
       const { kind } = this.#request;
@@ -245,31 +289,3 @@
     this.#run.finish({ type: "refused", refusal });
   }
 }
-
-function createAnsweredEnd(answer: KeptAnswer): RunEnd {
-  return {
-    type: "answered",
-    status: answer.status,
-    contentType: answer.contentType,
-    body: Buffer.from(answer.bodyBase64, "base64"),
-  };
-}
-
-/** A call whose outcome is unknown leaves its claim open for good. */
-function createClaimEnd(
-  outcome: CallOutcome,
-  tokens: number,
-): ClaimEnd | undefined {
-  if (outcome.type === "unknown") return undefined;
-  if (outcome.type === "not-run") return { state: "not-run" };
-  const { status = 502, contentType = "", body } = outcome.result;
-  return {
-    state: "ran",
-    answer: {
-      status,
-      contentType,
-      bodyBase64: Buffer.from(body).toString("base64"),
-    },
-    tokens,
-  };
-}
--- a/packages/daemon/entry/run_services.ts
+++ b/packages/daemon/entry/run_services.ts
@@ -1,6 +1,10 @@
 /** What the run of a request uses of the daemon. */
 import type { Tokens } from "../../core/mod.ts";
-import type { ClaimInput } from "../../request/mod.ts";
+import type {
+  ClaimHolder,
+  ClaimInput,
+  HolderState,
+} from "../../request/mod.ts";
 import type { Escrow } from "../features/escrow.ts";
 import type { TargetRouter } from "../features/target_router.ts";
 import type { NodeContext } from "../node_context.ts";
@@ -15,10 +19,12 @@
   addBill(request: CallerRequest, tokens: Tokens): Promise<void>;
   /** Returns a claim of the request by a new attempt of this VM. */
   createClaim(request: CallerRequest): ClaimInput;
-  /** Says whether the VM life that holds a claim may still finish it. */
-  isHolderLive(
-    holder: { readonly vm: string; readonly incarnation: string },
-  ): boolean;
+  /** Says whether the attempt that holds a claim may still finish it. */
+  describeHolder(holder: ClaimHolder): HolderState;
+  /** Stores an object, trying again until it is stored. */
+  putObject(
+    object: { readonly key: string; readonly body: Uint8Array },
+  ): Promise<void>;
   /** Resolves true when the promise does within a short bound, else false. */
   waitBriefly(promise: Promise<unknown>): Promise<boolean>;
 }
--- a/packages/platform/http_client.ts
+++ b/packages/platform/http_client.ts
@@ -65,7 +65,12 @@
       method: input.method,
       headers: { "content-length": String(length), ...input.headers },
       ...(input.agent === undefined ? {} : { agent: input.agent }),
-      ...(input.signal === undefined ? {} : { signal: input.signal }),
+    });
+    // Node's own signal option leaves a pooled socket without an error handler.
+    const cancel = () => outgoing.destroy(new Error("cancelled"));
+    input.signal?.addEventListener("abort", cancel, { once: true });
+    outgoing.on("close", () => {
+      input.signal?.removeEventListener("abort", cancel);
     });
     outgoing.on("socket", (socket) => {
       // A pooled socket is connected already.
@@ -77,7 +82,11 @@
       () => outgoing.destroy(new Error(`silent for ${input.idleTimeout} ms`)),
     );
     outgoing.on("error", (error) => fail(describeError(error)));
-    outgoing.on("response", (incoming) => resolve(Right(incoming)));
+    outgoing.on("response", (incoming) => {
+      // A reader that has left must not turn a late error into a crash.
+      incoming.on("error", () => {});
+      resolve(Right(incoming));
+    });
     outgoing.end(input.body);
   });
 }
--- a/packages/platform/http_targets.ts
+++ b/packages/platform/http_targets.ts
@@ -166,6 +166,8 @@
     this.#call = call;
     this.#sink = sink;
     this.#position = call.resume?.position ?? 0;
+    // An engine counts a resumed stream from its beginning.
+    this.#outputTokens = call.resume?.tokens ?? 0;
   }
 
   async read(incoming: IncomingMessage): Promise<TargetResult> {
--- a/packages/platform/target_port.ts
+++ b/packages/platform/target_port.ts
@@ -37,7 +37,12 @@
   /** Longest silence before the attempt counts as broken, in milliseconds. */
   readonly progressTimeout: Millis;
   /** Continue a stream of this id after this many chunks; engines only. */
-  readonly resume?: { readonly streamId: string; readonly position: number };
+  readonly resume?: {
+    readonly streamId: string;
+    readonly position: number;
+    /** Tokens in the chunks before the position. */
+    readonly tokens: Tokens;
+  };
   /** Names the stream at the engine, for cancel and resume; absent for services. */
   readonly streamId?: string;
   /** Aborting it closes the attempt's connection. */
