Keep the document in rows that a change moves little of

A section of tens of thousands of entries must not be rewritten for one change. Its text is cut into a skeleton and entries; entries lie in chunks whose ends depend on the entry alone and whose rows are named by their content, so chunks are written once and shared by all versions. A change id is applied once; a lost answer is read back from its receipt. Rollback submits the old text as a new version. Followers apply carried edits, or read the chunks that they lack, from the table or from a peer's memory by the same steps.

--- /dev/null
+++ b/packages/document/document_state.ts
@@ -0,0 +1,41 @@
+/** The whole document as one VM knows it: texts, indexes and what is in force. */
+import type { FleetConfiguration, TeamId } from "../core/mod.ts";
+import {
+  computeConfiguration,
+  createFleetIndex,
+  type FleetIndex,
+} from "./fleet_index.ts";
+import type { SectionState } from "./section_state.ts";
+import { TrieMap } from "./trie_map.ts";
+
+/** Immutable snapshot of the document. */
+export interface DocumentState {
+  /** Rises by one with each accepted change; 0 before the first. */
+  readonly version: number;
+  readonly sections: TrieMap<SectionState>;
+  readonly index: FleetIndex;
+  readonly configuration: FleetConfiguration;
+}
+
+/** Returns the document before its first change. */
+export function createDocumentState(): DocumentState {
+  return createState(0, TrieMap.createEmpty(), createFleetIndex());
+}
+
+/** Returns a state with the configuration that its index stands for. */
+export function createState(
+  version: number,
+  sections: TrieMap<SectionState>,
+  index: FleetIndex,
+): DocumentState {
+  const configuration = computeConfiguration(index, version);
+  return { version, sections, index, configuration };
+}
+
+/** Returns the version of a section; 0 when it does not exist. */
+export function readSectionVersion(
+  state: DocumentState,
+  section: TeamId,
+): number {
+  return state.sections.get(section)?.version ?? 0;
+}
--- a/packages/document/mod.ts
+++ b/packages/document/mod.ts
@@ -1,2 +1,54 @@
 /** The operators' document: sections of teams, versions, and what they mean. */
-export { parseDocument } from "./queries/parse_document.ts";
+export {
+  parseDocument,
+  parseDocumentSections,
+} from "./queries/parse_document.ts";
+export type { SectionInput } from "./queries/parse_document.ts";
+export type { EntryEdit, ValueEdit } from "./commands/change_section.ts";
+export type { DocumentState } from "./document_state.ts";
+export { createDocumentState, readSectionVersion } from "./document_state.ts";
+export { FLEET_SECTION } from "./fleet_index.ts";
+export type {
+  DocumentPage,
+  DocumentReader,
+  RecentChanges,
+} from "./follow/document_reader.ts";
+export {
+  addRecentChange,
+  MAX_RECENT_CHANGES,
+  StateReader,
+} from "./follow/document_reader.ts";
+export type { LoadedDocument } from "./follow/load_document.ts";
+export {
+  applyCarriedChange,
+  loadDocument,
+  readHead,
+  readHistory,
+  readReceipt,
+} from "./follow/load_document.ts";
+export type { BudgetFacts } from "./queries/describe_effects.ts";
+export { describeEffects } from "./queries/describe_effects.ts";
+export type {
+  ChangeInput,
+  ChangePlan,
+  ChangeRefusal,
+  EntryDifference,
+  SectionEdit,
+} from "./queries/plan_change.ts";
+export { ChangeRefusalKind, planChange } from "./queries/plan_change.ts";
+export type { CommitResult } from "./rows/commit_change.ts";
+export {
+  CommitState,
+  createChunkWrites,
+  createCommitChange,
+} from "./rows/commit_change.ts";
+export type { ChangeRow, Receipt } from "./rows/row_schemas.ts";
+export { formatSection } from "./section_state.ts";
+export type { SubmitPorts, SubmitResult } from "./submit_change.ts";
+export {
+  readSectionText,
+  submitChange,
+  submitRollback,
+  SubmitState,
+} from "./submit_change.ts";
+export { Container } from "./text/section_parts.ts";
--- /dev/null
+++ b/packages/document/section_state.ts
@@ -0,0 +1,122 @@
+/**
+ * The text of one section, kept so that a change moves only what it changes.
+ *
+ * Entries lie in chunks. Where a chunk ends depends on the entry at its end
+ * alone, so the chunks of a list of entries are the same on every VM, whatever
+ * changes led to it, and a change of one entry touches one or two chunks. A
+ * chunk's id is a digest of its content: a chunk row is written once, never
+ * changed, and shared by all versions that have it.
+ */
+import { createHash } from "node:crypto";
+import type { Either } from "purify-ts";
+import { computeHash } from "../core/mod.ts";
+import type { ScanFault } from "./text/members.ts";
+import {
+  Container,
+  type Entry,
+  formatSectionParts,
+  type SectionParts,
+} from "./text/section_parts.ts";
+
+/** Some entries of a container that stand side by side. */
+export interface Chunk {
+  /** Digest of the entries, in hexadecimal. */
+  readonly id: string;
+  readonly entries: readonly Entry[];
+  readonly keys: ReadonlySet<string>;
+}
+
+/** The text of one section at one of its versions. */
+export interface SectionState {
+  /** Rises by one with each change of this section. */
+  readonly version: number;
+  readonly skeleton: string;
+  readonly containers: ReadonlyMap<Container, readonly Chunk[]>;
+}
+
+/** Usual length of a chunk's entries, in characters. */
+export const USUAL_CHUNK_LENGTH = 16_384;
+
+const ID_LENGTH = 32;
+
+/** Returns a section with the given text in parts. */
+export function createSectionState(
+  parts: SectionParts,
+  version: number,
+): SectionState {
+  const containers = new Map<Container, readonly Chunk[]>();
+  for (const [container, entries] of parts.entries) {
+    const plain = entries.map(({ key, text }) => ({ key, text }));
+    containers.set(container, createChunks(plain));
+  }
+  return { version, skeleton: parts.skeleton, containers };
+}
+
+/** Returns the section's text. */
+export function formatSection(
+  section: SectionState,
+): Either<ScanFault, string> {
+  return formatSectionParts(
+    section.skeleton,
+    (container) => listEntries(section, container),
+  );
+}
+
+/** Returns the entries of a container in the text's order. */
+export function listEntries(
+  section: SectionState,
+  container: Container,
+): readonly Entry[] {
+  const chunks = section.containers.get(container) ?? [];
+  return chunks.flatMap((chunk) => chunk.entries);
+}
+
+/** Returns the chunks of a list of entries. */
+export function createChunks(entries: readonly Entry[]): Chunk[] {
+  const chunks: Chunk[] = [];
+  let open: Entry[] = [];
+  for (const entry of entries) {
+    open.push(entry);
+    if (!isChunkEnd(entry)) continue;
+    chunks.push(createChunk(open));
+    open = [];
+  }
+  if (open.length > 0) chunks.push(createChunk(open));
+  return chunks;
+}
+
+/** Returns a chunk with its id. */
+export function createChunk(entries: readonly Entry[]): Chunk {
+  const content = JSON.stringify(entries.map(({ key, text }) => [key, text]));
+  const digest = createHash("sha256").update(content).digest("hex");
+  const keys = new Set(entries.map((entry) => entry.key));
+  return { id: digest.slice(0, ID_LENGTH), entries, keys };
+}
+
+/** Returns the digest of everything a section holds. */
+export function computeSectionDigest(section: SectionState): string {
+  const hash = createHash("sha256").update(section.skeleton);
+  for (const container of Object.values(Container)) {
+    const chunks = section.containers.get(container);
+    if (chunks === undefined) continue;
+    hash.update(`\n${container}`);
+    for (const chunk of chunks) hash.update(chunk.id);
+  }
+  return hash.digest("hex").slice(0, ID_LENGTH);
+}
+
+/** Says whether a chunk ends after an entry; long entries end more often. */
+export function isChunkEnd(entry: Entry): boolean {
+  return computeHash(entry.key) % USUAL_CHUNK_LENGTH < entry.text.length;
+}
+
+/** Returns the entry of a container with a key. */
+export function findSectionEntry(
+  section: SectionState,
+  container: Container,
+  key: string,
+): Entry | undefined {
+  const chunk = section.containers.get(container)
+    ?.find((each) => each.keys.has(key));
+  return chunk?.entries.find((entry) => entry.key === key);
+}
