--- a/packages/bench/mod.ts
+++ b/packages/bench/mod.ts
@@ -1,5 +1,7 @@
 /** Seeded load and fault experiments with reports. */
 export { EXPERIMENTS } from "./experiments.ts";
 export type { Experiment, Figures, Goal } from "./report/experiment.ts";
+export { formatFigure, formatGoal } from "./report/markdown.ts";
 export type { ExperimentRun } from "./report/result.ts";
 export { runExperiment } from "./report/result.ts";
+export { writeReports } from "./report/write_reports.ts";
--- /dev/null
+++ b/packages/bench/report/write_reports.ts
@@ -0,0 +1,29 @@
+/** Writes runs as JSON, their report as Markdown and their plots as SVG. */
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { formatPlotName, formatReport } from "./markdown.ts";
+import { formatPlot } from "./plot.ts";
+import type { ExperimentRun } from "./result.ts";
+
+/** Writes everything into a directory and returns the files' paths. */
+export async function writeReports(
+  runs: readonly ExperimentRun[],
+  directory: string,
+): Promise<string[]> {
+  await mkdir(directory, { recursive: true });
+  const files = new Map<string, string>();
+  for (const run of runs) {
+    files.set(`${run.experiment}.json`, `${JSON.stringify(run, null, 2)}\n`);
+    for (const plot of run.figures.plots ?? []) {
+      files.set(formatPlotName(run, plot.name), await formatPlot(plot));
+    }
+  }
+  files.set("report.md", formatReport(runs));
+  const paths: string[] = [];
+  for (const [name, text] of files) {
+    const path = join(directory, name);
+    await writeFile(path, text);
+    paths.push(path);
+  }
+  return paths;
+}
