--- /dev/null
+++ b/packages/bench/capacity/measure_calls.ts
@@ -0,0 +1,85 @@
+/** Processor time and allocations of single calls. */
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+
+/** What one call costs. */
+export interface CallCost {
+  /** Median over batches, in microseconds. */
+  readonly micros: number;
+  /** Bytes allocated on the heap. */
+  readonly bytes: number;
+}
+
+const MICROS_PER_MILLI = 1_000;
+const BATCHES = 15;
+const BATCH_MILLIS = 4;
+
+/** Bytes that may be allocated between two collections and be counted. */
+const COUNTED_BYTES = 4_000_000;
+
+/** Calls a function until it is compiled, then measures batches of calls. */
+export function measureCalls(call: () => unknown): CallCost {
+  const calls = findBatchSize(call);
+  const times = Array.from({ length: BATCHES }, () => measureTime(call, calls));
+  const micros = computeMedian(times) * MICROS_PER_MILLI / calls;
+  return { micros, bytes: measureBytes(call) };
+}
+
+/** Returns the resident memory after a collection, in bytes of the heap. */
+export function measureHeap(): number {
+  collectGarbage();
+  return process.memoryUsage().heapUsed;
+}
+
+/** Returns the median of some numbers; 0 when there are none. */
+export function computeMedian(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[sorted.length >> 1] ?? 0;
+}
+
+function findBatchSize(call: () => unknown): number {
+  let calls = 8;
+  for (;;) {
+    const time = measureTime(call, calls);
+    if (time >= BATCH_MILLIS) return calls;
+    calls = Math.ceil(calls * Math.min(8, BATCH_MILLIS * 1.2 / (time + 0.01)));
+  }
+}
+
+function measureTime(call: () => unknown, calls: number): number {
+  const start = performance.now();
+  for (let count = 0; count < calls; count++) call();
+  return performance.now() - start;
+}
+
+function measureBytes(call: () => unknown): number {
+  let calls = 1;
+  for (;;) {
+    const bytes = measureHeapGrowth(call, calls);
+    if (bytes >= COUNTED_BYTES / 2 || calls >= 20_000) {
+      const samples = Array.from(
+        { length: BATCHES },
+        () => measureHeapGrowth(call, calls) / calls,
+      );
+      return Math.max(0, Math.round(computeMedian(samples)));
+    }
+    calls *= 2;
+  }
+}
+
+function measureHeapGrowth(call: () => unknown, calls: number): number {
+  collectGarbage();
+  const before = process.memoryUsage().heapUsed;
+  for (let count = 0; count < calls; count++) call();
+  return process.memoryUsage().heapUsed - before;
+}
+
+let collector: (() => void) | undefined;
+
+function collectGarbage(): void {
+  if (collector === undefined) {
+    setFlagsFromString("--expose-gc");
+    collector = runInNewContext("gc") as () => void;
+  }
+  collector();
+}
--- /dev/null
+++ b/packages/bench/data_plane/data_plane_experiment.ts
@@ -0,0 +1,263 @@
+/**
+ * What the entry adds to requests and streams over loopback, against a bare
+ * Node.js pass-through in the same run.
+ */
+import { computeMedian } from "../capacity/measure_calls.ts";
+import {
+  createAtLeastGoal,
+  createAtMostGoal,
+  type Experiment,
+  type ExperimentOptions,
+  type FigureTable,
+  type Goal,
+} from "../report/experiment.ts";
+import {
+  type LoadResult,
+  runClosedLoop,
+  runOpenLoop,
+} from "./load_generator.ts";
+import { ENTRY, type LoadPath, PASS_THROUGH, startPaths } from "./paths.ts";
+
+/** One measurement that every path goes through. */
+interface PathRun {
+  readonly title: string;
+  readonly run: (path: LoadPath) => Promise<LoadResult>;
+  /** Compares the entry with the pass-through. */
+  readonly createGoals: (entry: PathFigures, base: PathFigures) => Goal[];
+}
+
+/** What one path gave in one measurement, medians over the rounds. */
+interface PathFigures {
+  readonly path: string;
+  readonly perSecond: number;
+  readonly chunksPerSecond: number;
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+  readonly chunkP50: number;
+  readonly chunkP95: number;
+  readonly busy: number;
+  readonly failures: number;
+}
+
+const FULL_ROUNDS = 3;
+const CALLS_PER_SECOND = 200;
+const CONNECTIONS = 64;
+const PACED_STREAMS = 50;
+const PACED_CHUNKS = 40;
+const CHUNK_PAUSE = 20;
+const FAST_STREAMS = 16;
+const FAST_CHUNKS = 200;
+
+/** The experiment as `anvilrail bench` runs it. */
+export const dataPlaneExperiment: Experiment = {
+  name: "data-plane",
+  description:
+    "Added latency, throughput of calls and of streamed chunks, against a bare Node.js pass-through",
+  quick: true,
+  run: runDataPlane,
+};
+
+async function runDataPlane(options: ExperimentOptions) {
+  const millis = options.quick ? 500 : 3_000;
+  const rounds = options.quick ? 1 : FULL_ROUNDS;
+  const paths = await startPaths();
+  try {
+    const tables: FigureTable[] = [];
+    const goals: Goal[] = [];
+    for (const each of createRuns(millis)) {
+      options.log(each.title);
+      const figures = await measurePaths(paths.list, each, rounds);
+      tables.push(createTable(each.title, figures));
+      goals.push(...createGoals(each, figures));
+    }
+    return { tables, goals };
+  } finally {
+    await paths.stop();
+  }
+}
+
+function createRuns(millis: number): readonly PathRun[] {
+  return [
+    {
+      title: `calls at ${CALLS_PER_SECOND} a second`,
+      run: (path) =>
+        runOpenLoop(path.createCalls(), {
+          perSecond: CALLS_PER_SECOND,
+          millis,
+        }),
+      createGoals: createLatencyGoals,
+    },
+    {
+      title: `calls without pause over ${CONNECTIONS} connections`,
+      run: (path) =>
+        runClosedLoop(path.createCalls(), { connections: CONNECTIONS, millis }),
+      createGoals: (entry, base) => [
+        createAtLeastGoal("calls/s as a share of the pass-through's", {
+          bound: 0.6,
+          unit: "",
+          value: entry.perSecond / base.perSecond,
+        }),
+      ],
+    },
+    {
+      title: `${PACED_STREAMS} streams, a chunk each ${CHUNK_PAUSE} ms`,
+      run: (path) =>
+        runClosedLoop(path.createStreams(PACED_CHUNKS, CHUNK_PAUSE), {
+          connections: PACED_STREAMS,
+          millis,
+        }),
+      createGoals: createChunkGoals,
+    },
+    {
+      title: `${FAST_STREAMS} streams without pause`,
+      run: (path) =>
+        runClosedLoop(path.createStreams(FAST_CHUNKS, 0), {
+          connections: FAST_STREAMS,
+          millis,
+        }),
+      createGoals: (entry, base) => [
+        createAtLeastGoal("chunks/s as a share of the pass-through's", {
+          bound: 0.7,
+          unit: "",
+          value: entry.chunksPerSecond / base.chunksPerSecond,
+        }),
+      ],
+    },
+  ];
+}
+
+/** Runs the paths in turn, several times, so that drift meets all alike. */
+async function measurePaths(
+  paths: readonly LoadPath[],
+  { run }: PathRun,
+  rounds: number,
+): Promise<PathFigures[]> {
+  const results = new Map<string, PathFigures[]>();
+  for (let round = 0; round <= rounds; round++) {
+    for (const path of paths) {
+      await path.middle?.readUsage({ collect: false });
+      const result = await run(path);
+      const usage = await path.middle?.readUsage({ collect: false });
+      // The first round warms the code up.
+      if (round === 0) continue;
+      const figures = computeFigures(path.name, result, usage?.busy ?? 0);
+      results.set(path.name, [...results.get(path.name) ?? [], figures]);
+    }
+  }
+  return [...results.values()].map(computeMedians);
+}
+
+function computeFigures(
+  path: string,
+  result: LoadResult,
+  busy: number,
+): PathFigures {
+  const latency = result.latency.readSummary();
+  const chunk = result.chunkLatency.readSummary();
+  return {
+    path,
+    perSecond: result.requests / result.seconds,
+    chunksPerSecond: result.chunks / result.seconds,
+    p50: latency.p50,
+    p95: latency.p95,
+    p99: latency.p99,
+    chunkP50: chunk.p50,
+    chunkP95: chunk.p95,
+    busy,
+    failures: result.failures,
+  };
+}
+
+function computeMedians(rounds: readonly PathFigures[]): PathFigures {
+  const pick = (read: (figures: PathFigures) => number) =>
+    computeMedian(rounds.map(read));
+  return {
+    path: rounds[0]!.path,
+    perSecond: pick((each) => each.perSecond),
+    chunksPerSecond: pick((each) => each.chunksPerSecond),
+    p50: pick((each) => each.p50),
+    p95: pick((each) => each.p95),
+    p99: pick((each) => each.p99),
+    chunkP50: pick((each) => each.chunkP50),
+    chunkP95: pick((each) => each.chunkP95),
+    busy: pick((each) => each.busy),
+    failures: rounds.reduce((sum, each) => sum + each.failures, 0),
+  };
+}
+
+function createTable(
+  title: string,
+  figures: readonly PathFigures[],
+): FigureTable {
+  return {
+    name: "paths",
+    title,
+    columns: [
+      "path",
+      "requests/s",
+      "chunks/s",
+      "p50 (ms)",
+      "p95 (ms)",
+      "p99 (ms)",
+      "chunk p50 (ms)",
+      "chunk p95 (ms)",
+      "busy share of its core",
+      "failures",
+    ],
+    rows: figures.map((each) => [
+      each.path,
+      each.perSecond,
+      each.chunksPerSecond,
+      each.p50,
+      each.p95,
+      each.p99,
+      each.chunkP50,
+      each.chunkP95,
+      each.busy,
+      each.failures,
+    ]),
+  };
+}
+
+function createGoals(run: PathRun, figures: readonly PathFigures[]): Goal[] {
+  const entry = figures.find((each) => each.path === ENTRY);
+  const base = figures.find((each) => each.path === PASS_THROUGH);
+  if (entry === undefined || base === undefined) return [];
+  const failures = createAtMostGoal(`failed requests: ${run.title}`, {
+    bound: 0,
+    unit: "",
+    value: entry.failures,
+  });
+  return [...run.createGoals(entry, base), failures];
+}
+
+function createLatencyGoals(entry: PathFigures, base: PathFigures): Goal[] {
+  return [
+    createAtMostGoal("added latency of a call, p50", {
+      bound: 1,
+      unit: "ms",
+      value: entry.p50 - base.p50,
+    }),
+    createAtMostGoal("added latency of a call, p95", {
+      bound: 3,
+      unit: "ms",
+      value: entry.p95 - base.p95,
+    }),
+  ];
+}
+
+function createChunkGoals(entry: PathFigures, base: PathFigures): Goal[] {
+  return [
+    createAtMostGoal("added latency of a chunk, p50", {
+      bound: 1,
+      unit: "ms",
+      value: entry.chunkP50 - base.chunkP50,
+    }),
+    createAtMostGoal("added latency of a chunk, p95", {
+      bound: 3,
+      unit: "ms",
+      value: entry.chunkP95 - base.chunkP95,
+    }),
+  ];
+}
--- /dev/null
+++ b/packages/bench/data_plane/lean_target.ts
@@ -0,0 +1,89 @@
+/**
+ * A target that does as little as possible: it streams ready-made chunks, each
+ * with the time at which it was sent, or answers a small call at once.
+ *
+ * A request chooses the stream by its query or, when an entry stands between
+ * that knows no query, by the text `chunks=N pause=MS` in its prompt.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { setTimeout as wait } from "node:timers/promises";
+
+const STREAM_ORDER = /chunks=(\d+) pause=(\d+)/;
+
+const CALL_ANSWER = JSON.stringify({ confirmation: "c-1", bytes: 0 });
+
+const LOAD_ANSWER = JSON.stringify({
+  running: 0,
+  queued: 0,
+  leaving: false,
+  models: [],
+});
+
+/** Creates the target's server; the caller listens. */
+export function createLeanTarget(): Server {
+  return createServer((request, response) => {
+    if (request.method === "GET") return sendText(response, LOAD_ANSWER);
+    void readText(request).then((text) => sendAnswer(response, text));
+  });
+}
+
+async function sendAnswer(
+  response: ServerResponse,
+  text: string,
+): Promise<void> {
+  const order = STREAM_ORDER.exec(text);
+  if (order === null) return sendText(response, CALL_ANSWER);
+  response.writeHead(200, { "content-type": "text/event-stream" });
+  const chunks = Number(order[1]);
+  const pause = Number(order[2]);
+  for (let index = 0; index < chunks && !response.destroyed; index++) {
+    const sent = response.write(createChunk());
+    if (!sent) await waitForDrain(response);
+    if (pause > 0) await wait(pause);
+    else await waitForTurn();
+  }
+  response.write(createLastChunk(chunks));
+  response.end("data: [DONE]\n\n");
+}
+
+/** Returns one chunk of an engine's stream with the time in microseconds. */
+function createChunk(): string {
+  const micros = process.hrtime.bigint() / 1_000n;
+  return `data: {"id":"c","object":"chat.completion.chunk","created":0,"model":"m","choices":[{"index":0,"delta":{"content":" t${micros}t"},"finish_reason":null}]}\n\n`;
+}
+
+function createLastChunk(chunks: number): string {
+  return `data: {"id":"c","object":"chat.completion.chunk","created":0,"model":"m","choices":[{"index":0,"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":20,"completion_tokens":${chunks},"total_tokens":${
+    chunks + 20
+  }}}\n\n`;
+}
+
+function sendText(response: ServerResponse, text: string): void {
+  response.writeHead(200, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part as Buffer);
+  return Buffer.concat(parts).toString("utf8");
+}
+
+function waitForDrain(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    response.once("drain", resolve);
+    response.once("close", resolve);
+  });
+}
+
+function waitForTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/packages/bench/data_plane/load_generator.ts
@@ -0,0 +1,218 @@
+/** Sends requests over kept connections and records what came back when. */
+import {
+  Agent,
+  type IncomingMessage,
+  request as startRequest,
+} from "node:http";
+import { setTimeout as wait } from "node:timers/promises";
+import { Histogram } from "../harness/histogram.ts";
+
+/** What is sent to whom. */
+export interface LoadTarget {
+  readonly url: string;
+  readonly headers: Readonly<Record<string, string>>;
+  /** Returns the body and headers of the n-th request. */
+  readonly createBody: (index: number) => string;
+  /** Headers that differ between requests, such as a request key. */
+  readonly createHeaders?: (index: number) => Readonly<Record<string, string>>;
+}
+
+/** What one load run saw; durations in milliseconds. */
+export interface LoadResult {
+  readonly requests: number;
+  readonly failures: number;
+  readonly seconds: number;
+  readonly latency: Histogram;
+  /** From the target's sending of a chunk to its arrival. */
+  readonly chunkLatency: Histogram;
+  readonly chunks: number;
+  /** What the first failure said. */
+  readonly firstFailure?: string;
+}
+
+const CHUNK_TIME = /t(\d{6,})t/g;
+const MICROS_PER_MILLI = 1_000;
+
+/** Collects the figures of one run. */
+class Recorder {
+  readonly latency = new Histogram();
+  readonly chunkLatency = new Histogram();
+  requests = 0;
+  failures = 0;
+  chunks = 0;
+  firstFailure: string | undefined;
+
+  recordText(text: string): void {
+    const now = Number(process.hrtime.bigint() / 1_000n);
+    for (const [, micros] of text.matchAll(CHUNK_TIME)) {
+      this.chunks++;
+      this.chunkLatency.record((now - Number(micros)) / MICROS_PER_MILLI);
+    }
+  }
+
+  recordEnd(start: number, fault: string | undefined): void {
+    this.requests++;
+    this.latency.record(performance.now() - start);
+    if (fault === undefined) return;
+    this.failures++;
+    this.firstFailure ??= fault;
+  }
+
+  createResult(start: number): LoadResult {
+    const { latency, chunkLatency, requests, failures, chunks } = this;
+    const seconds = (performance.now() - start) / 1_000;
+    const common = {
+      latency,
+      chunkLatency,
+      requests,
+      failures,
+      chunks,
+      seconds,
+    };
+    return this.firstFailure === undefined
+      ? common
+      : { ...common, firstFailure: this.firstFailure };
+  }
+}
+
+/** Keeps a number of requests going for a time. */
+export async function runClosedLoop(
+  target: LoadTarget,
+  options: { readonly connections: number; readonly millis: number },
+): Promise<LoadResult> {
+  const agent = createAgent(options.connections);
+  const recorder = new Recorder();
+  const start = performance.now();
+  let index = 0;
+  const workers = Array.from({ length: options.connections }, async () => {
+    while (performance.now() - start < options.millis) {
+      await sendOne(target, { agent, recorder, index: index++ });
+    }
+  });
+  await Promise.all(workers);
+  agent.destroy();
+  return recorder.createResult(start);
+}
+
+/** Sends requests at a fixed rate, whether or not earlier ones came back. */
+export async function runOpenLoop(
+  target: LoadTarget,
+  options: { readonly perSecond: number; readonly millis: number },
+): Promise<LoadResult> {
+  const agent = createAgent(Infinity);
+  const recorder = new Recorder();
+  const start = performance.now();
+  const pending: Promise<void>[] = [];
+  const total = Math.floor(options.perSecond * options.millis / 1_000);
+  for (let index = 0; index < total; index++) {
+    const due = start + index * 1_000 / options.perSecond;
+    const early = due - performance.now();
+    if (early > 1) await wait(early);
+    pending.push(sendOne(target, { agent, recorder, index }));
+  }
+  await Promise.all(pending);
+  agent.destroy();
+  return recorder.createResult(start);
+}
+
+/** Streams that are open and go on until they are closed. */
+export interface OpenStreams {
+  readonly opened: number;
+  readonly failures: number;
+  close(): Promise<void>;
+}
+
+/** Streams opened in one go, so that no listen queue overflows. */
+const OPENING_GROUP = 50;
+
+/** Opens streams and resolves when each has sent its first chunk. */
+export async function openStreams(
+  target: LoadTarget,
+  count: number,
+): Promise<OpenStreams> {
+  const agent = createAgent(Infinity);
+  const open: IncomingMessage[] = [];
+  let failures = 0;
+  for (let first = 0; first < count; first += OPENING_GROUP) {
+    const size = Math.min(OPENING_GROUP, count - first);
+    await Promise.all(Array.from({ length: size }, async (_, offset) => {
+      try {
+        const answer = await startOne(target, { agent, index: first + offset });
+        if (answer.statusCode !== 200) throw new Error("refused");
+        await new Promise<void>((resolve, reject) => {
+          answer.once("error", reject);
+          answer.once("data", () => resolve());
+        });
+        answer.on("error", () => {});
+        open.push(answer);
+      } catch {
+        failures++;
+      }
+    }));
+  }
+  return {
+    opened: open.length,
+    failures,
+    close: async () => {
+      for (const answer of open) answer.destroy();
+      agent.destroy();
+      await wait(200);
+    },
+  };
+}
+
+function createAgent(connections: number): Agent {
+  return new Agent({
+    keepAlive: true,
+    maxSockets: connections,
+    maxFreeSockets: 1_024,
+  });
+}
+
+async function sendOne(
+  target: LoadTarget,
+  input: {
+    readonly agent: Agent;
+    readonly recorder: Recorder;
+    readonly index: number;
+  },
+): Promise<void> {
+  const { recorder } = input;
+  const start = performance.now();
+  try {
+    const answer = await startOne(target, input);
+    let last = "";
+    answer.setEncoding("utf8");
+    for await (const text of answer) {
+      recorder.recordText(text as string);
+      last = text as string;
+    }
+    const ok = answer.statusCode === 200 && answer.complete;
+    const fault = ok ? undefined : `status ${answer.statusCode}: ${last}`;
+    recorder.recordEnd(start, fault);
+  } catch (error) {
+    recorder.recordEnd(start, String(error));
+  }
+}
+
+function startOne(
+  target: LoadTarget,
+  input: { readonly agent: Agent; readonly index: number },
+): Promise<IncomingMessage> {
+  const body = target.createBody(input.index);
+  return new Promise((resolve, reject) => {
+    const outgoing = startRequest(target.url, {
+      method: "POST",
+      agent: input.agent,
+      headers: {
+        "content-type": "application/json",
+        "content-length": String(Buffer.byteLength(body)),
+        ...target.headers,
+        ...target.createHeaders?.(input.index),
+      },
+    });
+    outgoing.once("response", resolve);
+    outgoing.on("error", reject);
+    outgoing.end(body);
+  });
+}
--- /dev/null
+++ b/packages/bench/data_plane/pass_through.ts
@@ -0,0 +1,24 @@
+/** The baseline: a bare Node.js server that passes requests and answers on. */
+import {
+  Agent,
+  createServer,
+  request as startRequest,
+  type Server,
+} from "node:http";
+
+/** Creates a server that passes everything on to one address. */
+export function createPassThrough(targetUrl: string): Server {
+  const agent = new Agent({ keepAlive: true, maxFreeSockets: 1_024 });
+  return createServer((incoming, response) => {
+    const outgoing = startRequest(
+      `${targetUrl}${incoming.url ?? "/"}`,
+      { method: incoming.method ?? "GET", headers: incoming.headers, agent },
+      (answer) => {
+        response.writeHead(answer.statusCode ?? 502, answer.headers);
+        answer.pipe(response);
+      },
+    );
+    outgoing.on("error", () => response.destroy());
+    incoming.pipe(outgoing);
+  });
+}
--- a/packages/cli/commands/bench_command.ts
+++ b/packages/cli/commands/bench_command.ts
@@ -97,7 +97,10 @@
 
 function writeRun(run: ExperimentRun): void {
   for (const { title, columns, rows } of run.figures.tables) {
-    const table = new Table({ head: [...columns], style: { head: [] } });
+    const table = new Table({
+      head: [...columns],
+      style: { head: [], border: [], compact: true },
+    });
     table.push(...rows.map((row) => row.map(formatFigure)));
     console.log(`${title}\n${table.toString()}`);
   }
