--- /dev/null
+++ b/packages/peer/browser_types.d.ts
@@ -0,0 +1,2 @@
+/** A browser type that the declarations of the tRPC client name and Node's lack. */
+type RequestInfo = string | URL | Request;
--- /dev/null
+++ b/packages/peer/mod.ts
@@ -0,0 +1,15 @@
+/** tRPC between the entry VMs. */
+export type { PeerClientOptions } from "./peer_client.ts";
+export { PeerClient } from "./peer_client.ts";
+export type { PeerHandlers, PeerRouter } from "./peer_router.ts";
+export {
+  createPeerHandler,
+  createPeerRouter,
+  isPeerKey,
+} from "./peer_router.ts";
+export type {
+  PeerLoanAnswer,
+  PeerLoanRequest,
+  PeerNews,
+  PeerRows,
+} from "./schemas.ts";
--- /dev/null
+++ b/packages/peer/peer_router.ts
@@ -0,0 +1,94 @@
+/** The procedures that an entry VM offers to the others, on tRPC. */
+import { createHash, timingSafeEqual } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { initTRPC, TRPCError } from "@trpc/server";
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import {
+  LOAN_REQUEST_SCHEMA,
+  NEWS_SCHEMA,
+  type PeerLoanAnswer,
+  type PeerLoanRequest,
+  type PeerNews,
+  type PeerRows,
+  READ_ROWS_SCHEMA,
+  SCAN_ROWS_SCHEMA,
+} from "./schemas.ts";
+
+/** What answers the procedures. */
+export interface PeerHandlers {
+  /** Debits a loan and returns it, or zero tokens. */
+  lend(request: PeerLoanRequest): PeerLoanAnswer;
+  /** Takes a peer's news and returns this VM's. */
+  exchangeNews(news: PeerNews): PeerNews;
+  readRows(keys: readonly string[]): Promise<PeerRows>;
+  scanRows(
+    input: {
+      readonly prefix: string;
+      readonly after?: string | undefined;
+      readonly limit: number;
+    },
+  ): Promise<PeerRows>;
+}
+
+interface PeerContext {
+  readonly trusted: boolean;
+}
+
+/** Largest body of one call, in bytes. */
+const MAX_BODY_BYTES = 1_048_576;
+
+const trpc = initTRPC.context<PeerContext>().create();
+
+const trustedProcedure = trpc.procedure.use(({ ctx, next }) => {
+  if (!ctx.trusted) {
+    throw new TRPCError({
+      code: "UNAUTHORIZED",
+      message: "Send the entry VMs' shared key.",
+    });
+  }
+  return next();
+});
+
+/** Returns the tRPC router of a VM. */
+export function createPeerRouter(handlers: PeerHandlers) {
+  return trpc.router({
+    lend: trustedProcedure.input(LOAN_REQUEST_SCHEMA)
+      .mutation(({ input }) => handlers.lend(input)),
+    exchangeNews: trustedProcedure.input(NEWS_SCHEMA)
+      .mutation(({ input }) => handlers.exchangeNews(input)),
+    readRows: trustedProcedure.input(READ_ROWS_SCHEMA)
+      .query(({ input }) => handlers.readRows(input.keys)),
+    scanRows: trustedProcedure.input(SCAN_ROWS_SCHEMA)
+      .query(({ input }) => handlers.scanRows(input)),
+  });
+}
+
+/** The router's type, which clients are typed by. */
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
+
+/** Returns the HTTP handler of the peers' face. */
+export function createPeerHandler(
+  handlers: PeerHandlers,
+  peerKey: string,
+): (request: IncomingMessage, response: ServerResponse) => void {
+  return createHTTPHandler({
+    router: createPeerRouter(handlers),
+    maxBodySize: MAX_BODY_BYTES,
+    createContext: ({ req }) => ({
+      trusted: isPeerKey(req.headers.authorization, peerKey),
+    }),
+  });
+}
+
+/** Compares in constant time, whatever the lengths. */
+export function isPeerKey(
+  authorization: string | undefined,
+  peerKey: string,
+): boolean {
+  const given = /^Bearer (.+)$/.exec(authorization ?? "")?.[1] ?? "";
+  return timingSafeEqual(computeDigest(given), computeDigest(peerKey));
+}
+
+function computeDigest(text: string): Buffer {
+  return createHash("sha256").update(text).digest();
+}
--- /dev/null
+++ b/packages/peer/schemas.ts
@@ -0,0 +1,64 @@
+/** Shapes of what entry VMs say to each other. */
+import { z } from "zod";
+
+/** A loan asked of a peer. */
+export const LOAN_REQUEST_SCHEMA = z.object({
+  eventId: z.string(),
+  transferId: z.string().max(200),
+  wanted: z.number().int().nonnegative(),
+  least: z.number().int().nonnegative(),
+  borrower: z.object({ vm: z.string(), incarnation: z.string() }),
+});
+
+/** What the lender answers; zero tokens are a refusal. */
+export const LOAN_ANSWER_SCHEMA = z.object({
+  transferId: z.string(),
+  tokens: z.number().int().nonnegative(),
+  lenderGrantId: z.string(),
+});
+
+/** Most rows that a peer reads at once. */
+const MAX_PEER_ROWS = 100;
+
+/** Rows asked of a peer's document. */
+export const READ_ROWS_SCHEMA = z.object({
+  keys: z.array(z.string()).max(MAX_PEER_ROWS),
+});
+
+/** A page of rows asked of a peer's document. */
+export const SCAN_ROWS_SCHEMA = z.object({
+  prefix: z.string(),
+  after: z.string().optional(),
+  limit: z.number().int().positive().max(MAX_PEER_ROWS),
+});
+
+/** Rows of a peer's document. */
+export const ROWS_SCHEMA = z.object({
+  rows: z.array(z.object({
+    key: z.string(),
+    version: z.number().int(),
+    value: z.json(),
+  })),
+  next: z.string().optional(),
+});
+
+/**
+ * One exchange of news. The parts are checked by the features that they belong
+ * to, so that a VM of a newer version may send parts this one does not know.
+ */
+export const NEWS_SCHEMA = z.object({
+  from: z.string(),
+  parts: z.record(z.string(), z.json()),
+});
+
+/** A loan asked of a peer. */
+export type PeerLoanRequest = z.infer<typeof LOAN_REQUEST_SCHEMA>;
+
+/** What the lender answers. */
+export type PeerLoanAnswer = z.infer<typeof LOAN_ANSWER_SCHEMA>;
+
+/** Rows of a peer's document. */
+export type PeerRows = z.infer<typeof ROWS_SCHEMA>;
+
+/** One exchange of news, by the names of the features that take part. */
+export type PeerNews = z.infer<typeof NEWS_SCHEMA>;
--- a/tools/check_imports.ts
+++ b/tools/check_imports.ts
@@ -17,7 +17,7 @@
   routing: ["core", "platform"],
   document: ["core"],
   membership: ["core"],
-  peer: ["core", "membership"],
+  peer: ["core", "platform"],
   stand_ins: ["core", "platform"],
   model: ["core"],
   replay: ["core", "budget", "request", "routing", "document", "membership"],
