--- a/packages/daemon/event_log.ts
+++ b/packages/daemon/event_log.ts
@@ -15,6 +15,8 @@
   RequestRefused = "request_refused",
   AttemptFailed = "attempt_failed",
   GrantExchanged = "grant_exchanged",
+  LoanMade = "loan_made",
+  LoanTaken = "loan_taken",
   StoreFailed = "store_failed",
   BillsFlushed = "bills_flushed",
   BillsLost = "bills_lost",
--- a/packages/daemon/features/bill_log.ts
+++ b/packages/daemon/features/bill_log.ts
@@ -1,16 +1,26 @@
-/** Bills on their way to the table: kept until they are durable. */
+/**
+ * Bills on their way to the table: kept until they are durable.
+ *
+ * One batch is on its way at a time, so that an outage makes few large rows of
+ * many bills, and the pause between batches grows with the number of VMs, so
+ * that the fleet's rows per second stay bounded.
+ */
 import { combineUndo, type Millis, type Undo } from "../../core/mod.ts";
-import { type Bill, createBillBatch } from "../../request/mod.ts";
+import {
+  type Bill,
+  createBillBatch,
+  planBillBatches,
+} from "../../request/mod.ts";
 import { LogEvent } from "../event_log.ts";
 import type { NodeContext } from "../node_context.ts";
-import { type PeriodicProcess, startPeriodic } from "../processes.ts";
-
-/** Most bills in one batch row. */
-export const MAX_BATCH_BILLS = 200;
+import { startPeriodic } from "../processes.ts";
 
 /** Longest time the end of an answer waits for its bill, in milliseconds. */
 export const MAX_BILL_WAIT: Millis = 250;
 
+/** Pause between batches for each live VM: 100 rows a second over the fleet. */
+const PAUSE_PER_VM: Millis = 10;
+
 interface WaitingBill {
   readonly bill: Bill;
   confirm(): void;
@@ -19,22 +29,24 @@
 /** Collects bills and writes them in batches. */
 export class BillLog {
   readonly #context: NodeContext;
+  readonly #countVms: () => number;
   #waiting: WaitingBill[] = [];
-  #writing = 0;
+  #writing: readonly WaitingBill[] = [];
   #number = 0;
-  #periodic: PeriodicProcess | undefined;
+  #lastBatchAt = -Infinity;
 
-  constructor(context: NodeContext) {
+  constructor(context: NodeContext, countVms: () => number) {
     this.#context = context;
+    this.#countVms = countVms;
   }
 
   /** Registers the feature's dump and its periodic flush. */
   register(): Undo {
     const { kernel, settings, random, log } = this.#context;
-    this.#periodic = startPeriodic({
+    const periodic = startPeriodic({
       interval: settings.intervals.flushMillis,
       random,
-      run: () => this.#startFlush(),
+      run: () => this.#writeDueBatch(),
       reportError: (error) =>
         log.error(LogEvent.ProcessFailed, {
           process: "bills",
@@ -43,13 +55,13 @@
     });
     return combineUndo([
       kernel.registerDump("bills", () => ({ waiting: this.countWaiting() })),
-      this.#periodic.stop,
+      periodic.stop,
     ]);
   }
 
   /** Returns the number of bills that are not durable yet. */
   countWaiting(): number {
-    return this.#waiting.length + this.#writing;
+    return this.#waiting.length + this.#writing.length;
   }
 
   /** Adds a bill; resolves when it is durable or after a bounded wait. */
@@ -72,25 +84,37 @@
     }
   }
 
-  #startFlush(): Promise<void> {
-    void this.#writeBatch();
-    return Promise.resolve();
+  async #writeDueBatch(): Promise<void> {
+    const now = this.#context.clock.readMonotonic();
+    const pause = PAUSE_PER_VM * this.#countVms();
+    if (now - this.#lastBatchAt < pause) return;
+    await this.#writeBatch();
   }
 
-  /** A batch is never abandoned: the writer goes on until it is durable. */
   async #writeBatch(): Promise<void> {
-    const batch = this.#waiting.splice(0, MAX_BATCH_BILLS);
-    if (batch.length === 0) return;
-    const { settings, incarnation, writer } = this.#context;
-    this.#writing += batch.length;
+    if (this.#waiting.length === 0 || this.#writing.length > 0) return;
+    this.#lastBatchAt = this.#context.clock.readMonotonic();
+    const [bills = []] = planBillBatches(
+      this.#waiting.map((each) => each.bill),
+    );
+    this.#writing = this.#waiting.splice(0, bills.length);
+    const { settings, incarnation, writer, log, metrics } = this.#context;
     const operation = createBillBatch({
       vm: settings.vm,
       incarnation,
       number: ++this.#number,
-      bills: batch.map((each) => each.bill),
+      bills,
     });
-    await writer.run(operation, { giveUpAt: Infinity });
-    this.#writing -= batch.length;
+    const written = await writer.run(operation, { giveUpAt: Infinity });
+    const batch = this.#writing;
+    this.#writing = [];
+    metrics.billsWaiting.set(this.countWaiting());
+    if (written.isLeft()) {
+      // Bills are counted once by identity, so a second row does no harm.
+      this.#waiting.unshift(...batch);
+      return;
+    }
     for (const each of batch) each.confirm();
+    log.info(LogEvent.BillsFlushed, { bills: batch.length });
   }
 }
