Check claims, duplicates and bills against a reference under faults

Change: fast-check drives two VMs with racing retries, lost answers, broken targets and crashes; five broken variants must fail the same property.

--- /dev/null
+++ b/packages/request/request_specification_test.ts
@@ -0,0 +1,317 @@
+/**
+ * Drives claims, the table of requests and bills at two VMs with lost answers,
+ * crashes, broken targets and racing retries of few keys. The reference counts
+ * what each target ran. Broken variants must fail the same property.
+ */
+import test from "ava";
+import fc from "fast-check";
+import type { RowOperation } from "../core/mod.ts";
+import { MemoryRows } from "../stand_ins/mod.ts";
+import {
+  AdmitState,
+  type Bill,
+  BILL_BATCH_PREFIX,
+  type ClaimEnd,
+  type ClaimInput,
+  ClaimState,
+  collectBills,
+  createBillBatch,
+  createFinishClaim,
+  createTakeClaim,
+  type KeptAnswer,
+  RequestTable,
+} from "./mod.ts";
+
+const SEED = 20_262;
+const REAL = { collectBills, createFinishClaim, createTakeClaim };
+type Decisions = typeof REAL;
+
+enum StepKind {
+  Arrive = "arrive",
+  Claim = "claim",
+  LoseClaim = "lose-claim",
+  GiveUp = "give-up",
+  Dispatch = "dispatch",
+  Answer = "answer",
+  Break = "break",
+  Finish = "finish",
+  LoseFinish = "lose-finish",
+  Bill = "bill",
+  LoseBill = "lose-bill",
+  Crash = "crash",
+}
+
+interface Step {
+  readonly kind: StepKind;
+  readonly vm: number;
+  readonly key: number;
+  readonly body: number;
+}
+
+interface Attempt {
+  readonly run: number;
+  readonly claim: ClaimInput;
+  isTaken: boolean;
+  isDispatched: boolean;
+  end?: ClaimEnd;
+}
+
+interface Vm {
+  life: number;
+  table: RequestTable<KeptAnswer>;
+  attempts: Attempt[];
+  bills: Bill[];
+  batch: number;
+}
+
+function createVm(life: number): Vm {
+  const table = new RequestTable<KeptAnswer>();
+  return { life, table, attempts: [], bills: [], batch: 1 };
+}
+
+class World {
+  readonly #decisions: Decisions;
+  readonly #rows = new MemoryRows();
+  readonly #vms = [createVm(1), createVm(1)];
+  /** What ran, by request key. */
+  readonly #ran = new Map<string, { readonly digest: string }[]>();
+  readonly #owed = new Set<string>();
+
+  constructor(decisions: Decisions) {
+    this.#decisions = decisions;
+  }
+
+  run(step: Step): void {
+    const vm = this.#vms[step.vm]!;
+    if (step.kind === StepKind.Arrive) return this.#arrive(vm, step);
+    if (step.kind === StepKind.Bill) return this.#writeBills(vm, true);
+    if (step.kind === StepKind.LoseBill) return this.#writeBills(vm, false);
+    if (step.kind === StepKind.Crash) return this.#crash(step.vm);
+    const attempt = vm.attempts[step.key % Math.max(1, vm.attempts.length)];
+    if (attempt !== undefined) this.#move(vm, attempt, step.kind);
+  }
+
+  /** Lets everything end with the store reachable and checks the bills. */
+  finish(): void {
+    for (const vm of this.#vms) {
+      for (const attempt of [...vm.attempts]) {
+        this.#move(vm, attempt, StepKind.Claim);
+        this.#move(vm, attempt, StepKind.Dispatch);
+        this.#move(vm, attempt, StepKind.Answer);
+        this.#move(vm, attempt, StepKind.Finish);
+      }
+      this.#writeBills(vm, true);
+    }
+    const bills = this.#decisions.collectBills(
+      this.#rows.list(BILL_BATCH_PREFIX),
+    );
+    const billed = bills.map((bill) => bill.requestKey);
+    expect(new Set(billed).size === billed.length, "billed twice");
+    expect(billed.every((key) => this.#ran.has(key)), "billed, never ran");
+    expect(
+      [...this.#owed].every((key) => billed.includes(key)),
+      "ended and not billed",
+    );
+  }
+
+  #arrive(vm: Vm, step: Step): void {
+    const requestKey = `k${step.key % 3}`;
+    const request = { customer: "c", requestKey, digest: `d${step.body}` };
+    const admitted = vm.table.admit(request, 0);
+    if (admitted.state === AdmitState.Kept) {
+      return this.#tell(request, admitted.outcome);
+    }
+    if (admitted.state !== AdmitState.Started) return;
+    const holder = {
+      vm: `vm-${step.vm}`,
+      incarnation: String(vm.life),
+      attempt: admitted.run,
+    };
+    const claim = { ...request, ...holder, wallTime: 0 };
+    const { run } = admitted;
+    const isTaken = isRepeatable(claim);
+    vm.attempts.push({ run, claim, isTaken, isDispatched: false });
+  }
+
+  #move(vm: Vm, attempt: Attempt, kind: StepKind): void {
+    const { isTaken, isDispatched, end } = attempt;
+    const isWaiting = !isTaken && end === undefined;
+    const canEnd = isDispatched && end === undefined;
+    if (kind === StepKind.Claim && isWaiting) this.#claim(vm, attempt);
+    if (kind === StepKind.LoseClaim && isWaiting) this.#takeClaim(attempt);
+    if (kind === StepKind.GiveUp && !isDispatched && end === undefined) {
+      attempt.end = { state: "not-run" };
+    }
+    if (kind === StepKind.Dispatch && isTaken && !isDispatched && !end) {
+      this.#dispatch(attempt);
+    }
+    if (kind === StepKind.Answer && canEnd) attempt.end = createEnd(attempt);
+    if (kind === StepKind.Break && canEnd) attempt.end = { state: "unknown" };
+    if (kind === StepKind.Finish && end !== undefined) {
+      this.#finishClaim(attempt, end);
+      this.#end(vm, attempt, end);
+    }
+    if (kind === StepKind.LoseFinish && end !== undefined) {
+      this.#finishClaim(attempt, end);
+    }
+  }
+
+  #takeClaim(attempt: Attempt) {
+    return this.#apply(this.#decisions.createTakeClaim(attempt.claim));
+  }
+
+  #claim(vm: Vm, attempt: Attempt): void {
+    const { state, answer } = this.#takeClaim(attempt);
+    if (state === ClaimState.Taken) {
+      attempt.isTaken = true;
+      return;
+    }
+    if (answer !== undefined) this.#tell(attempt.claim, answer);
+    this.#remove(vm, attempt);
+  }
+
+  #dispatch(attempt: Attempt): void {
+    const { requestKey, digest } = attempt.claim;
+    const runs = [...this.#ran.get(requestKey) ?? [], { digest }];
+    this.#ran.set(requestKey, runs);
+    expect(runs.length === 1 || isRepeatable(attempt.claim), "ran twice");
+    attempt.isDispatched = true;
+  }
+
+  #finishClaim(attempt: Attempt, end: ClaimEnd): void {
+    if (isRepeatable(attempt.claim)) return;
+    this.#apply(this.#decisions.createFinishClaim(attempt.claim, end));
+  }
+
+  #end(vm: Vm, attempt: Attempt, end: ClaimEnd): void {
+    this.#remove(vm, attempt, end);
+    if (end.state === "not-run") {
+      expect(!attempt.isDispatched, "told not-run and ran");
+    }
+    if (end.state !== "ran") return;
+    const { customer, requestKey } = attempt.claim;
+    const bill = { customer, requestKey, event: "e", kind: "k" };
+    vm.bills.push({ ...bill, tokens: end.tokens, endedAt: 0 });
+    this.#owed.add(requestKey);
+  }
+
+  #remove(vm: Vm, attempt: Attempt, end?: ClaimEnd): void {
+    vm.attempts = vm.attempts.filter((each) => each !== attempt);
+    const keep = end?.state === "ran"
+      ? { keep: { outcome: end.answer, bytes: 1 } }
+      : {};
+    vm.table.finish(attempt.run, { now: 0, ...keep });
+  }
+
+  /** A caller gets the answer to its own key and body, and to no other. */
+  #tell(
+    request: { readonly requestKey: string; readonly digest: string },
+    answer: KeptAnswer,
+  ): void {
+    const { requestKey, digest } = request;
+    const own = answer.contentType === `${requestKey}/${digest}`;
+    expect(own, "told another's answer");
+  }
+
+  /** A batch whose answer is lost is written again under its number. */
+  #writeBills(vm: Vm, isAnswered: boolean): void {
+    if (vm.bills.length === 0) return;
+    const name = `vm-${this.#vms.indexOf(vm)}`;
+    this.#apply(createBillBatch({
+      vm: name,
+      incarnation: String(vm.life),
+      number: vm.batch,
+      bills: [vm.bills[0]!],
+    }));
+    if (!isAnswered) return;
+    vm.batch++;
+    vm.bills.shift();
+    this.#writeBills(vm, true);
+  }
+
+  #crash(index: number): void {
+    const vm = this.#vms[index]!;
+    for (const bill of vm.bills) this.#owed.delete(bill.requestKey);
+    this.#vms[index] = createVm(vm.life + 1);
+  }
+
+  #apply<Result>(operation: RowOperation<Result>): Result {
+    return this.#rows.apply(operation);
+  }
+}
+
+/** One of the keys belongs to a call that needs no claim. */
+function isRepeatable(claim: ClaimInput): boolean {
+  return claim.requestKey === "k2";
+}
+
+function createEnd(attempt: Attempt): ClaimEnd {
+  const { requestKey, digest } = attempt.claim;
+  const contentType = `${requestKey}/${digest}`;
+  const answer = { status: 200, contentType, bodyBase64: "" };
+  return { state: "ran", answer, tokens: 1 };
+}
+
+function expect(holds: boolean, violation: string): void {
+  if (!holds) throw new Error(violation);
+}
+
+function checkRuns(decisions: Decisions): fc.RunDetails<[Step[]]> {
+  const step: fc.Arbitrary<Step> = fc.record({
+    kind: fc.constantFrom(
+      ...Object.values(StepKind),
+      ...[StepKind.Arrive, StepKind.Claim, StepKind.Dispatch, StepKind.Answer],
+      ...[StepKind.Arrive, StepKind.Claim, StepKind.Finish],
+    ),
+    vm: fc.nat(1),
+    key: fc.nat(5),
+    body: fc.nat(1),
+  });
+  const steps = fc.array(step, { minLength: 20, maxLength: 80, size: "max" });
+  const property = fc.property(steps, (list) => {
+    const world = new World(decisions);
+    for (const each of list) world.run(each);
+    world.finish();
+  });
+  return fc.check(property, {
+    seed: SEED,
+    numRuns: 2_000,
+    endOnFailure: decisions !== REAL,
+  });
+}
+
+test("a key runs at most once, is billed once, and gets its own answer", (t) => {
+  const run = checkRuns(REAL);
+  t.false(run.failed, fc.defaultReportMessage(run));
+});
+
+const BROKEN: Readonly<Record<string, Partial<Decisions>>> = {
+  "claims are not looked up": {
+    createTakeClaim: (claim) => {
+      const operation = createTakeClaim(claim);
+      return { ...operation, decide: () => operation.decide(new Map()) };
+    },
+  },
+  "two attempts of one VM are one holder": {
+    createTakeClaim: (claim) => createTakeClaim({ ...claim, attempt: 0 }),
+  },
+  "a broken call counts as not run": {
+    createFinishClaim: (claim, end) =>
+      createFinishClaim(
+        claim,
+        end.state === "unknown" ? { state: "not-run" } : end,
+      ),
+  },
+  "bodies are not compared": {
+    createTakeClaim: (claim) => createTakeClaim({ ...claim, digest: "d" }),
+  },
+  "every bill in the rows counts": {
+    collectBills: (rows) => rows.flatMap((row) => collectBills([row])),
+  },
+};
+
+for (const [name, broken] of Object.entries(BROKEN)) {
+  test(`the property fails when ${name}`, (t) => {
+    t.true(checkRuns({ ...REAL, ...broken }).failed);
+  });
+}
