--- a/packages/cli/mod.ts
+++ b/packages/cli/mod.ts
@@ -1,7 +1,11 @@
 /** The command line. */
 import process from "node:process";
 import yargs from "yargs";
+import { benchCommand } from "./commands/bench_command.ts";
+import { checkCommand } from "./commands/check_command.ts";
 import { demoCommand } from "./commands/demo_command.ts";
+import { serveCommand } from "./commands/serve_command.ts";
+import { standInCommand } from "./commands/stand_in_command.ts";
 import { ExitCode } from "./exit_code.ts";
 
 /** Runs one command line and returns the exit code. */
@@ -9,7 +13,11 @@
   await yargs([...args])
     .scriptName("anvilrail")
     .usage("$0 COMMAND\n\nA router fleet for prepaid token budgets.")
+    .command(serveCommand)
+    .command(checkCommand)
     .command(demoCommand)
+    .command(standInCommand)
+    .command(benchCommand)
     .demandCommand(1, "Name a command; --help lists them.")
     .recommendCommands()
     .completion("completion", "print a completion script for the shell")
--- /dev/null
+++ b/packages/cli/read_settings.ts
@@ -0,0 +1,75 @@
+/** Reads settings and document files for commands, printing what is wrong. */
+import { readFileSync } from "node:fs";
+import { dirname, resolve } from "node:path";
+import { type Either, Left, Right } from "purify-ts";
+import {
+  formatInputError,
+  type InputError,
+  InputErrorKind,
+} from "../core/mod.ts";
+import { parseSettings, type Settings } from "../settings/mod.ts";
+
+/** Reads a file as text; a file that cannot be read is an input error. */
+export function readTextFile(
+  path: string,
+): Either<readonly InputError[], string> {
+  try {
+    return Right(readFileSync(path, "utf8"));
+  } catch (error) {
+    return Left([{
+      kind: InputErrorKind.Unreadable,
+      message: `The file ${path} cannot be read: ${describe(error)}`,
+      remedy: "Check its name and who may read it.",
+    }]);
+  }
+}
+
+/** Reads and checks a settings file; paths in it are relative to the file. */
+export function readSettingsFile(
+  path: string,
+): Either<readonly InputError[], Settings> {
+  return readTextFile(path)
+    .chain((text) => parseSettings(text, path))
+    .map((settings) => resolvePaths(settings, dirname(path)));
+}
+
+function resolvePaths(settings: Settings, directory: string): Settings {
+  const resolveFace = (face: Settings["callers"]) =>
+    face.tls === undefined ? face : {
+      ...face,
+      tls: mapFiles(face.tls, directory),
+    };
+  const { peerKeyFile } = settings;
+  return {
+    ...settings,
+    callers: resolveFace(settings.callers),
+    operators: resolveFace(settings.operators),
+    peers: resolveFace(settings.peers),
+    ...(peerKeyFile === undefined
+      ? {}
+      : { peerKeyFile: resolve(directory, peerKeyFile) }),
+  };
+}
+
+function mapFiles(
+  tls: NonNullable<Settings["callers"]["tls"]>,
+  directory: string,
+) {
+  const { clientAuthorityFile } = tls;
+  return {
+    certificateFile: resolve(directory, tls.certificateFile),
+    keyFile: resolve(directory, tls.keyFile),
+    ...(clientAuthorityFile === undefined
+      ? {}
+      : { clientAuthorityFile: resolve(directory, clientAuthorityFile) }),
+  };
+}
+
+function describe(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
+
+/** Returns input errors as lines for a person. */
+export function formatInputErrors(errors: readonly InputError[]): string {
+  return errors.map(formatInputError).join("\n");
+}
--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -45,6 +45,8 @@
   applyConfiguration(configuration: FleetConfiguration): void;
   /** A planned stop: finishes every request, returns grants, flushes bills. */
   stop(): Promise<void>;
+  /** Ends a planned stop early and logs what is lost. */
+  hurry(): void;
   /** Stops at once, as if the VM had died. */
   kill(): void;
 }
