--- /dev/null
+++ b/packages/model/explore.ts
@@ -0,0 +1,194 @@
+/**
+ * Explores a specification breadth-first with xstate's `getAdjacencyMap`, so
+ * that the first state found to break an invariant lies at the end of a
+ * shortest trace.
+ */
+import type { ActorLogic, Snapshot } from "xstate";
+import { getAdjacencyMap } from "xstate/graph";
+import type {
+  ExploreOptions,
+  GuardCheck,
+  Invariant,
+  Model,
+  ModelReport,
+  Specification,
+  Step,
+} from "./specification.ts";
+
+/**
+ * States visited by one call of `getAdjacencyMap`. Its queue is an array whose
+ * first element is shifted out, which is slow once the array is large.
+ */
+const BATCH_STATES = 2_048;
+
+/** One visited state, with the step that first led to it. */
+interface Node<State> {
+  readonly status: "active";
+  readonly output: undefined;
+  readonly error: undefined;
+  readonly state: State;
+  readonly key: string;
+  readonly depth: number;
+  readonly parent?: Node<State>;
+  readonly label?: string;
+}
+
+interface NodeEvent<State> {
+  readonly type: string;
+  readonly node: Node<State>;
+}
+
+/** Hides the state type of a specification. */
+export function createModel<State>(specification: Specification<State>): Model {
+  const { name, scope, guards, invariants } = specification;
+  return {
+    name,
+    scope,
+    guards,
+    invariants,
+    explore: (options) => new Exploration(specification, options).run(),
+  };
+}
+
+/** One run over the states of a specification. */
+class Exploration<State> {
+  readonly #specification: Specification<State>;
+  readonly #options: ExploreOptions;
+  readonly #isOn: GuardCheck;
+  readonly #seen = new Set<string>();
+  #transitions = 0;
+  #visited = 0;
+  #depth = 0;
+  #cutOff = false;
+  #broken: { invariant: Invariant; node: Node<State> } | undefined;
+
+  constructor(specification: Specification<State>, options: ExploreOptions) {
+    this.#specification = specification;
+    this.#options = options;
+    this.#isOn = (guard) => guard !== options.breakGuard;
+  }
+
+  run(): ModelReport {
+    const start = this.#options.readTime();
+    const first = this.#createNode({
+      label: "start",
+      next: this.#specification.createInitial(),
+    });
+    this.#seen.add(first.key);
+    this.#visit(first);
+    const millis = this.#options.readTime() - start;
+    const violation = this.#describeViolation();
+    return {
+      model: this.#specification.name,
+      states: this.#visited,
+      transitions: this.#transitions,
+      depth: this.#depth,
+      millis,
+      exhausted: !this.#cutOff && violation === undefined,
+      ...(violation === undefined ? {} : { violation }),
+    };
+  }
+
+  /** Visits layer after layer; the states of a layer have the same depth. */
+  #visit(first: Node<State>): void {
+    let layer: readonly Node<State>[] = [first];
+    while (layer.length > 0 && !this.#isEnded()) {
+      const next: Node<State>[] = [];
+      for (let start = 0; start < layer.length; start += BATCH_STATES) {
+        this.#visitBatch(layer.slice(start, start + BATCH_STATES), next);
+      }
+      layer = next;
+    }
+  }
+
+  /** Visits states of one layer and adds those found to the next layer. */
+  #visitBatch(
+    batch: readonly Node<State>[],
+    nextLayer: Node<State>[],
+  ): void {
+    const first = batch[0]!;
+    const hub = { ...first, key: "hub", depth: first.depth - 1 };
+    getAdjacencyMap(createLogic(hub), {
+      serializeState: (node) => node.key,
+      serializeEvent: (event) => event.type,
+      events: (node) =>
+        node === hub ? listHubEvents(batch) : this.#listNewEvents(node),
+      stopWhen: (node) => {
+        if (node.depth <= first.depth) {
+          return node !== hub && this.#stopsAt(node);
+        }
+        nextLayer.push(node);
+        return true;
+      },
+    });
+  }
+
+  #isEnded(): boolean {
+    return this.#broken !== undefined || this.#cutOff;
+  }
+
+  #stopsAt(node: Node<State>): boolean {
+    if (this.#isEnded()) return true;
+    if (this.#visited >= this.#options.maxStates) {
+      this.#cutOff = true;
+      return true;
+    }
+    this.#visited++;
+    this.#depth = Math.max(this.#depth, node.depth);
+    const invariant = this.#specification.findViolation(node.state);
+    if (invariant !== undefined) this.#broken = { invariant, node };
+    return this.#broken !== undefined;
+  }
+
+  /** Keeps known states out of the queue. */
+  #listNewEvents(node: Node<State>): NodeEvent<State>[] {
+    const steps = this.#specification.listSteps(node.state, this.#isOn);
+    this.#transitions += steps.length;
+    const events: NodeEvent<State>[] = [];
+    for (const step of steps) {
+      const next = this.#createNode(step, node);
+      if (this.#seen.has(next.key)) continue;
+      this.#seen.add(next.key);
+      events.push({ type: step.label, node: next });
+    }
+    return events;
+  }
+
+  #createNode(step: Step<State>, parent?: Node<State>): Node<State> {
+    return {
+      status: "active",
+      output: undefined,
+      error: undefined,
+      state: step.next,
+      key: `s${this.#specification.formatState(step.next)}`,
+      depth: parent === undefined ? 0 : parent.depth + 1,
+      label: step.label,
+      ...(parent === undefined ? {} : { parent }),
+    };
+  }
+
+  #describeViolation(): ModelReport["violation"] {
+    if (this.#broken === undefined) return undefined;
+    const trace: string[] = [];
+    let node: Node<State> | undefined = this.#broken.node;
+    while (node?.parent !== undefined) {
+      trace.unshift(node.label ?? "");
+      node = node.parent;
+    }
+    return { invariant: this.#broken.invariant, trace };
+  }
+}
+
+function listHubEvents<State>(batch: readonly Node<State>[]): NodeEvent<State>[] {
+  return batch.map((node) => ({ type: node.key, node }));
+}
+
+function createLogic<State>(
+  first: Node<State>,
+): ActorLogic<Node<State> & Snapshot<unknown>, NodeEvent<State>> {
+  return {
+    transition: (_node, event) => event.node,
+    getInitialSnapshot: () => first,
+    getPersistedSnapshot: (node) => node,
+  };
+}
--- /dev/null
+++ b/packages/model/format_model_report.ts
@@ -0,0 +1,14 @@
+/** Prints what an exploration found, a line an item. */
+import type { ModelReport } from "./specification.ts";
+
+/** Formats one report; a violation is followed by its numbered trace. */
+export function formatModelReport(report: ModelReport): string {
+  const extent = report.exhausted ? "exhausted" : "not exhausted";
+  const head = `${report.model}: states=${report.states} ` +
+    `transitions=${report.transitions} depth=${report.depth} ` +
+    `time=${Math.round(report.millis)}ms ${extent}`;
+  if (report.violation === undefined) return head;
+  const { invariant, trace } = report.violation;
+  const steps = trace.map((label, index) => `  ${index + 1}. ${label}`);
+  return [head, `violated: ${invariant}`, ...steps].join("\n");
+}
--- /dev/null
+++ b/packages/model/guard.ts
@@ -0,0 +1,99 @@
+/**
+ * Guards of the protocol: the rules that keep its promises. Each can be
+ * switched off by name in the specification, which then has to break.
+ */
+
+/** The rules by name. The value is the word on the command line. */
+export enum Guard {
+  VersionCheck = "version-check",
+  ReadBackBeforeRetry = "read-back-before-retry",
+  DeadlineStopsReserving = "deadline-stops-reserving",
+  CloseOnlyWhenUnreserved = "close-only-when-unreserved",
+  BoundCancelsStream = "bound-cancels-stream",
+  TopUpIdKept = "top-up-id-kept",
+  WriteOffWhole = "write-off-whole",
+  DebitBeforeSend = "debit-before-send",
+  CreditOncePerId = "credit-once-per-id",
+  TransferNamesIncarnation = "transfer-names-incarnation",
+  LoanCountsAsSpent = "loan-counts-as-spent",
+  ClaimBeforeDispatch = "claim-before-dispatch",
+  ClaimNeverChangesHolder = "claim-never-changes-holder",
+  ClaimNamesAttempt = "claim-names-attempt",
+  FinishedClaimStays = "finished-claim-stays",
+  HeldClaimIsUnknown = "held-claim-is-unknown",
+  BrokenCallIsUnknown = "broken-call-is-unknown",
+  BillIdentity = "bill-identity",
+  BillBeforeEnd = "bill-before-end",
+  BillKeptUntilDurable = "bill-kept-until-durable",
+  RetryStartsOver = "retry-starts-over",
+  AnswerNamesRequest = "answer-names-request",
+  LeaseDeadlineChecked = "lease-deadline-checked",
+  LeaseFromSend = "lease-from-send",
+  LeaseObservedWhole = "lease-observed-whole",
+  FencingToken = "fencing-token",
+  FencingWait = "fencing-wait",
+  DocumentVersionRises = "document-version-rises",
+  SectionVersionChecked = "section-version-checked",
+  WholeCheckedTogether = "whole-checked-together",
+}
+
+/** What each guard demands, in one sentence. */
+export const GUARD_RULES: Readonly<Record<Guard, string>> = {
+  [Guard.VersionCheck]:
+    "A write is committed only when its row still has the version that was read.",
+  [Guard.ReadBackBeforeRetry]:
+    "After a lost answer the row is read and the operation decided again.",
+  [Guard.DeadlineStopsReserving]:
+    "A grant past its deadline takes no new reservation.",
+  [Guard.CloseOnlyWhenUnreserved]:
+    "A grant is closed only when no request holds a reservation on it.",
+  [Guard.BoundCancelsStream]:
+    "A stream is cancelled when it reaches its reservation.",
+  [Guard.TopUpIdKept]: "A top-up id is kept in the table and applied once.",
+  [Guard.WriteOffWhole]:
+    "A lost incarnation's grant counts as spent whole, whatever it last reported.",
+  [Guard.DebitBeforeSend]:
+    "The lender debits a loan before it sends the transfer.",
+  [Guard.CreditOncePerId]: "The borrower credits a transfer id once.",
+  [Guard.TransferNamesIncarnation]:
+    "A transfer is credited only by the incarnation that asked for it.",
+  [Guard.LoanCountsAsSpent]:
+    "The lender's grant is closed with its loans counted as spent.",
+  [Guard.ClaimBeforeDispatch]:
+    "A call that may not be repeated is dispatched only under a durable claim.",
+  [Guard.ClaimNeverChangesHolder]:
+    "An open claim is never taken over, even when its holder seems dead.",
+  [Guard.ClaimNamesAttempt]:
+    "A claim names the attempt, not only the VM, that may dispatch.",
+  [Guard.FinishedClaimStays]:
+    "A claim that ran answers retries and is never claimed again.",
+  [Guard.HeldClaimIsUnknown]:
+    "A retry that meets another attempt's open claim is not told not-run.",
+  [Guard.BrokenCallIsUnknown]:
+    "A call that broke after a byte was sent is not reported as not-run.",
+  [Guard.BillIdentity]:
+    "Bills of one customer and request key count once, wherever written.",
+  [Guard.BillBeforeEnd]:
+    "While the store answers, the end of an answer waits for its durable bill.",
+  [Guard.BillKeptUntilDurable]:
+    "A bill stays in memory until its write is confirmed.",
+  [Guard.RetryStartsOver]:
+    "A stream run anew is never appended to another run's chunks.",
+  [Guard.AnswerNamesRequest]:
+    "An answer is delivered only to the request that it names.",
+  [Guard.LeaseDeadlineChecked]:
+    "A holder reads its monotonic clock before each order and stops at the deadline.",
+  [Guard.LeaseFromSend]:
+    "A holder counts its lease from before the write was sent.",
+  [Guard.LeaseObservedWhole]:
+    "A lease is taken over only after its row was seen unchanged for a whole lease.",
+  [Guard.FencingToken]: "A checking target refuses an order with an older token.",
+  [Guard.FencingWait]:
+    "Before targets that ignore tokens a new holder waits out the longest order.",
+  [Guard.DocumentVersionRises]:
+    "A VM puts in force only a version above its own.",
+  [Guard.SectionVersionChecked]:
+    "A change is refused when its section moved on since it was read.",
+  [Guard.WholeCheckedTogether]:
+    "The versions of all sections that a check read are checked at commit.",
+};
--- /dev/null
+++ b/packages/model/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * The core protocol as small transition systems, explored exhaustively. Each
+ * guard of the protocol can be switched off to see the check fail.
+ */
+export { formatModelReport } from "./format_model_report.ts";
+export { Guard } from "./guard.ts";
+export type { GuardEntry, ModelCheckOptions } from "./run_model_check.ts";
+export {
+  DEFAULT_MAX_STATES,
+  findGuard,
+  listGuards,
+  listModels,
+  runModelCheck,
+} from "./run_model_check.ts";
+export type { Model, ModelReport, Violation } from "./specification.ts";
+export { Invariant } from "./specification.ts";
--- /dev/null
+++ b/packages/model/specifications/grants.ts
@@ -0,0 +1,541 @@
+/**
+ * Grants between two VMs and one budget row: taking, reserving, settling,
+ * closing, write-off and a top-up, over a store that loses answers and lets
+ * writes land after their sender gave them up.
+ *
+ * A paused VM is one that takes no step, and a VM cut off from the store is one
+ * whose writes do not land; both may last for any number of steps.
+ */
+import { Guard } from "../guard.ts";
+import {
+  type GuardCheck,
+  Invariant,
+  type Specification,
+  type Step,
+} from "../specification.ts";
+import { applyWrite, type SentWrite, type StoredRow } from "../stored_row.ts";
+
+/** Tokens of the event before the top-up. */
+const INITIAL_LIMIT = 1;
+
+/** Tokens that the top-up adds. */
+const TOP_UP = 1;
+
+/** Size of each grant and of each reservation. */
+const GRANT_SIZE = 1;
+
+/** Slots for grants of each VM; a VM takes them one after the other. */
+const GRANTS_PER_VM = 2;
+
+/** Bounds of the explored space; the first number is VM A's. */
+export interface GrantsBounds {
+  readonly name: string;
+  readonly scope: string;
+  /** Grants that each VM may take. */
+  readonly grants: readonly [number, number];
+  /** Crashes of each VM. */
+  readonly crashes: readonly [number, number];
+  /** Top-ups with the one id that each VM may ask for. */
+  readonly topUps: readonly [number, number];
+  readonly writeOffs: boolean;
+  readonly guards: readonly Guard[];
+}
+
+/** The VMs of the specification. */
+const VMS = [0, 1] as const;
+
+const VM_NAMES = ["A", "B"] as const;
+
+/** The budget row's value. */
+export interface BudgetValue {
+  readonly limit: number;
+  readonly closed: number;
+  /** Size of each open grant by slot; 0 when the row does not hold it. */
+  readonly grants: readonly number[];
+  /** Whether the top-up's id is kept. */
+  readonly toppedUp: boolean;
+}
+
+/** What a VM asks of the budget row. */
+export enum CallKind {
+  Take = "take",
+  Close = "close",
+  TopUp = "topup",
+  WriteOff = "writeoff",
+}
+
+/** An operation that a VM has under way. */
+export interface BudgetCall {
+  readonly kind: CallKind;
+  readonly slot: number;
+  /** Tokens that a closed grant's holder reports as spent. */
+  readonly spent: number;
+}
+
+interface CallState extends BudgetCall {
+  /** Absent after a lost answer or a conflict, until the call is sent again. */
+  readonly write?: SentWrite<BudgetValue>;
+}
+
+interface HeldGrant {
+  readonly slot: number;
+  readonly spent: number;
+  readonly reserved: number;
+  readonly lapsed: boolean;
+}
+
+interface Vm {
+  /** Grants taken so far, which numbers the next one. */
+  readonly taken: number;
+  readonly grant?: HeldGrant;
+  readonly call?: CallState;
+  /** A write given up by the VM, which may still land. */
+  readonly late?: SentWrite<BudgetValue>;
+  readonly toppedUp: boolean;
+}
+
+/** A state of the specification. */
+export interface GrantsState {
+  readonly row: StoredRow<BudgetValue>;
+  readonly vms: readonly Vm[];
+  readonly crashes: number;
+  /** Tokens that targets really generated. */
+  readonly spent: number;
+  /** Tokens that were paid for. */
+  readonly paid: number;
+  readonly wroteOff: boolean;
+}
+
+/** Decides a call from the row's value; absent when nothing is to be written. */
+export function decideBudgetCall(
+  value: BudgetValue,
+  call: BudgetCall,
+  isOn: GuardCheck,
+): BudgetValue | undefined {
+  const held = value.grants[call.slot] ?? 0;
+  switch (call.kind) {
+    case CallKind.Take:
+      if (held > 0 || computeLeft(value) < GRANT_SIZE) return undefined;
+      return changeGrant(value, call.slot, GRANT_SIZE);
+    case CallKind.Close:
+      return held === 0 ? undefined : closeGrant(value, call);
+    case CallKind.TopUp:
+      if (value.toppedUp) return undefined;
+      return {
+        ...value,
+        limit: value.limit + TOP_UP,
+        toppedUp: isOn(Guard.TopUpIdKept),
+      };
+    case CallKind.WriteOff: {
+      if (held === 0) return undefined;
+      const spent = isOn(Guard.WriteOffWhole) ? held : 0;
+      return closeGrant(value, { ...call, spent });
+    }
+  }
+}
+
+/** Applies a call once more without looking at what the row shows. */
+function decideBlindly(
+  value: BudgetValue,
+  call: BudgetCall,
+  isOn: GuardCheck,
+): BudgetValue | undefined {
+  switch (call.kind) {
+    case CallKind.Take:
+      return changeGrant(value, call.slot, GRANT_SIZE);
+    case CallKind.Close:
+    case CallKind.WriteOff:
+      return closeGrant(value, { ...call, spent: call.spent });
+    case CallKind.TopUp:
+      return decideBudgetCall({ ...value, toppedUp: false }, call, isOn);
+  }
+}
+
+function closeGrant(value: BudgetValue, call: BudgetCall): BudgetValue {
+  const changed = changeGrant(value, call.slot, 0);
+  return { ...changed, closed: value.closed + call.spent };
+}
+
+function changeGrant(
+  value: BudgetValue,
+  slot: number,
+  size: number,
+): BudgetValue {
+  const grants = value.grants.map((each, index) => index === slot ? size : each);
+  return { ...value, grants };
+}
+
+function computeOpen(value: BudgetValue): number {
+  return value.grants.reduce((sum, size) => sum + size, 0);
+}
+
+function computeLeft(value: BudgetValue): number {
+  return value.limit - value.closed - computeOpen(value);
+}
+
+type GrantsStep = Step<GrantsState>;
+
+/** The guards in force and the bounds. */
+interface Rules {
+  readonly isOn: GuardCheck;
+  readonly bounds: GrantsBounds;
+}
+
+function changeVm(
+  state: GrantsState,
+  index: number,
+  change: Partial<Record<keyof Vm, unknown>>,
+): GrantsState {
+  const vms = state.vms.map((vm, each) =>
+    each === index ? { ...vm, ...change } as Vm : vm
+  );
+  return { ...state, vms };
+}
+
+/** Reads the row, decides the call and sends its write. */
+function sendCall(
+  state: GrantsState,
+  index: number,
+  options: { readonly call: BudgetCall; readonly blind: boolean },
+  rules: Rules,
+): GrantsState {
+  const { call, blind } = options;
+  const { version, value } = state.row;
+  const decide = blind ? decideBlindly : decideBudgetCall;
+  const next = decide(value, call, rules.isOn);
+  if (next === undefined) return completeCall(state, index, call);
+  const write = { base: version, value: next };
+  return changeVm(state, index, { call: { ...call, write } });
+}
+
+/** Folds the answer of a call into its VM. */
+function completeCall(
+  state: GrantsState,
+  index: number,
+  call: BudgetCall,
+): GrantsState {
+  const done = changeVm(state, index, { call: undefined });
+  if (call.kind === CallKind.Close) {
+    return changeVm(done, index, { grant: undefined });
+  }
+  if (call.kind !== CallKind.Take) return done;
+  // A read-back that finds no grant means that the budget could not cover it.
+  if ((state.row.value.grants[call.slot] ?? 0) === 0) return done;
+  const grant = { slot: call.slot, spent: 0, reserved: 0, lapsed: false };
+  const taken = state.vms[index]!.taken + 1;
+  return changeVm(done, index, { grant, taken });
+}
+
+function listCallSteps(
+  state: GrantsState,
+  index: number,
+  rules: Rules,
+): GrantsStep[] {
+  const vm = state.vms[index]!;
+  const call = vm.call;
+  if (call === undefined) return listNewCalls(state, index, rules);
+  const name = `${VM_NAMES[index]} ${call.kind}`;
+  if (call.write === undefined) {
+    const blind = !rules.isOn(Guard.ReadBackBeforeRetry);
+    const next = sendCall(state, index, { call, blind }, rules);
+    return [{ label: `${name}: sent again`, next }];
+  }
+  return listLandings(state, index, call, rules);
+}
+
+function listLandings(
+  state: GrantsState,
+  index: number,
+  call: CallState,
+  rules: Rules,
+): GrantsStep[] {
+  const name = `${VM_NAMES[index]} ${call.kind}`;
+  const write = call.write!;
+  const checkVersion = rules.isOn(Guard.VersionCheck);
+  const row = applyWrite(state.row, write, { checkVersion });
+  const landed = { ...state, row };
+  const waiting = { ...call, write: undefined };
+  const unsure = changeVm(landed, index, { call: waiting });
+  const steps: GrantsStep[] = [];
+  if (row === state.row) {
+    steps.push({ label: `${name}: conflict`, next: unsure });
+  } else {
+    const next = completeCall(landed, index, call);
+    steps.push({ label: `${name}: committed`, next });
+    steps.push({ label: `${name}: committed, answer lost`, next: unsure });
+  }
+  if (state.vms[index]!.late === undefined) {
+    const next = changeVm(state, index, { call: waiting, late: write });
+    steps.push({ label: `${name}: given up before it landed`, next });
+  }
+  return steps;
+}
+
+function listNewCalls(
+  state: GrantsState,
+  index: number,
+  rules: Rules,
+): GrantsStep[] {
+  const vm = state.vms[index]!;
+  return [
+    ...listWantedCalls(state, index, rules),
+    ...(vm.toppedUp || rules.bounds.topUps[index] === 0
+      ? []
+      : [createTopUpStep(state, index, rules)]),
+  ];
+}
+
+function createTopUpStep(
+  state: GrantsState,
+  index: number,
+  rules: Rules,
+): GrantsStep {
+  const call = { kind: CallKind.TopUp, slot: 0, spent: 0 };
+  const asked = changeVm(state, index, { toppedUp: true });
+  const paid = { ...asked, paid: INITIAL_LIMIT + TOP_UP };
+  const next = sendCall(paid, index, { call, blind: false }, rules);
+  return { label: `${VM_NAMES[index]} topup: sent`, next };
+}
+
+function listWantedCalls(
+  state: GrantsState,
+  index: number,
+  rules: Rules,
+): GrantsStep[] {
+  return listWanted(state, index, rules).map((call) => ({
+    label: `${VM_NAMES[index]} ${call.kind} ${call.slot}: sent`,
+    next: sendCall(
+      call.kind === CallKind.WriteOff ? { ...state, wroteOff: true } : state,
+      index,
+      { call, blind: false },
+      rules,
+    ),
+  }));
+}
+
+function listWanted(
+  state: GrantsState,
+  index: number,
+  rules: Rules,
+): BudgetCall[] {
+  const vm = state.vms[index]!;
+  const wanted: BudgetCall[] = [];
+  const slot = index * GRANTS_PER_VM + vm.taken;
+  if (vm.grant === undefined && vm.taken < rules.bounds.grants[index]!) {
+    wanted.push({ kind: CallKind.Take, slot, spent: 0 });
+  }
+  const grant = vm.grant;
+  if (grant !== undefined && isClosable(grant, rules)) {
+    const { slot, spent } = grant;
+    wanted.push({ kind: CallKind.Close, slot, spent });
+  }
+  if (!rules.bounds.writeOffs) return wanted;
+  state.row.value.grants.forEach((size, other) => {
+    if (size === 0 || isOwnGrant(vm, index, other)) return;
+    wanted.push({ kind: CallKind.WriteOff, slot: other, spent: size });
+  });
+  return wanted;
+}
+
+function isClosable(grant: HeldGrant, rules: Rules): boolean {
+  if (grant.reserved > 0 && rules.isOn(Guard.CloseOnlyWhenUnreserved)) return false;
+  return grant.lapsed || grant.spent >= GRANT_SIZE;
+}
+
+/** A VM's own slots up to the one it would take next are its present life's. */
+function isOwnGrant(vm: Vm, index: number, slot: number): boolean {
+  if (Math.floor(slot / GRANTS_PER_VM) !== index) return false;
+  return vm.grant?.slot === slot ||
+    slot === index * GRANTS_PER_VM + vm.taken;
+}
+
+function listRequestSteps(
+  state: GrantsState,
+  index: number,
+  rules: Rules,
+): GrantsStep[] {
+  const grant = state.vms[index]!.grant;
+  if (grant === undefined) return [];
+  const name = VM_NAMES[index];
+  const steps: GrantsStep[] = [];
+  const change = (changed: Partial<HeldGrant>) =>
+    changeVm(state, index, { grant: { ...grant, ...changed } });
+  const open = !grant.lapsed || !rules.isOn(Guard.DeadlineStopsReserving);
+  if (!grant.lapsed) {
+    steps.push({ label: `${name} deadline`, next: change({ lapsed: true }) });
+  }
+  if (open && grant.spent + grant.reserved < GRANT_SIZE) {
+    steps.push({ label: `${name} reserve`, next: change({ reserved: 1 }) });
+  }
+  if (grant.reserved === 0) return steps;
+  const most = rules.isOn(Guard.BoundCancelsStream) ? GRANT_SIZE : GRANT_SIZE + 1;
+  for (let used = 0; used <= most; used++) {
+    const spent = grant.spent + used;
+    const settled = change({ reserved: 0, spent: Math.min(spent, GRANT_SIZE) });
+    const next = { ...settled, spent: state.spent + used };
+    steps.push({ label: `${name} settle ${used}`, next });
+  }
+  return steps;
+}
+
+function listFaults(
+  state: GrantsState,
+  index: number,
+  rules: Rules,
+): GrantsStep[] {
+  const vm = state.vms[index]!;
+  const name = VM_NAMES[index];
+  const steps: GrantsStep[] = [];
+  if (vm.late !== undefined) {
+    const checkVersion = rules.isOn(Guard.VersionCheck);
+    const row = applyWrite(state.row, vm.late, { checkVersion });
+    const cleared = changeVm(state, index, { late: undefined });
+    steps.push({ label: `${name} late write never lands`, next: cleared });
+    if (row !== state.row) {
+      const next = { ...cleared, row };
+      steps.push({ label: `${name} late write lands`, next });
+    }
+  }
+  if (state.crashes < rules.bounds.crashes[index]!) {
+    const most = vm.grant?.reserved ?? 0;
+    for (let used = 0; used <= most; used++) {
+      const next = crashVm(state, index, used);
+      steps.push({ label: `${name} crash, target used ${used}`, next });
+    }
+  }
+  return steps;
+}
+
+/** Loses a VM's memory; its target may have used what was reserved. */
+function crashVm(
+  state: GrantsState,
+  index: number,
+  used: number,
+): GrantsState {
+  const vm = state.vms[index]!;
+  // The next life numbers its grants past those of the lost one.
+  const asked = vm.call?.kind === CallKind.Take ? 1 : 0;
+  const after = changeVm(state, index, {
+    taken: Math.min(GRANTS_PER_VM, vm.taken + asked),
+    grant: undefined,
+    call: undefined,
+    late: vm.call?.write ?? vm.late,
+  });
+  return { ...after, crashes: state.crashes + 1, spent: state.spent + used };
+}
+
+function isAtRest(state: GrantsState): boolean {
+  const open = computeOpen(state.row.value) > 0;
+  return !open && state.vms.every((vm) =>
+    vm.call === undefined && vm.late === undefined && vm.grant === undefined
+  );
+}
+
+function isConserved(state: GrantsState): boolean {
+  const { limit, closed } = state.row.value;
+  const held = closed + computeOpen(state.row.value);
+  if (limit > state.paid || held > limit || state.spent > held) return false;
+  const exact = state.crashes === 0 && !state.wroteOff && isAtRest(state);
+  return !exact || closed === state.spent;
+}
+
+function formatWrite(write: SentWrite<BudgetValue> | undefined): string {
+  if (write === undefined) return "-";
+  return `${write.base}${formatValue(write.value)}`;
+}
+
+function formatValue(value: BudgetValue): string {
+  const { limit, closed, grants, toppedUp } = value;
+  return `${limit}${closed}${grants.join("")}${toppedUp ? "t" : "f"}`;
+}
+
+function formatVm(vm: Vm): string {
+  const { grant, call } = vm;
+  const held = grant === undefined
+    ? "-"
+    : `${grant.slot}${grant.spent}${grant.reserved}${grant.lapsed ? "l" : "o"}`;
+  const asked = call === undefined
+    ? "-"
+    : `${call.kind[0]}${call.slot}${call.spent}${formatWrite(call.write)}`;
+  const flags = `${vm.taken}${vm.toppedUp ? "t" : "f"}`;
+  return `${flags}${held},${asked},${formatWrite(vm.late)}`;
+}
+
+function createInitialState(): GrantsState {
+  const grants = VMS.flatMap(() => Array<number>(GRANTS_PER_VM).fill(0));
+  const value = { limit: INITIAL_LIMIT, closed: 0, grants, toppedUp: false };
+  return {
+    row: { version: 0, value },
+    vms: VMS.map(() => ({ taken: 0, toppedUp: false })),
+    crashes: 0,
+    spent: 0,
+    paid: INITIAL_LIMIT,
+    wroteOff: false,
+  };
+}
+
+function formatGrantsState(state: GrantsState): string {
+  const { version, value } = state.row;
+  const ghosts = `${state.crashes}${state.spent}${state.paid}`;
+  const flag = state.wroteOff ? "w" : "n";
+  const vms = state.vms.map(formatVm).join(";");
+  return `${version}.${formatValue(value)}|${vms}|${ghosts}${flag}`;
+}
+
+/** Returns the specification within bounds. */
+function createGrantsSpecification(
+  bounds: GrantsBounds,
+): Specification<GrantsState> {
+  return {
+    name: bounds.name,
+    scope: bounds.scope,
+    guards: bounds.guards,
+    invariants: [Invariant.NeverOverspent, Invariant.TokensConserved],
+    createInitial: createInitialState,
+    listSteps: (state, isOn) => listGrantsSteps(state, { isOn, bounds }),
+    findViolation: (state) => {
+      if (state.spent > state.paid) return Invariant.NeverOverspent;
+      return isConserved(state) ? undefined : Invariant.TokensConserved;
+    },
+    formatState: formatGrantsState,
+  };
+}
+
+function listGrantsSteps(state: GrantsState, rules: Rules): GrantsStep[] {
+  return VMS.flatMap((index) => [
+    ...listRequestSteps(state, index, rules),
+    ...listCallSteps(state, index, rules),
+    ...listFaults(state, index, rules),
+  ]);
+}
+
+/** Grants of two VMs, a crash and write-offs. */
+export const GRANTS = createGrantsSpecification({
+  name: "grants",
+  scope:
+    "2 VMs and the budget row, limit 1; A takes 2 grants of 1 and crashes once, B takes 1; write-offs at any time; 1 late write per VM",
+  grants: [2, 1],
+  crashes: [1, 0],
+  topUps: [0, 0],
+  writeOffs: true,
+  guards: [
+    Guard.VersionCheck,
+    Guard.ReadBackBeforeRetry,
+    Guard.DeadlineStopsReserving,
+    Guard.CloseOnlyWhenUnreserved,
+    Guard.BoundCancelsStream,
+    Guard.WriteOffWhole,
+  ],
+});
+
+/** A top-up asked for at two VMs, the first of which may be cut off or lost. */
+export const TOP_UPS = createGrantsSpecification({
+  name: "top-ups",
+  scope:
+    "2 VMs and the budget row, limit 1; one top-up of 1 asked for at both; A takes 1 grant and crashes once, B takes 1; 1 late write per VM",
+  grants: [1, 1],
+  crashes: [1, 0],
+  topUps: [1, 1],
+  writeOffs: false,
+  guards: [Guard.VersionCheck, Guard.ReadBackBeforeRetry, Guard.TopUpIdKept],
+});
