--- a/packages/cli/commands/model_command.ts
+++ b/packages/cli/commands/model_command.ts
@@ -32,7 +32,7 @@
         type: "string",
         describe: "Switch this guard off; the check must then find a violation",
       })
-      .option("max-states", {
+      .option("maxStates", {
         type: "number",
         default: DEFAULT_MAX_STATES,
         describe: "Give up on a model after this many states",
--- a/packages/model/explore.ts
+++ b/packages/model/explore.ts
@@ -179,7 +179,9 @@
   }
 }
 
-function listHubEvents<State>(batch: readonly Node<State>[]): NodeEvent<State>[] {
+function listHubEvents<State>(
+  batch: readonly Node<State>[],
+): NodeEvent<State>[] {
   return batch.map((node) => ({ type: node.key, node }));
 }
 
--- a/packages/model/guard.ts
+++ b/packages/model/guard.ts
@@ -87,7 +87,8 @@
     "A holder counts its lease from before the write was sent.",
   [Guard.LeaseObservedWhole]:
     "A lease is taken over only after its row was seen unchanged for a whole lease.",
-  [Guard.FencingToken]: "A checking target refuses an order with an older token.",
+  [Guard.FencingToken]:
+    "A checking target refuses an order with an older token.",
   [Guard.FencingWait]:
     "Before targets that ignore tokens a new holder waits out the longest order.",
   [Guard.DocumentVersionRises]:
--- a/packages/model/specifications/grants.ts
+++ b/packages/model/specifications/grants.ts
@@ -161,7 +161,9 @@
   slot: number,
   size: number,
 ): BudgetValue {
-  const grants = value.grants.map((each, index) => index === slot ? size : each);
+  const grants = value.grants.map((each, index) =>
+    index === slot ? size : each
+  );
   return { ...value, grants };
 }
 
@@ -203,13 +205,13 @@
   const { version, value } = state.row;
   const decide = blind ? decideBlindly : decideBudgetCall;
   const next = decide(value, call, rules.isOn);
-  if (next === undefined) return completeCall(state, index, call);
+  if (next === undefined) return finishCall(state, index, call);
   const write = { base: version, value: next };
   return changeVm(state, index, { call: { ...call, write } });
 }
 
 /** Folds the answer of a call into its VM. */
-function completeCall(
+function finishCall(
   state: GrantsState,
   index: number,
   call: BudgetCall,
@@ -260,7 +262,7 @@
   if (row === state.row) {
     steps.push({ label: `${name}: conflict`, next: unsure });
   } else {
-    const next = completeCall(landed, index, call);
+    const next = finishCall(landed, index, call);
     steps.push({ label: `${name}: committed`, next });
     steps.push({ label: `${name}: committed, answer lost`, next: unsure });
   }
@@ -338,7 +340,9 @@
 }
 
 function isClosable(grant: HeldGrant, rules: Rules): boolean {
-  if (grant.reserved > 0 && rules.isOn(Guard.CloseOnlyWhenUnreserved)) return false;
+  if (grant.reserved > 0 && rules.isOn(Guard.CloseOnlyWhenUnreserved)) {
+    return false;
+  }
   return grant.lapsed || grant.spent >= GRANT_SIZE;
 }
 
@@ -368,7 +372,9 @@
     steps.push({ label: `${name} reserve`, next: change({ reserved: 1 }) });
   }
   if (grant.reserved === 0) return steps;
-  const most = rules.isOn(Guard.BoundCancelsStream) ? GRANT_SIZE : GRANT_SIZE + 1;
+  const most = rules.isOn(Guard.BoundCancelsStream)
+    ? GRANT_SIZE
+    : GRANT_SIZE + 1;
   for (let used = 0; used <= most; used++) {
     const spent = grant.spent + used;
     const settled = change({ reserved: 0, spent: Math.min(spent, GRANT_SIZE) });
@@ -426,9 +432,10 @@
 
 function isAtRest(state: GrantsState): boolean {
   const open = computeOpen(state.row.value) > 0;
-  return !open && state.vms.every((vm) =>
-    vm.call === undefined && vm.late === undefined && vm.grant === undefined
-  );
+  return !open &&
+    state.vms.every((vm) =>
+      vm.call === undefined && vm.late === undefined && vm.grant === undefined
+    );
 }
 
 function isConserved(state: GrantsState): boolean {
