--- a/packages/daemon/entry/caller_request.ts
+++ b/packages/daemon/entry/caller_request.ts
@@ -10,6 +10,7 @@
   ServiceConfig,
   Tokens,
 } from "../../core/mod.ts";
+import type { PrefixDigest } from "../../routing/mod.ts";
 
 /** One request, with the configuration it began with. */
 export interface CallerRequest {
@@ -30,6 +31,8 @@
   readonly promptBound: Tokens;
   /** Upper bound of generated tokens; 0 for plain services. */
   readonly outputBound: Tokens;
+  /** Digests of the prompt's beginning, the shortest first. */
+  readonly prefixes: readonly PrefixDigest[];
   readonly arrivedAt: MonotonicTime;
   readonly deadline: MonotonicTime;
 }
--- a/packages/daemon/entry/read_caller_request.ts
+++ b/packages/daemon/entry/read_caller_request.ts
@@ -111,7 +111,7 @@
 
 type BodyContent = Pick<
   CallerRequest,
-  "body" | "stream" | "promptBound" | "outputBound"
+  "body" | "stream" | "promptBound" | "outputBound" | "prefixes"
 >;
 
 function readBody(
@@ -120,7 +120,13 @@
 ): Either<Refusal, BodyContent> {
   return parseJson(body).chain((value) => {
     if (options.type === ServiceType.PlainService) {
-      return Right({ body, stream: false, promptBound: 0, outputBound: 0 });
+      return Right({
+        body,
+        stream: false,
+        promptBound: 0,
+        outputBound: 0,
+        prefixes: [],
+      });
     }
     const parsed = CHAT_SCHEMA.safeParse(value);
     if (!parsed.success) {
@@ -153,9 +159,22 @@
       chat.messages.length,
     ),
     outputBound,
+    prefixes: computePrefixes(chat.messages),
   };
 }
 
+/** Messages whose prefixes are told apart. */
+const MAX_PREFIXES = 8;
+
+/** Returns the digest of each beginning of the conversation. */
+function computePrefixes(messages: readonly unknown[]): string[] {
+  const hash = createHash("sha256");
+  return messages.slice(0, MAX_PREFIXES).map((message) => {
+    hash.update(JSON.stringify(message));
+    return hash.copy().digest("base64url");
+  });
+}
+
 function parseJson(body: Uint8Array): Either<Refusal, unknown> {
   try {
     return Right(JSON.parse(Buffer.from(body).toString("utf8")));
--- a/packages/daemon/entry/refusals.ts
+++ b/packages/daemon/entry/refusals.ts
@@ -54,6 +54,8 @@
     "This Idempotency-Key was used for another request. Nothing was done for this one. Please use a new key.",
   [RefusalKind.StoreUnavailable]:
     "We could not make sure that this would be done only once, so nothing was done. Please try again shortly.",
+  [RefusalKind.Quarantined]:
+    "This request has made our services fail more than once, so we are not sending it again. Nothing was done. Please ask the person who looks after the event.",
   [RefusalKind.Draining]:
     "This machine is being replaced. Nothing was done. Please send the request again now.",
   [RefusalKind.StillRunning]:
--- a/packages/daemon/entry/request_runner.ts
+++ b/packages/daemon/entry/request_runner.ts
@@ -20,7 +20,7 @@
 } from "../../request/mod.ts";
 import type { BillLog } from "../features/bill_log.ts";
 import type { Escrow } from "../features/escrow.ts";
-import type { TargetRouter } from "../features/target_router.ts";
+import type { Traffic } from "../features/traffic.ts";
 import { LogEvent } from "../event_log.ts";
 import { DRAINING, type NodeContext } from "../node_context.ts";
 import { AnswerRun } from "./answer_run.ts";
@@ -41,7 +41,7 @@
 /** Features that the runner uses. */
 export interface RunnerFeatures {
   readonly escrow: Escrow;
-  readonly router: TargetRouter;
+  readonly traffic: Traffic;
   readonly bills: BillLog;
   /** Says whether the life of another VM is known to be over. */
   readonly isLifeOver: (vm: VmId, incarnation: Incarnation) => boolean;
@@ -65,7 +65,7 @@
     this.#services = {
       context,
       escrow: features.escrow,
-      router: features.router,
+      traffic: features.traffic,
       addBill: (request, tokens) =>
         features.bills.add(this.#createBill(request, tokens)),
       createClaim: (request) => this.#createClaim(request),
@@ -109,7 +109,7 @@
     if (admitted.state === AdmitState.Joined) {
       return Right(this.#open.get(admitted.run)!);
     }
-    const refusal = this.#checkRoom();
+    const refusal = this.#checkRoom(request);
     if (refusal !== undefined) {
       this.#table.finish(admitted.run, { now });
       return Left(refusal);
@@ -122,11 +122,14 @@
     return Right(run);
   }
 
-  #checkRoom(): Refusal | undefined {
+  #checkRoom(request: CallerRequest): Refusal | undefined {
     const { kernel, settings } = this.#context;
     if (kernel.read(DRAINING)) {
       return createRefusal(RefusalKind.Draining, { retryAfter: 0 });
     }
+    if (this.#services.traffic.isQuarantined(request.digest)) {
+      return createRefusal(RefusalKind.Quarantined);
+    }
     if (this.#open.size < settings.limits.maxOpenRequests) return undefined;
     return createRefusal(RefusalKind.Overloaded, {
       retryAfter: OVERLOAD_RETRY_AFTER,
--- a/packages/daemon/entry/run_engine_request.ts
+++ b/packages/daemon/entry/run_engine_request.ts
@@ -6,46 +6,49 @@
  * position where the last one stopped.
  */
 import { randomUUID } from "node:crypto";
-import type { Either } from "purify-ts";
+import type { Reservation } from "../../budget/mod.ts";
 import {
   type Millis,
   type Refusal,
   RefusalKind,
   type TargetConfig,
-  type TargetId,
   type Tokens,
 } from "../../core/mod.ts";
-import type { Reservation } from "../../budget/mod.ts";
 import {
   AttemptEnd,
   type StreamChunk,
   type TargetResult,
   type TokenUsage,
 } from "../../platform/mod.ts";
-import { LogEvent } from "../event_log.ts";
 import type { AnswerRun } from "./answer_run.ts";
+import {
+  type AttemptInput,
+  AttemptRunner,
+  type FinishedAttempt,
+} from "./attempt_runner.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { createUnknown } from "./refusals.ts";
 import type { RunServices } from "./run_services.ts";
 
-/** Attempts at targets for one request. */
-export const MAX_ATTEMPTS = 4;
-
 /** Longest wait for an engine to say what a cancelled stream used. */
 const CANCEL_TIMEOUT: Millis = 1_000;
 
-const RETRY_AFTER: Millis = 1_000;
+/**
+ * Progress timeouts after which the connection itself gives up; until then the
+ * silence watch decides.
+ */
+const CONNECTION_TIMEOUTS = 8;
 
 /** Runs one engine request to its end. */
 export class EngineRequestRun {
   readonly #services: RunServices;
   readonly #request: CallerRequest;
   readonly #run: AnswerRun;
-  readonly #tried: TargetId[] = [];
-  #promptTokens: Tokens = 0;
+  readonly #attempts: AttemptRunner;
+  #streamId = "";
   #outputTokens: Tokens = 0;
-  /** True once bytes of the request may have reached a target. */
-  #sent = false;
+  /** Tokens of the whole answer, prompt included, once it is known. */
+  #billed: Tokens = 0;
 
   constructor(
     services: RunServices,
@@ -54,27 +57,65 @@
     this.#services = services;
     this.#request = input.request;
     this.#run = input.run;
+    this.#attempts = new AttemptRunner(services, {
+      request: input.request,
+      abandoned: input.run.abandoned,
+    });
   }
 
   /** Runs attempts until one completes or none is left; ends the run. */
   async execute(): Promise<void> {
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      const reserved = await this.#reserve();
-      if (reserved.isLeft()) return this.#giveUp(reserved.extract() as Refusal);
-      const chosen = this.#chooseTarget();
-      if (chosen.isLeft()) {
-        this.#services.escrow.settle(reserved.unsafeCoerce(), 0);
-        return this.#giveUp(chosen.extract() as Refusal);
-      }
-      const done = await this.#attempt(
-        chosen.unsafeCoerce(),
-        reserved.unsafeCoerce(),
-      );
-      if (done) return;
+    const reserved = await this.#reserve();
+    if (reserved.isLeft()) {
+      return this.#refuse(reserved.swap().unsafeCoerce());
+    }
+    const started = await this.#attempts.start();
+    if (started.isLeft()) {
+      this.#services.escrow.settle(reserved.unsafeCoerce(), 0);
+      return this.#refuse(started.swap().unsafeCoerce());
     }
-    this.#giveUp(
-      createUnknown(RefusalKind.TargetFailed, { retryAfter: RETRY_AFTER }),
+    const complete = await this.#runAttempts(
+      started.unsafeCoerce(),
+      reserved.unsafeCoerce(),
     );
+    this.#attempts.finish({ tokens: this.#billed, complete });
+  }
+
+  /** Returns whether the whole answer arrived. */
+  async #runAttempts(
+    first: TargetConfig,
+    reservation: Reservation,
+  ): Promise<boolean> {
+    let target = first;
+    let held = reservation;
+    for (;;) {
+      this.#streamId = randomUUID();
+      const finished = await this.#attempts.run(
+        target,
+        (input) => this.#stream(input),
+      );
+      const usage = await this.#findUsage(finished);
+      this.#settle(held, { result: finished.result, usage });
+      if (finished.result.end === AttemptEnd.Complete) {
+        await this.#complete(finished.result);
+        return true;
+      }
+      if (this.#run.abandoned.aborted) return false;
+      const passedOn = this.#run.readChunks().length;
+      const next = await this.#attempts.choosePlan(finished, passedOn);
+      if (next.isLeft()) {
+        this.#refuse(next.swap().unsafeCoerce());
+        return false;
+      }
+      target = next.unsafeCoerce();
+      const again = await this.#reserve();
+      if (again.isLeft()) {
+        this.#attempts.drop(target);
+        this.#refuse(again.swap().unsafeCoerce());
+        return false;
+      }
+      held = again.unsafeCoerce();
+    }
   }
 
   #reserve() {
@@ -85,86 +126,55 @@
     });
   }
 
-  /** A target that was tried is used again only when no other is left. */
-  #chooseTarget(): Either<Refusal, TargetConfig> {
-    const { service, customer, digest } = this.#request;
-    const choose = (tried: readonly TargetId[]) =>
-      this.#services.router.choose({
-        service: service.id,
-        customer: customer.id,
-        digest,
-        tried,
-      });
-    return choose(this.#tried)
-      .alt(choose(this.#tried.slice(-1)))
-      .alt(choose([]));
-  }
-
-  /** Returns true when the run has ended. */
-  async #attempt(
-    target: TargetConfig,
-    reservation: Reservation,
-  ): Promise<boolean> {
-    const { router } = this.#services;
-    this.#tried.push(target.id);
-    const streamId = randomUUID();
-    router.startAttempt(target.id);
-    const result = await this.#stream(target, streamId);
-    router.endAttempt(target.id, result.end);
-    this.#report(target, result);
-    if (result.end !== AttemptEnd.NotSent) this.#sent = true;
-    const usage = await this.#findUsage(target, { streamId, result });
-    this.#settle(reservation, { result, usage });
-    if (result.end === AttemptEnd.Complete) {
-      await this.#complete(result, usage);
-      return true;
-    }
-    return result.end === AttemptEnd.Cancelled;
-  }
-
-  #stream(target: TargetConfig, streamId: string): Promise<TargetResult> {
+  async #stream(input: AttemptInput): Promise<TargetResult> {
     const { service, kind, body, digest, requestKey } = this.#request;
     const cut = new AbortController();
     const position = this.#run.readChunks().length;
-    const signal = AbortSignal.any([this.#run.abandoned, cut.signal]);
-    return this.#services.context.targets.stream({
-      target,
+    const streamId = this.#streamId;
+    const resume = { streamId, position, tokens: this.#outputTokens };
+    const result = await this.#services.context.targets.stream({
+      target: input.target,
       path: service.path,
       body,
       priority: kind.priority,
       requestKey,
       digest,
       streamId,
-      progressTimeout: service.progressTimeout,
-      ...(position === 0
-        ? {}
-        : { resume: { streamId, position, tokens: this.#outputTokens } }),
-      signal,
-    }, (chunk) => this.#receive(chunk, cut));
+      progressTimeout: service.progressTimeout * CONNECTION_TIMEOUTS,
+      ...(position === 0 ? {} : { resume }),
+      signal: AbortSignal.any([input.signal, cut.signal]),
+    }, (chunk) => {
+      input.recordProgress();
+      return this.#receive(chunk, cut);
+    });
+    // An engine that ignores its limit was cut off: the answer is whole.
+    return cut.signal.aborted
+      ? { ...result, end: AttemptEnd.Complete }
+      : result;
   }
 
   #receive(chunk: StreamChunk, cut: AbortController): Promise<void> | void {
-    // An engine that ignores its limit is cut off at the bound.
-    if (this.#outputTokens + chunk.tokens > this.#request.outputBound + 1) {
-      return cut.abort();
-    }
+    if (cut.signal.aborted) return;
+    const tokens = this.#outputTokens + chunk.tokens;
+    // The last chunk carries no text, and without usage it counts as one token.
+    if (tokens > this.#request.outputBound + 1) return cut.abort();
     this.#outputTokens += chunk.tokens;
     return this.#run.append(chunk.data);
   }
 
   /** Returns what an attempt used, asking the engine if it broke off. */
   async #findUsage(
-    target: TargetConfig,
-    input: { readonly streamId: string; readonly result: TargetResult },
+    finished: FinishedAttempt,
   ): Promise<TokenUsage | undefined> {
-    const { result, streamId } = input;
+    const { result, target } = finished;
     if (result.usage !== undefined) return result.usage;
     const cut = result.end === AttemptEnd.Broken ||
       result.end === AttemptEnd.Cancelled;
     if (!cut) return undefined;
-    this.#services.context.targets.dropPool(target.id);
-    const options = { streamId, timeout: CANCEL_TIMEOUT };
-    return await this.#services.context.targets.cancel(target, options);
+    return await this.#services.context.targets.cancel(target, {
+      streamId: this.#streamId,
+      timeout: CANCEL_TIMEOUT,
+    });
   }
 
   /** Settles what is known to be used; what is not known counts as spent. */
@@ -176,29 +186,22 @@
     },
   ): void {
     const { result, usage } = input;
-    this.#services.escrow.settle(
-      reservation,
-      this.#computeSpent({ result, usage, most: reservation.tokens }),
-    );
-    this.#promptTokens = usage?.promptTokens ?? this.#request.promptBound;
-  }
-
-  #computeSpent(input: {
-    readonly result: TargetResult;
-    readonly usage: TokenUsage | undefined;
-    readonly most: Tokens;
-  }): Tokens | undefined {
-    if (isFree(input.result)) return 0;
-    if (input.usage === undefined) return undefined;
-    const { promptTokens, outputTokens } = input.usage;
-    const used = promptTokens + outputTokens + this.#request.kind.flatTokens;
-    return Math.min(used, input.most);
+    const { promptBound, kind } = this.#request;
+    const prompt = usage?.promptTokens ?? promptBound;
+    const output = Math.max(this.#outputTokens, usage?.outputTokens ?? 0);
+    this.#billed = prompt + output + kind.flatTokens;
+    const known = isFree(result)
+      ? 0
+      : usage === undefined
+      ? undefined
+      : Math.min(
+        usage.promptTokens + usage.outputTokens + kind.flatTokens,
+        reservation.tokens,
+      );
+    this.#services.escrow.settle(reservation, known);
   }
 
-  async #complete(
-    result: TargetResult,
-    usage: TokenUsage | undefined,
-  ): Promise<void> {
+  async #complete(result: TargetResult): Promise<void> {
     if (result.status !== 200) {
       return this.#run.finish({
         type: "answered",
@@ -207,29 +210,19 @@
         body: result.body,
       });
     }
-    const output = Math.max(this.#outputTokens, usage?.outputTokens ?? 0);
-    const tokens = this.#promptTokens + output + this.#request.kind.flatTokens;
-    await this.#services.addBill(this.#request, tokens);
+    await this.#services.addBill(this.#request, this.#billed);
     this.#run.finish({ type: "streamed" });
   }
 
-  #report(target: TargetConfig, result: TargetResult): void {
-    const { context } = this.#services;
-    const { service, kind } = this.#request;
-    context.metrics.attempts.inc({ service: service.id, end: result.end });
-    if (result.end === AttemptEnd.Complete) return;
-    context.log.warn(LogEvent.AttemptFailed, {
-      target: target.id,
-      kind: kind.id,
-      end: result.end,
-      detail: result.detail,
-    });
-  }
-
-  /** Nothing more can be tried: an answer that has begun cannot be taken back. */
-  #giveUp(refusal: Refusal): void {
-    const end = this.#sent
-      ? createUnknown(RefusalKind.TargetFailed, { retryAfter: RETRY_AFTER })
+  /** An answer that has begun cannot be taken back. */
+  #refuse(refusal: Refusal): void {
+    const end = this.#attempts.mayHaveRun
+      ? createUnknown(
+        RefusalKind.TargetFailed,
+        refusal.retryAfter === undefined
+          ? {}
+          : { retryAfter: refusal.retryAfter },
+      )
       : refusal;
     this.#run.finish({ type: "refused", refusal: end });
   }
--- a/packages/daemon/entry/run_service_request.ts
+++ b/packages/daemon/entry/run_service_request.ts
@@ -15,9 +15,7 @@
   Repeatability,
   RequestOutcome,
   type TargetConfig,
-  type TargetId,
 } from "../../core/mod.ts";
-import type { Reservation } from "../../budget/mod.ts";
 import { AttemptEnd, type TargetResult } from "../../platform/mod.ts";
 import {
   type ClaimEnd,
@@ -32,25 +30,31 @@
 } from "../../request/mod.ts";
 import { LogEvent } from "../event_log.ts";
 import type { AnswerRun, RunEnd } from "./answer_run.ts";
+import { type AttemptInput, AttemptRunner } from "./attempt_runner.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { createRefusal, createUnknown } from "./refusals.ts";
-import { MAX_ATTEMPTS } from "./run_engine_request.ts";
 import type { RunServices } from "./run_services.ts";
 
 const STORE_RETRY_AFTER: Millis = 2_000;
 const STILL_RUNNING_RETRY_AFTER: Millis = 1_000;
 
+/** Progress timeouts after which the connection itself gives up. */
+const CONNECTION_TIMEOUTS = 8;
+
 /** How the attempts of a call ended together. */
 type CallOutcome =
   | { readonly type: "ran"; readonly result: TargetResult }
   | { readonly type: "not-run"; readonly refusal: Refusal }
-  | { readonly type: "unknown" };
+  | { readonly type: "unknown"; readonly refusal: Refusal }
+  /** Another attempt holds, or held, the claim: nothing was sent. */
+  | { readonly type: "held"; readonly end: RunEnd };
 
 /** Runs one service call to its end. */
 export class ServiceRequestRun {
   readonly #services: RunServices;
   readonly #request: CallerRequest;
   readonly #run: AnswerRun;
+  readonly #attempts: AttemptRunner;
 
   constructor(
     services: RunServices,
@@ -59,6 +63,12 @@
     this.#services = services;
     this.#request = input.request;
     this.#run = input.run;
+    // A caller that hangs up does not stop what may have begun.
+    const abandoned = input.request.kind.repeatability === Repeatability.Once
+      ? new AbortController().signal
+      : input.run.abandoned;
+    const { request } = input;
+    this.#attempts = new AttemptRunner(services, { request, abandoned });
   }
 
   /** Runs the call; ends the run. */
@@ -69,31 +79,42 @@
       deadline,
     });
     if (reserved.isLeft()) {
-      const refusal = reserved.extract() as Refusal;
+      const refusal = reserved.swap().unsafeCoerce();
       return this.#run.finish({ type: "refused", refusal });
     }
-    const reservation = reserved.unsafeCoerce();
-    if (kind.repeatability === Repeatability.Repeatable) {
-      const outcome = await this.#runAttempts();
-      this.#settle(reservation, outcome);
-      return await this.#finish(outcome);
+    const outcome = await this.#admit();
+    const free = outcome.type === "not-run" || outcome.type === "held";
+    const spent = free ? 0 : kind.flatTokens;
+    this.#services.escrow.settle(reserved.unsafeCoerce(), spent);
+    const complete = outcome.type === "ran";
+    this.#attempts.finish({ tokens: spent, complete });
+    await this.#finish(outcome);
+  }
+
+  async #admit(): Promise<CallOutcome> {
+    const started = await this.#attempts.start();
+    if (started.isLeft()) {
+      return { type: "not-run", refusal: started.swap().unsafeCoerce() };
     }
-    await this.#runClaimed(reservation);
+    const target = started.unsafeCoerce();
+    const once = this.#request.kind.repeatability === Repeatability.Once;
+    return once
+      ? await this.#runClaimed(target)
+      : await this.#runAttempts(target);
   }
 
-  async #runClaimed(reservation: Reservation): Promise<void> {
+  async #runClaimed(target: TargetConfig): Promise<CallOutcome> {
     const claim = this.#services.createClaim(this.#request);
     const taken = await this.#takeClaim(claim);
     if (taken.isLeft()) {
-      this.#services.escrow.settle(reservation, 0);
-      return this.#run.finish(taken.extract() as RunEnd);
+      this.#attempts.drop(target);
+      return { type: "held", end: taken.swap().unsafeCoerce() };
     }
-    const outcome = await this.#runAttempts();
-    this.#settle(reservation, outcome);
+    const outcome = await this.#runAttempts(target);
     // The claim is finished before the caller hears, so that a retry elsewhere
     // finds what this caller was told.
     await this.#finishClaim(claim, outcome);
-    await this.#finish(outcome);
+    return outcome;
   }
 
   /** Returns the end of the run when the claim is not this attempt's. */
@@ -166,83 +187,38 @@
     return { type: "refused", refusal };
   }
 
-  async #runAttempts(): Promise<CallOutcome> {
-    const tried: TargetId[] = [];
-    let last: TargetResult | undefined;
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      const chosen = this.#chooseTarget(tried);
-      if (chosen.isLeft()) {
-        const refusal = chosen.extract() as Refusal;
-        return last?.end === AttemptEnd.Broken
-          ? { type: "unknown" }
+  async #runAttempts(first: TargetConfig): Promise<CallOutcome> {
+    let target = first;
+    for (;;) {
+      const finished = await this.#attempts.run(
+        target,
+        (input) => this.#call(input),
+      );
+      const { result } = finished;
+      if (result.end === AttemptEnd.Complete) return { type: "ran", result };
+      const next = await this.#attempts.choosePlan(finished, 0);
+      if (next.isLeft()) {
+        const refusal = next.swap().unsafeCoerce();
+        return this.#attempts.mayHaveRun
+          ? { type: "unknown", refusal }
           : { type: "not-run", refusal };
       }
-      const target = chosen.unsafeCoerce();
-      tried.push(target.id);
-      last = await this.#call(target);
-      if (last.end === AttemptEnd.Complete) {
-        return { type: "ran", result: last };
-      }
-      if (!this.#mayRepeat(last)) return { type: "unknown" };
+      target = next.unsafeCoerce();
     }
-    return last?.end === AttemptEnd.Broken ? { type: "unknown" } : {
-      type: "not-run",
-      refusal: createRefusal(RefusalKind.NoTarget, {
-        retryAfter: STORE_RETRY_AFTER,
-      }),
-    };
-  }
-
-  #mayRepeat(result: TargetResult): boolean {
-    if (result.end === AttemptEnd.NotSent) return true;
-    if (result.end === AttemptEnd.Refused) return true;
-    const { kind, service } = this.#request;
-    return kind.repeatability === Repeatability.Repeatable ||
-      service.checksRequestKeys;
-  }
-
-  #chooseTarget(tried: readonly TargetId[]) {
-    const { service, customer, digest } = this.#request;
-    return this.#services.router.choose({
-      service: service.id,
-      customer: customer.id,
-      digest,
-      tried,
-    });
   }
 
-  async #call(target: TargetConfig): Promise<TargetResult> {
-    const { context, router } = this.#services;
+  #call(input: AttemptInput): Promise<TargetResult> {
     const { service, kind, body, digest, requestKey } = this.#request;
-    router.startAttempt(target.id);
-    const result = await context.targets.call({
-      target,
+    return this.#services.context.targets.call({
+      target: input.target,
       path: service.path,
       body,
       priority: kind.priority,
       requestKey,
       digest,
-      progressTimeout: service.progressTimeout,
-      // A caller that hangs up does not stop what may have begun.
-      signal: new AbortController().signal,
+      progressTimeout: service.progressTimeout * CONNECTION_TIMEOUTS,
+      signal: input.signal,
     });
-    router.endAttempt(target.id, result.end);
-    context.metrics.attempts.inc({ service: service.id, end: result.end });
-    if (result.end !== AttemptEnd.Complete) {
-      context.targets.dropPool(target.id);
-      context.log.warn(LogEvent.AttemptFailed, {
-        target: target.id,
-        kind: kind.id,
-        end: result.end,
-        detail: result.detail,
-      });
-    }
-    return result;
-  }
-
-  #settle(reservation: Reservation, outcome: CallOutcome): void {
-    const spent = outcome.type === "not-run" ? 0 : reservation.tokens;
-    this.#services.escrow.settle(reservation, spent);
   }
 
   /** Writes how the call ended; the writer goes on until that is durable. */
@@ -266,7 +242,9 @@
     claim: ClaimInput,
     outcome: CallOutcome,
   ): Promise<ClaimEnd> {
-    if (outcome.type !== "ran") return { state: outcome.type };
+    if (outcome.type !== "ran") {
+      return { state: outcome.type === "unknown" ? "unknown" : "not-run" };
+    }
     const { status = 502, contentType = "", body } = outcome.result;
     const plan = planKeptAnswer(claim, { status, contentType, body });
     if (plan.object !== undefined) {
@@ -283,9 +261,7 @@
       const { status = 502, contentType = "", body } = outcome.result;
       return this.#run.finish({ type: "answered", status, contentType, body });
     }
-    const refusal = outcome.type === "not-run"
-      ? outcome.refusal
-      : createUnknown(RefusalKind.OutcomeUnknown);
-    this.#run.finish({ type: "refused", refusal });
+    if (outcome.type === "held") return this.#run.finish(outcome.end);
+    this.#run.finish({ type: "refused", refusal: outcome.refusal });
   }
 }
--- a/packages/daemon/entry/run_services.ts
+++ b/packages/daemon/entry/run_services.ts
@@ -6,7 +6,7 @@
   HolderState,
 } from "../../request/mod.ts";
 import type { Escrow } from "../features/escrow.ts";
-import type { TargetRouter } from "../features/target_router.ts";
+import type { Traffic } from "../features/traffic.ts";
 import type { NodeContext } from "../node_context.ts";
 import type { CallerRequest } from "./caller_request.ts";
 
@@ -14,7 +14,7 @@
 export interface RunServices {
   readonly context: NodeContext;
   readonly escrow: Escrow;
-  readonly router: TargetRouter;
+  readonly traffic: Traffic;
   /** Adds the request's bill; resolves when it is durable or after a bounded wait. */
   addBill(request: CallerRequest, tokens: Tokens): Promise<void>;
   /** Returns a claim of the request by a new attempt of this VM. */
--- /dev/null
+++ b/packages/daemon/features/traffic.ts
@@ -0,0 +1,432 @@
+/**
+ * Traffic to targets as this VM sees it: admission, choice of target, open
+ * attempts, retries, quarantine and load reports.
+ */
+import type { Either } from "purify-ts";
+import {
+  combineUndo,
+  type CommandType,
+  createCommand,
+  type JsonValue,
+  type Millis,
+  type MonotonicTime,
+  type Refusal,
+  type ServiceId,
+  type SliceType,
+  type TargetConfig,
+  type TargetId,
+  type Undo,
+} from "../../core/mod.ts";
+import {
+  type AttemptEnd,
+  ListedVmState,
+  type TargetLoadReport,
+} from "../../platform/mod.ts";
+import {
+  Admission,
+  applyLeavingSigns,
+  applyListedTargets,
+  applyReport,
+  applyTargets,
+  type AttemptFinish,
+  chooseTarget,
+  createRoutingState,
+  type CustomerDemand,
+  decideRetry,
+  DemandTable,
+  describeRouting,
+  type FailedAttempt,
+  type LeavingSign,
+  listLeavingSigns,
+  Quarantine,
+  type QuarantineWord,
+  recordAttemptEnd,
+  recordAttemptStart,
+  RetryBudgets,
+  type RetryDecision,
+  type RoutedRequest,
+  type RoutingState,
+  type Ticket,
+} from "../../routing/mod.ts";
+import { LogEvent } from "../event_log.ts";
+import { CONFIGURATION, type NodeContext } from "../node_context.ts";
+import { startPeriodic } from "../processes.ts";
+import type { NewsExchange } from "./news_exchange.ts";
+
+type RoutingChange = (state: RoutingState) => RoutingState;
+
+const CHANGE_ROUTING: CommandType<RoutingChange, void> = createCommand(
+  "routing.change",
+);
+
+/** Longest wait for a load report. */
+const PROBE_TIMEOUT: Millis = 1_000;
+
+/** Time between two looks at the deadlines of queued requests. */
+const EXPIRY_INTERVAL: Millis = 50;
+
+/** Load at which a target gets no request from the queue. */
+const FULL_LOAD = 1.25;
+
+/** How a queued request is answered or started. */
+export interface QueuedRequest {
+  readonly ticket: Ticket;
+  readonly routed: RoutedRequest;
+  /** Is called once; the attempt at the target counts as started. */
+  start(target: TargetConfig): void;
+  /** Is called once instead, when the request cannot be served. */
+  refuse(refusal: Refusal): void;
+}
+
+/** What the feature uses of others. */
+export interface TrafficPorts {
+  readonly news: NewsExchange;
+  /** Number of live entry VMs, this one included. */
+  readonly countVms: () => number;
+  /** Whether this VM is the one of its region that asks a target for its load. */
+  readonly isProber: (target: TargetId) => boolean;
+  /** Sends this VM's news to its peers at once; resolves within a short bound. */
+  readonly pushNews: () => Promise<void>;
+}
+
+/** Admits requests and sends them to targets. */
+export class Traffic {
+  readonly #context: NodeContext;
+  readonly #ports: TrafficPorts;
+  readonly #slice: SliceType<RoutingState>;
+  readonly #admission = new Admission();
+  readonly #demand = new DemandTable();
+  readonly #quarantine = new Quarantine();
+  readonly #budgets = new RetryBudgets();
+  readonly #queued = new Map<string, QueuedRequest>();
+
+  constructor(context: NodeContext, ports: TrafficPorts) {
+    this.#context = context;
+    this.#ports = ports;
+    const { region } = context.settings;
+    this.#slice = {
+      name: "routing",
+      createInitial: () => createRoutingState({ region }),
+    };
+  }
+
+  /** Registers the feature's command, dumps, news parts and periodic work. */
+  register(): Undo {
+    const { kernel } = this.#context;
+    return combineUndo([
+      kernel.registerCommand(
+        CHANGE_ROUTING,
+        (change, update) =>
+          update.write(this.#slice, change(update.read(this.#slice))),
+      ),
+      kernel.registerDump("routing", () => this.#describe()),
+      this.#registerNews(),
+      ...this.#startProcesses(),
+    ]);
+  }
+
+  /** Brings targets and limits in line with the configuration in force. */
+  applyConfiguration(): void {
+    const configuration = this.#context.kernel.read(CONFIGURATION);
+    const now = this.#readTime();
+    const vms = this.#ports.countVms();
+    this.#change((state) => applyTargets(state, { configuration, now, vms }));
+    this.#changeCustomers();
+  }
+
+  /** Says whether a body has crashed targets and must not be sent. */
+  isQuarantined(digest: string): boolean {
+    return this.#quarantine.isQuarantined(digest, this.#readTime());
+  }
+
+  /** Returns the quarantine's entries, for operators. */
+  listQuarantine(): QuarantineWord[] {
+    return this.#quarantine.listEntries({ now: this.#readTime() });
+  }
+
+  /** Releases a digest by an operator's word. */
+  async releaseQuarantine(digest: string): Promise<void> {
+    this.#quarantine.release(digest, this.#readTime());
+    await this.#ports.pushNews();
+  }
+
+  /** Queues a request; it is started or refused through its callbacks. */
+  admit(request: QueuedRequest): void {
+    const { ticket } = request;
+    const { random } = this.#context;
+    const now = this.#readTime();
+    this.#demand.recordRequest(ticket.customer, now);
+    this.#admission.admit(ticket, { now, random }).caseOf({
+      Left: (refusal) => request.refuse(refusal),
+      Right: ({ displaced }) => {
+        this.#queued.set(ticket.id, request);
+        for (const each of displaced) this.#refuseQueued(each);
+        this.#startReady(ticket.service);
+      },
+    });
+  }
+
+  /** Ends a request that was admitted, whether it was started or not. */
+  finish(
+    ticket: Ticket,
+    use: { readonly tokens: number; readonly complete: boolean },
+  ): void {
+    this.#queued.delete(ticket.id);
+    this.#admission.finish(ticket.id, { now: this.#readTime(), ...use });
+    this.#startReady(ticket.service);
+  }
+
+  /** Chooses a target for an attempt after the first. */
+  choose(request: RoutedRequest): Either<Refusal, TargetConfig> {
+    const { kernel, random } = this.#context;
+    const now = this.#readTime();
+    const avoided = this.#quarantine.listSuspectTargets(request.digest, now);
+    return chooseTarget(kernel.read(this.#slice), {
+      request: { ...request, avoided },
+      now,
+      random,
+    });
+  }
+
+  /** Counts an attempt that starts. */
+  startAttempt(target: TargetId, request: RoutedRequest): void {
+    const now = this.#readTime();
+    const { prefixes = [], expectedBytes = 0 } = request;
+    this.#change((state) =>
+      recordAttemptStart(state, target, { now, prefixes, expectedBytes })
+    );
+    this.#quarantine.recordStart(request.digest, target);
+  }
+
+  /** Counts an attempt that ended without losing its target. */
+  endAttempt(
+    target: TargetId,
+    input: {
+      readonly request: RoutedRequest;
+      readonly end: AttemptEnd;
+      readonly complete: boolean;
+      readonly bytes: number;
+      readonly pathDead: boolean;
+    },
+  ): void {
+    const { request, complete } = input;
+    this.#recordEnd(target, {
+      now: this.#readTime(),
+      end: input.end,
+      bytes: input.bytes,
+      expectedBytes: request.expectedBytes ?? 0,
+      pathDead: input.pathDead,
+    });
+    this.#quarantine.recordEnd(request.digest, { target, complete });
+  }
+
+  /** Counts an attempt whose target was lost; peers hear before this resolves. */
+  async endCrashed(
+    target: TargetId,
+    input: { readonly request: RoutedRequest; readonly end: AttemptEnd },
+  ): Promise<void> {
+    const now = this.#readTime();
+    this.#recordEnd(target, { now, end: input.end });
+    const { changed } = this.#quarantine.recordCrash(target, now);
+    if (changed.length > 0) await this.#ports.pushNews();
+  }
+
+  /** Counts a request's first attempt, which earns a part of a retry. */
+  recordFirst(service: ServiceId, ratio: number): void {
+    this.#budgets.recordFirst(service, ratio);
+  }
+
+  /** Decides what follows a failed attempt; a retry is counted at once. */
+  decideRetry(failed: FailedAttempt): RetryDecision {
+    const { random } = this.#context;
+    const decision = decideRetry(failed, {
+      budgets: this.#budgets,
+      now: this.#readTime(),
+      random,
+    });
+    if ("extra" in decision) {
+      this.#budgets.recordExtra(failed.service, decision.extra);
+    }
+    return decision;
+  }
+
+  /** Asks a target for its load over a new connection. */
+  async probe(target: TargetConfig): Promise<TargetLoadReport | undefined> {
+    const report = await this.#context.targets.probe(target, PROBE_TIMEOUT);
+    if (report === undefined) return undefined;
+    const now = this.#readTime();
+    this.#change((state) => applyReport(state, target.id, { report, now }));
+    this.#startReady(target.service);
+    return report;
+  }
+
+  #readTime(): MonotonicTime {
+    return this.#context.clock.readMonotonic();
+  }
+
+  #change(change: RoutingChange): void {
+    this.#context.kernel.dispatch(CHANGE_ROUTING, change);
+  }
+
+  #recordEnd(target: TargetId, finish: AttemptFinish): void {
+    this.#change((state) => recordAttemptEnd(state, target, finish));
+  }
+
+  #startReady(service: ServiceId): void {
+    const now = this.#readTime();
+    this.#admission.takeReady(service, {
+      now,
+      tryStart: (ticket) => this.#tryStart(ticket, now),
+    });
+  }
+
+  /** Returns false when no target has room for the ticket. */
+  #tryStart(ticket: Ticket, now: MonotonicTime): boolean {
+    const queued = this.#queued.get(ticket.id);
+    if (queued === undefined) return true;
+    const { kernel, random } = this.#context;
+    const { digest } = queued.routed;
+    const avoided = this.#quarantine.listSuspectTargets(digest, now);
+    const request = { ...queued.routed, avoided };
+    const mostLoad = FULL_LOAD;
+    return chooseTarget(kernel.read(this.#slice), {
+      request,
+      now,
+      random,
+      mostLoad,
+    }).caseOf({
+      // A group without room or without targets may have some in a moment;
+      // the deadline bounds the wait.
+      Left: () => false,
+      Right: (target) => {
+        this.#queued.delete(ticket.id);
+        this.startAttempt(target.id, request);
+        queued.start(target);
+        return true;
+      },
+    });
+  }
+
+  #refuseQueued(
+    refused: { readonly ticket: Ticket; readonly refusal: Refusal },
+  ): void {
+    const queued = this.#queued.get(refused.ticket.id);
+    this.#queued.delete(refused.ticket.id);
+    queued?.refuse(refused.refusal);
+  }
+
+  #changeCustomers(): void {
+    const { customers } = this.#context.kernel.read(CONFIGURATION);
+    const vms = this.#ports.countVms();
+    this.#admission.changeCustomers(customers.values(), {
+      now: this.#readTime(),
+      computeShare: (customer) => this.#demand.computeShare(customer, vms),
+    });
+  }
+
+  #registerNews(): Undo {
+    const { news } = this.#ports;
+    return combineUndo([
+      news.register("demand", {
+        create: () => toJson(this.#demand.recordAnnouncement(this.#readTime())),
+        apply: (from, value) =>
+          this.#demand.applyAnnouncement(
+            from,
+            value as unknown as CustomerDemand[],
+          ),
+      }),
+      news.register("leaving", {
+        create: () => toJson(listLeavingSigns(this.#read(), this.#readTime())),
+        apply: (_, value) => {
+          const signs = value as unknown as LeavingSign[];
+          const now = this.#readTime();
+          this.#change((state) => applyLeavingSigns(state, { signs, now }));
+        },
+      }),
+      news.register("quarantine", {
+        create: () => toJson(this.listQuarantine()),
+        apply: (_, value) =>
+          void this.#quarantine.applyEntries(
+            value as unknown as QuarantineWord[],
+            this.#readTime(),
+          ),
+      }),
+    ]);
+  }
+
+  #startProcesses(): Undo[] {
+    const { random, log, settings } = this.#context;
+    const { loadReportMillis, vmListMillis, gossipMillis } = settings.intervals;
+    const start = (interval: Millis, run: () => Promise<void> | void) =>
+      startPeriodic({
+        interval,
+        random,
+        run: async () => await run(),
+        reportError: (error) =>
+          log.error(LogEvent.ProcessFailed, {
+            process: "traffic",
+            reason: String(error),
+          }),
+      }).stop;
+    return [
+      start(EXPIRY_INTERVAL, () => this.#expireQueued()),
+      start(loadReportMillis, () => this.#readReports()),
+      start(vmListMillis, () => this.#readVmList()),
+      start(gossipMillis, () => {
+        this.#changeCustomers();
+        this.#quarantine.expire(this.#readTime());
+      }),
+    ];
+  }
+
+  #expireQueued(): void {
+    const { random } = this.#context;
+    const now = this.#readTime();
+    for (const each of this.#admission.expire({ now, random })) {
+      this.#refuseQueued(each);
+    }
+    for (const { service, queued } of this.#admission.listLoads(now)) {
+      if (queued > 0) this.#startReady(service);
+    }
+  }
+
+  async #readReports(): Promise<void> {
+    const services = this.#context.kernel.read(CONFIGURATION).services;
+    const targets = [...services.values()]
+      .flatMap((service) => service.targets)
+      .filter((target) => this.#ports.isProber(target.id));
+    await Promise.all(targets.map((target) => this.probe(target)));
+  }
+
+  async #readVmList(): Promise<void> {
+    const { vmList, kernel } = this.#context;
+    const listed = (await vmList?.list())?.toMaybe().extract();
+    if (listed === undefined) return;
+    const leaving = new Set(
+      listed.filter((vm) => vm.state === ListedVmState.Leaving)
+        .map((vm) => vm.id),
+    );
+    const known = [...kernel.read(CONFIGURATION).services.values()]
+      .flatMap((service) => service.targets)
+      .map((target) => target.id);
+    const signs = new Set(known.filter((id) => leaving.has(id)));
+    this.#change((state) => applyListedTargets(state, signs));
+  }
+
+  #read(): RoutingState {
+    return this.#context.kernel.read(this.#slice);
+  }
+
+  #describe(): unknown {
+    const now = this.#readTime();
+    return {
+      ...describeRouting(this.#read(), now),
+      admission: this.#admission.listLoads(now),
+      quarantine: this.listQuarantine(),
+    };
+  }
+}
+
+function toJson(value: unknown): JsonValue {
+  return value as JsonValue;
+}
