--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -62,6 +62,7 @@
 } from "./kernel.ts";
 export { combineUndo, createCommand, Kernel } from "./kernel.ts";
 export { computeHash, rankMembers } from "./rendezvous.ts";
+export { TrieMap } from "./trie_map.ts";
 export type {
   JsonValue,
   Row,
--- a/packages/document/trie_map.ts
+++ b/packages/core/trie_map.ts
@@ -5,7 +5,7 @@
  *
  * It is a trie over the key's hash, 32 ways at each level, with small leaves.
  */
-import { computeHash } from "../core/mod.ts";
+import { computeHash } from "./rendezvous.ts";
 
 const BITS = 5;
 const MASK = 31;
--- a/packages/document/commands/apply_entries.ts
+++ b/packages/document/commands/apply_entries.ts
@@ -7,6 +7,7 @@
   type ServiceConfig,
   ServiceType,
   type TeamId,
+  type TrieMap,
 } from "../../core/mod.ts";
 import { type FleetIndex, formatEntryName } from "../fleet_index.ts";
 import { describeNearest, FaultList, quote } from "../schema/node_reader.ts";
@@ -18,7 +19,6 @@
 import { type Reference, ReferenceTarget } from "../schema/reference.ts";
 import { Container } from "../text/section_parts.ts";
 import type { SourceText } from "../text/source_text.ts";
-import type { TrieMap } from "../trie_map.ts";
 
 /** One entry that is new, changed or removed. */
 export interface EntryChange {
--- a/packages/document/document_state.ts
+++ b/packages/document/document_state.ts
@@ -1,4 +1,5 @@
 /** The whole document as one VM knows it: texts, indexes and what is in force. */
+import { TrieMap } from "../core/mod.ts";
 import type { FleetConfiguration, TeamId } from "../core/mod.ts";
 import {
   computeConfiguration,
@@ -6,7 +7,6 @@
   type FleetIndex,
 } from "./fleet_index.ts";
 import type { SectionState } from "./section_state.ts";
-import { TrieMap } from "./trie_map.ts";
 
 /** Immutable snapshot of the document. */
 export interface DocumentState {
--- a/packages/document/fleet_index.ts
+++ b/packages/document/fleet_index.ts
@@ -11,10 +11,10 @@
   type ServiceConfig,
   type TeamConfig,
   type TeamId,
+  TrieMap,
 } from "../core/mod.ts";
 import type { SectionGeneral } from "./schema/read_general.ts";
 import { Container } from "./text/section_parts.ts";
-import { TrieMap } from "./trie_map.ts";
 
 /** Section that holds the teams and their keys; no team can bear its name. */
 export const FLEET_SECTION = "@fleet";
--- a/packages/document/follow/load_document.ts
+++ b/packages/document/follow/load_document.ts
@@ -7,6 +7,7 @@
  * with, and always a version that was accepted as a whole.
  */
 import { Either, Left, Right } from "purify-ts";
+import { TrieMap } from "../../core/mod.ts";
 import type { InputError, PlatformError, Row, TeamId } from "../../core/mod.ts";
 import { PlatformErrorKind } from "../../core/mod.ts";
 import { applyEntries, type EntryChange } from "../commands/apply_entries.ts";
@@ -38,7 +39,6 @@
   type SectionState,
 } from "../section_state.ts";
 import { SourceText } from "../text/source_text.ts";
-import { TrieMap } from "../trie_map.ts";
 import type { DocumentReader } from "./document_reader.ts";
 
 /** A document that was brought up, and the changes that were read on the way. */
--- /dev/null
+++ b/packages/membership/commands/receive_gossip.ts
@@ -0,0 +1,150 @@
+/** Folds what a peer says into the view. */
+import type { MonotonicTime, VmId } from "../../core/mod.ts";
+import type { GossipMessage, MemberUpdate } from "../gossip.ts";
+import {
+  type Member,
+  type MembershipView,
+  MemberState,
+  putMember,
+  readRefutation,
+  readSelf,
+} from "../view.ts";
+
+/**
+ * Which of two claims about one life and one refutation counts. A member that
+ * is leaving may still be suspected, and a suspicion may still be a death.
+ */
+const STRENGTH: Readonly<Record<MemberState, number>> = {
+  [MemberState.Live]: 0,
+  [MemberState.Leaving]: 1,
+  [MemberState.Suspect]: 2,
+  [MemberState.Dead]: 3,
+};
+
+/** Applies a message or an answer; its sender is thereby heard of. */
+export function receiveGossip(
+  view: MembershipView,
+  input: { readonly message: GossipMessage; readonly now: MonotonicTime },
+): MembershipView {
+  const { message, now } = input;
+  let next = view;
+  for (const update of [...message.updates, ...message.page ?? []]) {
+    next = applyUpdate(next, update, now);
+  }
+  next = applyUpdate(next, message.from, now);
+  next = recordHeard(next, {
+    vm: message.from.vm,
+    documentVersion: message.from.documentVersion,
+    now,
+  });
+  return applyPageEnd(next, message);
+}
+
+/** Records that a member answered, or sent something, just now. */
+export function recordHeard(
+  view: MembershipView,
+  input: {
+    readonly vm: VmId;
+    readonly documentVersion?: number;
+    readonly now: MonotonicTime;
+  },
+): MembershipView {
+  const member = view.members.get(input.vm);
+  if (member === undefined || member.vm === view.self) return view;
+  const documentVersion = input.documentVersion ?? member.documentVersion;
+  const heard = { ...member, documentVersion, heardAt: input.now };
+  return { ...view, members: view.members.add(member.vm, heard) };
+}
+
+/** Folds news of one member into the view. */
+export function applyUpdate(
+  view: MembershipView,
+  update: MemberUpdate,
+  now: MonotonicTime,
+): MembershipView {
+  if (update.vm === view.self) return applyOwnUpdate(view, update, now);
+  const known = view.members.get(update.vm);
+  if (known === undefined) return addUnknown(view, update, now);
+  if (!isNewer(view, known, update)) return view;
+  const newLife = known.incarnation !== update.incarnation;
+  // A new life may have a new address; without it the news is of no use yet.
+  if (newLife && update.place === undefined) return view;
+  const { vm, incarnation, state, refutation } = update;
+  const documentVersion = newLife
+    ? update.documentVersion
+    : Math.max(known.documentVersion, update.documentVersion);
+  const member: Member = {
+    ...known,
+    ...update.place,
+    vm,
+    incarnation,
+    state,
+    documentVersion,
+  };
+  return putMember(view, member, { refutation, now });
+}
+
+/** A VM answers what others believe of it with a higher refutation. */
+function applyOwnUpdate(
+  view: MembershipView,
+  update: MemberUpdate,
+  now: MonotonicTime,
+): MembershipView {
+  const self = readSelf(view);
+  if (update.incarnation > self.incarnation) {
+    return { ...view, replacedBy: update.incarnation };
+  }
+  if (update.incarnation < self.incarnation) return view;
+  const own = readRefutation(view, self.vm);
+  const wrong = update.state !== self.state &&
+    update.state !== MemberState.Live;
+  const stronger = wrong && update.refutation >= own;
+  if (update.refutation <= own && !stronger) return view;
+  return putMember(view, self, { refutation: update.refutation + 1, now });
+}
+
+function addUnknown(
+  view: MembershipView,
+  update: MemberUpdate,
+  now: MonotonicTime,
+): MembershipView {
+  const { place, refutation, ...rest } = update;
+  if (place === undefined || update.state === MemberState.Dead) return view;
+  const member: Member = { ...rest, ...place, heardAt: now };
+  return putMember(view, member, { refutation, now });
+}
+
+function isNewer(
+  view: MembershipView,
+  known: Member,
+  update: MemberUpdate,
+): boolean {
+  if (update.incarnation !== known.incarnation) {
+    return update.incarnation > known.incarnation;
+  }
+  const refutation = readRefutation(view, known.vm);
+  if (update.refutation !== refutation) return update.refutation > refutation;
+  return STRENGTH[update.state] > STRENGTH[known.state];
+}
+
+function applyPageEnd(
+  view: MembershipView,
+  message: GossipMessage,
+): MembershipView {
+  const calm = view.pending.size === 0 && message.updates.length === 0;
+  const last = message.page?.at(-1)?.vm;
+  if (message.page !== undefined) {
+    return last === undefined ? removePage(view) : { ...view, pageAfter: last };
+  }
+  // Views that differ although no news is under way are compared page by page.
+  const differs = calm && message.digest !== view.digest;
+  if (differs && view.pageAfter === undefined) {
+    return { ...view, pageAfter: "" };
+  }
+  return view;
+}
+
+function removePage(view: MembershipView): MembershipView {
+  const { pageAfter: _, ...rest } = view;
+  return rest;
+}
--- /dev/null
+++ b/packages/membership/queries/plan_gossip.ts
@@ -0,0 +1,184 @@
+/** Plans whom a VM talks to in a round and what it says. */
+import type { MonotonicTime, RandomSource, VmId } from "../../core/mod.ts";
+import {
+  createUpdate,
+  filterFitting,
+  type GossipMessage,
+  INDIRECT_PROBES,
+  type MemberUpdate,
+  PROBE_INTERVAL,
+  PUSH_FANOUT,
+  REVIVE_INTERVAL,
+} from "../gossip.ts";
+import {
+  type Member,
+  type MembershipView,
+  MemberState,
+  readSelf,
+} from "../view.ts";
+
+/** Why a member is contacted. */
+export enum GossipPurpose {
+  /** To see whether it answers; silence is followed up. */
+  Probe = "probe",
+  /** To pass news on. */
+  Push = "push",
+  /** To see whether a member that is believed dead can be reached again. */
+  Revive = "revive",
+}
+
+/** One contact of a round. */
+export interface GossipContact {
+  readonly vm: VmId;
+  readonly address: string;
+  readonly purpose: GossipPurpose;
+  readonly message: GossipMessage;
+}
+
+/** Samples that are drawn to find one member to push to. */
+const MAX_SAMPLES = 8;
+
+/** Returns the contacts of a round; few, whatever the number of members. */
+export function planGossip(
+  view: MembershipView,
+  input: { readonly now: MonotonicTime; readonly random: RandomSource },
+): readonly GossipContact[] {
+  const { now, random } = input;
+  const updates = listUpdates(view);
+  const contacts: GossipContact[] = [];
+  const addContact = (member: Member | undefined, purpose: GossipPurpose) => {
+    if (member === undefined) return;
+    if (contacts.some((contact) => contact.vm === member.vm)) return;
+    const { vm, peerAddress: address } = member;
+    const message = createMessage(view, member, updates);
+    contacts.push({ vm, address, purpose, message });
+  };
+  if (now - view.probedAt >= PROBE_INTERVAL) {
+    addContact(findProbed(view), GossipPurpose.Probe);
+  }
+  if (view.pending.size > 0) {
+    for (let push = 0; push < PUSH_FANOUT; push++) {
+      addContact(sampleMember(view, random), GossipPurpose.Push);
+    }
+  }
+  if (now - view.revivedAt >= REVIVE_INTERVAL) {
+    addContact(sampleDead(view, random), GossipPurpose.Revive);
+  }
+  return contacts;
+}
+
+/** Returns the answer to a message, after it was received. */
+export function planReply(
+  view: MembershipView,
+  received: GossipMessage,
+): GossipMessage {
+  const member = view.members.get(received.from.vm);
+  const { pageAfter: _, ...message } = createMessage(
+    view,
+    member,
+    listUpdates(view),
+  );
+  if (received.pageAfter === undefined) return message;
+  return { ...message, page: listPage(view, received.pageAfter) };
+}
+
+/** Returns the members to ask for a probe of one that did not answer. */
+export function planIndirectProbes(
+  view: MembershipView,
+  input: { readonly vm: VmId; readonly random: RandomSource },
+): readonly Member[] {
+  const helpers = new Map<VmId, Member>();
+  for (let sample = 0; sample < INDIRECT_PROBES * 2; sample++) {
+    const member = sampleMember(view, input.random);
+    if (member === undefined || member.vm === input.vm) continue;
+    helpers.set(member.vm, member);
+    if (helpers.size >= INDIRECT_PROBES) break;
+  }
+  return [...helpers.values()];
+}
+
+/** Returns whether others know of a later life of this VM. */
+export function isReplaced(view: MembershipView): boolean {
+  return view.replacedBy !== undefined;
+}
+
+function createMessage(
+  view: MembershipView,
+  to: Member | undefined,
+  updates: readonly MemberUpdate[],
+): GossipMessage {
+  const about = to !== undefined && to.state !== MemberState.Live
+    ? [createUpdate(view, to, { withPlace: false })]
+    : [];
+  const others = updates.filter((update) => update.vm !== to?.vm);
+  const message = {
+    from: createUpdate(view, readSelf(view), { withPlace: true }),
+    digest: view.digest,
+    updates: filterFitting([...about, ...others]),
+  };
+  return view.pageAfter === undefined
+    ? message
+    : { ...message, pageAfter: view.pageAfter };
+}
+
+/** News to pass on, the least told first. */
+function listUpdates(view: MembershipView): MemberUpdate[] {
+  return [...view.pending]
+    .filter((vm) => vm !== view.self)
+    .map((vm) => ({ member: view.members.get(vm)!, told: readTold(view, vm) }))
+    .sort((left, right) => left.told - right.told)
+    .map(({ member }) =>
+      createUpdate(view, member, {
+        withPlace: member.state === MemberState.Live,
+      })
+    );
+}
+
+function readTold(view: MembershipView, vm: VmId): number {
+  return view.records.get(vm)?.transmissions ?? 0;
+}
+
+function findProbed(view: MembershipView): Member | undefined {
+  for (let step = 0; step < view.order.length; step++) {
+    const at = (view.cursor + step) % view.order.length;
+    const member = view.members.get(view.order[at]!);
+    if (member !== undefined && member.state !== MemberState.Dead) {
+      return member;
+    }
+  }
+  return undefined;
+}
+
+function sampleMember(
+  view: MembershipView,
+  random: RandomSource,
+): Member | undefined {
+  for (let sample = 0; sample < MAX_SAMPLES; sample++) {
+    const at = Math.floor(random() * view.order.length);
+    const member = view.members.get(view.order[at] ?? "");
+    if (member?.state === MemberState.Live) return member;
+  }
+  return undefined;
+}
+
+function sampleDead(
+  view: MembershipView,
+  random: RandomSource,
+): Member | undefined {
+  const fading = [...view.fading];
+  const vm = fading[Math.floor(random() * fading.length)];
+  const member = vm === undefined ? undefined : view.members.get(vm);
+  return member?.state === MemberState.Dead ? member : undefined;
+}
+
+/** Returns the members after one, in the order of their names. */
+function listPage(view: MembershipView, after: VmId): MemberUpdate[] {
+  const members = [...view.members.values()]
+    .filter(({ vm, state }) => vm > after && state !== MemberState.Dead)
+    .sort((left, right) => left.vm < right.vm ? -1 : 1);
+  return filterFitting(function* () {
+    for (const member of members) {
+      yield createUpdate(view, member, { withPlace: true });
+    }
+  }());
+}
