--- a/packages/request/rows/bill_batch.ts
+++ b/packages/request/rows/bill_batch.ts
@@ -1,14 +1,16 @@
 /**
  * Batches of bills: `bills/VM/INCARNATION/NUMBER`. A batch is written once;
- * readers count each bill identity once over all batches.
+ * readers count each bill identity once over all batches, at its largest.
  */
 import { z } from "zod";
-import type {
-  Incarnation,
-  JsonValue,
-  Row,
-  RowOperation,
-  VmId,
+import {
+  type Bytes,
+  BYTES_PER_KIB,
+  type Incarnation,
+  type JsonValue,
+  type Row,
+  type RowOperation,
+  type VmId,
 } from "../../core/mod.ts";
 import { type Bill, formatBillIdentity } from "../bill.ts";
 
@@ -26,12 +28,19 @@
 /** Prefix of every batch row's key. */
 export const BILL_BATCH_PREFIX = "bills/";
 
+/** Largest value of a batch row as JSON. */
+export const MAX_BATCH_BYTES: Bytes = 64 * BYTES_PER_KIB;
+
+/** Bytes of a batch besides its bills, with some to spare. */
+const BATCH_OVERHEAD: Bytes = 64;
+
 const NUMBER_DIGITS = 10;
 
 /** Returns the operation that writes one batch. */
 export function createBillBatch(input: {
   readonly vm: VmId;
   readonly incarnation: Incarnation;
+  /** Counts the batches of this life; a number names one list of bills. */
   readonly number: number;
   readonly bills: readonly Bill[];
 }): RowOperation<void> {
@@ -49,14 +58,41 @@
   };
 }
 
-/** Returns the bills in batch rows, each identity once, the first in key order. */
-export function collectBills(rows: readonly Row[]): Bill[] {
-  const seen = new Map<string, Bill>();
-  for (const row of rows) {
-    for (const bill of BATCH_SCHEMA.parse(row.value).bills) {
-      const identity = formatBillIdentity(bill);
-      if (!seen.has(identity)) seen.set(identity, bill);
+/** Splits bills, in their order, into batches of at most {@link MAX_BATCH_BYTES}. */
+export function planBillBatches(bills: readonly Bill[]): Bill[][] {
+  const batches: Bill[][] = [];
+  let room = 0;
+  for (const bill of bills) {
+    const size = Buffer.byteLength(JSON.stringify(bill)) + 1;
+    if (size > room) {
+      batches.push([]);
+      room = MAX_BATCH_BYTES - BATCH_OVERHEAD;
+    }
+    batches.at(-1)!.push(bill);
+    room -= size;
+  }
+  return batches;
+}
+
+/**
+ * Returns the bills in batch rows, each identity once. Of several bills of one
+ * identity the largest counts: a caller that hung up is billed for what it
+ * used, and its retry under the same key, which ran to the end, for the whole.
+ * That is a join, so neither the order of rows nor reading them twice matters;
+ * a reader that comes back passes what it had as `earlier`.
+ */
+export function collectBills(
+  rows: readonly Row[],
+  earlier: readonly Bill[] = [],
+): Bill[] {
+  const bills = rows.flatMap((row) => BATCH_SCHEMA.parse(row.value).bills);
+  const largest = new Map<string, Bill>();
+  for (const bill of [...earlier, ...bills]) {
+    const identity = formatBillIdentity(bill);
+    const known = largest.get(identity);
+    if (known === undefined || bill.tokens > known.tokens) {
+      largest.set(identity, bill);
     }
   }
-  return [...seen.values()];
+  return [...largest.values()];
 }
