Join entry VMs: membership, loans, forwarding to homes, bill copies, admission

Change: gossip and heartbeats over tRPC; loans from peers when the table cannot give a grant; requests go to their event's home VM; a bill is copied to a peer so that an answer need not wait for the table; admission, retries, quarantine and silence watching from the routing decisions; settings check, stand-ins and the model on the command line.

--- a/packages/bench/capacity/sample_fleet.ts
+++ b/packages/bench/capacity/sample_fleet.ts
@@ -70,7 +70,13 @@
     (_, index) => createMember(index, regions),
   );
   const view = createMembershipView(list[0]!);
-  return { ...view, members: new Map(list.map((each) => [each.vm, each])) };
+  return list.reduce(
+    (before, each) => ({
+      ...before,
+      members: before.members.add(each.vm, each),
+    }),
+    view,
+  );
 }
 
 /** Returns the name of an event by its index. */
--- a/packages/cli/commands/check_command.ts
+++ b/packages/cli/commands/check_command.ts
@@ -42,11 +42,11 @@
 };
 
 function listSettingsFaults(path: string): readonly InputError[] {
-  return readSettingsFile(path).either((errors) => errors, () => []);
+  return readSettingsFile(path).swap().orDefault([]);
 }
 
 function listDocumentFaults(path: string): readonly InputError[] {
   return readTextFile(path)
     .chain((text) => parseDocument(text, path))
-    .either((errors) => errors, () => []);
+    .swap().orDefault([]);
 }
--- a/packages/cli/demo/demo_fleet.ts
+++ b/packages/cli/demo/demo_fleet.ts
@@ -37,7 +37,10 @@
   readonly engines: readonly EngineServer[];
   readonly booking: PlainServiceServer;
   readonly table: TableServer;
-  stop(): Promise<void>;
+  /** A planned stop of both VMs: bills are flushed and grants returned. */
+  stopDaemons(): Promise<void>;
+  /** Stops the stand-ins. */
+  stopServers(): Promise<void>;
 }
 
 /** Starts the fleet; resolves when both VMs serve. */
@@ -66,8 +69,10 @@
     engines,
     booking,
     table,
-    async stop() {
+    async stopDaemons() {
       await Promise.all(daemons.map((daemon) => daemon.stop()));
+    },
+    async stopServers() {
       await Promise.all(servers.map((server) => server.stop()));
     },
   };
--- a/packages/cli/demo/run_demo.ts
+++ b/packages/cli/demo/run_demo.ts
@@ -4,7 +4,11 @@
  */
 import { createHash } from "node:crypto";
 import Table from "cli-table3";
-import { computeBudgetLeft, parseBudgetRow } from "../../budget/mod.ts";
+import {
+  computeBudgetLeft,
+  computeGranted,
+  parseBudgetRow,
+} from "../../budget/mod.ts";
 import { BILL_BATCH_PREFIX, collectBills } from "../../request/mod.ts";
 import { computePiece } from "../../stand_ins/mod.ts";
 import { callEntry, type DemoAnswer, readStreamText } from "./demo_caller.ts";
@@ -32,13 +36,14 @@
   const fleet = await startDemoFleet();
   try {
     const steps = await runSteps(fleet);
+    await fleet.stopDaemons();
     const checks = await checkPromises(fleet, steps);
     printSteps(print, steps);
     await printBooks(print, fleet);
     printChecks(print, checks);
     return checks.every((check) => check.held);
   } finally {
-    await fleet.stop();
+    await fleet.stopServers();
   }
 }
 
@@ -128,8 +133,9 @@
       held: identities.length === 4 && new Set(identities).size === 4,
     },
     {
-      promise: "spent and granted tokens stay within the budget",
-      held: budget.limit === BUDGET_TOKENS && computeBudgetLeft(budget) >= 0,
+      promise: "spent tokens stay within the budget, and grants came back",
+      held: budget.limit === BUDGET_TOKENS && computeBudgetLeft(budget) >= 0 &&
+        computeGranted(budget) === 0,
     },
   ];
 }
@@ -203,11 +209,10 @@
   print("What was billed");
   print(bills.toString());
   const budget = readBudget(fleet);
+  const granted = computeGranted(budget);
   const left = computeBudgetLeft(budget);
   print(
-    `Budget: limit ${budget.limit}, closed ${budget.closed}, granted ${
-      budget.limit - budget.closed - left
-    }, left ${left} tokens`,
+    `Budget: limit ${budget.limit}, spent ${budget.closed}, granted ${granted}, left ${left} tokens`,
   );
 }
 
--- a/packages/cli/mod.ts
+++ b/packages/cli/mod.ts
@@ -4,6 +4,7 @@
 import { benchCommand } from "./commands/bench_command.ts";
 import { checkCommand } from "./commands/check_command.ts";
 import { demoCommand } from "./commands/demo_command.ts";
+import { modelCommand } from "./commands/model_command.ts";
 import { serveCommand } from "./commands/serve_command.ts";
 import { standInCommand } from "./commands/stand_in_command.ts";
 import { ExitCode } from "./exit_code.ts";
@@ -17,6 +18,7 @@
     .command(checkCommand)
     .command(demoCommand)
     .command(standInCommand)
+    .command(modelCommand)
     .command(benchCommand)
     .demandCommand(1, "Name a command; --help lists them.")
     .recommendCommands()
--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -1,35 +1,38 @@
 /**
- * The daemon: features registered on one kernel, with a face for callers and
- * one for operators.
+ * The daemon: features registered on one kernel, with a face each for callers,
+ * operators and peers.
  */
-import { randomBytes } from "node:crypto";
 import {
   combineUndo,
-  type CommandType,
-  createCommand,
-  createSystemClock,
   type FleetConfiguration,
-  Kernel,
+  type Millis,
   type Undo,
 } from "../core/mod.ts";
-import { HttpTable, HttpTargets, StoreWriter } from "../platform/mod.ts";
-import { HttpObjectStore, HttpVmList } from "../platform/mod.ts";
-import type { ServiceSettings, Settings } from "../settings/mod.ts";
+import { createPeerHandler, PeerClient } from "../peer/mod.ts";
+import type { Settings } from "../settings/mod.ts";
 import { CallerFace } from "./entry/caller_face.ts";
 import { RequestRunner } from "./entry/request_runner.ts";
-import { createEventLog, type EventLog, LogEvent } from "./event_log.ts";
+import { type EventLog, LogEvent } from "./event_log.ts";
+import { BillCopies } from "./features/bill_copies.ts";
 import { BillLog } from "./features/bill_log.ts";
+import { DocumentFollower } from "./features/document_follower.ts";
 import { Escrow } from "./features/escrow.ts";
-import { TargetRouter } from "./features/target_router.ts";
-import { type RunningFace, startFace } from "./http_face.ts";
-import { CONFIGURATION, DRAINING, type NodeContext } from "./node_context.ts";
-import { createNodeMetrics } from "./node_metrics.ts";
+import { HomeForwarding } from "./features/home_forwarding.ts";
+import { Loans } from "./features/loans.ts";
+import { Membership } from "./features/membership.ts";
+import { NewsExchange } from "./features/news_exchange.ts";
+import { Traffic } from "./features/traffic.ts";
+import { type FaceHandler, type RunningFace, startFace } from "./http_face.ts";
+import {
+  createNodeContext,
+  readPeerKey,
+  registerNode,
+  SET_CONFIGURATION,
+  START_DRAIN,
+} from "./node.ts";
+import { CONFIGURATION, type NodeContext } from "./node_context.ts";
 import { OperatorFace } from "./operators/operator_face.ts";
-
-const SET_CONFIGURATION: CommandType<FleetConfiguration, void> = createCommand(
-  "configuration.set",
-);
-const START_DRAIN: CommandType<void, void> = createCommand("drain.start");
+import { PeerFace } from "./peers/peer_face.ts";
 
 /** What a daemon can be given instead of its defaults. */
 export interface DaemonOptions {
@@ -40,6 +43,7 @@
 export interface RunningDaemon {
   readonly callerAddress: string;
   readonly operatorAddress: string;
+  readonly peerAddress: string;
   readonly context: NodeContext;
   /** Puts a configuration in force; an older version is ignored. */
   applyConfiguration(configuration: FleetConfiguration): void;
@@ -51,168 +55,261 @@
   kill(): void;
 }
 
+/** Longest silence of a peer. */
+const PEER_TIMEOUT: Millis = 700;
+
+/** Time that others are given to stop sending requests here. */
+const LEAVE_PAUSE: Millis = 200;
+
 /** Starts a daemon; resolves when its faces listen. */
 export async function startDaemon(
   settings: Settings,
   options: DaemonOptions = {},
 ): Promise<RunningDaemon> {
-  const context = createContext(settings, options);
-  const escrow = new Escrow(context);
-  const bills = new BillLog(context);
-  const router = new TargetRouter(context);
-  const runner = new RequestRunner(context, {
-    escrow,
-    router,
-    bills,
-    isLifeOver: () => false,
-  });
-  const undo = combineUndo([
-    registerSettings(context),
-    escrow.register(),
-    bills.register(),
-    router.register(),
-    runner.register(),
-  ]);
-  const callers = new CallerFace(context, runner);
-  const operators = new OperatorFace(context);
-  const faces = await startFaces(settings, { callers, operators });
-  context.log.info(LogEvent.Started, {
-    vm: settings.vm,
-    incarnation: context.incarnation,
-    callers: faces.callers.address,
-    operators: faces.operators.address,
-  });
-  return {
-    callerAddress: faces.callers.address,
-    operatorAddress: faces.operators.address,
-    context,
-    applyConfiguration(configuration) {
-      context.kernel.dispatch(SET_CONFIGURATION, configuration);
-      router.applyConfiguration();
-    },
-    async stop() {
-      context.log.info(LogEvent.DrainStarted, { open: runner.countOpen() });
-      context.kernel.dispatch(START_DRAIN, undefined);
-      await runner.waitForIdle();
-      await bills.flush();
-      await escrow.returnGrants();
-      await closeAll(faces, undo);
-      context.targets.close();
-      context.log.info(LogEvent.Stopped, { vm: settings.vm });
-    },
-    kill() {
-      undo();
-      faces.callers.destroy();
-      faces.operators.destroy();
-      void closeAll(faces, () => {});
-    },
-  };
+  const context = createNodeContext(settings, options.log);
+  const daemon = new Daemon(context);
+  await daemon.start();
+  return daemon;
 }
 
-function createContext(
-  settings: Settings,
-  options: DaemonOptions,
-): NodeContext {
-  const clock = createSystemClock();
-  const { platform, intervals } = settings;
-  const table = new HttpTable(createServiceOptions(platform.table));
-  const writer = new StoreWriter({
-    table,
-    clock,
-    random: Math.random,
-    sleep: (duration) => new Promise((done) => setTimeout(done, duration)),
-    groupDelay: Math.min(intervals.flushMillis, MAX_GROUP_DELAY_MILLIS),
-  });
-  return {
-    settings,
-    incarnation: createIncarnation(clock.readWall()),
-    kernel: new Kernel(),
-    clock,
-    random: Math.random,
-    table,
-    writer,
-    objects: platform.objects === undefined
-      ? undefined
-      : new HttpObjectStore(createServiceOptions(platform.objects)),
-    vmList: platform.vmList === undefined
-      ? undefined
-      : new HttpVmList(createServiceOptions(platform.vmList)),
-    targets: new HttpTargets(clock),
-    log: options.log ?? createEventLog(settings.logLevel),
-    metrics: createNodeMetrics(),
-  };
-}
+/** The features of one VM, wired to each other. */
+class Daemon implements RunningDaemon {
+  readonly context: NodeContext;
+  readonly #client: PeerClient;
+  readonly #news: NewsExchange;
+  readonly #escrow: Escrow;
+  readonly #bills: BillLog;
+  readonly #faces: RunningFace[] = [];
+  #traffic!: Traffic;
+  #membership!: Membership;
+  #runner!: RequestRunner;
+  #forwarding!: HomeForwarding;
+  #undo: Undo = () => {};
+  #hurry: () => void = () => {};
 
-/** Longest wait of a store write for company, in milliseconds. */
-const MAX_GROUP_DELAY_MILLIS = 50;
+  constructor(context: NodeContext) {
+    this.context = context;
+    const { settings } = context;
+    this.#client = new PeerClient({
+      peerKey: readPeerKey(settings),
+      timeout: PEER_TIMEOUT,
+      tls: settings.peers.tls !== undefined,
+    });
+    this.#news = new NewsExchange(settings.vm);
+    this.#escrow = new Escrow(context);
+    this.#bills = new BillLog(context, () => this.#membership.countVms());
+  }
 
-const INCARNATION_TIME_DIGITS = 11;
-const INCARNATION_RANDOM_BYTES = 6;
+  get callerAddress(): string {
+    return this.#faces[0]?.address ?? "";
+  }
 
-/** Starts with the time, so that a later life compares greater. */
-function createIncarnation(wallTime: number): string {
-  const time = Math.floor(wallTime).toString(36);
-  const random = randomBytes(INCARNATION_RANDOM_BYTES).toString("hex");
-  return `${time.padStart(INCARNATION_TIME_DIGITS, "0")}-${random}`;
-}
+  get operatorAddress(): string {
+    return this.#faces[1]?.address ?? "";
+  }
 
-function createServiceOptions(service: ServiceSettings) {
-  return { url: service.url, timeout: service.timeoutMillis };
-}
+  get peerAddress(): string {
+    return this.#faces[2]?.address ?? "";
+  }
 
-function registerSettings(context: NodeContext): Undo {
-  const { kernel, settings, incarnation, writer, metrics } = context;
-  return combineUndo([
-    kernel.registerCommand(SET_CONFIGURATION, (configuration, update) => {
-      // A version never goes back.
-      if (configuration.version < update.read(CONFIGURATION).version) return;
-      update.write(CONFIGURATION, configuration);
-      metrics.documentVersion.set(configuration.version);
-    }),
-    kernel.registerCommand(
-      START_DRAIN,
-      (_, update) => update.write(DRAINING, true),
-    ),
-    kernel.registerDump("vm", () => ({
-      vm: settings.vm,
-      incarnation,
-      region: settings.region,
-      dataCentre: settings.dataCentre,
-      documentVersion: kernel.read(CONFIGURATION).version,
-      draining: kernel.read(DRAINING),
-    })),
-    kernel.registerDump("store", () => ({
-      ...writer.readCounts(),
-      lastError: writer.readLastError()?.message ?? null,
-    })),
-  ]);
-}
+  /** Listens, joins the others and catches up with the document. */
+  async start(): Promise<void> {
+    const handlers: { face: FaceHandler }[] = [
+      { face: refuseAll },
+      { face: refuseAll },
+      { face: refuseAll },
+    ];
+    await this.#listen(handlers);
+    const follower = this.#compose(handlers);
+    await this.#membership.join();
+    await follower.follow();
+    this.context.log.info(LogEvent.Started, {
+      vm: this.context.settings.vm,
+      incarnation: this.context.incarnation,
+      callers: this.callerAddress,
+      operators: this.operatorAddress,
+      peers: this.peerAddress,
+      document_version: this.context.kernel.read(CONFIGURATION).version,
+    });
+  }
 
-interface Faces {
-  readonly callers: RunningFace;
-  readonly operators: RunningFace;
-}
+  applyConfiguration(configuration: FleetConfiguration): void {
+    this.context.kernel.dispatch(SET_CONFIGURATION, configuration);
+    this.#traffic.applyConfiguration();
+    this.#membership.recordDocument(
+      this.context.kernel.read(CONFIGURATION).version,
+    );
+  }
 
-async function startFaces(
-  settings: Settings,
-  handlers: { readonly callers: CallerFace; readonly operators: OperatorFace },
-): Promise<Faces> {
-  const { limits } = settings;
-  return {
-    callers: await startFace(settings.callers, {
-      limits,
-      handler: (request, response) =>
-        handlers.callers.handle(request, response),
-    }),
-    operators: await startFace(settings.operators, {
-      limits,
-      handler: (request, response) =>
-        handlers.operators.handle(request, response),
-    }),
-  };
-}
+  async stop(): Promise<void> {
+    const { log, kernel, settings } = this.context;
+    log.info(LogEvent.DrainStarted, { open: this.#runner.countOpen() });
+    kernel.dispatch(START_DRAIN, undefined);
+    await this.#membership.leave();
+    await new Promise((resolve) => setTimeout(resolve, LEAVE_PAUSE));
+    await Promise.race([this.#drain(), this.#waitForHurry()]);
+    this.#close();
+    await Promise.all(this.#faces.map((face) => face.close()));
+    log.info(LogEvent.Stopped, { vm: settings.vm });
+  }
+
+  hurry(): void {
+    this.context.log.warn(LogEvent.DrainHurried, {
+      open_requests: this.#runner.countOpen(),
+      unwritten_bills: this.#bills.countWaiting(),
+    });
+    this.#hurry();
+  }
+
+  kill(): void {
+    this.#close();
+    for (const face of this.#faces) {
+      void face.close();
+      face.destroy();
+    }
+  }
+
+  async #drain(): Promise<void> {
+    await this.#runner.waitForIdle();
+    await this.#bills.flush();
+    await this.#escrow.returnGrants();
+    await this.#membership.dropHeartbeat();
+  }
+
+  /** Resolves at the second signal or when the drain has taken too long. */
+  #waitForHurry(): Promise<void> {
+    const { drainMillis } = this.context.settings.limits;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => this.hurry(), drainMillis);
+      timer.unref();
+      this.#hurry = () => {
+        clearTimeout(timer);
+        for (const face of this.#faces) face.destroy();
+        resolve();
+      };
+    });
+  }
 
-async function closeAll(faces: Faces, undo: Undo): Promise<void> {
-  undo();
-  await Promise.all([faces.callers.close(), faces.operators.close()]);
+  #close(): void {
+    this.#undo();
+    this.#client.close();
+    this.#forwarding.close();
+    this.context.targets.close();
+  }
+
+  /** The faces listen first, since others must be told their addresses. */
+  async #listen(handlers: readonly { face: FaceHandler }[]): Promise<void> {
+    const { settings } = this.context;
+    const { limits } = settings;
+    const faces = [settings.callers, settings.operators, settings.peers];
+    for (const [index, face] of faces.entries()) {
+      const handler: FaceHandler = (request, response) =>
+        handlers[index]?.face(request, response);
+      this.#faces.push(await startFace(face, { limits, handler }));
+    }
+  }
+
+  #compose(handlers: readonly { face: FaceHandler }[]): DocumentFollower {
+    const { context } = this;
+    this.#membership = new Membership(context, {
+      client: this.#client,
+      news: this.#news,
+      addresses: {
+        peerAddress: this.peerAddress,
+        callerAddress: this.callerAddress,
+      },
+    });
+    const membership = this.#membership;
+    this.#traffic = new Traffic(context, {
+      news: this.#news,
+      countVms: () => membership.countVms(),
+      isProber: (target) => membership.isProber(target),
+      pushNews: () => membership.pushNews(),
+    });
+    const loans = new Loans(context, {
+      escrow: this.#escrow,
+      client: this.#client,
+      listPeers: () => membership.listPeers(),
+    });
+    this.#escrow.setLoanSource((event, missing) =>
+      loans.borrow(event, missing)
+    );
+    const copies = this.#createBillCopies();
+    this.#runner = new RequestRunner(context, {
+      escrow: this.#escrow,
+      traffic: this.#traffic,
+      bills: this.#bills,
+      isLifeOver: (vm, incarnation) => membership.isLifeOver(vm, incarnation),
+    });
+    const follower = new DocumentFollower(context, {
+      client: this.#client,
+      news: this.#news,
+      findAddress: (vm) => membership.findMember(vm)?.peerAddress,
+      onChange: (state) => this.applyConfiguration(state.configuration),
+    });
+    this.#forwarding = new HomeForwarding(context, {
+      peerKey: readPeerKey(context.settings),
+      listHomes: (event) => membership.listHomes(event),
+      findCallerAddress: (vm) => membership.findMember(vm)?.callerAddress,
+    });
+    this.#undo = combineUndo([
+      registerNode(context),
+      membership.register(),
+      this.#escrow.register(),
+      this.#bills.register(),
+      copies.register(),
+      this.#traffic.register(),
+      this.#runner.register(),
+      follower.register(),
+    ]);
+    this.#connectFaces(handlers, { loans, copies, follower });
+    return follower;
+  }
+
+  #createBillCopies(): BillCopies {
+    const membership = this.#membership;
+    const copies = new BillCopies(this.context, {
+      client: this.#client,
+      choosePeer: () => membership.chooseBackup(),
+      isLifeOver: (vm, incarnation) => membership.isLifeOver(vm, incarnation),
+      adoptBill: (bill) => void this.#bills.add(bill),
+    });
+    this.#bills.setCopies(copies);
+    return copies;
+  }
+
+  #connectFaces(
+    handlers: readonly { face: FaceHandler }[],
+    features: {
+      readonly loans: Loans;
+      readonly copies: BillCopies;
+      readonly follower: DocumentFollower;
+    },
+  ): void {
+    const [callers, operators, peers] = handlers;
+    const callerFace = new CallerFace(this.context, {
+      runner: this.#runner,
+      forwarding: this.#forwarding,
+      peerKey: readPeerKey(this.context.settings),
+    });
+    const operatorFace = new OperatorFace(this.context);
+    const peerFace = new PeerFace({
+      ...features,
+      membership: this.#membership,
+      client: this.#client,
+    });
+    callers!.face = (request, response) => callerFace.handle(request, response);
+    operators!.face = (request, response) =>
+      operatorFace.handle(request, response);
+    peers!.face = createPeerHandler(
+      peerFace,
+      readPeerKey(this.context.settings),
+    );
+  }
 }
+
+/** Answers requests that arrive before the daemon is composed. */
+const refuseAll: FaceHandler = (_, response) => {
+  response.writeHead(503, { "retry-after": "1" });
+  response.end();
+};
--- a/packages/daemon/entry/caller_face.ts
+++ b/packages/daemon/entry/caller_face.ts
@@ -7,7 +7,13 @@
   type Refusal,
   RefusalKind,
 } from "../../core/mod.ts";
+import { isPeerKey } from "../../peer/mod.ts";
 import { LogEvent } from "../event_log.ts";
+import {
+  FORWARDED_HEADER,
+  type HomeForwarding,
+  PEER_KEY_HEADER,
+} from "../features/home_forwarding.ts";
 import { CONFIGURATION, DRAINING, type NodeContext } from "../node_context.ts";
 import type { RunEnd } from "./answer_run.ts";
 import type { CallerRequest } from "./caller_request.ts";
@@ -25,14 +31,22 @@
 /** Path of plain service calls. */
 export const CALLS_PATH = "/v1/calls";
 
+/** What the face uses of others. */
+export interface CallerFacePorts {
+  readonly runner: RequestRunner;
+  readonly forwarding: HomeForwarding;
+  /** Shared key by which entry VMs show that they forward a request. */
+  readonly peerKey: string;
+}
+
 /** Answers callers. */
 export class CallerFace {
   readonly #context: NodeContext;
-  readonly #runner: RequestRunner;
+  readonly #ports: CallerFacePorts;
 
-  constructor(context: NodeContext, runner: RequestRunner) {
+  constructor(context: NodeContext, ports: CallerFacePorts) {
     this.#context = context;
-    this.#runner = runner;
+    this.#ports = ports;
   }
 
   /** Handles one HTTP request. */
@@ -68,7 +82,11 @@
       return this.#refuse(response, refusal);
     }
     const accepted = read.unsafeCoerce();
-    this.#runner.start(accepted).caseOf({
+    if (!this.#isForwarded(request)) {
+      const input = { request, response, accepted };
+      if (await this.#ports.forwarding.forward(input)) return;
+    }
+    this.#ports.runner.start(accepted).caseOf({
       Left: (refusal) => this.#refuse(response, refusal, accepted),
       Right: (run) => {
         const report = this.#createReport(accepted);
@@ -78,6 +96,13 @@
     });
   }
 
+  /** Says whether another entry VM sent it; a caller cannot pretend so. */
+  #isForwarded(request: IncomingMessage): boolean {
+    if (request.headers[FORWARDED_HEADER] === undefined) return false;
+    const key = request.headers[PEER_KEY_HEADER];
+    return isPeerKey(`Bearer ${String(key)}`, this.#ports.peerKey);
+  }
+
   async #readRequest(
     request: IncomingMessage,
   ): Promise<Either<Refusal, CallerRequest>> {
--- a/packages/daemon/entry/caller_request.ts
+++ b/packages/daemon/entry/caller_request.ts
@@ -24,6 +24,9 @@
   /** Whether the caller gave the key, so that a retry can name it. */
   readonly keyGiven: boolean;
   readonly digest: BodyDigest;
+  /** Body as the caller sent it. */
+  readonly received: Uint8Array;
+  /** Body as targets are sent it. */
   readonly body: Uint8Array;
   /** Whether the caller wants server-sent events. */
   readonly stream: boolean;
--- a/packages/daemon/entry/read_caller_request.ts
+++ b/packages/daemon/entry/read_caller_request.ts
@@ -100,6 +100,7 @@
           service,
           ...key,
           ...content,
+          received: input.body,
           digest: createHash("sha256").update(input.body).digest("hex"),
           arrivedAt: input.now,
           deadline: input.now + wait,
--- a/packages/daemon/event_log.ts
+++ b/packages/daemon/event_log.ts
@@ -19,6 +19,7 @@
   LoanTaken = "loan_taken",
   StoreFailed = "store_failed",
   BillsFlushed = "bills_flushed",
+  BillsAdopted = "bills_adopted",
   BillsLost = "bills_lost",
   ClaimUnfinished = "claim_unfinished",
   DocumentApplied = "document_applied",
--- a/packages/daemon/features/bill_log.ts
+++ b/packages/daemon/features/bill_log.ts
@@ -22,17 +22,29 @@
 const PAUSE_PER_VM: Millis = 10;
 
 interface WaitingBill {
+  readonly number: number;
   readonly bill: Bill;
   confirm(): void;
 }
 
+/** Where copies of bills are sent until they are durable. */
+export interface BillCopySink {
+  send(
+    bill: { readonly number: number; readonly bill: Bill },
+    confirm: () => void,
+  ): void;
+  recordDurable(numbers: readonly number[]): void;
+}
+
 /** Collects bills and writes them in batches. */
 export class BillLog {
   readonly #context: NodeContext;
   readonly #countVms: () => number;
   #waiting: WaitingBill[] = [];
   #writing: readonly WaitingBill[] = [];
-  #number = 0;
+  #batchNumber = 0;
+  #billNumber = 0;
+  #copies: BillCopySink | undefined;
   #lastBatchAt = -Infinity;
 
   constructor(context: NodeContext, countVms: () => number) {
@@ -64,7 +76,15 @@
     return this.#waiting.length + this.#writing.length;
   }
 
-  /** Adds a bill; resolves when it is durable or after a bounded wait. */
+  /** Sets where copies of bills are sent. */
+  setCopies(copies: BillCopySink): void {
+    this.#copies = copies;
+  }
+
+  /**
+   * Adds a bill; resolves when the table or a peer has it, or after a bounded
+   * wait.
+   */
   add(bill: Bill): Promise<void> {
     return new Promise((resolve) => {
       const timer = setTimeout(resolve, MAX_BILL_WAIT);
@@ -72,7 +92,9 @@
         clearTimeout(timer);
         resolve();
       };
-      this.#waiting.push({ bill, confirm });
+      const number = ++this.#billNumber;
+      this.#waiting.push({ number, bill, confirm });
+      this.#copies?.send({ number, bill }, confirm);
     });
   }
 
@@ -102,7 +124,7 @@
     const operation = createBillBatch({
       vm: settings.vm,
       incarnation,
-      number: ++this.#number,
+      number: ++this.#batchNumber,
       bills,
     });
     const written = await writer.run(operation, { giveUpAt: Infinity });
@@ -115,6 +137,7 @@
       return;
     }
     for (const each of batch) each.confirm();
+    this.#copies?.recordDurable(batch.map((each) => each.number));
     log.info(LogEvent.BillsFlushed, { bills: batch.length });
   }
 }
--- a/packages/daemon/features/document_follower.ts
+++ b/packages/daemon/features/document_follower.ts
@@ -201,7 +201,7 @@
 export function toPeerRows(
   answer: Either<PlatformError, { rows: readonly Row[]; next?: string }>,
 ): PeerRows {
-  return answer.caseOf({
+  return answer.caseOf<PeerRows>({
     Left: () => ({ rows: [] }),
     Right: (page) => page as unknown as PeerRows,
   });
--- a/packages/daemon/features/escrow.ts
+++ b/packages/daemon/features/escrow.ts
@@ -235,6 +235,14 @@
       resolve(result);
     };
     this.#startExchange(queue, planExchange);
+    if (queue.exchanging) this.#borrowLater(queue, waiter);
+  }
+
+  /** While the table is slow, whoever waits is helped by peers. */
+  #borrowLater(queue: WaitQueue, waiter: Waiter): void {
+    setTimeout(() => {
+      if (queue.waiters.includes(waiter)) void this.#borrowFor(queue);
+    }, LOAN_DELAY);
   }
 
   #refuse(
@@ -296,12 +304,10 @@
   ): Promise<void> {
     const { writer, clock, log } = this.#context;
     const askedAt = clock.readMonotonic();
-    const slow = setTimeout(() => this.#borrowFor(queue), LOAN_DELAY);
     // The table may apply it after any time, so it is never abandoned.
     const answer = await writer.run(createGrantExchange(exchange), {
       giveUpAt: Infinity,
     });
-    clearTimeout(slow);
     queue.exchanging = false;
     answer.caseOf({
       Left: (error) => {
@@ -363,7 +369,14 @@
     });
   }
 
-  async #borrowFor(queue: WaitQueue): Promise<void> {
+  /** One round of loans at a time for each event. */
+  #borrowFor(queue: WaitQueue): Promise<void> {
+    queue.borrowing ??= this.#borrowOnce(queue)
+      .finally(() => (queue.borrowing = undefined));
+    return queue.borrowing;
+  }
+
+  async #borrowOnce(queue: WaitQueue): Promise<void> {
     if (queue.waiters.length === 0) return;
     const account = this.readAccount(queue.event.id);
     const now = this.#context.clock.readMonotonic();
--- a/packages/daemon/features/wait_queue.ts
+++ b/packages/daemon/features/wait_queue.ts
@@ -26,6 +26,8 @@
   /** Asks for the first waiter alone, after the table could not cover all. */
   narrowed = false;
   waiters: Waiter[] = [];
+  /** The round of loans under way. */
+  borrowing: Promise<void> | undefined;
 
   constructor(event: EventConfig) {
     this.event = event;
--- /dev/null
+++ b/packages/daemon/node.ts
@@ -0,0 +1,119 @@
+/** The parts of a daemon that no feature owns: identity, ports and drain. */
+import { randomBytes } from "node:crypto";
+import { readFileSync } from "node:fs";
+import {
+  combineUndo,
+  type CommandType,
+  createCommand,
+  createSystemClock,
+  type FleetConfiguration,
+  Kernel,
+  type Millis,
+  type Undo,
+} from "../core/mod.ts";
+import { computeIncarnation } from "../membership/mod.ts";
+import {
+  HttpObjectStore,
+  HttpTable,
+  HttpTargets,
+  HttpVmList,
+  StoreWriter,
+} from "../platform/mod.ts";
+import type { ServiceSettings, Settings } from "../settings/mod.ts";
+import { createEventLog, type EventLog } from "./event_log.ts";
+import { CONFIGURATION, DRAINING, type NodeContext } from "./node_context.ts";
+import { createNodeMetrics } from "./node_metrics.ts";
+
+/** Puts a configuration in force; an older version is ignored. */
+export const SET_CONFIGURATION: CommandType<FleetConfiguration, void> =
+  createCommand("configuration.set");
+
+/** Begins a planned stop: nothing new is let in. */
+export const START_DRAIN: CommandType<void, void> = createCommand(
+  "drain.start",
+);
+
+/** Longest wait of a store write for company. */
+const MAX_GROUP_DELAY: Millis = 50;
+
+const SALT_BYTES = 4;
+
+/** Returns the surroundings of a daemon. */
+export function createNodeContext(
+  settings: Settings,
+  log?: EventLog,
+): NodeContext {
+  const clock = createSystemClock();
+  const { platform, intervals } = settings;
+  const table = new HttpTable(createServiceOptions(platform.table));
+  const writer = new StoreWriter({
+    table,
+    clock,
+    random: Math.random,
+    sleep: (duration) => new Promise((done) => setTimeout(done, duration)),
+    groupDelay: Math.min(intervals.flushMillis, MAX_GROUP_DELAY),
+  });
+  return {
+    settings,
+    incarnation: computeIncarnation({
+      wallTime: clock.readWall(),
+      salt: randomBytes(SALT_BYTES).toString("hex"),
+    }),
+    kernel: new Kernel(),
+    clock,
+    random: Math.random,
+    table,
+    writer,
+    objects: platform.objects === undefined
+      ? undefined
+      : new HttpObjectStore(createServiceOptions(platform.objects)),
+    vmList: platform.vmList === undefined
+      ? undefined
+      : new HttpVmList(createServiceOptions(platform.vmList)),
+    targets: new HttpTargets(clock),
+    log: log ?? createEventLog(settings.logLevel),
+    metrics: createNodeMetrics(),
+  };
+}
+
+/** Returns the entry VMs' shared key. */
+export function readPeerKey(settings: Settings): string {
+  if (settings.peerKey !== undefined) return settings.peerKey;
+  return readFileSync(settings.peerKeyFile ?? "", "utf8").trim();
+}
+
+/** Registers the commands and dumps that belong to the VM as a whole. */
+export function registerNode(context: NodeContext): Undo {
+  const { kernel, settings, incarnation, writer, metrics } = context;
+  return combineUndo([
+    kernel.registerCommand(SET_CONFIGURATION, (configuration, update) => {
+      // A version never goes back.
+      if (configuration.version < update.read(CONFIGURATION).version) return;
+      update.write(CONFIGURATION, configuration);
+      metrics.documentVersion.set(configuration.version);
+    }),
+    kernel.registerCommand(
+      START_DRAIN,
+      (_, update) => update.write(DRAINING, true),
+    ),
+    kernel.registerDump("vm", () => ({
+      vm: settings.vm,
+      incarnation,
+      region: settings.region,
+      dataCentre: settings.dataCentre,
+      documentVersion: kernel.read(CONFIGURATION).version,
+      draining: kernel.read(DRAINING),
+    })),
+    kernel.registerDump("store", () => ({
+      ...writer.readCounts(),
+      lastError: writer.readLastError()?.message ?? null,
+    })),
+  ]);
+}
+
+function createServiceOptions(service: ServiceSettings) {
+  const token = service.tokenFile === undefined
+    ? {}
+    : { token: readFileSync(service.tokenFile, "utf8").trim() };
+  return { url: service.url, timeout: service.timeoutMillis, ...token };
+}
--- /dev/null
+++ b/packages/daemon/peers/peer_face.ts
@@ -0,0 +1,68 @@
+/** Answers the procedures that entry VMs call of each other. */
+import type {
+  PeerBills,
+  PeerClient,
+  PeerHandlers,
+  PeerLoanAnswer,
+  PeerLoanRequest,
+  PeerNews,
+  PeerRows,
+} from "../../peer/mod.ts";
+import type { BillCopies } from "../features/bill_copies.ts";
+import {
+  type DocumentFollower,
+  toPeerRows,
+} from "../features/document_follower.ts";
+import type { Loans } from "../features/loans.ts";
+import type { Membership } from "../features/membership.ts";
+
+/** Features that answer peers. */
+export interface PeerFaceFeatures {
+  readonly loans: Loans;
+  readonly copies: BillCopies;
+  readonly follower: DocumentFollower;
+  readonly membership: Membership;
+  readonly client: PeerClient;
+}
+
+/** Hands each procedure to its feature. */
+export class PeerFace implements PeerHandlers {
+  readonly #features: PeerFaceFeatures;
+
+  constructor(features: PeerFaceFeatures) {
+    this.#features = features;
+  }
+
+  lend(request: PeerLoanRequest): PeerLoanAnswer {
+    return this.#features.loans.lend(request);
+  }
+
+  exchangeNews(news: PeerNews): PeerNews {
+    return this.#features.membership.answerNews(news);
+  }
+
+  probe(address: string): Promise<boolean> {
+    return this.#features.client.ping(address);
+  }
+
+  keepBills(input: PeerBills): void {
+    this.#features.copies.keep(input);
+  }
+
+  async readRows(keys: readonly string[]): Promise<PeerRows> {
+    const reader = this.#features.follower.createReader();
+    const answer = await reader.read(keys);
+    return toPeerRows(answer.map((rows) => ({ rows })));
+  }
+
+  async scanRows(input: {
+    readonly prefix: string;
+    readonly after?: string | undefined;
+    readonly limit: number;
+  }): Promise<PeerRows> {
+    const reader = this.#features.follower.createReader();
+    const { prefix, after, limit } = input;
+    const options = after === undefined ? { limit } : { after, limit };
+    return toPeerRows(await reader.scan(prefix, options));
+  }
+}
--- a/packages/peer/mod.ts
+++ b/packages/peer/mod.ts
@@ -8,6 +8,7 @@
   isPeerKey,
 } from "./peer_router.ts";
 export type {
+  PeerBills,
   PeerLoanAnswer,
   PeerLoanRequest,
   PeerNews,
--- a/packages/peer/peer_client.ts
+++ b/packages/peer/peer_client.ts
@@ -2,7 +2,7 @@
 import { Agent } from "node:http";
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { type Either, Left, Right } from "purify-ts";
-import type { z } from "zod";
+import { z } from "zod";
 import {
   type Millis,
   type PlatformError,
@@ -17,6 +17,7 @@
 import {
   LOAN_ANSWER_SCHEMA,
   NEWS_SCHEMA,
+  type PeerBills,
   type PeerLoanAnswer,
   type PeerLoanRequest,
   type PeerNews,
@@ -68,6 +69,33 @@
     return checkAnswer(call, NEWS_SCHEMA);
   }
 
+  /** Asks a peer whether it reaches another. */
+  probe(
+    address: string,
+    probed: string,
+  ): Promise<Either<PlatformError, boolean>> {
+    const call = this.#connect(address).probe.query({ address: probed });
+    return checkAnswer(call, z.boolean());
+  }
+
+  /** Says whether a peer answers. */
+  async ping(address: string): Promise<boolean> {
+    const answer = await checkAnswer(
+      this.#connect(address).ping.query(),
+      z.boolean(),
+    );
+    return answer.orDefault(false);
+  }
+
+  /** Gives a peer copies of bills; resolves right when it has them. */
+  keepBills(
+    address: string,
+    bills: PeerBills,
+  ): Promise<Either<PlatformError, unknown>> {
+    const call = this.#connect(address).keepBills.mutate(bills);
+    return checkAnswer(call, z.unknown());
+  }
+
   /** Reads rows of a peer's document. */
   readRows(
     address: string,
--- a/packages/peer/peer_router.ts
+++ b/packages/peer/peer_router.ts
@@ -4,12 +4,15 @@
 import { initTRPC, TRPCError } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import {
+  BILLS_SCHEMA,
   LOAN_REQUEST_SCHEMA,
   NEWS_SCHEMA,
+  type PeerBills,
   type PeerLoanAnswer,
   type PeerLoanRequest,
   type PeerNews,
   type PeerRows,
+  PROBE_SCHEMA,
   READ_ROWS_SCHEMA,
   SCAN_ROWS_SCHEMA,
 } from "./schemas.ts";
@@ -20,6 +23,10 @@
   lend(request: PeerLoanRequest): PeerLoanAnswer;
   /** Takes a peer's news and returns this VM's. */
   exchangeNews(news: PeerNews): PeerNews;
+  /** Says whether this VM reaches a peer, for one that does not. */
+  probe(address: string): Promise<boolean>;
+  /** Keeps bills of a peer until it says that they are durable. */
+  keepBills(input: PeerBills): void;
   readRows(keys: readonly string[]): Promise<PeerRows>;
   scanRows(
     input: {
@@ -56,6 +63,11 @@
       .mutation(({ input }) => handlers.lend(input)),
     exchangeNews: trustedProcedure.input(NEWS_SCHEMA)
       .mutation(({ input }) => handlers.exchangeNews(input)),
+    probe: trustedProcedure.input(PROBE_SCHEMA)
+      .query(({ input }) => handlers.probe(input.address)),
+    ping: trustedProcedure.query(() => true),
+    keepBills: trustedProcedure.input(BILLS_SCHEMA)
+      .mutation(({ input }) => handlers.keepBills(input)),
     readRows: trustedProcedure.input(READ_ROWS_SCHEMA)
       .query(({ input }) => handlers.readRows(input.keys)),
     scanRows: trustedProcedure.input(SCAN_ROWS_SCHEMA)
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -51,6 +51,35 @@
   parts: z.record(z.string(), z.json()),
 });
 
+/** A peer that another cannot reach. */
+export const PROBE_SCHEMA = z.object({ address: z.string() });
+
+/** Most bills in one copy. */
+const MAX_COPIED_BILLS = 2_000;
+
+/** Copies of bills that are not durable yet, and word of those that are. */
+export const BILLS_SCHEMA = z.object({
+  vm: z.string(),
+  incarnation: z.string(),
+  /** Numbers rise with each bill of a life. */
+  bills: z.array(z.object({
+    number: z.number().int(),
+    bill: z.object({
+      customer: z.string(),
+      requestKey: z.string(),
+      event: z.string(),
+      kind: z.string(),
+      tokens: z.number().int().nonnegative(),
+      endedAt: z.number(),
+    }),
+  })).max(MAX_COPIED_BILLS),
+  /** Bills with these numbers are durable: their copies may be dropped. */
+  durable: z.array(z.number().int()),
+});
+
+/** Copies of bills. */
+export type PeerBills = z.infer<typeof BILLS_SCHEMA>;
+
 /** A loan asked of a peer. */
 export type PeerLoanRequest = z.infer<typeof LOAN_REQUEST_SCHEMA>;
 
--- a/packages/platform/http_client.ts
+++ b/packages/platform/http_client.ts
@@ -23,7 +23,7 @@
   readonly url: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: Uint8Array | string;
-  /** Longest silence of the connection, in milliseconds. */
+  /** Longest silence of the connection, in milliseconds; 0 for no limit. */
   readonly idleTimeout: Millis;
   readonly agent?: Agent;
   readonly signal?: AbortSignal;
@@ -77,10 +77,12 @@
       if (!socket.connecting) connected = true;
       else socket.once("connect", () => (connected = true));
     });
-    outgoing.setTimeout(
-      input.idleTimeout,
-      () => outgoing.destroy(new Error(`silent for ${input.idleTimeout} ms`)),
-    );
+    if (input.idleTimeout > 0) {
+      outgoing.setTimeout(
+        input.idleTimeout,
+        () => outgoing.destroy(new Error(`silent for ${input.idleTimeout} ms`)),
+      );
+    }
     outgoing.on("error", (error) => fail(describeError(error)));
     outgoing.on("response", (incoming) => {
       // A reader that has left must not turn a late error into a crash.
