Close the store writer when a daemon stops

Ruled out: open connections and the drain itself, since the demo had printed its result. Change: a stopped daemon closes its writer, which gives up on what waits.

--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -192,6 +192,7 @@
 
   #close(): void {
     this.#undo();
+    this.context.writer.close();
     this.#client.close();
     this.#forwarding.close();
     this.context.targets.close();
--- a/packages/platform/store_writer.ts
+++ b/packages/platform/store_writer.ts
@@ -79,6 +79,7 @@
   readonly #cache = new LRUCache<string, Row>({ max: MAX_CACHED_ROWS });
   #waiting: Job[] = [];
   #running = false;
+  #closed = false;
   #lastError: PlatformError | undefined;
   #counts = {
     transactions: 0,
@@ -110,11 +111,10 @@
     operation: RowOperation<Result>,
     options: { readonly giveUpAt: MonotonicTime },
   ): Promise<Either<PlatformError, Result>> {
-    if (this.#waiting.length >= MAX_WAITING_OPERATIONS) {
-      return Promise.resolve(Left(createPlatformError(
-        PlatformErrorKind.NotDone,
-        "too many store operations wait",
-      )));
+    const obstacle = this.#findObstacle();
+    if (obstacle !== undefined) {
+      const error = createPlatformError(PlatformErrorKind.NotDone, obstacle);
+      return Promise.resolve(Left(error));
     }
     return new Promise((resolve) => {
       this.#waiting.push({
@@ -127,6 +127,21 @@
     });
   }
 
+  /** Gives up on everything that waits and refuses what comes after. */
+  close(): void {
+    this.#closed = true;
+    for (const job of this.#waiting.splice(0)) {
+      job.finish(Left(createGiveUp(job)));
+    }
+  }
+
+  #findObstacle(): string | undefined {
+    if (this.#closed) return "the store writer is closed";
+    return this.#waiting.length >= MAX_WAITING_OPERATIONS
+      ? "too many store operations wait"
+      : undefined;
+  }
+
   #start(): void {
     if (this.#running) return;
     this.#running = true;
@@ -255,6 +270,7 @@
   ): PlatformError {
     this.#counts.refusals++;
     this.#waiting.unshift(...group);
+    if (this.#closed) this.close();
     this.#dropLate();
     return error as PlatformError;
   }
