--- a/packages/model/guard.ts
+++ b/packages/model/guard.ts
@@ -16,6 +16,7 @@
   CreditOncePerId = "credit-once-per-id",
   TransferNamesIncarnation = "transfer-names-incarnation",
   LoanCountsAsSpent = "loan-counts-as-spent",
+  LoanReturnedOnce = "loan-returned-once",
   ClaimBeforeDispatch = "claim-before-dispatch",
   ClaimNeverChangesHolder = "claim-never-changes-holder",
   ClaimNamesAttempt = "claim-names-attempt",
@@ -59,6 +60,8 @@
     "A transfer is credited only by the incarnation that asked for it.",
   [Guard.LoanCountsAsSpent]:
     "The lender's grant is closed with its loans counted as spent.",
+  [Guard.LoanReturnedOnce]:
+    "The row keeps which loans came back, and takes each back once.",
   [Guard.ClaimBeforeDispatch]:
     "A call that may not be repeated is dispatched only under a durable claim.",
   [Guard.ClaimNeverChangesHolder]:
--- a/packages/model/run_model_check.ts
+++ b/packages/model/run_model_check.ts
@@ -2,7 +2,11 @@
 import { Guard, GUARD_RULES } from "./guard.ts";
 import { createModel } from "./explore.ts";
 import type { Model, ModelReport } from "./specification.ts";
+import { BILLS } from "./specifications/bills.ts";
+import { CLAIMS } from "./specifications/claims.ts";
 import { GRANTS, TOP_UPS } from "./specifications/grants.ts";
+import { LEASES } from "./specifications/leases.ts";
+import { LOANS } from "./specifications/loans.ts";
 
 /** States after which the exploration of one model gives up. */
 export const DEFAULT_MAX_STATES = 2_000_000;
@@ -24,6 +28,10 @@
 const MODELS: readonly Model[] = [
   createModel(GRANTS),
   createModel(TOP_UPS),
+  createModel(LOANS),
+  createModel(CLAIMS),
+  createModel(BILLS),
+  createModel(LEASES),
 ];
 
 /** Returns every model. */
--- a/packages/model/specification.ts
+++ b/packages/model/specification.ts
@@ -14,6 +14,7 @@
   BilledExactlyOnceAtRest = "billed-exactly-once-at-rest",
   OwnWholeAnswer = "own-whole-answer",
   OrdersNeverGoBack = "orders-never-go-back",
+  OneHolderPerToken = "one-holder-per-token",
   DocumentNeverReverts = "document-never-reverts",
   ChangesNotLost = "changes-not-lost",
   DocumentValid = "document-valid",
--- /dev/null
+++ b/packages/model/specifications/bills.ts
@@ -0,0 +1,297 @@
+/**
+ * One repeatable request that its caller sends to VM A and, when A dies or is
+ * slow, to VM B as well; a target shared by both; and bills in the store.
+ *
+ * Each VM streams an answer of two chunks, writes the bill, and ends the
+ * answer. The store may be down for a while, lose answers, and be reached late.
+ */
+import { Guard } from "../guard.ts";
+import {
+  type GuardCheck,
+  Invariant,
+  type Specification,
+  type Step,
+} from "../specification.ts";
+
+/** Chunks of a whole answer. */
+const CHUNKS = 2;
+
+/** Crashes in all. */
+const MAX_CRASHES = 1;
+
+/** Where a VM's work on the request stands. */
+enum Stage {
+  New = "0",
+  Streaming = "s",
+  /** The stream is whole; its bill is to be written. */
+  Billing = "b",
+  /** The caller has the end of the answer. */
+  Ended = "e",
+  Crashed = "X",
+}
+
+/** What became of a VM's bill. */
+enum BillMark {
+  None = "-",
+  /** In the VM's memory, with no write under way. */
+  Held = "h",
+  /** In memory, with a write under way. */
+  Sent = "s",
+  /** Confirmed by the store. */
+  Durable = "d",
+  /** Not in memory any more, and never confirmed. */
+  Dropped = "x",
+}
+
+interface Vm {
+  readonly stage: Stage;
+  /** Letters of the runs whose chunks the caller has from this VM. */
+  readonly chunks: string;
+  /** The run that the VM reads from. */
+  readonly run: string;
+  readonly bill: BillMark;
+  /** Whether the store holds the bill. */
+  readonly stored: boolean;
+  /** A write that the VM gave up and that may still land. */
+  readonly late: boolean;
+  /** Whether the answer ended while the store was down. */
+  readonly endedInOutage: boolean;
+}
+
+/** Store outages: not yet, now, over. */
+enum Outage {
+  Before = "0",
+  Now = "1",
+  Over = "2",
+}
+
+/** A state of the specification. */
+export interface BillsState {
+  readonly vms: readonly Vm[];
+  readonly outage: Outage;
+  readonly crashes: number;
+  /** Whether readers count a bill by its identity. */
+  readonly countsIdentity: boolean;
+}
+
+type BillsStep = Step<BillsState>;
+
+const NAMES = ["A", "B"] as const;
+
+function changeVm(
+  state: BillsState,
+  index: number,
+  change: Partial<Vm>,
+): BillsState {
+  const vms = state.vms.map((vm, each) =>
+    each === index ? { ...vm, ...change } : vm
+  );
+  return { ...state, vms };
+}
+
+function listStreamSteps(
+  state: BillsState,
+  index: number,
+  isOn: GuardCheck,
+): BillsStep[] {
+  const vm = state.vms[index]!;
+  const name = NAMES[index]!;
+  if (vm.stage === Stage.New) {
+    const change = { stage: Stage.Streaming, run: index === 0 ? "a" : "c" };
+    return [{ label: `${name} starts`, next: changeVm(state, index, change) }];
+  }
+  if (vm.stage !== Stage.Streaming) return [];
+  return [
+    createChunkStep(state, index),
+    ...listReruns(state, index, isOn),
+  ];
+}
+
+function createChunkStep(state: BillsState, index: number): BillsStep {
+  const vm = state.vms[index]!;
+  const chunks = vm.chunks + vm.run;
+  const whole = chunks.length === CHUNKS;
+  const change = whole
+    ? { chunks, stage: Stage.Billing, bill: BillMark.Held }
+    : { chunks };
+  const label = `${NAMES[index]} chunk ${chunks.length} of run ${vm.run}`;
+  return { label, next: changeVm(state, index, change) };
+}
+
+/** The target fails; the VM runs the request anew, once. */
+function listReruns(
+  state: BillsState,
+  index: number,
+  isOn: GuardCheck,
+): BillsStep[] {
+  const vm = state.vms[index]!;
+  if (vm.run !== "a" && vm.run !== "c") return [];
+  const run = vm.run === "a" ? "b" : "d";
+  const chunks = isOn(Guard.RetryStartsOver) ? "" : vm.chunks;
+  const next = changeVm(state, index, { run, chunks });
+  return [{ label: `${NAMES[index]} target fails, run ${run}`, next }];
+}
+
+function listBillSteps(
+  state: BillsState,
+  index: number,
+  isOn: GuardCheck,
+): BillsStep[] {
+  const vm = state.vms[index]!;
+  const name = NAMES[index]!;
+  const up = state.outage !== Outage.Now;
+  const steps: BillsStep[] = [];
+  const add = (label: string, change: Partial<Vm>) =>
+    steps.push({
+      label: `${name} ${label}`,
+      next: changeVm(state, index, change),
+    });
+  const kept = isOn(Guard.BillKeptUntilDurable)
+    ? BillMark.Held
+    : BillMark.Dropped;
+  if (vm.bill === BillMark.Held) {
+    add("bill: sent", { bill: BillMark.Sent });
+  }
+  if (vm.bill === BillMark.Sent) {
+    add("bill: given up before it landed", { bill: kept, late: true });
+    if (up) {
+      add("bill: committed", { bill: BillMark.Durable, stored: true });
+      add("bill: committed, answer lost", { bill: kept, stored: true });
+    } else {
+      add("bill: store is down", { bill: kept });
+    }
+  }
+  if (vm.late) {
+    add("late bill never lands", { late: false });
+    if (up) add("late bill lands", { late: false, stored: true });
+  }
+  return steps;
+}
+
+function listEndSteps(
+  state: BillsState,
+  index: number,
+  isOn: GuardCheck,
+): BillsStep[] {
+  const vm = state.vms[index]!;
+  if (vm.stage !== Stage.Billing) return [];
+  const down = state.outage === Outage.Now;
+  const durable = vm.bill === BillMark.Durable;
+  if (isOn(Guard.BillBeforeEnd) && !durable && !down) return [];
+  const change = { stage: Stage.Ended, endedInOutage: down && !durable };
+  const next = changeVm(state, index, change);
+  return [{ label: `${NAMES[index]} answer ends`, next }];
+}
+
+function listFaults(state: BillsState): BillsStep[] {
+  const steps: BillsStep[] = [];
+  if (state.outage !== Outage.Over) {
+    const starts = state.outage === Outage.Before;
+    const outage = starts ? Outage.Now : Outage.Over;
+    const label = `store is ${starts ? "down" : "up again"}`;
+    steps.push({ label, next: { ...state, outage } });
+  }
+  if (state.crashes >= MAX_CRASHES) return steps;
+  state.vms.forEach((vm, index) => {
+    if (vm.stage === Stage.New || vm.stage === Stage.Crashed) return;
+    const next = {
+      ...changeVm(state, index, describeCrash(vm)),
+      crashes: state.crashes + 1,
+    };
+    steps.push({ label: `${NAMES[index]} crash`, next });
+  });
+  return steps;
+}
+
+/** What is left of a VM: an answer that ended stays with its caller. */
+function describeCrash(vm: Vm): Partial<Vm> {
+  const stage = vm.stage === Stage.Ended ? Stage.Ended : Stage.Crashed;
+  const late = vm.late || vm.bill === BillMark.Sent;
+  const lost = vm.bill === BillMark.Held || vm.bill === BillMark.Sent;
+  return { stage, late, bill: lost ? BillMark.Dropped : vm.bill };
+}
+
+function computeBilled(state: BillsState): number {
+  const stored = state.vms.filter((vm) => vm.stored).length;
+  return state.countsIdentity ? Math.min(stored, 1) : stored;
+}
+
+function isAtRest(state: BillsState): boolean {
+  return state.outage !== Outage.Now && state.vms.every((vm) => {
+    const idle = vm.stage !== Stage.Streaming && vm.stage !== Stage.Billing;
+    const written = vm.bill !== BillMark.Held && vm.bill !== BillMark.Sent;
+    return idle && written && !vm.late;
+  });
+}
+
+/** An answer that ended must be billed, unless its VM died after an outage. */
+function isOwed(state: BillsState): boolean {
+  return state.vms.some((vm) => {
+    const excused = vm.endedInOutage && state.crashes > 0;
+    return vm.stage === Stage.Ended && !excused;
+  });
+}
+
+function findViolation(state: BillsState): Invariant | undefined {
+  const billed = computeBilled(state);
+  if (billed > 1) return Invariant.BilledAtMostOnce;
+  if (isAtRest(state) && isOwed(state) && billed !== 1) {
+    return Invariant.BilledExactlyOnceAtRest;
+  }
+  const whole = state.vms.every((vm) => new Set(vm.chunks).size <= 1);
+  return whole ? undefined : Invariant.OwnWholeAnswer;
+}
+
+function formatVm(vm: Vm): string {
+  const flags = [vm.stored, vm.late, vm.endedInOutage]
+    .map((flag) => flag ? "1" : "0").join("");
+  return `${vm.stage}${vm.bill}${vm.run}${flags}${vm.chunks}`;
+}
+
+/** Bills and the ends of answers. */
+export const BILLS: Specification<BillsState> = {
+  name: "bills",
+  scope:
+    "1 repeatable request at 2 VMs, answers of 2 chunks, 1 rerun per VM, 1 crash, 1 store outage, late and lost bill writes",
+  guards: [
+    Guard.BillIdentity,
+    Guard.BillBeforeEnd,
+    Guard.BillKeptUntilDurable,
+    Guard.RetryStartsOver,
+  ],
+  invariants: [
+    Invariant.BilledAtMostOnce,
+    Invariant.BilledExactlyOnceAtRest,
+    Invariant.OwnWholeAnswer,
+  ],
+  createInitial: () => ({
+    vms: NAMES.map(() => ({
+      stage: Stage.New,
+      chunks: "",
+      run: "",
+      bill: BillMark.None,
+      stored: false,
+      late: false,
+      endedInOutage: false,
+    })),
+    outage: Outage.Before,
+    crashes: 0,
+    countsIdentity: true,
+  }),
+  listSteps: (state, isOn) => {
+    const countsIdentity = isOn(Guard.BillIdentity);
+    const counted = { ...state, countsIdentity };
+    return [
+      ...NAMES.flatMap((_name, index) => [
+        ...listStreamSteps(counted, index, isOn),
+        ...listBillSteps(counted, index, isOn),
+        ...listEndSteps(counted, index, isOn),
+      ]),
+      ...listFaults(counted),
+    ];
+  },
+  findViolation,
+  formatState: (state) =>
+    `${state.vms.map(formatVm).join(";")}|${state.outage}${state.crashes}` +
+    `${state.countsIdentity ? "i" : "n"}`,
+};
--- /dev/null
+++ b/packages/model/specifications/claims.ts
@@ -0,0 +1,447 @@
+/**
+ * One call that may not be repeated, tried by three attempts: two at VM A, of
+ * which the second may start at any time after the first, and one at VM B.
+ * All use the same request key.
+ *
+ * A paused attempt is one that takes no step. A crash loses every attempt of
+ * its VM. The target runs what was sent to it at any later time, or never.
+ */
+import { Guard } from "../guard.ts";
+import {
+  type GuardCheck,
+  Invariant,
+  type Specification,
+  type Step,
+} from "../specification.ts";
+import { applyWrite, type SentWrite, type StoredRow } from "../stored_row.ts";
+
+/** The attempts by their VM. */
+const ATTEMPTS = [
+  { name: "A1", vm: 0 },
+  { name: "A2", vm: 0 },
+  { name: "B1", vm: 1 },
+] as const;
+
+/** Crashes in all. */
+const MAX_CRASHES = 1;
+
+/** How the claim row says that the call stands. */
+export enum ClaimMark {
+  Free = "-",
+  Open = "o",
+  Ran = "r",
+  NotRun = "n",
+}
+
+/** The claim row's value; `holder` is the number of an attempt. */
+export interface ClaimValue {
+  readonly mark: ClaimMark;
+  readonly holder: number;
+}
+
+/** Where an attempt stands. */
+enum Stage {
+  New = "0",
+  /** Its claim's write is under way, or has to be sent again. */
+  Claiming = "c",
+  Claimed = "h",
+  /** Bytes were sent to the target. */
+  Dispatched = "d",
+  /** The target answered; the claim's end is under way. */
+  Finishing = "f",
+  /** No byte was sent; the claim's end is under way. */
+  Freeing = "q",
+  ToldRan = "R",
+  ToldNotRun = "N",
+  ToldUnknown = "U",
+  Crashed = "X",
+}
+
+/** What the target made of an attempt's bytes. */
+enum TargetMark {
+  Nothing = "-",
+  Received = "s",
+  Ran = "r",
+}
+
+interface Attempt {
+  readonly stage: Stage;
+  readonly target: TargetMark;
+  readonly write?: SentWrite<ClaimValue>;
+  readonly late?: SentWrite<ClaimValue>;
+  /** The attempt on whose claim a not-run answer was based. */
+  readonly reliedOn?: number;
+}
+
+/** A state of the specification. */
+export interface ClaimsState {
+  readonly row: StoredRow<ClaimValue>;
+  readonly attempts: readonly Attempt[];
+  readonly crashes: number;
+}
+
+type ClaimsStep = Step<ClaimsState>;
+
+/** What an attempt to claim finds. */
+export type ClaimDecision =
+  | { readonly kind: "write"; readonly value: ClaimValue }
+  | { readonly kind: "taken" | "ran" | "held" | "ended" };
+
+/** Decides a claim from the row's value. */
+export function decideClaim(
+  value: ClaimValue,
+  attempt: number,
+  isOn: GuardCheck,
+): ClaimDecision {
+  const write: ClaimDecision = {
+    kind: "write",
+    value: { mark: ClaimMark.Open, holder: attempt },
+  };
+  const own = isOwnClaim(value, attempt, isOn);
+  switch (value.mark) {
+    case ClaimMark.Free:
+      return write;
+    case ClaimMark.NotRun:
+      return own ? { kind: "ended" } : write;
+    case ClaimMark.Ran:
+      return isOn(Guard.FinishedClaimStays) ? { kind: "ran" } : write;
+    case ClaimMark.Open:
+      if (own) return { kind: "taken" };
+      return isOn(Guard.ClaimNeverChangesHolder) ? { kind: "held" } : write;
+  }
+}
+
+/** Decides how an attempt's claim ends; absent when it is not its own. */
+export function decideClaimEnd(
+  value: ClaimValue,
+  attempt: number,
+  mark: ClaimMark.Ran | ClaimMark.NotRun,
+): ClaimValue | undefined {
+  const own = value.mark === ClaimMark.Open && value.holder === attempt;
+  return own ? { mark, holder: attempt } : undefined;
+}
+
+function isOwnClaim(
+  value: ClaimValue,
+  attempt: number,
+  isOn: GuardCheck,
+): boolean {
+  if (isOn(Guard.ClaimNamesAttempt)) return value.holder === attempt;
+  return ATTEMPTS[value.holder]?.vm === ATTEMPTS[attempt]?.vm;
+}
+
+function changeAttempt(
+  state: ClaimsState,
+  index: number,
+  change: { readonly [Key in keyof Attempt]?: Attempt[Key] | undefined },
+): ClaimsState {
+  const attempts = state.attempts.map((attempt, each) =>
+    each === index ? { ...attempt, ...change } as Attempt : attempt
+  );
+  return { ...state, attempts };
+}
+
+/** Reads the row, decides the claim and sends its write. */
+function claim(
+  state: ClaimsState,
+  index: number,
+  isOn: GuardCheck,
+): ClaimsState {
+  const { version, value } = state.row;
+  const decision = decideClaim(value, index, isOn);
+  switch (decision.kind) {
+    case "write":
+      return changeAttempt(state, index, {
+        stage: Stage.Claiming,
+        write: { base: version, value: decision.value },
+      });
+    case "taken":
+      return changeAttempt(state, index, { stage: Stage.Claimed });
+    case "ran":
+      return changeAttempt(state, index, { stage: Stage.ToldRan });
+    case "ended":
+      return changeAttempt(state, index, { stage: Stage.ToldNotRun });
+    case "held":
+      return isOn(Guard.HeldClaimIsUnknown)
+        ? changeAttempt(state, index, { stage: Stage.ToldUnknown })
+        : changeAttempt(state, index, {
+          stage: Stage.ToldNotRun,
+          reliedOn: value.holder,
+        });
+  }
+}
+
+/** Claims once more without looking at what the row shows. */
+function claimBlindly(state: ClaimsState, index: number): ClaimsState {
+  const value = { mark: ClaimMark.Open, holder: index };
+  const write = { base: state.row.version, value };
+  return changeAttempt(state, index, { stage: Stage.Claiming, write });
+}
+
+/** Reads the row and sends the write that ends the claim. */
+function finishClaim(
+  state: ClaimsState,
+  index: number,
+  stage: Stage.Finishing | Stage.Freeing,
+): ClaimsState {
+  const mark = stage === Stage.Finishing ? ClaimMark.Ran : ClaimMark.NotRun;
+  const { version, value } = state.row;
+  const next = decideClaimEnd(value, index, mark);
+  if (next === undefined) {
+    return changeAttempt(state, index, { stage: readEnd(stage) });
+  }
+  return changeAttempt(state, index, {
+    stage,
+    write: { base: version, value: next },
+  });
+}
+
+function readEnd(stage: Stage): Stage {
+  if (stage === Stage.Finishing) return Stage.ToldRan;
+  return stage === Stage.Freeing ? Stage.ToldNotRun : Stage.Claimed;
+}
+
+function listAttemptSteps(
+  state: ClaimsState,
+  index: number,
+  isOn: GuardCheck,
+): ClaimsStep[] {
+  const attempt = state.attempts[index]!;
+  const name = ATTEMPTS[index]!.name;
+  const to = (stage: Stage) => changeAttempt(state, index, { stage });
+  switch (attempt.stage) {
+    case Stage.New:
+      return listFirstSteps(state, index, isOn);
+    case Stage.Claiming:
+    case Stage.Finishing:
+    case Stage.Freeing:
+      return listStoreSteps(state, index, isOn);
+    case Stage.Claimed:
+      return [
+        { label: `${name} dispatch`, next: dispatchCall(state, index) },
+        {
+          label: `${name} connection refused`,
+          next: finishClaim(state, index, Stage.Freeing),
+        },
+      ];
+    case Stage.Dispatched: {
+      const broken = isOn(Guard.BrokenCallIsUnknown)
+        ? to(Stage.ToldUnknown)
+        : finishClaim(state, index, Stage.Freeing);
+      const steps = [{ label: `${name} connection breaks`, next: broken }];
+      if (attempt.target !== TargetMark.Ran) return steps;
+      const next = finishClaim(state, index, Stage.Finishing);
+      return [...steps, { label: `${name} answer arrives`, next }];
+    }
+    default:
+      return [];
+  }
+}
+
+function dispatchCall(state: ClaimsState, index: number): ClaimsState {
+  return changeAttempt(state, index, {
+    stage: Stage.Dispatched,
+    target: TargetMark.Received,
+  });
+}
+
+function listFirstSteps(
+  state: ClaimsState,
+  index: number,
+  isOn: GuardCheck,
+): ClaimsStep[] {
+  const name = ATTEMPTS[index]!.name;
+  const refused = changeAttempt(state, index, { stage: Stage.ToldNotRun });
+  const steps = [
+    { label: `${name} claim: sent`, next: claim(state, index, isOn) },
+    { label: `${name} store is down: refused`, next: refused },
+  ];
+  if (isOn(Guard.ClaimBeforeDispatch)) return steps;
+  const next = dispatchCall(state, index);
+  return [...steps, { label: `${name} dispatch without a claim`, next }];
+}
+
+function listStoreSteps(
+  state: ClaimsState,
+  index: number,
+  isOn: GuardCheck,
+): ClaimsStep[] {
+  const attempt = state.attempts[index]!;
+  const name = ATTEMPTS[index]!.name;
+  const what = attempt.stage === Stage.Claiming ? "claim" : "claim's end";
+  if (attempt.write === undefined) {
+    return listRepeats(state, index, isOn);
+  }
+  const waiting = { write: undefined };
+  const checkVersion = isOn(Guard.VersionCheck);
+  const row = applyWrite(state.row, attempt.write, { checkVersion });
+  const landed = changeAttempt({ ...state, row }, index, waiting);
+  const steps: ClaimsStep[] = [];
+  if (row === state.row) {
+    steps.push({ label: `${name} ${what}: conflict`, next: landed });
+  } else {
+    const stage = readEnd(attempt.stage);
+    const next = changeAttempt(landed, index, { stage });
+    steps.push({ label: `${name} ${what}: committed`, next });
+    steps.push({
+      label: `${name} ${what}: committed, answer lost`,
+      next: landed,
+    });
+  }
+  if (attempt.late === undefined) {
+    const change = { write: undefined, late: attempt.write };
+    const next = changeAttempt(state, index, change);
+    steps.push({ label: `${name} ${what}: given up before it landed`, next });
+  }
+  return steps;
+}
+
+/** After a lost answer: decides again, or answers the caller without. */
+function listRepeats(
+  state: ClaimsState,
+  index: number,
+  isOn: GuardCheck,
+): ClaimsStep[] {
+  const { stage } = state.attempts[index]!;
+  const name = ATTEMPTS[index]!.name;
+  if (stage === Stage.Claiming) {
+    const next = isOn(Guard.ReadBackBeforeRetry)
+      ? claim(state, index, isOn)
+      : claimBlindly(state, index);
+    const refused = changeAttempt(state, index, { stage: Stage.ToldNotRun });
+    return [
+      { label: `${name} claim: sent again`, next },
+      { label: `${name} claim: no answer, refused`, next: refused },
+    ];
+  }
+  const end = stage as Stage.Finishing | Stage.Freeing;
+  const again = finishClaim(state, index, end);
+  const told = changeAttempt(state, index, { stage: readEnd(end) });
+  return [
+    { label: `${name} claim's end: sent again`, next: again },
+    { label: `${name} claim's end: left open, caller answered`, next: told },
+  ];
+}
+
+function listFaults(
+  state: ClaimsState,
+  index: number,
+  isOn: GuardCheck,
+): ClaimsStep[] {
+  const attempt = state.attempts[index]!;
+  const name = ATTEMPTS[index]!.name;
+  const steps: ClaimsStep[] = [];
+  if (attempt.target === TargetMark.Received) {
+    const next = changeAttempt(state, index, { target: TargetMark.Ran });
+    steps.push({ label: `target runs ${name}`, next });
+  }
+  if (attempt.late !== undefined) {
+    const checkVersion = isOn(Guard.VersionCheck);
+    const row = applyWrite(state.row, attempt.late, { checkVersion });
+    const cleared = changeAttempt(state, index, { late: undefined });
+    steps.push({
+      label: `${name} late write lands`,
+      next: { ...cleared, row },
+    });
+  }
+  return steps;
+}
+
+/** Loses every attempt of a VM that is in progress. */
+function crashVm(state: ClaimsState, vm: number): ClaimsState {
+  const attempts = state.attempts.map((attempt, index) => {
+    const lost = ATTEMPTS[index]!.vm === vm && isInProgress(attempt);
+    if (!lost) return attempt;
+    const { write, ...rest } = attempt;
+    const late = write ?? attempt.late;
+    return {
+      ...rest,
+      stage: Stage.Crashed,
+      ...(late === undefined ? {} : { late }),
+    };
+  });
+  return { ...state, attempts, crashes: state.crashes + 1 };
+}
+
+function isInProgress(attempt: Attempt): boolean {
+  return [
+    Stage.Claiming,
+    Stage.Claimed,
+    Stage.Dispatched,
+    Stage.Finishing,
+    Stage.Freeing,
+  ].includes(attempt.stage);
+}
+
+function listCrashes(state: ClaimsState): ClaimsStep[] {
+  if (state.crashes >= MAX_CRASHES) return [];
+  return [0, 1].map((vm) => ({
+    label: `${vm === 0 ? "A" : "B"} crash`,
+    next: crashVm(state, vm),
+  }));
+}
+
+function hasLied(state: ClaimsState): boolean {
+  return state.attempts.some((attempt) => {
+    if (attempt.stage !== Stage.ToldNotRun) return false;
+    if (attempt.target === TargetMark.Ran) return true;
+    const other = state.attempts[attempt.reliedOn ?? -1];
+    return other?.target === TargetMark.Ran;
+  });
+}
+
+function findViolation(state: ClaimsState): Invariant | undefined {
+  const runs = state.attempts
+    .filter((attempt) => attempt.target === TargetMark.Ran);
+  if (runs.length > 1) return Invariant.RunsAtMostOnce;
+  return hasLied(state) ? Invariant.ToldNotRunWasNotRun : undefined;
+}
+
+function formatWrite(write: SentWrite<ClaimValue> | undefined): string {
+  if (write === undefined) return "";
+  return `${write.base}${write.value.mark}${write.value.holder}`;
+}
+
+function formatAttempt(attempt: Attempt): string {
+  const { stage, target, write, late, reliedOn = "" } = attempt;
+  return `${stage}${target}${formatWrite(write)},${formatWrite(late)},${reliedOn}`;
+}
+
+/** Claims, retries and what callers are told. */
+export const CLAIMS: Specification<ClaimsState> = {
+  name: "claims",
+  scope:
+    "1 call under 1 key; 2 attempts at VM A and 1 at VM B; 1 crash of either VM; 1 late write per attempt",
+  guards: [
+    Guard.VersionCheck,
+    Guard.ReadBackBeforeRetry,
+    Guard.ClaimBeforeDispatch,
+    Guard.ClaimNeverChangesHolder,
+    Guard.ClaimNamesAttempt,
+    Guard.FinishedClaimStays,
+    Guard.HeldClaimIsUnknown,
+    Guard.BrokenCallIsUnknown,
+  ],
+  invariants: [Invariant.RunsAtMostOnce, Invariant.ToldNotRunWasNotRun],
+  createInitial: () => ({
+    row: { version: 0, value: { mark: ClaimMark.Free, holder: -1 } },
+    attempts: ATTEMPTS.map(() => ({
+      stage: Stage.New,
+      target: TargetMark.Nothing,
+    })),
+    crashes: 0,
+  }),
+  listSteps: (state, isOn) => [
+    ...ATTEMPTS.flatMap((_attempt, index) => [
+      ...listAttemptSteps(state, index, isOn),
+      ...listFaults(state, index, isOn),
+    ]),
+    ...listCrashes(state),
+  ],
+  findViolation,
+  formatState: (state) => {
+    const { version, value } = state.row;
+    const attempts = state.attempts.map(formatAttempt).join(";");
+    return `${version}${value.mark}${value.holder}|${attempts}|${state.crashes}`;
+  },
+};
--- /dev/null
+++ b/packages/model/specifications/leases.ts
@@ -0,0 +1,305 @@
+/**
+ * A control duty held by lease: two VMs give orders to a target that refuses
+ * older fencing tokens and to one that ignores them.
+ *
+ * Time is counted in ticks and both VMs' monotonic clocks run at its rate. An
+ * order to the ignoring target takes effect within `LONGEST_ORDER` ticks of
+ * its sending or never; one to the checking target may take any time. Reading
+ * the clock and sending are one step before the ignoring target, which is the
+ * assumption that its safety rests on.
+ */
+import { Guard } from "../guard.ts";
+import {
+  type GuardCheck,
+  Invariant,
+  type Specification,
+  type Step,
+} from "../specification.ts";
+
+/** Length of a lease in ticks. */
+const LEASE = 2;
+
+/** Longest time from sending an order to its effect, in ticks. */
+const LONGEST_ORDER = 1;
+
+/** Longest time that makes a difference, in ticks; older is counted as this. */
+const LONG_AGO = LEASE + 1;
+
+/** A time that is over, in ticks left. */
+const OVER = -1;
+
+/** Tokens handed out in all. */
+const MAX_TOKEN = 2;
+
+/** Crashes in all. */
+const MAX_CRASHES = 1;
+
+const NAMES = ["A", "B"] as const;
+
+/** How a target treats fencing tokens. */
+enum TargetKind {
+  Checking = "checking",
+  Ignoring = "ignoring",
+}
+
+/** A write of the lease row under way, or committed with its answer under way. */
+interface LeaseWrite {
+  readonly base: number;
+  /** Ticks since it was sent. */
+  readonly age: number;
+  /** The token that it got; 0 until it is committed. */
+  readonly token: number;
+}
+
+interface Vm {
+  /** Token held; 0 for none. */
+  readonly token: number;
+  /** Ticks until the deadline; {@link OVER} when it has passed. */
+  readonly left: number;
+  /** Ticks until it may order an ignoring target. */
+  readonly wait: number;
+  /** Version of the lease row last read, and the ticks since it was first read. */
+  readonly seen: number;
+  readonly seenFor: number;
+  readonly write?: LeaseWrite;
+}
+
+/** An order on its way. */
+interface Order {
+  readonly target: TargetKind;
+  readonly token: number;
+  /** Ticks in which it can still take effect. */
+  readonly left: number;
+}
+
+/** A state of the specification. */
+export interface LeasesState {
+  /** Version of the lease row, which is also the newest token. */
+  readonly token: number;
+  readonly vms: readonly Vm[];
+  readonly orders: readonly Order[];
+  /** Newest token that each target was given by an order. */
+  readonly newest: Readonly<Record<TargetKind, number>>;
+  /** Whether an older order took effect after a newer one. */
+  readonly wentBack: boolean;
+  readonly crashes: number;
+}
+
+type LeasesStep = Step<LeasesState>;
+
+const NEW_VM: Vm = { token: 0, left: OVER, wait: 0, seen: 0, seenFor: 0 };
+
+function changeVm(
+  state: LeasesState,
+  index: number,
+  change: { readonly [Key in keyof Vm]?: Vm[Key] | undefined },
+): LeasesState {
+  const vms = state.vms.map((vm, each) =>
+    each === index ? { ...vm, ...change } as Vm : vm
+  );
+  return { ...state, vms };
+}
+
+/** Lets one tick pass; times that make no more difference stay as they are. */
+function createTick(state: LeasesState): LeasesStep {
+  const orders = state.orders
+    .map((order) =>
+      order.target === TargetKind.Checking
+        ? order
+        : { ...order, left: order.left - 1 }
+    )
+    .filter((order) => order.left >= 0);
+  return {
+    label: "tick",
+    next: { ...state, orders, vms: state.vms.map(ageVm) },
+  };
+}
+
+function ageVm(vm: Vm): Vm {
+  const aged = {
+    ...vm,
+    left: Math.max(OVER, vm.left - 1),
+    wait: Math.max(0, vm.wait - 1),
+    seenFor: Math.min(LONG_AGO, vm.seenFor + 1),
+  };
+  if (vm.write === undefined) return aged;
+  const age = Math.min(LONG_AGO, vm.write.age + 1);
+  return { ...aged, write: { ...vm.write, age } };
+}
+
+function listLeaseSteps(
+  state: LeasesState,
+  index: number,
+  isOn: GuardCheck,
+): LeasesStep[] {
+  const vm = state.vms[index]!;
+  const name = NAMES[index]!;
+  const steps: LeasesStep[] = [];
+  if (vm.seen !== state.token) {
+    const next = changeVm(state, index, { seen: state.token, seenFor: 0 });
+    steps.push({ label: `${name} reads the lease row`, next });
+  }
+  if (vm.write === undefined && mayTake(vm, isOn)) {
+    const write = { base: vm.seen, age: 0, token: 0 };
+    const next = changeVm(state, index, { write });
+    steps.push({ label: `${name} take lease: sent`, next });
+  }
+  return [...steps, ...listAnswers(state, index, isOn)];
+}
+
+/** A lease that is held must have been seen unchanged for its whole length. */
+function mayTake(vm: Vm, isOn: GuardCheck): boolean {
+  if (vm.token === vm.seen && vm.token > 0) return false;
+  if (vm.seen === 0 || !isOn(Guard.LeaseObservedWhole)) return true;
+  return vm.seenFor > LEASE;
+}
+
+function listAnswers(
+  state: LeasesState,
+  index: number,
+  isOn: GuardCheck,
+): LeasesStep[] {
+  const { write } = state.vms[index]!;
+  const name = `${NAMES[index]} take lease`;
+  if (write === undefined) return [];
+  if (write.token > 0) {
+    const next = receiveLease(state, index, isOn);
+    return [{ label: `${name}: answer arrives`, next }];
+  }
+  const conflict = write.base !== state.token;
+  if (conflict && isOn(Guard.VersionCheck)) {
+    const next = changeVm(state, index, { write: undefined });
+    return [{ label: `${name}: conflict`, next }];
+  }
+  if (state.token >= MAX_TOKEN && !conflict) return [];
+  const token = conflict ? state.token : state.token + 1;
+  const committed = changeVm(state, index, { write: { ...write, token } });
+  return [{ label: `${name}: committed`, next: { ...committed, token } }];
+}
+
+function receiveLease(
+  state: LeasesState,
+  index: number,
+  isOn: GuardCheck,
+): LeasesState {
+  const { token, age } = state.vms[index]!.write!;
+  const used = isOn(Guard.LeaseFromSend) ? age : 0;
+  const waits = isOn(Guard.FencingWait) && token > 1;
+  return changeVm(state, index, {
+    token,
+    left: Math.max(OVER, LEASE - used),
+    wait: waits ? LONGEST_ORDER + 1 : 0,
+    seen: token,
+    seenFor: 0,
+    write: undefined,
+  });
+}
+
+function listOrderSteps(
+  state: LeasesState,
+  index: number,
+  isOn: GuardCheck,
+): LeasesStep[] {
+  const { token, left, wait } = state.vms[index]!;
+  if (token === 0) return [];
+  const inLease = left >= 0 || !isOn(Guard.LeaseDeadlineChecked);
+  const targets = [
+    // The token makes a late order harmless here, so no clock is needed.
+    TargetKind.Checking,
+    ...(inLease && wait === 0 ? [TargetKind.Ignoring] : []),
+  ];
+  return targets.flatMap((target) => {
+    const order = { target, token, left: LONGEST_ORDER };
+    const known = state.orders.some((each) =>
+      each.target === target && each.token === token
+    );
+    if (known) return [];
+    const next = { ...state, orders: [...state.orders, order] };
+    return [{ label: `${NAMES[index]} orders ${target}, token ${token}`, next }];
+  });
+}
+
+/** Orders take effect, or are lost with the next tick. */
+function listEffects(state: LeasesState, isOn: GuardCheck): LeasesStep[] {
+  return state.orders.map((order) => {
+    const orders = state.orders.filter((each) => each !== order);
+    const newest = state.newest[order.target];
+    const refused = order.target === TargetKind.Checking &&
+      isOn(Guard.FencingToken) && order.token < newest;
+    const label = `order to ${order.target}, token ${order.token}, ` +
+      (refused ? "is refused" : "takes effect");
+    if (refused) return { label, next: { ...state, orders } };
+    const tokens = {
+      ...state.newest,
+      [order.target]: Math.max(newest, order.token),
+    };
+    const wentBack = state.wentBack || order.token < newest;
+    return { label, next: { ...state, orders, newest: tokens, wentBack } };
+  });
+}
+
+function listCrashes(state: LeasesState): LeasesStep[] {
+  if (state.crashes >= MAX_CRASHES) return [];
+  return NAMES.map((name, index) => {
+    const vms = state.vms.map((vm, each) => each === index ? NEW_VM : vm);
+    const next = { ...state, vms, crashes: state.crashes + 1 };
+    return { label: `${name} crash`, next };
+  });
+}
+
+function formatVm(vm: Vm): string {
+  const write = vm.write === undefined
+    ? ""
+    : `${vm.write.base}${vm.write.age}${vm.write.token}`;
+  return `${vm.token}${vm.left}${vm.wait}${vm.seen}${vm.seenFor},${write}`;
+}
+
+function formatOrder(order: Order): string {
+  return `${order.target[0]}${order.token}${order.left}`;
+}
+
+/** Leases with fencing tokens. */
+export const LEASES: Specification<LeasesState> = {
+  name: "leases",
+  scope:
+    "2 VMs, 2 leases of 2 ticks, orders of at most 1 tick to the ignoring target, any number of ticks, 1 crash, equal clock rates",
+  guards: [
+    Guard.VersionCheck,
+    Guard.LeaseDeadlineChecked,
+    Guard.LeaseFromSend,
+    Guard.LeaseObservedWhole,
+    Guard.FencingToken,
+    Guard.FencingWait,
+  ],
+  invariants: [Invariant.OrdersNeverGoBack, Invariant.OneHolderPerToken],
+  createInitial: () => ({
+    token: 0,
+    vms: NAMES.map(() => NEW_VM),
+    orders: [],
+    newest: { [TargetKind.Checking]: 0, [TargetKind.Ignoring]: 0 },
+    wentBack: false,
+    crashes: 0,
+  }),
+  listSteps: (state, isOn) => [
+    createTick(state),
+    ...NAMES.flatMap((_name, index) => [
+      ...listLeaseSteps(state, index, isOn),
+      ...listOrderSteps(state, index, isOn),
+    ]),
+    ...listEffects(state, isOn),
+    ...listCrashes(state),
+  ],
+  findViolation: (state) => {
+    if (state.wentBack) return Invariant.OrdersNeverGoBack;
+    const [first, second] = state.vms;
+    const shared = first!.token > 0 && first!.token === second!.token;
+    return shared ? Invariant.OneHolderPerToken : undefined;
+  },
+  formatState: (state) => {
+    const vms = state.vms.map(formatVm).join(";");
+    const orders = state.orders.map(formatOrder).sort().join(",");
+    const { checking, ignoring } = state.newest;
+    return `${state.token}|${vms}|${orders}|${checking}${ignoring}` +
+      `${state.wentBack ? "b" : "-"}${state.crashes}`;
+  },
+};
--- /dev/null
+++ b/packages/model/specifications/loans.ts
@@ -0,0 +1,451 @@
+/**
+ * Loans between two VMs while a top-up is under way: A is cut off from the
+ * store and borrows from B, which draws the topped-up tokens.
+ *
+ * Messages between VMs are never taken off the network, so that each may
+ * arrive late, any number of times or never. Either VM may crash, and B's grant
+ * may be written off while it only sleeps. Writes of the budget row are atomic
+ * here, and their answers may be lost; the grants model has the races.
+ */
+import { Guard } from "../guard.ts";
+import {
+  type GuardCheck,
+  Invariant,
+  type Specification,
+  type Step,
+} from "../specification.ts";
+
+/** Tokens that the top-up adds to an empty budget. */
+const TOP_UP = 2;
+
+/** Tokens of each loan. */
+const LOAN = 1;
+
+/** Lives of each VM; the lives after the first begin with a crash. */
+const LIVES = 3;
+
+/** Crashes of both VMs together. */
+const MAX_CRASHES = 2;
+
+/** The entry of the grant of one life of B in the budget row. */
+interface GrantEntry {
+  readonly mark: EntryMark;
+  readonly size: number;
+  /** Loans of A's lives that came back to this entry. */
+  readonly returned: readonly boolean[];
+}
+
+enum EntryMark {
+  None = "-",
+  Open = "o",
+  WrittenOff = "w",
+  Closed = "c",
+}
+
+/** A budget row with the grants of B's lives. */
+interface LoanRow {
+  readonly limit: number;
+  readonly closed: number;
+  readonly entries: readonly GrantEntry[];
+  /** By B's life and A's life: a loan that outlived its grant's close. */
+  readonly loansOut: readonly (readonly boolean[])[];
+}
+
+interface Lender {
+  readonly life: number;
+  readonly holds: boolean;
+  readonly spent: number;
+  /** Loans made, by A's life. */
+  readonly lent: readonly boolean[];
+  /** Loans sent and not yet debited. */
+  readonly owed: readonly boolean[];
+  readonly closing: boolean;
+}
+
+/** A loan as its borrower holds it. */
+interface Loan {
+  readonly id: number;
+  readonly lenderLife: number;
+  readonly spent: number;
+  readonly returning: boolean;
+}
+
+interface Borrower {
+  readonly life: number;
+  /** Whether this life's loan was asked for and not credited yet. */
+  readonly pending: boolean;
+  readonly loans: readonly Loan[];
+}
+
+/** A state of the specification. */
+export interface LoansState {
+  readonly row: LoanRow;
+  readonly lender: Lender;
+  readonly borrower: Borrower;
+  /** Whether A is cut off: not yet, now, not any more. */
+  readonly cut: "0" | "1" | "2";
+  /** Requests on the network, by A's life. */
+  readonly asked: readonly boolean[];
+  /** Answers on the network, by B's life and A's life. */
+  readonly answers: readonly (readonly boolean[])[];
+  readonly crashes: number;
+  readonly spent: number;
+  readonly paid: number;
+}
+
+type LoansStep = Step<LoansState>;
+
+const NONE: readonly boolean[] = Array<boolean>(LIVES).fill(false);
+
+function replaceAt<Item>(
+  items: readonly Item[],
+  index: number,
+  item: Item,
+): readonly Item[] {
+  return items.map((each, position) => position === index ? item : each);
+}
+
+function count(flags: readonly boolean[]): number {
+  return flags.filter((flag) => flag).length;
+}
+
+function computeRoom(lender: Lender, entry: GrantEntry | undefined): number {
+  if (!lender.holds || lender.closing || entry === undefined) return 0;
+  return TOP_UP - lender.spent - count(lender.lent) * LOAN;
+}
+
+function computeOpen(row: LoanRow): number {
+  return row.entries
+    .filter((entry) => entry.mark === EntryMark.Open)
+    .reduce((sum, entry) => sum + entry.size, 0);
+}
+
+function changeRow(state: LoansState, change: Partial<LoanRow>): LoansState {
+  return { ...state, row: { ...state.row, ...change } };
+}
+
+function changeLender(state: LoansState, change: Partial<Lender>): LoansState {
+  return { ...state, lender: { ...state.lender, ...change } };
+}
+
+function changeBorrower(
+  state: LoansState,
+  change: Partial<Borrower>,
+): LoansState {
+  return { ...state, borrower: { ...state.borrower, ...change } };
+}
+
+function listStoreSteps(state: LoansState, isOn: GuardCheck): LoansStep[] {
+  const { row, lender, cut } = state;
+  const steps: LoansStep[] = [];
+  if (row.limit === 0) {
+    const next = { ...changeRow(state, { limit: TOP_UP }), paid: TOP_UP };
+    steps.push({ label: "top-up committed", next });
+  }
+  if (cut === "0") {
+    steps.push({ label: "A cut off", next: { ...state, cut: "1" } });
+  }
+  if (cut === "1") {
+    steps.push({ label: "A reaches the store", next: { ...state, cut: "2" } });
+  }
+  const entry = row.entries[lender.life]!;
+  const left = row.limit - row.closed - computeOpen(row);
+  if (entry.mark === EntryMark.None && left >= TOP_UP) {
+    const taken = { ...entry, mark: EntryMark.Open, size: TOP_UP };
+    const entries = replaceAt(row.entries, lender.life, taken);
+    const next = changeLender(changeRow(state, { entries }), { holds: true });
+    steps.push({ label: "B takes a grant", next });
+  }
+  return [...steps, ...listCloses(state, isOn), ...listWriteOffs(state)];
+}
+
+function listCloses(state: LoansState, isOn: GuardCheck): LoansStep[] {
+  if (!state.lender.holds) return [];
+  const marked = changeLender(state, { closing: true });
+  const row = closeEntry(state, isOn);
+  const closed = { ...marked, row };
+  return [
+    {
+      label: "B close committed",
+      next: changeLender(closed, { holds: false, closing: false }),
+    },
+    { label: "B close committed, answer lost", next: closed },
+    { label: "B close not done", next: marked },
+  ];
+}
+
+/** Closes the lender's grant: what was spent and is still lent stays closed. */
+function closeEntry(state: LoansState, isOn: GuardCheck): LoanRow {
+  const { row, lender } = state;
+  const entry = row.entries[lender.life]!;
+  const known = entry.mark === EntryMark.Open ||
+    entry.mark === EntryMark.WrittenOff;
+  if (!known) return row;
+  const out = lender.lent.map((lent, id) => lent && !entry.returned[id]);
+  const lent = isOn(Guard.LoanCountsAsSpent) ? count(out) * LOAN : 0;
+  const used = lender.spent + lent;
+  const closed = entry.mark === EntryMark.Open
+    ? row.closed + used
+    : row.closed - (entry.size - used);
+  const mark = EntryMark.Closed;
+  return {
+    ...row,
+    closed,
+    entries: replaceAt(row.entries, lender.life, { ...entry, mark }),
+    loansOut: replaceAt(row.loansOut, lender.life, out),
+  };
+}
+
+function listWriteOffs(state: LoansState): LoansStep[] {
+  const { row } = state;
+  return row.entries.flatMap((entry, life) => {
+    if (entry.mark !== EntryMark.Open) return [];
+    const mark = EntryMark.WrittenOff;
+    const entries = replaceAt(row.entries, life, { ...entry, mark });
+    const closed = row.closed + entry.size;
+    const next = changeRow(state, { entries, closed });
+    return [{ label: `grant of B's life ${life + 1} written off`, next }];
+  });
+}
+
+function listLenderSteps(state: LoansState, isOn: GuardCheck): LoansStep[] {
+  const { lender, row } = state;
+  const room = computeRoom(lender, row.entries[lender.life]);
+  const steps: LoansStep[] = [];
+  if (room >= 1) {
+    const spent = lender.spent + 1;
+    const next = changeLender({ ...state, spent: state.spent + 1 }, { spent });
+    steps.push({ label: "B spends 1", next });
+  }
+  state.asked.forEach((asked, id) => {
+    if (!asked || lender.lent[id] || lender.owed[id] || room < LOAN) return;
+    const label = `B lends to A's life ${id + 1}`;
+    steps.push({ label, next: lend(state, id, isOn) });
+  });
+  lender.owed.forEach((owed, id) => {
+    if (!owed || room < LOAN) return;
+    const next = changeLender(state, {
+      owed: replaceAt(lender.owed, id, false),
+      lent: replaceAt(lender.lent, id, true),
+    });
+    steps.push({ label: `B debits the loan to A's life ${id + 1}`, next });
+  });
+  return steps;
+}
+
+function lend(state: LoansState, id: number, isOn: GuardCheck): LoansState {
+  const { lender, answers } = state;
+  const own = replaceAt(answers[lender.life]!, id, true);
+  const sent = { ...state, answers: replaceAt(answers, lender.life, own) };
+  return isOn(Guard.DebitBeforeSend)
+    ? changeLender(sent, { lent: replaceAt(lender.lent, id, true) })
+    : changeLender(sent, { owed: replaceAt(lender.owed, id, true) });
+}
+
+function listBorrowerSteps(state: LoansState, isOn: GuardCheck): LoansStep[] {
+  const { borrower, asked } = state;
+  const steps: LoansStep[] = [];
+  if (!asked[borrower.life]) {
+    const next = {
+      ...changeBorrower(state, { pending: true }),
+      asked: replaceAt(asked, borrower.life, true),
+    };
+    steps.push({ label: "A asks for a loan", next });
+  }
+  borrower.loans.forEach((loan, index) => {
+    if (loan.spent < LOAN && !loan.returning) {
+      const spent = { ...loan, spent: loan.spent + 1 };
+      const loans = replaceAt(borrower.loans, index, spent);
+      const next = changeBorrower(state, { loans });
+      const label = `A spends 1 of loan ${index + 1}`;
+      steps.push({ label, next: { ...next, spent: state.spent + 1 } });
+    }
+  });
+  return [
+    ...steps,
+    ...listCredits(state, isOn),
+    ...listReturns(state, isOn),
+  ];
+}
+
+/** Answers that arrive at A, late and doubled ones among them. */
+function listCredits(state: LoansState, isOn: GuardCheck): LoansStep[] {
+  const { borrower } = state;
+  // More loans than lives only come of a broken guard.
+  if (borrower.loans.length > LIVES) return [];
+  return state.answers.flatMap((answers, lenderLife) =>
+    answers.flatMap((sent, id) => {
+      if (!sent || !isCredited(state, id, isOn)) return [];
+      const loan = { id, lenderLife, spent: 0, returning: false };
+      const next = changeBorrower(state, {
+        loans: [...borrower.loans, loan],
+        pending: false,
+      });
+      const label = `A credits B's answer to its life ${id + 1}`;
+      return [{ label, next }];
+    })
+  );
+}
+
+function isCredited(state: LoansState, id: number, isOn: GuardCheck): boolean {
+  const { borrower } = state;
+  if (id !== borrower.life) return !isOn(Guard.TransferNamesIncarnation);
+  return borrower.pending || !isOn(Guard.CreditOncePerId);
+}
+
+function listReturns(state: LoansState, isOn: GuardCheck): LoansStep[] {
+  const { borrower, cut } = state;
+  if (cut === "1") return [];
+  return borrower.loans.flatMap((loan, index) => {
+    if (loan.spent >= LOAN) return [];
+    const kept = replaceAt(borrower.loans, index, { ...loan, returning: true });
+    const marked = changeBorrower(state, { loans: kept });
+    const row = returnLoan(state.row, loan, isOn);
+    const done = { ...marked, row };
+    const loans = borrower.loans.filter((each) => each !== loan);
+    const name = `A returns loan ${index + 1}`;
+    return [
+      { label: `${name}: committed`, next: changeBorrower(done, { loans }) },
+      { label: `${name}: committed, answer lost`, next: done },
+      { label: `${name}: not done`, next: marked },
+    ];
+  });
+}
+
+/** Gives a loan back, once for its id. */
+function returnLoan(row: LoanRow, loan: Loan, isOn: GuardCheck): LoanRow {
+  const { id, lenderLife } = loan;
+  const unspent = LOAN - loan.spent;
+  const entry = row.entries[lenderLife]!;
+  if (entry.mark === EntryMark.Closed || entry.mark === EntryMark.None) {
+    const out = row.loansOut[lenderLife]!;
+    if (!out[id] && isOn(Guard.LoanReturnedOnce)) return row;
+    return {
+      ...row,
+      closed: row.closed - unspent,
+      loansOut: replaceAt(row.loansOut, lenderLife, replaceAt(out, id, false)),
+    };
+  }
+  if (entry.returned[id] && isOn(Guard.LoanReturnedOnce)) return row;
+  const changed = {
+    ...entry,
+    size: entry.size - unspent,
+    returned: replaceAt(entry.returned, id, true),
+  };
+  const lost = entry.mark === EntryMark.WrittenOff ? unspent : 0;
+  return {
+    ...row,
+    closed: row.closed - lost,
+    entries: replaceAt(row.entries, lenderLife, changed),
+  };
+}
+
+function listCrashes(state: LoansState): LoansStep[] {
+  if (state.crashes >= MAX_CRASHES) return [];
+  const crashed = { ...state, crashes: state.crashes + 1 };
+  const { lender, borrower } = state;
+  return [
+    {
+      label: "A crash",
+      next: changeBorrower(crashed, {
+        life: borrower.life + 1,
+        pending: false,
+        loans: [],
+      }),
+    },
+    {
+      label: "B crash",
+      next: { ...crashed, lender: createLender(lender.life + 1) },
+    },
+  ];
+}
+
+function createLender(life: number): Lender {
+  return {
+    life,
+    holds: false,
+    spent: 0,
+    lent: NONE,
+    owed: NONE,
+    closing: false,
+  };
+}
+
+/** Tokens in any memory are covered by what the row counts as gone. */
+function isConserved(state: LoansState): boolean {
+  const { row, lender, borrower, spent } = state;
+  const open = computeOpen(row);
+  const held = borrower.loans
+    .filter((loan) => !loan.returning)
+    .reduce((sum, loan) => sum + LOAN - loan.spent, 0);
+  const room = computeRoom(lender, row.entries[lender.life]);
+  const counted = row.closed + open;
+  return counted <= row.limit && spent + held + room <= counted;
+}
+
+function formatFlags(flags: readonly boolean[]): string {
+  return flags.map((flag) => flag ? "1" : "0").join("");
+}
+
+function formatState(state: LoansState): string {
+  const { row, lender, borrower } = state;
+  const entries = row.entries
+    .map((entry) => `${entry.mark}${entry.size}${formatFlags(entry.returned)}`);
+  const out = row.loansOut.map(formatFlags).join("");
+  const loans = borrower.loans.map((loan) =>
+    `${loan.id}${loan.lenderLife}${loan.spent}${loan.returning ? "r" : "h"}`
+  );
+  const lends = `${lender.life}${lender.holds ? "h" : "-"}${lender.spent}` +
+    `${formatFlags(lender.lent)}${formatFlags(lender.owed)}` +
+    `${lender.closing ? "c" : "-"}`;
+  const borrows = `${borrower.life}${borrower.pending ? "p" : "-"}${loans}`;
+  const network = `${formatFlags(state.asked)}${state.answers.map(formatFlags)}`;
+  return `${row.limit}${row.closed},${entries}${out}|${lends}|${borrows}|` +
+    `${state.cut}${network}${state.crashes}${state.spent}${state.paid}`;
+}
+
+/** Loans during a top-up. */
+export const LOANS: Specification<LoansState> = {
+  name: "loans",
+  scope:
+    "borrower A, lender B, limit 0 with one top-up of 2, loans of 1; 2 crashes, 1 partition of A from the store, write-offs at any time",
+  guards: [
+    Guard.DebitBeforeSend,
+    Guard.CreditOncePerId,
+    Guard.TransferNamesIncarnation,
+    Guard.LoanCountsAsSpent,
+    Guard.LoanReturnedOnce,
+  ],
+  invariants: [Invariant.NeverOverspent, Invariant.TokensConserved],
+  createInitial: () => ({
+    row: {
+      limit: 0,
+      closed: 0,
+      entries: NONE.map(() => ({
+        mark: EntryMark.None,
+        size: 0,
+        returned: NONE,
+      })),
+      loansOut: NONE.map(() => NONE),
+    },
+    lender: createLender(0),
+    borrower: { life: 0, pending: false, loans: [] },
+    cut: "0",
+    asked: NONE,
+    answers: NONE.map(() => NONE),
+    crashes: 0,
+    spent: 0,
+    paid: 0,
+  }),
+  listSteps: (state, isOn) => [
+    ...listStoreSteps(state, isOn),
+    ...listLenderSteps(state, isOn),
+    ...listBorrowerSteps(state, isOn),
+    ...listCrashes(state),
+  ],
+  findViolation: (state) => {
+    if (state.spent > state.paid) return Invariant.NeverOverspent;
+    return isConserved(state) ? undefined : Invariant.TokensConserved;
+  },
+  formatState,
+};
