--- a/packages/model/guard.ts
+++ b/packages/model/guard.ts
@@ -27,7 +27,8 @@
   BillBeforeEnd = "bill-before-end",
   BillKeptUntilDurable = "bill-kept-until-durable",
   RetryStartsOver = "retry-starts-over",
-  AnswerNamesRequest = "answer-names-request",
+  GivenUpConnectionClosed = "given-up-connection-closed",
+  KeyNamesBody = "key-names-body",
   LeaseDeadlineChecked = "lease-deadline-checked",
   LeaseFromSend = "lease-from-send",
   LeaseObservedWhole = "lease-observed-whole",
@@ -36,6 +37,8 @@
   DocumentVersionRises = "document-version-rises",
   SectionVersionChecked = "section-version-checked",
   WholeCheckedTogether = "whole-checked-together",
+  ChangeIdKept = "change-id-kept",
+  RestartReadsStore = "restart-reads-store",
 }
 
 /** What each guard demands, in one sentence. */
@@ -82,8 +85,10 @@
     "A bill stays in memory until its write is confirmed.",
   [Guard.RetryStartsOver]:
     "A stream run anew is never appended to another run's chunks.",
-  [Guard.AnswerNamesRequest]:
-    "An answer is delivered only to the request that it names.",
+  [Guard.GivenUpConnectionClosed]:
+    "A connection whose request was given up is closed and never used again.",
+  [Guard.KeyNamesBody]:
+    "A request key that comes back with another body gets no kept answer.",
   [Guard.LeaseDeadlineChecked]:
     "A holder reads its monotonic clock before each order and stops at the deadline.",
   [Guard.LeaseFromSend]:
@@ -99,5 +104,9 @@
   [Guard.SectionVersionChecked]:
     "A change is refused when its section moved on since it was read.",
   [Guard.WholeCheckedTogether]:
-    "The versions of all sections that a check read are checked at commit.",
+    "A change is committed only when the whole that was checked has not moved.",
+  [Guard.ChangeIdKept]:
+    "A change's id is kept, so that a repeated one is not refused as stale.",
+  [Guard.RestartReadsStore]:
+    "A new life serves only after it has read the document's head in the store.",
 };
--- a/packages/model/run_model_check.ts
+++ b/packages/model/run_model_check.ts
@@ -2,8 +2,10 @@
 import { Guard, GUARD_RULES } from "./guard.ts";
 import { createModel } from "./explore.ts";
 import type { Model, ModelReport } from "./specification.ts";
+import { ANSWERS } from "./specifications/answers.ts";
 import { BILLS } from "./specifications/bills.ts";
 import { CLAIMS } from "./specifications/claims.ts";
+import { DOCUMENTS } from "./specifications/documents.ts";
 import { GRANTS, TOP_UPS } from "./specifications/grants.ts";
 import { LEASES } from "./specifications/leases.ts";
 import { LOANS } from "./specifications/loans.ts";
@@ -31,7 +33,9 @@
   createModel(LOANS),
   createModel(CLAIMS),
   createModel(BILLS),
+  createModel(ANSWERS),
   createModel(LEASES),
+  createModel(DOCUMENTS),
 ];
 
 /** Returns every model. */
--- a/packages/model/specification.ts
+++ b/packages/model/specification.ts
@@ -18,6 +18,7 @@
   DocumentNeverReverts = "document-never-reverts",
   ChangesNotLost = "changes-not-lost",
   DocumentValid = "document-valid",
+  ToldRefusedWasNotApplied = "told-refused-was-not-applied",
 }
 
 /** One possible next step of a state. Labels are unique among its steps. */
--- /dev/null
+++ b/packages/model/specifications/answers.ts
@@ -0,0 +1,134 @@
+/**
+ * Answers and the requests they belong to: two requests that use one connection
+ * to a target one after the other, and a third that reuses the first one's key
+ * with another body. Answers may come after their request was given up.
+ */
+import { Guard } from "../guard.ts";
+import {
+  type GuardCheck,
+  Invariant,
+  type Specification,
+  type Step,
+} from "../specification.ts";
+
+/** The requests; those with the same key share a kept answer. */
+const REQUESTS = [
+  { name: "r1", key: 0 },
+  { name: "r2", key: 1 },
+  { name: "r3, key of r1 and another body,", key: 0 },
+] as const;
+
+/** No request. */
+const NONE = -1;
+
+enum Stage {
+  New = "0",
+  Waiting = "w",
+  GivenUp = "g",
+  Answered = "a",
+  Refused = "r",
+}
+
+interface Request {
+  readonly stage: Stage;
+  /** The request whose answer the caller was given. */
+  readonly answer: number;
+}
+
+/** A state of the specification. */
+export interface AnswersState {
+  readonly requests: readonly Request[];
+  /** Requests on the connection whose answers have not come, in order. */
+  readonly connection: readonly number[];
+  readonly waiting: number;
+  /** By key: the request whose answer is kept. */
+  readonly kept: readonly number[];
+}
+
+type AnswersStep = Step<AnswersState>;
+
+function changeRequest(
+  state: AnswersState,
+  index: number,
+  change: Partial<Request>,
+): AnswersState {
+  const requests = state.requests.map((request, each) =>
+    each === index ? { ...request, ...change } : request
+  );
+  return { ...state, requests };
+}
+
+function listStarts(
+  state: AnswersState,
+  index: number,
+  isOn: GuardCheck,
+): AnswersStep[] {
+  const { name, key } = REQUESTS[index]!;
+  if (state.requests[index]!.stage !== Stage.New) return [];
+  const kept = state.kept[key] ?? NONE;
+  if (kept !== NONE) {
+    const change = isOn(Guard.KeyNamesBody)
+      ? { stage: Stage.Refused }
+      : { stage: Stage.Answered, answer: kept };
+    const next = changeRequest(state, index, change);
+    return [{ label: `${name} meets a kept answer`, next }];
+  }
+  if (state.waiting !== NONE) return [];
+  const sent = changeRequest(state, index, { stage: Stage.Waiting });
+  const connection = [...state.connection, index];
+  const next = { ...sent, connection, waiting: index };
+  return [{ label: `${name} sent`, next }];
+}
+
+/** The wait ends; with the guard its connection is closed. */
+function listGiveUps(state: AnswersState, isOn: GuardCheck): AnswersStep[] {
+  if (state.waiting === NONE) return [];
+  const given = changeRequest(state, state.waiting, { stage: Stage.GivenUp });
+  const closes = isOn(Guard.GivenUpConnectionClosed);
+  const connection = closes ? [] : state.connection;
+  const label = `${REQUESTS[state.waiting]!.name} given up`;
+  return [{ label, next: { ...given, connection, waiting: NONE } }];
+}
+
+function listArrivals(state: AnswersState): AnswersStep[] {
+  const [answered, ...connection] = state.connection;
+  if (answered === undefined) return [];
+  const label = `answer of ${REQUESTS[answered]!.name} arrives`;
+  const rest = { ...state, connection };
+  if (state.waiting === NONE) return [{ label, next: rest }];
+  const { key } = REQUESTS[state.waiting]!;
+  const change = { stage: Stage.Answered, answer: answered };
+  const given = changeRequest(rest, state.waiting, change);
+  const kept = state.kept.map((each, index) => index === key ? answered : each);
+  return [{ label, next: { ...given, kept, waiting: NONE } }];
+}
+
+/** Answers and their requests. */
+export const ANSWERS: Specification<AnswersState> = {
+  name: "answers",
+  scope: "3 requests, 2 of them under one key, over 1 pooled connection",
+  guards: [Guard.GivenUpConnectionClosed, Guard.KeyNamesBody],
+  invariants: [Invariant.OwnWholeAnswer],
+  createInitial: () => ({
+    requests: REQUESTS.map(() => ({ stage: Stage.New, answer: NONE })),
+    connection: [],
+    waiting: NONE,
+    kept: [NONE, NONE],
+  }),
+  listSteps: (state, isOn) => [
+    ...REQUESTS.flatMap((_request, index) => listStarts(state, index, isOn)),
+    ...listGiveUps(state, isOn),
+    ...listArrivals(state),
+  ],
+  findViolation: (state) => {
+    const own = state.requests.every((request, index) =>
+      request.stage !== Stage.Answered || request.answer === index
+    );
+    return own ? undefined : Invariant.OwnWholeAnswer;
+  },
+  formatState: (state) => {
+    const requests = state.requests
+      .map((request) => `${request.stage}${request.answer}`).join("");
+    return `${requests}|${state.connection}|${state.waiting}|${state.kept}`;
+  },
+};
--- a/packages/model/specifications/claims.ts
+++ b/packages/model/specifications/claims.ts
@@ -404,7 +404,9 @@
 
 function formatAttempt(attempt: Attempt): string {
   const { stage, target, write, late, reliedOn = "" } = attempt;
-  return `${stage}${target}${formatWrite(write)},${formatWrite(late)},${reliedOn}`;
+  return `${stage}${target}${formatWrite(write)},${
+    formatWrite(late)
+  },${reliedOn}`;
 }
 
 /** Claims, retries and what callers are told. */
--- /dev/null
+++ b/packages/model/specifications/documents.ts
@@ -0,0 +1,309 @@
+/**
+ * The document: three operators' changes, two of which race on one section,
+ * and two VMs that put versions in force as they hear of them.
+ *
+ * A change names the section version that its operator saw. The check of the
+ * whole is that the two sections are not both set to `1`: one removes what the
+ * other refers to. A VM hears of versions from the store and from peers, late
+ * and in any order.
+ */
+import { Guard } from "../guard.ts";
+import {
+  type GuardCheck,
+  Invariant,
+  type Specification,
+  type Step,
+} from "../specification.ts";
+
+/** The changes: the section each sets, and to what. */
+const CHANGES = [
+  { name: "a", section: 0, value: 1 },
+  { name: "b", section: 0, value: 2 },
+  { name: "c", section: 1, value: 1 },
+] as const;
+
+/** Crashes of VMs in all. */
+const MAX_CRASHES = 1;
+
+const VM_NAMES = ["A", "B"] as const;
+
+enum Stage {
+  New = "0",
+  /** The operator has read the section and writes the change. */
+  Edited = "e",
+  /** The commit is under way. */
+  Committing = "c",
+  /** The commit's answer was lost, or the document moved on. */
+  Unsure = "u",
+  Accepted = "A",
+  Refused = "R",
+}
+
+interface Section {
+  readonly version: number;
+  readonly value: number;
+}
+
+interface Change {
+  readonly stage: Stage;
+  /** Section version that the operator saw. */
+  readonly saw: number;
+  /** Head and section version that the commit was planned from. */
+  readonly head: number;
+  readonly planned: number;
+  /** Whether the change is in the document. */
+  readonly applied: boolean;
+}
+
+interface Vm {
+  /** Version in force; 0 also before the first load. */
+  readonly inForce: number;
+  /** Highest version that was ever in force on this VM, over its lives. */
+  readonly highest: number;
+  readonly loaded: boolean;
+}
+
+/** A state of the specification. */
+export interface DocumentsState {
+  readonly head: number;
+  readonly sections: readonly Section[];
+  readonly changes: readonly Change[];
+  readonly vms: readonly Vm[];
+  readonly crashes: number;
+  /** Whether a change overwrote one that its operator had not seen. */
+  readonly overwrote: boolean;
+}
+
+type DocumentsStep = Step<DocumentsState>;
+
+function replaceAt<Item>(
+  items: readonly Item[],
+  index: number,
+  change: Partial<Item>,
+): readonly Item[] {
+  return items.map((each, at) => at === index ? { ...each, ...change } : each);
+}
+
+function changeChange(
+  state: DocumentsState,
+  index: number,
+  change: Partial<Change>,
+): DocumentsState {
+  return { ...state, changes: replaceAt(state.changes, index, change) };
+}
+
+function isValid(values: readonly number[]): boolean {
+  return !values.every((value) => value === 1);
+}
+
+/** Plans a commit from the document as it is now, or refuses the change. */
+function planCommit(
+  state: DocumentsState,
+  index: number,
+  isOn: GuardCheck,
+): DocumentsState {
+  const { section, value } = CHANGES[index]!;
+  const change = state.changes[index]!;
+  const { version } = state.sections[section]!;
+  if (change.applied && isOn(Guard.ChangeIdKept)) {
+    return changeChange(state, index, { stage: Stage.Accepted });
+  }
+  const values = replaceAt(state.sections, section, { value })
+    .map((each) => each.value);
+  const stale = version !== change.saw && isOn(Guard.SectionVersionChecked);
+  if (stale || !isValid(values)) {
+    return changeChange(state, index, { stage: Stage.Refused });
+  }
+  return changeChange(state, index, {
+    stage: Stage.Committing,
+    head: state.head,
+    planned: version,
+  });
+}
+
+function commit(state: DocumentsState, index: number): DocumentsState {
+  const { section, value } = CHANGES[index]!;
+  const change = state.changes[index]!;
+  const { version } = state.sections[section]!;
+  const next = changeChange(state, index, { applied: true });
+  return {
+    ...next,
+    head: state.head + 1,
+    sections: replaceAt(state.sections, section, {
+      version: version + 1,
+      value,
+    }),
+    overwrote: state.overwrote || (change.saw !== version && !change.applied),
+  };
+}
+
+function listChangeSteps(
+  state: DocumentsState,
+  index: number,
+  isOn: GuardCheck,
+): DocumentsStep[] {
+  const change = state.changes[index]!;
+  const { name, section } = CHANGES[index]!;
+  switch (change.stage) {
+    case Stage.New: {
+      const saw = state.sections[section]!.version;
+      const next = changeChange(state, index, { stage: Stage.Edited, saw });
+      return [{ label: `operator reads section for change ${name}`, next }];
+    }
+    case Stage.Edited:
+      return [{
+        label: `change ${name}: sent`,
+        next: planCommit(state, index, isOn),
+      }];
+    case Stage.Unsure:
+      return [{
+        label: `change ${name}: sent again`,
+        next: planCommit(state, index, isOn),
+      }];
+    case Stage.Committing:
+      return listCommitSteps(state, index, isOn);
+    default:
+      return [];
+  }
+}
+
+function listCommitSteps(
+  state: DocumentsState,
+  index: number,
+  isOn: GuardCheck,
+): DocumentsStep[] {
+  const { name, section } = CHANGES[index]!;
+  const change = state.changes[index]!;
+  const together = isOn(Guard.WholeCheckedTogether);
+  const moved = together
+    ? change.head !== state.head
+    : change.planned !== state.sections[section]!.version;
+  const unsure = (from: DocumentsState) =>
+    changeChange(from, index, { stage: Stage.Unsure });
+  if (moved) {
+    return [{ label: `change ${name}: moved on`, next: unsure(state) }];
+  }
+  const done = commit(state, index);
+  return [
+    {
+      label: `change ${name}: committed`,
+      next: changeChange(done, index, { stage: Stage.Accepted }),
+    },
+    { label: `change ${name}: committed, answer lost`, next: unsure(done) },
+  ];
+}
+
+function listVmSteps(
+  state: DocumentsState,
+  index: number,
+  isOn: GuardCheck,
+): DocumentsStep[] {
+  const vm = state.vms[index]!;
+  const name = VM_NAMES[index]!;
+  const put = (inForce: number) => {
+    const highest = Math.max(vm.highest, inForce);
+    const change = { inForce, highest, loaded: true };
+    return { ...state, vms: replaceAt(state.vms, index, change) };
+  };
+  if (!vm.loaded) return listLoads(state, index, { put, isOn });
+  const steps: DocumentsStep[] = [];
+  for (let version = 0; version <= state.head; version++) {
+    if (version <= vm.inForce && isOn(Guard.DocumentVersionRises)) continue;
+    const label = `${name} hears of version ${version}`;
+    steps.push({ label, next: put(version) });
+  }
+  if (state.crashes >= MAX_CRASHES) return steps;
+  const vms = replaceAt(state.vms, index, { inForce: 0, loaded: false });
+  const next = { ...state, vms, crashes: state.crashes + 1 };
+  return [...steps, { label: `${name} crash`, next }];
+}
+
+/** A new life reads the head; a peer alone may be behind its last life. */
+function listLoads(
+  state: DocumentsState,
+  index: number,
+  options: {
+    readonly put: (version: number) => DocumentsState;
+    readonly isOn: GuardCheck;
+  },
+): DocumentsStep[] {
+  const name = VM_NAMES[index]!;
+  const fromStore = {
+    label: `${name} loads version ${state.head} from the store`,
+    next: options.put(state.head),
+  };
+  if (options.isOn(Guard.RestartReadsStore)) return [fromStore];
+  const { inForce } = state.vms[1 - index]!;
+  const label = `${name} loads version ${inForce} from its peer`;
+  return [fromStore, { label, next: options.put(inForce) }];
+}
+
+function findViolation(state: DocumentsState): Invariant | undefined {
+  if (!isValid(state.sections.map((section) => section.value))) {
+    return Invariant.DocumentValid;
+  }
+  if (state.overwrote) return Invariant.ChangesNotLost;
+  const lied = state.changes
+    .some((change) => change.stage === Stage.Refused && change.applied);
+  if (lied) return Invariant.ToldRefusedWasNotApplied;
+  const reverted = state.vms
+    .some((vm) => vm.loaded && vm.inForce < vm.highest);
+  return reverted ? Invariant.DocumentNeverReverts : undefined;
+}
+
+function formatChange(change: Change): string {
+  const { stage, saw, head, planned, applied } = change;
+  const plan = stage === Stage.Committing ? `${head}${planned}` : "";
+  return `${stage}${saw}${plan}${applied ? "y" : "n"}`;
+}
+
+function formatVm(vm: Vm): string {
+  return `${vm.inForce}${vm.highest}${vm.loaded ? "l" : "-"}`;
+}
+
+/** The document's changes and versions. */
+export const DOCUMENTS: Specification<DocumentsState> = {
+  name: "documents",
+  scope:
+    "3 changes by 3 operators, 2 of them to one section; 2 VMs, 1 crash; versions heard late and in any order",
+  guards: [
+    Guard.SectionVersionChecked,
+    Guard.WholeCheckedTogether,
+    Guard.ChangeIdKept,
+    Guard.DocumentVersionRises,
+    Guard.RestartReadsStore,
+  ],
+  invariants: [
+    Invariant.DocumentValid,
+    Invariant.ChangesNotLost,
+    Invariant.ToldRefusedWasNotApplied,
+    Invariant.DocumentNeverReverts,
+  ],
+  createInitial: () => ({
+    head: 0,
+    sections: [{ version: 0, value: 0 }, { version: 0, value: 0 }],
+    changes: CHANGES.map(() => ({
+      stage: Stage.New,
+      saw: 0,
+      head: 0,
+      planned: 0,
+      applied: false,
+    })),
+    vms: VM_NAMES.map(() => ({ inForce: 0, highest: 0, loaded: true })),
+    crashes: 0,
+    overwrote: false,
+  }),
+  listSteps: (state, isOn) => [
+    ...CHANGES.flatMap((_change, index) => listChangeSteps(state, index, isOn)),
+    ...VM_NAMES.flatMap((_name, index) => listVmSteps(state, index, isOn)),
+  ],
+  findViolation,
+  formatState: (state) => {
+    const sections = state.sections
+      .map((section) => `${section.version}${section.value}`).join("");
+    const changes = state.changes.map(formatChange).join(",");
+    const vms = state.vms.map(formatVm).join("");
+    return `${state.head}${sections}|${changes}|${vms}${state.crashes}` +
+      `${state.overwrote ? "o" : "-"}`;
+  },
+};
--- a/packages/model/specifications/leases.ts
+++ b/packages/model/specifications/leases.ts
@@ -215,7 +215,10 @@
     );
     if (known) return [];
     const next = { ...state, orders: [...state.orders, order] };
-    return [{ label: `${NAMES[index]} orders ${target}, token ${token}`, next }];
+    return [{
+      label: `${NAMES[index]} orders ${target}, token ${token}`,
+      next,
+    }];
   });
 }
 
--- a/packages/model/specifications/loans.ts
+++ b/packages/model/specifications/loans.ts
@@ -399,7 +399,9 @@
     `${formatFlags(lender.lent)}${formatFlags(lender.owed)}` +
     `${lender.closing ? "c" : "-"}`;
   const borrows = `${borrower.life}${borrower.pending ? "p" : "-"}${loans}`;
-  const network = `${formatFlags(state.asked)}${state.answers.map(formatFlags)}`;
+  const network = `${formatFlags(state.asked)}${
+    state.answers.map(formatFlags)
+  }`;
   return `${row.limit}${row.closed},${entries}${out}|${lends}|${borrows}|` +
     `${state.cut}${network}${state.crashes}${state.spent}${state.paid}`;
 }
