--- a/packages/model/specification.ts
+++ b/packages/model/specification.ts
@@ -14,9 +14,11 @@
   BilledExactlyOnceAtRest = "billed-exactly-once-at-rest",
   OwnWholeAnswer = "own-whole-answer",
   OrdersNeverGoBack = "orders-never-go-back",
+  OneHolderPerToken = "one-holder-per-token",
   DocumentNeverReverts = "document-never-reverts",
   ChangesNotLost = "changes-not-lost",
   DocumentValid = "document-valid",
+  ToldRefusedWasNotApplied = "told-refused-was-not-applied",
 }
 
 /** One possible next step of a state. Labels are unique among its steps. */
