--- a/packages/cli/demo/run_demo.ts
+++ b/packages/cli/demo/run_demo.ts
@@ -4,15 +4,19 @@
  */
 import { createHash } from "node:crypto";
 import Table from "cli-table3";
-import {
-  computeBudgetLeft,
-  computeGranted,
-  parseBudgetRow,
-} from "../../budget/mod.ts";
-import { BILL_BATCH_PREFIX, collectBills } from "../../request/mod.ts";
+import { computeBudgetLeft, computeGranted } from "../../budget/mod.ts";
 import { computePiece } from "../../stand_ins/mod.ts";
-import { callEntry, type DemoAnswer, readStreamText } from "./demo_caller.ts";
-import { BUDGET_TOKENS, type DemoFleet, startDemoFleet } from "./demo_fleet.ts";
+import {
+  BUDGET_TOKENS,
+  callEntry,
+  createChatBody,
+  readBills,
+  readStreamText,
+  readTrialBudget,
+  startTrialFleet,
+  type TrialAnswer,
+  type TrialFleet,
+} from "../../trial/mod.ts";
 
 /** One promise and whether the demo saw it hold. */
 interface DemoCheck {
@@ -23,17 +27,19 @@
 /** One request and what its caller saw. */
 interface DemoStep {
   readonly request: string;
-  readonly answer: DemoAnswer;
+  readonly answer: TrialAnswer;
 }
 
 const BRIEFING_TOKENS = 60;
-const MAX_SCAN_ROWS = 1_000;
+const ENGINES = ["engine-1", "engine-2"];
 
 /** Runs the demo; returns true when every promise that it shows held. */
 export async function runDemo(
   print: (line: string) => void,
 ): Promise<boolean> {
-  const fleet = await startDemoFleet();
+  const fleet = await startTrialFleet({
+    engines: ENGINES.map(() => ({ answerTokens: BRIEFING_TOKENS })),
+  });
   try {
     const steps = await runSteps(fleet);
     await fleet.stopDaemons();
@@ -47,7 +53,7 @@
   }
 }
 
-async function runSteps(fleet: DemoFleet): Promise<DemoStep[]> {
+async function runSteps(fleet: TrialFleet): Promise<DemoStep[]> {
   const [first, second] = fleet.daemons.map((daemon) => daemon.callerAddress);
   const call = async (
     request: string,
@@ -95,22 +101,18 @@
 
 function createBody(kind: string, key: string): unknown {
   if (kind === "booking") return { companion: "Almaz", gate: 4 };
-  return {
-    model: "stand-in",
-    stream: true,
-    messages: [{ role: "user", content: `Please plan the arrival. ${key}` }],
-  };
+  return createChatBody(`Please plan the arrival. ${key}`);
 }
 
 async function checkPromises(
-  fleet: DemoFleet,
+  fleet: TrialFleet,
   steps: readonly DemoStep[],
 ): Promise<DemoCheck[]> {
   const [briefing, reply, booking, again, past, broken] = steps.map((step) =>
     step.answer
   );
-  const bills = await readBills(fleet);
-  const budget = readBudget(fleet);
+  const bills = await readBills(fleet.table.table);
+  const budget = readTrialBudget(fleet.table.table);
   const identities = bills.map((bill) => `${bill.customer}/${bill.requestKey}`);
   return [
     {
@@ -120,7 +122,7 @@
     },
     {
       promise: "a booking sent twice ran once and gave one answer",
-      held: fleet.booking.readRuns().get("k-1") === 1 &&
+      held: fleet.services[0]?.readRuns().get("k-1") === 1 &&
         booking?.text === again?.text && again?.status === 200,
     },
     {
@@ -140,7 +142,7 @@
   ];
 }
 
-function isWhole(answer: DemoAnswer | undefined, key: string): boolean {
+function isWhole(answer: TrialAnswer | undefined, key: string): boolean {
   if (answer === undefined || answer.outcome !== "ran") return false;
   const body = createBody("briefing", key) as { messages: unknown };
   const digest = createHash("sha256").update(JSON.stringify(body.messages))
@@ -152,18 +154,6 @@
   return readStreamText(answer.text) === pieces.join("");
 }
 
-async function readBills(fleet: DemoFleet) {
-  const page = await fleet.table.table.scan(BILL_BATCH_PREFIX, {
-    limit: MAX_SCAN_ROWS,
-  });
-  return collectBills(page.unsafeCoerce().rows);
-}
-
-function readBudget(fleet: DemoFleet) {
-  const row = fleet.table.table.peek("budget/tour-arrival");
-  return parseBudgetRow(row?.value ?? null).unsafeCoerce();
-}
-
 function printSteps(
   print: (line: string) => void,
   steps: readonly DemoStep[],
@@ -186,7 +176,7 @@
 
 const MAX_SHOWN_CHARACTERS = 60;
 
-function describeText(answer: DemoAnswer): string {
+function describeText(answer: TrialAnswer): string {
   const text = answer.text.startsWith("data:")
     ? `${readStreamText(answer.text).trim().split(" ").length} words`
     : answer.text;
@@ -197,18 +187,18 @@
 
 async function printBooks(
   print: (line: string) => void,
-  fleet: DemoFleet,
+  fleet: TrialFleet,
 ): Promise<void> {
   const bills = new Table({
     head: ["billed request", "kind", "tokens"],
     style: { head: [], border: [] },
   });
-  for (const bill of await readBills(fleet)) {
+  for (const bill of await readBills(fleet.table.table)) {
     bills.push([bill.requestKey, bill.kind, bill.tokens]);
   }
   print("What was billed");
   print(bills.toString());
-  const budget = readBudget(fleet);
+  const budget = readTrialBudget(fleet.table.table);
   const granted = computeGranted(budget);
   const left = computeBudgetLeft(budget);
   print(
--- a/packages/daemon/features/home_forwarding.ts
+++ b/packages/daemon/features/home_forwarding.ts
@@ -104,8 +104,11 @@
     const incoming = started.unsafeCoerce();
     const headers = filterHeaders(incoming.headers);
     response.writeHead(incoming.statusCode ?? 502, headers);
-    incoming.pipe(response);
-    incoming.on("end", () => response.addTrailers(incoming.trailers));
+    incoming.pipe(response, { end: false });
+    incoming.on("end", () => {
+      response.addTrailers(incoming.trailers as Record<string, string>);
+      response.end();
+    });
     incoming.on("error", () => response.destroy());
     return true;
   }
--- a/tools/check_imports.ts
+++ b/tools/check_imports.ts
@@ -32,12 +32,28 @@
     "membership",
     "peer",
   ],
+  trial: [
+    "core",
+    "settings",
+    "budget",
+    "request",
+    "document",
+    "stand_ins",
+    "daemon",
+  ],
   bench: ["*"],
   cli: ["*"],
 };
 
 /** Tests may also use these packages. */
-const TEST_PACKAGES = ["stand_ins", "model", "daemon", "platform", "bench"];
+const TEST_PACKAGES = [
+  "trial",
+  "stand_ins",
+  "model",
+  "daemon",
+  "platform",
+  "bench",
+];
 
 const PACKAGES = resolve("packages");
 const IMPORT = /(?:from|import)\s+"(\.[^"]+)"/g;
