--- a/packages/cli/commands/model_command.ts
+++ b/packages/cli/commands/model_command.ts
@@ -1,4 +1,5 @@
 /** `anvilrail model`: explores the specification of the core protocol. */
+import process from "node:process";
 import type { CommandModule } from "yargs";
 import {
   DEFAULT_MAX_STATES,
@@ -9,6 +10,7 @@
   type ModelReport,
   runModelCheck,
 } from "../../model/mod.ts";
+import { ExitCode } from "../exit_code.ts";
 
 /** Options of the command. */
 interface ModelArguments {
@@ -42,7 +44,7 @@
   },
 };
 
-function runModelCommand(options: ModelArguments): number {
+function runModelCommand(options: ModelArguments): ExitCode {
   if (options.list) return printGuards();
   if (options.break === undefined) return checkWhole(options.maxStates);
   const guard = findGuard(options.break);
@@ -50,35 +52,37 @@
     console.error(
       `No guard is named ${options.break}. List the names with anvilrail model --list.`,
     );
-    return 2;
+    return ExitCode.BadInput;
   }
   return checkBroken(guard, options.maxStates);
 }
 
-function printGuards(): number {
+function printGuards(): ExitCode {
   for (const { guard, models, rule } of listGuards()) {
     console.log(`${guard}  [${models.join(", ")}]  ${rule}`);
   }
-  return 0;
+  return ExitCode.Ok;
 }
 
 /** Succeeds when every space was exhausted without a violation. */
-function checkWhole(maxStates: number): number {
+function checkWhole(maxStates: number): ExitCode {
   const reports = runModelCheck({ maxStates });
   printReports(reports);
-  return reports.every((report) => report.exhausted) ? 0 : 1;
+  return reports.every((report) => report.exhausted)
+    ? ExitCode.Ok
+    : ExitCode.Failed;
 }
 
 /** Succeeds when every model that has the guard breaks without it. */
-function checkBroken(breakGuard: Guard, maxStates: number): number {
+function checkBroken(breakGuard: Guard, maxStates: number): ExitCode {
   const reports = runModelCheck({ breakGuard, maxStates });
   printReports(reports);
   const found = reports.every((report) => report.violation !== undefined);
-  if (found) return 0;
+  if (found) return ExitCode.Ok;
   console.error(
     `No violation without ${breakGuard}: the guard is not needed, or the model does not show why. Correct the specification.`,
   );
-  return 1;
+  return ExitCode.Failed;
 }
 
 function printReports(reports: readonly ModelReport[]): void {
--- /dev/null
+++ b/packages/replay/inputs/request_inputs.ts
@@ -0,0 +1,188 @@
+/** Inputs for the decisions of packages/request. */
+import { z } from "zod";
+import {
+  AdmitState,
+  BILL_BATCH_PREFIX,
+  type ClaimEnd,
+  type ClaimInput,
+  collectBills,
+  createBillBatch,
+  createFinishClaim,
+  createTakeClaim,
+  describeHolder,
+} from "../../request/mod.ts";
+import {
+  COUNT,
+  createInput,
+  type InputContext,
+  type InputTable,
+  NAME,
+} from "../replay_input.ts";
+import { STORE_FAULT } from "../replay_store.ts";
+import { describeStoreAnswer } from "./store_inputs.ts";
+
+const REQUEST = { vm: NAME, customer: NAME, key: NAME, digest: NAME };
+
+const ATTEMPT = { ...REQUEST, attempt: COUNT };
+
+interface AttemptFields {
+  readonly vm: string;
+  readonly customer: string;
+  readonly key: string;
+  readonly digest: string;
+  readonly attempt: number;
+  /** An earlier life of the VM whose attempt it is. */
+  readonly life?: string | undefined;
+}
+
+function createClaim(
+  fields: AttemptFields,
+  { fleet, now }: InputContext,
+): ClaimInput {
+  return {
+    customer: fields.customer,
+    requestKey: fields.key,
+    digest: fields.digest,
+    vm: fields.vm,
+    incarnation: fields.life ?? fleet.getVm(fields.vm).incarnation,
+    attempt: fields.attempt,
+    wallTime: now,
+  };
+}
+
+const claim = createInput(
+  { ...ATTEMPT, store: STORE_FAULT },
+  (fields, context) => {
+    const operation = createTakeClaim(createClaim(fields, context));
+    const answer = context.fleet.store.run(operation, fields.store);
+    return describeStoreAnswer(answer, ({ state, answer, holder }) => ({
+      state,
+      ...(answer === undefined ? {} : { status: answer.status }),
+      ...(holder === undefined ? {} : { holder: holder.vm }),
+    }));
+  },
+);
+
+const finish = createInput(
+  {
+    ...ATTEMPT,
+    end: z.enum(["ran", "not-run", "unknown"]),
+    status: COUNT.default(200),
+    life: NAME.optional(),
+    store: STORE_FAULT,
+  },
+  (fields, context) => {
+    const end = createEnd(fields.end, fields.status);
+    const operation = createFinishClaim(createClaim(fields, context), end);
+    const answer = context.fleet.store.run(operation, fields.store);
+    return describeStoreAnswer(answer, ({ finishedNow }) => ({
+      finished: finishedNow,
+    }));
+  },
+);
+
+function createEnd(state: ClaimEnd["state"], status: number): ClaimEnd {
+  if (state !== "ran") return { state };
+  const answer = { status, contentType: "application/json", bodyBase64: "" };
+  return { state, answer, tokens: 0 };
+}
+
+/** What a VM believes of the holder of a claim that it met. */
+const holder = createInput(
+  {
+    vm: NAME,
+    holder: z.strictObject({
+      vm: NAME,
+      incarnation: NAME,
+      attempt: COUNT,
+    }),
+    inProgress: z.array(COUNT).default([]),
+    livesOver: z.array(NAME).default([]),
+  },
+  ({ vm, holder, inProgress, livesOver }, { fleet }) => ({
+    holder: describeHolder(holder, {
+      self: { vm, incarnation: fleet.getVm(vm).incarnation },
+      isInProgress: (attempt) => inProgress.includes(attempt),
+      isLifeOver: (other, life) => livesOver.includes(`${other}/${life}`),
+    }),
+  }),
+);
+
+const admit = createInput(
+  REQUEST,
+  ({ vm, customer, key, digest }, { fleet, now }) => {
+    const request = { customer, requestKey: key, digest };
+    const result = fleet.getVm(vm).requests.admit(request, now);
+    switch (result.state) {
+      case AdmitState.Started:
+      case AdmitState.Joined:
+        return { state: result.state, run: result.run };
+      case AdmitState.Kept:
+        return { state: result.state, outcome: result.outcome };
+      case AdmitState.OtherBody:
+        return { state: result.state };
+    }
+  },
+);
+
+const end = createInput(
+  { vm: NAME, run: COUNT, outcome: NAME.optional() },
+  ({ vm, run, outcome }, { fleet, now }) => {
+    const { requests } = fleet.getVm(vm);
+    const keep = outcome === undefined ? {} : { keep: { outcome, bytes: 1 } };
+    requests.finish(run, { now, ...keep });
+    return { inProgress: requests.readCounts().inProgress };
+  },
+);
+
+const bill = createInput(
+  {
+    vm: NAME,
+    number: COUNT,
+    bills: z.array(z.strictObject({
+      customer: NAME,
+      key: NAME,
+      event: NAME,
+      tokens: COUNT,
+    })),
+    store: STORE_FAULT,
+  },
+  ({ vm, number, bills, store }, { fleet, now }) => {
+    const operation = createBillBatch({
+      vm,
+      incarnation: fleet.getVm(vm).incarnation,
+      number,
+      bills: bills.map(({ customer, key, event, tokens }) => ({
+        customer,
+        requestKey: key,
+        event,
+        kind: "kind",
+        tokens,
+        endedAt: now,
+      })),
+    });
+    const answer = fleet.store.run(operation, store);
+    return describeStoreAnswer(answer, () => ({ durable: true }));
+  },
+);
+
+/** Reads all bills as the operators' reader counts them. */
+const billed = createInput({}, (_fields, { fleet }) => {
+  const bills = collectBills(fleet.store.list(BILL_BATCH_PREFIX));
+  return bills.map(({ customer, requestKey, tokens }) => ({
+    customer,
+    key: requestKey,
+    tokens,
+  }));
+});
+
+/** Claims, duplicates and bills. */
+export const REQUEST_INPUTS: InputTable = {
+  "request/claim": claim,
+  "request/finish": finish,
+  "request/holder": holder,
+  "request/admit": admit,
+  "request/end": end,
+  "request/bill": bill,
+  "request/billed": billed,
+};
--- /dev/null
+++ b/packages/replay/inputs/routing_inputs.ts
@@ -0,0 +1,161 @@
+/** Inputs for the decisions of packages/routing. */
+import { z } from "zod";
+import {
+  createRenewDuty,
+  createTakeDuty,
+  decideSilence,
+  DutyWatch,
+  formatDutyKey,
+  isReusable,
+  parseDutyRow,
+} from "../../routing/mod.ts";
+import { COUNT, createInput, type InputTable, NAME } from "../replay_input.ts";
+import type { ReplayVm } from "../replay_fleet.ts";
+import { STORE_FAULT } from "../replay_store.ts";
+import { describeStoreAnswer } from "./store_inputs.ts";
+
+const silence = createInput(
+  {
+    lastProgress: COUNT,
+    begun: z.boolean(),
+    progressTimeout: COUNT,
+    capacity: COUNT,
+    probe: z.strictObject({
+      at: COUNT,
+      load: z.strictObject({ running: COUNT, queued: COUNT }).optional(),
+    }).optional(),
+  },
+  ({ probe, ...silent }, { now }) => {
+    const known = probe === undefined
+      ? {}
+      : { probe: { at: probe.at, ...describeLoad(probe.load) } };
+    return { action: decideSilence({ ...silent, ...known }, now) };
+  },
+);
+
+function describeLoad(
+  load: { readonly running: number; readonly queued: number } | undefined,
+) {
+  return load === undefined ? {} : { load };
+}
+
+const reuse = createInput(
+  { openedAt: COUNT, lastUsed: COUNT, droppedAt: COUNT.optional() },
+  ({ openedAt, lastUsed, droppedAt }, { now }) => {
+    const options = droppedAt === undefined ? { now } : { now, droppedAt };
+    const connection = { openedAt, lastUsed, draw: 0 };
+    return { reusable: isReusable(connection, options) };
+  },
+);
+
+const start = createInput(
+  { vm: NAME, digest: NAME, target: NAME },
+  ({ vm, digest, target }, { fleet, now }) => {
+    const { quarantine } = fleet.getVm(vm);
+    if (quarantine.isQuarantined(digest, now)) return { quarantined: true };
+    quarantine.recordStart(digest, target);
+    return { started: true };
+  },
+);
+
+const crash = createInput(
+  { vm: NAME, target: NAME },
+  ({ vm, target }, { fleet, now }) => {
+    const { quarantined } = fleet.getVm(vm).quarantine.recordCrash(target, now);
+    return { quarantined };
+  },
+);
+
+const gossip = createInput(
+  { from: NAME, to: NAME },
+  ({ from, to }, { fleet, now }) => {
+    const words = fleet.getVm(from).quarantine.listEntries({ now });
+    return { changed: fleet.getVm(to).quarantine.applyEntries(words, now) };
+  },
+);
+
+function getWatch(vm: ReplayVm, duty: string): DutyWatch {
+  const watch = vm.duties.get(duty) ?? new DutyWatch();
+  vm.duties.set(duty, watch);
+  return watch;
+}
+
+const DUTY = { vm: NAME, duty: NAME };
+
+/** Takes a duty; `sentAt` is the reading from before the write was sent. */
+const takeDuty = createInput(
+  { ...DUTY, longestOrder: COUNT, sentAt: COUNT, store: STORE_FAULT },
+  ({ vm, duty, longestOrder, sentAt, store }, { fleet, now }) => {
+    const life = fleet.getVm(vm);
+    const watch = getWatch(life, duty);
+    const lapsed = watch.findLapsed(now);
+    const operation = createTakeDuty({
+      duty,
+      holder: { vm, incarnation: life.incarnation },
+      longestOrder,
+      wallTime: now,
+      ...(lapsed === undefined ? {} : { lapsed }),
+    });
+    const answer = fleet.store.run(operation, store);
+    return describeStoreAnswer(answer, (taken) => {
+      if (taken.held) watch.recordTaken(taken, { sentAt, now });
+      return { held: taken.held, fence: taken.fence };
+    });
+  },
+);
+
+const renewDuty = createInput(
+  { ...DUTY, sentAt: COUNT, store: STORE_FAULT },
+  ({ vm, duty, sentAt, store }, { fleet, now }) => {
+    const life = fleet.getVm(vm);
+    const watch = getWatch(life, duty);
+    const due = watch.findDueRenewal(now);
+    if (due === undefined) return { due: false };
+    const operation = createRenewDuty({
+      duty,
+      holder: { vm, incarnation: life.incarnation },
+      wallTime: now,
+      ...due,
+    });
+    const answer = fleet.store.run(operation, store);
+    return describeStoreAnswer(answer, ({ held, renewals }) => {
+      if (held) watch.recordRenewed(renewals, sentAt);
+      else watch.recordLost();
+      return { held };
+    });
+  },
+);
+
+const seeDuty = createInput(
+  DUTY,
+  ({ vm, duty }, { fleet, now }) => {
+    const [row] = fleet.store.read([formatDutyKey(duty)]);
+    const watch = getWatch(fleet.getVm(vm), duty);
+    watch.recordRow(parseDutyRow(row), now);
+    return { lapsed: watch.findLapsed(now) !== undefined };
+  },
+);
+
+/** Whether a VM may give orders now, and to targets that ignore fencing too. */
+const mayOrder = createInput(
+  DUTY,
+  ({ vm, duty }, { fleet, now }) => {
+    const watch = getWatch(fleet.getVm(vm), duty);
+    const fence = watch.readFence(now);
+    if (fence === undefined) return { fence: null };
+    return { fence, unfenced: watch.isUnfencedAllowed(now) };
+  },
+);
+
+/** Silent connections, quarantine and control duties. */
+export const ROUTING_INPUTS: InputTable = {
+  "routing/silence": silence,
+  "routing/reuse": reuse,
+  "routing/start": start,
+  "routing/crash": crash,
+  "routing/gossip": gossip,
+  "duty/take": takeDuty,
+  "duty/renew": renewDuty,
+  "duty/see": seeDuty,
+  "duty/may-order": mayOrder,
+};
--- /dev/null
+++ b/packages/replay/mod.ts
@@ -0,0 +1,13 @@
+/** Replay of recorded traces against stated outcomes. */
+export { getTraceDirectory, listTraces } from "./list_traces.ts";
+export { parseTrace } from "./parse_trace.ts";
+export type { ReplayError } from "./replay_error.ts";
+export { formatReplayError, ReplayErrorKind } from "./replay_error.ts";
+export type { Difference, ReplayReport } from "./replay_trace.ts";
+export {
+  formatReplayReport,
+  REPLAY_INPUTS,
+  replayTrace,
+} from "./replay_trace.ts";
+export type { Trace, TraceHeader, TraceStep } from "./trace_format.ts";
+export { Failure, TRACE_FORMAT, TRACE_VERSION } from "./trace_format.ts";
--- /dev/null
+++ b/packages/replay/parse_trace.ts
@@ -0,0 +1,192 @@
+/** Parses the text of a trace and checks all of it before anything runs. */
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import { type ReplayError, ReplayErrorKind } from "./replay_error.ts";
+import type { InputTable } from "./replay_input.ts";
+import {
+  END_SCHEMA,
+  HEADER_SCHEMA,
+  STEP_SCHEMA,
+  type Trace,
+  TRACE_VERSION,
+  type TraceHeader,
+  type TraceStep,
+} from "./trace_format.ts";
+
+/** One line that holds something. */
+interface Line {
+  readonly line: number;
+  readonly text: string;
+}
+
+type Parsed<Value> = Either<ReplayError, Value>;
+
+/** Parses a trace whose inputs are in a table. */
+export function parseTrace(text: string, inputs: InputTable): Parsed<Trace> {
+  const lines = text.split("\n")
+    .map((each, index) => ({ line: index + 1, text: each.trim() }))
+    .filter((each) => each.text !== "");
+  const [first, ...rest] = lines;
+  if (first === undefined) return Left(createTruncated(1));
+  return parseHeader(first).chain((header) =>
+    parseSteps(rest, inputs).map((steps) => ({ header, steps }))
+  );
+}
+
+function parseHeader(first: Line): Parsed<TraceHeader> {
+  return parseJson(first).chain((value) => {
+    const version = z.looseObject({ version: z.number() }).safeParse(value);
+    if (version.success && version.data.version !== TRACE_VERSION) {
+      return Left({
+        kind: ReplayErrorKind.UnknownVersion,
+        line: first.line,
+        message:
+          `the trace has version ${version.data.version} and this program reads version ${TRACE_VERSION}`,
+        remedy: "Record it again, or use the program that wrote it.",
+      });
+    }
+    return checkShape(HEADER_SCHEMA, value, {
+      kind: ReplayErrorKind.BadHeader,
+      line: first.line,
+      remedy: "Begin with the header that docs/REPLAY.md describes.",
+    });
+  });
+}
+
+function parseSteps(
+  lines: readonly Line[],
+  inputs: InputTable,
+): Parsed<TraceStep[]> {
+  const steps: TraceStep[] = [];
+  for (const [index, line] of lines.entries()) {
+    const value = parseJson(line);
+    if (value.isLeft()) return value as unknown as Parsed<never>;
+    const found = value.unsafeCoerce();
+    if (isEnd(found)) return parseEnd(found, { steps, line, lines, index });
+    const step = parseStep(found, line.line, inputs)
+      .chain((each) => checkTime(each, steps.at(-1)));
+    if (step.isLeft()) return step as unknown as Parsed<never>;
+    steps.push(step.unsafeCoerce());
+  }
+  return Left(createTruncated((lines.at(-1)?.line ?? 1) + 1));
+}
+
+function isEnd(value: unknown): boolean {
+  return typeof value === "object" && value !== null && "end" in value &&
+    !("input" in value);
+}
+
+function parseEnd(
+  value: unknown,
+  found: {
+    readonly steps: TraceStep[];
+    readonly line: Line;
+    readonly lines: readonly Line[];
+    readonly index: number;
+  },
+): Parsed<TraceStep[]> {
+  const { steps, line, lines, index } = found;
+  const after = lines[index + 1];
+  if (after !== undefined) {
+    return Left({
+      kind: ReplayErrorKind.AfterEnd,
+      line: after.line,
+      message: "a line follows the end of the trace",
+      remedy: "Move the end to the last line, or put one trace in a file.",
+    });
+  }
+  return checkShape(END_SCHEMA, value, {
+    kind: ReplayErrorKind.BadField,
+    line: line.line,
+    remedy: "End with the line that docs/REPLAY.md describes.",
+  }).chain((end) =>
+    end.steps === steps.length ? Right(steps) : Left({
+      kind: ReplayErrorKind.Truncated,
+      line: line.line,
+      message: `the trace has ${steps.length} steps and states ${end.steps}`,
+      remedy: "Restore the missing steps, or state the right number.",
+    })
+  );
+}
+
+function parseStep(
+  value: unknown,
+  line: number,
+  inputs: InputTable,
+): Parsed<TraceStep> {
+  return checkShape(STEP_SCHEMA, value, {
+    kind: ReplayErrorKind.BadField,
+    line,
+    remedy: "Give each step at, input and expect.",
+  }).chain(({ at, input, expect, ...fields }) => {
+    const known = Object.hasOwn(inputs, input) ? inputs[input] : undefined;
+    if (known === undefined) {
+      return Left({
+        kind: ReplayErrorKind.UnknownInput,
+        line,
+        message: `no input is named ${input}`,
+        remedy: `Use one of ${Object.keys(inputs).join(", ")}.`,
+      });
+    }
+    return checkShape(known.schema, fields, {
+      kind: ReplayErrorKind.BadField,
+      line,
+      remedy: `Give ${input} the fields that docs/REPLAY.md lists.`,
+    }).map((checked) => ({
+      line,
+      at,
+      input,
+      expect,
+      fields: checked as TraceStep["fields"],
+    }));
+  });
+}
+
+function checkTime(
+  step: TraceStep,
+  before: TraceStep | undefined,
+): Parsed<TraceStep> {
+  if (before === undefined || before.at <= step.at) return Right(step);
+  return Left({
+    kind: ReplayErrorKind.TimeBack,
+    line: step.line,
+    message: `the time goes back from ${before.at} to ${step.at}`,
+    remedy: "Sort the steps by time, or correct the time.",
+  });
+}
+
+function parseJson({ line, text }: Line): Parsed<unknown> {
+  try {
+    return Right(JSON.parse(text));
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return Left({
+      kind: ReplayErrorKind.Syntax,
+      line,
+      message: `the line is not one whole JSON value: ${reason}`,
+      remedy: "Put one JSON object on each line; the file may be cut off here.",
+    });
+  }
+}
+
+function checkShape<Value>(
+  schema: z.ZodType<Value>,
+  value: unknown,
+  fault: Omit<ReplayError, "message">,
+): Parsed<Value> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return Right(parsed.data);
+  const message = parsed.error.issues
+    .map((issue) => [issue.path.join("."), issue.message].join(" ").trim())
+    .join("; ");
+  return Left({ ...fault, message });
+}
+
+function createTruncated(line: number): ReplayError {
+  return {
+    kind: ReplayErrorKind.Truncated,
+    line,
+    message: "the trace ends without its last line",
+    remedy: "The file was cut off: copy or record it again.",
+  };
+}
--- /dev/null
+++ b/packages/replay/replay_fleet.ts
@@ -0,0 +1,81 @@
+/** The VMs of a replay: what each has in memory, and the store they share. */
+import {
+  createEventAccount,
+  type EventAccount,
+  type LoanAnswer,
+  type Reservation,
+} from "../budget/mod.ts";
+import type { EventId, Incarnation, VmId } from "../core/mod.ts";
+import { createDocumentState, type DocumentState } from "../document/mod.ts";
+import { RequestTable } from "../request/mod.ts";
+import { DutyWatch, Quarantine } from "../routing/mod.ts";
+import { ReplayStore } from "./replay_store.ts";
+
+/** What one life of a VM has in memory. */
+export interface ReplayVm {
+  readonly vm: VmId;
+  readonly incarnation: Incarnation;
+  readonly accounts: Map<EventId, EventAccount>;
+  /** By the name of the request. */
+  readonly reservations: Map<string, Reservation>;
+  readonly requests: RequestTable<string>;
+  readonly quarantine: Quarantine;
+  readonly duties: Map<string, DutyWatch>;
+  document: DocumentState;
+}
+
+/** VMs, the messages between them and the store. */
+export class ReplayFleet {
+  readonly store = new ReplayStore();
+  /** Loan answers on the network by transfer id; each may arrive many times. */
+  readonly loanAnswers = new Map<string, LoanAnswer>();
+  readonly #vms = new Map<VmId, ReplayVm>();
+  /** Tokens that targets used, by event. */
+  readonly #spent = new Map<EventId, number>();
+
+  /** Returns a VM; it starts with its first mention. */
+  getVm(vm: VmId): ReplayVm {
+    return this.#vms.get(vm) ?? this.#startVm(vm, "1");
+  }
+
+  /** Begins a new life of a VM, which remembers nothing. */
+  restartVm(vm: VmId): Incarnation {
+    const life = Number(this.getVm(vm).incarnation) + 1;
+    return this.#startVm(vm, String(life)).incarnation;
+  }
+
+  /** Returns a VM's account of an event. */
+  getAccount(vm: VmId, event: EventId): EventAccount {
+    return this.getVm(vm).accounts.get(event) ?? createEventAccount(event);
+  }
+
+  /** Replaces a VM's account of an event. */
+  putAccount(vm: VmId, account: EventAccount): void {
+    this.getVm(vm).accounts.set(account.eventId, account);
+  }
+
+  /** Counts tokens that a target used. */
+  recordSpent(event: EventId, tokens: number): void {
+    this.#spent.set(event, this.readSpent(event) + tokens);
+  }
+
+  /** Returns the tokens that targets used for an event. */
+  readSpent(event: EventId): number {
+    return this.#spent.get(event) ?? 0;
+  }
+
+  #startVm(vm: VmId, incarnation: Incarnation): ReplayVm {
+    const started: ReplayVm = {
+      vm,
+      incarnation,
+      accounts: new Map(),
+      reservations: new Map(),
+      requests: new RequestTable(),
+      quarantine: new Quarantine(),
+      duties: new Map(),
+      document: createDocumentState(),
+    };
+    this.#vms.set(vm, started);
+    return started;
+  }
+}
--- /dev/null
+++ b/packages/replay/replay_store.ts
@@ -0,0 +1,109 @@
+/**
+ * The rows of a replay. Each operation states what befalls its write: it is
+ * answered, its answer is lost, the store is down, or it is given up and lands
+ * later under a name.
+ */
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import {
+  type PlatformError,
+  PlatformErrorKind,
+  type Row,
+  type RowOperation,
+  type RowWrite,
+} from "../core/mod.ts";
+
+/** What befalls an operation; `late:NAME` is landed by `store/land`. */
+export const STORE_FAULT = z.union([
+  z.enum(["ok", "answer-lost", "down"]),
+  z.templateLiteral(["late:", z.string().min(1)]),
+]).default("ok");
+
+/** What befalls an operation. */
+export type StoreFault = z.infer<typeof STORE_FAULT>;
+
+interface SentWrite {
+  readonly versions: ReadonlyMap<string, number>;
+  readonly writes: readonly RowWrite[];
+}
+
+/** Rows with versions, and writes that were given up. */
+export class ReplayStore {
+  readonly #rows = new Map<string, Row>();
+  readonly #late = new Map<string, SentWrite>();
+
+  /** Decides an operation from the present rows and commits it, or fails. */
+  run<Result>(
+    operation: RowOperation<Result>,
+    fault: StoreFault,
+  ): Either<PlatformError, Result> {
+    if (fault === "down") return Left(createError(PlatformErrorKind.NotDone));
+    const view = new Map(
+      this.read(operation.keys).map((row) => [row.key, row]),
+    );
+    const { writes, result } = operation.decide(view);
+    const versions = new Map(
+      operation.keys.map((key) => [key, this.#readVersion(key)]),
+    );
+    if (fault.startsWith("late:")) {
+      this.#late.set(fault.slice("late:".length), { versions, writes });
+      return Left(createError(PlatformErrorKind.AnswerLost));
+    }
+    this.#commit(writes);
+    if (fault === "answer-lost") {
+      return Left(createError(PlatformErrorKind.AnswerLost));
+    }
+    return Right(result);
+  }
+
+  /** Lands a write that was given up; returns whether the versions allowed it. */
+  land(name: string): boolean {
+    const late = this.#late.get(name);
+    if (late === undefined) {
+      throw new Error(
+        `No write is named ${name}. Give it up first with "store": "late:${name}".`,
+      );
+    }
+    this.#late.delete(name);
+    const fits = [...late.versions]
+      .every(([key, version]) => this.#readVersion(key) === version);
+    if (fits) this.#commit(late.writes);
+    return fits;
+  }
+
+  /** Returns the rows that exist among some keys. */
+  read(keys: readonly string[]): Row[] {
+    return keys.map((key) => this.#rows.get(key))
+      .filter((row) => row !== undefined);
+  }
+
+  /** Returns the rows whose key starts with a prefix, in key order. */
+  list(prefix: string): Row[] {
+    return [...this.#rows.values()]
+      .filter((row) => row.key.startsWith(prefix))
+      .sort((left, right) => left.key < right.key ? -1 : 1);
+  }
+
+  #commit(writes: readonly RowWrite[]): void {
+    for (const { key, value } of writes) {
+      const version = this.#readVersion(key) + 1;
+      if (value === undefined) this.#rows.delete(key);
+      else {
+        const copy = JSON.parse(JSON.stringify(value));
+        this.#rows.set(key, { key, version, value: copy });
+      }
+    }
+  }
+
+  #readVersion(key: string): number {
+    return this.#rows.get(key)?.version ?? 0;
+  }
+}
+
+function createError(kind: PlatformErrorKind): PlatformError {
+  return {
+    kind,
+    message: `The store's answer is ${kind}.`,
+    remedy: "Give the operation to the store again.",
+  };
+}
--- /dev/null
+++ b/packages/replay/replay_trace.ts
@@ -0,0 +1,97 @@
+/**
+ * Replays a trace: gives each input to the decision code that the daemon runs
+ * and compares what comes out with what the trace states.
+ */
+import { isDeepStrictEqual } from "node:util";
+import { type Either, Left, Right } from "purify-ts";
+import type { JsonValue } from "../core/mod.ts";
+import { BUDGET_INPUTS } from "./inputs/budget_inputs.ts";
+import { DOCUMENT_INPUTS } from "./inputs/document_inputs.ts";
+import { REQUEST_INPUTS } from "./inputs/request_inputs.ts";
+import { ROUTING_INPUTS } from "./inputs/routing_inputs.ts";
+import { STORE_INPUTS } from "./inputs/store_inputs.ts";
+import { parseTrace } from "./parse_trace.ts";
+import type { ReplayError } from "./replay_error.ts";
+import { ReplayFleet } from "./replay_fleet.ts";
+import type { InputTable } from "./replay_input.ts";
+import type { Trace, TraceHeader, TraceStep } from "./trace_format.ts";
+
+/** Every input that a trace may have. */
+export const REPLAY_INPUTS: InputTable = {
+  ...STORE_INPUTS,
+  ...BUDGET_INPUTS,
+  ...REQUEST_INPUTS,
+  ...ROUTING_INPUTS,
+  ...DOCUMENT_INPUTS,
+};
+
+/** The first step whose outcome is not the stated one. */
+export interface Difference {
+  readonly line: number;
+  readonly input: string;
+  readonly expected: JsonValue;
+  readonly found: JsonValue;
+}
+
+/** What a replay found. */
+export interface ReplayReport {
+  readonly header: TraceHeader;
+  /** Steps that were replayed with the stated outcome. */
+  readonly steps: number;
+  readonly difference?: Difference;
+}
+
+/** Replays the text of a trace up to the first difference. */
+export async function replayTrace(
+  text: string,
+  inputs: InputTable = REPLAY_INPUTS,
+): Promise<Either<ReplayError, ReplayReport>> {
+  const parsed = parseTrace(text, inputs);
+  if (parsed.isLeft()) return Left(parsed.swap().unsafeCoerce());
+  return Right(await replaySteps(parsed.unsafeCoerce(), inputs));
+}
+
+/** Formats a report; a difference shows the line, expected and found. */
+export function formatReplayReport(report: ReplayReport): string {
+  const { header, steps, difference } = report;
+  if (difference === undefined) {
+    return `${header.name}: ${steps} steps as stated`;
+  }
+  const { line, input, expected, found } = difference;
+  return [
+    `${header.name}: line ${line}: ${input} differs after ${steps} steps as stated`,
+    `  expected ${JSON.stringify(expected)}`,
+    `  found    ${JSON.stringify(found)}`,
+  ].join("\n");
+}
+
+async function replaySteps(
+  trace: Trace,
+  inputs: InputTable,
+): Promise<ReplayReport> {
+  const { header } = trace;
+  const fleet = new ReplayFleet();
+  for (const [index, step] of trace.steps.entries()) {
+    const found = await runStep(step, fleet, inputs);
+    if (isDeepStrictEqual(found, step.expect)) continue;
+    const { line, input, expect: expected } = step;
+    const difference = { line, input, expected, found };
+    return { header, steps: index, difference };
+  }
+  return { header, steps: trace.steps.length };
+}
+
+async function runStep(
+  step: TraceStep,
+  fleet: ReplayFleet,
+  inputs: InputTable,
+): Promise<JsonValue> {
+  const context = { fleet, now: step.at };
+  try {
+    const found = await inputs[step.input]!.run(step.fields, context);
+    return JSON.parse(JSON.stringify(found));
+  } catch (error) {
+    // A broken invariant of the decision code is an outcome like any other.
+    return { error: error instanceof Error ? error.message : String(error) };
+  }
+}
