Hold the specification against the real row operations

To agree, the specification had to learn that a written-off grant may still be closed, that a claim given up leaves a not-run row, and that a broken call ends its claim as unknown; its invariants hold with these too. Faulty variants of the operations and of the inputs of traces are noticed.

--- a/packages/cli/commands/model_command.ts
+++ b/packages/cli/commands/model_command.ts
@@ -1,13 +1,12 @@
 /** `anvilrail model`: explores the specification of the core protocol. */
 import process from "node:process";
 import type { CommandModule } from "yargs";
+import type { Guard, ModelReport } from "../../model/mod.ts";
 import {
   DEFAULT_MAX_STATES,
   findGuard,
   formatModelReport,
-  type Guard,
   listGuards,
-  type ModelReport,
   runModelCheck,
 } from "../../model/mod.ts";
 import { ExitCode } from "../exit_code.ts";
--- a/packages/model/explore.ts
+++ b/packages/model/explore.ts
@@ -3,7 +3,7 @@
  * that the first state found to break an invariant lies at the end of a
  * shortest trace.
  */
-import type { ActorLogic, Snapshot } from "xstate";
+import type { TransitionLogic } from "xstate/graph";
 import { getAdjacencyMap } from "xstate/graph";
 import type {
   ExploreOptions,
@@ -23,9 +23,6 @@
 
 /** One visited state, with the step that first led to it. */
 interface Node<State> {
-  readonly status: "active";
-  readonly output: undefined;
-  readonly error: undefined;
   readonly state: State;
   readonly key: string;
   readonly depth: number;
@@ -156,9 +153,6 @@
 
   #createNode(step: Step<State>, parent?: Node<State>): Node<State> {
     return {
-      status: "active",
-      output: undefined,
-      error: undefined,
       state: step.next,
       key: `s${this.#specification.formatState(step.next)}`,
       depth: parent === undefined ? 0 : parent.depth + 1,
@@ -187,10 +181,9 @@
 
 function createLogic<State>(
   first: Node<State>,
-): ActorLogic<Node<State> & Snapshot<unknown>, NodeEvent<State>> {
+): TransitionLogic<Node<State>, NodeEvent<State>> {
   return {
     transition: (_node, event) => event.node,
     getInitialSnapshot: () => first,
-    getPersistedSnapshot: (node) => node,
   };
 }
--- a/packages/model/mod.ts
+++ b/packages/model/mod.ts
@@ -14,3 +14,15 @@
 } from "./run_model_check.ts";
 export type { Model, ModelReport, Violation } from "./specification.ts";
 export { Invariant } from "./specification.ts";
+export type {
+  ClaimDecision,
+  ClaimValue,
+  EndMark,
+} from "./specifications/claims.ts";
+export {
+  ClaimMark,
+  decideClaim,
+  decideClaimEnd,
+} from "./specifications/claims.ts";
+export type { BudgetCall, BudgetValue } from "./specifications/grants.ts";
+export { CallKind, decideBudgetCall } from "./specifications/grants.ts";
--- a/packages/model/run_model_check_test.ts
+++ b/packages/model/run_model_check_test.ts
@@ -1,10 +1,10 @@
 /** Tests that the specification holds whole and breaks without each guard. */
 import test from "ava";
+import type { ModelReport } from "./mod.ts";
 import {
   formatModelReport,
   listGuards,
   listModels,
-  type ModelReport,
   runModelCheck,
 } from "./mod.ts";
 
--- a/packages/model/specifications/answers.ts
+++ b/packages/model/specifications/answers.ts
@@ -4,12 +4,8 @@
  * with another body. Answers may come after their request was given up.
  */
 import { Guard } from "../guard.ts";
-import {
-  type GuardCheck,
-  Invariant,
-  type Specification,
-  type Step,
-} from "../specification.ts";
+import type { GuardCheck, Specification, Step } from "../specification.ts";
+import { Invariant } from "../specification.ts";
 
 /** The requests; those with the same key share a kept answer. */
 const REQUESTS = [
--- a/packages/model/specifications/bills.ts
+++ b/packages/model/specifications/bills.ts
@@ -6,12 +6,8 @@
  * answer. The store may be down for a while, lose answers, and be reached late.
  */
 import { Guard } from "../guard.ts";
-import {
-  type GuardCheck,
-  Invariant,
-  type Specification,
-  type Step,
-} from "../specification.ts";
+import type { GuardCheck, Specification, Step } from "../specification.ts";
+import { Invariant } from "../specification.ts";
 
 /** Chunks of a whole answer. */
 const CHUNKS = 2;
--- a/packages/model/specifications/claims.ts
+++ b/packages/model/specifications/claims.ts
@@ -7,13 +7,10 @@
  * its VM. The target runs what was sent to it at any later time, or never.
  */
 import { Guard } from "../guard.ts";
-import {
-  type GuardCheck,
-  Invariant,
-  type Specification,
-  type Step,
-} from "../specification.ts";
-import { applyWrite, type SentWrite, type StoredRow } from "../stored_row.ts";
+import type { GuardCheck, Specification, Step } from "../specification.ts";
+import { Invariant } from "../specification.ts";
+import type { SentWrite, StoredRow } from "../stored_row.ts";
+import { applyWrite } from "../stored_row.ts";
 
 /** The attempts by their VM. */
 const ATTEMPTS = [
@@ -23,7 +20,7 @@
 ] as const;
 
 /** Crashes in all. */
-const MAX_CRASHES = 1;
+const MAX_CRASHES = 2;
 
 /** How the claim row says that the call stands. */
 export enum ClaimMark {
@@ -31,6 +28,7 @@
   Open = "o",
   Ran = "r",
   NotRun = "n",
+  Unknown = "u",
 }
 
 /** The claim row's value; `holder` is the number of an attempt. */
@@ -51,6 +49,8 @@
   Finishing = "f",
   /** No byte was sent; the claim's end is under way. */
   Freeing = "q",
+  /** The call broke after bytes were sent; the claim's end is under way. */
+  Parting = "p",
   ToldRan = "R",
   ToldNotRun = "N",
   ToldUnknown = "U",
@@ -85,7 +85,7 @@
 /** What an attempt to claim finds. */
 export type ClaimDecision =
   | { readonly kind: "write"; readonly value: ClaimValue }
-  | { readonly kind: "taken" | "ran" | "held" | "ended" };
+  | { readonly kind: "taken" | "ran" | "unknown" | "held" | "ended" };
 
 /** Decides a claim from the row's value. */
 export function decideClaim(
@@ -105,18 +105,30 @@
       return own ? { kind: "ended" } : write;
     case ClaimMark.Ran:
       return isOn(Guard.FinishedClaimStays) ? { kind: "ran" } : write;
+    case ClaimMark.Unknown:
+      return { kind: "unknown" };
     case ClaimMark.Open:
       if (own) return { kind: "taken" };
       return isOn(Guard.ClaimNeverChangesHolder) ? { kind: "held" } : write;
   }
 }
 
-/** Decides how an attempt's claim ends; absent when it is not its own. */
+/** How a claim may end. */
+export type EndMark = ClaimMark.Ran | ClaimMark.NotRun | ClaimMark.Unknown;
+
+/**
+ * Decides how an attempt's claim ends; absent when it is not its own. A claim
+ * that never arrived is ended as not run all the same, so that its late write
+ * finds another version.
+ */
 export function decideClaimEnd(
   value: ClaimValue,
   attempt: number,
-  mark: ClaimMark.Ran | ClaimMark.NotRun,
+  mark: EndMark,
 ): ClaimValue | undefined {
+  if (value.mark === ClaimMark.Free && mark === ClaimMark.NotRun) {
+    return { mark, holder: attempt };
+  }
   const own = value.mark === ClaimMark.Open && value.holder === attempt;
   return own ? { mark, holder: attempt } : undefined;
 }
@@ -159,6 +171,8 @@
       return changeAttempt(state, index, { stage: Stage.Claimed });
     case "ran":
       return changeAttempt(state, index, { stage: Stage.ToldRan });
+    case "unknown":
+      return changeAttempt(state, index, { stage: Stage.ToldUnknown });
     case "ended":
       return changeAttempt(state, index, { stage: Stage.ToldNotRun });
     case "held":
@@ -178,13 +192,21 @@
   return changeAttempt(state, index, { stage: Stage.Claiming, write });
 }
 
+type EndStage = Stage.Finishing | Stage.Freeing | Stage.Parting;
+
+const END_MARKS: Readonly<Record<EndStage, EndMark>> = {
+  [Stage.Finishing]: ClaimMark.Ran,
+  [Stage.Freeing]: ClaimMark.NotRun,
+  [Stage.Parting]: ClaimMark.Unknown,
+};
+
 /** Reads the row and sends the write that ends the claim. */
 function finishClaim(
   state: ClaimsState,
   index: number,
-  stage: Stage.Finishing | Stage.Freeing,
+  stage: EndStage,
 ): ClaimsState {
-  const mark = stage === Stage.Finishing ? ClaimMark.Ran : ClaimMark.NotRun;
+  const mark = END_MARKS[stage];
   const { version, value } = state.row;
   const next = decideClaimEnd(value, index, mark);
   if (next === undefined) {
@@ -198,6 +220,7 @@
 
 function readEnd(stage: Stage): Stage {
   if (stage === Stage.Finishing) return Stage.ToldRan;
+  if (stage === Stage.Parting) return Stage.ToldUnknown;
   return stage === Stage.Freeing ? Stage.ToldNotRun : Stage.Claimed;
 }
 
@@ -208,13 +231,13 @@
 ): ClaimsStep[] {
   const attempt = state.attempts[index]!;
   const name = ATTEMPTS[index]!.name;
-  const to = (stage: Stage) => changeAttempt(state, index, { stage });
   switch (attempt.stage) {
     case Stage.New:
       return listFirstSteps(state, index, isOn);
     case Stage.Claiming:
     case Stage.Finishing:
     case Stage.Freeing:
+    case Stage.Parting:
       return listStoreSteps(state, index, isOn);
     case Stage.Claimed:
       return [
@@ -226,7 +249,7 @@
       ];
     case Stage.Dispatched: {
       const broken = isOn(Guard.BrokenCallIsUnknown)
-        ? to(Stage.ToldUnknown)
+        ? finishClaim(state, index, Stage.Parting)
         : finishClaim(state, index, Stage.Freeing);
       const steps = [{ label: `${name} connection breaks`, next: broken }];
       if (attempt.target !== TargetMark.Ran) return steps;
@@ -308,13 +331,13 @@
     const next = isOn(Guard.ReadBackBeforeRetry)
       ? claim(state, index, isOn)
       : claimBlindly(state, index);
-    const refused = changeAttempt(state, index, { stage: Stage.ToldNotRun });
+    const refused = finishClaim(state, index, Stage.Freeing);
     return [
       { label: `${name} claim: sent again`, next },
       { label: `${name} claim: no answer, refused`, next: refused },
     ];
   }
-  const end = stage as Stage.Finishing | Stage.Freeing;
+  const end = stage as EndStage;
   const again = finishClaim(state, index, end);
   const told = changeAttempt(state, index, { stage: readEnd(end) });
   return [
@@ -370,6 +393,7 @@
     Stage.Dispatched,
     Stage.Finishing,
     Stage.Freeing,
+    Stage.Parting,
   ].includes(attempt.stage);
 }
 
@@ -381,6 +405,34 @@
   }));
 }
 
+/** Versions only rise, so a late write of an older one can never land. */
+function dropStaleWrites(state: ClaimsState): ClaimsState {
+  const { version } = state.row;
+  const attempts = state.attempts.map((attempt) => {
+    if (attempt.late === undefined || attempt.late.base === version) {
+      return attempt;
+    }
+    const { late: _late, ...rest } = attempt;
+    return rest;
+  });
+  return { ...state, attempts };
+}
+
+function listClaimsSteps(state: ClaimsState, isOn: GuardCheck): ClaimsStep[] {
+  const steps = [
+    ...ATTEMPTS.flatMap((_attempt, index) => [
+      ...listAttemptSteps(state, index, isOn),
+      ...listFaults(state, index, isOn),
+    ]),
+    ...listCrashes(state),
+  ];
+  if (!isOn(Guard.VersionCheck)) return steps;
+  return steps.map(({ label, next }) => ({
+    label,
+    next: dropStaleWrites(next),
+  }));
+}
+
 function hasLied(state: ClaimsState): boolean {
   return state.attempts.some((attempt) => {
     if (attempt.stage !== Stage.ToldNotRun) return false;
@@ -413,7 +465,7 @@
 export const CLAIMS: Specification<ClaimsState> = {
   name: "claims",
   scope:
-    "1 call under 1 key; 2 attempts at VM A and 1 at VM B; 1 crash of either VM; 1 late write per attempt",
+    "1 call under 1 key; 2 attempts at VM A and 1 at VM B; 2 crashes; 1 late write per attempt",
   guards: [
     Guard.VersionCheck,
     Guard.ReadBackBeforeRetry,
@@ -433,13 +485,7 @@
     })),
     crashes: 0,
   }),
-  listSteps: (state, isOn) => [
-    ...ATTEMPTS.flatMap((_attempt, index) => [
-      ...listAttemptSteps(state, index, isOn),
-      ...listFaults(state, index, isOn),
-    ]),
-    ...listCrashes(state),
-  ],
+  listSteps: listClaimsSteps,
   findViolation,
   formatState: (state) => {
     const { version, value } = state.row;
--- a/packages/model/specifications/documents.ts
+++ b/packages/model/specifications/documents.ts
@@ -8,12 +8,8 @@
  * and in any order.
  */
 import { Guard } from "../guard.ts";
-import {
-  type GuardCheck,
-  Invariant,
-  type Specification,
-  type Step,
-} from "../specification.ts";
+import type { GuardCheck, Specification, Step } from "../specification.ts";
+import { Invariant } from "../specification.ts";
 
 /** The changes: the section each sets, and to what. */
 const CHANGES = [
--- a/packages/model/specifications/grants.ts
+++ b/packages/model/specifications/grants.ts
@@ -7,13 +7,10 @@
  * whose writes do not land; both may last for any number of steps.
  */
 import { Guard } from "../guard.ts";
-import {
-  type GuardCheck,
-  Invariant,
-  type Specification,
-  type Step,
-} from "../specification.ts";
-import { applyWrite, type SentWrite, type StoredRow } from "../stored_row.ts";
+import type { GuardCheck, Specification, Step } from "../specification.ts";
+import { Invariant } from "../specification.ts";
+import type { SentWrite, StoredRow } from "../stored_row.ts";
+import { applyWrite } from "../stored_row.ts";
 
 /** Tokens of the event before the top-up. */
 const INITIAL_LIMIT = 1;
@@ -52,6 +49,8 @@
   readonly closed: number;
   /** Size of each open grant by slot; 0 when the row does not hold it. */
   readonly grants: readonly number[];
+  /** Size of each written-off grant by slot; its holder may still close it. */
+  readonly writeOffs: readonly number[];
   /** Whether the top-up's id is kept. */
   readonly toppedUp: boolean;
 }
@@ -103,7 +102,6 @@
   readonly spent: number;
   /** Tokens that were paid for. */
   readonly paid: number;
-  readonly wroteOff: boolean;
 }
 
 /** Decides a call from the row's value; absent when nothing is to be written. */
@@ -113,11 +111,13 @@
   isOn: GuardCheck,
 ): BudgetValue | undefined {
   const held = value.grants[call.slot] ?? 0;
+  const lost = value.writeOffs[call.slot] ?? 0;
   switch (call.kind) {
     case CallKind.Take:
-      if (held > 0 || computeLeft(value) < GRANT_SIZE) return undefined;
+      if (held + lost > 0 || computeLeft(value) < GRANT_SIZE) return undefined;
       return changeGrant(value, call.slot, GRANT_SIZE);
     case CallKind.Close:
+      if (lost > 0) return closeWriteOff(value, call);
       return held === 0 ? undefined : closeGrant(value, call);
     case CallKind.TopUp:
       if (value.toppedUp) return undefined;
@@ -129,7 +129,8 @@
     case CallKind.WriteOff: {
       if (held === 0) return undefined;
       const spent = isOn(Guard.WriteOffWhole) ? held : 0;
-      return closeGrant(value, { ...call, spent });
+      const closed = closeGrant(value, { ...call, spent });
+      return changeWriteOff(closed, call.slot, held);
     }
   }
 }
@@ -156,6 +157,23 @@
   return { ...changed, closed: value.closed + call.spent };
 }
 
+/** The holder of a written-off grant woke: the unspent rest goes back. */
+function closeWriteOff(value: BudgetValue, call: BudgetCall): BudgetValue {
+  const size = value.writeOffs[call.slot]!;
+  const changed = changeWriteOff(value, call.slot, 0);
+  return { ...changed, closed: value.closed - (size - call.spent) };
+}
+
+function changeWriteOff(
+  value: BudgetValue,
+  slot: number,
+  size: number,
+): BudgetValue {
+  const writeOffs = value.writeOffs
+    .map((each, index) => index === slot ? size : each);
+  return { ...value, writeOffs };
+}
+
 function changeGrant(
   value: BudgetValue,
   slot: number,
@@ -221,8 +239,9 @@
     return changeVm(done, index, { grant: undefined });
   }
   if (call.kind !== CallKind.Take) return done;
+  const { grants, writeOffs } = state.row.value;
   // A read-back that finds no grant means that the budget could not cover it.
-  if ((state.row.value.grants[call.slot] ?? 0) === 0) return done;
+  if (grants[call.slot] === 0 && writeOffs[call.slot] === 0) return done;
   const grant = { slot: call.slot, spent: 0, reserved: 0, lapsed: false };
   const taken = state.vms[index]!.taken + 1;
   return changeVm(done, index, { grant, taken });
@@ -306,12 +325,7 @@
 ): GrantsStep[] {
   return listWanted(state, index, rules).map((call) => ({
     label: `${VM_NAMES[index]} ${call.kind} ${call.slot}: sent`,
-    next: sendCall(
-      call.kind === CallKind.WriteOff ? { ...state, wroteOff: true } : state,
-      index,
-      { call, blind: false },
-      rules,
-    ),
+    next: sendCall(state, index, { call, blind: false }, rules),
   }));
 }
 
@@ -442,7 +456,7 @@
   const { limit, closed } = state.row.value;
   const held = closed + computeOpen(state.row.value);
   if (limit > state.paid || held > limit || state.spent > held) return false;
-  const exact = state.crashes === 0 && !state.wroteOff && isAtRest(state);
+  const exact = state.crashes === 0 && isAtRest(state);
   return !exact || closed === state.spent;
 }
 
@@ -452,8 +466,9 @@
 }
 
 function formatValue(value: BudgetValue): string {
-  const { limit, closed, grants, toppedUp } = value;
-  return `${limit}${closed}${grants.join("")}${toppedUp ? "t" : "f"}`;
+  const { limit, closed, grants, writeOffs, toppedUp } = value;
+  const sizes = `${grants.join("")}${writeOffs.join("")}`;
+  return `${limit}${closed}${sizes}${toppedUp ? "t" : "f"}`;
 }
 
 function formatVm(vm: Vm): string {
@@ -470,23 +485,27 @@
 
 function createInitialState(): GrantsState {
   const grants = VMS.flatMap(() => Array<number>(GRANTS_PER_VM).fill(0));
-  const value = { limit: INITIAL_LIMIT, closed: 0, grants, toppedUp: false };
+  const value = {
+    limit: INITIAL_LIMIT,
+    closed: 0,
+    grants,
+    writeOffs: grants,
+    toppedUp: false,
+  };
   return {
     row: { version: 0, value },
     vms: VMS.map(() => ({ taken: 0, toppedUp: false })),
     crashes: 0,
     spent: 0,
     paid: INITIAL_LIMIT,
-    wroteOff: false,
   };
 }
 
 function formatGrantsState(state: GrantsState): string {
   const { version, value } = state.row;
   const ghosts = `${state.crashes}${state.spent}${state.paid}`;
-  const flag = state.wroteOff ? "w" : "n";
   const vms = state.vms.map(formatVm).join(";");
-  return `${version}.${formatValue(value)}|${vms}|${ghosts}${flag}`;
+  return `${version}.${formatValue(value)}|${vms}|${ghosts}`;
 }
 
 /** Returns the specification within bounds. */
@@ -509,20 +528,37 @@
 }
 
 function listGrantsSteps(state: GrantsState, rules: Rules): GrantsStep[] {
-  return VMS.flatMap((index) => [
+  const steps = VMS.flatMap((index) => [
     ...listRequestSteps(state, index, rules),
     ...listCallSteps(state, index, rules),
     ...listFaults(state, index, rules),
   ]);
+  if (!rules.isOn(Guard.VersionCheck)) return steps;
+  return steps.map(({ label, next }) => ({
+    label,
+    next: dropStaleWrites(next),
+  }));
+}
+
+/** Versions only rise, so a late write of an older one can never land. */
+function dropStaleWrites(state: GrantsState): GrantsState {
+  const { version } = state.row;
+  return state.vms.reduce(
+    (current, vm, index) =>
+      vm.late === undefined || vm.late.base === version
+        ? current
+        : changeVm(current, index, { late: undefined }),
+    state,
+  );
 }
 
 /** Grants of two VMs, a crash and write-offs. */
 export const GRANTS = createGrantsSpecification({
   name: "grants",
   scope:
-    "2 VMs and the budget row, limit 1; A takes 2 grants of 1 and crashes once, B takes 1; write-offs at any time; 1 late write per VM",
-  grants: [2, 1],
-  crashes: [1, 0],
+    "2 VMs and the budget row, limit 1; each VM takes 2 grants of 1 and crashes once; write-offs at any time; 1 late write per VM",
+  grants: [2, 2],
+  crashes: [1, 1],
   topUps: [0, 0],
   writeOffs: true,
   guards: [
@@ -539,10 +575,10 @@
 export const TOP_UPS = createGrantsSpecification({
   name: "top-ups",
   scope:
-    "2 VMs and the budget row, limit 1; one top-up of 1 asked for at both; A takes 1 grant and crashes once, B takes 1; 1 late write per VM",
+    "2 VMs and the budget row, limit 1; one top-up of 1 asked for at both; each VM takes 1 grant and crashes once; write-offs at any time; 1 late write per VM",
   grants: [1, 1],
-  crashes: [1, 0],
+  crashes: [1, 1],
   topUps: [1, 1],
-  writeOffs: false,
+  writeOffs: true,
   guards: [Guard.VersionCheck, Guard.ReadBackBeforeRetry, Guard.TopUpIdKept],
 });
--- a/packages/model/specifications/leases.ts
+++ b/packages/model/specifications/leases.ts
@@ -9,12 +9,8 @@
  * assumption that its safety rests on.
  */
 import { Guard } from "../guard.ts";
-import {
-  type GuardCheck,
-  Invariant,
-  type Specification,
-  type Step,
-} from "../specification.ts";
+import type { GuardCheck, Specification, Step } from "../specification.ts";
+import { Invariant } from "../specification.ts";
 
 /** Length of a lease in ticks. */
 const LEASE = 2;
--- a/packages/model/specifications/loans.ts
+++ b/packages/model/specifications/loans.ts
@@ -8,12 +8,8 @@
  * here, and their answers may be lost; the grants model has the races.
  */
 import { Guard } from "../guard.ts";
-import {
-  type GuardCheck,
-  Invariant,
-  type Specification,
-  type Step,
-} from "../specification.ts";
+import type { GuardCheck, Specification, Step } from "../specification.ts";
+import { Invariant } from "../specification.ts";
 
 /** Tokens that the top-up adds to an empty budget. */
 const TOP_UP = 2;
--- a/packages/replay/inputs/budget_inputs.ts
+++ b/packages/replay/inputs/budget_inputs.ts
@@ -1,5 +1,6 @@
 /** Inputs for the decisions of packages/budget. */
 import { z } from "zod";
+import type { EventAccount } from "../../budget/mod.ts";
 import {
   closeGrants,
   computeAccountRoom,
@@ -11,7 +12,6 @@
   createTopUp,
   createWriteOff,
   dropGrant,
-  type EventAccount,
   formatBudgetKey,
   lendTokens,
   LossEvidenceKind,
@@ -23,13 +23,8 @@
   settleReservation,
 } from "../../budget/mod.ts";
 import type { EventId, VmId } from "../../core/mod.ts";
-import {
-  COUNT,
-  createInput,
-  type InputContext,
-  type InputTable,
-  NAME,
-} from "../replay_input.ts";
+import type { InputContext, InputTable } from "../replay_input.ts";
+import { COUNT, createInput, NAME } from "../replay_input.ts";
 import { STORE_FAULT } from "../replay_store.ts";
 import { describeStoreAnswer } from "./store_inputs.ts";
 
--- a/packages/replay/inputs/document_inputs.ts
+++ b/packages/replay/inputs/document_inputs.ts
@@ -2,14 +2,15 @@
 import { Right } from "purify-ts";
 import { z } from "zod";
 import type { RowOperation } from "../../core/mod.ts";
+import type { DocumentReader } from "../../document/mod.ts";
 import {
-  type DocumentReader,
   formatSection,
   loadDocument,
   submitChange,
   SubmitState,
 } from "../../document/mod.ts";
-import { COUNT, createInput, type InputTable, NAME } from "../replay_input.ts";
+import type { InputTable } from "../replay_input.ts";
+import { COUNT, createInput, NAME } from "../replay_input.ts";
 import type { ReplayStore, StoreFault } from "../replay_store.ts";
 import { STORE_FAULT } from "../replay_store.ts";
 
--- a/packages/replay/inputs/request_inputs.ts
+++ b/packages/replay/inputs/request_inputs.ts
@@ -1,23 +1,17 @@
 /** Inputs for the decisions of packages/request. */
 import { z } from "zod";
+import type { ClaimEnd, ClaimInput } from "../../request/mod.ts";
 import {
   AdmitState,
   BILL_BATCH_PREFIX,
-  type ClaimEnd,
-  type ClaimInput,
   collectBills,
   createBillBatch,
   createFinishClaim,
   createTakeClaim,
   describeHolder,
 } from "../../request/mod.ts";
-import {
-  COUNT,
-  createInput,
-  type InputContext,
-  type InputTable,
-  NAME,
-} from "../replay_input.ts";
+import type { InputContext, InputTable } from "../replay_input.ts";
+import { COUNT, createInput, NAME } from "../replay_input.ts";
 import { STORE_FAULT } from "../replay_store.ts";
 import { describeStoreAnswer } from "./store_inputs.ts";
 
--- a/packages/replay/inputs/routing_inputs.ts
+++ b/packages/replay/inputs/routing_inputs.ts
@@ -9,7 +9,8 @@
   isReusable,
   parseDutyRow,
 } from "../../routing/mod.ts";
-import { COUNT, createInput, type InputTable, NAME } from "../replay_input.ts";
+import type { InputTable } from "../replay_input.ts";
+import { COUNT, createInput, NAME } from "../replay_input.ts";
 import type { ReplayVm } from "../replay_fleet.ts";
 import { STORE_FAULT } from "../replay_store.ts";
 import { describeStoreAnswer } from "./store_inputs.ts";
--- a/packages/replay/inputs/store_inputs.ts
+++ b/packages/replay/inputs/store_inputs.ts
@@ -1,7 +1,8 @@
 /** Inputs for the store and the VMs themselves, and the store's outcomes. */
 import type { Either } from "purify-ts";
 import type { PlatformError } from "../../core/mod.ts";
-import { createInput, type InputTable, NAME } from "../replay_input.ts";
+import type { InputTable } from "../replay_input.ts";
+import { createInput, NAME } from "../replay_input.ts";
 
 /** Returns the outcome of an operation: its result, or how the store failed. */
 export function describeStoreAnswer<Result>(
--- a/packages/replay/parse_trace.ts
+++ b/packages/replay/parse_trace.ts
@@ -1,16 +1,16 @@
 /** Parses the text of a trace and checks all of it before anything runs. */
-import { type Either, Left, Right } from "purify-ts";
+import type { Either } from "purify-ts";
+import { Left, Right } from "purify-ts";
 import { z } from "zod";
-import { type ReplayError, ReplayErrorKind } from "./replay_error.ts";
+import type { ReplayError } from "./replay_error.ts";
+import { ReplayErrorKind } from "./replay_error.ts";
 import type { InputTable } from "./replay_input.ts";
+import type { Trace, TraceHeader, TraceStep } from "./trace_format.ts";
 import {
   END_SCHEMA,
   HEADER_SCHEMA,
   STEP_SCHEMA,
-  type Trace,
   TRACE_VERSION,
-  type TraceHeader,
-  type TraceStep,
 } from "./trace_format.ts";
 
 /** One line that holds something. */
--- a/packages/replay/replay_fleet.ts
+++ b/packages/replay/replay_fleet.ts
@@ -1,12 +1,9 @@
 /** The VMs of a replay: what each has in memory, and the store they share. */
-import {
-  createEventAccount,
-  type EventAccount,
-  type LoanAnswer,
-  type Reservation,
-} from "../budget/mod.ts";
+import type { EventAccount, LoanAnswer, Reservation } from "../budget/mod.ts";
+import { createEventAccount } from "../budget/mod.ts";
 import type { EventId, Incarnation, VmId } from "../core/mod.ts";
-import { createDocumentState, type DocumentState } from "../document/mod.ts";
+import type { DocumentState } from "../document/mod.ts";
+import { createDocumentState } from "../document/mod.ts";
 import { RequestTable } from "../request/mod.ts";
 import { DutyWatch, Quarantine } from "../routing/mod.ts";
 import { ReplayStore } from "./replay_store.ts";
--- a/packages/replay/replay_store.ts
+++ b/packages/replay/replay_store.ts
@@ -3,15 +3,16 @@
  * answered, its answer is lost, the store is down, or it is given up and lands
  * later under a name.
  */
-import { type Either, Left, Right } from "purify-ts";
+import type { Either } from "purify-ts";
+import { Left, Right } from "purify-ts";
 import { z } from "zod";
-import {
-  type PlatformError,
-  PlatformErrorKind,
-  type Row,
-  type RowOperation,
-  type RowWrite,
+import type {
+  PlatformError,
+  Row,
+  RowOperation,
+  RowWrite,
 } from "../core/mod.ts";
+import { PlatformErrorKind } from "../core/mod.ts";
 
 /** What befalls an operation; `late:NAME` is landed by `store/land`. */
 export const STORE_FAULT = z.union([
--- a/packages/replay/replay_trace.ts
+++ b/packages/replay/replay_trace.ts
@@ -3,7 +3,8 @@
  * and compares what comes out with what the trace states.
  */
 import { isDeepStrictEqual } from "node:util";
-import { type Either, Left, Right } from "purify-ts";
+import type { Either } from "purify-ts";
+import { Left, Right } from "purify-ts";
 import type { JsonValue } from "../core/mod.ts";
 import { BUDGET_INPUTS } from "./inputs/budget_inputs.ts";
 import { DOCUMENT_INPUTS } from "./inputs/document_inputs.ts";
--- a/packages/replay/replay_trace_test.ts
+++ b/packages/replay/replay_trace_test.ts
@@ -3,7 +3,8 @@
 import { readFileSync } from "node:fs";
 import { basename } from "node:path";
 import fc from "fast-check";
-import type { InputTable } from "./replay_input.ts";
+import { recordLoanAsked } from "../budget/mod.ts";
+import type { InputContext, InputTable, ReplayInput } from "./replay_input.ts";
 import {
   Failure,
   formatReplayError,
@@ -79,6 +80,68 @@
   );
 });
 
+type Variant = (
+  fields: Record<string, unknown>,
+  context: InputContext,
+) => readonly [Record<string, unknown>, InputContext];
+
+/** Faulty variants: what each does to an input before the decision gets it. */
+const VARIANTS: Readonly<Record<string, Variant>> = {
+  "budget/top-up": (fields, context) => [
+    { ...fields, topUp: `${fields["topUp"]}@${context.now}` },
+    context,
+  ],
+  "budget/take": (fields, context) => [
+    { ...fields, grant: `${fields["grant"]}@${context.now}` },
+    context,
+  ],
+  "budget/reserve": (fields, context) => [fields, { ...context, now: 0 }],
+  "budget/credit": (fields, { fleet, now }) => {
+    const { vm, event, transfer } = fields as Record<string, string>;
+    const loan = { transferId: transfer!, lender: "b", wanted: 1, askedAt: 0 };
+    const account = fleet.getAccount(vm!, event!);
+    fleet.putAccount(vm!, recordLoanAsked(account, loan));
+    return [fields, { fleet, now }];
+  },
+  "request/claim": (fields, context) => [
+    { ...fields, key: `${fields["key"]}@${context.now}` },
+    context,
+  ],
+  "request/bill": (fields, context) => [
+    { ...fields, bills: [] },
+    context,
+  ],
+  "routing/start": (fields, context) => [
+    { ...fields, digest: `${fields["digest"]}@${context.now}` },
+    context,
+  ],
+  "routing/silence": ({ probe: _probe, ...fields }, context) => [
+    fields,
+    context,
+  ],
+  "duty/may-order": (fields, context) => [fields, { ...context, now: 0 }],
+  "document/submit": (fields, context) => [
+    { ...fields, change: `${fields["change"]}@${context.now}` },
+    context,
+  ],
+};
+
+for (const [name, change] of Object.entries(VARIANTS)) {
+  test(`a faulty variant of ${name} is noticed by a trace`, async (t) => {
+    const whole = REPLAY_INPUTS[name]!;
+    const faulty: ReplayInput = {
+      schema: whole.schema,
+      run: (fields, context) =>
+        whole.run(...change(fields as Record<string, unknown>, context)),
+    };
+    const inputs = { ...REPLAY_INPUTS, [name]: faulty };
+    const differences = await Promise.all(
+      TRACES.map(({ text }) => findDifference(text, inputs)),
+    );
+    t.true(differences.some((difference) => difference !== undefined));
+  });
+}
+
 const FAULTS: readonly [string, readonly string[], ReplayErrorKind, number][] =
   [
     ["no text", [], ReplayErrorKind.Truncated, 1],
