--- a/packages/membership/commands/apply_lists.ts
+++ b/packages/membership/commands/apply_lists.ts
@@ -56,5 +56,9 @@
 ): MembershipView {
   return input.updates
     .filter((update) => update.vm !== view.self)
-    .reduce((next, update) => applyUpdate(next, update, input.now), view);
+    .reduce(
+      (next, update) =>
+        applyUpdate(next, update, { now: input.now, known: true }),
+      view,
+    );
 }
--- a/packages/membership/commands/receive_gossip.ts
+++ b/packages/membership/commands/receive_gossip.ts
@@ -21,6 +21,12 @@
   [MemberState.Dead]: 3,
 };
 
+/** When news was received, and whether others know it already. */
+export interface UpdateInput {
+  readonly now: MonotonicTime;
+  readonly known?: boolean;
+}
+
 /** Applies a message or an answer; its sender is thereby heard of. */
 export function receiveGossip(
   view: MembershipView,
@@ -28,10 +34,14 @@
 ): MembershipView {
   const { message, now } = input;
   let next = view;
-  for (const update of [...message.updates, ...message.page ?? []]) {
-    next = applyUpdate(next, update, now);
+  for (const update of message.updates) {
+    next = applyUpdate(next, update, { now });
+  }
+  // A page is what others know; the sender has passed its news on already.
+  for (const update of message.page ?? []) {
+    next = applyUpdate(next, update, { now, known: true });
   }
-  next = applyUpdate(next, message.from, now);
+  next = applyUpdate(next, message.from, { now });
   next = recordHeard(next, {
     vm: message.from.vm,
     documentVersion: message.from.documentVersion,
@@ -60,11 +70,11 @@
 export function applyUpdate(
   view: MembershipView,
   update: MemberUpdate,
-  now: MonotonicTime,
+  input: UpdateInput,
 ): MembershipView {
-  if (update.vm === view.self) return applyOwnUpdate(view, update, now);
+  if (update.vm === view.self) return applyOwnUpdate(view, update, input.now);
   const known = view.members.get(update.vm);
-  if (known === undefined) return addUnknown(view, update, now);
+  if (known === undefined) return addUnknown(view, update, input);
   if (!isNewer(view, known, update)) return view;
   const newLife = known.incarnation !== update.incarnation;
   // A new life may have a new address; without it the news is of no use yet.
@@ -81,7 +91,7 @@
     state,
     documentVersion,
   };
-  return putMember(view, member, { refutation, now });
+  return putMember(view, member, { refutation, ...input });
 }
 
 /** A VM answers what others believe of it with a higher refutation. */
@@ -106,12 +116,12 @@
 function addUnknown(
   view: MembershipView,
   update: MemberUpdate,
-  now: MonotonicTime,
+  input: UpdateInput,
 ): MembershipView {
   const { place, refutation, ...rest } = update;
   if (place === undefined || update.state === MemberState.Dead) return view;
-  const member: Member = { ...rest, ...place, heardAt: now };
-  return putMember(view, member, { refutation, now });
+  const member: Member = { ...rest, ...place, heardAt: input.now };
+  return putMember(view, member, { refutation, ...input });
 }
 
 function isNewer(
--- a/packages/membership/queries/plan_gossip.ts
+++ b/packages/membership/queries/plan_gossip.ts
@@ -44,13 +44,13 @@
   input: { readonly now: MonotonicTime; readonly random: RandomSource },
 ): readonly GossipContact[] {
   const { now, random } = input;
-  const updates = listUpdates(view);
+  const news = listNews(view);
   const contacts: GossipContact[] = [];
   const addContact = (member: Member | undefined, purpose: GossipPurpose) => {
     if (member === undefined) return;
     if (contacts.some((contact) => contact.vm === member.vm)) return;
     const { vm, peerAddress: address } = member;
-    const message = createMessage(view, member, updates);
+    const message = createMessage(view, member, news);
     contacts.push({ vm, address, purpose, message });
   };
   if (now - view.probedAt >= PROBE_INTERVAL) {
@@ -76,7 +76,7 @@
   const { pageAfter: _, ...message } = createMessage(
     view,
     member,
-    listUpdates(view),
+    listNews(view),
   );
   if (received.pageAfter === undefined) return message;
   return { ...message, page: listPage(view, received.pageAfter) };
@@ -105,33 +105,42 @@
 function createMessage(
   view: MembershipView,
   to: Member | undefined,
-  updates: readonly MemberUpdate[],
+  news: readonly Member[],
 ): GossipMessage {
-  const about = to !== undefined && to.state !== MemberState.Live
-    ? [createUpdate(view, to, { withPlace: false })]
-    : [];
-  const others = updates.filter((update) => update.vm !== to?.vm);
   const message = {
     from: createUpdate(view, readSelf(view), { withPlace: true }),
     digest: view.digest,
-    updates: filterFitting([...about, ...others]),
+    updates: filterFitting(createUpdates(view, to, news)),
   };
   return view.pageAfter === undefined
     ? message
     : { ...message, pageAfter: view.pageAfter };
 }
 
-/** News to pass on, the least told first. */
-function listUpdates(view: MembershipView): MemberUpdate[] {
+/** Members with news to pass on, the least told first. */
+function listNews(view: MembershipView): Member[] {
   return [...view.pending]
     .filter((vm) => vm !== view.self)
     .map((vm) => ({ member: view.members.get(vm)!, told: readTold(view, vm) }))
     .sort((left, right) => left.told - right.told)
-    .map(({ member }) =>
-      createUpdate(view, member, {
-        withPlace: member.state === MemberState.Live,
-      })
-    );
+    .map(({ member }) => member);
+}
+
+/** Yields the updates of a message; only those that fit are made. */
+function* createUpdates(
+  view: MembershipView,
+  to: Member | undefined,
+  news: readonly Member[],
+): Generator<MemberUpdate> {
+  // A member that is in doubt is told, so that it can contradict.
+  if (to !== undefined && to.state !== MemberState.Live) {
+    yield createUpdate(view, to, { withPlace: false });
+  }
+  for (const member of news) {
+    if (member.vm === to?.vm) continue;
+    const withPlace = member.state === MemberState.Live;
+    yield createUpdate(view, member, { withPlace });
+  }
 }
 
 function readTold(view: MembershipView, vm: VmId): number {
--- a/packages/membership/view.ts
+++ b/packages/membership/view.ts
@@ -93,17 +93,24 @@
   return putMember(empty, self, { refutation: 0, now: self.heardAt });
 }
 
-/** Returns the view with a member as given, to be passed on to others. */
+/** Returns the view with a member as given, by default to be passed on. */
 export function putMember(
   view: MembershipView,
   member: Member,
-  input: { readonly refutation: number; readonly now: MonotonicTime },
+  input: {
+    readonly refutation: number;
+    readonly now: MonotonicTime;
+    /** True for what others know already, such as rows of the table. */
+    readonly known?: boolean;
+  },
 ): MembershipView {
   const { refutation, now } = input;
   const record = { refutation, changedAt: now, transmissions: 0 };
   const digest = view.digest ^ computeMemberDigest(view, member.vm) ^
     computeDigest(member, refutation);
-  const pending = new Set(view.pending).add(member.vm);
+  const pending = new Set(view.pending);
+  if (input.known === true) pending.delete(member.vm);
+  else pending.add(member.vm);
   const fading = changeFading(view.fading, member);
   return {
     ...view,
