--- a/packages/bench/membership/membership_cost.ts
+++ b/packages/bench/membership/membership_cost_experiment.ts
@@ -41,7 +41,7 @@
 }
 
 /** The experiment. */
-export const MEMBERSHIP_COST: Experiment = {
+export const membershipCostExperiment: Experiment = {
   name: "membership-cost",
   description:
     "Messages, bytes, processor time and detection time of membership by the number of members",
