Add the administration API: routes, handlers, description, audit trail

Operators and the command line need one typed way in. Routes are a table with zod schemas; handlers take ports, so the daemon mounts them and tests run them on a table in memory. A team reads and edits its own section and its events' budgets; the fleet's operators edit all.

--- /dev/null
+++ b/packages/admin/budget_facts.ts
@@ -0,0 +1,53 @@
+/** What the budget rows say of events that a change touches. */
+import { type Either, Right } from "purify-ts";
+import {
+  computeGranted,
+  formatBudgetKey,
+  parseBudgetRow,
+} from "../budget/mod.ts";
+import type {
+  EventId,
+  FleetConfiguration,
+  PlatformError,
+  Row,
+} from "../core/mod.ts";
+import type { BudgetFacts, DocumentReader } from "../document/mod.ts";
+
+/** Most budgets that are looked up for one dry run. */
+const MAX_BUDGETS = 100;
+
+/** Reads the budgets of the events whose limit changes. */
+export async function readBudgetFacts(
+  reader: DocumentReader,
+  input: {
+    readonly before: FleetConfiguration;
+    readonly after: FleetConfiguration;
+    readonly events: readonly EventId[];
+  },
+): Promise<Either<PlatformError, ReadonlyMap<EventId, BudgetFacts>>> {
+  const changed = input.events.filter((event) =>
+    input.before.events.has(event) &&
+    input.before.events.get(event)?.budgetTokens !==
+      input.after.events.get(event)?.budgetTokens
+  ).slice(0, MAX_BUDGETS);
+  if (changed.length === 0) return Right(new Map());
+  const answer = await reader.read(changed.map(formatBudgetKey));
+  return answer.map((rows) => {
+    const byKey = new Map(rows.map((row) => [row.key, row]));
+    return new Map(changed.flatMap((event) => {
+      const facts = createFacts(byKey.get(formatBudgetKey(event)));
+      return facts === undefined ? [] : [[event, facts] as const];
+    }));
+  });
+}
+
+function createFacts(row: Row | undefined): BudgetFacts | undefined {
+  if (row === undefined) return undefined;
+  return parseBudgetRow(row.value).toMaybe().map((budget) => ({
+    limit: budget.limit,
+    closed: budget.closed,
+    granted: computeGranted(budget),
+    holders: new Set(Object.values(budget.grants).map((grant) => grant.vm))
+      .size,
+  })).extract();
+}
--- /dev/null
+++ b/packages/admin/paging.ts
@@ -0,0 +1,36 @@
+/** Pages of named items in the order of their names. */
+
+/** One page. */
+export interface Page<Item> {
+  readonly items: readonly Item[];
+  /** Pass as `after` to get the next page; absent on the last one. */
+  readonly next?: string;
+}
+
+const SORTED = new WeakMap<object, readonly string[]>();
+
+/** Returns the page after a name. A snapshot's names are sorted once. */
+export function listPage<Item>(
+  items: ReadonlyMap<string, Item>,
+  options: { readonly after: string; readonly limit: number },
+): Page<Item> {
+  const names = SORTED.get(items) ?? [...items.keys()].sort();
+  SORTED.set(items, names);
+  const from = findFirstAfter(names, options.after);
+  const page = names.slice(from, from + options.limit);
+  const found = page.map((name) => items.get(name)!);
+  const last = page.at(-1);
+  const more = from + page.length < names.length && last !== undefined;
+  return more ? { items: found, next: last } : { items: found };
+}
+
+function findFirstAfter(sorted: readonly string[], name: string): number {
+  let low = 0;
+  let high = sorted.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (sorted[middle]! > name) high = middle;
+    else low = middle + 1;
+  }
+  return low;
+}
--- /dev/null
+++ b/packages/admin/routes/budget_routes.ts
@@ -0,0 +1,318 @@
+/** Routes of events and budgets: lists, top-ups, lowerings, write-offs. */
+import type { z } from "zod";
+import {
+  computeBudgetLeft,
+  computeGranted,
+  createLowerLimit,
+  createTopUp,
+  createWriteOff,
+  formatBudgetKey,
+  parseBudgetRow,
+} from "../../budget/mod.ts";
+import type { EventConfig, Row, RowOperation } from "../../core/mod.ts";
+import {
+  AdminErrorKind,
+  createAnswer,
+  createErrorAnswer,
+  createForbidden,
+  createNotFound,
+  createPlatformAnswer,
+  describeCaller,
+  isAllowed,
+} from "../answers.ts";
+import {
+  type AdminAnswer,
+  AdminMethod,
+  type AdminPorts,
+  type AdminRequest,
+  type AdminRoute,
+} from "../api.ts";
+import { listPage } from "../paging.ts";
+import { createAudited } from "../rows/audit.ts";
+import { LOWERING, PAGE_QUERY, TOP_UP, WRITE_OFF } from "../schemas.ts";
+
+const CHANGE_STATUSES = {
+  403: "The event belongs to another team",
+  504: "The store's answer was lost; repeat the request as it is",
+};
+
+/** The routes. */
+export const BUDGET_ROUTES: readonly AdminRoute[] = [
+  {
+    name: "listEvents",
+    method: AdminMethod.Get,
+    path: "/v1/events",
+    summary: "Events in force, in pages",
+    query: PAGE_QUERY,
+    statuses: {},
+    handler: listEvents,
+  },
+  {
+    name: "readEvent",
+    method: AdminMethod.Get,
+    path: "/v1/events/:event",
+    summary: "One event in force",
+    statuses: {},
+    handler: readEvent,
+  },
+  {
+    name: "listBudgets",
+    method: AdminMethod.Get,
+    path: "/v1/budgets",
+    summary: "Budgets with what is spent and granted, in pages",
+    query: PAGE_QUERY,
+    statuses: {},
+    handler: listBudgets,
+  },
+  {
+    name: "readBudget",
+    method: AdminMethod.Get,
+    path: "/v1/budgets/:event",
+    summary: "One budget with its open grants and write-offs",
+    statuses: {},
+    handler: readBudget,
+  },
+  {
+    name: "topUpBudget",
+    method: AdminMethod.Post,
+    path: "/v1/budgets/:event/top-ups",
+    summary: "Raises a budget's limit, once for each top-up id",
+    body: TOP_UP,
+    statuses: CHANGE_STATUSES,
+    handler: topUpBudget,
+  },
+  {
+    name: "lowerBudget",
+    method: AdminMethod.Post,
+    path: "/v1/budgets/:event/lowerings",
+    summary:
+      "Lowers a budget's limit, never below what is spent or granted; repeat it to take the rest",
+    body: LOWERING,
+    statuses: CHANGE_STATUSES,
+    handler: lowerBudget,
+  },
+  {
+    name: "writeOffGrants",
+    method: AdminMethod.Post,
+    path: "/v1/budgets/:event/write-offs",
+    summary: "Writes off the grants of a lost VM's life, upon evidence",
+    body: WRITE_OFF,
+    statuses: {
+      ...CHANGE_STATUSES,
+      409: "Nothing shows yet that this life of the VM is over",
+    },
+    handler: writeOffGrants,
+  },
+];
+
+function listEvents(
+  request: AdminRequest,
+  ports: AdminPorts,
+): Promise<AdminAnswer> {
+  const { events } = ports.readDocument().configuration;
+  const page = listPage(events, PAGE_QUERY.parse(request.query));
+  const items = page.items.map(describeEvent);
+  return Promise.resolve(createAnswer({ ...page, items }));
+}
+
+function readEvent(
+  request: AdminRequest,
+  ports: AdminPorts,
+): Promise<AdminAnswer> {
+  const event = findEvent(request, ports);
+  if (event === undefined) return Promise.resolve(createMissing(request));
+  const kinds = [...event.kinds.values()].map((kind) => ({ ...kind }));
+  return Promise.resolve(createAnswer({ ...describeEvent(event), kinds }));
+}
+
+async function listBudgets(
+  request: AdminRequest,
+  ports: AdminPorts,
+): Promise<AdminAnswer> {
+  const { events } = ports.readDocument().configuration;
+  const page = listPage(events, PAGE_QUERY.parse(request.query));
+  const keys = page.items.map((event) => formatBudgetKey(event.id));
+  const rows = await readAll(ports, keys);
+  return rows.caseOf({
+    Left: createPlatformAnswer,
+    Right: (found) => {
+      const items = page.items.map((event) =>
+        describeBudget(event, found.get(formatBudgetKey(event.id)))
+      );
+      return createAnswer({ ...page, items });
+    },
+  });
+}
+
+async function readBudget(
+  request: AdminRequest,
+  ports: AdminPorts,
+): Promise<AdminAnswer> {
+  const event = findEvent(request, ports);
+  if (event === undefined) return createMissing(request);
+  const key = formatBudgetKey(event.id);
+  const rows = await readAll(ports, [key]);
+  return rows.caseOf({
+    Left: createPlatformAnswer,
+    Right: (found) => {
+      const row = found.get(key);
+      const budget = row && parseBudgetRow(row.value).toMaybe().extract();
+      return createAnswer({
+        ...describeBudget(event, row),
+        grants: budget?.grants ?? {},
+        writeOffs: budget?.writeOffs ?? {},
+      });
+    },
+  });
+}
+
+function topUpBudget(
+  request: AdminRequest,
+  ports: AdminPorts,
+): Promise<AdminAnswer> {
+  const body = request.body as z.infer<typeof TOP_UP>;
+  return changeBudget(request, ports, {
+    action: "top-up",
+    id: body.topUpId,
+    createOperation: (event) =>
+      createTopUp({
+        eventId: event.id,
+        topUpId: body.topUpId,
+        tokens: body.tokens,
+        initialLimit: event.budgetTokens,
+        wallTime: ports.readWallTime(),
+      }),
+  });
+}
+
+function lowerBudget(
+  request: AdminRequest,
+  ports: AdminPorts,
+): Promise<AdminAnswer> {
+  const body = request.body as z.infer<typeof LOWERING>;
+  return changeBudget(request, ports, {
+    action: "lower",
+    id: body.lowerId,
+    createOperation: (event) =>
+      createLowerLimit({
+        eventId: event.id,
+        lowerId: body.lowerId,
+        tokens: body.tokens,
+        initialLimit: event.budgetTokens,
+        wallTime: ports.readWallTime(),
+      }),
+  });
+}
+
+async function writeOffGrants(
+  request: AdminRequest,
+  ports: AdminPorts,
+): Promise<AdminAnswer> {
+  const { vm, incarnation } = request.body as z.infer<typeof WRITE_OFF>;
+  const event = findEvent(request, ports);
+  if (event === undefined) return createMissing(request);
+  const found = await ports.findLossEvidence(vm, incarnation);
+  if (found.isLeft()) return createPlatformAnswer(found.swap().unsafeCoerce());
+  const evidence = found.unsafeCoerce();
+  if (evidence === undefined) return createWeak(`VM ${vm} may still live.`);
+  const operation = createWriteOff({
+    eventId: event.id,
+    evidence,
+    initialLimit: event.budgetTokens,
+    wallTime: ports.readWallTime(),
+  });
+  if (operation.isLeft()) {
+    return createWeak(operation.swap().unsafeCoerce().message);
+  }
+  return await changeBudget(request, ports, {
+    action: "write-off",
+    id: `${vm}/${incarnation}`,
+    createOperation: () => operation.unsafeCoerce(),
+  });
+}
+
+async function changeBudget<Result>(
+  request: AdminRequest,
+  ports: AdminPorts,
+  input: {
+    readonly action: string;
+    readonly id: string;
+    readonly createOperation: (event: EventConfig) => RowOperation<Result>;
+  },
+): Promise<AdminAnswer> {
+  const event = findEvent(request, ports);
+  if (event === undefined) return createMissing(request);
+  if (!isAllowed(request.caller, event.team)) {
+    return createForbidden(`team ${event.team}`);
+  }
+  const entry = {
+    at: ports.readWallTime(),
+    who: describeCaller(request.caller),
+    action: input.action,
+    target: `events/${event.id}`,
+    id: input.id,
+  };
+  const { requestId } = request;
+  const operation = input.createOperation(event);
+  const answer = await ports.run(
+    createAudited(operation, { entry, requestId }),
+  );
+  return answer.caseOf({ Left: createPlatformAnswer, Right: createAnswer });
+}
+
+function findEvent(
+  request: AdminRequest,
+  ports: AdminPorts,
+): EventConfig | undefined {
+  const { events } = ports.readDocument().configuration;
+  return events.get(request.params.event ?? "");
+}
+
+function createMissing(request: AdminRequest): AdminAnswer {
+  return createNotFound(`event ${request.params.event}`);
+}
+
+function createWeak(message: string): AdminAnswer {
+  return createErrorAnswer({
+    kind: AdminErrorKind.Conflict,
+    message,
+    remedy:
+      "Wait until the platform's list has been without the VM for long enough, or until a later life of it has started.",
+  });
+}
+
+async function readAll(ports: AdminPorts, keys: readonly string[]) {
+  const half = Math.ceil(keys.length / 2);
+  const first = await ports.reader.read(keys.slice(0, half));
+  const second = half < keys.length
+    ? await ports.reader.read(keys.slice(half))
+    : first.map((): readonly Row[] => []);
+  return first.chain((rows) =>
+    second.map((more) =>
+      new Map([...rows, ...more].map((row) => [row.key, row]))
+    )
+  );
+}
+
+function describeEvent(event: EventConfig) {
+  const { id, team, budgetTokens, lean, customers, homes } = event;
+  return { id, team, budgetTokens, lean, customers, homes };
+}
+
+function describeBudget(event: EventConfig, row: Row | undefined) {
+  const { id, team, budgetTokens } = event;
+  const base = { event: id, team, startLimit: budgetTokens };
+  const budget = row && parseBudgetRow(row.value).toMaybe().extract();
+  if (budget === undefined) {
+    const damaged = row !== undefined;
+    return { ...base, limit: budgetTokens, closed: 0, granted: 0, damaged };
+  }
+  return {
+    ...base,
+    limit: budget.limit,
+    closed: budget.closed,
+    granted: computeGranted(budget),
+    left: computeBudgetLeft(budget),
+    writtenOff: budget.writtenOff ?? 0,
+  };
+}
--- /dev/null
+++ b/packages/admin/rows/audit.ts
@@ -0,0 +1,64 @@
+/**
+ * The audit trail: one row for each change, written in the transaction of the
+ * change itself, so that neither is there without the other.
+ */
+import { z } from "zod";
+import type { JsonValue, RowOperation, WallTime } from "../../core/mod.ts";
+
+/** Prefix of the rows of the audit trail. */
+export const AUDIT_PREFIX = "audit/";
+
+const TIME_DIGITS = 14;
+
+/** One entry of the audit trail. */
+export const AUDIT_SCHEMA = z.object({
+  at: z.number(),
+  who: z.string(),
+  action: z.string(),
+  target: z.string(),
+  id: z.string(),
+});
+
+/** One entry of the audit trail. */
+export type AuditEntry = z.infer<typeof AUDIT_SCHEMA>;
+
+/** Returns the key of an entry; keys sort by time. */
+export function formatAuditKey(at: WallTime, requestId: string): string {
+  const time = String(Math.floor(at)).padStart(TIME_DIGITS, "0");
+  return `${AUDIT_PREFIX}${time}/${encodeURIComponent(requestId)}`;
+}
+
+/** Returns the operation with an entry written along with its effect. */
+export function createAudited<Result>(
+  operation: RowOperation<Result>,
+  input: { readonly entry: AuditEntry; readonly requestId: string },
+): RowOperation<Result> {
+  const key = formatAuditKey(input.entry.at, input.requestId);
+  const value: JsonValue = { ...input.entry };
+  return {
+    id: operation.id,
+    keys: [...operation.keys, key],
+    decide(rows) {
+      const { writes, result } = operation.decide(rows);
+      // Without an effect of its own a repeated request leaves no entry.
+      if (writes.length === 0) return { writes, result };
+      return { writes: [...writes, { key, value }], result };
+    },
+  };
+}
+
+/** Returns the operation that writes an entry for what has no row of its own. */
+export function createAuditEntry(
+  input: { readonly entry: AuditEntry; readonly requestId: string },
+): RowOperation<void> {
+  const key = formatAuditKey(input.entry.at, input.requestId);
+  return {
+    id: key,
+    keys: [key],
+    decide(rows) {
+      const value: JsonValue = { ...input.entry };
+      const writes = rows.has(key) ? [] : [{ key, value }];
+      return { writes, result: undefined };
+    },
+  };
+}
--- /dev/null
+++ b/packages/admin/schemas.ts
@@ -0,0 +1,90 @@
+/** Shapes of bodies and queries. */
+import { z } from "zod";
+import { Container } from "../document/mod.ts";
+
+const ID = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/)
+  .describe("1 to 128 letters, digits, dots, dashes and underscores");
+
+const VERSION = z.number().int().nonnegative()
+  .describe("Version of the section that the change was made from");
+
+const TOKENS = z.number().int().positive().max(1e15).describe("Tokens");
+
+const MAX_TEXT = 64 * 1_024 * 1_024;
+const MAX_VALUES = 1_000;
+const MAX_VALUE = 262_144;
+const MAX_KEYS = 100;
+
+/** Most items that a page holds. */
+export const MAX_PAGE = 200;
+
+const DEFAULT_PAGE = 50;
+
+const LIMIT = z.coerce.number().int().min(1).max(MAX_PAGE)
+  .default(DEFAULT_PAGE).describe("Items in a page");
+
+/** Body of a change of a section's whole text. */
+export const PUT_SECTION = z.strictObject({
+  changeId: ID,
+  baseVersion: VERSION,
+  text: z.string().max(MAX_TEXT).describe("JSON with comments"),
+});
+
+/** Body of a change of single entries. */
+export const PATCH_SECTION = z.strictObject({
+  changeId: ID,
+  baseVersion: VERSION,
+  values: z.array(z.strictObject({
+    container: z.enum(Container),
+    key: ID,
+    value: z.string().max(MAX_VALUE).optional()
+      .describe("Text of the entry's value; absent to remove the entry"),
+  })).min(1).max(MAX_VALUES),
+});
+
+/** Body of a rollback. */
+export const ROLLBACK = z.strictObject({
+  changeId: ID,
+  baseVersion: VERSION,
+  toVersion: z.number().int().positive(),
+});
+
+/** Body of a change of a team's keys. */
+export const TEAM_KEYS = z.strictObject({
+  changeId: ID,
+  baseVersion: VERSION,
+  keyHashes: z.array(z.string().regex(/^[0-9a-f]{64}$/)).min(1).max(MAX_KEYS)
+    .describe("SHA-256 of each valid key, in hexadecimal"),
+});
+
+/** Body of a top-up. */
+export const TOP_UP = z.strictObject({ topUpId: ID, tokens: TOKENS });
+
+/** Body of a lowering. */
+export const LOWERING = z.strictObject({ lowerId: ID, tokens: TOKENS });
+
+/** Body of a write-off. */
+export const WRITE_OFF = z.strictObject({
+  vm: ID,
+  incarnation: ID,
+});
+
+/** Query of a change. */
+export const CHANGE_QUERY = z.strictObject({
+  dryRun: z.enum(["true", "false"]).default("false"),
+});
+
+/** Query of a paged list. */
+export const PAGE_QUERY = z.strictObject({
+  after: z.string().max(256).default("").describe(
+    "Last item of the page before",
+  ),
+  limit: LIMIT,
+});
+
+/** Query of the history. */
+export const HISTORY_QUERY = z.strictObject({
+  before: z.coerce.number().int().positive().optional()
+    .describe("Versions below this one; the newest when absent"),
+  limit: LIMIT,
+});
--- a/packages/document/mod.ts
+++ b/packages/document/mod.ts
@@ -27,7 +27,6 @@
   readReceipt,
 } from "./follow/load_document.ts";
 export type { BudgetFacts } from "./queries/describe_effects.ts";
-export { describeEffects } from "./queries/describe_effects.ts";
 export type {
   ChangeInput,
   ChangePlan,
@@ -35,12 +34,17 @@
   EntryDifference,
   SectionEdit,
 } from "./queries/plan_change.ts";
-export { ChangeRefusalKind, planChange } from "./queries/plan_change.ts";
+export {
+  ChangeRefusalKind,
+  describeChange,
+  planChange,
+} from "./queries/plan_change.ts";
 export type { CommitResult } from "./rows/commit_change.ts";
 export {
   CommitState,
   createChunkWrites,
   createCommitChange,
+  isCommitOperation,
 } from "./rows/commit_change.ts";
 export type { ChangeRow, Receipt } from "./rows/row_schemas.ts";
 export { formatSection } from "./section_state.ts";
--- a/packages/document/queries/describe_effects.ts
+++ b/packages/document/queries/describe_effects.ts
@@ -14,6 +14,8 @@
 
 /** What is known of a budget when a change is tried. */
 export interface BudgetFacts {
+  /** Limit that top-ups and lowerings have led to. */
+  readonly limit: Tokens;
   /** Tokens closed by grants that ended. */
   readonly closed: Tokens;
   /** Tokens that open grants hold. */
@@ -29,9 +31,12 @@
 export function describeEffects(
   before: FleetIndex,
   after: FleetIndex,
-  changes: readonly EntryChange[],
-  readBudget: (event: EventId) => BudgetFacts | undefined = () => undefined,
+  input: {
+    readonly changes: readonly EntryChange[];
+    readonly readBudget?: (event: EventId) => BudgetFacts | undefined;
+  },
 ): readonly string[] {
+  const { changes, readBudget = () => undefined } = input;
   const lines: string[] = [];
   for (const { container, key } of changes) {
     if (lines.length >= MAX_LINES) {
@@ -115,9 +120,11 @@
     `${verb} the limit of ${name} from ${old.budgetTokens} to ${now.budgetTokens} tokens`;
   if (facts === undefined) return [line];
   const held = facts.closed + facts.granted;
-  if (now.budgetTokens >= held) return [line];
+  const started =
+    `${line}; it has been drawn on, so its limit stays ${facts.limit} until a top-up or a lowering`;
+  if (now.budgetTokens >= held) return [started];
   return [
-    `${line}, below the ${held} tokens that are spent or granted: ${facts.holders} VMs hold grants of ${facts.granted} tokens`,
+    `${started}; the new limit is below the ${held} tokens that are spent or granted: ${facts.holders} VMs hold grants of ${facts.granted} tokens`,
   ];
 }
 
--- a/packages/document/queries/plan_change.ts
+++ b/packages/document/queries/plan_change.ts
@@ -6,6 +6,7 @@
 import { createHash } from "node:crypto";
 import { type Either, Left, Right } from "purify-ts";
 import {
+  type EventId,
   type InputError,
   InputErrorKind,
   type TeamId,
@@ -44,7 +45,7 @@
   type SectionParts,
 } from "../text/section_parts.ts";
 import { SourceText } from "../text/source_text.ts";
-import { describeEffects } from "./describe_effects.ts";
+import { type BudgetFacts, describeEffects } from "./describe_effects.ts";
 import { createSyntaxError } from "./parse_document.ts";
 
 /** What is to change: the whole text of a section, or values of entries. */
@@ -100,6 +101,8 @@
   readonly section: SectionState;
   /** Chunks that the section before the change did not have. */
   readonly newChunks: readonly Chunk[];
+  /** The entries that are new, changed or removed. */
+  readonly entries: readonly EntryChange[];
   /** The document once the change is in. */
   readonly next: DocumentState;
 }
@@ -138,6 +141,18 @@
     .mapLeft(createInvalid);
 }
 
+/** Returns the effects of a plan in plain language, with budgets as they are. */
+export function describeChange(
+  state: DocumentState,
+  plan: ChangePlan,
+  readBudget: (event: EventId) => BudgetFacts | undefined,
+): readonly string[] {
+  return describeEffects(state.index, plan.next.index, {
+    changes: plan.entries,
+    readBudget,
+  });
+}
+
 /** Returns a digest of what a change asks for. */
 export function computeInputDigest(input: ChangeInput): string {
   const { section, baseVersion, edit } = input;
@@ -422,7 +437,9 @@
   const { section } = change;
   const before = state.sections.get(input.section);
   const version = state.version + 1;
-  const effects = describeEffects(state.index, index, change.entries);
+  const effects = describeEffects(state.index, index, {
+    changes: change.entries,
+  });
   const row: ChangeRow = {
     version,
     changeId: input.changeId,
@@ -441,6 +458,7 @@
       : row,
     section,
     newChunks: listNewChunks(before, section),
+    entries: change.entries,
     next: createState(version, sections, index),
   };
 }
--- a/packages/document/rows/commit_change.ts
+++ b/packages/document/rows/commit_change.ts
@@ -11,6 +11,7 @@
   HEAD_KEY,
   HEAD_SCHEMA,
   readRow,
+  RECEIPT_PREFIX,
   RECEIPT_SCHEMA,
 } from "./row_schemas.ts";
 
@@ -78,6 +79,11 @@
   };
 }
 
+/** Says whether an operation puts a change in force. */
+export function isCommitOperation(operation: RowOperation<unknown>): boolean {
+  return operation.id.startsWith(RECEIPT_PREFIX);
+}
+
 /** Returns the value of a section-version row. */
 export function formatSectionVersion(section: SectionState): JsonValue {
   const containers = [...section.containers].map(([container, chunks]) => ({
--- a/packages/document/rows/row_schemas.ts
+++ b/packages/document/rows/row_schemas.ts
@@ -22,6 +22,9 @@
 /** Prefix of the rows of the history. */
 export const CHANGE_PREFIX = "document/change/";
 
+/** Prefix of the receipts of changes. */
+export const RECEIPT_PREFIX = "document/receipt/";
+
 const NUMBER_DIGITS = 10;
 
 const NUMBER = z.number().int().nonnegative();
@@ -112,7 +115,7 @@
 
 /** Returns the key of a change's receipt. */
 export function formatReceiptKey(changeId: string): string {
-  return `document/receipt/${encodeURIComponent(changeId)}`;
+  return `${RECEIPT_PREFIX}${encodeURIComponent(changeId)}`;
 }
 
 /** Parses a row's value; the left side says what is wrong with which row. */
