--- a/tools/check_imports.ts
+++ b/tools/check_imports.ts
@@ -17,6 +17,7 @@
   routing: ["core", "platform"],
   document: ["core"],
   membership: ["core"],
+  admin: ["core", "budget", "request", "document", "membership", "routing"],
   peer: ["core", "platform"],
   stand_ins: ["core", "platform"],
   model: ["core"],
@@ -30,6 +31,7 @@
     "routing",
     "document",
     "membership",
+    "admin",
     "peer",
   ],
   trial: [
