Wait for states instead of times in the whole-path tests

Cause: on a busy machine (load 17) the request of the drain test had not arrived when the stop began, so it was refused; the test took 200 ms for granted. Change: tests poll for the state that they need.

--- a/packages/daemon/whole_path_test.ts
+++ b/packages/daemon/whole_path_test.ts
@@ -28,6 +28,14 @@
   return fleet;
 }
 
+const POLL_MILLIS = 5;
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise((resolve) => setTimeout(resolve, POLL_MILLIS));
+  }
+}
+
 function computeAnswer(text: string, tokens = ANSWER_TOKENS): string {
   const { messages } = createChatBody(text);
   const digest = createHash("sha256").update(JSON.stringify(messages))
@@ -140,7 +148,10 @@
     budgetTokens: 100_000,
   });
   const calls = [0, 1].map((vm) => chat(fleet, "survives", vm));
-  setTimeout(() => fleet.daemons[0]!.kill(), 150);
+  await waitUntil(() =>
+    fleet.engines.some((engine) => engine.readCounts().tokens > 5)
+  );
+  fleet.daemons[0]!.kill();
   const answers = await Promise.all(calls);
   // Whichever VM was the home, a retry at the one that lives is whole.
   const retried = await chat(fleet, "survives", 1);
@@ -169,7 +180,13 @@
     progressTimeoutMillis: 300,
   });
   const running = chat(fleet, "freezes");
-  setTimeout(() => fleet.engines[0]!.freeze(true), 60);
+  await waitUntil(() =>
+    fleet.engines.some((engine) => engine.readCounts().tokens > 5)
+  );
+  const serving = fleet.engines.find((engine) =>
+    engine.readCounts().requests > 0
+  );
+  serving!.freeze(true);
   const answer = await running;
   t.is(answer.outcome, "ran");
   t.is(readStreamText(answer.text), computeAnswer("freezes"));
@@ -234,7 +251,7 @@
   const fleet = await startFleet(t, { vms: 1, engines: [slow] });
   const address = fleet.daemons[0]!.callerAddress;
   const running = chat(fleet, "drains");
-  await new Promise((resolve) => setTimeout(resolve, 200));
+  await waitUntil(() => fleet.engines[0]!.readCounts().requests === 1);
   const stopped = fleet.daemons[0]!.stop();
   const late = await callEntry({
     address,
