--- a/packages/bench/experiments.ts
+++ b/packages/bench/experiments.ts
@@ -2,9 +2,11 @@
 import { decisionsExperiment } from "./capacity/decisions_experiment.ts";
 import { dataPlaneExperiment } from "./data_plane/data_plane_experiment.ts";
 import type { Experiment } from "./report/experiment.ts";
+import { storeTrafficExperiment } from "./store_traffic/store_traffic_experiment.ts";
 
 /** Each package of experiments adds a line here. */
 export const EXPERIMENTS: readonly Experiment[] = [
   decisionsExperiment,
+  storeTrafficExperiment,
   dataPlaneExperiment,
 ];
--- /dev/null
+++ b/packages/bench/store_traffic/row_meter.ts
@@ -0,0 +1,104 @@
+/** A table that counts rows written and read, by prefix and by second. */
+import type { Either } from "purify-ts";
+import {
+  type Millis,
+  MILLIS_PER_SECOND,
+  type PlatformError,
+  PlatformErrorKind,
+} from "../../core/mod.ts";
+import type { TablePort } from "../../platform/mod.ts";
+import type { TimedTable } from "../harness/timed_table.ts";
+import type { VirtualClock } from "../harness/virtual_clock.ts";
+
+/** What went over the table in one second of virtual time. */
+export interface MeterSecond {
+  written: number;
+  read: number;
+  /** Calls that the table turned away because of its rates. */
+  throttled: number;
+  /** Every call, whatever came of it. */
+  calls: number;
+}
+
+/** Counts between the callers and the table. */
+export class RowMeter implements TablePort {
+  readonly #table: TimedTable;
+  readonly #clock: VirtualClock;
+  readonly #seconds: MeterSecond[] = [];
+  readonly #byPrefix = new Map<string, number>();
+  #countFrom: Millis = 0;
+
+  constructor(table: TimedTable, clock: VirtualClock) {
+    this.#table = table;
+    this.#clock = clock;
+  }
+
+  readonly read: TablePort["read"] = async (keys) => {
+    this.#readSecond().read += keys.length;
+    return this.#record(await this.#table.read(keys));
+  };
+
+  readonly scan: TablePort["scan"] = async (prefix, options) =>
+    this.#record(await this.#table.scan(prefix, options));
+
+  readonly transact: TablePort["transact"] = async (transaction) => {
+    const answer = this.#record(await this.#table.transact(transaction));
+    const committed = answer.map((each) => each.committed).orDefault(false);
+    if (!committed) return answer;
+    this.#readSecond().written += transaction.writes.length;
+    if (this.#clock.readMonotonic() >= this.#countFrom) {
+      for (const { key } of transaction.writes) this.#addPrefix(key);
+    }
+    return answer;
+  };
+
+  /** Counts by prefix only what is written from now on. */
+  startCounting(): void {
+    this.#countFrom = this.#clock.readMonotonic();
+    this.#byPrefix.clear();
+  }
+
+  /** Returns the rows written of a prefix since counting began. */
+  readWritten(prefix: string): number {
+    return this.#byPrefix.get(prefix) ?? 0;
+  }
+
+  /** Returns the seconds from a start up to an end, in virtual time. */
+  listSeconds(start: Millis, end: Millis): MeterSecond[] {
+    const seconds: MeterSecond[] = [];
+    for (let at = start; at < end; at += MILLIS_PER_SECOND) {
+      seconds.push(this.#findSecond(at));
+    }
+    return seconds;
+  }
+
+  #addPrefix(key: string): void {
+    const prefix = key.slice(0, key.indexOf("/"));
+    this.#byPrefix.set(prefix, this.readWritten(prefix) + 1);
+  }
+
+  #record<Answer>(
+    answer: Either<PlatformError, Answer>,
+  ): Either<PlatformError, Answer> {
+    const second = this.#readSecond();
+    second.calls++;
+    answer.ifLeft((error) => {
+      if (error.kind === PlatformErrorKind.Throttled) second.throttled++;
+    });
+    return answer;
+  }
+
+  #readSecond(): MeterSecond {
+    return this.#findSecond(this.#clock.readMonotonic());
+  }
+
+  #findSecond(at: Millis): MeterSecond {
+    const index = Math.floor(at / MILLIS_PER_SECOND);
+    return this.#seconds[index] ??= {
+      written: 0,
+      read: 0,
+      throttled: 0,
+      calls: 0,
+    };
+  }
+}
--- /dev/null
+++ b/packages/bench/store_traffic/store_traffic_experiment.ts
@@ -0,0 +1,212 @@
+/**
+ * What the fleet writes to a table of 300 writes and 2,000 reads a second, by
+ * number of entry VMs and layout of rows, carried on to the plan's 380.
+ */
+import { MILLIS_PER_SECOND } from "../../core/mod.ts";
+import { PLAN_MEMBERS } from "../capacity/sample_fleet.ts";
+import {
+  createAtMostGoal,
+  type Experiment,
+  type ExperimentOptions,
+  type Figures,
+} from "../report/experiment.ts";
+import type { MeterSecond } from "./row_meter.ts";
+import {
+  StoreLayout,
+  TABLE_WRITES_PER_SECOND,
+  TrafficFleet,
+} from "./traffic_fleet.ts";
+
+interface LayoutCase {
+  readonly name: string;
+  readonly layout: StoreLayout;
+  readonly billInterval: number;
+}
+
+interface CaseResult {
+  readonly name: string;
+  readonly entries: number;
+  readonly onceShare: number;
+  readonly written: number;
+  readonly read: number;
+  readonly byPrefix: readonly number[];
+  readonly throttled: number;
+  readonly waiting: number;
+  readonly claimP95: number;
+  readonly grantP95: number;
+  readonly lostShare: number;
+}
+
+const ENTRY_COUNTS = [8, 16, 32];
+
+/** 7,000 requests a second over 380 entry VMs. */
+const REQUESTS_PER_ENTRY = 18.4;
+
+const CASES: readonly LayoutCase[] = [
+  {
+    name: "bills each 20 ms, a row per claim",
+    layout: StoreLayout.RowPerClaim,
+    billInterval: 20,
+  },
+  {
+    name: "bills each 250 ms, a row per claim",
+    layout: StoreLayout.RowPerClaim,
+    billInterval: 250,
+  },
+  { name: "two gates a region", layout: StoreLayout.Gates, billInterval: 0 },
+];
+
+const ONCE_SHARES = [0.01, 0.15];
+
+const PREFIXES = ["budget", "claim", "bills", "log", "vm"];
+
+/** Traffic while the table is up. */
+export const storeTrafficExperiment: Experiment = {
+  name: "store-traffic",
+  description:
+    "Rows written and read at 8, 16 and 32 entry VMs against 300 writes and 2,000 reads a second",
+  quick: true,
+  run: runStoreTraffic,
+};
+
+async function runStoreTraffic(options: ExperimentOptions): Promise<Figures> {
+  const results: CaseResult[] = [];
+  for (const each of CASES) {
+    for (const onceShare of ONCE_SHARES) {
+      for (const entries of ENTRY_COUNTS) {
+        options.log(`${each.name}, ${entries} entries, once ${onceShare}`);
+        results.push(await runCase(each, { ...options, entries, onceShare }));
+      }
+    }
+  }
+  return {
+    tables: [createTable(results)],
+    plots: [createPlot(results)],
+    goals: CASES.flatMap((each) =>
+      ONCE_SHARES.map((share) => createGoal(each, share, results))
+    ),
+    notes: [
+      "Rows written are what the table took: where calls are throttled, the fleet asked for more.",
+      "The figure at 380 is the figure at 8 entries, where the table keeps up, times 380 / 8; the traffic of an entry does not depend on the others.",
+    ],
+  };
+}
+
+async function runCase(
+  { name, layout, billInterval }: LayoutCase,
+  options: ExperimentOptions & {
+    readonly entries: number;
+    readonly onceShare: number;
+  },
+): Promise<CaseResult> {
+  const { entries, onceShare, seed, quick } = options;
+  const warmUp = (quick ? 10 : 120) * MILLIS_PER_SECOND;
+  const duration = warmUp + (quick ? 10 : 120) * MILLIS_PER_SECOND;
+  const fleet = new TrafficFleet({
+    seed,
+    entries,
+    layout,
+    billInterval,
+    duration,
+    onceShare,
+    requestsPerEntry: REQUESTS_PER_ENTRY,
+  });
+  await fleet.clock.runUntil(warmUp);
+  fleet.meter.startCounting();
+  await fleet.clock.runUntil(duration);
+  const seconds = fleet.meter.listSeconds(warmUp, duration);
+  const counts = fleet.readCounts();
+  return {
+    name,
+    entries,
+    onceShare,
+    written: computeMean(seconds, (each) => each.written),
+    read: computeMean(seconds, (each) => each.read),
+    byPrefix: PREFIXES.map((prefix) =>
+      fleet.meter.readWritten(prefix) / seconds.length
+    ),
+    throttled: computeMean(seconds, (each) => each.throttled),
+    waiting: fleet.countWaiting(),
+    claimP95: fleet.claimWaits.computePercentile(95),
+    grantP95: fleet.grantWaits.computePercentile(95),
+    lostShare: (counts.withoutClaim + counts.withoutTokens) / counts.requests,
+  };
+}
+
+function createTable(results: readonly CaseResult[]) {
+  return {
+    name: "steady",
+    title:
+      `Rows a second, ${REQUESTS_PER_ENTRY} requests a second for each entry`,
+    columns: [
+      "layout",
+      "once share",
+      "entries",
+      "written/s",
+      "read/s",
+      ...PREFIXES.map((prefix) => `${prefix}/s`),
+      "throttled calls/s",
+      "waiting at the end",
+      "claim wait p95 (ms)",
+      "grant wait p95 (ms)",
+      "share refused for want of the store",
+      `written/s at ${PLAN_MEMBERS}`,
+      `read/s at ${PLAN_MEMBERS}`,
+    ],
+    rows: results.map((each) => [
+      each.name,
+      each.onceShare,
+      each.entries,
+      each.written,
+      each.read,
+      ...each.byPrefix,
+      each.throttled,
+      each.waiting,
+      each.claimP95,
+      each.grantP95,
+      each.lostShare,
+      each.written * PLAN_MEMBERS / each.entries,
+      each.read * PLAN_MEMBERS / each.entries,
+    ]),
+  };
+}
+
+function createPlot(results: readonly CaseResult[]) {
+  return {
+    name: "written",
+    title: `Rows written a second (the table takes ${TABLE_WRITES_PER_SECOND})`,
+    xTitle: "entry VMs",
+    yTitle: "rows written a second",
+    points: results.map((each) => ({
+      series: `${each.name}, once ${each.onceShare}`,
+      x: each.entries,
+      y: each.written,
+    })),
+  };
+}
+
+function createGoal(
+  { name }: LayoutCase,
+  onceShare: number,
+  results: readonly CaseResult[],
+) {
+  const first = results.find((each) =>
+    each.name === name && each.onceShare === onceShare
+  )!;
+  return createAtMostGoal(
+    `rows written at ${PLAN_MEMBERS} entries: ${name}, once ${onceShare}`,
+    {
+      bound: TABLE_WRITES_PER_SECOND,
+      unit: "a second",
+      value: first.written * PLAN_MEMBERS / first.entries,
+    },
+  );
+}
+
+function computeMean(
+  seconds: readonly MeterSecond[],
+  read: (second: MeterSecond) => number,
+): number {
+  const sum = seconds.reduce((total, each) => total + read(each), 0);
+  return sum / Math.max(1, seconds.length);
+}
