Measure the entry against the pass-through, at rest and with open streams

Cause: the daemon runs, so its data plane can be measured. Change: experiments data-plane (with the entry), control-cost and stream-memory, each role on a thread of its own.

--- a/packages/bench/capacity/sample_fleet.ts
+++ b/packages/bench/capacity/sample_fleet.ts
@@ -41,13 +41,14 @@
 /** Entry VMs of the plan. */
 export const PLAN_MEMBERS = 380;
 
-/** Returns a configuration of a size. */
+/** Returns a configuration of a size; every target has the URL, if one is given. */
 export function createSampleConfiguration(
   size: FleetSize,
+  targetUrl?: string,
 ): FleetConfiguration {
   const services = createMap(
     size.services,
-    (index) => createService(index, size),
+    (index) => createService(index, { size, targetUrl }),
   );
   const customers = createMap(size.customers, createCustomer);
   const events = createMap(size.budgets, (index) => createEvent(index, size));
@@ -86,7 +87,11 @@
   return new Map(values.map((value) => [value.id, value]));
 }
 
-function createService(index: number, size: FleetSize): ServiceConfig {
+function createService(
+  index: number,
+  input: { readonly size: FleetSize; readonly targetUrl: string | undefined },
+): ServiceConfig {
+  const { size, targetUrl } = input;
   const id = `service-${index}`;
   const count = Math.ceil(size.targets / size.services);
   return {
@@ -100,7 +105,10 @@
     progressTimeout: 10_000,
     targets: Array.from(
       { length: count },
-      (_, target) => createTarget(id, target, size.regions),
+      (_, target) => {
+        const config = createTarget(id, target, size.regions);
+        return targetUrl === undefined ? config : { ...config, url: targetUrl };
+      },
     ),
   };
 }
--- /dev/null
+++ b/packages/bench/data_plane/control_cost_experiment.ts
@@ -0,0 +1,140 @@
+/** What a daemon costs at rest, by the size of what it knows. */
+import { setTimeout as wait } from "node:timers/promises";
+import { BYTES_PER_KIB, BYTES_PER_MIB } from "../../core/mod.ts";
+import { type FleetSize, PLAN_SIZE } from "../capacity/sample_fleet.ts";
+import {
+  createAtMostGoal,
+  type Experiment,
+  type ExperimentOptions,
+  type Figures,
+} from "../report/experiment.ts";
+import { startByteCounter } from "./byte_counter.ts";
+import { Role, startRole } from "./role_thread.ts";
+
+interface RestResult {
+  readonly size: FleetSize;
+  readonly busy: number;
+  readonly heapBytes: number;
+  readonly storeBytesPerSecond: number;
+  readonly targetBytesPerSecond: number;
+}
+
+const SIZES: readonly FleetSize[] = [
+  { targets: 12, budgets: 10, customers: 10, services: 1, regions: 1 },
+  { targets: 120, budgets: 1_000, customers: 200, services: 3, regions: 2 },
+  PLAN_SIZE,
+];
+
+const WARM_UP_MILLIS = 3_000;
+const MEASURED_MILLIS = 15_000;
+const QUICK_MILLIS = 2_000;
+
+/** The plan's bounds of what control may cost a node. */
+const MAX_BUSY_PERCENT = 1.3;
+const MAX_MEMORY_MIB = 128;
+const MAX_KIB_PER_SECOND = 2;
+
+/** The experiment as `anvilrail bench` runs it. */
+export const controlCostExperiment: Experiment = {
+  name: "control-cost",
+  description:
+    "Processor time, heap and bytes of one daemon without requests, by the size of its configuration",
+  quick: true,
+  run: runControlCost,
+};
+
+async function runControlCost(options: ExperimentOptions): Promise<Figures> {
+  const results: RestResult[] = [];
+  for (const size of SIZES) {
+    options.log(`${size.targets} targets, ${size.budgets} budgets`);
+    results.push(await measureRest(size, options.quick));
+  }
+  const last = results.at(-1)!;
+  return {
+    tables: [createTable(results)],
+    goals: [
+      createAtMostGoal("control at the plan's size: share of a core", {
+        bound: MAX_BUSY_PERCENT,
+        unit: "%",
+        value: 100 * last.busy,
+      }),
+      createAtMostGoal("control at the plan's size: heap", {
+        bound: MAX_MEMORY_MIB,
+        unit: "MiB",
+        value: last.heapBytes / BYTES_PER_MIB,
+      }),
+      createAtMostGoal(
+        "control at the plan's size: bytes to store and targets",
+        {
+          bound: MAX_KIB_PER_SECOND,
+          unit: "KiB a second",
+          value: (last.storeBytesPerSecond + last.targetBytesPerSecond) /
+            BYTES_PER_KIB,
+        },
+      ),
+    ],
+    notes: [
+      "One daemon without peers and without requests; its own thread is measured. Bytes of HTTP in both directions on the loopback interface.",
+    ],
+  };
+}
+
+async function measureRest(
+  size: FleetSize,
+  quick: boolean,
+): Promise<RestResult> {
+  const target = await startRole({ role: Role.Target });
+  const table = await startRole({ role: Role.Table });
+  const toTarget = await startByteCounter(Number(new URL(target.url).port));
+  const toTable = await startByteCounter(Number(new URL(table.url).port));
+  const entry = await startRole({
+    role: Role.Entry,
+    targetUrl: `http://${toTarget.address}`,
+    tableUrl: `http://${toTable.address}`,
+    size,
+  });
+  await wait(quick ? QUICK_MILLIS : WARM_UP_MILLIS);
+  await entry.readUsage({ collect: false });
+  const targetBytes = toTarget.readBytes();
+  const tableBytes = toTable.readBytes();
+  const millis = quick ? QUICK_MILLIS : MEASURED_MILLIS;
+  await wait(millis);
+  const { busy } = await entry.readUsage({ collect: false });
+  const { heapBytes } = await entry.readUsage({ collect: true });
+  const result = {
+    size,
+    busy,
+    heapBytes,
+    storeBytesPerSecond: (toTable.readBytes() - tableBytes) * 1_000 / millis,
+    targetBytesPerSecond: (toTarget.readBytes() - targetBytes) * 1_000 / millis,
+  };
+  for (const thread of [entry, table, target]) await thread.stop();
+  await toTarget.stop();
+  await toTable.stop();
+  return result;
+}
+
+function createTable(results: readonly RestResult[]) {
+  return {
+    name: "rest",
+    title: "A daemon at rest",
+    columns: [
+      "targets",
+      "budgets",
+      "customers",
+      "share of a core (%)",
+      "heap (MiB)",
+      "store (bytes/s)",
+      "targets (bytes/s)",
+    ],
+    rows: results.map((each) => [
+      each.size.targets,
+      each.size.budgets,
+      each.size.customers,
+      100 * each.busy,
+      each.heapBytes / BYTES_PER_MIB,
+      each.storeBytesPerSecond,
+      each.targetBytesPerSecond,
+    ]),
+  };
+}
--- a/packages/bench/data_plane/pass_through.ts
+++ b/packages/bench/data_plane/pass_through.ts
@@ -19,6 +19,9 @@
       },
     );
     outgoing.on("error", () => response.destroy());
+    response.on("close", () => {
+      if (!response.writableFinished) outgoing.destroy();
+    });
     incoming.pipe(outgoing);
   });
 }
--- a/packages/bench/data_plane/paths.ts
+++ b/packages/bench/data_plane/paths.ts
@@ -1,5 +1,8 @@
 /** The ways a request can take, each with its servers on threads. */
+import { randomUUID } from "node:crypto";
+import { BenchKind, CUSTOMER_KEY } from "./entry_server.ts";
 import type { LoadTarget } from "./load_generator.ts";
+import { startByteCounter } from "./byte_counter.ts";
 import { Role, type RoleThread, startRole } from "./role_thread.ts";
 
 /** One way from the load generator to the target. */
@@ -16,6 +19,8 @@
 /** All paths of one run. */
 export interface LoadPaths {
   readonly list: readonly LoadPath[];
+  /** Bytes that the entry and the table exchanged since the start. */
+  readonly readStoreBytes: () => number;
   stop(): Promise<void>;
 }
 
@@ -27,19 +32,23 @@
 
 /** Starts target, pass-through and entry. */
 export async function startPaths(): Promise<LoadPaths> {
-  const target = await startRole({ role: Role.Target, targetUrl: "" });
-  const middle = await startRole({
-    role: Role.PassThrough,
-    targetUrl: target.url,
-  });
+  const target = await startRole({ role: Role.Target });
+  const table = await startRole({ role: Role.Table });
+  const counter = await startByteCounter(Number(new URL(table.url).port));
+  const common = { targetUrl: target.url };
+  const middle = await startRole({ role: Role.PassThrough, ...common });
+  const tableUrl = `http://${counter.address}`;
+  const entry = await startRole({ role: Role.Entry, tableUrl, ...common });
   return {
     list: [
       createBarePath("direct", target.url),
       { ...createBarePath(PASS_THROUGH, middle.url), middle },
+      createEntryPath(entry),
     ],
+    readStoreBytes: () => counter.readBytes(),
     stop: async () => {
-      await middle.stop();
-      await target.stop();
+      for (const thread of [entry, middle, table, target]) await thread.stop();
+      await counter.stop();
     },
   };
 }
@@ -67,3 +76,33 @@
     },
   };
 }
+
+function createEntryPath(entry: RoleThread): LoadPath {
+  return {
+    name: ENTRY,
+    middle: entry,
+    createCalls: () => createEntryLoad(entry, BenchKind.Lookup, CALL_BODY),
+    createStreams: (chunks, pause) =>
+      createEntryLoad(entry, BenchKind.Chat, createStreamBody(chunks, pause)),
+  };
+}
+
+/** Returns the load of one kind at the entry, each request under its own key. */
+export function createEntryLoad(
+  entry: RoleThread,
+  kind: BenchKind,
+  body: string,
+): LoadTarget {
+  const path = kind === BenchKind.Chat ? "/v1/chat/completions" : "/v1/calls";
+  const run = randomUUID();
+  return {
+    url: `${entry.url}${path}`,
+    headers: {
+      authorization: `Bearer ${CUSTOMER_KEY}`,
+      "x-anvilrail-event": "bench",
+      "x-anvilrail-kind": kind,
+    },
+    createBody: () => body,
+    createHeaders: (index) => ({ "idempotency-key": `${run}-${index}` }),
+  };
+}
--- a/packages/bench/data_plane/role_thread.ts
+++ b/packages/bench/data_plane/role_thread.ts
@@ -11,6 +11,9 @@
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { measureHeap } from "../capacity/measure_calls.ts";
+import type { FleetSize } from "../capacity/sample_fleet.ts";
+import { startTableServer } from "../../stand_ins/mod.ts";
+import { startEntry } from "./entry_server.ts";
 import { createLeanTarget } from "./lean_target.ts";
 import { createPassThrough } from "./pass_through.ts";
 
@@ -18,13 +21,19 @@
 export enum Role {
   Target = "target",
   PassThrough = "pass-through",
+  Entry = "entry",
+  Table = "table",
 }
 
 /** What a thread is told at its start. */
 export interface RoleInput {
   readonly role: Role;
-  /** Where it passes requests on to; unused by targets. */
-  readonly targetUrl: string;
+  /** Where it passes requests on to; absent for targets and tables. */
+  readonly targetUrl?: string;
+  /** The table service of an entry. */
+  readonly tableUrl?: string;
+  /** Size of an entry's configuration; one small event if absent. */
+  readonly size?: FleetSize;
 }
 
 /** What a thread says of itself. */
@@ -78,18 +87,36 @@
   });
 }
 
-function createServer(input: RoleInput): Server {
-  return input.role === Role.Target
-    ? createLeanTarget()
-    : createPassThrough(input.targetUrl);
+async function startServing(input: RoleInput): Promise<string> {
+  const { targetUrl = "", tableUrl = "", size } = input;
+  switch (input.role) {
+    case Role.Target:
+      return await listen(createLeanTarget());
+    case Role.PassThrough:
+      return await listen(createPassThrough(targetUrl));
+    case Role.Entry: {
+      const daemon = await startEntry({
+        targetUrl,
+        tableUrl,
+        ...(size === undefined ? {} : { size }),
+      });
+      return `http://${daemon.callerAddress}`;
+    }
+    case Role.Table:
+      return (await startTableServer()).url;
+  }
 }
 
-async function serveRole(input: RoleInput): Promise<void> {
-  const server = createServer(input);
+async function listen(server: Server): Promise<string> {
   await new Promise<void>((resolve) =>
     server.listen({ port: 0, host: "127.0.0.1", backlog: 2_048 }, resolve)
   );
   const { port } = server.address() as AddressInfo;
+  return `http://127.0.0.1:${port}`;
+}
+
+async function serveRole(input: RoleInput): Promise<void> {
+  const url = await startServing(input);
   let last = performance.eventLoopUtilization();
   parentPort?.on("message", (options: { readonly collect: boolean }) => {
     const now = performance.eventLoopUtilization();
@@ -98,7 +125,7 @@
     const heapBytes = options.collect ? measureHeap() : 0;
     send({ kind: "usage", usage: { busy, heapBytes } });
   });
-  send({ kind: "ready", url: `http://127.0.0.1:${port}` });
+  send({ kind: "ready", url });
 }
 
 function send(message: RoleMessage): void {
--- /dev/null
+++ b/packages/bench/data_plane/stream_memory_experiment.ts
@@ -0,0 +1,133 @@
+/** Memory that each open stream takes at the entry. */
+import { setTimeout as wait } from "node:timers/promises";
+import { BYTES_PER_KIB } from "../../core/mod.ts";
+import { measureHeap } from "../capacity/measure_calls.ts";
+import {
+  createAtMostGoal,
+  type Experiment,
+  type ExperimentOptions,
+  type Figures,
+} from "../report/experiment.ts";
+import { openStreams } from "./load_generator.ts";
+import { ENTRY, type LoadPath, startPaths } from "./paths.ts";
+
+interface MemoryResult {
+  readonly path: string;
+  readonly streams: number;
+  readonly opened: number;
+  readonly failures: number;
+  /** Growth of the middle's own heap for each stream. */
+  readonly heapPerStream: number;
+  /** Growth of the whole process for each stream, generator and target too. */
+  readonly processPerStream: number;
+}
+
+/**
+ * The last size stays below 20,000 open files: each stream through a middle
+ * takes four in the one process that holds generator, middle and target.
+ */
+const STREAM_COUNTS = [100, 1_000, 4_800];
+const QUICK_STREAM_COUNTS = [100, 400];
+const CHUNKS = 100_000;
+const CHUNK_PAUSE = 1_000;
+const SETTLE_MILLIS = 500;
+const GOAL_KIB = 64;
+
+/** The experiment as `anvilrail bench` runs it. */
+export const streamMemoryExperiment: Experiment = {
+  name: "stream-memory",
+  description: "Memory of each open stream at 100, 1,000 and 4,800 streams",
+  quick: true,
+  run: runStreamMemory,
+};
+
+async function runStreamMemory(options: ExperimentOptions): Promise<Figures> {
+  const counts = options.quick ? QUICK_STREAM_COUNTS : STREAM_COUNTS;
+  const results: MemoryResult[] = [];
+  // Each size starts anew, so that no memory of an earlier one is used again.
+  for (const streams of counts) {
+    const paths = await startPaths();
+    for (const path of paths.list) {
+      options.log(`${streams} streams, ${path.name}`);
+      results.push(await measurePath(path, streams));
+    }
+    await paths.stop();
+  }
+  const last = results.filter((each) => each.path === ENTRY).at(-1)!;
+  const direct = results.find((each) =>
+    each.path === "direct" && each.streams === last.streams
+  )!;
+  const added = last.processPerStream - direct.processPerStream;
+  const value = Math.max(added, last.heapPerStream) / BYTES_PER_KIB;
+  return {
+    tables: [createTable(results)],
+    goals: [
+      createAtMostGoal(`memory of one of ${last.streams} open streams`, {
+        bound: GOAL_KIB,
+        unit: "KiB",
+        value,
+      }),
+    ],
+    notes: [
+      "Generator, middle and target are threads of one process. The goal takes the larger of the entry's own heap for each stream and the growth of the process beyond that of the direct path.",
+      "5,000 streams would need more than the 20,000 open files that one process may have here.",
+    ],
+  };
+}
+
+async function measurePath(
+  path: LoadPath,
+  streams: number,
+): Promise<MemoryResult> {
+  // One stream first, so that what is set up once is not counted.
+  const first = await openStreams(path.createStreams(CHUNKS, CHUNK_PAUSE), 1);
+  const before = await readMemory(path);
+  const open = await openStreams(
+    path.createStreams(CHUNKS, CHUNK_PAUSE),
+    streams,
+  );
+  await wait(SETTLE_MILLIS);
+  const after = await readMemory(path);
+  await open.close();
+  await first.close();
+  return {
+    path: path.name,
+    streams,
+    opened: open.opened,
+    failures: open.failures,
+    heapPerStream: (after.heap - before.heap) / streams,
+    processPerStream: (after.process - before.process) / streams,
+  };
+}
+
+async function readMemory(path: LoadPath) {
+  const usage = await path.middle?.readUsage({ collect: true });
+  measureHeap();
+  return {
+    heap: usage?.heapBytes ?? 0,
+    process: process.memoryUsage.rss(),
+  };
+}
+
+function createTable(results: readonly MemoryResult[]) {
+  return {
+    name: "memory",
+    title: "Memory for each open stream",
+    columns: [
+      "path",
+      "streams",
+      "opened",
+      "failures",
+      "heap of the middle (KiB)",
+      "whole process (KiB)",
+    ],
+    rows: results.map((each) => [
+      each.path,
+      each.streams,
+      each.opened,
+      each.failures,
+      each.heapPerStream / BYTES_PER_KIB,
+      each.processPerStream / BYTES_PER_KIB,
+    ]),
+  };
+}
--- a/packages/bench/experiments.ts
+++ b/packages/bench/experiments.ts
@@ -1,6 +1,8 @@
 /** Every experiment, in the order in which `anvilrail bench` runs them. */
 import { decisionsExperiment } from "./capacity/decisions_experiment.ts";
 import { dataPlaneExperiment } from "./data_plane/data_plane_experiment.ts";
+import { controlCostExperiment } from "./data_plane/control_cost_experiment.ts";
+import { streamMemoryExperiment } from "./data_plane/stream_memory_experiment.ts";
 import type { Experiment } from "./report/experiment.ts";
 import { storeTrafficExperiment } from "./store_traffic/store_traffic_experiment.ts";
 
@@ -8,5 +10,7 @@
 export const EXPERIMENTS: readonly Experiment[] = [
   decisionsExperiment,
   storeTrafficExperiment,
+  controlCostExperiment,
   dataPlaneExperiment,
+  streamMemoryExperiment,
 ];
