Find an event's home by slot instead of sorting all VMs

Cause: each request sorted the live VMs of the region by their score. Change: events fall into 4,096 slots; a slot's ranking is made once for each set of live VMs and kept while the set stays the same.

--- a/packages/bench/capacity/decision_probes.ts
+++ b/packages/bench/capacity/decision_probes.ts
@@ -114,8 +114,25 @@
       };
     },
   },
+  {
+    name: "index the homes of a new view",
+    unit: SizeUnit.Members,
+    onRequestPath: false,
+    prepare: prepareNewView,
+  },
 ];
 
+/** A view whose VMs were heard from again, as each round of gossip makes one. */
+function prepareNewView(size: number): () => unknown {
+  let view = createSampleView(size);
+  const find = () =>
+    chooseHomes(view, { eventId: "event-1", region: "region-0", homes: 1 });
+  return () => {
+    view = { ...view, members: new Map(view.members) };
+    return find();
+  };
+}
+
 const REQUEST: RoutedRequest = {
   service: "service-0",
   customer: "customer-0",
--- a/packages/bench/capacity/measure_calls.ts
+++ b/packages/bench/capacity/measure_calls.ts
@@ -20,6 +20,7 @@
 /** Calls a function until it is compiled, then measures batches of calls. */
 export function measureCalls(call: () => unknown): CallCost {
   const calls = findBatchSize(call);
+  for (let batch = 0; batch < BATCHES; batch++) measureTime(call, calls);
   const times = Array.from({ length: BATCHES }, () => measureTime(call, calls));
   const micros = computeMedian(times) * MICROS_PER_MILLI / calls;
   return { micros, bytes: measureBytes(call) };
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -61,7 +61,7 @@
   UpdateContext,
 } from "./kernel.ts";
 export { combineUndo, createCommand, Kernel } from "./kernel.ts";
-export { computeHash, rankMembers } from "./rendezvous.ts";
+export { computeHash, computeScore, rankMembers } from "./rendezvous.ts";
 export type {
   JsonValue,
   Row,
--- a/packages/core/rendezvous.ts
+++ b/packages/core/rendezvous.ts
@@ -23,7 +23,7 @@
   const keyHash = computeHash(key);
   const scored = members.map((member) => ({
     member,
-    score: mixBits(keyHash ^ computeHash(member)),
+    score: computeScore(keyHash, computeHash(member)),
   }));
   scored.sort((left, right) =>
     right.score - left.score || (left.member < right.member ? -1 : 1)
@@ -31,6 +31,11 @@
   return scored.map((entry) => entry.member);
 }
 
+/** Returns the score of a member for a key, from the hashes of both. */
+export function computeScore(keyHash: number, memberHash: number): number {
+  return mixBits(keyHash ^ memberHash);
+}
+
 function mixBits(value: number): number {
   let mixed = value;
   mixed ^= mixed >>> 16;
--- a/packages/membership/queries/choose_homes.ts
+++ b/packages/membership/queries/choose_homes.ts
@@ -2,13 +2,9 @@
  * Homes of an event: the VMs of a region at which its requests meet. A home
  * saves grants and joins duplicates; safety never depends on it.
  */
-import {
-  type EventId,
-  rankMembers,
-  type RegionId,
-  type VmId,
-} from "../../core/mod.ts";
-import { type MembershipView, MemberState } from "../view.ts";
+import type { EventId, RegionId, VmId } from "../../core/mod.ts";
+import type { MembershipView } from "../view.ts";
+import { findHomes } from "./home_index.ts";
 
 /** Returns the home VMs of an event in a region, best first. */
 export function chooseHomes(
@@ -18,10 +14,6 @@
     readonly region: RegionId;
     readonly homes: number;
   },
-): VmId[] {
-  const usable = [...view.members.values()]
-    .filter((member) => member.region === input.region)
-    .filter((member) => member.state === MemberState.Live)
-    .map((member) => member.vm);
-  return rankMembers(input.eventId, usable).slice(0, input.homes);
+): readonly VmId[] {
+  return findHomes(view, input);
 }
--- /dev/null
+++ b/packages/membership/queries/choose_homes_test.ts
@@ -0,0 +1,85 @@
+/** Tests of the homes of events. */
+import test from "ava";
+import { type Member, type MembershipView, MemberState } from "../mod.ts";
+import { chooseHomes } from "../mod.ts";
+
+const EVENTS = Array.from({ length: 2_000 }, (_, index) => `event-${index}`);
+
+function createView(
+  vms: readonly string[],
+  changes: Readonly<Record<string, Partial<Member>>> = {},
+): MembershipView {
+  const members = vms.map((vm): [string, Member] => [vm, {
+    vm,
+    incarnation: "1",
+    state: MemberState.Live,
+    region: "west",
+    dataCentre: "west-a",
+    peerAddress: "",
+    callerAddress: "",
+    documentVersion: 1,
+    heardAt: 0,
+    ...changes[vm],
+  } as Member]);
+  return { self: vms[0]!, members: new Map(members) };
+}
+
+function chooseAll(view: MembershipView, homes = 1): string[] {
+  return EVENTS.map((eventId) =>
+    chooseHomes(view, { eventId, region: "west", homes }).join()
+  );
+}
+
+const VMS = Array.from({ length: 20 }, (_, index) => `vm-${index}`);
+
+test("views with the same live VMs agree, whatever their order", (t) => {
+  const heard = { "vm-3": { heardAt: 99 } };
+  const shuffled = createView([...VMS].reverse(), heard);
+  t.deepEqual(chooseAll(createView(VMS)), chooseAll(shuffled));
+});
+
+test("a VM that leaves moves only the events it had", (t) => {
+  const before = chooseAll(createView(VMS));
+  const leaving = { "vm-7": { state: MemberState.Leaving } };
+  const after = chooseAll(createView(VMS, leaving));
+  t.false(after.includes("vm-7"));
+  for (const [index, home] of before.entries()) {
+    if (home !== "vm-7") t.is(after[index], home);
+  }
+  t.deepEqual(chooseAll(createView(VMS)), before);
+});
+
+test("each VM has a like share of the events", (t) => {
+  const counts = new Map<string, number>();
+  for (const home of chooseAll(createView(VMS))) {
+    counts.set(home, (counts.get(home) ?? 0) + 1);
+  }
+  const mean = EVENTS.length / VMS.length;
+  for (const vm of VMS) {
+    t.true((counts.get(vm) ?? 0) > mean / 2);
+    t.true((counts.get(vm) ?? 0) < mean * 2);
+  }
+});
+
+test("homes of a hot event are different VMs and the first stays first", (t) => {
+  const view = createView(VMS);
+  const ask = (homes: number) =>
+    chooseHomes(view, { eventId: "hot", region: "west", homes });
+  const three = ask(3);
+  t.is(new Set(three).size, 3);
+  t.deepEqual(ask(1), three.slice(0, 1));
+  t.is(ask(50).length, VMS.length);
+  t.deepEqual(ask(3), three);
+});
+
+test("other regions and VMs that are not live are no homes", (t) => {
+  const view = createView(["a", "b", "c"], {
+    a: { region: "east" },
+    b: { state: MemberState.Suspect },
+  });
+  const ask = (region: string) =>
+    chooseHomes(view, { eventId: "e", region, homes: 2 });
+  t.deepEqual(ask("west"), ["c"]);
+  t.deepEqual(ask("east"), ["a"]);
+  t.deepEqual(ask("north"), []);
+});
--- /dev/null
+++ b/packages/membership/queries/home_index.ts
@@ -0,0 +1,122 @@
+/**
+ * Homes by slot. Events fall into slots by their hash, and each slot ranks the
+ * live VMs of a region by rendezvous hashing. A slot is ranked when it is first
+ * asked for, so a lookup does not grow with the number of VMs, and a view that
+ * has the same live VMs as the one before goes on with its slots.
+ */
+import {
+  computeHash,
+  computeScore,
+  type EventId,
+  type RegionId,
+  type VmId,
+} from "../../core/mod.ts";
+import { type MembershipView, MemberState } from "../view.ts";
+
+/** Slots of a region; many more than VMs, so that each VM has a like share. */
+const SLOTS = 4_096;
+
+interface LiveVm {
+  readonly vm: VmId;
+  readonly hash: number;
+}
+
+/** The live VMs of one region and the slots that were ranked. */
+class RegionHomes {
+  readonly #vms: readonly LiveVm[];
+  readonly #slots = new Map<number, readonly VmId[]>();
+
+  constructor(vms: readonly VmId[]) {
+    this.#vms = vms.map((vm) => ({ vm, hash: computeHash(vm) }));
+  }
+
+  /** Returns whether these are the VMs, in this order. */
+  hasVms(vms: readonly VmId[]): boolean {
+    return vms.length === this.#vms.length &&
+      vms.every((vm, index) => vm === this.#vms[index]?.vm);
+  }
+
+  /** Returns the best VMs of an event's slot, best first. */
+  find(eventId: EventId, homes: number): readonly VmId[] {
+    const slot = computeHash(eventId) % SLOTS;
+    const known = this.#slots.get(slot);
+    if (
+      known !== undefined && known.length >= Math.min(homes, this.#vms.length)
+    ) {
+      return known.length === homes ? known : known.slice(0, homes);
+    }
+    const ranked = this.#rank(slot, homes);
+    this.#slots.set(slot, ranked);
+    return ranked;
+  }
+
+  /** Picks the best one at a time, since few are asked for. */
+  #rank(slot: number, homes: number): VmId[] {
+    const ranked: VmId[] = [];
+    const count = Math.min(homes, this.#vms.length);
+    while (ranked.length < count) ranked.push(this.#findBest(slot, ranked));
+    return ranked;
+  }
+
+  #findBest(slot: number, taken: readonly VmId[]): VmId {
+    const key = computeHash(`slot-${slot}`);
+    let best: LiveVm | undefined;
+    let bestScore = -1;
+    for (const each of this.#vms) {
+      const score = computeScore(key, each.hash);
+      const better = score > bestScore ||
+        (score === bestScore && best !== undefined && each.vm < best.vm);
+      if (!better || taken.includes(each.vm)) continue;
+      best = each;
+      bestScore = score;
+    }
+    return best!.vm;
+  }
+}
+
+type HomeIndex = ReadonlyMap<RegionId, RegionHomes>;
+
+const INDEXES = new WeakMap<MembershipView["members"], HomeIndex>();
+
+/** The index made last; only a cache, no result depends on it. */
+let latest: HomeIndex = new Map();
+
+/** Returns the homes of an event in a region, best first. */
+export function findHomes(
+  view: MembershipView,
+  input: {
+    readonly eventId: EventId;
+    readonly region: RegionId;
+    readonly homes: number;
+  },
+): readonly VmId[] {
+  const homes = readIndex(view).get(input.region);
+  return homes?.find(input.eventId, input.homes) ?? [];
+}
+
+function readIndex(view: MembershipView): HomeIndex {
+  const known = INDEXES.get(view.members);
+  if (known !== undefined) return known;
+  const index = createIndex(view, latest);
+  INDEXES.set(view.members, index);
+  latest = index;
+  return index;
+}
+
+function createIndex(view: MembershipView, earlier: HomeIndex): HomeIndex {
+  const byRegion = new Map<RegionId, VmId[]>();
+  for (const { vm, region, state } of view.members.values()) {
+    if (state !== MemberState.Live) continue;
+    const vms = byRegion.get(region) ?? [];
+    byRegion.set(region, vms);
+    vms.push(vm);
+  }
+  const index = new Map<RegionId, RegionHomes>();
+  for (const [region, vms] of byRegion) {
+    vms.sort();
+    const before = earlier.get(region);
+    const same = before?.hasVms(vms) === true;
+    index.set(region, same ? before! : new RegionHomes(vms));
+  }
+  return index;
+}
