--- a/packages/bench/experiments.ts
+++ b/packages/bench/experiments.ts
@@ -4,12 +4,14 @@
 import { controlCostExperiment } from "./data_plane/control_cost_experiment.ts";
 import { streamMemoryExperiment } from "./data_plane/stream_memory_experiment.ts";
 import type { Experiment } from "./report/experiment.ts";
+import { storeOutageExperiment } from "./store_traffic/store_outage_experiment.ts";
 import { storeTrafficExperiment } from "./store_traffic/store_traffic_experiment.ts";
 
 /** Each package of experiments adds a line here. */
 export const EXPERIMENTS: readonly Experiment[] = [
   decisionsExperiment,
   storeTrafficExperiment,
+  storeOutageExperiment,
   controlCostExperiment,
   dataPlaneExperiment,
   streamMemoryExperiment,
--- a/packages/bench/store_traffic/store_layout.ts
+++ b/packages/bench/store_traffic/store_layout.ts
@@ -1,13 +1,14 @@
 /** How grants, claims and bills become rows: as built, and as proposed. */
-import { type Either, Right } from "purify-ts";
-import type {
-  Millis,
-  MonotonicTime,
-  PlatformError,
-  Row,
-  RowOperation,
+import { type Either, Left, Right } from "purify-ts";
+import {
+  type Millis,
+  type MonotonicTime,
+  type PlatformError,
+  PlatformErrorKind,
+  type Row,
+  type RowOperation,
 } from "../../core/mod.ts";
-import type { StoreWriter } from "../../platform/mod.ts";
+import { createPlatformError, type StoreWriter } from "../../platform/mod.ts";
 import type { VirtualClock } from "../harness/virtual_clock.ts";
 
 /** Takes the operations and bills of one VM. */
@@ -42,6 +43,9 @@
   }
 }
 
+/** The owner had not answered when the caller gave up. */
+const LATE = createPlatformError(PlatformErrorKind.AnswerLost, "no answer");
+
 /** Tells which log a key belongs to, and how far away its owner is. */
 export type FindOwner = (
   key: string,
@@ -60,20 +64,30 @@
     this.#findOwner = findOwner;
   }
 
-  async run<Result>(
+  run<Result>(
     operation: RowOperation<Result>,
+    options: { readonly giveUpAt: MonotonicTime },
   ): Promise<Either<PlatformError, Result>> {
-    const { owner, hop } = this.#findOwner(operation.keys[0] ?? "");
-    await this.#clock.wait(hop);
-    const result = await owner.run(operation);
-    await this.#clock.wait(hop);
-    return Right(result);
+    const wait = options.giveUpAt - this.#clock.readMonotonic();
+    return new Promise((resolve) => {
+      void this.#runAtOwner(operation).then((result) => resolve(Right(result)));
+      if (wait === Infinity) return;
+      this.#clock.schedule(wait, () => resolve(Left(LATE)));
+    });
   }
 
   addBill(requestKey: string): void {
     const { owner, hop } = this.#findOwner(requestKey);
     this.#clock.schedule(hop, () => owner.addBill(requestKey));
   }
+
+  async #runAtOwner<Result>(operation: RowOperation<Result>): Promise<Result> {
+    const { owner, hop } = this.#findOwner(operation.keys[0] ?? "");
+    await this.#clock.wait(hop);
+    const result = await owner.run(operation);
+    await this.#clock.wait(hop);
+    return result;
+  }
 }
 
 /**
--- /dev/null
+++ b/packages/bench/store_traffic/store_outage_experiment.ts
@@ -0,0 +1,188 @@
+/** What a stop of the table does to the fleet, and how the fleet comes back. */
+import { MILLIS_PER_SECOND, type MonotonicTime } from "../../core/mod.ts";
+import {
+  createAtMostGoal,
+  type Experiment,
+  type ExperimentOptions,
+  type Figures,
+} from "../report/experiment.ts";
+import type { MeterSecond } from "./row_meter.ts";
+import {
+  StoreLayout,
+  TABLE_WRITES_PER_SECOND,
+  TrafficFleet,
+} from "./traffic_fleet.ts";
+
+interface OutageCase {
+  readonly name: string;
+  readonly layout: StoreLayout;
+  readonly mostOpenBills: number;
+  readonly billInterval: number;
+}
+
+interface OutageResult {
+  readonly name: string;
+  readonly entries: number;
+  readonly refusedClaims: number;
+  readonly refusedTokens: number;
+  readonly requests: number;
+  readonly waitingAtEnd: number;
+  readonly callsBefore: number;
+  readonly callsDuring: number;
+  readonly peakCallsAfter: number;
+  readonly throttledAfter: number;
+  readonly recoverySeconds: number;
+}
+
+const CASES: readonly OutageCase[] = [
+  {
+    name: "bills each 20 ms",
+    layout: StoreLayout.Rows,
+    mostOpenBills: Infinity,
+    billInterval: 20,
+  },
+  {
+    name: "100 rows of bills a second in all",
+    layout: StoreLayout.Rows,
+    mostOpenBills: 1,
+    billInterval: 160,
+  },
+  {
+    name: "logs (proposal)",
+    layout: StoreLayout.Logs,
+    mostOpenBills: 1,
+    billInterval: 100,
+  },
+];
+
+const ENTRY_COUNTS = [8, 16];
+const REQUESTS_PER_ENTRY = 10;
+const ONCE_SHARE = 0.05;
+
+/** Recovered: as many operations wait as before, for a few per VM. */
+const WAITING_PER_ENTRY = 3;
+
+/** The experiment as `anvilrail bench` runs it. */
+export const storeOutageExperiment: Experiment = {
+  name: "store-outage",
+  description:
+    "The table stops for ten minutes and comes back: what waits, what is refused, how the calls return",
+  quick: true,
+  run: runStoreOutage,
+};
+
+async function runStoreOutage(options: ExperimentOptions): Promise<Figures> {
+  const results: OutageResult[] = [];
+  for (const each of CASES) {
+    for (const entries of options.quick ? [8] : ENTRY_COUNTS) {
+      options.log(`${each.name}, ${entries} entries`);
+      results.push(await runCase(each, { ...options, entries }));
+    }
+  }
+  return {
+    tables: [createTable(results)],
+    goals: results.map((each) =>
+      createAtMostGoal(
+        `calls in the busiest second after the outage: ${each.name}, ${each.entries} entries`,
+        {
+          bound: TABLE_WRITES_PER_SECOND,
+          unit: "a second",
+          value: each.peakCallsAfter,
+        },
+      )
+    ),
+    notes: [
+      "Tokens are refused where a VM's grant runs out in the outage; claims are refused as not run after their deadline. Nothing that was admitted is lost: it waits.",
+    ],
+  };
+}
+
+async function runCase(
+  { name, ...layout }: OutageCase,
+  options: ExperimentOptions & { readonly entries: number },
+): Promise<OutageResult> {
+  const { entries, seed, quick } = options;
+  const scale = (quick ? 0.1 : 1) * MILLIS_PER_SECOND;
+  const start = 300 * scale;
+  const end = start + 600 * scale;
+  const finish = end + 300 * scale;
+  const fleet = new TrafficFleet({
+    ...layout,
+    seed,
+    entries,
+    duration: finish,
+    onceShare: ONCE_SHARE,
+    requestsPerEntry: REQUESTS_PER_ENTRY,
+    outages: [{ start, end }],
+  });
+  await fleet.clock.runUntil(end);
+  const waitingAtEnd = fleet.countWaiting();
+  const recovered = await runUntilRecovered(fleet, { entries, finish });
+  const during = fleet.meter.listSeconds(start, end);
+  const after = fleet.meter.listSeconds(end, recovered);
+  const counts = fleet.readCounts();
+  return {
+    name,
+    entries,
+    refusedClaims: counts.withoutClaim,
+    refusedTokens: counts.withoutTokens,
+    requests: counts.requests,
+    waitingAtEnd,
+    callsBefore: computeMeanCalls(fleet.meter.listSeconds(start / 2, start)),
+    callsDuring: computeMeanCalls(during),
+    peakCallsAfter: Math.max(...after.map((each) => each.calls)),
+    throttledAfter: after.reduce((sum, each) => sum + each.throttled, 0),
+    recoverySeconds: (recovered - end) / MILLIS_PER_SECOND,
+  };
+}
+
+/** Returns when the queues are short again, at the latest `finish`. */
+async function runUntilRecovered(
+  fleet: TrafficFleet,
+  input: { readonly entries: number; readonly finish: MonotonicTime },
+): Promise<MonotonicTime> {
+  const { clock } = fleet;
+  while (clock.readMonotonic() < input.finish) {
+    await clock.runUntil(clock.readMonotonic() + MILLIS_PER_SECOND);
+    if (fleet.countWaiting() <= input.entries * WAITING_PER_ENTRY) break;
+  }
+  return clock.readMonotonic();
+}
+
+function computeMeanCalls(seconds: readonly MeterSecond[]): number {
+  const sum = seconds.reduce((total, each) => total + each.calls, 0);
+  return sum / Math.max(1, seconds.length);
+}
+
+function createTable(results: readonly OutageResult[]) {
+  return {
+    name: "outage",
+    title: "A stop of the table",
+    columns: [
+      "layout",
+      "entries",
+      "requests",
+      "refused for want of tokens",
+      "refused for want of a claim",
+      "operations waiting at its end",
+      "calls/s before",
+      "calls/s during",
+      "calls in the busiest second after",
+      "throttled calls after",
+      "seconds until the queues are short",
+    ],
+    rows: results.map((each) => [
+      each.name,
+      each.entries,
+      each.requests,
+      each.refusedTokens,
+      each.refusedClaims,
+      each.waitingAtEnd,
+      each.callsBefore,
+      each.callsDuring,
+      each.peakCallsAfter,
+      each.throttledAfter,
+      each.recoverySeconds,
+    ]),
+  };
+}
