--- a/packages/bench/capacity/decision_probes.ts
+++ b/packages/bench/capacity/decision_probes.ts
@@ -127,8 +127,11 @@
   let view = createSampleView(size);
   const find = () =>
     chooseHomes(view, { eventId: "event-1", region: "region-0", homes: 1 });
+  const member = view.members.get("vm-1")!;
+  let now = 0;
   return () => {
-    view = { ...view, members: new Map(view.members) };
+    const heard = { ...member, heardAt: ++now };
+    view = { ...view, members: view.members.add(member.vm, heard) };
     return find();
   };
 }
--- a/packages/daemon/features/bill_log.ts
+++ b/packages/daemon/features/bill_log.ts
@@ -1,40 +1,64 @@
-/** Bills on their way to the table: kept until they are durable. */
+/**
+ * Bills on their way to the table: kept until they are durable.
+ *
+ * One batch is on its way at a time, so that an outage makes few large rows of
+ * many bills, and the pause between batches grows with the number of VMs, so
+ * that the fleet's rows per second stay bounded.
+ */
 import { combineUndo, type Millis, type Undo } from "../../core/mod.ts";
-import { type Bill, createBillBatch } from "../../request/mod.ts";
+import {
+  type Bill,
+  createBillBatch,
+  planBillBatches,
+} from "../../request/mod.ts";
 import { LogEvent } from "../event_log.ts";
 import type { NodeContext } from "../node_context.ts";
-import { type PeriodicProcess, startPeriodic } from "../processes.ts";
-
-/** Most bills in one batch row. */
-export const MAX_BATCH_BILLS = 200;
+import { startPeriodic } from "../processes.ts";
 
 /** Longest time the end of an answer waits for its bill, in milliseconds. */
 export const MAX_BILL_WAIT: Millis = 250;
 
+/** Pause between batches for each live VM: 100 rows a second over the fleet. */
+const PAUSE_PER_VM: Millis = 10;
+
 interface WaitingBill {
+  readonly number: number;
   readonly bill: Bill;
   confirm(): void;
 }
 
+/** Where copies of bills are sent until they are durable. */
+export interface BillCopySink {
+  send(
+    bill: { readonly number: number; readonly bill: Bill },
+    confirm: () => void,
+  ): void;
+  recordDurable(numbers: readonly number[]): void;
+}
+
 /** Collects bills and writes them in batches. */
 export class BillLog {
   readonly #context: NodeContext;
+  readonly #countVms: () => number;
   #waiting: WaitingBill[] = [];
-  #writing = 0;
-  #number = 0;
-  #periodic: PeriodicProcess | undefined;
+  #writing: readonly WaitingBill[] = [];
+  #batchNumber = 0;
+  #billNumber = 0;
+  #copies: BillCopySink | undefined;
+  #lastBatchAt = -Infinity;
 
-  constructor(context: NodeContext) {
+  constructor(context: NodeContext, countVms: () => number) {
     this.#context = context;
+    this.#countVms = countVms;
   }
 
   /** Registers the feature's dump and its periodic flush. */
   register(): Undo {
     const { kernel, settings, random, log } = this.#context;
-    this.#periodic = startPeriodic({
+    const periodic = startPeriodic({
       interval: settings.intervals.flushMillis,
       random,
-      run: () => this.#startFlush(),
+      run: () => this.#writeDueBatch(),
       reportError: (error) =>
         log.error(LogEvent.ProcessFailed, {
           process: "bills",
@@ -43,16 +67,24 @@
     });
     return combineUndo([
       kernel.registerDump("bills", () => ({ waiting: this.countWaiting() })),
-      this.#periodic.stop,
+      periodic.stop,
     ]);
   }
 
   /** Returns the number of bills that are not durable yet. */
   countWaiting(): number {
-    return this.#waiting.length + this.#writing;
+    return this.#waiting.length + this.#writing.length;
   }
 
-  /** Adds a bill; resolves when it is durable or after a bounded wait. */
+  /** Sets where copies of bills are sent. */
+  setCopies(copies: BillCopySink): void {
+    this.#copies = copies;
+  }
+
+  /**
+   * Adds a bill; resolves when the table or a peer has it, or after a bounded
+   * wait.
+   */
   add(bill: Bill): Promise<void> {
     return new Promise((resolve) => {
       const timer = setTimeout(resolve, MAX_BILL_WAIT);
@@ -60,7 +92,9 @@
         clearTimeout(timer);
         resolve();
       };
-      this.#waiting.push({ bill, confirm });
+      const number = ++this.#billNumber;
+      this.#waiting.push({ number, bill, confirm });
+      this.#copies?.send({ number, bill }, confirm);
     });
   }
 
@@ -72,25 +106,38 @@
     }
   }
 
-  #startFlush(): Promise<void> {
-    void this.#writeBatch();
-    return Promise.resolve();
+  async #writeDueBatch(): Promise<void> {
+    const now = this.#context.clock.readMonotonic();
+    const pause = PAUSE_PER_VM * this.#countVms();
+    if (now - this.#lastBatchAt < pause) return;
+    await this.#writeBatch();
   }
 
-  /** A batch is never abandoned: the writer goes on until it is durable. */
   async #writeBatch(): Promise<void> {
-    const batch = this.#waiting.splice(0, MAX_BATCH_BILLS);
-    if (batch.length === 0) return;
-    const { settings, incarnation, writer } = this.#context;
-    this.#writing += batch.length;
+    if (this.#waiting.length === 0 || this.#writing.length > 0) return;
+    this.#lastBatchAt = this.#context.clock.readMonotonic();
+    const [bills = []] = planBillBatches(
+      this.#waiting.map((each) => each.bill),
+    );
+    this.#writing = this.#waiting.splice(0, bills.length);
+    const { settings, incarnation, writer, log, metrics } = this.#context;
     const operation = createBillBatch({
       vm: settings.vm,
       incarnation,
-      number: ++this.#number,
-      bills: batch.map((each) => each.bill),
+      number: ++this.#batchNumber,
+      bills,
     });
-    await writer.run(operation, { giveUpAt: Infinity });
-    this.#writing -= batch.length;
+    const written = await writer.run(operation, { giveUpAt: Infinity });
+    const batch = this.#writing;
+    this.#writing = [];
+    metrics.billsWaiting.set(this.countWaiting());
+    if (written.isLeft()) {
+      // Bills are counted once by identity, so a second row does no harm.
+      this.#waiting.unshift(...batch);
+      return;
+    }
     for (const each of batch) each.confirm();
+    this.#copies?.recordDurable(batch.map((each) => each.number));
+    log.info(LogEvent.BillsFlushed, { bills: batch.length });
   }
 }
--- a/packages/membership/queries/choose_homes_test.ts
+++ b/packages/membership/queries/choose_homes_test.ts
@@ -1,7 +1,13 @@
 /** Tests of the homes of events. */
 import test from "ava";
-import { type Member, type MembershipView, MemberState } from "../mod.ts";
-import { chooseHomes } from "../mod.ts";
+import { TrieMap } from "../../core/mod.ts";
+import {
+  chooseHomes,
+  createMembershipView,
+  type Member,
+  type MembershipView,
+  MemberState,
+} from "../mod.ts";
 
 const EVENTS = Array.from({ length: 2_000 }, (_, index) => `event-${index}`);
 
@@ -21,7 +27,11 @@
     heardAt: 0,
     ...changes[vm],
   } as Member]);
-  return { self: vms[0]!, members: new Map(members) };
+  const view = createMembershipView(members[0]![1]);
+  return {
+    ...view,
+    members: TrieMap.createEmpty<Member>().merge(members),
+  };
 }
 
 function chooseAll(view: MembershipView, homes = 1): string[] {
