Measure admission, gossip and document changes by size

Change: probes for admission by customers, a round of gossip by members, and planning and following a change of one event by budgets.

--- a/packages/bench/capacity/decision_probes.ts
+++ b/packages/bench/capacity/decision_probes.ts
@@ -7,8 +7,17 @@
   reserveTokens,
   settleReservation,
 } from "../../budget/mod.ts";
-import { chooseHomes } from "../../membership/mod.ts";
 import {
+  chooseHomes,
+  GOSSIP_INTERVAL,
+  MemberState,
+  planGossip,
+  planReply,
+  receiveGossip,
+  recordOwnDocument,
+} from "../../membership/mod.ts";
+import {
+  Admission,
   applyTargets,
   chooseTarget,
   createRoutingState,
@@ -18,6 +27,7 @@
   type RoutingState,
 } from "../../routing/mod.ts";
 import { SeededRandom } from "../harness/random.ts";
+import { prepareFollowChange, preparePlanChange } from "./document_probes.ts";
 import {
   createSampleConfiguration,
   createSampleView,
@@ -114,6 +124,30 @@
       };
     },
   },
+  {
+    name: "admit, start and finish",
+    unit: SizeUnit.Customers,
+    onRequestPath: true,
+    prepare: prepareAdmission,
+  },
+  {
+    name: "receive gossip and plan a round",
+    unit: SizeUnit.Members,
+    onRequestPath: false,
+    prepare: prepareGossip,
+  },
+  {
+    name: "plan a change of one event",
+    unit: SizeUnit.Budgets,
+    onRequestPath: false,
+    prepare: preparePlanChange,
+  },
+  {
+    name: "follow a change of one event",
+    unit: SizeUnit.Budgets,
+    onRequestPath: false,
+    prepare: prepareFollowChange,
+  },
   {
     name: "index the homes of a new view",
     unit: SizeUnit.Members,
@@ -122,6 +156,66 @@
   },
 ];
 
+function prepareAdmission(size: number, random: SeededRandom): () => unknown {
+  const { customers } = createSampleConfiguration({
+    targets: 0,
+    budgets: 0,
+    customers: size,
+    services: 1,
+    regions: 1,
+  });
+  const admission = new Admission();
+  const now = 0;
+  admission.changeCustomers(customers.values(), { now, computeShare: () => 1 });
+  let number = 0;
+  return () => {
+    const at = ++number;
+    const id = `ticket-${at}`;
+    admission.admit({
+      ...TICKET,
+      id,
+      customer: `customer-${random.drawInteger(0, size - 1)}`,
+      deadline: at + 10_000,
+      arrivedAt: at,
+    }, { now: at, random: random.uniform });
+    admission.takeReady("service-0", { now: at, tryStart: () => true });
+    admission.finish(id, { now: at, tokens: 400, complete: true });
+  };
+}
+
+/** Each round hears news of one VM from another and plans what to pass on. */
+function prepareGossip(size: number, random: SeededRandom): () => unknown {
+  let view = createSampleView(size);
+  let now = 0;
+  let peer = createSampleView(size);
+  return () => {
+    now += GOSSIP_INTERVAL;
+    peer = recordOwnDocument(peer, now);
+    const message = planReply(peer, {
+      from: { ...GOSSIP_SENDER, documentVersion: now },
+      digest: 0,
+      updates: [],
+    });
+    view = receiveGossip(view, { message, now });
+    return planGossip(view, { now, random: random.uniform });
+  };
+}
+
+const GOSSIP_SENDER = {
+  vm: "vm-1",
+  incarnation: "2026-1",
+  refutation: 0,
+  state: MemberState.Live,
+};
+
+const TICKET = {
+  service: "service-0",
+  kind: "chat",
+  priority: Priority.Interactive,
+  weight: 1,
+  tokens: 400,
+};
+
 /** A view whose VMs were heard from again, as each round of gossip makes one. */
 function prepareNewView(size: number): () => unknown {
   let view = createSampleView(size);
--- a/packages/bench/data_plane/data_plane_experiment.ts
+++ b/packages/bench/data_plane/data_plane_experiment.ts
@@ -42,11 +42,11 @@
 
 const FULL_ROUNDS = 3;
 const CALLS_PER_SECOND = 200;
-const CONNECTIONS = 64;
+const CONNECTIONS = 512;
 const PACED_STREAMS = 50;
 const PACED_CHUNKS = 40;
 const CHUNK_PAUSE = 20;
-const FAST_STREAMS = 16;
+const FAST_STREAMS = 64;
 const FAST_CHUNKS = 200;
 
 /** The experiment as `anvilrail bench` runs it. */
--- a/packages/bench/store_traffic/traffic_fleet.ts
+++ b/packages/bench/store_traffic/traffic_fleet.ts
@@ -1,5 +1,6 @@
 /** Some entry VMs in virtual time that share one table, and their traffic. */
 import { computeHash, type Millis, rankMembers } from "../../core/mod.ts";
+import { HEARTBEAT_INTERVAL } from "../../membership/mod.ts";
 import { StoreWriter } from "../../platform/mod.ts";
 import { Histogram } from "../harness/histogram.ts";
 import { createZipfChoice, SeededRandom } from "../harness/random.ts";
@@ -62,7 +63,6 @@
 export const LOG_INTERVAL: Millis = 100;
 const TABLE_LATENCY: Millis = 6;
 const GROUP_DELAY: Millis = 20;
-const HEARTBEAT_INTERVAL: Millis = 10_000;
 const POLL_INTERVAL: Millis = 5_000;
 const CALL_TIME: Millis = 20;
 const TOKEN_TIME: Millis = 20;
