Mount the administration API and mark documents that cannot be confirmed

Change: the API on the operators' face with team and fleet keys; only the table confirms a document, and kinds marked strict are refused without it.

--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -31,6 +31,7 @@
   START_DRAIN,
 } from "./node.ts";
 import { CONFIGURATION, type NodeContext } from "./node_context.ts";
+import { createAdminPorts } from "./operators/admin_ports.ts";
 import { OperatorFace } from "./operators/operator_face.ts";
 import { PeerFace } from "./peers/peer_face.ts";
 
@@ -291,9 +292,17 @@
     const callerFace = new CallerFace(this.context, {
       runner: this.#runner,
       forwarding: this.#forwarding,
+      readConfirmedAge: () => features.follower.readConfirmedAge(),
       peerKey: readPeerKey(this.context.settings),
     });
-    const operatorFace = new OperatorFace(this.context);
+    const operatorFace = new OperatorFace(
+      this.context,
+      createAdminPorts(this.context, {
+        follower: features.follower,
+        membership: this.#membership,
+        traffic: this.#traffic,
+      }),
+    );
     const peerFace = new PeerFace({
       ...features,
       membership: this.#membership,
--- a/packages/daemon/entry/caller_face.ts
+++ b/packages/daemon/entry/caller_face.ts
@@ -3,9 +3,13 @@
 import readRawBody from "raw-body";
 import { type Either, Left, Right } from "purify-ts";
 import {
+  type FleetConfiguration,
+  type KindConfig,
+  type Millis,
   MILLIS_PER_SECOND,
   type Refusal,
   RefusalKind,
+  StalePolicy,
 } from "../../core/mod.ts";
 import { isPeerKey } from "../../peer/mod.ts";
 import { LogEvent } from "../event_log.ts";
@@ -25,6 +29,8 @@
 import type { RequestRunner } from "./request_runner.ts";
 import { AnswerWriter, writeRefusal } from "./write_answer.ts";
 
+const STALE_RETRY_AFTER: Millis = 5_000;
+
 /** Path of chat completions. */
 export const CHAT_PATH = "/v1/chat/completions";
 
@@ -35,6 +41,8 @@
 export interface CallerFacePorts {
   readonly runner: RequestRunner;
   readonly forwarding: HomeForwarding;
+  /** Time since the table confirmed the document; undefined if it never did. */
+  readonly readConfirmedAge: () => Millis | undefined;
   /** Shared key by which entry VMs show that they forward a request. */
   readonly peerKey: string;
 }
@@ -96,6 +104,13 @@
     });
   }
 
+  /** Kinds that are marked strict wait until the document is known to be fresh. */
+  #isStaleFor(kind: KindConfig, configuration: FleetConfiguration): boolean {
+    if (kind.whenStale !== StalePolicy.Refuse) return false;
+    const age = this.#ports.readConfirmedAge();
+    return age === undefined || age > configuration.staleAfter;
+  }
+
   /** Says whether another entry VM sent it; a caller cannot pretend so. */
   #isForwarded(request: IncomingMessage): boolean {
     if (request.headers[FORWARDED_HEADER] === undefined) return false;
@@ -117,7 +132,12 @@
     const { headers } = request;
     const now = clock.readMonotonic();
     const checked = readCallerHeaders(configuration, headers);
-    if (checked.isLeft()) return Left(checked.extract() as Refusal);
+    if (checked.isLeft()) return Left(checked.swap().unsafeCoerce());
+    if (this.#isStaleFor(checked.unsafeCoerce().kind, configuration)) {
+      return Left(createRefusal(RefusalKind.ConfigurationStale, {
+        retryAfter: STALE_RETRY_AFTER,
+      }));
+    }
     const body = await this.#readBody(request);
     return body.chain((bytes) =>
       createCallerRequest({
--- a/packages/daemon/entry/refusals.ts
+++ b/packages/daemon/entry/refusals.ts
@@ -53,9 +53,11 @@
   [RefusalKind.RequestKeyReused]:
     "This Idempotency-Key was used for another request. Nothing was done for this one. Please use a new key.",
   [RefusalKind.StoreUnavailable]:
-    "We could not make sure that this would be done only once, so nothing was done. Please try again shortly.",
+    "We could not make sure that this would be done only once, so this try was not carried out. Please try again shortly, with the same Idempotency-Key if you have sent it before.",
   [RefusalKind.Quarantined]:
     "This request has made our services fail more than once, so we are not sending it again. Nothing was done. Please ask the person who looks after the event.",
+  [RefusalKind.ConfigurationStale]:
+    "We could not check that our settings are up to date. Nothing was done. Please try again in a moment.",
   [RefusalKind.Draining]:
     "This machine is being replaced. Nothing was done. Please send the request again now.",
   [RefusalKind.StillRunning]:
--- a/packages/daemon/features/document_follower.ts
+++ b/packages/daemon/features/document_follower.ts
@@ -8,6 +8,7 @@
   type CommandType,
   createCommand,
   type JsonValue,
+  type Millis,
   type MonotonicTime,
   type PlatformError,
   type Row,
@@ -17,6 +18,7 @@
 } from "../../core/mod.ts";
 import {
   addRecentChange,
+  type ChangeRow,
   createDocumentState,
   type DocumentReader,
   type DocumentState,
@@ -34,7 +36,7 @@
 export interface FollowedDocument {
   readonly state: DocumentState;
   readonly recent: RecentChanges;
-  /** When the table or a peer last showed that nothing is newer. */
+  /** When the table last showed that nothing is newer. */
   readonly confirmedAt: MonotonicTime | undefined;
 }
 
@@ -116,20 +118,39 @@
 
   /** Catches up with the table, or with a peer when the table is out of reach. */
   async follow(): Promise<void> {
-    const caughtUp = await this.#load(this.#context.table);
+    const caughtUp = await this.#load(this.#context.table, true);
     const newer = this.#newerPeer;
     this.#newerPeer = undefined;
     if (caughtUp || newer === undefined) return;
     const address = this.#ports.findAddress(newer);
     if (address === undefined) return;
-    await this.#load(createPeerReader(this.#ports.client, address));
+    await this.#load(createPeerReader(this.#ports.client, address), false);
   }
 
-  /** Puts a document in force that this VM has just committed. */
-  apply(state: DocumentState): void {
-    this.#change((before) =>
-      before.state.version >= state.version ? before : { ...before, state }
-    );
+  /** Returns the document in force. */
+  readState(): DocumentState {
+    return this.#read().state;
+  }
+
+  /**
+   * Returns how long ago the table last showed that nothing is newer; undefined
+   * while it never has in this life of the VM.
+   */
+  readConfirmedAge(): Millis | undefined {
+    const { confirmedAt } = this.#read();
+    if (confirmedAt === undefined) return undefined;
+    return this.#context.clock.readMonotonic() - confirmedAt;
+  }
+
+  /** Puts a document in force that was just committed through this VM. */
+  apply(state: DocumentState, change: ChangeRow | undefined): void {
+    this.#change((before) => {
+      if (before.state.version >= state.version) return before;
+      const recent = change === undefined
+        ? before.recent
+        : addRecentChange(before.recent, change);
+      return { ...before, state, recent };
+    });
     this.#ports.onChange(this.#read().state);
   }
 
@@ -141,8 +162,11 @@
     this.#context.kernel.dispatch(CHANGE_DOCUMENT, change);
   }
 
-  /** Returns true when the source answered. */
-  async #load(reader: DocumentReader): Promise<boolean> {
+  /**
+   * Returns true when the source answered. Only the table confirms: a peer may
+   * be behind what this VM itself ran in an earlier life.
+   */
+  async #load(reader: DocumentReader, confirms: boolean): Promise<boolean> {
     const { clock, log } = this.#context;
     const askedAt = clock.readMonotonic();
     const before = this.#read().state;
@@ -152,7 +176,7 @@
     this.#change((current) => ({
       state: state.version > current.state.version ? state : current.state,
       recent: changes.reduce(addRecentChange, current.recent),
-      confirmedAt: askedAt,
+      confirmedAt: confirms ? askedAt : current.confirmedAt,
     }));
     if (state.version > before.version) {
       log.info(LogEvent.DocumentApplied, { version: state.version });
--- a/packages/daemon/features/membership.ts
+++ b/packages/daemon/features/membership.ts
@@ -10,6 +10,7 @@
   type Incarnation,
   type JsonValue,
   type Millis,
+  type MonotonicTime,
   rankMembers,
   type SliceType,
   type TargetId,
@@ -82,6 +83,8 @@
   readonly #slice: SliceType<MembershipView>;
   #heartbeatNumber = 0;
   #lonelyRounds = 0;
+  /** When the platform's list was first read without a VM on it. */
+  readonly #unlistedSince = new Map<VmId, MonotonicTime>();
 
   constructor(
     context: NodeContext,
@@ -178,6 +181,17 @@
       : { vm: member.vm, address: member.peerAddress };
   }
 
+  /** Returns the view as it is. */
+  readView(): MembershipView {
+    return this.#read();
+  }
+
+  /** Returns how long the platform's list has been without a VM, if it is. */
+  readUnlistedFor(vm: VmId): Millis | undefined {
+    const since = this.#unlistedSince.get(vm);
+    return since === undefined ? undefined : this.#readTime() - since;
+  }
+
   /** Returns a member, if it is known. */
   findMember(vm: VmId): Member | undefined {
     return this.#read().members.get(vm);
@@ -351,6 +365,14 @@
     this.#change((view) => applyHeartbeatRows(view, { updates, now }));
   }
 
+  #recordUnlisted(listed: ReadonlySet<VmId>, now: MonotonicTime): void {
+    for (const vm of listed) this.#unlistedSince.delete(vm);
+    const known = [...this.#read().members.values()].map((each) => each.vm);
+    for (const vm of listAbsent(known, listed)) {
+      if (!this.#unlistedSince.has(vm)) this.#unlistedSince.set(vm, now);
+    }
+  }
+
   async #writeHeartbeat(): Promise<void> {
     const { writer, clock, settings } = this.#context;
     const self = this.#read().members.get(settings.vm);
@@ -372,10 +394,19 @@
       leaving: vm.state === ListedVmState.Leaving,
     }));
     const now = this.#readTime();
+    this.#recordUnlisted(new Set(listed.map((vm) => vm.id)), now);
     this.#change((view) => applyVmList(view, { listed: members, now }));
   }
 }
 
+/** Ids that were ever listed or met and are not on the list now. */
+function listAbsent(
+  known: Iterable<VmId>,
+  listed: ReadonlySet<VmId>,
+): VmId[] {
+  return [...known].filter((vm) => !listed.has(vm));
+}
+
 function createSelf(context: NodeContext, addresses: OwnAddresses): Member {
   const { settings, incarnation, clock, kernel } = context;
   return {
--- a/packages/platform/connection_pools.ts
+++ b/packages/platform/connection_pools.ts
@@ -9,7 +9,7 @@
 /** Longest age of a pool before new calls get a new one. */
 export const MAX_POOL_AGE: Millis = 300_000;
 
-const MAX_IDLE_SOCKETS = 64;
+const MAX_IDLE_SOCKETS = 1_024;
 
 interface Pool {
   readonly agent: Agent;
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -28,6 +28,7 @@
 
 const LIMITS_SCHEMA = z.strictObject({
   maxBodyBytes: z.number().int().positive().default(4_194_304),
+  maxOperatorBodyBytes: z.number().int().positive().default(67_108_864),
   maxHeaderBytes: z.number().int().min(1_024).default(16_384),
   maxConnections: z.number().int().positive().default(10_000),
   maxOpenRequests: z.number().int().positive().default(5_000),
@@ -57,6 +58,8 @@
   /** Shared key of the entry VMs: a file, or the text itself in tests. */
   peerKeyFile: z.string().optional(),
   peerKey: z.string().min(16).optional(),
+  /** SHA-256 hashes, in hexadecimal, of the keys of the fleet's operators. */
+  fleetKeyHashes: z.array(z.string().regex(/^[0-9a-f]{64}$/)).default([]),
   seeds: z.array(z.string()).default([]),
   platform: z.strictObject({
     table: SERVICE_SCHEMA,
