Measure budgets under faults against a transaction per request and equal shares

Change: bench/budget runs both users' mixes through escrow, a store transaction per request and fixed equal shares on the same arrivals, with the real writer over a table with rates, lost answers and outages.

--- a/packages/bench/experiments.ts
+++ b/packages/bench/experiments.ts
@@ -1,4 +1,5 @@
 /** Every experiment, in the order in which `anvilrail bench` runs them. */
+import { budgetExperiment } from "./budget/budget_experiment.ts";
 import { decisionsExperiment } from "./capacity/decisions_experiment.ts";
 import { dataPlaneExperiment } from "./data_plane/data_plane_experiment.ts";
 import type { Experiment } from "./report/experiment.ts";
@@ -7,4 +8,5 @@
 export const EXPERIMENTS: readonly Experiment[] = [
   decisionsExperiment,
   dataPlaneExperiment,
+  budgetExperiment,
 ];
