Hand borrowed tokens on, lend from several grants, keep a floor for outages

Change: idle borrowed tokens are handed on whole under their id; a loan has parts; the VM that lacks less goes first; a floor below which a VM refills.

--- a/packages/budget/account.ts
+++ b/packages/budget/account.ts
@@ -55,12 +55,24 @@
   readonly askedAt: MonotonicTime;
 }
 
+/** Tokens lent from one grant. */
+export interface LoanPart {
+  /**
+   * Unique over all loans: the transfer id of the request that made it, with a
+   * number. It stays the same when the loan is handed on.
+   */
+  readonly transferId: string;
+  /** The grant that the tokens come from. */
+  readonly lenderGrantId: string;
+  readonly tokens: Tokens;
+}
+
 /** What a lender answered; zero tokens are a refusal. */
 export interface LoanAnswer {
   readonly transferId: string;
+  /** The tokens of all parts. */
   readonly tokens: Tokens;
-  /** The grant that the tokens come from; empty for a refusal. */
-  readonly lenderGrantId: string;
+  readonly parts: readonly LoanPart[];
 }
 
 /** Immutable snapshot of one event's account. */
--- a/packages/budget/commands/reserve_tokens.ts
+++ b/packages/budget/commands/reserve_tokens.ts
@@ -22,8 +22,9 @@
 }
 
 /**
- * Reserves tokens from the open grants, spread over as many as it takes. The
- * grant that ends first gives first, so that old grants empty and close.
+ * Reserves tokens from the open grants, spread over as many as it takes.
+ * Borrowed tokens go first, since a loan that is spent whole needs no return;
+ * then the grant that ends first, so that old grants empty and close.
  */
 export function reserveTokens(
   account: EventAccount,
@@ -32,7 +33,9 @@
   const { tokens, now } = input;
   const open = account.grants
     .filter((grant) => isGrantOpen(grant, now))
-    .sort((left, right) => left.deadline - right.deadline);
+    .sort((left, right) =>
+      rankGrant(left) - rankGrant(right) || left.deadline - right.deadline
+    );
   const parts = chooseParts(open, tokens);
   const held = parts.reduce((sum, part) => sum + part.tokens, 0);
   if (held < tokens) return Left({ missing: tokens - held });
@@ -43,6 +46,10 @@
   });
 }
 
+function rankGrant(grant: Grant): number {
+  return grant.lenderGrantId === undefined ? 1 : 0;
+}
+
 function chooseParts(
   open: readonly Grant[],
   tokens: Tokens,
--- a/packages/budget/loans/borrow_tokens.ts
+++ b/packages/budget/loans/borrow_tokens.ts
@@ -40,14 +40,16 @@
   const pendingLoans = account.pendingLoans
     .filter((each) => each.transferId !== answer.transferId);
   if (pendingLoans.length === account.pendingLoans.length) return account;
-  const answered = { ...account, pendingLoans };
-  if (answer.tokens === 0) return answered;
-  return receiveGrant(answered, {
-    grantId: answer.transferId,
-    size: answer.tokens,
-    deadline,
-    lenderGrantId: answer.lenderGrantId,
-  });
+  return answer.parts.reduce<EventAccount>(
+    (credited, { transferId, lenderGrantId, tokens }) =>
+      receiveGrant(credited, {
+        grantId: transferId,
+        size: tokens,
+        deadline,
+        lenderGrantId,
+      }),
+    { ...account, pendingLoans },
+  );
 }
 
 /** What to send for loans now. */
--- a/packages/budget/loans/lend_tokens.ts
+++ b/packages/budget/loans/lend_tokens.ts
@@ -1,6 +1,6 @@
 /**
- * Lends tokens to another VM. The loan is debited from one of the lender's own
- * grants before the answer is sent, and stays debited: a lost answer strands
+ * Lends tokens to another VM. The loan is debited from the lender's own grants
+ * before the answer is sent, and stays debited: a lost answer strands
  * the tokens and never makes any.
  */
 import type { MonotonicTime, Tokens } from "../../core/mod.ts";
@@ -10,10 +10,16 @@
   computeGrantRoom,
   isGrantOpen,
 } from "../account.ts";
-import type { EventAccount, Grant, LoanAnswer, VmLife } from "../account.ts";
+import type {
+  EventAccount,
+  Grant,
+  LoanAnswer,
+  LoanPart,
+  VmLife,
+} from "../account.ts";
 
 /** Most loans that are made from one grant. */
-export const MAX_LOANS_PER_GRANT = 16;
+export const MAX_LOANS_PER_GRANT = 32;
 
 /** Most answers that are remembered for repeated requests. */
 export const MAX_LOAN_ANSWERS = 64;
@@ -35,7 +41,11 @@
 
 /**
  * Debits a loan. A transfer id that was answered before gets the same answer.
- * `keep` is what the lender needs for its own waiting requests.
+ *
+ * `keep` is what the lender's own waiting requests need. Where these cannot be
+ * served either, `shortBy` says what the first of them lacks: of two VMs that
+ * are both short, the one that lacks less gets the tokens, and only when they
+ * are enough for it.
  */
 export function lendTokens(
   account: EventAccount,
@@ -43,55 +53,122 @@
     readonly request: LoanRequest;
     readonly now: MonotonicTime;
     readonly keep: Tokens;
+    readonly shortBy?: Tokens;
   },
 ): LendResult {
-  const { request, now, keep } = input;
+  const { request, now } = input;
   const given = account.loanAnswers
     .find((each) => each.transferId === request.transferId);
   if (given !== undefined) return { account, answer: given };
-  const lender = chooseLenderGrant(account, now);
-  const spare = computeAccountRoom(account, now) - keep;
-  const tokens = computeLoan(request, {
-    spare,
-    room: lender === undefined ? 0 : computeGrantRoom(lender),
-  });
-  const answer = {
-    transferId: request.transferId,
-    tokens,
-    lenderGrantId: tokens === 0 ? "" : lender?.id ?? "",
-  };
-  const loan = {
+  const room = computeAccountRoom(account, now);
+  const goesFirst = input.shortBy !== undefined &&
+    request.least < input.shortBy && request.least <= room;
+  const spare = Math.max(0, goesFirst ? room : room - input.keep);
+  const own = chooseParts(listLenderGrants(account, now), {
     transferId: request.transferId,
-    tokens,
-    borrower: request.borrower,
-  };
-  const debited = tokens === 0
-    ? account
-    : changeGrant(account, answer.lenderGrantId, (grant) => ({
-      ...grant,
-      loans: [...grant.loans, loan],
-    }));
+    tokens: computeLoan(request, spare),
+  });
+  const passedOn = choosePassedOn(account, {
+    now,
+    least: request.least - sumTokens(own),
+    most: spare - sumTokens(own),
+  });
+  const parts = [...own, ...passedOn];
+  const { transferId } = request;
+  const answer = { transferId, tokens: sumTokens(parts), parts };
+  const lent = addLoans(account, { parts: own, borrower: request.borrower });
+  const debited = removeGrants(lent, passedOn);
   const loanAnswers = [...account.loanAnswers, answer].slice(-MAX_LOAN_ANSWERS);
   return { account: { ...debited, loanAnswers }, answer };
 }
 
-/** The own grant with the most room; borrowed tokens are not lent on. */
-function chooseLenderGrant(
+/**
+ * Borrowed tokens that are handed on whole, with the right to return them: the
+ * loan keeps its id and is at one VM at a time. Only what the request lacks
+ * beyond the lender's own tokens is handed on, as few loans as it takes.
+ */
+function choosePassedOn(
+  account: EventAccount,
+  input: {
+    readonly now: MonotonicTime;
+    readonly least: Tokens;
+    readonly most: Tokens;
+  },
+): LoanPart[] {
+  const parts: LoanPart[] = [];
+  let { least, most } = input;
+  const idle = account.grants
+    .filter((grant) => isGrantOpen(grant, input.now) && grant.reserved === 0)
+    .sort((left, right) => computeGrantRoom(right) - computeGrantRoom(left));
+  for (const grant of idle) {
+    const tokens = computeGrantRoom(grant);
+    const { lenderGrantId } = grant;
+    if (lenderGrantId === undefined || tokens === 0) continue;
+    if (least <= 0 || tokens > most) continue;
+    parts.push({ transferId: grant.id, lenderGrantId, tokens });
+    least -= tokens;
+    most -= tokens;
+  }
+  return parts;
+}
+
+function removeGrants(
+  account: EventAccount,
+  parts: readonly LoanPart[],
+): EventAccount {
+  const gone = parts.map((part) => part.transferId);
+  const grants = account.grants.filter((grant) => !gone.includes(grant.id));
+  return { ...account, grants };
+}
+
+function sumTokens(parts: readonly LoanPart[]): Tokens {
+  return parts.reduce((sum, part) => sum + part.tokens, 0);
+}
+
+/** Own grants, the roomiest first. */
+function listLenderGrants(
   account: EventAccount,
   now: MonotonicTime,
-): Grant | undefined {
+): Grant[] {
   return account.grants
     .filter((grant) => grant.lenderGrantId === undefined)
     .filter((grant) => isGrantOpen(grant, now))
     .filter((grant) => grant.loans.length < MAX_LOANS_PER_GRANT)
-    .sort((left, right) => computeGrantRoom(right) - computeGrantRoom(left))[0];
+    .sort((left, right) => computeGrantRoom(right) - computeGrantRoom(left));
 }
 
-function computeLoan(
-  request: LoanRequest,
-  lender: { readonly spare: Tokens; readonly room: Tokens },
-): Tokens {
-  const most = Math.max(0, Math.min(lender.spare, lender.room));
-  const fair = Math.max(request.least, Math.floor(lender.spare / 2));
-  return Math.min(request.wanted, fair, most);
+function computeLoan(request: LoanRequest, spare: Tokens): Tokens {
+  const fair = Math.max(request.least, Math.floor(spare / 2));
+  return Math.min(request.wanted, fair, spare);
+}
+
+function chooseParts(
+  lenders: readonly Grant[],
+  loan: { readonly transferId: string; readonly tokens: Tokens },
+): LoanPart[] {
+  const parts: LoanPart[] = [];
+  let missing = loan.tokens;
+  for (const grant of lenders) {
+    const tokens = Math.min(missing, computeGrantRoom(grant));
+    if (tokens <= 0) continue;
+    const transferId = `${loan.transferId}/${parts.length}`;
+    parts.push({ transferId, lenderGrantId: grant.id, tokens });
+    missing -= tokens;
+  }
+  return parts;
+}
+
+function addLoans(
+  account: EventAccount,
+  loan: { readonly parts: readonly LoanPart[]; readonly borrower: VmLife },
+): EventAccount {
+  const { parts, borrower } = loan;
+  return parts.reduce(
+    (debited, { transferId, lenderGrantId, tokens }) =>
+      changeGrant(debited, lenderGrantId, (grant) => ({
+        ...grant,
+        loans: [...grant.loans, { transferId, tokens, borrower }],
+      })),
+    account,
+  );
 }
--- a/packages/budget/loans/loans_test.ts
+++ b/packages/budget/loans/loans_test.ts
@@ -217,6 +217,33 @@
   t.is(lender.grants[0]?.loans.length, MAX_LOANS_PER_GRANT);
 });
 
+test("a loan is put together from several grants and returned to each", (t) => {
+  const rows = new MemoryRows();
+  let lender = createLender(rows);
+  lender = receiveGrant(spend(lender, 80), {
+    grantId: "a/1/2",
+    size: 20,
+    deadline: GRANT_TERM,
+  });
+  const { answer } = lend(lender);
+  t.is(answer.tokens, 30);
+  t.deepEqual(answer.parts.map((part) => part.tokens), [20, 10]);
+  const borrower = receiveLoan(createBorrower(), { answer, deadline: 10 });
+  t.is(computeAccountRoom(borrower, 0), 30);
+});
+
+test("of two VMs that are short the one that lacks less gets the tokens", (t) => {
+  const lender = createLender(new MemoryRows());
+  const lendTo = (least: number, shortBy: number) => {
+    const request = { ...REQUEST, wanted: least, least };
+    const input = { request, now: 0, keep: 100 };
+    return lendTokens(lender, { ...input, shortBy }).answer.tokens;
+  };
+  t.is(lendTo(30, 40), 30);
+  t.is(lendTo(40, 30), 0);
+  t.is(lendTo(101, 200), 0);
+});
+
 test("a request without an answer is sent again under its id", (t) => {
   const input = { missing: 10, target: 50, peers: ["a", "c"] };
   const early = planLoans(createBorrower(), { ...input, now: 100 });
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -7,6 +7,7 @@
   Grant,
   LoanAnswer,
   LoanOut,
+  LoanPart,
   PendingLoan,
   Reservation,
   ReservationPart,
--- a/packages/budget/queries/compute_grant_targets.ts
+++ b/packages/budget/queries/compute_grant_targets.ts
@@ -17,7 +17,9 @@
 
 /** How one lean sizes grants. */
 export interface GrantSizing {
-  /** How long the tokens held should last at the present rate of drawing. */
+  /** How long the tokens held should last when the table fails, at any time. */
+  readonly floor: Millis;
+  /** How long they should last after a refill, at the present rate of drawing. */
   readonly horizon: Millis;
   /** Largest part of the budget's remainder that one VM may ask for. */
   readonly share: number;
@@ -28,14 +30,16 @@
 /** Sizing by lean. */
 export const GRANT_SIZING: Readonly<Record<BudgetLean, GrantSizing>> = {
   [BudgetLean.FewerRefusals]: {
-    horizon: 900_000,
-    share: 1 / 8,
+    floor: 600_000,
+    horizon: 1_200_000,
+    share: 1 / 4,
     returnAfter: 120_000,
   },
   [BudgetLean.TighterBudget]: {
-    horizon: 120_000,
-    share: 1 / 32,
-    returnAfter: 30_000,
+    floor: 30_000,
+    horizon: 180_000,
+    share: 1 / 8,
+    returnAfter: 60_000,
   },
 };
 
@@ -43,7 +47,7 @@
 export const REFILL_TIME: Millis = 2_000;
 
 /** First grant of an event, in multiples of the request that needs it. */
-export const START_FACTOR = 8;
+export const START_FACTOR = 16;
 
 /** What the targets are computed from. */
 export interface TargetInput {
@@ -70,12 +74,15 @@
 ): GrantTargets {
   const sizing = input.sizing ?? GRANT_SIZING[input.lean];
   const { drawRate, demandRate } = computeRates(account, input.now);
-  const low = demandRate * REFILL_TIME / MILLIS_PER_SECOND;
-  const high = low + drawRate * sizing.horizon / MILLIS_PER_SECOND;
+  const refill = demandRate * REFILL_TIME / MILLIS_PER_SECOND;
   const most = (input.budgetLeft ?? Infinity) * sizing.share;
+  const full = refill + drawRate * sizing.horizon / MILLIS_PER_SECOND;
+  const high = Math.min(full, most);
+  const low = refill + drawRate * sizing.floor / MILLIS_PER_SECOND;
   return {
-    low: Math.round(Math.min(low, most)),
-    high: Math.round(Math.min(high, most)),
+    // A refill near the end of the budget must be worth its write, too.
+    low: Math.round(Math.min(low, high / 2)),
+    high: Math.round(high),
     most: Math.floor(most),
   };
 }
