Hand on parts of loans, let small requests pass, wait for tokens in progress

Cause, from traces of the avoidable refusals: loans in use could not be handed on whole; a large request at the head held back small ones that fit; a timed-out head left those behind it waiting; a shortage was refused although requests in progress were about to free enough. Change: parts of a loan have ids below the loan's and return once each; the bench's queue serves what fits while only loans help, and waits for tokens in progress up to the bound.

--- a/packages/bench/budget/escrow_policy.ts
+++ b/packages/bench/budget/escrow_policy.ts
@@ -12,7 +12,6 @@
 import {
   AccountSchedule,
   computeAccountRoom,
-  computeGrantTargets,
   computeNextDue,
   createEventAccount,
   createGrantExchange,
@@ -56,8 +55,8 @@
 /** How long a peer that had nothing to lend is not asked again. */
 const REFUSAL_TIME: Millis = 500;
 
-/** Loans of an outage in multiples of the room at which a VM asks for more. */
-const LOAN_FACTOR = 5;
+/** Loans are asked for in multiples of what is missing, so that they are few. */
+const LOAN_FACTOR = 4;
 
 /** What experiments vary. */
 export interface EscrowOptions {
@@ -123,9 +122,8 @@
 
   reserve(event: SampleEvent, tokens: Tokens, onEnd: HoldSink): void {
     const queue = this.#readQueue(event);
-    const held = queue.waiters.length > 0
-      ? undefined
-      : this.#tryReserve(queue, tokens);
+    const mayTry = queue.waiters.length === 0 || queue.isBorrowing;
+    const held = mayTry ? this.#tryReserve(queue, tokens) : undefined;
     if (held !== undefined) {
       this.#scheduleVisit(queue);
       return onEnd(held);
@@ -200,14 +198,14 @@
     return { eventId: queue.event.id, tokens, detail: reservation };
   }
 
+  /** In order; but what fits passes a request that only loans can serve. */
   #serveWaiters(queue: EventQueue): void {
-    for (;;) {
-      const waiter = queue.waiters[0];
-      if (waiter === undefined) return;
+    for (const waiter of [...queue.waiters]) {
       const held = this.#tryReserve(queue, waiter.tokens);
-      if (held === undefined) return;
-      queue.waiters.shift();
-      waiter.onEnd(held);
+      if (held !== undefined) {
+        queue.waiters = queue.waiters.filter((each) => each !== waiter);
+        waiter.onEnd(held);
+      } else if (!queue.isBorrowing) return;
     }
   }
 
@@ -215,6 +213,7 @@
     if (!queue.waiters.includes(waiter)) return;
     queue.waiters = queue.waiters.filter((each) => each !== waiter);
     waiter.onEnd(undefined);
+    this.#serveWaiters(queue);
   }
 
   #computeNeed(queue: EventQueue): Tokens {
@@ -311,7 +310,7 @@
     );
     const plan = planLoans(queue.account, {
       missing,
-      target: queue.isShort ? 0 : this.#computeLoanTarget(queue),
+      target: LOAN_FACTOR * missing,
       peers: open,
       now,
     });
@@ -325,7 +324,9 @@
     }
     if (waiter === undefined) return this.#endBorrowing(queue);
     if (missing > 0 && open.length === 0 && queue.isShort) {
-      this.#refuse(queue, waiter);
+      if (computeReserved(queue.account) < missing) {
+        this.#refuse(queue, waiter);
+      }
       return this.#endBorrowing(queue);
     }
     this.#node.schedule(LOAN_INTERVAL, () => {
@@ -333,12 +334,6 @@
     });
   }
 
-  /** In an outage some seconds' worth is borrowed, so that not each request asks. */
-  #computeLoanTarget(queue: EventQueue): Tokens {
-    const input = this.#createTargetInput(queue);
-    return LOAN_FACTOR * computeGrantTargets(queue.account, input).low;
-  }
-
   #endBorrowing(queue: EventQueue): void {
     queue.isBorrowing = false;
     queue.isShort = false;
@@ -415,3 +410,8 @@
     this.#node.schedule(VISIT_INTERVAL, () => this.#visitDue());
   }
 }
+
+/** Tokens that requests in progress hold; most of them come free. */
+function computeReserved(account: EventAccount): Tokens {
+  return account.grants.reduce((sum, grant) => sum + grant.reserved, 0);
+}
--- a/packages/budget/account.ts
+++ b/packages/budget/account.ts
@@ -14,6 +14,9 @@
 } from "../core/mod.ts";
 import type { GrantExchange } from "./rows/exchange_grants.ts";
 
+/** Stands between a loan's id and the number of a part that was handed on. */
+export const PART_SEPARATOR = "+";
+
 /** One life of the process on one VM. */
 export interface VmLife {
   readonly vm: VmId;
@@ -43,6 +46,8 @@
   readonly closing: boolean;
   /** Loans that were made from it. */
   readonly loans: readonly LoanOut[];
+  /** Number of parts of it that were handed on, when it is a loan itself. */
+  readonly parts: number;
   /** The lender's grant, when these tokens are a loan from another VM. */
   readonly lenderGrantId?: string;
 }
@@ -57,10 +62,7 @@
 
 /** Tokens lent from one grant. */
 export interface LoanPart {
-  /**
-   * Unique over all loans: the transfer id of the request that made it, with a
-   * number. It stays the same when the loan is handed on.
-   */
+  /** Unique over all loans and their parts; parts begin with their loan's id. */
   readonly transferId: string;
   /** The grant that the tokens come from. */
   readonly lenderGrantId: string;
--- a/packages/budget/account_test.ts
+++ b/packages/budget/account_test.ts
@@ -114,7 +114,7 @@
   const tight = ask(BudgetLean.TighterBudget, 100_000_000);
   t.true(wide > 5 * tight);
   t.true(ask(BudgetLean.FewerRefusals, 500_000) < wide / 5);
-  t.is(ask(BudgetLean.TighterBudget, 60_000), 2_500);
+  t.is(ask(BudgetLean.TighterBudget, 8_000), 2_500);
 });
 
 test("tokens on their way back cannot be reserved", (t) => {
--- a/packages/budget/budget_specification_test.ts
+++ b/packages/budget/budget_specification_test.ts
@@ -536,6 +536,17 @@
     lendTokens: (account, input) =>
       lendTokens({ ...account, loanAnswers: [] }, input),
   },
+  "a part is handed on and kept": {
+    lendTokens: (account, input) => {
+      const result = lendTokens(account, input);
+      const grants = result.account.grants.map((grant) =>
+        grant.lenderGrantId === undefined
+          ? grant
+          : account.grants.find((each) => each.id === grant.id) ?? grant
+      );
+      return { ...result, account: { ...result.account, grants } };
+    },
+  },
   "a lender closes as if its loans were back": {
     createGrantExchange: (exchange) =>
       createGrantExchange({
--- a/packages/budget/commands/plan_exchange.ts
+++ b/packages/budget/commands/plan_exchange.ts
@@ -9,13 +9,14 @@
   Tokens,
   WallTime,
 } from "../../core/mod.ts";
+import { PART_SEPARATOR } from "../account.ts";
 import type { EventAccount, Grant, VmLife } from "../account.ts";
 import { planGrants, type PlanInput } from "../queries/plan_grants.ts";
 import type {
   GrantExchange,
   GrantExchangeResult,
 } from "../rows/exchange_grants.ts";
-import type { GrantShrink } from "../rows/row_changes.ts";
+import type { GrantShrink, LoanReturn } from "../rows/row_changes.ts";
 import { changeGrantSize, closeGrants } from "./close_grants.ts";
 import { receiveGrant } from "./receive_grant.ts";
 
@@ -134,14 +135,17 @@
     id: input.grantId,
     initialLimit: input.initialLimit,
     closes: own.map(({ id, spent, loans }) => ({ grantId: id, spent, loans })),
-    returns: borrowed.flatMap(({ id, lenderGrantId, size, spent }) =>
-      lenderGrantId === undefined
-        ? []
-        : [{ transferId: id, lenderGrantId, unspent: size - spent }]
-    ),
+    returns: borrowed.flatMap(createReturn),
   };
 }
 
+function createReturn(grant: Grant): LoanReturn[] {
+  const { id, lenderGrantId, size, spent, parts } = grant;
+  if (lenderGrantId === undefined) return [];
+  const isLast = parts === 0 && !id.includes(PART_SEPARATOR);
+  return [{ transferId: id, lenderGrantId, unspent: size - spent, isLast }];
+}
+
 function isSpentLoan(grant: Grant): boolean {
   return grant.lenderGrantId !== undefined && grant.spent === grant.size;
 }
--- a/packages/budget/commands/receive_grant.ts
+++ b/packages/budget/commands/receive_grant.ts
@@ -27,6 +27,7 @@
     deadline: input.deadline,
     closing: false,
     loans: [],
+    parts: 0,
     ...(input.lenderGrantId === undefined
       ? {}
       : { lenderGrantId: input.lenderGrantId }),
--- a/packages/budget/loans/lend_tokens.ts
+++ b/packages/budget/loans/lend_tokens.ts
@@ -9,6 +9,7 @@
   computeAccountRoom,
   computeGrantRoom,
   isGrantOpen,
+  PART_SEPARATOR,
 } from "../account.ts";
 import type {
   EventAccount,
@@ -19,7 +20,7 @@
 } from "../account.ts";
 
 /** Most loans that are made from one grant. */
-export const MAX_LOANS_PER_GRANT = 32;
+export const MAX_LOANS_PER_GRANT = 64;
 
 /** Most answers that are remembered for repeated requests. */
 export const MAX_LOAN_ANSWERS = 64;
@@ -68,56 +69,60 @@
     transferId: request.transferId,
     tokens: computeLoan(request, spare),
   });
-  const passedOn = choosePassedOn(account, {
+  const most = spare - sumTokens(own);
+  const handedOn = chooseHandedOn(account, {
     now,
-    least: request.least - sumTokens(own),
-    most: spare - sumTokens(own),
+    tokens: Math.min(most, request.least - sumTokens(own)),
   });
-  const parts = [...own, ...passedOn];
+  const parts = [...own, ...handedOn];
   const { transferId } = request;
   const answer = { transferId, tokens: sumTokens(parts), parts };
   const lent = addLoans(account, { parts: own, borrower: request.borrower });
-  const debited = removeGrants(lent, passedOn);
+  const debited = removeHandedOn(lent, handedOn);
   const loanAnswers = [...account.loanAnswers, answer].slice(-MAX_LOAN_ANSWERS);
   return { account: { ...debited, loanAnswers }, answer };
 }
 
 /**
- * Borrowed tokens that are handed on whole, with the right to return them: the
- * loan keeps its id and is at one VM at a time. Only what the request lacks
- * beyond the lender's own tokens is handed on, as few loans as it takes.
+ * Borrowed tokens that are handed on: each part gets an id of its own below the
+ * loan's, under which the table takes it back once. Only what the request lacks
+ * beyond the lender's own tokens is handed on.
  */
-function choosePassedOn(
+function chooseHandedOn(
   account: EventAccount,
-  input: {
-    readonly now: MonotonicTime;
-    readonly least: Tokens;
-    readonly most: Tokens;
-  },
+  input: { readonly now: MonotonicTime; readonly tokens: Tokens },
 ): LoanPart[] {
   const parts: LoanPart[] = [];
-  let { least, most } = input;
-  const idle = account.grants
-    .filter((grant) => isGrantOpen(grant, input.now) && grant.reserved === 0)
-    .sort((left, right) => computeGrantRoom(right) - computeGrantRoom(left));
-  for (const grant of idle) {
-    const tokens = computeGrantRoom(grant);
+  let missing = input.tokens;
+  for (const grant of account.grants) {
     const { lenderGrantId } = grant;
-    if (lenderGrantId === undefined || tokens === 0) continue;
-    if (least <= 0 || tokens > most) continue;
-    parts.push({ transferId: grant.id, lenderGrantId, tokens });
-    least -= tokens;
-    most -= tokens;
+    const tokens = Math.min(missing, computeGrantRoom(grant));
+    if (lenderGrantId === undefined || tokens <= 0) continue;
+    if (!isGrantOpen(grant, input.now)) continue;
+    const transferId = formatPartId(grant);
+    parts.push({ transferId, lenderGrantId, tokens });
+    missing -= tokens;
   }
   return parts;
 }
 
-function removeGrants(
+function formatPartId(grant: Grant): string {
+  return `${grant.id}${PART_SEPARATOR}${grant.parts + 1}`;
+}
+
+function removeHandedOn(
   account: EventAccount,
   parts: readonly LoanPart[],
 ): EventAccount {
-  const gone = parts.map((part) => part.transferId);
-  const grants = account.grants.filter((grant) => !gone.includes(grant.id));
+  const grants = account.grants.map((grant) => {
+    const part = parts.find((each) => each.transferId === formatPartId(grant));
+    if (part === undefined) return grant;
+    return {
+      ...grant,
+      size: grant.size - part.tokens,
+      parts: grant.parts + 1,
+    };
+  });
   return { ...account, grants };
 }
 
--- a/packages/budget/loans/loans_test.ts
+++ b/packages/budget/loans/loans_test.ts
@@ -143,6 +143,44 @@
   });
 }
 
+for (const order of ["abc", "acb", "bac", "bca", "cab", "cba"]) {
+  test(`a part that was handed on returns once, closing in the order ${order}`, (t) => {
+    const rows = new MemoryRows();
+    const first = lend(createLender(rows));
+    let middle = receiveLoan(createBorrower(), {
+      answer: first.answer,
+      deadline: 10,
+    });
+    const second = lendTokens(middle, {
+      request: {
+        transferId: "c/1/1",
+        wanted: 12,
+        least: 12,
+        borrower: { vm: "c", incarnation: "1" },
+      },
+      now: 0,
+      keep: 0,
+    });
+    t.is(second.answer.tokens, 12);
+    middle = spend(second.account, 10);
+    const asked = recordLoanAsked(createEventAccount("e"), {
+      transferId: "c/1/1",
+      lender: "b",
+      wanted: 12,
+      askedAt: 0,
+    });
+    const { answer } = second;
+    const last = spend(receiveLoan(asked, { answer, deadline: 10 }), 5);
+    const accounts: Record<string, EventAccount> = {
+      a: spend(first.account, 20),
+      b: middle,
+      c: last,
+    };
+    for (const vm of order) closeAll(rows, accounts[vm]!, vm);
+    t.is(readLeft(rows), 65);
+  });
+}
+
 test("a loan outlives a lender that was written off, and so does the lender's rest", (t) => {
   const rows = new MemoryRows();
   const { account, answer } = lend(createLender(rows));
--- a/packages/budget/rows/budget_row.ts
+++ b/packages/budget/rows/budget_row.ts
@@ -18,12 +18,17 @@
   takenAt: z.number(),
   /** Tokens that borrowers gave back, by transfer id; `size` is without them. */
   returned: z.record(z.string(), TOKENS_SCHEMA).optional(),
+  /** Loans whose borrower has accounted for all of them. */
+  endedLoans: z.array(z.string()).optional(),
 });
 
 const WRITE_OFF_SCHEMA = GRANT_SCHEMA.extend({ writtenOffAt: z.number() });
 
 const LOAN_SCHEMA = z.object({
+  /** Tokens that have not been given back. */
   tokens: TOKENS_SCHEMA,
+  /** Parts that were given back, by transfer id. */
+  returned: z.record(z.string(), TOKENS_SCHEMA),
   vm: z.string(),
   incarnation: z.string(),
   /** True once its borrower was counted as lost. */
--- a/packages/budget/rows/row_changes.ts
+++ b/packages/budget/rows/row_changes.ts
@@ -4,7 +4,7 @@
  * operations built from them idempotent.
  */
 import type { Tokens, WallTime } from "../../core/mod.ts";
-import type { LoanOut, VmLife } from "../account.ts";
+import { type LoanOut, PART_SEPARATOR, type VmLife } from "../account.ts";
 import {
   type BudgetRow,
   computeBudgetLeft,
@@ -45,6 +45,8 @@
   readonly transferId: string;
   readonly lenderGrantId: string;
   readonly unspent: Tokens;
+  /** True when no part was handed on, so that the rest is spent for good. */
+  readonly isLast: boolean;
 }
 
 /** Adds a grant; grants less than wanted near the end of the budget. */
@@ -74,17 +76,19 @@
   if (entry === undefined) return row;
   const { loans } = close;
   const returned = entry.returned ?? {};
-  const used = loans.reduce(
-    (sum, loan) => sum + loan.tokens - (returned[loan.transferId] ?? 0),
-    close.spent,
-  );
+  const lent = loans.reduce((sum, loan) => sum + loan.tokens, 0);
+  const used = close.spent + lent - sumTokens(returned);
   if (used > entry.size) {
     throw new Error(
       `Grant ${close.grantId} of ${entry.size} tokens was closed with ${used} used. Report this as a fault of the holder; the row was not changed.`,
     );
   }
-  const out = loans.filter((loan) => returned[loan.transferId] === undefined);
-  const closed = addLoansOut(row, close.grantId, out);
+  const ended = entry.endedLoans ?? [];
+  const closed = addLoansOut(row, {
+    grantId: close.grantId,
+    loans: loans.filter((loan) => !ended.includes(loan.transferId)),
+    returned,
+  });
   if (row.grants[close.grantId] !== undefined) {
     return {
       ...closed,
@@ -107,18 +111,17 @@
 export function shrinkEntry(row: BudgetRow, shrink: GrantShrink): BudgetRow {
   const entry = row.grants[shrink.grantId];
   if (entry === undefined) return row;
-  const returned = Object.values(entry.returned ?? {})
-    .reduce((sum, tokens) => sum + tokens, 0);
-  const size = shrink.size - returned;
+  const size = shrink.size - sumTokens(entry.returned ?? {});
   if (size >= entry.size) return row;
   const changed = { ...entry, size };
   return { ...row, grants: { ...row.grants, [shrink.grantId]: changed } };
 }
 
 /**
- * Gives the unspent part of a loan back, once for its transfer id: from the
- * lender's grant while that is open or written off, else from the loans that
- * outlived it. A loan that the row no longer knows gives nothing back.
+ * Gives the unspent tokens of a loan, or of a part that was handed on, back
+ * once for its transfer id: to the lender's grant while that is open or written
+ * off, else to the loan that outlived it. A loan that the row no longer knows
+ * gives nothing back.
  */
 export function returnLoan(row: BudgetRow, loan: LoanReturn): BudgetRow {
   const open = row.grants[loan.lenderGrantId];
@@ -138,16 +141,28 @@
       writeOffs: { ...row.writeOffs, [loan.lenderGrantId]: changed },
     };
   }
-  const key = formatLoanKey(loan.lenderGrantId, loan.transferId);
+  return returnToLoan(row, loan);
+}
+
+function returnToLoan(row: BudgetRow, loan: LoanReturn): BudgetRow {
+  const key = formatLoanKey(loan.lenderGrantId, findRoot(loan.transferId));
   const out = row.loans?.[key];
-  if (row.loans === undefined || out === undefined) return row;
-  const returned = {
-    ...row,
-    closed: row.closed - loan.unspent,
-    loans: removeKey(row.loans, key),
+  if (out === undefined || out.returned[loan.transferId] !== undefined) {
+    return row;
+  }
+  const left = loan.isLast ? 0 : out.tokens - loan.unspent;
+  const changed = {
+    ...out,
+    tokens: left,
+    returned: { ...out.returned, [loan.transferId]: loan.unspent },
   };
+  const loans = left === 0
+    ? removeKey(row.loans ?? {}, key)
+    : { ...row.loans, [key]: changed };
+  const returned = { ...row, closed: row.closed - loan.unspent, loans };
   if (out.writtenOff !== true) return returned;
-  return { ...returned, writtenOff: (row.writtenOff ?? 0) - out.tokens };
+  const writtenOff = (row.writtenOff ?? 0) - (out.tokens - left);
+  return { ...returned, writtenOff };
 }
 
 function returnToEntry<Entry extends GrantEntry>(
@@ -155,31 +170,46 @@
   loan: LoanReturn,
 ): Entry {
   if (entry.returned?.[loan.transferId] !== undefined) return entry;
-  return {
-    ...entry,
-    size: entry.size - loan.unspent,
-    returned: { ...entry.returned, [loan.transferId]: loan.unspent },
-  };
+  const returned = { ...entry.returned, [loan.transferId]: loan.unspent };
+  const changed = { ...entry, size: entry.size - loan.unspent, returned };
+  if (!loan.isLast) return changed;
+  const endedLoans = [...entry.endedLoans ?? [], loan.transferId];
+  return { ...changed, endedLoans };
 }
 
 function formatLoanKey(lenderGrantId: string, transferId: string): string {
   return `${lenderGrantId}>${transferId}`;
 }
 
+/** Keeps the loans of a closed grant that have not come back whole. */
 function addLoansOut(
   row: BudgetRow,
-  grantId: string,
-  out: readonly LoanOut[],
+  closed: {
+    readonly grantId: string;
+    readonly loans: readonly LoanOut[];
+    readonly returned: Readonly<Record<string, Tokens>>;
+  },
 ): BudgetRow {
-  if (out.length === 0) return row;
-  const added = Object.fromEntries(
-    out.map((loan) => [
-      formatLoanKey(grantId, loan.transferId),
-      { tokens: loan.tokens, ...loan.borrower },
-    ]),
-  );
-  return {
-    ...row,
-    loans: filterNewest({ ...row.loans, ...added }, MAX_LOANS_OUT),
-  };
+  const added = closed.loans.flatMap((loan) => {
+    const returned = Object.fromEntries(
+      Object.entries(closed.returned)
+        .filter(([id]) => findRoot(id) === loan.transferId),
+    );
+    const tokens = loan.tokens - sumTokens(returned);
+    if (tokens === 0) return [];
+    const key = formatLoanKey(closed.grantId, loan.transferId);
+    return [[key, { tokens, returned, ...loan.borrower }] as const];
+  });
+  if (added.length === 0) return row;
+  const loans = { ...row.loans, ...Object.fromEntries(added) };
+  return { ...row, loans: filterNewest(loans, MAX_LOANS_OUT) };
+}
+
+/** Returns the id of the loan that a part was handed on from, or its own. */
+function findRoot(transferId: string): string {
+  return transferId.split(PART_SEPARATOR, 1)[0] ?? transferId;
+}
+
+function sumTokens(tokens: Readonly<Record<string, Tokens>>): Tokens {
+  return Object.values(tokens).reduce((sum, each) => sum + each, 0);
 }
