--- /dev/null
+++ b/packages/bench/budget/budget_run_test.ts
@@ -0,0 +1,33 @@
+/** Tests that budgets hold under the experiment's faults, at a small size. */
+import test from "ava";
+import { MILLIS_PER_MINUTE } from "../../core/mod.ts";
+import { PALIVOKNIH_MIX, SELAM_MIX } from "../harness/workload.ts";
+import { createBudgetCases } from "./budget_experiment.ts";
+import { runBudgetCase } from "./budget_run.ts";
+import { createEscrowPolicy, ESCROW_POLICY } from "./escrow_policy.ts";
+
+const SIZE = {
+  seed: 1,
+  requestsPerSecond: 3,
+  duration: 18 * MILLIS_PER_MINUTE,
+};
+
+for (const mix of [SELAM_MIX, PALIVOKNIH_MIX]) {
+  for (const budgetCase of createBudgetCases(SIZE.requestsPerSecond)) {
+    test(`${mix.name}, ${budgetCase.name}: nothing overspent, nearly no refusal that loans could avoid`, async (t) => {
+      const input = { mix, budgetCase, ...SIZE };
+      const figures = await runBudgetCase(ESCROW_POLICY, input);
+      t.is(figures.overspend, 0);
+      t.true(figures.avoidableRefusals <= figures.requests / 1_000);
+    });
+  }
+}
+
+test("without loans a long outage refuses what peers could have covered", async (t) => {
+  const budgetCase = createBudgetCases(SIZE.requestsPerSecond)[3]!;
+  const alone = createEscrowPolicy({ name: "no loans", lends: false });
+  const input = { mix: PALIVOKNIH_MIX, budgetCase, ...SIZE };
+  const figures = await runBudgetCase(alone, input);
+  t.is(figures.overspend, 0);
+  t.true(figures.avoidableRefusals > figures.requests / 1_000);
+});
