--- a/packages/daemon/entry/caller_request.ts
+++ b/packages/daemon/entry/caller_request.ts
@@ -10,6 +10,7 @@
   ServiceConfig,
   Tokens,
 } from "../../core/mod.ts";
+import type { PrefixDigest } from "../../routing/mod.ts";
 
 /** One request, with the configuration it began with. */
 export interface CallerRequest {
@@ -23,6 +24,9 @@
   /** Whether the caller gave the key, so that a retry can name it. */
   readonly keyGiven: boolean;
   readonly digest: BodyDigest;
+  /** Body as the caller sent it. */
+  readonly received: Uint8Array;
+  /** Body as targets are sent it. */
   readonly body: Uint8Array;
   /** Whether the caller wants server-sent events. */
   readonly stream: boolean;
@@ -30,6 +34,8 @@
   readonly promptBound: Tokens;
   /** Upper bound of generated tokens; 0 for plain services. */
   readonly outputBound: Tokens;
+  /** Digests of the prompt's beginning, the shortest first. */
+  readonly prefixes: readonly PrefixDigest[];
   readonly arrivedAt: MonotonicTime;
   readonly deadline: MonotonicTime;
 }
