--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -10,11 +10,18 @@
   borrower: z.object({ vm: z.string(), incarnation: z.string() }),
 });
 
+/** Most grants that one loan comes from. */
+const MAX_LOAN_PARTS = 1_000;
+
 /** What the lender answers; zero tokens are a refusal. */
 export const LOAN_ANSWER_SCHEMA = z.object({
   transferId: z.string(),
   tokens: z.number().int().nonnegative(),
-  lenderGrantId: z.string(),
+  parts: z.array(z.object({
+    transferId: z.string(),
+    lenderGrantId: z.string(),
+    tokens: z.number().int().positive(),
+  })).max(MAX_LOAN_PARTS).readonly(),
 });
 
 /** Most rows that a peer reads at once. */
