Take grants worth a write to the end, and close empty ones only for free

Cause, from the list of exchanges of one event: its last thousand tokens went in grants of 16, 12, 9 ... 1; a refused take still wrote its row to close empty grants; idle accounts gave back in three steps. Change: a grant covers 16 usual requests while the budget can; empty grants are closed with a take that is likely to succeed; an account drawn on less than once a horizon holds nothing.

--- a/packages/budget/account.ts
+++ b/packages/budget/account.ts
@@ -85,6 +85,8 @@
   readonly drawRate: number;
   /** Rate of reserving in tokens per second, smoothed, as of {@link lastDraw}. */
   readonly demandRate: number;
+  /** Usual size of a reservation in tokens, smoothed; 0 before the first. */
+  readonly usualHold: Tokens;
   /** When the rates were last brought up to date. */
   readonly lastDraw: MonotonicTime;
   /** When tokens were last returned because the rate had fallen. */
@@ -117,6 +119,7 @@
     grants: [],
     drawRate: 0,
     demandRate: 0,
+    usualHold: 0,
     lastDraw: 0,
     lastReturn: 0,
     pendingLoans: [],
--- a/packages/budget/draw_rate.ts
+++ b/packages/budget/draw_rate.ts
@@ -13,6 +13,9 @@
 /** Time constant of the rates, in milliseconds. */
 export const RATE_WINDOW: Millis = 30_000;
 
+/** Weight of the newest reservation in the usual size. */
+const HOLD_WEIGHT = 1 / 16;
+
 /** Rates of one account, in tokens per second. */
 export interface AccountRates {
   readonly drawRate: number;
@@ -47,6 +50,17 @@
     ...account,
     drawRate: rates.drawRate + (input.spent ?? 0) * weight,
     demandRate: rates.demandRate + (input.reserved ?? 0) * weight,
+    usualHold: computeUsualHold(account, input.reserved),
     lastDraw: Math.max(account.lastDraw, input.now),
   };
 }
+
+function computeUsualHold(
+  account: EventAccount,
+  reserved: Tokens | undefined,
+): Tokens {
+  const { usualHold } = account;
+  if (reserved === undefined) return usualHold;
+  if (usualHold === 0) return reserved;
+  return usualHold + (reserved - usualHold) * HOLD_WEIGHT;
+}
--- a/packages/budget/queries/compute_grant_targets.ts
+++ b/packages/budget/queries/compute_grant_targets.ts
@@ -49,6 +49,12 @@
 /** First grant of an event, in multiples of the request that needs it. */
 export const START_FACTOR = 16;
 
+/**
+ * Requests that a grant should cover at least, so that the end of a budget
+ * doesn't go in ever smaller grants. Loans move what is left to where it lacks.
+ */
+const LEAST_REQUESTS = 16;
+
 /** What the targets are computed from. */
 export interface TargetInput {
   readonly now: MonotonicTime;
@@ -75,10 +81,15 @@
   const sizing = input.sizing ?? GRANT_SIZING[input.lean];
   const { drawRate, demandRate } = computeRates(account, input.now);
   const refill = demandRate * REFILL_TIME / MILLIS_PER_SECOND;
-  const most = (input.budgetLeft ?? Infinity) * sizing.share;
+  const left = input.budgetLeft ?? Infinity;
+  const least = LEAST_REQUESTS * account.usualHold;
+  const most = Math.min(left, Math.max(left * sizing.share, least));
   const full = refill + drawRate * sizing.horizon / MILLIS_PER_SECOND;
-  const high = Math.min(full, most);
   const low = refill + drawRate * sizing.floor / MILLIS_PER_SECOND;
+  // An account that is hardly drawn on holds nothing.
+  const demand = demandRate * sizing.horizon / MILLIS_PER_SECOND;
+  const isIdle = demand < account.usualHold;
+  const high = isIdle ? 0 : Math.min(full, most);
   return {
     // A refill near the end of the budget must be worth its write, too.
     low: Math.round(Math.min(low, high / 2)),
--- a/packages/budget/queries/plan_grants.ts
+++ b/packages/budget/queries/plan_grants.ts
@@ -64,12 +64,13 @@
     const giveBack = listGiveBacks(account, { ...input, room, targets });
     return { close: over, giveBack };
   }
+  const wanted = computeWanted(account, { need, room, targets });
+  const least = short ? need - room : 1;
   // Closing an empty grant alone is not worth a write; with a take it is free.
+  const isLikely = (input.budgetLeft ?? Infinity) >= least;
   const empty = idle.filter((grant) =>
-    isGrantOpen(grant, now) && computeGrantRoom(grant) === 0
+    isLikely && isGrantOpen(grant, now) && computeGrantRoom(grant) === 0
   );
-  const wanted = computeWanted(account, { need, room, targets });
-  const least = short ? need - room : 1;
   return {
     close: [...over, ...empty],
     giveBack: [],
