--- a/packages/budget/account.ts
+++ b/packages/budget/account.ts
@@ -163,3 +163,17 @@
   );
   return { ...account, grants };
 }
+
+/**
+ * Returns the account without the loans that were spent whole. These end
+ * without a word to the table, which counts lent tokens as out until they return.
+ */
+export function removeSpentLoans(account: EventAccount): EventAccount {
+  const grants = account.grants.filter((grant) => !isSpentLoan(grant));
+  if (grants.length === account.grants.length) return account;
+  return { ...account, grants };
+}
+
+function isSpentLoan(grant: Grant): boolean {
+  return grant.lenderGrantId !== undefined && grant.spent === grant.size;
+}
--- a/packages/budget/commands/plan_exchange.ts
+++ b/packages/budget/commands/plan_exchange.ts
@@ -60,8 +60,6 @@
     shrinks,
     ...(plan.take === undefined ? {} : { take: createTake(input, plan.take) }),
   };
-  // A loan that was spent whole ends without a word to the table.
-  changed = removeSpentLoans(changed, closes);
   return hasWork(exchange) ? { ...changed, exchange } : changed;
 }
 
@@ -99,8 +97,7 @@
   const stopped = closeGrants(account, account.grants.map((each) => each.id));
   const idle = stopped.grants.filter((grant) => grant.reserved === 0);
   const exchange = createSettlement(account.eventId, input, idle);
-  const changed = removeSpentLoans(stopped, idle);
-  return hasWork(exchange) ? { ...changed, exchange } : changed;
+  return hasWork(exchange) ? { ...stopped, exchange } : stopped;
 }
 
 function sortGiveBacks(
@@ -129,13 +126,12 @@
   grants: readonly Grant[],
 ): GrantExchange {
   const own = grants.filter((grant) => grant.lenderGrantId === undefined);
-  const borrowed = grants.filter((grant) => !isSpentLoan(grant));
   return {
     eventId,
     id: input.grantId,
     initialLimit: input.initialLimit,
     closes: own.map(({ id, spent, loans }) => ({ grantId: id, spent, loans })),
-    returns: borrowed.flatMap(createReturn),
+    returns: grants.flatMap(createReturn),
   };
 }
 
@@ -146,20 +142,6 @@
   return [{ transferId: id, lenderGrantId, unspent: size - spent, isLast }];
 }
 
-function isSpentLoan(grant: Grant): boolean {
-  return grant.lenderGrantId !== undefined && grant.spent === grant.size;
-}
-
-function removeSpentLoans(
-  account: EventAccount,
-  closed: readonly Grant[],
-): EventAccount {
-  const spent = closed.filter(isSpentLoan).map((grant) => grant.id);
-  if (spent.length === 0) return account;
-  const grants = account.grants.filter((grant) => !spent.includes(grant.id));
-  return { ...account, grants };
-}
-
 function hasWork(exchange: GrantExchange): boolean {
   return exchange.take !== undefined || (exchange.closes ?? []).length > 0 ||
     (exchange.returns ?? []).length > 0 || (exchange.shrinks ?? []).length > 0;
--- a/packages/budget/commands/settle_reservation.ts
+++ b/packages/budget/commands/settle_reservation.ts
@@ -1,6 +1,6 @@
 /** Turns a reservation into spent tokens when its request ends. */
 import type { MonotonicTime, Tokens } from "../../core/mod.ts";
-import { changeGrant } from "../account.ts";
+import { changeGrant, removeSpentLoans } from "../account.ts";
 import type { EventAccount, Reservation } from "../account.ts";
 import { recordDraw } from "../draw_rate.ts";
 
@@ -43,5 +43,5 @@
       };
     });
   }
-  return settled;
+  return removeSpentLoans(settled);
 }
--- a/packages/budget/loans/lend_tokens.ts
+++ b/packages/budget/loans/lend_tokens.ts
@@ -10,6 +10,7 @@
   computeGrantRoom,
   isGrantOpen,
   PART_SEPARATOR,
+  removeSpentLoans,
 } from "../account.ts";
 import type {
   EventAccount,
@@ -123,7 +124,7 @@
       parts: grant.parts + 1,
     };
   });
-  return { ...account, grants };
+  return removeSpentLoans({ ...account, grants });
 }
 
 function sumTokens(parts: readonly LoanPart[]): Tokens {
