--- a/packages/bench/budget/escrow_policy.ts
+++ b/packages/bench/budget/escrow_policy.ts
@@ -309,7 +309,7 @@
     );
     const plan = planLoans(queue.account, {
       missing,
-      target: LOAN_FACTOR * missing,
+      target: Math.max(LOAN_FACTOR * missing, queue.account.usualHold),
       peers: open,
       now,
     });
--- a/packages/budget/loans/borrow_tokens.ts
+++ b/packages/budget/loans/borrow_tokens.ts
@@ -83,7 +83,7 @@
     .filter((loan) => now - loan.askedAt >= LOAN_RETRY_TIME);
   const open = account.pendingLoans
     .filter((loan) => now - loan.askedAt < LOAN_RETRY_TIME);
-  const wanted = Math.max(missing, target);
+  const wanted = Math.ceil(Math.max(missing, target));
   const ask = peers
     .filter((peer) => !asked.includes(peer))
     .slice(0, Math.max(0, LOAN_FANOUT - open.length))
--- a/packages/budget/loans/lend_tokens.ts
+++ b/packages/budget/loans/lend_tokens.ts
@@ -21,7 +21,7 @@
 } from "../account.ts";
 
 /** Most loans that are made from one grant. */
-export const MAX_LOANS_PER_GRANT = 64;
+export const MAX_LOANS_PER_GRANT = 128;
 
 /** Most answers that are remembered for repeated requests. */
 export const MAX_LOAN_ANSWERS = 64;
--- a/packages/budget/rows/budget_row.ts
+++ b/packages/budget/rows/budget_row.ts
@@ -51,7 +51,7 @@
 export const MAX_WRITE_OFFS = 64;
 
 /** Most loans kept after their lender's close; older ones can't be returned. */
-export const MAX_LOANS_OUT = 64;
+export const MAX_LOANS_OUT = 256;
 
 /** One open grant as the row keeps it. */
 export type GrantEntry = z.infer<typeof GRANT_SCHEMA>;
