Hear what lenders' requests hold, and serve what fits when tokens become scarce

Cause: a shortage was refused after one round although peers' requests were about to free enough; between two rounds a VM kept its tokens for a request it could not serve; a queue that became scarce did not look at those behind the head.

--- a/packages/bench/budget/escrow_policy.ts
+++ b/packages/bench/budget/escrow_policy.ts
@@ -13,6 +13,7 @@
   AccountSchedule,
   computeAccountRoom,
   computeNextDue,
+  computeReserved,
   createEventAccount,
   createGrantExchange,
   type EventAccount,
@@ -99,6 +100,10 @@
   isShort: boolean;
   /** When each peer last had nothing to lend. */
   readonly refusedAt: Map<VmId, MonotonicTime>;
+  /** Most tokens that requests in progress at one peer hold, as last heard. */
+  heldByPeers: Tokens;
+  /** True from when loans were first needed until nobody waits. */
+  isScarce: boolean;
   /** When the open exchange was sent. */
   askedAt: MonotonicTime;
 }
@@ -122,7 +127,7 @@
 
   reserve(event: SampleEvent, tokens: Tokens, onEnd: HoldSink): void {
     const queue = this.#readQueue(event);
-    const mayTry = queue.waiters.length === 0 || queue.isBorrowing;
+    const mayTry = queue.waiters.length === 0 || queue.isScarce;
     const held = mayTry ? this.#tryReserve(queue, tokens) : undefined;
     if (held !== undefined) {
       this.#scheduleVisit(queue);
@@ -153,6 +158,7 @@
     if ("request" in body) return this.#lend(from, body);
     if (queue === undefined) return;
     const { answer } = body;
+    queue.heldByPeers = Math.max(queue.heldByPeers, answer.reserved);
     if (answer.tokens === 0) queue.refusedAt.set(from, this.#readNow());
     queue.account = receiveLoan(queue.account, {
       answer,
@@ -184,6 +190,8 @@
       isShort: false,
       refusedAt: new Map<VmId, MonotonicTime>(),
       askedAt: 0,
+      heldByPeers: 0,
+      isScarce: false,
     };
     this.#queues.set(event.id, queue);
     return queue;
@@ -205,7 +213,7 @@
       if (held !== undefined) {
         queue.waiters = queue.waiters.filter((each) => each !== waiter);
         waiter.onEnd(held);
-      } else if (!queue.isBorrowing) return;
+      } else if (!queue.isScarce) return;
     }
   }
 
@@ -295,10 +303,13 @@
   #borrow(queue: EventQueue): void {
     if (queue.isBorrowing) return;
     queue.isBorrowing = true;
+    queue.isScarce = true;
+    queue.heldByPeers = 0;
     this.#stepBorrowing(queue);
   }
 
   #stepBorrowing(queue: EventQueue): void {
+    this.#serveWaiters(queue);
     const waiter = findSmallest(queue.waiters);
     const now = this.#readNow();
     const room = computeAccountRoom(queue.account, now);
@@ -333,10 +344,8 @@
 
   /** Loans may have left so little missing that the table covers it after all. */
   #refuseHopeless(queue: EventQueue, room: Tokens): void {
-    const hope = Math.max(
-      computeReserved(queue.account),
-      queue.budgetLeft ?? 0,
-    );
+    const own = computeReserved(queue.account);
+    const hope = Math.max(own, queue.heldByPeers, queue.budgetLeft ?? 0);
     for (const waiter of queue.waiters) {
       if (waiter.tokens - room > hope) this.#refuse(queue, waiter);
     }
@@ -346,8 +355,9 @@
     queue.isBorrowing = false;
     queue.isShort = false;
     this.#serveWaiters(queue);
-    if (queue.waiters.length > 0) this.#startExchange(queue);
-    else queue.isNarrowed = false;
+    if (queue.waiters.length > 0) return this.#startExchange(queue);
+    queue.isNarrowed = false;
+    queue.isScarce = false;
   }
 
   #sendRequest(
@@ -393,7 +403,7 @@
 
   /** What the smallest request lacks while nothing but loans can serve it. */
   #describeShortage(queue: EventQueue | undefined) {
-    if (queue === undefined || !queue.isBorrowing) return {};
+    if (queue === undefined || !queue.isScarce) return {};
     const waiter = findSmallest(queue.waiters);
     if (waiter === undefined) return {};
     const room = computeAccountRoom(queue.account, this.#readNow());
@@ -427,8 +437,3 @@
     undefined,
   );
 }
-
-/** Tokens that requests in progress hold; most of them come free. */
-function computeReserved(account: EventAccount): Tokens {
-  return account.grants.reduce((sum, grant) => sum + grant.reserved, 0);
-}
--- a/packages/budget/account.ts
+++ b/packages/budget/account.ts
@@ -75,6 +75,8 @@
   /** The tokens of all parts. */
   readonly tokens: Tokens;
   readonly parts: readonly LoanPart[];
+  /** Tokens that the lender's requests in progress hold; most come free. */
+  readonly reserved: Tokens;
 }
 
 /** Immutable snapshot of one event's account. */
@@ -142,6 +144,11 @@
   return !grant.closing && now < grant.deadline;
 }
 
+/** Returns the tokens that requests in progress hold. */
+export function computeReserved(account: EventAccount): Tokens {
+  return account.grants.reduce((sum, grant) => sum + grant.reserved, 0);
+}
+
 /** Returns the tokens that can be reserved now, over all open grants. */
 export function computeAccountRoom(
   account: EventAccount,
--- a/packages/budget/loans/lend_tokens.ts
+++ b/packages/budget/loans/lend_tokens.ts
@@ -8,6 +8,7 @@
   changeGrant,
   computeAccountRoom,
   computeGrantRoom,
+  computeReserved,
   isGrantOpen,
   PART_SEPARATOR,
   removeSpentLoans,
@@ -77,7 +78,12 @@
   });
   const parts = [...own, ...handedOn];
   const { transferId } = request;
-  const answer = { transferId, tokens: sumTokens(parts), parts };
+  const answer = {
+    transferId,
+    tokens: sumTokens(parts),
+    parts,
+    reserved: computeReserved(account),
+  };
   const lent = addLoans(account, { parts: own, borrower: request.borrower });
   const debited = removeHandedOn(lent, handedOn);
   const loanAnswers = [...account.loanAnswers, answer].slice(-MAX_LOAN_ANSWERS);
--- a/packages/budget/loans/loans_test.ts
+++ b/packages/budget/loans/loans_test.ts
@@ -248,6 +248,11 @@
   let lender = createLender(new MemoryRows());
   const kept = lendTokens(lender, { request: REQUEST, now: 0, keep: 90 });
   t.is(kept.answer.tokens, 10);
+  lender = receiveGrant(createEventAccount("e"), {
+    grantId: "a/1/1",
+    size: 2 * MAX_LOANS_PER_GRANT,
+    deadline: GRANT_TERM,
+  });
   for (let number = 0; number <= MAX_LOANS_PER_GRANT; number++) {
     const request = { ...REQUEST, transferId: `b/1/${number}`, wanted: 1 };
     lender = lend(lender, { ...request, least: 1 }).account;
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -17,6 +17,7 @@
   computeAccountRoom,
   computeGrantRoom,
   computeLent,
+  computeReserved,
   createEventAccount,
   isGrantOpen,
 } from "./account.ts";
--- a/packages/budget/queries/plan_grants.ts
+++ b/packages/budget/queries/plan_grants.ts
@@ -3,6 +3,7 @@
 import {
   computeAccountRoom,
   computeGrantRoom,
+  computeReserved,
   isGrantOpen,
 } from "../account.ts";
 import type { EventAccount, Grant } from "../account.ts";
@@ -107,8 +108,7 @@
   },
 ): Tokens {
   const { need, room, targets } = input;
-  const reserved = account.grants
-    .reduce((sum, grant) => sum + grant.reserved, 0);
+  const reserved = computeReserved(account);
   const useful = Math.max(targets.high - room, need * START_FACTOR, reserved);
   return Math.max(1, need - room, Math.min(useful, targets.most));
 }
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -22,6 +22,7 @@
     lenderGrantId: z.string(),
     tokens: z.number().int().positive(),
   })).max(MAX_LOAN_PARTS).readonly(),
+  reserved: z.number().int().nonnegative(),
 });
 
 /** Most rows that a peer reads at once. */
