Add freshness of the document and measure its scale and time in force

A VM must say when it cannot be sure that it has the newest document. Only the table can confirm; peers pass on the age of the table's word, so VMs that are cut off together cannot confirm each other.

--- /dev/null
+++ b/packages/bench/document/document_in_force_experiment.ts
@@ -0,0 +1,318 @@
+/** How soon an accepted change is in force on every VM, and what it costs. */
+import {
+  type Bytes,
+  type Millis,
+  MILLIS_PER_MINUTE,
+  MILLIS_PER_SECOND,
+  type MonotonicTime,
+  type VmId,
+} from "../../core/mod.ts";
+import {
+  addRecentChange,
+  Container,
+  createDocumentState,
+  type DocumentReader,
+  type DocumentState,
+  FLEET_SECTION,
+  loadDocument,
+  type RecentChanges,
+  StateReader,
+  submitChange,
+  SubmitState,
+} from "../../document/mod.ts";
+import { SeededRandom } from "../harness/random.ts";
+import { MemberGroup } from "../membership/member_group.ts";
+import {
+  createAtMostGoal,
+  type Experiment,
+  type ExperimentOptions,
+  type Figures,
+} from "../report/experiment.ts";
+import { CountingTable } from "./counting_table.ts";
+import {
+  type DocumentSizes,
+  formatEvent,
+  formatShared,
+  formatTeam,
+  formatTeams,
+  formatTeamSection,
+  SHARED_SECTION,
+} from "./large_document.ts";
+
+const SIZE: DocumentSizes = { events: 200, customers: 100, teams: 1 };
+
+/** Time between two looks at the head row of one VM. */
+const POLL_INTERVAL: Millis = 5 * MILLIS_PER_SECOND;
+
+const CHANGES = 10;
+
+/** Time between two changes: 1,500 a day are one in 57.6 s. */
+const CHANGE_INTERVAL: Millis = 57_600;
+
+/** Bound of the time until a change is in force everywhere. */
+const IN_FORCE_GOAL = 15;
+
+/** Half of the 2 KB a second that a node may spend on control. */
+const BYTES_GOAL = 1_024;
+
+interface Case {
+  readonly members: number;
+  /** Part of the VMs that cannot reach the table. */
+  readonly cutOff: number;
+}
+
+const CASES: readonly Case[] = [
+  { members: 8, cutOff: 0 },
+  { members: 8, cutOff: 0.5 },
+  { members: 96, cutOff: 0 },
+  { members: 96, cutOff: 0.5 },
+  { members: 380, cutOff: 0 },
+  { members: 380, cutOff: 0.5 },
+];
+const QUICK_CASES = CASES.slice(0, 4);
+
+/** The experiment. */
+export const documentInForceExperiment: Experiment = {
+  name: "document-in-force",
+  description:
+    "Time until a change is in force everywhere, by polling and by peers, with reads and bytes",
+  quick: true,
+  run: runCases,
+};
+
+interface Follower {
+  state: DocumentState;
+  recent: RecentChanges;
+  busy: boolean;
+}
+
+/** VMs that follow one document. */
+class FollowerGroup {
+  readonly table = new CountingTable();
+  readonly members: MemberGroup;
+  readonly #followers = new Map<VmId, Follower>();
+  readonly #isCutOff: (vm: VmId) => boolean;
+  readonly #reachedAt = new Map<number, MonotonicTime>();
+  peerBytes: Bytes = 0;
+
+  constructor(input: Case, random: SeededRandom) {
+    this.members = new MemberGroup(1);
+    this.members.startMembers(input.members);
+    this.members.onExchange = (left, right) => this.#compare(left, right);
+    const vms = this.members.listRunning();
+    const cut = new Set(vms.slice(0, Math.floor(vms.length * input.cutOff)));
+    this.#isCutOff = (vm) => cut.has(vm);
+    for (const vm of vms) {
+      const follower = {
+        state: createDocumentState(),
+        recent: [],
+        busy: false,
+      };
+      this.#followers.set(vm, follower);
+      const phase = random.uniform() * POLL_INTERVAL;
+      this.members.clock.schedule(phase, () => this.#poll(vm));
+    }
+  }
+
+  /** Returns when the last VM reached a version. */
+  readReachedAt(version: number): MonotonicTime | undefined {
+    const all = [...this.#followers.values()]
+      .every((follower) => follower.state.version >= version);
+    return all ? this.#reachedAt.get(version) : undefined;
+  }
+
+  #poll(vm: VmId): void {
+    this.members.clock.schedule(POLL_INTERVAL, () => this.#poll(vm));
+    if (!this.#isCutOff(vm)) void this.#load(vm, this.table);
+  }
+
+  /** The one that has the older version reads from the other, or the table. */
+  #compare(left: VmId, right: VmId): void {
+    const versions = [left, right].map((vm) => this.#get(vm).state.version);
+    if (versions[0] === versions[1]) return;
+    const [older, newer] = versions[0]! < versions[1]!
+      ? [left, right]
+      : [right, left];
+    if (!this.#isCutOff(older)) return void this.#load(older, this.table);
+    const { state, recent } = this.#get(newer);
+    const reader = new PeerReader(new StateReader(state, recent), (bytes) => {
+      this.peerBytes += bytes;
+    });
+    void this.#load(older, reader);
+  }
+
+  async #load(vm: VmId, reader: DocumentReader): Promise<void> {
+    const follower = this.#get(vm);
+    if (follower.busy) return;
+    follower.busy = true;
+    const loaded = (await loadDocument(reader, follower.state)).unsafeCoerce();
+    follower.busy = false;
+    if (loaded.state.version <= follower.state.version) return;
+    follower.state = loaded.state;
+    follower.recent = loaded.changes.reduce(addRecentChange, follower.recent);
+    this.members.changeDocument(vm, follower.state.version);
+    const now = this.members.clock.readMonotonic();
+    this.#reachedAt.set(follower.state.version, now);
+  }
+
+  #get(vm: VmId): Follower {
+    return this.#followers.get(vm)!;
+  }
+}
+
+/** Counts what is read from a peer. */
+class PeerReader implements DocumentReader {
+  readonly #reader: DocumentReader;
+  readonly #count: (bytes: Bytes) => void;
+
+  constructor(reader: DocumentReader, count: (bytes: Bytes) => void) {
+    this.#reader = reader;
+    this.#count = count;
+  }
+
+  async read(keys: readonly string[]) {
+    const answer = await this.#reader.read(keys);
+    return answer.ifRight((rows) => this.#count(JSON.stringify(rows).length));
+  }
+
+  scan(
+    prefix: string,
+    options: { readonly after?: string; readonly limit: number },
+  ) {
+    return this.#reader.scan(prefix, options);
+  }
+}
+
+async function runCases(options: ExperimentOptions): Promise<Figures> {
+  const cases = options.quick ? QUICK_CASES : CASES;
+  const rows: (readonly number[])[] = [];
+  for (const each of cases) {
+    options.log(`${each.members} VMs, ${each.cutOff} cut off from the table`);
+    rows.push(await runCase(each, options.seed));
+  }
+  const slowest = Math.max(...rows.map((row) => row[3]!));
+  const bytes = Math.max(...rows.map((row) => row[5]! + row[6]!));
+  return {
+    tables: [{
+      name: "document-in-force",
+      title: "One change at the rate of 1,500 a day",
+      columns: [
+        "VMs",
+        "part without the table",
+        "in force everywhere, s (median)",
+        "in force everywhere, s (slowest)",
+        "rows read/s, whole fleet",
+        "document bytes/s per VM",
+        "gossip bytes/s per VM",
+      ],
+      rows,
+    }],
+    goals: [
+      createAtMostGoal("in force everywhere", {
+        bound: IN_FORCE_GOAL,
+        unit: "s",
+        value: slowest,
+      }),
+      createAtMostGoal("payload of following and gossip", {
+        bound: BYTES_GOAL,
+        unit: "B/s",
+        value: round(bytes),
+      }),
+    ],
+    notes: [
+      "Bytes are payload as JSON; headers of HTTP come on top.",
+      "Reads and messages take no time here; a poll of the table or an exchange with a peer is what a change waits for.",
+    ],
+  };
+}
+
+async function runCase(input: Case, seed: number): Promise<readonly number[]> {
+  const random = new SeededRandom(seed);
+  const group = new FollowerGroup(input, random);
+  const { clock } = group.members;
+  let state = await createDocument(group.table);
+  await clock.runUntil(MILLIS_PER_MINUTE);
+  group.table.clearCounts();
+  group.peerBytes = 0;
+  const gossipBefore = sumGossip(group, input.members);
+  const start = clock.readMonotonic();
+  const seconds: number[] = [];
+  for (let number = 0; number < CHANGES; number++) {
+    const reads = { rows: group.table.rowsRead, bytes: group.table.bytesRead };
+    state = await submitEvent(group.table, state, number);
+    // What the operator's own VM read is not part of following.
+    group.table.rowsRead = reads.rows;
+    group.table.bytesRead = reads.bytes;
+    const acceptedAt = clock.readMonotonic();
+    await clock.runUntil(acceptedAt + CHANGE_INTERVAL);
+    const reachedAt = group.readReachedAt(state.version);
+    const waited = (reachedAt ?? Number.POSITIVE_INFINITY) - acceptedAt;
+    seconds.push(waited / MILLIS_PER_SECOND);
+  }
+  const span = (clock.readMonotonic() - start) / MILLIS_PER_SECOND;
+  const each = (sum: number) => round(sum / span / input.members);
+  seconds.sort((left, right) => left - right);
+  return [
+    input.members,
+    input.cutOff,
+    round(seconds[Math.floor(CHANGES / 2)]!),
+    round(seconds.at(-1)!),
+    round(group.table.rowsRead / span),
+    each(group.table.bytesRead + group.peerBytes),
+    each(sumGossip(group, input.members) - gossipBefore),
+  ];
+}
+
+function sumGossip(group: FollowerGroup, members: number): Bytes {
+  return group.members.listRunning().slice(0, members)
+    .reduce((sum, vm) => sum + group.members.readTraffic(vm).bytes, 0);
+}
+
+async function createDocument(table: CountingTable): Promise<DocumentState> {
+  let state = createDocumentState();
+  const texts = [
+    [FLEET_SECTION, formatTeams(SIZE)],
+    [SHARED_SECTION, formatShared(SIZE)],
+    [formatTeam(0), formatTeamSection(SIZE, 0)],
+  ] as const;
+  for (const [section, text] of texts) {
+    state = await submit(table, state, { section, edit: { text } });
+  }
+  return state;
+}
+
+function submitEvent(
+  table: CountingTable,
+  state: DocumentState,
+  number: number,
+): Promise<DocumentState> {
+  const value = formatEvent(SIZE, number, 6_000 + number);
+  const key = `event-${number}`;
+  const edit = { values: [{ container: Container.Events, key, value }] };
+  return submit(table, state, { section: formatTeam(0), edit });
+}
+
+async function submit(
+  table: CountingTable,
+  state: DocumentState,
+  input: Pick<Parameters<typeof submitChange>[2], "section" | "edit">,
+): Promise<DocumentState> {
+  const baseVersion = state.sections.get(input.section)?.version ?? 0;
+  const result = await submitChange(
+    { reader: table, run: (operation) => table.run(operation) },
+    state,
+    {
+      ...input,
+      changeId: `${input.section}-${baseVersion}`,
+      baseVersion,
+      author: "operator",
+      wallTime: 0,
+    },
+  );
+  if (result.state === SubmitState.Accepted) return result.document;
+  throw new Error(JSON.stringify(result).slice(0, 500));
+}
+
+function round(value: number): number {
+  return Number(value.toFixed(2));
+}
--- /dev/null
+++ b/packages/bench/document/large_document.ts
@@ -0,0 +1,108 @@
+/** Documents of any size, for measurements. */
+import { createHash } from "node:crypto";
+
+/** Sizes of a document. */
+export interface DocumentSizes {
+  readonly events: number;
+  readonly customers: number;
+  readonly teams: number;
+}
+
+const MODELS = 7;
+const CUSTOMERS_PER_EVENT = 4;
+const KINDS_PER_EVENT = 3;
+
+/** Name of the section that holds customers and services for all teams. */
+export const SHARED_SECTION = "platform";
+
+/** Returns the name of a team by its number. */
+export function formatTeam(index: number): string {
+  return `team-${index}`;
+}
+
+/** Returns the text of the section of teams. */
+export function formatTeams(sizes: DocumentSizes): string {
+  const names = [
+    SHARED_SECTION,
+    ...Array.from({ length: sizes.teams }, (_, index) => formatTeam(index)),
+  ];
+  const teams = names.map((name) =>
+    `    "${name}": { "keyHashes": ["${hashText(name)}"] }`
+  );
+  return `{\n  "teams": {\n${teams.join(",\n")}\n  }\n}\n`;
+}
+
+/** Returns the text of the section that all teams share. */
+export function formatShared(sizes: DocumentSizes): string {
+  const customers = Array.from({ length: sizes.customers }, (_, index) => {
+    const id = `customer-${index}`;
+    return `    "${id}": { "keyHashes": ["${hashText(id)}"], "weight": 1 }`;
+  });
+  const services = Array.from(
+    { length: MODELS },
+    (_, index) =>
+      `    "model-${index}": { "type": "model-engine", "targets": {} }`,
+  );
+  return `{
+  // customers of all teams
+  "customers": {\n${customers.join(",\n")}\n  },
+  "services": {\n${services.join(",\n")}\n  }
+}
+`;
+}
+
+/** Returns the text of one team's section. */
+export function formatTeamSection(
+  sizes: DocumentSizes,
+  team: number,
+): string {
+  const count = Math.ceil(sizes.events / sizes.teams);
+  const events = Array.from({ length: count }, (_, index) => {
+    const number = team * count + index;
+    return `    // event ${number} of the year
+    "event-${number}": ${formatEvent(sizes, number, 5_000)}`;
+  });
+  return `{\n  "events": {\n${events.join(",\n")}\n  }\n}\n`;
+}
+
+/** Returns the text of an event's value. */
+export function formatEvent(
+  sizes: DocumentSizes,
+  number: number,
+  tokens: number,
+): string {
+  const customers = Array.from(
+    { length: CUSTOMERS_PER_EVENT },
+    (_, index) => `"customer-${(number * 7 + index) % sizes.customers}"`,
+  );
+  const kinds = Array.from(
+    { length: KINDS_PER_EVENT },
+    (_, index) =>
+      `        "kind-${index}": { "service": "model-${
+        (number + index) % MODELS
+      }", "maxOutputTokens": 800, "repeatability": "repeatable" }`,
+  );
+  return `{
+      "budgetTokens": ${tokens},
+      "customers": [${customers.join(", ")}],
+      "kinds": {\n${kinds.join(",\n")}\n      }
+    }`;
+}
+
+/** Returns a whole document as one text. */
+export function formatWhole(sizes: DocumentSizes): string {
+  const teams = formatTeams(sizes).trim().replace(/^\{\s*/, "")
+    .replace(/\s*\}$/, "");
+  const sections = Array.from(
+    { length: sizes.teams },
+    (_, index) => `"${formatTeam(index)}": ${formatTeamSection(sizes, index)}`,
+  );
+  const shared = `"${SHARED_SECTION}": ${formatShared(sizes)}`;
+  return `{ ${teams},\n"sections": { ${
+    [shared, ...sections].join(",\n")
+  } } }\n`;
+}
+
+function hashText(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
--- a/packages/bench/membership/member_group.ts
+++ b/packages/bench/membership/member_group.ts
@@ -22,6 +22,7 @@
   receiveGossip,
   recordGossipSent,
   recordLeaving,
+  recordOwnDocument,
   recordProbeFailed,
   recordReplySent,
 } from "../../membership/mod.ts";
@@ -51,6 +52,8 @@
   readonly clock = new VirtualClock();
   /** Replace it to cut members off from each other. */
   isLost: LossRule = () => false;
+  /** Is called after two members have exchanged messages. */
+  onExchange: (left: VmId, right: VmId) => void = () => {};
   readonly #random: SeededRandom;
   readonly #nodes = new Map<VmId, Node>();
 
@@ -106,6 +109,11 @@
     this.#change(vm, (view) => recordLeaving(view, { now }));
   }
 
+  /** Records the document version that a member has in force. */
+  changeDocument(vm: VmId, version: number): void {
+    this.#change(vm, (view) => recordOwnDocument(view, version));
+  }
+
   /** Runs for a duration of virtual time. */
   runFor(duration: Millis): void {
     const end = this.clock.readMonotonic() + duration;
@@ -193,6 +201,7 @@
     this.#count(to, from, JSON.stringify(reply).length);
     const received = { message: reply, now };
     this.#change(from, (view) => receiveGossip(view, received));
+    this.onExchange(from, to);
     return true;
   }
 
--- /dev/null
+++ b/packages/document/follow/freshness_test.ts
@@ -0,0 +1,57 @@
+/** Tests of freshness under partitions and pauses. */
+import test from "ava";
+import { StalePolicy } from "../../core/mod.ts";
+import {
+  computeFreshnessState,
+  createFreshness,
+  createPeerWord,
+  FreshnessState,
+  isRefusedAsStale,
+  recordPeerWord,
+  recordTableAnswer,
+} from "../mod.ts";
+
+const STALE_AFTER = 1_000;
+
+test("a VM that restarts without table and peers says that it cannot be sure", (t) => {
+  const state = computeFreshnessState(createFreshness(), {
+    now: 5,
+    staleAfter: STALE_AFTER,
+  });
+  t.is(state, FreshnessState.Unconfirmed);
+  t.true(isRefusedAsStale(state, StalePolicy.Refuse));
+  t.false(isRefusedAsStale(state, StalePolicy.CarryOn));
+});
+
+test("two VMs that are cut off together grow stale, whatever they tell each other", (t) => {
+  let left = recordTableAnswer(createFreshness(), 0);
+  let right = recordTableAnswer(createFreshness(), 100);
+  for (let now = 200; now <= 2_000; now += 100) {
+    const word = (from: typeof left) =>
+      createPeerWord(from, { version: 3, now });
+    const input = { ownVersion: 3, askedAt: now };
+    left = recordPeerWord(left, { ...input, word: word(right) });
+    right = recordPeerWord(right, { ...input, word: word(left) });
+  }
+  for (const each of [left, right]) {
+    const state = (now: number) =>
+      computeFreshnessState(each, { now, staleAfter: STALE_AFTER });
+    t.is(state(1_100), FreshnessState.Confirmed);
+    t.is(state(1_101), FreshnessState.Stale);
+  }
+});
+
+test("a peer with another version, or a slow answer, confirms nothing new", (t) => {
+  const start = recordTableAnswer(createFreshness(), 0);
+  const word = { version: 4, confirmedAge: 0 };
+  const other = recordPeerWord(start, { word, ownVersion: 3, askedAt: 900 });
+  t.deepEqual(other, start);
+  const slow = recordPeerWord(start, { word, ownVersion: 4, askedAt: 900 });
+  t.is(slow.confirmedAt, 900);
+  const wrong = { version: 4, confirmedAge: -5_000 };
+  t.is(
+    recordPeerWord(start, { word: wrong, ownVersion: 4, askedAt: 10 })
+      .confirmedAt,
+    10,
+  );
+});
--- a/packages/document/mod.ts
+++ b/packages/document/mod.ts
@@ -18,6 +18,16 @@
   MAX_RECENT_CHANGES,
   StateReader,
 } from "./follow/document_reader.ts";
+export type { Freshness, PeerWord } from "./follow/freshness.ts";
+export {
+  computeFreshnessState,
+  createFreshness,
+  createPeerWord,
+  FreshnessState,
+  isRefusedAsStale,
+  recordPeerWord,
+  recordTableAnswer,
+} from "./follow/freshness.ts";
 export type { LoadedDocument } from "./follow/load_document.ts";
 export {
   applyCarriedChange,
--- a/packages/document/queries/parse_document_test.ts
+++ b/packages/document/queries/parse_document_test.ts
@@ -1,5 +1,6 @@
 /** Tests of parsing a whole document. */
 import test from "ava";
+import fc from "fast-check";
 import {
   formatInputError,
   InputErrorKind,
@@ -93,3 +94,53 @@
   const deep = `{"sections":{"a":${"[".repeat(200_000)}`;
   t.true(parseDocument(deep, "doc").isLeft());
 });
+
+test("no text makes the parser throw, and every fault has a place and a remedy", (t) => {
+  const inserted = fc.oneof(
+    fc.constantFrom(
+      "{",
+      "}",
+      "[",
+      "]",
+      ",",
+      ":",
+      '"',
+      "//",
+      "/*",
+      "null",
+      "1e999",
+    ),
+    fc.string({ maxLength: 5 }),
+    fc.json({ maxDepth: 2 }),
+  );
+  const cut = fc.record({
+    from: fc.nat(DOCUMENT.length),
+    length: fc.nat(40),
+    inserted,
+  });
+  const broken = fc.array(cut, { minLength: 1, maxLength: 3 }).map((cuts) =>
+    cuts.reduce(
+      (text, { from, length, inserted }) =>
+        text.slice(0, from) + inserted + text.slice(from + length),
+      DOCUMENT,
+    )
+  );
+  const texts = fc.oneof(
+    { arbitrary: broken, weight: 4 },
+    fc.json(),
+    fc.string({ unit: "binary" }),
+  );
+  fc.assert(
+    fc.property(texts, (text) => {
+      parseDocument(text, "doc").ifLeft((errors) => {
+        t.true(errors.length > 0);
+        for (const { kind, remedy, place } of errors) {
+          t.true(Object.values(InputErrorKind).includes(kind));
+          t.not(remedy, "");
+          t.true((place?.line ?? 0) >= 1 && (place?.column ?? 0) >= 1);
+        }
+      });
+    }),
+    { numRuns: 3_000, seed: 6 },
+  );
+});
