Serve the administration API over Node's http

The daemon needs one object to mount. AdminFace finds the route, looks at the key before it reads a body, bounds the body and answers every failure with a typed error.

--- a/packages/admin/admin_test.ts
+++ b/packages/admin/admin_test.ts
@@ -1,6 +1,8 @@
 /** Tests of the administration API against a table in memory. */
 import { createHash } from "node:crypto";
 import { readFileSync } from "node:fs";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import test from "ava";
 import fc from "fast-check";
 import { Right } from "purify-ts";
@@ -16,6 +18,7 @@
 import {
   ADMIN_ROUTES,
   type AdminAnswer,
+  AdminFace,
   type AdminPorts,
   AUDIT_PREFIX,
   type Caller,
@@ -248,6 +251,41 @@
   t.is(missing.status, 404);
 });
 
+test("the face asks for a key, finds routes and reads bodies", async (t) => {
+  const api = await createApi();
+  const hash = createHash("sha256").update("fleet-key").digest("hex");
+  const face = new AdminFace({
+    ports: api.ports,
+    readFleetKeyHashes: () => [hash],
+  });
+  const server = createServer((request, response) => {
+    void face.serve(request, response).then((answered) => {
+      if (!answered) response.writeHead(404).end();
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const call = (path: string, input: { method?: string; body?: string }) =>
+    fetch(`http://127.0.0.1:${port}${path}`, {
+      ...input,
+      headers: { authorization: "Bearer fleet-key" },
+    });
+  const url = `http://127.0.0.1:${port}/v1/document`;
+  t.is((await fetch(url)).status, 401);
+  t.is((await call("/v1/nothing", {})).status, 404);
+  const path = "/v1/document/sections/depot";
+  const read = await call(path, {});
+  t.like(await read.json(), { version: 1, text: SECTION });
+  t.is((await call(path, { method: "PUT", body: "{" })).status, 400);
+  const text = SECTION.replace("500", "700");
+  const body = JSON.stringify({ changeId: "raise", baseVersion: 1, text });
+  const changed = await call(path, { method: "PUT", body });
+  t.like(await changed.json(), { state: "accepted", version: 3 });
+  const tried = await call(`${path}?dryRun=maybe`, { method: "PUT", body });
+  t.is(tried.status, 400);
+});
+
 test("no request makes a route throw or answer without a type", async (t) => {
   const api = await createApi();
   const callers = fc.constantFrom(FLEET, DEPOT, OTHER);
