Leave out targets that do not answer a new connection

Cause: with half of a group dead the bound on ejections kept a sixth of the group in use though nothing listened there, and a draw that met one usable target out of many took it whatever its load.

--- a/packages/routing/commands/apply_report.ts
+++ b/packages/routing/commands/apply_report.ts
@@ -5,6 +5,7 @@
 import type { RoutingState } from "../state.ts";
 import type { OwnSample, TargetState } from "../target_state.ts";
 import { recordLeavingWord } from "./apply_leaving.ts";
+import { recordReach } from "./record_reach.ts";
 
 const MOST_SAMPLES = 8;
 
@@ -19,9 +20,10 @@
     readonly age?: Millis;
   },
 ): RoutingState {
+  const { report, now } = input;
+  recordReach(state, target, { answered: true, now });
   const known = state.targets.get(target);
   if (known === undefined) return state;
-  const { report, now } = input;
   const measuredAt = now - (input.age ?? 0);
   if ((known.report?.measuredAt ?? -Infinity) > measuredAt) return state;
   const sample = { at: now, inFlight: known.inFlight };
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -33,6 +33,7 @@
   recordAttemptEnd,
   recordAttemptStart,
 } from "./commands/record_attempt.ts";
+export { recordReach } from "./commands/record_reach.ts";
 export type { PooledConnection } from "./connection/decide_pooled.ts";
 export { isReusable } from "./connection/decide_pooled.ts";
 export type {
@@ -73,6 +74,7 @@
 export type { ChooseInput } from "./queries/choose_target.ts";
 export { chooseTarget } from "./queries/choose_target.ts";
 export { computeLoad, computeOthers } from "./queries/compute_load.ts";
+export { computeMostLoad } from "./queries/compute_most_load.ts";
 export { describeRouting } from "./queries/describe_routing.ts";
 export type { SlowCall } from "./retry/decide_hedge.ts";
 export { decideHedge } from "./retry/decide_hedge.ts";
--- a/packages/routing/queries/choose_target.ts
+++ b/packages/routing/queries/choose_target.ts
@@ -129,11 +129,13 @@
     if (candidate !== undefined) found.push(candidate);
   }
   const best = chooseLighter(found);
-  if (best !== undefined && hasRoom(best, input)) return best;
+  if (found.length === 2 && best !== undefined && hasRoom(best, input)) {
+    return best;
+  }
   return chooseAmongAll(state, input, ids) ?? best;
 }
 
-/** Draws among all usable targets with room, or any if none has. */
+/** Samples two of all usable targets with room, or of all if none has. */
 function chooseAmongAll(
   state: RoutingState,
   input: ChooseInput,
@@ -144,7 +146,12 @@
     .filter((candidate) => candidate !== undefined);
   const roomy = usable.filter((candidate) => hasRoom(candidate, input));
   const pool = roomy.length > 0 ? roomy : usable;
-  return pool[Math.floor(input.random() * pool.length)];
+  const first = Math.floor(input.random() * pool.length);
+  const step = 1 + Math.floor(input.random() * (pool.length - 1));
+  const second = (first + step) % pool.length;
+  return chooseLighter(
+    [pool[first], pool[second]].filter((each) => each !== undefined),
+  );
 }
 
 function findHolder(
--- a/packages/routing/queries/choose_target_test.ts
+++ b/packages/routing/queries/choose_target_test.ts
@@ -15,6 +15,7 @@
   listLeavingSigns,
   recordAttemptEnd,
   recordAttemptStart,
+  recordReach,
   type RoutedRequest,
   type RoutingState,
   TargetHealth,
@@ -149,6 +150,18 @@
   t.is(computeHealth(state.targets.get("t0")!, 9_000), TargetHealth.Healthy);
 });
 
+test("targets that do not answer get nothing, however many, and come back slowly", (t) => {
+  const state = createState();
+  for (const { id } of TWELVE.slice(0, 11)) {
+    recordReach(state, id, { answered: false, now: 0 });
+  }
+  t.deepEqual([...dispatchMany(state, 20, { now: 1 })], [["t11", 20]]);
+  applyReport(state, "t0", { report: createReport(0), now: 5_000 });
+  const counts = dispatchMany(closeAll(state), 22, { now: 5_000 });
+  t.true((counts.get("t0") ?? 0) <= 4, `${counts.get("t0")} at t0`);
+  t.true((counts.get("t0") ?? 0) > 0);
+});
+
 test("failures eject a target, and one good attempt after that lets it back slowly", (t) => {
   const state = createState();
   recordFailures(state, "t0", 0);
--- a/packages/routing/retry/decide_retry.ts
+++ b/packages/routing/retry/decide_retry.ts
@@ -119,7 +119,9 @@
 }
 
 function chooseExtra(failed: FailedAttempt): ExtraAttempt {
-  const replaceable = failed.lost && failed.replacements < MOST_REPLACEMENTS;
+  // What was never sent left no work behind that a new attempt would double.
+  const lost = failed.lost || failed.end === AttemptEnd.NotSent;
+  const replaceable = lost && failed.replacements < MOST_REPLACEMENTS;
   return replaceable ? ExtraAttempt.Replacement : ExtraAttempt.Retry;
 }
 
--- a/packages/routing/target_state.ts
+++ b/packages/routing/target_state.ts
@@ -8,6 +8,8 @@
   Leaving = "leaving",
   /** Taken out for a while because its attempts failed. */
   Ejected = "ejected",
+  /** It did not answer over a new connection. */
+  Unreachable = "unreachable",
   /** Back after an ejection; it gets one attempt at a time until one succeeds. */
   Probation = "probation",
 }
@@ -52,6 +54,8 @@
   /** Ejections since the last attempt that succeeded. */
   readonly ejections: number;
   readonly ejectedUntil?: MonotonicTime;
+  /** When it last failed to answer over a new connection, until it answers. */
+  readonly unreachableSince?: MonotonicTime;
   /** Rises when cache events were lost, so that older holdings are doubted. */
   readonly cacheEpoch: number;
   /** Sequence number of the last cache event. */
@@ -88,6 +92,7 @@
   if (target.listedLeaving || target.word?.leaving === true) {
     return TargetHealth.Leaving;
   }
+  if (target.unreachableSince !== undefined) return TargetHealth.Unreachable;
   if (target.ejectedUntil === undefined) return TargetHealth.Healthy;
   return now < target.ejectedUntil
     ? TargetHealth.Ejected
