Compare routing with random, round robin and least reported load

Cause: the goals of routing need figures on both users' sizes and mixes. Change: a fleet of entry VMs on the shared harness, five policies as arguments, five cases, the same arrivals for each.

--- /dev/null
+++ b/packages/bench/routing/compare.ts
@@ -0,0 +1,222 @@
+/** Compares policies on the same arrivals, case by case. */
+import { SeededRandom } from "../harness/random.ts";
+import { createArrivals } from "../harness/workload.ts";
+import {
+  createAtLeastGoal,
+  createAtMostGoal,
+  type Experiment,
+  type ExperimentOptions,
+  type FigureTable,
+  type Goal,
+} from "../report/experiment.ts";
+import {
+  ARRIVAL_TIME,
+  CASES,
+  DRAIN_TIME,
+  listWaves,
+  type RoutingCase,
+  type RoutingUser,
+  USERS,
+} from "./cases.ts";
+import { Fleet } from "./fleet.ts";
+import {
+  LEAST_REPORTED_POLICY,
+  OWN_POLICY,
+  POLICIES,
+  type RoutingPolicy,
+} from "./policy.ts";
+
+/** One run of a policy in a case. */
+export interface CaseRun {
+  readonly user: RoutingUser;
+  readonly case: RoutingCase;
+  readonly policy: RoutingPolicy;
+  readonly fleet: Fleet;
+}
+
+/** Runs one policy in one case; the same seed gives the same arrivals. */
+export function runCase(
+  user: RoutingUser,
+  options: {
+    readonly case: RoutingCase;
+    readonly policy: RoutingPolicy;
+    readonly seed: number;
+  },
+): CaseRun {
+  const { case: each, policy, seed } = options;
+  const random = new SeededRandom(seed);
+  const fleet = new Fleet({
+    size: user.size,
+    policy,
+    random: random.createBranch("fleet"),
+    ...each.reportLag === undefined ? {} : { reportLag: each.reportLag },
+  });
+  fleet.sendAll(createArrivals({
+    mix: user.mix,
+    random: random.createBranch("arrivals"),
+    requestsPerSecond: each.steady * user.capacity,
+    duration: ARRIVAL_TIME,
+    waves: listWaves(each, user.capacity),
+  }));
+  each.schedule?.(fleet);
+  fleet.clock.runSynchronouslyUntil(ARRIVAL_TIME + DRAIN_TIME);
+  return { user, case: each, policy, fleet };
+}
+
+/** Compares all policies for both users in all cases. */
+export const ROUTING_COMPARISON: Experiment = {
+  name: "routing-comparison",
+  description:
+    "Choice of target, admission and retries against random, round robin and least reported load",
+  quick: true,
+  run: (options) => Promise.resolve(runComparison(options)),
+};
+
+function runComparison(options: ExperimentOptions) {
+  const runs: CaseRun[] = [];
+  for (const user of USERS) {
+    for (const each of CASES) {
+      options.log(`${user.mix.name}: ${each.name}`);
+      for (const policy of POLICIES) {
+        runs.push(runCase(user, { case: each, policy, seed: options.seed }));
+      }
+    }
+  }
+  return {
+    tables: [createLatencyTable(runs), createOutcomeTable(runs)],
+    goals: createGoals(runs),
+    notes: NOTES,
+  };
+}
+
+const NOTES = [
+  "A request that got no whole answer counts with its whole deadline in the times to the first token, so that refusing does not look like speed.",
+  "The baselines send each request at once, retry up to three times without a budget, and give a silent attempt up after ten seconds.",
+  "The prefix hit share is counted when a job is submitted, by a mirror of the engine's cache.",
+];
+
+function createLatencyTable(runs: readonly CaseRun[]): FigureTable {
+  return {
+    name: "latency",
+    title: "Times to the first token and between tokens",
+    columns: [
+      "user",
+      "case",
+      "policy",
+      "top p50 (ms)",
+      "top p95 (ms)",
+      "top p99 (ms)",
+      "all p50 (ms)",
+      "all p95 (ms)",
+      "all p99 (ms)",
+      "gap p50 (ms)",
+      "gap p95 (ms)",
+      "gap p99 (ms)",
+    ],
+    rows: runs.map((run) => {
+      const { outcomes } = run.fleet;
+      const top = outcomes.readFirstToken(outcomes.findTopPriority());
+      const all = outcomes.allFirstTokens.readSummary();
+      const gaps = outcomes.gaps.readSummary();
+      return [
+        ...describeRun(run),
+        ...[top, all, gaps].flatMap((each) =>
+          [each.p50, each.p95, each.p99].map(Math.round)
+        ),
+      ];
+    }),
+  };
+}
+
+function createOutcomeTable(runs: readonly CaseRun[]): FigureTable {
+  return {
+    name: "outcomes",
+    title: "What became of the requests",
+    columns: [
+      "user",
+      "case",
+      "policy",
+      "offered",
+      "in time (%)",
+      "late (%)",
+      "failed (%)",
+      "refused (%)",
+      "refusals by cause",
+      "amplification",
+      "prefix hits (%)",
+      "link (MB)",
+    ],
+    rows: runs.map((run) => {
+      const { outcomes } = run.fleet;
+      const { offered, inTime, late, failed, complete } = outcomes;
+      const refused = offered - complete - failed;
+      const causes = [...outcomes.refusals]
+        .map(([kind, count]) => `${kind} ${count}`).join(", ");
+      return [
+        ...describeRun(run),
+        offered,
+        ...[inTime, late, failed, refused]
+          .map((count) => roundTo(100 * count / offered, 1)),
+        causes,
+        roundTo(outcomes.computeAmplification(), 3),
+        roundTo(100 * run.fleet.computeHitShare(), 1),
+        roundTo(run.fleet.readLinkBytes() / 1e6, 1),
+      ];
+    }),
+  };
+}
+
+function createGoals(runs: readonly CaseRun[]): Goal[] {
+  const speedUps = USERS.map((user) => {
+    const own = findRun(runs, { user, name: "wave", policy: OWN_POLICY });
+    const least = findRun(runs, {
+      user,
+      name: "wave",
+      policy: LEAST_REPORTED_POLICY,
+    });
+    const value = roundTo(readTopP95(least) / readTopP95(own), 2);
+    const name =
+      `${user.mix.name}: p95 first token of the top priority in the wave, least reported load over anvilrail`;
+    return createAtLeastGoal(name, { bound: 2, unit: "times", value });
+  });
+  const amplification = Math.max(
+    ...runs.filter((run) => run.policy === OWN_POLICY)
+      .map((run) => run.fleet.outcomes.computeAmplification()),
+  );
+  return [
+    ...speedUps,
+    createAtMostGoal("retry amplification in any case", {
+      bound: 1.1,
+      unit: "attempts a request",
+      value: roundTo(amplification, 3),
+    }),
+  ];
+}
+
+function findRun(
+  runs: readonly CaseRun[],
+  wanted: {
+    readonly user: RoutingUser;
+    readonly name: string;
+    readonly policy: RoutingPolicy;
+  },
+): CaseRun {
+  return runs.find((run) =>
+    run.user === wanted.user && run.case.name === wanted.name &&
+    run.policy === wanted.policy
+  )!;
+}
+
+function readTopP95(run: CaseRun): number {
+  const { outcomes } = run.fleet;
+  return outcomes.readFirstToken(outcomes.findTopPriority()).p95;
+}
+
+function describeRun(run: CaseRun): string[] {
+  return [run.user.mix.name, run.case.name, run.policy.name];
+}
+
+/** Rounds to some digits after the point. */
+export function roundTo(value: number, digits: number): number {
+  return Number(value.toFixed(digits));
+}
--- /dev/null
+++ b/packages/bench/routing/fleet.ts
@@ -0,0 +1,222 @@
+/** A fleet of the size that each user has today, on virtual time. */
+import {
+  type Bytes,
+  createEmptyConfiguration,
+  type FleetConfiguration,
+  type LinkConfig,
+  type Millis,
+  MILLIS_PER_SECOND,
+  type ServiceConfig,
+  ServiceType,
+  type TargetConfig,
+} from "../../core/mod.ts";
+import { SMALL_ENGINE } from "../harness/fake_engine.ts";
+import { FakeLink } from "../harness/fake_link.ts";
+import type { SeededRandom } from "../harness/random.ts";
+import { VirtualClock } from "../harness/virtual_clock.ts";
+import type { Arrival } from "../harness/workload.ts";
+import { Entry, PROGRESS_TIMEOUT, type SentRequest } from "./entry.ts";
+import { Outcomes } from "./outcomes.ts";
+import type { RoutingPolicy } from "./policy.ts";
+import { EngineReplica, PlainReplica, type Replica } from "./replica.ts";
+
+/** Number of entry VMs, engines and plain services in each region. */
+export interface FleetSize {
+  readonly near: RegionSize;
+  readonly far: RegionSize;
+}
+
+/** What one region has. */
+export interface RegionSize {
+  readonly vms: number;
+  readonly engines: number;
+  readonly plain: number;
+}
+
+/** Selam: two data centres in Addis, one in Dire Dawa. */
+export const SELAM_FLEET: FleetSize = {
+  near: { vms: 5, engines: 8, plain: 2 },
+  far: { vms: 3, engines: 4, plain: 1 },
+};
+
+/** Palivoknih: two data centres in the west, one in Košice. */
+export const PALIVOKNIH_FLEET: FleetSize = {
+  near: { vms: 5, engines: 5, plain: 2 },
+  far: { vms: 3, engines: 3, plain: 1 },
+};
+
+const LINK_BYTES_PER_SECOND: Bytes = 2_500_000;
+const LINK_ONE_WAY: Millis = 30;
+const PLAIN_CAPACITY = 16;
+
+/** How a fleet is made. */
+export interface FleetOptions {
+  readonly size: FleetSize;
+  readonly policy: RoutingPolicy;
+  readonly random: SeededRandom;
+  readonly reportLag?: Millis;
+}
+
+/** A fleet that requests can be sent to. */
+export class Fleet {
+  readonly clock = new VirtualClock();
+  readonly outcomes = new Outcomes();
+  readonly replicas = new Map<string, Replica>();
+  readonly #entries: Entry[] = [];
+  readonly #links: FakeLink[] = [];
+  readonly #random: SeededRandom;
+  readonly #balancer: SeededRandom;
+
+  constructor(options: FleetOptions) {
+    this.#random = options.random;
+    this.#balancer = options.random.createBranch("balancer");
+    const configuration = createConfiguration(options.size);
+    for (const service of configuration.services.values()) {
+      for (const target of service.targets) this.#addReplica(target, options);
+    }
+    for (const region of ["near", "far"] as const) {
+      this.#addEntries(region, { ...options, configuration });
+    }
+  }
+
+  /** Sends a request through an entry VM that the balancer draws. */
+  send(sent: SentRequest): void {
+    this.#balancer.choose(this.#entries).receive(sent);
+  }
+
+  /** Schedules arrivals; none of them is poison. */
+  sendAll(arrivals: readonly Arrival[]): void {
+    for (const arrival of arrivals) {
+      this.clock.schedule(
+        arrival.at,
+        () => this.send({ arrival, poison: false }),
+      );
+    }
+  }
+
+  /** Returns the engines' replicas. */
+  listEngines(): Replica[] {
+    return [...this.replicas.values()]
+      .filter((replica) => replica.config.service === "engine");
+  }
+
+  /** Returns the digests that any entry VM holds for quarantined. */
+  listQuarantined(): ReadonlySet<string> {
+    return new Set(
+      this.#entries.flatMap((entry) =>
+        entry.listQuarantined().map((word) => word.digest)
+      ),
+    );
+  }
+
+  /** Returns the bytes that went between the regions. */
+  readLinkBytes(): Bytes {
+    return this.#links.reduce((sum, link) => sum + link.readCounts().bytes, 0);
+  }
+
+  /** Returns the share of jobs whose prefix was in the target's cache. */
+  computeHitShare(): number {
+    const uses = [...this.replicas.values()].map((each) => each.readCacheUse());
+    const jobs = uses.reduce((sum, use) => sum + use.jobs, 0);
+    const hits = uses.reduce((sum, use) => sum + use.hits, 0);
+    return jobs === 0 ? 0 : hits / jobs;
+  }
+
+  #addReplica(config: TargetConfig, options: FleetOptions): void {
+    const common = {
+      clock: this.clock,
+      random: this.#random.createBranch(config.id),
+      reportLag: options.reportLag ?? SMALL_ENGINE.reportLag,
+      onCacheEvent: (prefix: string, stored: boolean) => {
+        for (const entry of this.#entries) {
+          entry.applyCacheEvent(config.id, prefix, stored);
+        }
+      },
+      onCrash: () => void this.outcomes.crashes++,
+    };
+    const replica = config.service === "engine"
+      ? new EngineReplica(config, common)
+      : new PlainReplica(config, common);
+    this.replicas.set(config.id, replica);
+  }
+
+  #addEntries(
+    region: keyof FleetSize,
+    options: FleetOptions & { readonly configuration: FleetConfiguration },
+  ): void {
+    const link = new FakeLink({
+      clock: this.clock,
+      oneWay: LINK_ONE_WAY,
+      bytesPerSecond: LINK_BYTES_PER_SECOND,
+    });
+    this.#links.push(link);
+    for (let index = 0; index < options.size[region].vms; index++) {
+      const vm = `${region}-vm-${index}`;
+      this.#entries.push(
+        new Entry({
+          vm,
+          region,
+          clock: this.clock,
+          random: this.#random.createBranch(vm),
+          policy: options.policy,
+          configuration: options.configuration,
+          vmsInRegion: options.size[region].vms,
+          replicas: this.replicas,
+          outcomes: this.outcomes,
+          send: (to, bytes, deliver) =>
+            to === region ? deliver() : link.send(bytes, deliver),
+          pushQuarantine: (words) =>
+            void this.clock.schedule(LINK_ONE_WAY, () => {
+              for (const entry of this.#entries) entry.applyQuarantine(words);
+            }),
+        }),
+      );
+    }
+  }
+}
+
+function createConfiguration(size: FleetSize): FleetConfiguration {
+  const engine = createService("engine", size, ServiceType.ModelEngine);
+  const plain = createService("plain", size, ServiceType.PlainService);
+  const links: LinkConfig[] = [{
+    from: "near",
+    to: "far",
+    bytesPerSecond: LINK_BYTES_PER_SECOND,
+    oneWay: LINK_ONE_WAY,
+  }];
+  return {
+    ...createEmptyConfiguration(),
+    services: new Map([[engine.id, engine], [plain.id, plain]]),
+    links,
+  };
+}
+
+function createService(
+  id: "engine" | "plain",
+  size: FleetSize,
+  type: ServiceType,
+): ServiceConfig {
+  const regions = ["near", "far"] as const;
+  const targets = regions.flatMap((region) => {
+    const count = id === "engine" ? size[region].engines : size[region].plain;
+    return Array.from({ length: count }, (_, index): TargetConfig => ({
+      id: `${region}-${id}-${index}`,
+      service: id,
+      url: "http://target",
+      region,
+      dataCentre: `${region}-${index % 2}`,
+      capacity: id === "engine" ? SMALL_ENGINE.maxBatch : PLAIN_CAPACITY,
+    }));
+  });
+  return {
+    id,
+    type,
+    path: "/",
+    checksRequestKeys: false,
+    checksFencing: false,
+    longestOrder: 60 * MILLIS_PER_SECOND,
+    retryRatio: 0.1,
+    progressTimeout: PROGRESS_TIMEOUT,
+    targets,
+  };
+}
--- /dev/null
+++ b/packages/bench/routing/policy.ts
@@ -0,0 +1,125 @@
+/** The policies that are compared: the project's own and three baselines. */
+import type {
+  MonotonicTime,
+  RandomSource,
+  TargetConfig,
+} from "../../core/mod.ts";
+import {
+  chooseTarget,
+  computeHealth,
+  type RoutedRequest,
+  type RoutingState,
+  TargetHealth,
+  type TargetState,
+} from "../../routing/mod.ts";
+
+/** What a choice is made from. */
+export interface PolicyInput {
+  readonly state: RoutingState;
+  readonly request: RoutedRequest;
+  readonly now: MonotonicTime;
+  readonly random: RandomSource;
+  readonly mostLoad?: number;
+}
+
+/** Returns a target, or undefined if none has room. */
+export type ChooseFunction = (input: PolicyInput) => TargetConfig | undefined;
+
+/** One way of routing. */
+export interface RoutingPolicy {
+  readonly name: string;
+  /** Returns the choice of one VM; it may keep a position of its own. */
+  readonly createChoose: () => ChooseFunction;
+  /** Whether requests wait in the VM's queue and are refused early. */
+  readonly queues: boolean;
+  /** Whether retries have a budget, silences are probed and crashes blamed. */
+  readonly guards: boolean;
+}
+
+function listUsable({ state, request, now }: PolicyInput): TargetState[] {
+  const usable = state.targets.listService(request.service)
+    .filter((target) => !request.tried.includes(target.config.id))
+    .filter((target) =>
+      computeHealth(target, now) !== TargetHealth.Unreachable
+    );
+  const near = usable.filter((target) => target.config.region === state.region);
+  return near.length > 0 ? near : usable;
+}
+
+function readReportedLoad(target: TargetState): number {
+  return (target.report?.running ?? 0) + (target.report?.queued ?? 0);
+}
+
+function chooseRandom(input: PolicyInput): TargetConfig | undefined {
+  const usable = listUsable(input);
+  return usable[Math.floor(input.random() * usable.length)]?.config;
+}
+
+function createRoundRobin(): ChooseFunction {
+  let next = 0;
+  return (input) => {
+    const usable = listUsable(input);
+    return usable[next++ % usable.length]?.config;
+  };
+}
+
+function chooseLeastReported(input: PolicyInput): TargetConfig | undefined {
+  const usable = listUsable(input);
+  const least = Math.min(...usable.map(readReportedLoad));
+  const best = usable.filter((target) => readReportedLoad(target) === least);
+  return best[Math.floor(input.random() * best.length)]?.config;
+}
+
+function chooseOwn(input: PolicyInput): TargetConfig | undefined {
+  const { state, ...choice } = input;
+  return chooseTarget(state, choice).toMaybe().extract();
+}
+
+/** Sends each request to any target at once. */
+export const RANDOM_POLICY: RoutingPolicy = {
+  name: "random",
+  createChoose: () => chooseRandom,
+  queues: false,
+  guards: false,
+};
+
+/** Sends each request to the next target at once. */
+export const ROUND_ROBIN_POLICY: RoutingPolicy = {
+  name: "round robin",
+  createChoose: () => createRoundRobin(),
+  queues: false,
+  guards: false,
+};
+
+/** Sends each request at once to the target that reported the least load. */
+export const LEAST_REPORTED_POLICY: RoutingPolicy = {
+  name: "least reported",
+  createChoose: () => chooseLeastReported,
+  queues: false,
+  guards: false,
+};
+
+/** The project's choice of target alone, without queues and guards. */
+export const CHOICE_POLICY: RoutingPolicy = {
+  name: "own choice only",
+  createChoose: () => chooseOwn,
+  queues: false,
+  guards: false,
+};
+
+/** Everything that the daemon uses. */
+export const OWN_POLICY: RoutingPolicy = {
+  name: "anvilrail",
+  createChoose: () => chooseOwn,
+  queues: true,
+  guards: true,
+};
+
+/** The policies of a comparison, baselines first. */
+export const POLICIES: readonly RoutingPolicy[] = [
+  RANDOM_POLICY,
+  ROUND_ROBIN_POLICY,
+  LEAST_REPORTED_POLICY,
+  CHOICE_POLICY,
+  OWN_POLICY,
+];
--- /dev/null
+++ b/packages/bench/routing/replica.ts
@@ -0,0 +1,205 @@
+/** Targets of the experiments: engines of the harness and plain services. */
+import { type Millis, Priority, type TargetConfig } from "../../core/mod.ts";
+import { LRUCache } from "lru-cache";
+import {
+  EngineEnd,
+  type EngineJob,
+  FakeEngine,
+  SMALL_ENGINE,
+} from "../harness/fake_engine.ts";
+import type { SeededRandom } from "../harness/random.ts";
+import type { VirtualClock } from "../harness/virtual_clock.ts";
+
+const PLAIN_TIME: Millis = 30;
+const PLAIN_SIGMA = 0.5;
+const RANKS = Object.values(Priority);
+
+/** What a target reports, or undefined while it does not answer. */
+export interface ReplicaReport {
+  readonly running: number;
+  readonly queued: number;
+}
+
+/** One target that takes jobs. */
+export interface Replica {
+  readonly config: TargetConfig;
+  readonly up: boolean;
+  submit(job: EngineJob): void;
+  cancel(job: EngineJob): void;
+  crash(): void;
+  changeSpeed(speed: number): void;
+  readReport(): ReplicaReport | undefined;
+  /** Jobs with a prefix, and those whose prefix was in the cache. */
+  readCacheUse(): { readonly jobs: number; readonly hits: number };
+}
+
+/** How the replicas of a run are made. */
+export interface ReplicaOptions {
+  readonly clock: VirtualClock;
+  readonly random: SeededRandom;
+  readonly reportLag: Millis;
+  readonly onCacheEvent: (prefix: string, stored: boolean) => void;
+  readonly onCrash: () => void;
+}
+
+/** A model engine that also counts what its cache would have hit. */
+export class EngineReplica implements Replica {
+  readonly config: TargetConfig;
+  readonly #engine: FakeEngine;
+  readonly #clock: VirtualClock;
+  readonly #cached = createCacheMirror();
+  readonly #submitted = new Map<EngineJob, EngineJob>();
+  readonly #onCrash: () => void;
+  #downUntil = 0;
+  #use = { jobs: 0, hits: 0 };
+
+  constructor(config: TargetConfig, options: ReplicaOptions) {
+    this.config = config;
+    this.#clock = options.clock;
+    this.#onCrash = options.onCrash;
+    this.#engine = new FakeEngine({ ...SMALL_ENGINE, ...options });
+  }
+
+  get up(): boolean {
+    return this.#clock.readMonotonic() >= this.#downUntil;
+  }
+
+  submit(job: EngineJob): void {
+    this.#recordCacheUse(job);
+    const onEnd = (end: EngineEnd) => {
+      this.#submitted.delete(job);
+      // The first broken job of a crash shows that the engine is down.
+      if (end === EngineEnd.Broken) this.#recordCrash();
+      job.onEnd(end);
+    };
+    const submitted = { ...job, onEnd };
+    this.#submitted.set(job, submitted);
+    this.#engine.submit(submitted);
+  }
+
+  cancel(job: EngineJob): void {
+    const submitted = this.#submitted.get(job);
+    if (submitted !== undefined) this.#engine.cancel(submitted);
+  }
+
+  crash(): void {
+    this.#recordCrash();
+    this.#engine.crash();
+  }
+
+  changeSpeed(speed: number): void {
+    this.#engine.changeSpeed(speed);
+  }
+
+  readReport(): ReplicaReport | undefined {
+    return this.up ? this.#engine.readReport() : undefined;
+  }
+
+  readCacheUse() {
+    return this.#use;
+  }
+
+  #recordCrash(): void {
+    if (!this.up) return;
+    const now = this.#clock.readMonotonic();
+    this.#downUntil = now + SMALL_ENGINE.restartTime;
+    this.#cached.clear();
+    this.#onCrash();
+  }
+
+  #recordCacheUse(job: EngineJob): void {
+    const { id, tokens } = job.prefix ?? { id: "", tokens: 0 };
+    if (tokens === 0) return;
+    const hits = this.#use.hits + (this.#cached.get(id) === undefined ? 0 : 1);
+    this.#use = { jobs: this.#use.jobs + 1, hits };
+    this.#cached.set(id, tokens);
+  }
+}
+
+/** A plain service: a few calls at once, the rest in order of priority. */
+export class PlainReplica implements Replica {
+  readonly config: TargetConfig;
+  readonly #options: ReplicaOptions;
+  readonly #queue: EngineJob[] = [];
+  readonly #running = new Set<EngineJob>();
+  #downUntil = 0;
+  #speed = 1;
+
+  constructor(config: TargetConfig, options: ReplicaOptions) {
+    this.config = config;
+    this.#options = options;
+  }
+
+  get up(): boolean {
+    return this.#options.clock.readMonotonic() >= this.#downUntil;
+  }
+
+  submit(job: EngineJob): void {
+    if (!this.up) {
+      this.#options.clock.schedule(0, () => job.onEnd(EngineEnd.Broken));
+      return;
+    }
+    this.#queue.push(job);
+    this.#queue.sort((left, right) => computeRank(left) - computeRank(right));
+    this.#startNext();
+  }
+
+  cancel(job: EngineJob): void {
+    const index = this.#queue.indexOf(job);
+    if (index >= 0) this.#queue.splice(index, 1);
+    else if (!this.#running.delete(job)) return;
+    job.onEnd(EngineEnd.Cancelled);
+    this.#startNext();
+  }
+
+  crash(): void {
+    const { clock } = this.#options;
+    this.#downUntil = clock.readMonotonic() + SMALL_ENGINE.restartTime;
+    const lost = [...this.#running, ...this.#queue];
+    this.#running.clear();
+    this.#queue.length = 0;
+    for (const job of lost) job.onEnd(EngineEnd.Broken);
+  }
+
+  changeSpeed(speed: number): void {
+    this.#speed = speed;
+  }
+
+  readReport(): ReplicaReport | undefined {
+    if (!this.up) return undefined;
+    return { running: this.#running.size, queued: this.#queue.length };
+  }
+
+  readCacheUse() {
+    return { jobs: 0, hits: 0 };
+  }
+
+  #startNext(): void {
+    while (this.#running.size < this.config.capacity) {
+      const job = this.#queue.shift();
+      if (job === undefined) return;
+      this.#running.add(job);
+      const { clock, random } = this.#options;
+      const time = random.drawLognormal(PLAIN_TIME, PLAIN_SIGMA);
+      clock.schedule(time / this.#speed, () => this.#finish(job));
+    }
+  }
+
+  #finish(job: EngineJob): void {
+    if (!this.#running.delete(job)) return;
+    job.onToken?.(0);
+    job.onEnd(EngineEnd.Complete);
+    this.#startNext();
+  }
+}
+
+function createCacheMirror(): LRUCache<string, number> {
+  return new LRUCache({
+    maxSize: SMALL_ENGINE.cacheTokens,
+    sizeCalculation: (tokens) => Math.max(1, tokens),
+  });
+}
+
+function computeRank(job: EngineJob): number {
+  return RANKS.indexOf(job.priority);
+}
