Refuse early only for a wait, by the time a short request may need

Cause: once the learned time of a kind exceeded its deadline, every request of the kind was refused and nothing was learned any more. Change: a request that finds no queue is tried; the time a request needs is taken as half of the learned mean.

--- a/packages/routing/admission/admission.ts
+++ b/packages/routing/admission/admission.ts
@@ -25,6 +25,10 @@
 import type { Ticket } from "./ticket.ts";
 
 const MOST_QUEUED = 2_000;
+
+/** Part of the mean time that a request, if it is short, may need. */
+const SHORT_HOLD = 0.5;
+
 const LEAST_RETRY_AFTER: Millis = 500;
 
 /** Part of a suggested wait that is drawn at random, so that callers spread. */
@@ -209,13 +213,15 @@
     options: { readonly now: MonotonicTime; readonly random: RandomSource },
   ): Refusal | undefined {
     const wait = this.computeWait(ticket, options.now);
+    // Without a wait it is tried: refusing would teach nothing about the target.
+    if (wait === 0) return undefined;
     if (this.#canFinish(ticket, options.now + wait)) return undefined;
     return createTooLate(this.#computeRetryAfter(ticket, options));
   }
 
   #canFinish(ticket: Ticket, startAt: MonotonicTime): boolean {
     const hold = this.#holds.find(ticket.service, ticket.kind) ?? 0;
-    return startAt + hold <= ticket.deadline;
+    return startAt + SHORT_HOLD * hold <= ticket.deadline;
   }
 
   #computeRetryAfter(
--- a/packages/routing/admission/admission_test.ts
+++ b/packages/routing/admission/admission_test.ts
@@ -221,6 +221,14 @@
   t.true(after > 3 * before, `${before} then ${after}`);
 });
 
+test("a slow spell that outlasts every deadline does not end in refusing for good", (t) => {
+  const admission = new Admission();
+  admitMany(admission, createMany(30));
+  const now = runSome(admission, 30, { from: 0, hold: 60_000 });
+  const short = createTicket({ arrivedAt: now, deadline: now + 10_000 });
+  t.true(admission.admit(short, { now, random }).isRight());
+});
+
 test("a queued request is answered when it can no longer make its deadline", (t) => {
   const admission = new Admission();
   admitMany(admission, createMany(3, { deadline: 500 }));
