--- a/packages/bench/routing/entry.ts
+++ b/packages/bench/routing/entry.ts
@@ -11,6 +11,7 @@
   type Refusal,
   RefusalKind,
   type RegionId,
+  Repeatability,
   type TargetConfig,
   type TargetId,
   type VmId,
@@ -97,7 +98,9 @@
   target?: TargetConfig | undefined;
   job?: EngineJob | undefined;
   probe?: ProbeResult | undefined;
-  startedAt: number;
+  /** Whether the target of the attempt listened when the request arrived. */
+  reached: boolean;
+  mayHaveRun: boolean;
   lastProgress: number;
   firstTokenAt?: number;
 }
@@ -291,7 +294,11 @@
     open.job = job;
     const bytes = arrival.promptTokens * BYTES_PER_PROMPT_TOKEN;
     const replica = this.#options.replicas.get(target.id)!;
-    send(target.region, bytes, () => replica.submit(job));
+    send(target.region, bytes, () => {
+      open.reached = replica.up;
+      open.mayHaveRun ||= open.reached;
+      replica.submit(job);
+    });
   }
 
   #receiveToken(open: OpenRequest, attempt: number, position: number): void {
@@ -306,26 +313,28 @@
     open.lastProgress = now;
   }
 
-  #receiveEnd(open: OpenRequest, job: EngineJob, end: EngineEnd): void {
+  #receiveEnd(
+    open: OpenRequest,
+    job: EngineJob,
+    jobEnd: EngineEnd,
+  ): void {
     if (open.job !== job || open.target === undefined) return;
     const { target } = open;
     const digest = open.sent.arrival.requestKey;
     const now = this.#now;
     const up = this.#options.replicas.get(target.id)!.up;
-    const lost = end === EngineEnd.Broken && !up;
+    const lost = jobEnd === EngineEnd.Broken && open.reached && !up;
+    const bytes = computeBytes(open.sent.arrival);
+    const attemptEnd = computeAttemptEnd(jobEnd, open.reached);
     open.job = undefined;
     this.#running.delete(open);
     recordAttemptEnd(this.#state, target.id, {
       now,
-      end: end === EngineEnd.Complete
-        ? AttemptEnd.Complete
-        : end === EngineEnd.Broken
-        ? AttemptEnd.Broken
-        : AttemptEnd.Cancelled,
-      expectedBytes: computeBytes(open.sent.arrival),
-      bytes: computeBytes(open.sent.arrival),
+      end: attemptEnd,
+      expectedBytes: bytes,
+      bytes,
     });
-    if (end === EngineEnd.Complete) {
+    if (jobEnd === EngineEnd.Complete) {
       const options = { target: target.id, complete: true };
       this.#quarantine.recordEnd(digest, options);
       this.#complete(open);
@@ -334,7 +343,9 @@
     } else {
       const options = { target: target.id, complete: false };
       this.#quarantine.recordEnd(digest, options);
-      this.#retry(open, lost);
+      // A silent attempt was cancelled by this VM; its caller still waits.
+      const end = open.reached ? AttemptEnd.Broken : attemptEnd;
+      this.#retry(open, { lost, end });
     }
     this.#startReady();
   }
@@ -355,21 +366,24 @@
       clock.schedule(PUSH_WAIT, () => {
         const lost = this.#crashing.get(target) ?? [];
         this.#crashing.delete(target);
-        for (const each of lost) this.#retry(each, true);
+        const end = AttemptEnd.Broken;
+        for (const each of lost) this.#retry(each, { lost: true, end });
       });
     });
   }
 
-  #retry(open: OpenRequest, lost: boolean): void {
+  #retry(
+    open: OpenRequest,
+    failure: { readonly lost: boolean; readonly end: AttemptEnd },
+  ): void {
     if (!this.#options.policy.guards) return this.#retryNaively(open);
     const { arrival } = open.sent;
     const now = this.#now;
     const decision = decideRetry({
       service: open.ticket.service,
       repeatability: arrival.kind.repeatability,
-      end: AttemptEnd.Broken,
-      lost,
-      mayHaveRun: true,
+      ...failure,
+      mayHaveRun: open.mayHaveRun,
       attempts: open.attempts,
       replacements: open.replacements,
       passedOn: open.answer.readProgress().position,
@@ -382,7 +396,7 @@
     if (decision.action === RetryAction.Wait) {
       return void clock.schedule(
         decision.after,
-        () => this.#retry(open, lost),
+        () => this.#retry(open, failure),
       );
     }
     this.#budgets.recordExtra(open.ticket.service, decision.extra);
@@ -391,15 +405,22 @@
   }
 
   #retryNaively(open: OpenRequest): void {
-    const once = open.sent.arrival.kind.repeatability === "once";
+    const once = open.mayHaveRun &&
+      open.sent.arrival.kind.repeatability === Repeatability.Once;
     if (once || open.attempts >= NAIVE_ATTEMPTS) return this.#fail(open);
     this.#startAgain(open);
   }
 
   #startAgain(open: OpenRequest): void {
     const target = this.#chooseFor(open);
-    if (target === undefined) return this.#fail(open);
-    this.#startAttempt(open, target);
+    if (target !== undefined) return this.#startAttempt(open, target);
+    const { policy, clock } = this.#options;
+    if (!policy.guards || this.#now >= open.ticket.deadline) {
+      return this.#fail(open);
+    }
+    // Every target was tried or is out: any of them will do again later.
+    open.tried = open.tried.slice(-1);
+    clock.schedule(PUSH_WAIT, () => this.#startAgain(open));
   }
 
   #checkSilences(): void {
@@ -496,11 +517,24 @@
     tried: [],
     attempts: 0,
     replacements: 0,
-    startedAt: now,
+    reached: false,
+    mayHaveRun: false,
     lastProgress: now,
   };
 }
 
+function computeAttemptEnd(end: EngineEnd, reached: boolean): AttemptEnd {
+  if (!reached) return AttemptEnd.NotSent;
+  switch (end) {
+    case EngineEnd.Complete:
+      return AttemptEnd.Complete;
+    case EngineEnd.Broken:
+      return AttemptEnd.Broken;
+    case EngineEnd.Cancelled:
+      return AttemptEnd.Cancelled;
+  }
+}
+
 function computeBytes(arrival: Arrival): Bytes {
   return arrival.promptTokens * BYTES_PER_PROMPT_TOKEN +
     arrival.outputTokens * BYTES_PER_CHUNK;
