Hold prompts back while engines read late, and count busy slots as the drain

Cause: engines read prompts in turn, so a wave of long prompts delays the first token of what comes before them in priority. Held back at the router they were then refused falsely, because a drain rate from finished work is too low while long answers have not finished.

--- a/packages/bench/routing/entry.ts
+++ b/packages/bench/routing/entry.ts
@@ -306,8 +306,11 @@
     if (open.answer.receive(attempt, chunk) !== ChunkAction.Pass) return;
     const now = this.#now;
     const modelled = open.sent.arrival.outputTokens > 0;
-    if (open.firstTokenAt === undefined) open.firstTokenAt = now;
-    else if (modelled) {
+    if (open.firstTokenAt === undefined) {
+      open.firstTokenAt = now;
+      this.#admission.recordFirstToken(open.ticket.id, now);
+      this.#startReady();
+    } else if (modelled) {
       this.#options.outcomes.recordGap(now - open.lastProgress);
     }
     open.lastProgress = now;
@@ -510,6 +513,7 @@
       priority: arrival.kind.priority ?? Priority.Standard,
       weight: 1,
       tokens: arrival.outputTokens,
+      promptTokens: arrival.promptTokens,
       deadline: now + arrival.kind.deadline,
       arrivedAt: now,
     },
--- a/packages/routing/admission/admission.ts
+++ b/packages/routing/admission/admission.ts
@@ -21,6 +21,7 @@
 } from "../../core/mod.ts";
 import { CustomerUse, type LimitReached } from "./customer_limits.ts";
 import { FairQueue, type QueuedTicket } from "./fair_queue.ts";
+import { PromptWindow } from "./prompt_window.ts";
 import { DrainRate, HoldTimes } from "./service_times.ts";
 import type { Ticket } from "./ticket.ts";
 
@@ -50,19 +51,25 @@
   readonly service: ServiceId;
   readonly queued: number;
   readonly running: number;
-  /** Slot milliseconds finished per millisecond while the queue waited. */
-  readonly drainRate: number | undefined;
+  /** Expected slot milliseconds worked off per millisecond. */
+  readonly drainRate: number;
+  /** Prompt tokens sent and unread, and the most there may be. */
+  readonly unreadTokens: Tokens;
+  readonly promptWindow: Tokens;
 }
 
 interface ServiceState {
   readonly queue: FairQueue;
   readonly drain: DrainRate;
+  readonly window: PromptWindow;
   running: number;
 }
 
 interface OpenTicket {
   readonly entry: QueuedTicket;
   startedAt?: MonotonicTime;
+  /** Whether its prompt was sent and no token has come back. */
+  unread?: boolean;
 }
 
 /** Lets requests in, in order of priority and fair share. */
@@ -135,6 +142,7 @@
     const started: Ticket[] = [];
     for (;;) {
       const next = state.queue.listNext()
+        .filter(({ ticket }) => isReadable(ticket, state.window))
         .find((entry) => options.tryStart(entry.ticket));
       if (next === undefined) break;
       state.queue.takeNext(next);
@@ -145,6 +153,17 @@
     return started;
   }
 
+  /** Notes that a request's first token has come, so that more may be sent. */
+  recordFirstToken(ticketId: string, now: MonotonicTime): void {
+    const open = this.#open.get(ticketId);
+    if (open?.startedAt === undefined || open.unread !== true) return;
+    open.unread = false;
+    const { service, promptTokens } = open.entry.ticket;
+    const delay = now - open.startedAt;
+    const { window } = this.#readService(service);
+    window.recordRead(promptTokens ?? 0, { delay, now });
+  }
+
   /** Returns queued tickets that cannot make their deadline any more. */
   expire(
     options: { readonly now: MonotonicTime; readonly random: RandomSource },
@@ -172,31 +191,37 @@
     const open = this.#open.get(ticketId);
     if (open === undefined) return;
     const { entry, startedAt } = open;
+    if (open.unread === true) {
+      const { service, promptTokens } = entry.ticket;
+      const { window } = this.#readService(service);
+      window.recordRead(promptTokens ?? 0, { now: options.now });
+    }
     if (startedAt === undefined) this.#removeQueued(entry, options.now);
     else this.#recordFinish(entry, { ...options, startedAt });
     this.#close(entry, options);
   }
 
   /** Returns what each service has waiting and running. */
-  listLoads(now: MonotonicTime): ServiceLoad[] {
+  listLoads(): ServiceLoad[] {
     return [...this.#services].map(([service, state]) => ({
       service,
       queued: state.queue.size,
       running: state.running,
-      drainRate: state.drain.compute(now),
+      drainRate: state.drain.compute(),
+      unreadTokens: state.window.unread,
+      promptWindow: state.window.size,
     }));
   }
 
   /** Returns how long a new ticket would wait for its start, as far as known. */
-  computeWait(ticket: Ticket, now: MonotonicTime): Millis {
+  computeWait(ticket: Ticket): Millis {
     const state = this.#readService(ticket.service);
     if (state.queue.size === 0) return 0;
-    const rate = state.drain.compute(now);
     const cost = this.#holds.compute(ticket.service, ticket.kind);
     const ahead = state.queue.computeAhead(ticket, cost);
-    if (rate !== undefined) return rate <= 0 ? Infinity : ahead / rate;
-    // Nothing has finished under this load: each running request is one slot.
-    return state.running === 0 ? 0 : ahead / state.running;
+    const rate = state.drain.compute();
+    // Nothing has run yet, so nothing is known of how long it would take.
+    return rate === 0 ? 0 : ahead / rate;
   }
 
   #admitCustomer(
@@ -212,7 +237,7 @@
     ticket: Ticket,
     options: { readonly now: MonotonicTime; readonly random: RandomSource },
   ): Refusal | undefined {
-    const wait = this.computeWait(ticket, options.now);
+    const wait = this.computeWait(ticket);
     // Without a wait it is tried: refusing would teach nothing about the target.
     if (wait === 0) return undefined;
     if (this.#canFinish(ticket, options.now + wait)) return undefined;
@@ -229,7 +254,7 @@
     options: { readonly now: MonotonicTime; readonly random: RandomSource },
   ): Millis {
     const longest = ticket.deadline - ticket.arrivedAt;
-    const wait = Math.min(this.computeWait(ticket, options.now), longest);
+    const wait = Math.min(this.computeWait(ticket), longest);
     const jitter = 1 + RETRY_JITTER * options.random();
     return Math.ceil(Math.max(LEAST_RETRY_AFTER, wait) * jitter);
   }
@@ -253,8 +278,12 @@
   }
 
   #recordStart(entry: QueuedTicket, now: MonotonicTime): void {
-    this.#readService(entry.ticket.service).running++;
-    this.#open.set(entry.ticket.id, { entry, startedAt: now });
+    const state = this.#readService(entry.ticket.service);
+    const { id, promptTokens = 0 } = entry.ticket;
+    state.running++;
+    state.drain.recordRunning(state.running, now);
+    state.window.recordStart(promptTokens);
+    this.#open.set(id, { entry, startedAt: now, unread: promptTokens > 0 });
   }
 
   #recordFinish(
@@ -268,9 +297,11 @@
     const { service, kind } = entry.ticket;
     const state = this.#readService(service);
     state.running--;
-    state.drain.recordFinish(entry.cost, options.now);
+    state.drain.recordRunning(state.running, options.now);
     if (options.complete !== true) return;
-    this.#holds.record(service, kind, options.now - options.startedAt);
+    const hold = options.now - options.startedAt;
+    state.drain.recordHold(entry.cost, hold);
+    this.#holds.record(service, kind, hold);
   }
 
   #close(
@@ -289,6 +320,7 @@
     const state = {
       queue: new FairQueue(),
       drain: new DrainRate(),
+      window: new PromptWindow(),
       running: 0,
     };
     this.#services.set(service, state);
@@ -296,6 +328,10 @@
   }
 }
 
+function isReadable(ticket: Ticket, window: PromptWindow): boolean {
+  return (ticket.promptTokens ?? 0) === 0 || window.hasRoom(ticket.priority);
+}
+
 function createLimited(reached: LimitReached): Refusal {
   return createNotRun(
     RefusalKind.RateLimited,
--- a/packages/routing/admission/admission_test.ts
+++ b/packages/routing/admission/admission_test.ts
@@ -115,7 +115,7 @@
   t.deepEqual(results.map((each) => each.isRight()), [true, true, true, false]);
   admission.finish(tickets[1]!.id, { now: 0, tokens: 0 });
   t.true(admitMany(admission, [createTicket()])[0]?.isRight());
-  t.is(admission.listLoads(0)[0]?.queued, 3);
+  t.is(admission.listLoads()[0]?.queued, 3);
 });
 
 test("shares follow announced demand and add up to one", (t) => {
@@ -215,9 +215,9 @@
   const admission = new Admission();
   admitMany(admission, createMany(100));
   let now = runSome(admission, 20, { from: 0, hold: 100 });
-  const before = admission.computeWait(createTicket(), now);
+  const before = admission.computeWait(createTicket());
   now = runSome(admission, 5, { from: now, hold: 2_000 });
-  const after = admission.computeWait(createTicket(), now);
+  const after = admission.computeWait(createTicket());
   t.true(after > 3 * before, `${before} then ${after}`);
 });
 
--- a/packages/routing/admission/service_times.ts
+++ b/packages/routing/admission/service_times.ts
@@ -10,9 +10,6 @@
 const HOLD_WEIGHT = 0.1;
 const DRAIN_HALF_LIFE: Millis = 3_000;
 
-/** Evidence, in finished requests, that a measured drain rate needs. */
-const LEAST_FINISHED = 4;
-
 /** Mean time that each kind of request holds a slot. */
 export class HoldTimes {
   readonly #means = new Map<string, Millis>();
@@ -35,38 +32,49 @@
   }
 }
 
-/** Work finished over time while a queue was waiting. Idle time does not count. */
+/**
+ * How fast a queue drains: the slots that are busy while it waits, and how much
+ * longer than expected the work in them takes. Idle time does not count.
+ */
 export class DrainRate {
-  #work = 0;
-  #time = 0;
-  #finished = 0;
+  #busy = 0;
+  #time: Millis = 0;
+  #expected = 0;
+  #actual = 0;
+  #running = 0;
   #seenAt: MonotonicTime | undefined;
 
   /** Notes that the queue has work waiting, or has run empty. */
   recordWaiting(waiting: boolean, now: MonotonicTime): void {
-    if (this.#seenAt !== undefined) this.#decay(now - this.#seenAt);
+    this.#integrate(now);
     this.#seenAt = waiting ? now : undefined;
   }
 
-  /** Counts finished work, in slot milliseconds. */
-  recordFinish(work: number, now: MonotonicTime): void {
-    if (this.#seenAt === undefined) return;
-    this.recordWaiting(true, now);
-    this.#work += work;
-    this.#finished++;
+  /** Notes how many slots are busy from now on. */
+  recordRunning(running: number, now: MonotonicTime): void {
+    this.#integrate(now);
+    this.#running = running;
   }
 
-  /** Returns slot milliseconds finished per millisecond; undefined if unknown. */
-  compute(now: MonotonicTime): number | undefined {
-    if (this.#finished < LEAST_FINISHED) return undefined;
-    const since = this.#seenAt === undefined ? 0 : now - this.#seenAt;
-    const time = this.#time + since;
-    return time <= 0 ? undefined : this.#work / time;
+  /** Compares the time that one request held a slot with the expected one. */
+  recordHold(expected: Millis, actual: Millis): void {
+    this.#expected = (1 - HOLD_WEIGHT) * this.#expected + expected;
+    this.#actual = (1 - HOLD_WEIGHT) * this.#actual + actual;
   }
 
-  #decay(elapsed: Millis): void {
+  /** Returns expected slot milliseconds that are worked off per millisecond. */
+  compute(): number {
+    const busy = this.#time > 0 ? this.#busy / this.#time : this.#running;
+    const slowdown = this.#expected > 0 ? this.#actual / this.#expected : 1;
+    return Math.max(busy, this.#running) / slowdown;
+  }
+
+  #integrate(now: MonotonicTime): void {
+    if (this.#seenAt === undefined) return;
+    const elapsed = now - this.#seenAt;
     const kept = 0.5 ** (elapsed / DRAIN_HALF_LIFE);
-    this.#work *= kept;
+    this.#busy = this.#busy * kept + this.#running * elapsed;
     this.#time = this.#time * kept + elapsed;
+    this.#seenAt = now;
   }
 }
--- a/packages/routing/admission/ticket.ts
+++ b/packages/routing/admission/ticket.ts
@@ -20,6 +20,8 @@
   readonly weight: number;
   /** Tokens that it is expected to use. */
   readonly tokens: Tokens;
+  /** Tokens of the prompt, as far as known; none for plain services. */
+  readonly promptTokens?: Tokens;
   /** Time by which its whole answer is wanted. */
   readonly deadline: MonotonicTime;
   readonly arrivedAt: MonotonicTime;
