--- a/packages/bench/routing/compare.ts
+++ b/packages/bench/routing/compare.ts
@@ -64,7 +64,7 @@
 }
 
 /** Compares all policies for both users in all cases. */
-export const ROUTING_COMPARISON: Experiment = {
+export const routingComparison: Experiment = {
   name: "routing-comparison",
   description:
     "Choice of target, admission and retries against random, round robin and least reported load",
--- a/packages/platform/http_client.ts
+++ b/packages/platform/http_client.ts
@@ -23,7 +23,7 @@
   readonly url: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: Uint8Array | string;
-  /** Longest silence of the connection, in milliseconds. */
+  /** Longest silence of the connection, in milliseconds; 0 for no limit. */
   readonly idleTimeout: Millis;
   readonly agent?: Agent;
   readonly signal?: AbortSignal;
@@ -65,19 +65,30 @@
       method: input.method,
       headers: { "content-length": String(length), ...input.headers },
       ...(input.agent === undefined ? {} : { agent: input.agent }),
-      ...(input.signal === undefined ? {} : { signal: input.signal }),
+    });
+    // Node's own signal option leaves a pooled socket without an error handler.
+    const cancel = () => outgoing.destroy(new Error("cancelled"));
+    input.signal?.addEventListener("abort", cancel, { once: true });
+    outgoing.on("close", () => {
+      input.signal?.removeEventListener("abort", cancel);
     });
     outgoing.on("socket", (socket) => {
       // A pooled socket is connected already.
       if (!socket.connecting) connected = true;
       else socket.once("connect", () => (connected = true));
     });
-    outgoing.setTimeout(
-      input.idleTimeout,
-      () => outgoing.destroy(new Error(`silent for ${input.idleTimeout} ms`)),
-    );
+    if (input.idleTimeout > 0) {
+      outgoing.setTimeout(
+        input.idleTimeout,
+        () => outgoing.destroy(new Error(`silent for ${input.idleTimeout} ms`)),
+      );
+    }
     outgoing.on("error", (error) => fail(describeError(error)));
-    outgoing.on("response", (incoming) => resolve(Right(incoming)));
+    outgoing.on("response", (incoming) => {
+      // A reader that has left must not turn a late error into a crash.
+      incoming.on("error", () => {});
+      resolve(Right(incoming));
+    });
     outgoing.end(input.body);
   });
 }
