Bound the search for a target, earn retries by time, pass reports on

Change: at most 48 targets are searched, from a random place on; a service earns a retry every five seconds besides its ratio, bound stated and tested; reports travel with their age, 16 a message in turns; one VM's word that a target does not answer counts only where an own attempt failed too.

--- a/packages/daemon/features/traffic.ts
+++ b/packages/daemon/features/traffic.ts
@@ -385,7 +385,7 @@
     for (const each of this.#admission.expire({ now, random })) {
       this.#refuseQueued(each);
     }
-    for (const { service, queued } of this.#admission.listLoads(now)) {
+    for (const { service, queued } of this.#admission.listLoads()) {
       if (queued > 0) this.#startReady(service);
     }
   }
@@ -421,7 +421,7 @@
     const now = this.#readTime();
     return {
       ...describeRouting(this.#read(), now),
-      admission: this.#admission.listLoads(now),
+      admission: this.#admission.listLoads(),
       quarantine: this.listQuarantine(),
     };
   }
--- /dev/null
+++ b/packages/routing/commands/exchange_reports_test.ts
@@ -0,0 +1,90 @@
+/** Tests of reports that VMs pass on to each other. */
+import test from "ava";
+import { AttemptEnd } from "../../platform/mod.ts";
+import {
+  applyReport,
+  applyReports,
+  applyTargets,
+  computeHealth,
+  createRoutingState,
+  listReports,
+  recordAttemptEnd,
+  recordReach,
+  type RoutingState,
+  TargetHealth,
+} from "../mod.ts";
+import { createFleet, createTarget } from "../test_fleet.ts";
+
+const MANY = Array.from(
+  { length: 40 },
+  (_, index) => createTarget(`t${index}`),
+);
+const IDS = MANY.map((target) => target.id);
+
+function createState(): RoutingState {
+  const configuration = createFleet(MANY);
+  return applyTargets(createRoutingState(), { configuration, now: 0 });
+}
+
+function createReport(running: number, leaving = false) {
+  return { running, queued: 0, leaving, models: [] };
+}
+
+test("reports keep their age and never replace newer ones", (t) => {
+  const prober = createState();
+  const other = createState();
+  applyReport(prober, "t0", { report: createReport(9), now: 1_000 });
+  const reports = listReports(prober, { ids: ["t0"], round: 0, now: 1_400 });
+  applyReport(other, "t0", { report: createReport(2), now: 50_700 });
+  applyReports(other, { reports, now: 51_000 });
+  t.is(other.targets.get("t0")?.report?.running, 2);
+  applyReports(other, { reports, now: 51_200 });
+  t.is(other.targets.get("t0")?.report?.running, 9);
+  t.is(other.targets.get("t0")?.report?.measuredAt, 50_800);
+});
+
+test("a message is bounded, and every target has its turn", (t) => {
+  const prober = createState();
+  for (const id of IDS) {
+    applyReport(prober, id, { report: createReport(1), now: 0 });
+  }
+  const seen = new Set<string>();
+  for (let round = 0; round < 5; round++) {
+    const words = listReports(prober, { ids: IDS, round, now: 100 });
+    t.true(words.length <= 16);
+    for (const word of words) seen.add(word.target);
+  }
+  t.is(seen.size, IDS.length);
+  t.deepEqual(listReports(prober, { ids: IDS, round: 0, now: 20_000 }), []);
+});
+
+test("a target that left and came back is not held for leaving by an old load", (t) => {
+  const prober = createState();
+  const other = createState();
+  const passOn = (now: number) =>
+    applyReports(other, {
+      reports: listReports(prober, { ids: ["t0"], round: 0, now }),
+      now,
+    });
+  applyReport(prober, "t0", { report: createReport(1, true), now: 0 });
+  passOn(10);
+  t.is(computeHealth(other.targets.get("t0")!, 10), TargetHealth.Leaving);
+  applyReport(prober, "t0", { report: createReport(1), now: 5_000 });
+  passOn(5_010);
+  t.is(computeHealth(other.targets.get("t0")!, 5_010), TargetHealth.Healthy);
+});
+
+test("a prober with a broken path does not take a target from VMs that reach it", (t) => {
+  const prober = createState();
+  const well = createState();
+  const failing = createState();
+  recordReach(prober, "t0", { answered: false, now: 0 });
+  recordAttemptEnd(failing, "t0", { now: 50, end: AttemptEnd.NotSent });
+  const reports = listReports(prober, { ids: ["t0"], round: 0, now: 100 });
+  for (const state of [well, failing]) {
+    applyReports(state, { reports, now: 100 });
+  }
+  t.is(computeHealth(well.targets.get("t0")!, 100), TargetHealth.Healthy);
+  const health = computeHealth(failing.targets.get("t0")!, 100);
+  t.is(health, TargetHealth.Unreachable);
+});
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -33,6 +33,8 @@
   recordAttemptEnd,
   recordAttemptStart,
 } from "./commands/record_attempt.ts";
+export type { ReportWord } from "./commands/exchange_reports.ts";
+export { applyReports, listReports } from "./commands/exchange_reports.ts";
 export { recordReach } from "./commands/record_reach.ts";
 export type { PooledConnection } from "./connection/decide_pooled.ts";
 export { isReusable } from "./connection/decide_pooled.ts";
--- a/packages/routing/queries/choose_target.ts
+++ b/packages/routing/queries/choose_target.ts
@@ -8,9 +8,11 @@
   type Refusal,
   RefusalKind,
   type RegionId,
+  type ServiceId,
   type TargetConfig,
   type TargetId,
 } from "../../core/mod.ts";
+import type { PrefixHolder } from "../prefix_table.ts";
 import {
   DEFAULT_PRIORITY,
   type RoutedRequest,
@@ -26,9 +28,12 @@
 const NO_TARGET_RETRY_AFTER: Millis = 2_000;
 const NO_ROOM_RETRY_AFTER: Millis = 1_000;
 
-/** Draws before a group is searched as a whole. */
+/** Draws before more of a group is searched. */
 const MOST_DRAWS = 8;
 
+/** Targets looked at when the draws found no two with room. */
+const MOST_SEARCHED = 48;
+
 /** How far above the sampled load a holder of the prefix may be. */
 const AFFINITY_SLACK = 0.25;
 
@@ -109,7 +114,7 @@
     : regions.flatMap((each) => state.targets.listRegion(service, each));
   const sampled = chooseOfTwo(state, input, ids);
   if (sampled === undefined) return undefined;
-  const holder = findHolder(state, input, ids);
+  const holder = findHolder(state, input, regions);
   if (holder !== undefined && holder.load <= sampled.load + AFFINITY_SLACK) {
     return holder;
   }
@@ -132,16 +137,20 @@
   if (found.length === 2 && best !== undefined && hasRoom(best, input)) {
     return best;
   }
-  return chooseAmongAll(state, input, ids) ?? best;
+  return chooseAmongMany(state, input, ids) ?? best;
 }
 
-/** Samples two of all usable targets with room, or of all if none has. */
-function chooseAmongAll(
+/**
+ * Samples two of the usable targets with room, or of the usable if none has. A
+ * large group is searched in part, from a random place on, so that a choice
+ * costs the same however many targets there are.
+ */
+function chooseAmongMany(
   state: RoutingState,
   input: ChooseInput,
   ids: readonly TargetId[],
 ): Candidate | undefined {
-  const usable = ids
+  const usable = listSome(ids, input)
     .map((id) => readCandidate(state, input, id))
     .filter((candidate) => candidate !== undefined);
   const roomy = usable.filter((candidate) => hasRoom(candidate, input));
@@ -154,25 +163,51 @@
   );
 }
 
+function listSome(
+  ids: readonly TargetId[],
+  input: ChooseInput,
+): readonly TargetId[] {
+  if (ids.length <= MOST_SEARCHED) return ids;
+  const from = Math.floor(input.random() * ids.length);
+  return Array.from(
+    { length: MOST_SEARCHED },
+    (_, index) => ids[(from + index) % ids.length]!,
+  );
+}
+
 function findHolder(
   state: RoutingState,
   input: ChooseInput,
-  ids: readonly TargetId[],
+  regions: readonly RegionId[],
 ): Candidate | undefined {
-  const prefixes = input.request.prefixes ?? [];
+  const { prefixes = [], service } = input.request;
   for (const prefix of prefixes.toReversed()) {
     const holders = state.prefixes.list(prefix)
-      .filter(({ target, epoch }) =>
-        state.targets.get(target)?.cacheEpoch === epoch && ids.includes(target)
-      )
+      .filter((holder) => isCurrent(state, holder))
       .map(({ target }) => readCandidate(state, input, target))
-      .filter((candidate) => candidate !== undefined);
+      .filter((candidate) => isInGroup(candidate, { service, regions }));
     const best = chooseLighter(holders);
     if (best !== undefined) return best;
   }
   return undefined;
 }
 
+function isCurrent(state: RoutingState, holder: PrefixHolder): boolean {
+  return state.targets.get(holder.target)?.cacheEpoch === holder.epoch;
+}
+
+function isInGroup(
+  candidate: Candidate | undefined,
+  options: {
+    readonly service: ServiceId;
+    readonly regions: readonly RegionId[];
+  },
+): candidate is Candidate {
+  if (candidate === undefined) return false;
+  const { service, region } = candidate.target.config;
+  return service === options.service && options.regions.includes(region);
+}
+
 function chooseLighter(
   candidates: readonly Candidate[],
 ): Candidate | undefined {
--- a/packages/routing/retry/decide_hedge.ts
+++ b/packages/routing/retry/decide_hedge.ts
@@ -38,10 +38,9 @@
     return undefined;
   }
   if (call.repeatability !== Repeatability.Repeatable) return undefined;
-  if (!options.budgets.hasRoom(call.service, ExtraAttempt.Hedge)) {
-    return undefined;
-  }
-  const { times, now } = options;
+  const { budgets, times, now } = options;
+  const extra = ExtraAttempt.Hedge;
+  if (!budgets.hasRoom(call.service, { extra, now })) return undefined;
   const usual = times.compute(call.service, HEDGE_PERCENTILE, now);
   if (usual === undefined) return undefined;
   return call.startedAt + Math.max(LEAST_HEDGE_DELAY, usual);
--- a/packages/routing/retry/decide_retry.ts
+++ b/packages/routing/retry/decide_retry.ts
@@ -73,9 +73,10 @@
   const obstacle = findObstacle(failed);
   if (obstacle !== undefined) return createGiveUp(failed, obstacle);
   const extra = chooseExtra(failed);
-  if (!options.budgets.hasRoom(failed.service, extra)) {
-    const after = options.budgets.computeAskAgain(options.now) - options.now;
-    return options.now + after >= failed.deadline
+  const { budgets, now } = options;
+  if (!budgets.hasRoom(failed.service, { extra, now })) {
+    const after = budgets.computeAskAgain(now) - now;
+    return now + after >= failed.deadline
       ? createGiveUp(failed, "the deadline comes before the retry budget")
       : { action: RetryAction.Wait, after };
   }
--- a/packages/routing/retry/retry_budget.ts
+++ b/packages/routing/retry/retry_budget.ts
@@ -1,7 +1,11 @@
 /**
  * Retries allowed for a service: a part of its first attempts, so that a
- * brown-out is not amplified. A retry that the budget does not cover yet waits
- * for it; it is not lost.
+ * brown-out is not amplified, and one every few seconds, so that the failures
+ * of a quiet service are not waited out. A retry that the budget does not cover
+ * yet waits for it; it is not lost.
+ *
+ * Bound: over a time of T seconds with F first attempts, one VM makes at most
+ * `ratio * F + T / 5 + 10` retries and hedges for a service.
  */
 import type { Millis, MonotonicTime, ServiceId } from "../../core/mod.ts";
 
@@ -11,6 +15,9 @@
 /** Retries that a service has to begin with. */
 const FIRST_SAVED = 2;
 
+/** Time in which a service earns one retry whatever its traffic. */
+const EARN_INTERVAL: Millis = 5_000;
+
 /** Wait before a retry asks the budget again. */
 const ASK_AGAIN: Millis = 250;
 
@@ -34,6 +41,7 @@
 
 interface ServiceBudget {
   saved: number;
+  earnedAt: MonotonicTime | undefined;
   counts: RetryCounts;
 }
 
@@ -49,9 +57,14 @@
   }
 
   /** Returns whether the budget covers an attempt beyond the first. */
-  hasRoom(service: ServiceId, extra: ExtraAttempt): boolean {
-    if (extra === ExtraAttempt.Replacement) return true;
-    return this.#readService(service).saved >= 1;
+  hasRoom(
+    service: ServiceId,
+    options: { readonly extra: ExtraAttempt; readonly now: MonotonicTime },
+  ): boolean {
+    if (options.extra === ExtraAttempt.Replacement) return true;
+    const budget = this.#readService(service);
+    earnByTime(budget, options.now);
+    return budget.saved >= 1;
   }
 
   /** Counts an attempt beyond the first. */
@@ -75,12 +88,19 @@
     const known = this.#services.get(service);
     if (known !== undefined) return known;
     const counts = { first: 0, retries: 0, replacements: 0, hedges: 0 };
-    const budget = { saved: FIRST_SAVED, counts };
+    const budget = { saved: FIRST_SAVED, earnedAt: undefined, counts };
     this.#services.set(service, budget);
     return budget;
   }
 }
 
+function earnByTime(budget: ServiceBudget, now: MonotonicTime): void {
+  const elapsed = Math.max(0, now - (budget.earnedAt ?? now));
+  budget.earnedAt = Math.max(now, budget.earnedAt ?? now);
+  const saved = budget.saved + elapsed / EARN_INTERVAL;
+  budget.saved = Math.min(MOST_SAVED, saved);
+}
+
 function addCount(counts: RetryCounts, extra: ExtraAttempt): RetryCounts {
   switch (extra) {
     case ExtraAttempt.Retry:
