Smooth lagged reports, bind prefixes to load, hold back only what comes after

Cause: a report lags by an unknown time behind own attempts, so a single one misleads; holders of a prefix were followed to busy targets; the prompt window shrank for kinds with nothing before them in priority. Change: the choice compares smoothed reports (half taken in after 5 s) while fullness also heeds the last one; a holder may be busier by 0.15 and up to a load of 0.6; each priority has a window, shrunk only by late first tokens of those before it; early refusal counts three quarters of the mean time.

--- a/packages/routing/admission/admission.ts
+++ b/packages/routing/admission/admission.ts
@@ -13,6 +13,7 @@
   type CustomerId,
   type Millis,
   type MonotonicTime,
+  Priority,
   type RandomSource,
   type Refusal,
   RefusalKind,
@@ -27,8 +28,8 @@
 
 const MOST_QUEUED = 2_000;
 
-/** Part of the mean time that a request, if it is short, may need. */
-const SHORT_HOLD = 0.5;
+/** Part of the mean time that a request of a kind needs if it is short. */
+const SHORT_HOLD = 0.75;
 
 const LEAST_RETRY_AFTER: Millis = 500;
 
@@ -53,7 +54,7 @@
   readonly running: number;
   /** Expected slot milliseconds worked off per millisecond. */
   readonly drainRate: number;
-  /** Prompt tokens sent and unread, and the most there may be. */
+  /** Prompt tokens sent and unread, and the most for standard requests. */
   readonly unreadTokens: Tokens;
   readonly promptWindow: Tokens;
 }
@@ -158,10 +159,10 @@
     const open = this.#open.get(ticketId);
     if (open?.startedAt === undefined || open.unread !== true) return;
     open.unread = false;
-    const { service, promptTokens } = open.entry.ticket;
+    const { service, priority, promptTokens: tokens = 0 } = open.entry.ticket;
     const delay = now - open.startedAt;
     const { window } = this.#readService(service);
-    window.recordRead(promptTokens ?? 0, { delay, now });
+    window.recordRead({ priority, tokens, delay, now });
   }
 
   /** Returns queued tickets that cannot make their deadline any more. */
@@ -194,7 +195,7 @@
     if (open.unread === true) {
       const { service, promptTokens } = entry.ticket;
       const { window } = this.#readService(service);
-      window.recordRead(promptTokens ?? 0, { now: options.now });
+      window.recordDrop(promptTokens ?? 0);
     }
     if (startedAt === undefined) this.#removeQueued(entry, options.now);
     else this.#recordFinish(entry, { ...options, startedAt });
@@ -209,7 +210,7 @@
       running: state.running,
       drainRate: state.drain.compute(),
       unreadTokens: state.window.unread,
-      promptWindow: state.window.size,
+      promptWindow: state.window.readSize(Priority.Standard),
     }));
   }
 
--- a/packages/routing/admission/prompt_window.ts
+++ b/packages/routing/admission/prompt_window.ts
@@ -2,10 +2,12 @@
  * How much prompt text may be on its way to be read by a service's engines.
  *
  * Engines read prompts in turn, so a wave of long prompts delays the first
- * token of everything behind it, whatever its priority. This window keeps the
- * unread prompt tokens of one VM just above what keeps the engines busy: it
- * shrinks when first tokens come later than reading alone explains, and grows
- * while they do not. It needs no word from other VMs: all see the same delays.
+ * token of everything behind it, whatever its priority. Each priority has a
+ * window for the unread prompt tokens of this VM. A first token that comes
+ * later than reading alone explains shrinks the windows of all priorities after
+ * its own; one that comes in time lets them grow. What has nothing before it in
+ * priority is never held back. The windows need no word from other VMs: all see
+ * the same delays.
  */
 import {
   type Millis,
@@ -34,34 +36,42 @@
 /** By how much the learned reading time may rise with each prompt. */
 const READ_TIME_DRIFT = 1.01;
 
-/** Windows that a priority may fill; the first priority is not held back. */
-const WINDOWS: Readonly<Record<Priority, number>> = {
-  [Priority.Safety]: Infinity,
-  [Priority.Interactive]: 2,
-  [Priority.Standard]: 1,
-  [Priority.Bulk]: 0.75,
-};
+/** Time without a late first token after which a window grows by itself. */
+const QUIET_TIME: Millis = 2_000;
 
-/** The window of one service on one VM. */
+const ORDER: readonly Priority[] = [
+  Priority.Safety,
+  Priority.Interactive,
+  Priority.Standard,
+  Priority.Bulk,
+];
+
+interface Window {
+  size: Tokens;
+  shrunkAt: MonotonicTime;
+}
+
+/** The windows of one service on one VM. */
 export class PromptWindow {
-  #window: Tokens = FIRST_WINDOW;
+  readonly #windows: ReadonlyMap<Priority, Window> = new Map(
+    ORDER.map((priority) => [priority, createWindow(priority)]),
+  );
   #unread: Tokens = 0;
   #readTime: Millis = Infinity;
-  #shrunkAt: MonotonicTime = -Infinity;
 
   /** Tokens sent and not yet read. */
   get unread(): Tokens {
     return this.#unread;
   }
 
-  /** Tokens that may be unread. */
-  get size(): Tokens {
-    return this.#window;
+  /** Returns the tokens that may be unread when a priority sends more. */
+  readSize(priority: Priority): Tokens {
+    return this.#windows.get(priority)!.size;
   }
 
   /** Returns whether a prompt of this priority may be sent. */
   hasRoom(priority: Priority): boolean {
-    return this.#unread < this.#window * WINDOWS[priority];
+    return this.#unread < this.readSize(priority);
   }
 
   /** Counts a prompt that is sent. */
@@ -69,36 +79,63 @@
     this.#unread += tokens;
   }
 
-  /** Counts a prompt out; its delay is known if it brought a first token. */
+  /** Counts a prompt out that brought no token. */
+  recordDrop(tokens: Tokens): void {
+    this.#unread = Math.max(0, this.#unread - tokens);
+  }
+
+  /** Counts a prompt out whose first token came after a delay. */
   recordRead(
-    tokens: Tokens,
-    read: { readonly delay?: Millis; readonly now: MonotonicTime },
+    read: {
+      readonly priority: Priority;
+      readonly tokens: Tokens;
+      readonly delay: Millis;
+      readonly now: MonotonicTime;
+    },
   ): void {
-    const limited = this.#unread >= this.#window / 2;
-    this.#unread = Math.max(0, this.#unread - tokens);
-    if (read.delay === undefined) return;
-    const reading = this.#learnReading(tokens, read.delay);
-    const wanted = WANTED_DELAY + (1 + WANTED_PART) * reading;
-    if (read.delay > wanted) this.#shrink(read.now);
-    else if (limited) this.#grow(tokens);
+    const late = this.#isLate(read.tokens, read.delay);
+    const place = ORDER.indexOf(read.priority);
+    for (const priority of ORDER.slice(place)) {
+      const window = this.#windows.get(priority)!;
+      if (priority === read.priority) this.#growQuiet(window, read);
+      else if (late) shrinkWindow(window, read.now);
+      else this.#grow(window, read.tokens);
+    }
+    this.recordDrop(read.tokens);
   }
 
-  /** Returns the delay that reading this prompt alone explains. */
-  #learnReading(tokens: Tokens, delay: Millis): Millis {
+  /** Returns whether reading this prompt does not explain its delay. */
+  #isLate(tokens: Tokens, delay: Millis): boolean {
     const size = Math.max(LEAST_PROMPT, tokens);
     const drifted = this.#readTime * READ_TIME_DRIFT;
     this.#readTime = Math.min(drifted, delay / size);
-    return this.#readTime * size;
+    const wanted = WANTED_DELAY + (1 + WANTED_PART) * this.#readTime * size;
+    return delay > wanted;
   }
 
-  #shrink(now: MonotonicTime): void {
-    if (now - this.#shrunkAt < SHRINK_INTERVAL) return;
-    this.#shrunkAt = now;
-    this.#window = Math.max(LEAST_WINDOW, this.#window * SHRINK);
+  /** Without a late token for a while nobody before needs the room. */
+  #growQuiet(
+    window: Window,
+    read: { readonly tokens: Tokens; readonly now: MonotonicTime },
+  ): void {
+    if (read.now - window.shrunkAt < QUIET_TIME) return;
+    this.#grow(window, read.tokens);
   }
 
-  #grow(tokens: Tokens): void {
-    const grown = this.#window + GROWTH * tokens;
-    this.#window = Math.min(MOST_WINDOW, grown);
+  #grow(window: Window, tokens: Tokens): void {
+    if (this.#unread < window.size / 2) return;
+    const grown = window.size + GROWTH * tokens;
+    window.size = Math.max(window.size, Math.min(MOST_WINDOW, grown));
   }
 }
+
+function createWindow(priority: Priority): Window {
+  const first = priority === ORDER[0];
+  return { size: first ? Infinity : FIRST_WINDOW, shrunkAt: -Infinity };
+}
+
+function shrinkWindow(window: Window, now: MonotonicTime): void {
+  if (now - window.shrunkAt < SHRINK_INTERVAL) return;
+  window.shrunkAt = now;
+  window.size = Math.max(LEAST_WINDOW, window.size * SHRINK);
+}
--- a/packages/routing/commands/apply_report.ts
+++ b/packages/routing/commands/apply_report.ts
@@ -9,6 +9,9 @@
 
 const MOST_SAMPLES = 8;
 
+/** Time in which a change of others' work is half taken in. */
+const SMOOTHING_HALF_LIFE: Millis = 5_000;
+
 /** Folds in a target's report. */
 export function applyReport(
   state: RoutingState,
@@ -26,6 +29,8 @@
   if (known === undefined) return state;
   const measuredAt = now - (input.age ?? 0);
   if ((known.report?.measuredAt ?? -Infinity) > measuredAt) return state;
+  const own = findOwnThen(known, measuredAt);
+  const othersNow = Math.max(0, report.running + report.queued - own);
   const sample = { at: now, inFlight: known.inFlight };
   state.targets.put({
     ...known,
@@ -35,13 +40,29 @@
       queued: report.queued,
       models: report.models,
       measuredAt,
-      ownThen: findOwnThen(known, measuredAt),
+      othersNow,
+      others: computeSmoothed(known, { othersNow, measuredAt }),
     },
   });
   const word = { leaving: report.leaving, at: measuredAt };
   return recordLeavingWord(state, target, word);
 }
 
+/**
+ * Smooths the work of others. A report lags behind own attempts by an unknown
+ * time, so a single one says little but noise; what lasts is real.
+ */
+function computeSmoothed(
+  target: TargetState,
+  input: { readonly othersNow: number; readonly measuredAt: MonotonicTime },
+): number {
+  const { othersNow, measuredAt } = input;
+  if (target.report === undefined) return othersNow;
+  const elapsed = measuredAt - target.report.measuredAt;
+  const kept = 0.5 ** (elapsed / SMOOTHING_HALF_LIFE);
+  return kept * target.report.others + (1 - kept) * othersNow;
+}
+
 function findOwnThen(target: TargetState, at: MonotonicTime): number {
   const samples: readonly OwnSample[] = target.ownSamples;
   const before = samples.findLast((sample) => sample.at <= at);
--- a/packages/routing/queries/choose_target.ts
+++ b/packages/routing/queries/choose_target.ts
@@ -23,7 +23,7 @@
   TargetHealth,
   type TargetState,
 } from "../target_state.ts";
-import { computeLoad } from "./compute_load.ts";
+import { computeFullness, computeLoad } from "./compute_load.ts";
 
 const NO_TARGET_RETRY_AFTER: Millis = 2_000;
 const NO_ROOM_RETRY_AFTER: Millis = 1_000;
@@ -35,7 +35,10 @@
 const MOST_SEARCHED = 48;
 
 /** How far above the sampled load a holder of the prefix may be. */
-const AFFINITY_SLACK = 0.25;
+const AFFINITY_SLACK = 0.15;
+
+/** Load up to which a holder may be busier than the sampled ones at all. */
+const AFFINITY_LOAD = 0.6;
 
 /** Load of the own region from which another region is considered. */
 const SPILL_LOAD = 1;
@@ -55,6 +58,7 @@
 interface Candidate {
   readonly target: TargetState;
   readonly load: number;
+  readonly fullness: number;
 }
 
 /**
@@ -72,8 +76,9 @@
   const remote = spill ? chooseRemote(state, input, regions) : undefined;
   const best = chooseCheaper(own, remote);
   if (best === undefined) return Left(createNoTarget());
-  const full = input.mostLoad !== undefined && best.load >= input.mostLoad;
-  return full ? Left(createNoRoom()) : Right(best.target.config);
+  return hasRoom(best, input)
+    ? Right(best.target.config)
+    : Left(createNoRoom());
 
   function isOwn(region: RegionId): boolean {
     return state.region === undefined || region === state.region;
@@ -115,10 +120,14 @@
   const sampled = chooseOfTwo(state, input, ids);
   if (sampled === undefined) return undefined;
   const holder = findHolder(state, input, regions);
-  if (holder !== undefined && holder.load <= sampled.load + AFFINITY_SLACK) {
-    return holder;
-  }
-  return sampled;
+  if (holder === undefined || !isWorthwhile(holder, sampled)) return sampled;
+  return hasRoom(holder, input) ? holder : sampled;
+}
+
+/** A prefix saves less than waiting at a busy target costs. */
+function isWorthwhile(holder: Candidate, sampled: Candidate): boolean {
+  const most = Math.min(AFFINITY_LOAD, sampled.load + AFFINITY_SLACK);
+  return holder.load <= Math.max(sampled.load, most);
 }
 
 function chooseOfTwo(
@@ -218,7 +227,7 @@
 }
 
 function hasRoom(candidate: Candidate, input: ChooseInput): boolean {
-  return input.mostLoad === undefined || candidate.load < input.mostLoad;
+  return input.mostLoad === undefined || candidate.fullness < input.mostLoad;
 }
 
 function readCandidate(
@@ -228,7 +237,11 @@
 ): Candidate | undefined {
   const target = id === undefined ? undefined : state.targets.get(id);
   if (target === undefined || !isUsable(target, input)) return undefined;
-  return { target, load: computeLoad(state, target, input.now) };
+  return {
+    target,
+    load: computeLoad(state, target, input.now),
+    fullness: computeFullness(state, target, input.now),
+  };
 }
 
 function isUsable(target: TargetState, input: ChooseInput): boolean {
--- a/packages/routing/queries/compute_load.ts
+++ b/packages/routing/queries/compute_load.ts
@@ -24,6 +24,21 @@
   return work / computeCapacity(target, now);
 }
 
+/**
+ * Returns the load by which a target counts as full. It takes the last report
+ * at its word where that is higher: in the first moments of a wave what has
+ * lasted says nothing yet.
+ */
+export function computeFullness(
+  state: RoutingState,
+  target: TargetState,
+  now: MonotonicTime,
+): number {
+  const others = computeOthers(state, target, now);
+  const most = Math.max(others, target.report?.othersNow ?? 0);
+  return (target.inFlight + most) / computeCapacity(target, now);
+}
+
 /** Returns the attempts of other VMs that a target is thought to have. */
 export function computeOthers(
   state: RoutingState,
--- a/packages/routing/target_state.ts
+++ b/packages/routing/target_state.ts
@@ -20,8 +20,10 @@
   readonly queued: number;
   readonly models: readonly string[];
   readonly measuredAt: MonotonicTime;
-  /** Attempts of this VM that the report already counts. */
-  readonly ownThen: number;
+  /** Work of other VMs by this report alone. */
+  readonly othersNow: number;
+  /** Work of other VMs, smoothed over the reports so far. */
+  readonly others: number;
 }
 
 /** A sample of this VM's open attempts at a target. */
--- a/packages/routing/target_table.ts
+++ b/packages/routing/target_table.ts
@@ -98,9 +98,7 @@
 
 /** Returns the work of other VMs that a target last reported. */
 export function computeReportedOthers(record: TargetState): number {
-  const report = record.report;
-  if (report === undefined) return 0;
-  return Math.max(0, report.running + report.queued - report.ownThen);
+  return record.report?.others ?? 0;
 }
 
 function hasMoved(left: TargetState, right: TargetState): boolean {
