--- a/packages/bench/experiments.ts
+++ b/packages/bench/experiments.ts
@@ -10,6 +10,7 @@
 import type { Experiment } from "./report/experiment.ts";
 import { storeOutageExperiment } from "./store_traffic/store_outage_experiment.ts";
 import { storeTrafficExperiment } from "./store_traffic/store_traffic_experiment.ts";
+import { routingComparison } from "./routing/compare.ts";
 
 /** Each package of experiments adds a line here. */
 export const EXPERIMENTS: readonly Experiment[] = [
@@ -23,4 +24,5 @@
   dataPlaneExperiment,
   streamMemoryExperiment,
   budgetExperiment,
+  routingComparison,
 ];
