Use freshness, priority room, reports from peers and fairer waiting

Cause: a peer's word confirmed a document (found by reading the daemon against the specification); every VM would probe every target; a large request that only a loan could serve blocked small ones. Change: the document's freshness rules; one prober a region whose reports travel with the news; room by priority; waiters that fit pass a head that borrows.

--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -292,7 +292,7 @@
     const callerFace = new CallerFace(this.context, {
       runner: this.#runner,
       forwarding: this.#forwarding,
-      readConfirmedAge: () => features.follower.readConfirmedAge(),
+      readFreshness: () => features.follower.readFreshness(),
       peerKey: readPeerKey(this.context.settings),
     });
     const operatorFace = new OperatorFace(
--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -31,6 +31,9 @@
 import { createRefusal, createUnknown } from "./refusals.ts";
 import type { RunServices } from "./run_services.ts";
 
+/** Bytes of a prompt that usually make one token; an estimate, not a bound. */
+const BYTES_PER_TOKEN = 4;
+
 /** Pause before a target is looked for again when none is usable. */
 const NO_TARGET_PAUSE: Millis = 200;
 
@@ -129,6 +132,7 @@
     target: TargetConfig,
     perform: PerformAttempt,
   ): Promise<FinishedAttempt> {
+    const { traffic } = this.#services;
     this.#tried.push(target.id);
     this.#attempts++;
     const watch = new SilenceWatch(this.#services, {
@@ -139,7 +143,9 @@
     const performed = await perform({
       target,
       signal,
-      recordProgress: () => watch.recordProgress(),
+      recordProgress: () => {
+        if (watch.recordProgress()) traffic.recordFirstChunk(this.#ticket);
+      },
     });
     watch.stop();
     const result = watch.isCut && performed.end === AttemptEnd.Cancelled
@@ -290,6 +296,9 @@
     priority: request.kind.priority,
     weight: request.customer.weight,
     tokens: request.promptBound + request.outputBound + request.kind.flatTokens,
+    ...(request.promptBound === 0
+      ? {}
+      : { promptTokens: Math.ceil(request.body.length / BYTES_PER_TOKEN) }),
     deadline: request.deadline,
     arrivedAt: request.arrivedAt,
   };
@@ -329,9 +338,12 @@
     return this.#cause === SilenceAction.TargetDead;
   }
 
-  recordProgress(): void {
+  /** Returns true for the first progress of the attempt. */
+  recordProgress(): boolean {
+    const first = !this.#begun;
     this.#lastProgress = this.#services.context.clock.readMonotonic();
     this.#begun = true;
+    return first;
   }
 
   stop(): void {
--- a/packages/daemon/entry/caller_face.ts
+++ b/packages/daemon/entry/caller_face.ts
@@ -3,14 +3,12 @@
 import readRawBody from "raw-body";
 import { type Either, Left, Right } from "purify-ts";
 import {
-  type FleetConfiguration,
-  type KindConfig,
   type Millis,
   MILLIS_PER_SECOND,
   type Refusal,
   RefusalKind,
-  StalePolicy,
 } from "../../core/mod.ts";
+import { type FreshnessState, isRefusedAsStale } from "../../document/mod.ts";
 import { isPeerKey } from "../../peer/mod.ts";
 import { LogEvent } from "../event_log.ts";
 import {
@@ -41,8 +39,8 @@
 export interface CallerFacePorts {
   readonly runner: RequestRunner;
   readonly forwarding: HomeForwarding;
-  /** Time since the table confirmed the document; undefined if it never did. */
-  readonly readConfirmedAge: () => Millis | undefined;
+  /** How sure this VM is that no newer document is in force. */
+  readonly readFreshness: () => FreshnessState;
   /** Shared key by which entry VMs show that they forward a request. */
   readonly peerKey: string;
 }
@@ -104,13 +102,6 @@
     });
   }
 
-  /** Kinds that are marked strict wait until the document is known to be fresh. */
-  #isStaleFor(kind: KindConfig, configuration: FleetConfiguration): boolean {
-    if (kind.whenStale !== StalePolicy.Refuse) return false;
-    const age = this.#ports.readConfirmedAge();
-    return age === undefined || age > configuration.staleAfter;
-  }
-
   /** Says whether another entry VM sent it; a caller cannot pretend so. */
   #isForwarded(request: IncomingMessage): boolean {
     if (request.headers[FORWARDED_HEADER] === undefined) return false;
@@ -133,7 +124,8 @@
     const now = clock.readMonotonic();
     const checked = readCallerHeaders(configuration, headers);
     if (checked.isLeft()) return Left(checked.swap().unsafeCoerce());
-    if (this.#isStaleFor(checked.unsafeCoerce().kind, configuration)) {
+    const { whenStale } = checked.unsafeCoerce().kind;
+    if (isRefusedAsStale(this.#ports.readFreshness(), whenStale)) {
       return Left(createRefusal(RefusalKind.ConfigurationStale, {
         retryAfter: STALE_RETRY_AFTER,
       }));
--- a/packages/daemon/features/document_follower.ts
+++ b/packages/daemon/features/document_follower.ts
@@ -9,21 +9,28 @@
   createCommand,
   type JsonValue,
   type Millis,
-  type MonotonicTime,
   type PlatformError,
   type Row,
   type SliceType,
   type Undo,
   type VmId,
 } from "../../core/mod.ts";
+import { z } from "zod";
 import {
   addRecentChange,
   type ChangeRow,
+  computeFreshnessState,
   createDocumentState,
+  createFreshness,
+  createPeerWord,
   type DocumentReader,
   type DocumentState,
+  type Freshness,
+  type FreshnessState,
   loadDocument,
   type RecentChanges,
+  recordPeerWord,
+  recordTableAnswer,
   StateReader,
 } from "../../document/mod.ts";
 import type { PeerClient, PeerRows } from "../../peer/mod.ts";
@@ -32,12 +39,21 @@
 import { type PeriodicProcess, startPeriodic } from "../processes.ts";
 import type { NewsExchange } from "./news_exchange.ts";
 
+/** A peer's word on its document, as it travels. */
+const PEER_WORD_SCHEMA = z.object({
+  version: z.number().int().nonnegative(),
+  confirmedAge: z.number().optional(),
+});
+
+/** Longest time that a peer's word may have been on its way. */
+const LONGEST_DELAY: Millis = 1_000;
+
 /** The document that this VM knows. */
 export interface FollowedDocument {
   readonly state: DocumentState;
   readonly recent: RecentChanges;
-  /** When the table last showed that nothing is newer. */
-  readonly confirmedAt: MonotonicTime | undefined;
+  /** When the table last showed, here or to a peer, that nothing is newer. */
+  readonly freshness: Freshness;
 }
 
 /** The document followed. */
@@ -46,7 +62,7 @@
   createInitial: () => ({
     state: createDocumentState(),
     recent: [],
-    confirmedAt: undefined,
+    freshness: createFreshness(),
   }),
 };
 
@@ -103,8 +119,8 @@
       undoCommand,
       kernel.registerDump("document", () => this.#describe()),
       this.#ports.news.register("document", {
-        create: () => this.#read().state.version,
-        apply: (from, value) => this.#hearVersion(from, value),
+        create: () => this.#createWord(),
+        apply: (from, value) => this.#hearWord(from, value),
       }),
       this.#periodic.stop,
     ]);
@@ -132,14 +148,13 @@
     return this.#read().state;
   }
 
-  /**
-   * Returns how long ago the table last showed that nothing is newer; undefined
-   * while it never has in this life of the VM.
-   */
-  readConfirmedAge(): Millis | undefined {
-    const { confirmedAt } = this.#read();
-    if (confirmedAt === undefined) return undefined;
-    return this.#context.clock.readMonotonic() - confirmedAt;
+  /** Returns how sure this VM is that no newer document is in force. */
+  readFreshness(): FreshnessState {
+    const { state, freshness } = this.#read();
+    return computeFreshnessState(freshness, {
+      now: this.#context.clock.readMonotonic(),
+      staleAfter: state.configuration.staleAfter,
+    });
   }
 
   /** Puts a document in force that was just committed through this VM. */
@@ -176,7 +191,9 @@
     this.#change((current) => ({
       state: state.version > current.state.version ? state : current.state,
       recent: changes.reduce(addRecentChange, current.recent),
-      confirmedAt: confirms ? askedAt : current.confirmedAt,
+      freshness: confirms
+        ? recordTableAnswer(current.freshness, askedAt)
+        : current.freshness,
     }));
     if (state.version > before.version) {
       log.info(LogEvent.DocumentApplied, { version: state.version });
@@ -185,18 +202,42 @@
     return true;
   }
 
-  #hearVersion(from: VmId, value: JsonValue): void {
-    if (typeof value !== "number") return;
-    if (value <= this.#read().state.version) return;
-    this.#newerPeer = from;
-    this.#periodic?.wake();
+  #createWord(): JsonValue {
+    const { state, freshness } = this.#read();
+    const { version } = state;
+    const now = this.#context.clock.readMonotonic();
+    return { ...createPeerWord(freshness, { version, now }) };
+  }
+
+  #hearWord(from: VmId, value: JsonValue): void {
+    const word = PEER_WORD_SCHEMA.safeParse(value).data;
+    if (word === undefined) return;
+    const { version, confirmedAge } = word;
+    const ownVersion = this.#read().state.version;
+    if (version > ownVersion) {
+      this.#newerPeer = from;
+      this.#periodic?.wake();
+      return;
+    }
+    // The peer's answer may have been on its way for the longest silence.
+    const askedAt = this.#context.clock.readMonotonic() - LONGEST_DELAY;
+    this.#change((current) => ({
+      ...current,
+      freshness: recordPeerWord(current.freshness, {
+        word: { version, confirmedAge },
+        ownVersion,
+        askedAt,
+      }),
+    }));
   }
 
   #describe(): unknown {
-    const { state, confirmedAt } = this.#read();
+    const { state, freshness } = this.#read();
     const now = this.#context.clock.readMonotonic();
+    const { confirmedAt } = freshness;
     return {
       version: state.version,
+      freshness: this.readFreshness(),
       confirmedMillisAgo: confirmedAt === undefined ? null : now - confirmedAt,
     };
   }
--- a/packages/daemon/features/escrow.ts
+++ b/packages/daemon/features/escrow.ts
@@ -138,6 +138,18 @@
     return waiters.reduce((sum, waiter) => sum + waiter.tokens, 0);
   }
 
+  /**
+   * Returns what the first waiting request of an event lacks while the table
+   * cannot help; undefined when nothing waits for a loan.
+   */
+  readShortage(eventId: EventId): Tokens | undefined {
+    const queue = this.#queues.get(eventId);
+    const head = queue?.waiters[0];
+    if (queue?.borrowing === undefined || head === undefined) return undefined;
+    const now = this.#context.clock.readMonotonic();
+    return head.tokens - computeAccountRoom(this.readAccount(eventId), now);
+  }
+
   /** Reserves tokens, with a new grant or a loan if need be. */
   reserve(
     event: EventConfig,
@@ -146,10 +158,9 @@
     const queue = this.#readQueue(event);
     const { tokens } = input;
     if (tokens === 0) return Promise.resolve(Right(createEmpty(event.id)));
-    // Those who wait go first.
-    const reserved = queue.waiters.length > 0
-      ? undefined
-      : this.#tryReserve(event.id, tokens);
+    // Those who wait go first, unless only a loan can help them.
+    const waits = queue.waiters.length > 0 && queue.borrowing === undefined;
+    const reserved = waits ? undefined : this.#tryReserve(event.id, tokens);
     if (reserved !== undefined) {
       this.#scheduleVisit(queue);
       return Promise.resolve(Right(reserved));
@@ -256,12 +267,14 @@
   }
 
   #serveWaiters(queue: WaitQueue | undefined): void {
-    while (queue !== undefined && queue.waiters.length > 0) {
-      const waiter = queue.waiters[0]!;
+    if (queue === undefined) return;
+    for (const waiter of [...queue.waiters]) {
       const reserved = this.#tryReserve(queue.event.id, waiter.tokens);
-      if (reserved === undefined) return;
-      queue.waiters.shift();
-      waiter.resolve(Right(reserved));
+      if (reserved !== undefined) {
+        queue.waiters = queue.waiters.filter((each) => each !== waiter);
+        waiter.resolve(Right(reserved));
+        // A large request that only a loan can serve does not block small ones.
+      } else if (queue.borrowing === undefined) return;
     }
   }
 
--- a/packages/daemon/features/loans.ts
+++ b/packages/daemon/features/loans.ts
@@ -26,6 +26,9 @@
   readonly address: string;
 }
 
+/** Asked for in multiples of what is missing, so that loans stay few. */
+const LOAN_FACTOR = 4;
+
 /** Rounds in which peers are asked for one shortage. */
 const MAX_ROUNDS = 4;
 
@@ -55,9 +58,15 @@
   lend(request: PeerLoanRequest): PeerLoanAnswer {
     const now = this.#context.clock.readMonotonic();
     const keep = this.#escrow.readWaitingTokens(request.eventId);
+    const shortBy = this.#escrow.readShortage(request.eventId);
     let answer: PeerLoanAnswer | undefined;
     this.#escrow.changeAccount(request.eventId, (account) => {
-      const lent = lendTokens(account, { request, now, keep });
+      const lent = lendTokens(account, {
+        request,
+        now,
+        keep,
+        ...(shortBy === undefined ? {} : { shortBy }),
+      });
       answer = lent.answer;
       return lent.account;
     });
@@ -78,7 +87,7 @@
       const peers = this.#listPeers().filter((peer) => !refused.has(peer.vm));
       const plan = planLoans(this.#escrow.readAccount(event.id), {
         missing: short,
-        target: short,
+        target: short * LOAN_FACTOR,
         peers: peers.map((peer) => peer.vm),
         now: this.#context.clock.readMonotonic(),
       });
--- a/packages/daemon/features/traffic.ts
+++ b/packages/daemon/features/traffic.ts
@@ -27,9 +27,11 @@
   applyLeavingSigns,
   applyListedTargets,
   applyReport,
+  applyReports,
   applyTargets,
   type AttemptFinish,
   chooseTarget,
+  computeMostLoad,
   createRoutingState,
   type CustomerDemand,
   decideRetry,
@@ -38,10 +40,13 @@
   type FailedAttempt,
   type LeavingSign,
   listLeavingSigns,
+  listReports,
   Quarantine,
   type QuarantineWord,
   recordAttemptEnd,
   recordAttemptStart,
+  recordReach,
+  type ReportWord,
   RetryBudgets,
   type RetryDecision,
   type RoutedRequest,
@@ -65,9 +70,6 @@
 /** Time between two looks at the deadlines of queued requests. */
 const EXPIRY_INTERVAL: Millis = 50;
 
-/** Load at which a target gets no request from the queue. */
-const FULL_LOAD = 1.25;
-
 /** How a queued request is answered or started. */
 export interface QueuedRequest {
   readonly ticket: Ticket;
@@ -99,6 +101,7 @@
   readonly #quarantine = new Quarantine();
   readonly #budgets = new RetryBudgets();
   readonly #queued = new Map<string, QueuedRequest>();
+  #reportRound = 0;
 
   constructor(context: NodeContext, ports: TrafficPorts) {
     this.#context = context;
@@ -198,6 +201,12 @@
     this.#quarantine.recordStart(request.digest, target);
   }
 
+  /** Notes that a request's first chunk has come. */
+  recordFirstChunk(ticket: Ticket): void {
+    this.#admission.recordFirstToken(ticket.id, this.#readTime());
+    this.#startReady(ticket.service);
+  }
+
   /** Counts an attempt that ended without losing its target. */
   endAttempt(
     target: TargetId,
@@ -253,8 +262,12 @@
   /** Asks a target for its load over a new connection. */
   async probe(target: TargetConfig): Promise<TargetLoadReport | undefined> {
     const report = await this.#context.targets.probe(target, PROBE_TIMEOUT);
-    if (report === undefined) return undefined;
     const now = this.#readTime();
+    if (report === undefined) {
+      const word = { answered: false, now };
+      this.#change((state) => recordReach(state, target.id, word));
+      return undefined;
+    }
     this.#change((state) => applyReport(state, target.id, { report, now }));
     this.#startReady(target.service);
     return report;
@@ -288,7 +301,7 @@
     const { digest } = queued.routed;
     const avoided = this.#quarantine.listSuspectTargets(digest, now);
     const request = { ...queued.routed, avoided };
-    const mostLoad = FULL_LOAD;
+    const mostLoad = computeMostLoad(ticket.priority);
     return chooseTarget(kernel.read(this.#slice), {
       request,
       now,
@@ -343,6 +356,14 @@
           this.#change((state) => applyLeavingSigns(state, { signs, now }));
         },
       }),
+      news.register("reports", {
+        create: () => toJson(this.#listOwnReports()),
+        apply: (_, value) => {
+          const reports = value as unknown as ReportWord[];
+          const now = this.#readTime();
+          this.#change((state) => applyReports(state, { reports, now }));
+        },
+      }),
       news.register("quarantine", {
         create: () => toJson(this.listQuarantine()),
         apply: (_, value) =>
@@ -391,11 +412,24 @@
   }
 
   async #readReports(): Promise<void> {
-    const services = this.#context.kernel.read(CONFIGURATION).services;
-    const targets = [...services.values()]
+    const targets = this.#listProbed();
+    await Promise.all(targets.map((target) => this.probe(target)));
+  }
+
+  /** The targets that this VM asks for its region. */
+  #listProbed(): TargetConfig[] {
+    const { services } = this.#context.kernel.read(CONFIGURATION);
+    return [...services.values()]
       .flatMap((service) => service.targets)
       .filter((target) => this.#ports.isProber(target.id));
-    await Promise.all(targets.map((target) => this.probe(target)));
+  }
+
+  #listOwnReports(): ReportWord[] {
+    return listReports(this.#read(), {
+      ids: this.#listProbed().map((target) => target.id),
+      round: this.#reportRound++,
+      now: this.#readTime(),
+    });
   }
 
   async #readVmList(): Promise<void> {
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -28,7 +28,6 @@
 
 const LIMITS_SCHEMA = z.strictObject({
   maxBodyBytes: z.number().int().positive().default(4_194_304),
-  maxOperatorBodyBytes: z.number().int().positive().default(67_108_864),
   maxHeaderBytes: z.number().int().min(1_024).default(16_384),
   maxConnections: z.number().int().positive().default(10_000),
   maxOpenRequests: z.number().int().positive().default(5_000),
