--- /dev/null
+++ b/packages/cli/admin_client.ts
@@ -0,0 +1,125 @@
+/** Calls the administration API of one VM and prints what it answers. */
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import type { Argv } from "yargs";
+import type { JsonValue, Millis } from "../core/mod.ts";
+import { sendJsonRequest } from "../platform/mod.ts";
+import { ExitCode } from "./exit_code.ts";
+
+/** Options of every command that talks to a VM. */
+export interface AdminOptions {
+  readonly vm: string;
+  readonly keyFile: string | undefined;
+  readonly json: boolean;
+}
+
+/** One call of the API. */
+export interface AdminCall {
+  readonly method: "GET" | "POST" | "PUT";
+  readonly path: string;
+  readonly body?: unknown;
+}
+
+/** Environment variable that holds the key where no file is named. */
+export const KEY_VARIABLE = "ANVILRAIL_KEY";
+
+const CALL_TIMEOUT: Millis = 30_000;
+
+/** Adds the options of every command that talks to a VM. */
+export function addAdminOptions<Options>(
+  parser: Argv<Options>,
+): Argv<Options & AdminOptions> {
+  return parser
+    .option("vm", {
+      type: "string",
+      default: "http://127.0.0.1:8081",
+      describe: "URL of a VM's operators' face",
+    })
+    .option("key-file", {
+      type: "string",
+      describe: `file with your key; else the variable ${KEY_VARIABLE} is used`,
+    })
+    .option("json", {
+      type: "boolean",
+      default: false,
+      describe: "print the answer as JSON",
+    }) as unknown as Argv<Options & AdminOptions>;
+}
+
+/** Calls the API; returns the answer's body, or undefined after an error. */
+export async function callAdmin(
+  options: AdminOptions,
+  call: AdminCall,
+): Promise<JsonValue | undefined> {
+  const answer = await sendJsonRequest({
+    method: call.method,
+    url: `${options.vm}${call.path}`,
+    headers: { authorization: `Bearer ${readKey(options)}` },
+    idleTimeout: CALL_TIMEOUT,
+    ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
+  });
+  return answer.caseOf<JsonValue | undefined>({
+    Left: (failure) => {
+      console.error(
+        `${options.vm} cannot be reached: ${failure.detail}. Check --vm, and that the VM is up.`,
+      );
+      process.exitCode = ExitCode.Unreachable;
+      return undefined;
+    },
+    Right: ({ status, body }) => {
+      if (status < 400) return body as JsonValue;
+      console.error(formatAdminError(body));
+      process.exitCode = ExitCode.Failed;
+      return undefined;
+    },
+  });
+}
+
+/** Calls the API and prints its answer. */
+export async function runAdminCall(
+  options: AdminOptions,
+  call: AdminCall,
+): Promise<void> {
+  const body = await callAdmin(options, call);
+  if (body === undefined) return;
+  console.log(options.json ? JSON.stringify(body, null, 2) : formatValue(body));
+}
+
+function readKey(options: AdminOptions): string {
+  if (options.keyFile === undefined) return process.env[KEY_VARIABLE] ?? "";
+  return readFileSync(options.keyFile, "utf8").trim();
+}
+
+interface ErrorBody {
+  readonly error?: {
+    readonly kind?: string;
+    readonly message?: string;
+    readonly remedy?: string;
+    readonly details?: unknown;
+  };
+}
+
+function formatAdminError(body: unknown): string {
+  const { error } = (body ?? {}) as ErrorBody;
+  if (error === undefined) return `The VM answered: ${JSON.stringify(body)}`;
+  const details = error.details === undefined
+    ? ""
+    : `\n${JSON.stringify(error.details, null, 2)}`;
+  return `${error.message} (${error.kind}) ${error.remedy}${details}`;
+}
+
+/** Formats JSON as indented lines of `name: value`, which people read faster. */
+export function formatValue(value: unknown, indent = ""): string {
+  if (value === null || typeof value !== "object") return String(value);
+  const entries = Array.isArray(value)
+    ? value.map((each) => ["-", each] as const)
+    : Object.entries(value).map(([key, each]) => [`${key}:`, each] as const);
+  if (entries.length === 0) return "none";
+  return entries.map(([name, each]) => {
+    const nested = each !== null && typeof each === "object" &&
+      Object.keys(each).length > 0;
+    return nested
+      ? `${indent}${name}\n${formatValue(each, `${indent}  `)}`
+      : `${indent}${name} ${formatValue(each)}`;
+  }).join("\n");
+}
--- /dev/null
+++ b/packages/cli/commands/document_command.ts
@@ -0,0 +1,229 @@
+/** `anvilrail document`. */
+import { randomUUID } from "node:crypto";
+import process from "node:process";
+import type { Argv, CommandModule } from "yargs";
+import type { JsonValue } from "../../core/mod.ts";
+import { parseDocumentSections } from "../../document/mod.ts";
+import {
+  addAdminOptions,
+  type AdminOptions,
+  callAdmin,
+  runAdminCall,
+} from "../admin_client.ts";
+import { ExitCode } from "../exit_code.ts";
+import { formatInputErrors, readTextFile } from "../read_settings.ts";
+
+interface SectionOptions extends AdminOptions {
+  readonly section: string;
+}
+
+interface PutOptions extends SectionOptions {
+  readonly file: string;
+  readonly base: number | undefined;
+  readonly changeId: string | undefined;
+  readonly dryRun: boolean;
+}
+
+interface ImportOptions extends AdminOptions {
+  readonly file: string;
+}
+
+interface RollbackOptions extends SectionOptions {
+  readonly to: number;
+}
+
+/** Reads and changes the operators' document through a VM. */
+export const documentCommand: CommandModule = {
+  command: "document",
+  describe: "read and change the operators' document",
+  builder: (parser) =>
+    addSubcommands(parser).demandCommand(1, "Name a subcommand."),
+  handler: () => {},
+};
+
+function addSubcommands(parser: Argv): Argv {
+  return parser
+    .command(
+      "get [section]",
+      "print a section's text, or the versions of all sections",
+      (each) => addAdminOptions(each.positional("section", { type: "string" })),
+      (options) => getDocument(options as unknown as SectionOptions),
+    )
+    .command(
+      "put <section> <file>",
+      "replace a section's text",
+      (each) => addPutOptions(each),
+      (options) => putSection(options as unknown as PutOptions),
+    )
+    .command(
+      "import <file>",
+      "put every section of a whole document, for the first time",
+      (each) => addAdminOptions(each.positional("file", { type: "string" })),
+      (options) => importDocument(options as unknown as ImportOptions),
+    )
+    .command(
+      "history",
+      "list accepted changes, the newest first",
+      (each) => addAdminOptions(each),
+      (options) =>
+        runAdminCall(options as AdminOptions, {
+          method: "GET",
+          path: "/v1/document/history",
+        }),
+    )
+    .command(
+      "status",
+      "show which version each VM runs and who is silent",
+      (each) => addAdminOptions(each),
+      (options) =>
+        runAdminCall(options as AdminOptions, {
+          method: "GET",
+          path: "/v1/document/status",
+        }),
+    )
+    .command(
+      "rollback <section>",
+      "make a section what it was at an earlier version, as a new one",
+      (each) =>
+        addAdminOptions(
+          each.positional("section", { type: "string" })
+            .option("to", { type: "number", demandOption: true }),
+        ),
+      (options) => rollBack(options as unknown as RollbackOptions),
+    );
+}
+
+function addPutOptions(parser: Argv): Argv {
+  return addAdminOptions(
+    parser
+      .positional("section", { type: "string" })
+      .positional("file", { type: "string" })
+      .option("base", {
+        type: "number",
+        describe: "version the text was made from; the present one if absent",
+      })
+      .option("change-id", {
+        type: "string",
+        describe: "name of this change; repeat it to be sure after an error",
+      })
+      .option("dry-run", {
+        type: "boolean",
+        default: false,
+        describe: "show the effects and change nothing",
+      }),
+  );
+}
+
+interface SectionAnswer {
+  readonly version: number;
+  readonly text: string;
+}
+
+async function getDocument(options: SectionOptions): Promise<void> {
+  if (options.section === undefined) {
+    return await runAdminCall(options, { method: "GET", path: "/v1/document" });
+  }
+  const section = await readSection(options, options.section);
+  if (section === undefined) return;
+  console.error(`version ${section.version}`);
+  console.log(section.text);
+}
+
+async function readSection(
+  options: AdminOptions,
+  section: string,
+): Promise<SectionAnswer | undefined> {
+  const path = `/v1/document/sections/${encodeURIComponent(section)}`;
+  const answer = await callAdmin(options, { method: "GET", path });
+  return answer as unknown as SectionAnswer | undefined;
+}
+
+async function putSection(options: PutOptions): Promise<void> {
+  const text = readTextFile(options.file);
+  if (text.isLeft()) return reportFaults(text.swap().unsafeCoerce());
+  const base = options.base ?? await readBaseVersion(options, options.section);
+  if (base === undefined) return;
+  const path = `/v1/document/sections/${encodeURIComponent(options.section)}`;
+  await runAdminCall(options, {
+    method: "PUT",
+    path: options.dryRun ? `${path}?dryRun=true` : path,
+    body: {
+      changeId: options.changeId ?? randomUUID(),
+      baseVersion: base,
+      text: text.unsafeCoerce(),
+    },
+  });
+}
+
+/** A section that does not exist yet has version 0. */
+async function readBaseVersion(
+  options: AdminOptions,
+  section: string,
+): Promise<number | undefined> {
+  const answer = await callAdmin(options, {
+    method: "GET",
+    path: "/v1/document",
+  });
+  if (answer === undefined) return undefined;
+  const { sections } = answer as unknown as {
+    readonly sections: readonly { section: string; version: number }[];
+  };
+  return sections.find((each) => each.section === section)?.version ?? 0;
+}
+
+/**
+ * Sections may name things of each other, so those that are refused are tried
+ * again as long as others get in.
+ */
+async function importDocument(options: ImportOptions): Promise<void> {
+  const sections = readTextFile(options.file)
+    .chain((text) => parseDocumentSections(text, options.file));
+  if (sections.isLeft()) return reportFaults(sections.swap().unsafeCoerce());
+  let waiting = sections.unsafeCoerce();
+  while (waiting.length > 0) {
+    const refused = [];
+    for (const each of waiting) {
+      process.exitCode = ExitCode.Ok;
+      const accepted = await importSection(options, each);
+      if (!accepted) refused.push(each);
+    }
+    if (refused.length === waiting.length) {
+      process.exitCode = ExitCode.Failed;
+      return;
+    }
+    waiting = refused;
+  }
+  process.exitCode = ExitCode.Ok;
+}
+
+async function importSection(
+  options: ImportOptions,
+  input: { readonly section: string; readonly text: string },
+): Promise<boolean> {
+  const baseVersion = await readBaseVersion(options, input.section);
+  if (baseVersion === undefined) return false;
+  const body = { changeId: randomUUID(), baseVersion, text: input.text };
+  const answer: JsonValue | undefined = await callAdmin(options, {
+    method: "PUT",
+    path: `/v1/document/sections/${encodeURIComponent(input.section)}`,
+    body,
+  });
+  if (answer !== undefined) console.log(`accepted section ${input.section}`);
+  return answer !== undefined;
+}
+
+async function rollBack(options: RollbackOptions): Promise<void> {
+  const baseVersion = await readBaseVersion(options, options.section);
+  if (baseVersion === undefined) return;
+  const section = encodeURIComponent(options.section);
+  await runAdminCall(options, {
+    method: "POST",
+    path: `/v1/document/sections/${section}/rollback`,
+    body: { changeId: randomUUID(), baseVersion, toVersion: options.to },
+  });
+}
+
+function reportFaults(faults: Parameters<typeof formatInputErrors>[0]): void {
+  console.error(formatInputErrors(faults));
+  process.exitCode = ExitCode.BadInput;
+}
--- a/packages/cli/mod.ts
+++ b/packages/cli/mod.ts
@@ -4,7 +4,19 @@
 import { benchCommand } from "./commands/bench_command.ts";
 import { checkCommand } from "./commands/check_command.ts";
 import { demoCommand } from "./commands/demo_command.ts";
+import { documentCommand } from "./commands/document_command.ts";
+import {
+  budgetCommand,
+  dumpCommand,
+  eventCommand,
+  keyCommand,
+  membersCommand,
+  quarantineCommand,
+  topUpCommand,
+  writeOffCommand,
+} from "./commands/fleet_commands.ts";
 import { modelCommand } from "./commands/model_command.ts";
+import { replayCommand } from "./commands/replay_command.ts";
 import { serveCommand } from "./commands/serve_command.ts";
 import { standInCommand } from "./commands/stand_in_command.ts";
 import { ExitCode } from "./exit_code.ts";
@@ -18,19 +30,33 @@
     .command(checkCommand)
     .command(demoCommand)
     .command(standInCommand)
+    .command(documentCommand)
+    .command(eventCommand)
+    .command(budgetCommand)
+    .command(topUpCommand)
+    .command(writeOffCommand)
+    .command(membersCommand)
+    .command(quarantineCommand)
+    .command(dumpCommand)
+    .command(keyCommand)
     .command(modelCommand)
+    .command(replayCommand)
     .command(benchCommand)
     .demandCommand(1, "Name a command; --help lists them.")
     .recommendCommands()
     .completion("completion", "print a completion script for the shell")
     .strict()
     .help()
-    .fail((message, error, parser) => {
-      if (error !== undefined && error !== null) throw error;
-      console.error(`${message}\n`);
-      parser.showHelp("error");
-      process.exitCode = ExitCode.BadInput;
-    })
+    .exitProcess(false)
+    .fail((message, error) => reportFailure(message, error))
     .parseAsync();
   return Number(process.exitCode ?? ExitCode.Ok);
 }
+
+/** yargs reports each fault of a command line; the first one says enough. */
+function reportFailure(message: string | null, error?: Error): void {
+  if (error !== undefined && message === null) throw error;
+  if (process.exitCode === ExitCode.BadInput) return;
+  process.exitCode = ExitCode.BadInput;
+  console.error(`${message ?? ""}\nanvilrail --help lists the commands.`);
+}
