Measure peers, the start of a VM and the loss of VMs; give the entry a peer

Cause: a fleet is more than one daemon: bills are copied to a peer, events have homes, and VMs come and go. Change: experiments peer-cost, vm-start and recovery on daemons in threads; data-plane measures an entry beside a second one, at the event's home and one step from it; quick runs are shorter.

--- a/packages/bench/capacity/decision_probes.ts
+++ b/packages/bench/capacity/decision_probes.ts
@@ -48,6 +48,8 @@
   readonly unit: SizeUnit;
   /** Whether each request waits for it. */
   readonly onRequestPath: boolean;
+  /** Whether its largest size is left out of quick runs. */
+  readonly slowToPrepare?: boolean;
   /** Returns the call to be measured. */
   readonly prepare: (size: number, random: SeededRandom) => () => unknown;
 }
@@ -140,12 +142,14 @@
     name: "plan a change of one event",
     unit: SizeUnit.Budgets,
     onRequestPath: false,
+    slowToPrepare: true,
     prepare: preparePlanChange,
   },
   {
     name: "follow a change of one event",
     unit: SizeUnit.Budgets,
     onRequestPath: false,
+    slowToPrepare: true,
     prepare: prepareFollowChange,
   },
   {
--- a/packages/bench/capacity/decisions_experiment.ts
+++ b/packages/bench/capacity/decisions_experiment.ts
@@ -12,7 +12,12 @@
   type DecisionProbe,
   PROBE_SIZES,
 } from "./decision_probes.ts";
-import { type CallCost, measureCalls } from "./measure_calls.ts";
+import {
+  type CallCost,
+  FULL_EFFORT,
+  measureCalls,
+  QUICK_EFFORT,
+} from "./measure_calls.ts";
 
 interface ProbeResult {
   readonly probe: DecisionProbe;
@@ -32,10 +37,10 @@
 function runDecisions(options: ExperimentOptions): Promise<Figures> {
   const results = DECISION_PROBES.flatMap((probe) => {
     options.log(probe.name);
-    return PROBE_SIZES[probe.unit].map((size) => ({
+    return listSizes(probe, options).map((size) => ({
       probe,
       size,
-      cost: measureProbe(probe, size, options.seed),
+      cost: measureProbe(probe, size, options),
     }));
   });
   return Promise.resolve({
@@ -50,12 +55,24 @@
   });
 }
 
+/** A quick run leaves out the largest size of what takes long to prepare. */
+function listSizes(
+  probe: DecisionProbe,
+  options: ExperimentOptions,
+): readonly number[] {
+  const sizes = PROBE_SIZES[probe.unit];
+  return options.quick && probe.slowToPrepare === true
+    ? sizes.slice(0, -1)
+    : sizes;
+}
+
 function measureProbe(
   probe: DecisionProbe,
   size: number,
-  seed: number,
+  options: ExperimentOptions,
 ): CallCost {
-  return measureCalls(probe.prepare(size, new SeededRandom(seed)));
+  const call = probe.prepare(size, new SeededRandom(options.seed));
+  return measureCalls(call, options.quick ? QUICK_EFFORT : FULL_EFFORT);
 }
 
 function createTable(results: readonly ProbeResult[]) {
--- a/packages/bench/capacity/document_probes.ts
+++ b/packages/bench/capacity/document_probes.ts
@@ -48,19 +48,35 @@
   return submit(state, section, edit);
 }
 
-function createSampleDocument(budgets: number): DocumentState {
+/** One section of a sample document. */
+export interface SampleSection {
+  readonly section: string;
+  readonly text: string;
+}
+
+/** Returns the sections of a document with so many events, the teams first. */
+export function createSampleSections(budgets: number): SampleSection[] {
   const teams = new Map<string, number[]>();
   for (let index = 0; index < budgets; index++) {
     const team = findTeam(index, budgets);
-    teams.set(team, [...teams.get(team) ?? [], index]);
+    const indexes = teams.get(team) ?? [];
+    teams.set(team, indexes);
+    indexes.push(index);
   }
   const teamKeys = [...teams.keys()]
     .map((team) => `"${team}": { "keyHashes": ["${computeKeyHash(team)}"] }`);
   const text = `{ "teams": { ${teamKeys.join(", ")} } }`;
-  let state = submit(createDocumentState(), FLEET_SECTION, { text }).next;
-  for (const [team, indexes] of teams) {
-    const edit = { text: formatSection(team, indexes) };
-    state = submit(state, team, edit).next;
+  const sections = [...teams].map(([section, indexes]) => ({
+    section,
+    text: formatSection(section, indexes),
+  }));
+  return [{ section: FLEET_SECTION, text }, ...sections];
+}
+
+function createSampleDocument(budgets: number): DocumentState {
+  let state = createDocumentState();
+  for (const { section, text } of createSampleSections(budgets)) {
+    state = submit(state, section, { text }).next;
   }
   return state;
 }
--- a/packages/bench/capacity/measure_calls.ts
+++ b/packages/bench/capacity/measure_calls.ts
@@ -11,19 +11,34 @@
 }
 
 const MICROS_PER_MILLI = 1_000;
-const BATCHES = 15;
-const BATCH_MILLIS = 4;
 
 /** Bytes that may be allocated between two collections and be counted. */
 const COUNTED_BYTES = 4_000_000;
 
+/** How much is measured. */
+export interface MeasureEffort {
+  readonly batches: number;
+  /** Duration of a batch. */
+  readonly batchMillis: number;
+}
+
+/** For figures that are kept. */
+export const FULL_EFFORT: MeasureEffort = { batches: 15, batchMillis: 4 };
+
+/** For a look within seconds. */
+export const QUICK_EFFORT: MeasureEffort = { batches: 3, batchMillis: 1 };
+
 /** Calls a function until it is compiled, then measures batches of calls. */
-export function measureCalls(call: () => unknown): CallCost {
-  const calls = findBatchSize(call);
-  for (let batch = 0; batch < BATCHES; batch++) measureTime(call, calls);
-  const times = Array.from({ length: BATCHES }, () => measureTime(call, calls));
+export function measureCalls(
+  call: () => unknown,
+  effort: MeasureEffort = FULL_EFFORT,
+): CallCost {
+  const { batches, batchMillis } = effort;
+  const calls = findBatchSize(call, batchMillis);
+  for (let batch = 0; batch < batches; batch++) measureTime(call, calls);
+  const times = Array.from({ length: batches }, () => measureTime(call, calls));
   const micros = computeMedian(times) * MICROS_PER_MILLI / calls;
-  return { micros, bytes: measureBytes(call) };
+  return { micros, bytes: measureBytes(call, batches) };
 }
 
 /** Returns the resident memory after a collection, in bytes of the heap. */
@@ -38,12 +53,12 @@
   return sorted[sorted.length >> 1] ?? 0;
 }
 
-function findBatchSize(call: () => unknown): number {
+function findBatchSize(call: () => unknown, batchMillis: number): number {
   let calls = 8;
   for (;;) {
     const time = measureTime(call, calls);
-    if (time >= BATCH_MILLIS) return calls;
-    calls = Math.ceil(calls * Math.min(8, BATCH_MILLIS * 1.2 / (time + 0.01)));
+    if (time >= batchMillis) return calls;
+    calls = Math.ceil(calls * Math.min(8, batchMillis * 1.2 / (time + 0.01)));
   }
 }
 
@@ -53,18 +68,18 @@
   return performance.now() - start;
 }
 
-function measureBytes(call: () => unknown): number {
-  let calls = 1;
+function measureBytes(call: () => unknown, samples: number): number {
+  let calls = 64;
   for (;;) {
     const bytes = measureHeapGrowth(call, calls);
-    if (bytes >= COUNTED_BYTES / 2 || calls >= 20_000) {
-      const samples = Array.from(
-        { length: BATCHES },
+    if (bytes >= COUNTED_BYTES / 4 || calls >= 20_000) {
+      const growths = Array.from(
+        { length: samples },
         () => measureHeapGrowth(call, calls) / calls,
       );
-      return Math.max(0, Math.round(computeMedian(samples)));
+      return Math.max(0, Math.round(computeMedian(growths)));
     }
-    calls *= 2;
+    calls *= 4;
   }
 }
 
--- a/packages/bench/data_plane/control_cost_experiment.ts
+++ b/packages/bench/data_plane/control_cost_experiment.ts
@@ -27,7 +27,7 @@
 
 const WARM_UP_MILLIS = 3_000;
 const MEASURED_MILLIS = 15_000;
-const QUICK_MILLIS = 2_000;
+const QUICK_MILLIS = 1_000;
 
 /** The plan's bounds of what control may cost a node. */
 const MAX_BUSY_PERCENT = 1.3;
@@ -45,7 +45,8 @@
 
 async function runControlCost(options: ExperimentOptions): Promise<Figures> {
   const results: RestResult[] = [];
-  for (const size of SIZES) {
+  const sizes = options.quick ? [SIZES[0]!, PLAN_SIZE] : SIZES;
+  for (const size of sizes) {
     options.log(`${size.targets} targets, ${size.budgets} budgets`);
     results.push(await measureRest(size, options.quick));
   }
--- a/packages/bench/data_plane/data_plane_experiment.ts
+++ b/packages/bench/data_plane/data_plane_experiment.ts
@@ -45,6 +45,7 @@
 const CONNECTIONS = 512;
 const PACED_STREAMS = 50;
 const PACED_CHUNKS = 40;
+const QUICK_PACED_CHUNKS = 12;
 const CHUNK_PAUSE = 20;
 const FAST_STREAMS = 64;
 const FAST_CHUNKS = 200;
@@ -59,13 +60,14 @@
 };
 
 async function runDataPlane(options: ExperimentOptions) {
-  const millis = options.quick ? 500 : 3_000;
+  const millis = options.quick ? 300 : 3_000;
   const rounds = options.quick ? 1 : FULL_ROUNDS;
   const paths = await startPaths();
   try {
     const tables: FigureTable[] = [];
     const goals: Goal[] = [];
-    for (const each of createRuns(millis)) {
+    const chunks = options.quick ? QUICK_PACED_CHUNKS : PACED_CHUNKS;
+    for (const each of createRuns(millis, chunks)) {
       options.log(each.title);
       const figures = await measurePaths(paths.list, each, rounds);
       tables.push(createTable(each.title, figures));
@@ -77,7 +79,7 @@
   }
 }
 
-function createRuns(millis: number): readonly PathRun[] {
+function createRuns(millis: number, chunks: number): readonly PathRun[] {
   return [
     {
       title: `calls at ${CALLS_PER_SECOND} a second`,
@@ -103,7 +105,7 @@
     {
       title: `${PACED_STREAMS} streams, a chunk each ${CHUNK_PAUSE} ms`,
       run: (path) =>
-        runClosedLoop(path.createStreams(PACED_CHUNKS, CHUNK_PAUSE), {
+        runClosedLoop(path.createStreams(chunks, CHUNK_PAUSE), {
           connections: PACED_STREAMS,
           millis,
         }),
--- a/packages/bench/data_plane/load_generator.ts
+++ b/packages/bench/data_plane/load_generator.ts
@@ -10,6 +10,8 @@
 /** What is sent to whom. */
 export interface LoadTarget {
   readonly url: string;
+  /** Returns the URL of the n-th request, where they differ. */
+  readonly chooseUrl?: (index: number) => string;
   readonly headers: Readonly<Record<string, string>>;
   /** Returns the body and headers of the n-th request. */
   readonly createBody: (index: number) => string;
@@ -201,7 +203,8 @@
 ): Promise<IncomingMessage> {
   const body = target.createBody(input.index);
   return new Promise((resolve, reject) => {
-    const outgoing = startRequest(target.url, {
+    const url = target.chooseUrl?.(input.index) ?? target.url;
+    const outgoing = startRequest(url, {
       method: "POST",
       agent: input.agent,
       headers: {
--- a/packages/bench/data_plane/paths.ts
+++ b/packages/bench/data_plane/paths.ts
@@ -1,6 +1,21 @@
 /** The ways a request can take, each with its servers on threads. */
 import { randomUUID } from "node:crypto";
-import { BenchKind, CUSTOMER_KEY } from "./entry_server.ts";
+import { setTimeout as wait } from "node:timers/promises";
+import {
+  chooseHomes,
+  createMembershipView,
+  type Member,
+  MemberState,
+} from "../../membership/mod.ts";
+import {
+  BENCH_EVENTS,
+  BENCH_REGION,
+  BenchKind,
+  CUSTOMER_KEY,
+  type EntryInput,
+  formatBenchEvent,
+} from "./entry_server.ts";
+import { findFreePort } from "./free_port.ts";
 import type { LoadTarget } from "./load_generator.ts";
 import { startByteCounter } from "./byte_counter.ts";
 import { Role, type RoleThread, startRole } from "./role_thread.ts";
@@ -30,7 +45,16 @@
 /** Name of the path through the daemon. */
 export const ENTRY = "entry";
 
-/** Starts target, pass-through and entry. */
+/** Name of the path through the daemon to the event's home beside it. */
+export const FORWARDED = "entry, then home";
+
+const ENTRY_VM = "bench-0";
+const BACKUP_VM = "bench-1";
+
+/** Time in which the two daemons meet. */
+const MEETING_MILLIS = 1_500;
+
+/** Starts target, pass-through and two entries. */
 export async function startPaths(): Promise<LoadPaths> {
   const target = await startRole({ role: Role.Target });
   const table = await startRole({ role: Role.Table });
@@ -38,16 +62,18 @@
   const common = { targetUrl: target.url };
   const middle = await startRole({ role: Role.PassThrough, ...common });
   const tableUrl = `http://${counter.address}`;
-  const entry = await startRole({ role: Role.Entry, tableUrl, ...common });
+  const [entry, backup] = await startEntryPair({ tableUrl, ...common });
   return {
     list: [
       createBarePath("direct", target.url),
       { ...createBarePath(PASS_THROUGH, middle.url), middle },
-      createEntryPath(entry),
+      createEntryPath(ENTRY, { entry, event: findEvent(ENTRY_VM) }),
+      createEntryPath(FORWARDED, { entry, event: findEvent(BACKUP_VM) }),
     ],
     readStoreBytes: () => counter.readBytes(),
     stop: async () => {
-      for (const thread of [entry, middle, table, target]) await thread.stop();
+      const threads = [entry, backup, middle, table, target];
+      for (const thread of threads) await thread.stop();
       await counter.stop();
     },
   };
@@ -77,19 +103,81 @@
   };
 }
 
-function createEntryPath(entry: RoleThread): LoadPath {
+/** An entry and a second one, as each has a peer for copies of its bills. */
+async function startEntryPair(
+  input: EntryInput,
+): Promise<[RoleThread, RoleThread]> {
+  const ports = [await findFreePort(), await findFreePort()];
+  const addresses = ports.map((port) => `127.0.0.1:${port}`);
+  const start = (vm: string, index: number) =>
+    startRole({
+      role: Role.Entry,
+      ...input,
+      place: {
+        vm,
+        peerPort: ports[index]!,
+        advertise: addresses[index]!,
+        seeds: addresses.slice(0, index),
+      },
+    });
+  const pair: [RoleThread, RoleThread] = [
+    await start(ENTRY_VM, 0),
+    await start(BACKUP_VM, 1),
+  ];
+  await wait(MEETING_MILLIS);
+  return pair;
+}
+
+/** Returns an event whose home is the VM. */
+function findEvent(vm: string): string {
+  const members = [ENTRY_VM, BACKUP_VM].map((each) => createBenchMember(each));
+  const view = createMembershipView(members[0]!);
+  const both = { ...view, members: view.members.add(BACKUP_VM, members[1]!) };
+  const index = Array.from({ length: BENCH_EVENTS }).findIndex((_, at) =>
+    chooseHomes(both, {
+      eventId: formatBenchEvent(at),
+      region: BENCH_REGION,
+      homes: 1,
+    })[0] === vm
+  );
+  return formatBenchEvent(index);
+}
+
+function createBenchMember(vm: string): Member {
   return {
-    name: ENTRY,
+    vm,
+    incarnation: "1",
+    state: MemberState.Live,
+    region: BENCH_REGION,
+    dataCentre: "",
+    peerAddress: "",
+    callerAddress: "",
+    documentVersion: 1,
+    heardAt: 0,
+  };
+}
+
+function createEntryPath(
+  name: string,
+  input: { readonly entry: RoleThread; readonly event: string },
+): LoadPath {
+  const { entry, event } = input;
+  const { url } = entry;
+  return {
+    name,
     middle: entry,
-    createCalls: () => createEntryLoad(entry, BenchKind.Lookup, CALL_BODY),
-    createStreams: (chunks, pause) =>
-      createEntryLoad(entry, BenchKind.Chat, createStreamBody(chunks, pause)),
+    createCalls: () =>
+      createEntryLoad({ url, event }, BenchKind.Lookup, CALL_BODY),
+    createStreams: (chunks, pause) => {
+      const body = createStreamBody(chunks, pause);
+      return createEntryLoad({ url, event }, BenchKind.Chat, body);
+    },
   };
 }
 
 /** Returns the load of one kind at the entry, each request under its own key. */
 export function createEntryLoad(
-  entry: RoleThread,
+  entry: { readonly url: string; readonly event: string },
   kind: BenchKind,
   body: string,
 ): LoadTarget {
@@ -99,7 +187,7 @@
     url: `${entry.url}${path}`,
     headers: {
       authorization: `Bearer ${CUSTOMER_KEY}`,
-      "x-anvilrail-event": "bench",
+      "x-anvilrail-event": entry.event,
       "x-anvilrail-kind": kind,
     },
     createBody: () => body,
--- a/packages/bench/data_plane/role_thread.ts
+++ b/packages/bench/data_plane/role_thread.ts
@@ -11,9 +11,8 @@
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { measureHeap } from "../capacity/measure_calls.ts";
-import type { FleetSize } from "../capacity/sample_fleet.ts";
 import { startTableServer } from "../../stand_ins/mod.ts";
-import { startEntry } from "./entry_server.ts";
+import { type EntryInput, startEntry } from "./entry_server.ts";
 import { createLeanTarget } from "./lean_target.ts";
 import { createPassThrough } from "./pass_through.ts";
 
@@ -26,14 +25,8 @@
 }
 
 /** What a thread is told at its start. */
-export interface RoleInput {
+export interface RoleInput extends EntryInput {
   readonly role: Role;
-  /** Where it passes requests on to; absent for targets and tables. */
-  readonly targetUrl?: string;
-  /** The table service of an entry. */
-  readonly tableUrl?: string;
-  /** Size of an entry's configuration; one small event if absent. */
-  readonly size?: FleetSize;
 }
 
 /** What a thread says of itself. */
@@ -47,13 +40,20 @@
 /** A role on its thread. */
 export interface RoleThread {
   readonly url: string;
+  /** The operators' face of an entry; empty for other roles. */
+  readonly operatorUrl: string;
   /** Measures the thread; `collect` first collects garbage. */
   readUsage(options: { readonly collect: boolean }): Promise<RoleUsage>;
   stop(): Promise<void>;
 }
 
+interface RoleUrls {
+  readonly url: string;
+  readonly operatorUrl: string;
+}
+
 type RoleMessage =
-  | { readonly kind: "ready"; readonly url: string }
+  | ({ readonly kind: "ready" } & RoleUrls)
   | { readonly kind: "usage"; readonly usage: RoleUsage };
 
 /** Starts a role on a new thread. */
@@ -62,6 +62,7 @@
   const ready = await receive(worker, "ready");
   return {
     url: ready.url,
+    operatorUrl: ready.operatorUrl,
     readUsage: async (options) => {
       const answer = receive(worker, "usage");
       worker.postMessage(options);
@@ -87,23 +88,24 @@
   });
 }
 
-async function startServing(input: RoleInput): Promise<string> {
-  const { targetUrl = "", tableUrl = "", size } = input;
+async function startServing(input: RoleInput): Promise<RoleUrls> {
+  const operatorUrl = "";
   switch (input.role) {
     case Role.Target:
-      return await listen(createLeanTarget());
-    case Role.PassThrough:
-      return await listen(createPassThrough(targetUrl));
+      return { url: await listen(createLeanTarget()), operatorUrl };
+    case Role.PassThrough: {
+      const server = createPassThrough(input.targetUrl ?? "");
+      return { url: await listen(server), operatorUrl };
+    }
     case Role.Entry: {
-      const daemon = await startEntry({
-        targetUrl,
-        tableUrl,
-        ...(size === undefined ? {} : { size }),
-      });
-      return `http://${daemon.callerAddress}`;
+      const daemon = await startEntry(input);
+      return {
+        url: `http://${daemon.callerAddress}`,
+        operatorUrl: `http://${daemon.operatorAddress}`,
+      };
     }
     case Role.Table:
-      return (await startTableServer()).url;
+      return { url: (await startTableServer()).url, operatorUrl };
   }
 }
 
@@ -116,7 +118,7 @@
 }
 
 async function serveRole(input: RoleInput): Promise<void> {
-  const url = await startServing(input);
+  const urls = await startServing(input);
   let last = performance.eventLoopUtilization();
   parentPort?.on("message", (options: { readonly collect: boolean }) => {
     const now = performance.eventLoopUtilization();
@@ -125,7 +127,7 @@
     const heapBytes = options.collect ? measureHeap() : 0;
     send({ kind: "usage", usage: { busy, heapBytes } });
   });
-  send({ kind: "ready", url });
+  send({ kind: "ready", ...urls });
 }
 
 function send(message: RoleMessage): void {
--- a/packages/bench/data_plane/stream_memory_experiment.ts
+++ b/packages/bench/data_plane/stream_memory_experiment.ts
@@ -27,7 +27,7 @@
  * takes four in the one process that holds generator, middle and target.
  */
 const STREAM_COUNTS = [100, 1_000, 4_800];
-const QUICK_STREAM_COUNTS = [100, 400];
+const QUICK_STREAM_COUNTS = [200];
 const CHUNKS = 100_000;
 const CHUNK_PAUSE = 1_000;
 const SETTLE_MILLIS = 500;
@@ -58,7 +58,9 @@
     each.path === "direct" && each.streams === last.streams
   )!;
   const added = last.processPerStream - direct.processPerStream;
-  const value = Math.max(added, last.heapPerStream) / BYTES_PER_KIB;
+  // A few streams do not show in the size of the process.
+  const grown = options.quick ? 0 : added;
+  const value = Math.max(grown, last.heapPerStream) / BYTES_PER_KIB;
   return {
     tables: [createTable(results)],
     goals: [
--- a/packages/bench/experiments.ts
+++ b/packages/bench/experiments.ts
@@ -3,6 +3,9 @@
 import { dataPlaneExperiment } from "./data_plane/data_plane_experiment.ts";
 import { controlCostExperiment } from "./data_plane/control_cost_experiment.ts";
 import { streamMemoryExperiment } from "./data_plane/stream_memory_experiment.ts";
+import { peerCostExperiment } from "./fleet/peer_cost_experiment.ts";
+import { recoveryExperiment } from "./fleet/recovery_experiment.ts";
+import { vmStartExperiment } from "./fleet/vm_start_experiment.ts";
 import type { Experiment } from "./report/experiment.ts";
 import { storeOutageExperiment } from "./store_traffic/store_outage_experiment.ts";
 import { storeTrafficExperiment } from "./store_traffic/store_traffic_experiment.ts";
@@ -15,4 +18,7 @@
   controlCostExperiment,
   dataPlaneExperiment,
   streamMemoryExperiment,
+  peerCostExperiment,
+  vmStartExperiment,
+  recoveryExperiment,
 ];
--- /dev/null
+++ b/packages/bench/fleet/fleet_threads.ts
@@ -0,0 +1,84 @@
+/** Some daemons that know each other, each on a thread, with one table. */
+import {
+  type ByteCounter,
+  startByteCounter,
+} from "../data_plane/byte_counter.ts";
+import { type EntryInput, TEAM_KEY } from "../data_plane/entry_server.ts";
+import { findFreePort } from "../data_plane/free_port.ts";
+import { Role, type RoleThread, startRole } from "../data_plane/role_thread.ts";
+
+/** One daemon of a fleet. */
+export interface FleetVm {
+  readonly vm: string;
+  readonly thread: RoleThread;
+  /** Counts the bytes of the exchanges that others begin with it. */
+  readonly counter: ByteCounter;
+}
+
+/** A running fleet. */
+export interface FleetThreads {
+  readonly vms: FleetVm[];
+  readonly tableUrl: string;
+  /** Starts one more daemon that knows the others. */
+  addVm(): Promise<FleetVm>;
+  stop(): Promise<void>;
+}
+
+/** Starts daemons one after the other, each with the first as its seed. */
+export async function startFleet(
+  count: number,
+  input: EntryInput = {},
+): Promise<FleetThreads> {
+  const target = await startRole({ role: Role.Target });
+  const table = await startRole({ role: Role.Table });
+  const vms: FleetVm[] = [];
+  const addVm = async () => {
+    const vm = await startVm(vms, {
+      targetUrl: target.url,
+      tableUrl: table.url,
+      ...input,
+    });
+    vms.push(vm);
+    return vm;
+  };
+  for (let index = 0; index < count; index++) await addVm();
+  return {
+    vms,
+    tableUrl: table.url,
+    addVm,
+    stop: async () => {
+      for (const each of vms) await stopVm(each);
+      await target.stop();
+      await table.stop();
+    },
+  };
+}
+
+/** Stops a daemon at once, as the death of its VM does. */
+export async function stopVm(vm: FleetVm): Promise<void> {
+  await vm.thread.stop();
+  await vm.counter.stop();
+}
+
+/** Returns what a daemon's dump says under a name. */
+export async function readDump(vm: FleetVm, name: string): Promise<unknown> {
+  const response = await fetch(`${vm.thread.operatorUrl}/v1/dump`, {
+    headers: { authorization: `Bearer ${TEAM_KEY}` },
+  });
+  const dump = await response.json() as Record<string, unknown>;
+  return dump[name];
+}
+
+async function startVm(
+  known: readonly FleetVm[],
+  input: EntryInput,
+): Promise<FleetVm> {
+  // The relay must know the port before the daemon listens.
+  const peerPort = await findFreePort();
+  const counter = await startByteCounter(peerPort);
+  const vm = `bench-${known.length}`;
+  const seeds = known.slice(0, 1).map((each) => each.counter.address);
+  const place = { vm, peerPort, advertise: counter.address, seeds };
+  const thread = await startRole({ role: Role.Entry, ...input, place });
+  return { vm, thread, counter };
+}
--- /dev/null
+++ b/packages/bench/fleet/peer_cost_experiment.ts
@@ -0,0 +1,100 @@
+/** What daemons at rest send each other, by their number. */
+import { setTimeout as wait } from "node:timers/promises";
+import { BYTES_PER_KIB } from "../../core/mod.ts";
+import { computeMedian } from "../capacity/measure_calls.ts";
+import {
+  createAtMostGoal,
+  type Experiment,
+  type ExperimentOptions,
+  type Figures,
+} from "../report/experiment.ts";
+import { startFleet } from "./fleet_threads.ts";
+
+interface PeerResult {
+  readonly vms: number;
+  /** Bytes sent and received by one daemon. */
+  readonly bytesPerSecond: number;
+  /** Median share of a core. */
+  readonly busy: number;
+}
+
+const FLEET_SIZES = [1, 2, 4, 8];
+const QUICK_SIZES = [3];
+const WARM_UP_MILLIS = 8_000;
+const MEASURED_MILLIS = 20_000;
+const QUICK_MILLIS = 2_000;
+const MAX_KIB_PER_SECOND = 2;
+
+/** The experiment as `anvilrail bench` runs it. */
+export const peerCostExperiment: Experiment = {
+  name: "peer-cost",
+  description:
+    "Bytes between daemons at rest and their processor time, by their number",
+  quick: true,
+  run: runPeerCost,
+};
+
+async function runPeerCost(options: ExperimentOptions): Promise<Figures> {
+  const results: PeerResult[] = [];
+  for (const vms of options.quick ? QUICK_SIZES : FLEET_SIZES) {
+    options.log(`${vms} daemons`);
+    results.push(await measureFleet(vms, options.quick));
+  }
+  const last = results.at(-1)!;
+  return {
+    tables: [createTable(results)],
+    goals: [
+      createAtMostGoal(`bytes to and from peers at ${last.vms} daemons`, {
+        bound: MAX_KIB_PER_SECOND,
+        unit: "KiB a second",
+        value: last.bytesPerSecond / BYTES_PER_KIB,
+      }),
+    ],
+    notes: [
+      "Bytes of HTTP, headers included; each exchange counts at both of its ends.",
+    ],
+  };
+}
+
+async function measureFleet(
+  count: number,
+  quick: boolean,
+): Promise<PeerResult> {
+  const fleet = await startFleet(count);
+  await wait(quick ? QUICK_MILLIS : WARM_UP_MILLIS);
+  for (const vm of fleet.vms) await vm.thread.readUsage({ collect: false });
+  const before = fleet.vms.map((vm) => vm.counter.readBytes());
+  const millis = quick ? QUICK_MILLIS : MEASURED_MILLIS;
+  await wait(millis);
+  const bytes = fleet.vms.reduce(
+    (sum, vm, index) => sum + vm.counter.readBytes() - before[index]!,
+    0,
+  );
+  const shares: number[] = [];
+  for (const vm of fleet.vms) {
+    shares.push((await vm.thread.readUsage({ collect: false })).busy);
+  }
+  await fleet.stop();
+  return {
+    vms: count,
+    bytesPerSecond: 2 * bytes / count * 1_000 / millis,
+    busy: computeMedian(shares),
+  };
+}
+
+function createTable(results: readonly PeerResult[]) {
+  return {
+    name: "peers",
+    title: "Daemons at rest",
+    columns: [
+      "daemons",
+      "bytes/s to and from peers, each",
+      "share of a core, each (%)",
+    ],
+    rows: results.map((each) => [
+      each.vms,
+      each.bytesPerSecond,
+      100 * each.busy,
+    ]),
+  };
+}
--- a/packages/bench/store_traffic/store_traffic_experiment.ts
+++ b/packages/bench/store_traffic/store_traffic_experiment.ts
@@ -46,6 +46,7 @@
 }
 
 const ENTRY_COUNTS = [8, 16, 32];
+const QUICK_COUNTS = [8, 16];
 
 /** 7,000 requests a second over 380 entry VMs. */
 const REQUESTS_PER_ENTRY = 18.4;
@@ -94,7 +95,7 @@
   const results: CaseResult[] = [];
   for (const each of CASES) {
     for (const onceShare of ONCE_SHARES) {
-      for (const entries of ENTRY_COUNTS) {
+      for (const entries of options.quick ? QUICK_COUNTS : ENTRY_COUNTS) {
         options.log(`${each.name}, ${entries} entries, once ${onceShare}`);
         results.push(await runCase(each, { ...options, entries, onceShare }));
       }
