--- a/packages/bench/experiments.ts
+++ b/packages/bench/experiments.ts
@@ -1,4 +1,5 @@
 /** Every experiment, in the order in which `anvilrail bench` runs them. */
+import { membershipCostExperiment } from "./membership/membership_cost_experiment.ts";
 import { decisionsExperiment } from "./capacity/decisions_experiment.ts";
 import { dataPlaneExperiment } from "./data_plane/data_plane_experiment.ts";
 import { controlCostExperiment } from "./data_plane/control_cost_experiment.ts";
@@ -12,6 +13,7 @@
 
 /** Each package of experiments adds a line here. */
 export const EXPERIMENTS: readonly Experiment[] = [
+  membershipCostExperiment,
   decisionsExperiment,
   storeTrafficExperiment,
   storeOutageExperiment,
