--- a/packages/replay/replay_fleet.ts
+++ b/packages/replay/replay_fleet.ts
@@ -5,7 +5,8 @@
 import type { DocumentState } from "../document/mod.ts";
 import { createDocumentState } from "../document/mod.ts";
 import { RequestTable } from "../request/mod.ts";
-import { DutyWatch, Quarantine } from "../routing/mod.ts";
+import type { AnswerAssembler, DutyWatch } from "../routing/mod.ts";
+import { Quarantine, RetryBudgets } from "../routing/mod.ts";
 import { ReplayStore } from "./replay_store.ts";
 
 /** What one life of a VM has in memory. */
@@ -18,6 +19,9 @@
   readonly requests: RequestTable<string>;
   readonly quarantine: Quarantine;
   readonly duties: Map<string, DutyWatch>;
+  readonly retries: RetryBudgets;
+  /** Answers that are being streamed, by the name of the request. */
+  readonly answers: Map<string, AnswerAssembler>;
   document: DocumentState;
 }
 
@@ -70,6 +74,8 @@
       requests: new RequestTable(),
       quarantine: new Quarantine(),
       duties: new Map(),
+      retries: new RetryBudgets(),
+      answers: new Map(),
       document: createDocumentState(),
     };
     this.#vms.set(vm, started);
--- a/packages/replay/replay_trace.ts
+++ b/packages/replay/replay_trace.ts
@@ -11,6 +11,7 @@
 import { REQUEST_INPUTS } from "./inputs/request_inputs.ts";
 import { ROUTING_INPUTS } from "./inputs/routing_inputs.ts";
 import { STORE_INPUTS } from "./inputs/store_inputs.ts";
+import { STREAM_INPUTS } from "./inputs/stream_inputs.ts";
 import { parseTrace } from "./parse_trace.ts";
 import type { ReplayError } from "./replay_error.ts";
 import { ReplayFleet } from "./replay_fleet.ts";
@@ -23,6 +24,7 @@
   ...BUDGET_INPUTS,
   ...REQUEST_INPUTS,
   ...ROUTING_INPUTS,
+  ...STREAM_INPUTS,
   ...DOCUMENT_INPUTS,
 };
 
--- a/tools/check_imports.ts
+++ b/tools/check_imports.ts
@@ -20,7 +20,15 @@
   peer: ["core", "platform"],
   stand_ins: ["core", "platform"],
   model: ["core"],
-  replay: ["core", "budget", "request", "routing", "document", "membership"],
+  replay: [
+    "core",
+    "platform",
+    "budget",
+    "request",
+    "routing",
+    "document",
+    "membership",
+  ],
   daemon: [
     "core",
     "settings",
