--- a/tools/check_imports.ts
+++ b/tools/check_imports.ts
@@ -17,6 +17,7 @@
   routing: ["core", "platform"],
   document: ["core"],
   membership: ["core"],
+  admin: ["core", "budget", "request", "document", "membership", "routing"],
   peer: ["core", "platform"],
   stand_ins: ["core", "platform"],
   model: ["core"],
@@ -38,14 +39,31 @@
     "routing",
     "document",
     "membership",
+    "admin",
     "peer",
   ],
+  trial: [
+    "core",
+    "settings",
+    "budget",
+    "request",
+    "document",
+    "stand_ins",
+    "daemon",
+  ],
   bench: ["*"],
   cli: ["*"],
 };
 
 /** Tests may also use these packages. */
-const TEST_PACKAGES = ["stand_ins", "model", "daemon", "platform", "bench"];
+const TEST_PACKAGES = [
+  "trial",
+  "stand_ins",
+  "model",
+  "daemon",
+  "platform",
+  "bench",
+];
 
 const PACKAGES = resolve("packages");
 const IMPORT = /(?:from|import)\s+"(\.[^"]+)"/g;
