--- a/packages/model/mod.ts
+++ b/packages/model/mod.ts
@@ -18,11 +18,11 @@
   ClaimDecision,
   ClaimValue,
   EndMark,
-} from "./specifications/claims.ts";
+} from "./specifications/claim_value.ts";
 export {
   ClaimMark,
   decideClaim,
   decideClaimEnd,
-} from "./specifications/claims.ts";
-export type { BudgetCall, BudgetValue } from "./specifications/grants.ts";
-export { CallKind, decideBudgetCall } from "./specifications/grants.ts";
+} from "./specifications/claim_value.ts";
+export type { BudgetCall, BudgetValue } from "./specifications/budget_value.ts";
+export { CallKind, decideBudgetCall } from "./specifications/budget_value.ts";
