--- a/packages/daemon/features/home_forwarding.ts
+++ b/packages/daemon/features/home_forwarding.ts
@@ -28,7 +28,7 @@
 /** What the feature uses of others. */
 export interface HomePorts {
   readonly peerKey: string;
-  listHomes(event: EventConfig): VmId[];
+  listHomes(event: EventConfig): readonly VmId[];
   /** Address of a VM's callers' face, if it is live. */
   findCallerAddress(vm: VmId): string | undefined;
 }
--- a/packages/daemon/features/membership.ts
+++ b/packages/daemon/features/membership.ts
@@ -193,7 +193,7 @@
   }
 
   /** Returns this region's home VMs of an event, best first. */
-  listHomes(event: EventConfig): VmId[] {
+  listHomes(event: EventConfig): readonly VmId[] {
     const { region } = this.#context.settings;
     return chooseHomes(this.#read(), {
       eventId: event.id,
