--- a/packages/admin/routes/document_routes.ts
+++ b/packages/admin/routes/document_routes.ts
@@ -343,7 +343,15 @@
     Left: createPlatformAnswer,
     Right: (rows) => {
       // The text of other teams' entries is not for everyone.
-      const changes = rows.map(({ edits: _, input: __, ...row }) => row);
+      const changes = rows.map((row) => ({
+        version: row.version,
+        changeId: row.changeId,
+        section: row.section,
+        sectionVersion: row.sectionVersion,
+        author: row.author,
+        at: row.at,
+        effects: row.effects,
+      }));
       const oldest = rows.at(-1)?.version ?? 1;
       return createAnswer(
         oldest > 1 ? { changes, before: oldest } : { changes },
