--- /dev/null
+++ b/packages/bench/store_traffic/traffic_fleet.ts
@@ -0,0 +1,321 @@
+/** Some entry VMs in virtual time that share one table, and their traffic. */
+import { computeHash, type Millis, rankMembers } from "../../core/mod.ts";
+import { HEARTBEAT_INTERVAL } from "../../membership/mod.ts";
+import { StoreWriter } from "../../platform/mod.ts";
+import { Histogram } from "../harness/histogram.ts";
+import { createZipfChoice, SeededRandom } from "../harness/random.ts";
+import { TimedTable, type TimeWindow } from "../harness/timed_table.ts";
+import { VirtualClock } from "../harness/virtual_clock.ts";
+import {
+  type Arrival,
+  createArrivals,
+  SELAM_MIX,
+} from "../harness/workload.ts";
+import { RowMeter } from "./row_meter.ts";
+import {
+  BatchWriter,
+  LogFace,
+  LogOwner,
+  RowFace,
+  type StoreFace,
+} from "./store_layout.ts";
+import { TrafficClaims } from "./traffic_claims.ts";
+import { TrafficEscrow } from "./traffic_escrow.ts";
+
+/** How bills and claims become rows. */
+export enum StoreLayout {
+  /** Operations write their own rows; each VM has batches of bills. */
+  Rows = "rows",
+  /** Owners of logs, two in each region, write for all VMs. */
+  Logs = "logs",
+}
+
+/** One fleet and its traffic. */
+export interface TrafficFleetOptions {
+  readonly seed: number;
+  readonly entries: number;
+  readonly layout: StoreLayout;
+  /** Time between two batches of bills of a VM. */
+  readonly billInterval: Millis;
+  /** Most batches of bills of a VM on their way. */
+  readonly mostOpenBills: number;
+  readonly duration: Millis;
+  /** Share of the requests that may not be repeated. */
+  readonly onceShare: number;
+  readonly outages?: readonly TimeWindow[];
+  readonly requestsPerEntry: number;
+}
+
+/** Rates of the table service. */
+export const TABLE_WRITES_PER_SECOND = 300;
+export const TABLE_READS_PER_SECOND = 2_000;
+
+/** Budgets for each entry VM: 80,000 over 380. */
+const BUDGETS_PER_ENTRY = 210;
+
+/** VMs in one region; the plan has 54, but 8 are measured first. */
+export const ENTRIES_PER_REGION = 8;
+const LOGS_PER_REGION = 2;
+const NEAR_HOP: Millis = 0.5;
+const FAR_HOP: Millis = 30;
+
+/** Time between two rows of a log. */
+export const LOG_INTERVAL: Millis = 100;
+const TABLE_LATENCY: Millis = 6;
+const GROUP_DELAY: Millis = 20;
+const POLL_INTERVAL: Millis = 5_000;
+const CALL_TIME: Millis = 20;
+const TOKEN_TIME: Millis = 20;
+const CALL_TOKENS = 10;
+const BUDGET_TOKENS = 50_000_000;
+
+interface TrafficVm {
+  readonly name: string;
+  readonly writer: StoreWriter;
+  readonly escrow: TrafficEscrow;
+  readonly face: StoreFace;
+  readonly claims: TrafficClaims;
+}
+
+/** Runs traffic and keeps what it showed. */
+export class TrafficFleet {
+  readonly clock = new VirtualClock();
+  readonly meter: RowMeter;
+  readonly claimWaits = new Histogram();
+  readonly grantWaits = new Histogram();
+  readonly #options: TrafficFleetOptions;
+  readonly #random: SeededRandom;
+  readonly #vms: TrafficVm[];
+  readonly #homes = new Map<string, TrafficVm>();
+  #counts = { requests: 0, withoutTokens: 0, withoutClaim: 0 };
+
+  constructor(options: TrafficFleetOptions) {
+    this.#options = options;
+    this.#random = new SeededRandom(options.seed);
+    const table = new TimedTable({
+      clock: this.clock,
+      random: this.#random.createBranch("table"),
+      latency: TABLE_LATENCY,
+      writesPerSecond: TABLE_WRITES_PER_SECOND,
+      readsPerSecond: TABLE_READS_PER_SECOND,
+      ...(options.outages === undefined ? {} : { outages: options.outages }),
+    });
+    this.meter = new RowMeter(table, this.clock);
+    this.#vms = this.#createVms();
+    this.#startArrivals();
+  }
+
+  /** Returns what became of the requests so far. */
+  readCounts() {
+    return { ...this.#counts };
+  }
+
+  /** Returns the operations that wait at all VMs together. */
+  countWaiting(): number {
+    return this.#vms.reduce(
+      (sum, vm) => sum + vm.writer.readCounts().waiting,
+      0,
+    );
+  }
+
+  #createVms(): TrafficVm[] {
+    const { entries } = this.#options;
+    const names = Array.from({ length: entries }, (_, index) => `vm-${index}`);
+    const writers = names.map((name) => this.#createWriter(name));
+    const owners = this.#createOwners(names, writers);
+    return names.map((name, index) => {
+      const writer = writers[index]!;
+      this.#startBackground(name, writer);
+      const face = this.#createFace({ vm: name, index, writer, owners });
+      return { name, writer, face, ...this.#createParts(name, face) };
+    });
+  }
+
+  #createParts(vm: string, face: StoreFace) {
+    const { clock } = this;
+    const escrow = new TrafficEscrow({
+      vm,
+      clock,
+      face,
+      budgetTokens: BUDGET_TOKENS,
+      recordWait: (wait) => this.grantWaits.record(wait),
+    });
+    return { escrow, claims: new TrafficClaims(vm, { clock, face }) };
+  }
+
+  /** The first VMs of each region own the logs. */
+  #createOwners(
+    names: readonly string[],
+    writers: readonly StoreWriter[],
+  ): readonly RegionalOwner[] {
+    return names.flatMap((vm, index) => {
+      if (index % ENTRIES_PER_REGION >= LOGS_PER_REGION) return [];
+      const log = new BatchWriter("log", {
+        vm,
+        clock: this.clock,
+        writer: writers[index]!,
+        interval: LOG_INTERVAL,
+        mostOpen: 1,
+      });
+      return [{ region: findRegion(index), owner: new LogOwner(log) }];
+    });
+  }
+
+  #createWriter(name: string): StoreWriter {
+    return new StoreWriter({
+      table: this.meter,
+      clock: this.clock,
+      random: this.#random.createBranch(name).uniform,
+      sleep: (duration) => this.clock.wait(duration),
+      groupDelay: GROUP_DELAY,
+    });
+  }
+
+  #createFace(input: {
+    readonly vm: string;
+    readonly index: number;
+    readonly writer: StoreWriter;
+    readonly owners: readonly RegionalOwner[];
+  }): StoreFace {
+    const { clock } = this;
+    const { vm, index, writer, owners } = input;
+    const { layout, billInterval, mostOpenBills } = this.#options;
+    if (layout === StoreLayout.Rows) {
+      const bills = new BatchWriter("bills", {
+        vm,
+        clock,
+        writer,
+        interval: billInterval,
+        mostOpen: mostOpenBills,
+      });
+      return new RowFace(writer, bills);
+    }
+    return new LogFace(clock, (key) => {
+      const { owner, region } = owners[computeHash(key) % owners.length]!;
+      const hop = region === findRegion(index) ? NEAR_HOP : FAR_HOP;
+      return { owner, hop };
+    });
+  }
+
+  /** Heartbeat rows and polls of the document's head, spread over the VMs. */
+  #startBackground(name: string, writer: StoreWriter): void {
+    const { clock, meter } = this;
+    const key = `vm/${name}`;
+    clock.schedule(
+      this.#random.uniform() * HEARTBEAT_INTERVAL,
+      () =>
+        clock.scheduleEvery(HEARTBEAT_INTERVAL, () => {
+          const giveUpAt = clock.readMonotonic() + HEARTBEAT_INTERVAL;
+          const value = { at: clock.readWall() };
+          void writer.run({
+            id: key,
+            keys: [key],
+            decide: () => ({ writes: [{ key, value }], result: undefined }),
+          }, { giveUpAt });
+        }),
+    );
+    clock.schedule(
+      this.#random.uniform() * POLL_INTERVAL,
+      () =>
+        clock.scheduleEvery(
+          POLL_INTERVAL,
+          () => void meter.read(["document/head"]),
+        ),
+    );
+  }
+
+  #startArrivals(): void {
+    const { entries, duration, requestsPerEntry } = this.#options;
+    const random = this.#random.createBranch("arrivals");
+    const events = entries * BUDGETS_PER_ENTRY;
+    const chooseEvent = createZipfChoice(events, 1);
+    const regions = Math.ceil(entries / ENTRIES_PER_REGION);
+    const arrivals = createArrivals({
+      mix: SELAM_MIX,
+      random,
+      requestsPerSecond: entries * requestsPerEntry,
+      duration,
+    });
+    for (const arrival of arrivals) {
+      const event = chooseEvent(random);
+      // The busiest hundredth is drawn on from every region.
+      const region = event < events / 100
+        ? random.drawInteger(0, regions - 1)
+        : event % regions;
+      const once = random.drawChance(this.#options.onceShare);
+      this.clock.schedule(
+        arrival.at,
+        () => this.#handle(arrival, { event: `event-${event}`, region, once }),
+      );
+    }
+  }
+
+  #handle(
+    arrival: Arrival,
+    input: {
+      readonly event: string;
+      readonly region: number;
+      readonly once: boolean;
+    },
+  ): void {
+    const vm = this.#findHome(input.event, input.region);
+    this.#counts.requests++;
+    const bound = input.once
+      ? CALL_TOKENS
+      : 4 * arrival.promptTokens + arrival.kind.maxOutputTokens;
+    vm.escrow.reserve(input.event, bound, (reservation) => {
+      if (reservation === undefined) {
+        this.#counts.withoutTokens++;
+        return;
+      }
+      const finish = (spent: number) => {
+        vm.escrow.settle(reservation, Math.min(bound, spent));
+        if (spent > 0) vm.face.addBill(arrival.requestKey);
+      };
+      if (input.once) void this.#runOnce(vm, arrival.requestKey, finish);
+      else {
+        const spent = arrival.promptTokens + arrival.outputTokens;
+        const time = arrival.outputTokens * TOKEN_TIME;
+        this.clock.schedule(time, () => finish(spent));
+      }
+    });
+  }
+
+  async #runOnce(
+    vm: TrafficVm,
+    requestKey: string,
+    finish: (spent: number) => void,
+  ): Promise<void> {
+    const since = this.clock.readMonotonic();
+    const taken = await vm.claims.take(requestKey);
+    this.claimWaits.record(this.clock.readMonotonic() - since);
+    if (!taken) {
+      this.#counts.withoutClaim++;
+      return finish(0);
+    }
+    await this.clock.wait(CALL_TIME);
+    finish(CALL_TOKENS);
+    await vm.claims.finish(requestKey);
+  }
+
+  #findHome(event: string, region: number): TrafficVm {
+    const key = `${event}/${region}`;
+    const known = this.#homes.get(key);
+    if (known !== undefined) return known;
+    const first = region * ENTRIES_PER_REGION;
+    const members = this.#vms.slice(first, first + ENTRIES_PER_REGION);
+    const [best] = rankMembers(event, members.map((each) => each.name));
+    const home = members.find((each) => each.name === best)!;
+    this.#homes.set(key, home);
+    return home;
+  }
+}
+
+interface RegionalOwner {
+  readonly region: number;
+  readonly owner: LogOwner;
+}
+
+function findRegion(index: number): number {
+  return Math.floor(index / ENTRIES_PER_REGION);
+}
