--- /dev/null
+++ b/packages/bench/routing/poison.ts
@@ -0,0 +1,170 @@
+/** What requests that crash their targets cost the fleet. */
+import type { Millis } from "../../core/mod.ts";
+import { SeededRandom } from "../harness/random.ts";
+import { type Arrival, createArrivals } from "../harness/workload.ts";
+import {
+  createAtMostGoal,
+  type Experiment,
+  type ExperimentOptions,
+} from "../report/experiment.ts";
+import { type RoutingUser, USERS } from "./cases.ts";
+import { roundTo } from "./compare.ts";
+import { Fleet } from "./fleet.ts";
+import { RequestEnd } from "./outcomes.ts";
+import {
+  LEAST_REPORTED_POLICY,
+  OWN_POLICY,
+  type RoutingPolicy,
+} from "./policy.ts";
+
+const POISON_REQUESTS = 12;
+const POISON_INTERVAL: Millis = 30_000;
+const POISON_KEY = "poison-";
+const RESENDS = 5;
+const RESEND_AFTER: Millis = 1_000;
+const LOAD = 0.4;
+const DURATION: Millis = POISON_INTERVAL * (POISON_REQUESTS + 1);
+const DRAIN: Millis = 120_000;
+
+/** Counts targets lost to poison requests that their callers send again. */
+export const poisonExperiment: Experiment = {
+  name: "routing-poison",
+  description: "Targets lost per request that crashes each target it runs on",
+  quick: true,
+  run: (options) => Promise.resolve(runPoison(options)),
+};
+
+/** What the poison requests of one run did. */
+export interface PoisonResult {
+  /** Targets crashed by each poison request. */
+  readonly crashes: readonly number[];
+  /** Harmless requests that were quarantined. */
+  readonly wronglyQuarantined: number;
+  readonly harmlessFailed: number;
+  readonly harmless: number;
+}
+
+function runPoison(options: ExperimentOptions) {
+  const runs = USERS.flatMap((user) =>
+    [LEAST_REPORTED_POLICY, OWN_POLICY].map((policy) => ({
+      user,
+      policy,
+      result: runPoisonCase(user, { policy, seed: options.seed }),
+    }))
+  );
+  return {
+    tables: [{
+      name: "poison",
+      title: "Poison requests, each sent up to six times",
+      columns: [
+        "user",
+        "policy",
+        "targets lost each (mean)",
+        "targets lost each (most)",
+        "harmless requests",
+        "wrongly quarantined",
+        "harmless failed",
+      ],
+      rows: runs.map(({ user, policy, result }) => [
+        user.mix.name,
+        policy.name,
+        roundTo(computeMean(result.crashes), 2),
+        Math.max(...result.crashes),
+        result.harmless,
+        result.wronglyQuarantined,
+        result.harmlessFailed,
+      ]),
+    }],
+    goals: runs.filter((run) => run.policy === OWN_POLICY).map((run) =>
+      createAtMostGoal(`${run.user.mix.name}: targets lost to one request`, {
+        bound: 2,
+        unit: "targets",
+        value: Math.max(...run.result.crashes),
+      })
+    ),
+    notes: [
+      "The caller sends a poison request again a second after each failure, five times, through any entry VM.",
+    ],
+  };
+}
+
+/** Runs calm traffic with poison requests among it. */
+export function runPoisonCase(
+  user: RoutingUser,
+  options: { readonly policy: RoutingPolicy; readonly seed: number },
+): PoisonResult {
+  const random = new SeededRandom(options.seed);
+  const fleet = new Fleet({
+    size: user.size,
+    policy: options.policy,
+    random: random.createBranch("fleet"),
+  });
+  const arrivals = createArrivals({
+    mix: user.mix,
+    random: random.createBranch("arrivals"),
+    requestsPerSecond: LOAD * user.capacity,
+    duration: DURATION,
+  });
+  fleet.sendAll(arrivals);
+  const poison = new PoisonSender(fleet, arrivals);
+  fleet.clock.runSynchronouslyUntil(DURATION + DRAIN);
+  const quarantined = [...fleet.listQuarantined()];
+  return {
+    crashes: poison.listCrashes(),
+    wronglyQuarantined: quarantined
+      .filter((digest) => !digest.startsWith(POISON_KEY)).length,
+    harmlessFailed: fleet.outcomes.failed - poison.failed,
+    harmless: arrivals.length,
+  };
+}
+
+/** Sends poison requests at intervals, each again after a failure. */
+class PoisonSender {
+  readonly #fleet: Fleet;
+  readonly #crashesAtStart: number[] = [];
+  #failed = 0;
+
+  constructor(fleet: Fleet, arrivals: readonly Arrival[]) {
+    this.#fleet = fleet;
+    const model = arrivals.filter((each) => each.outputTokens > 0);
+    for (let index = 0; index < POISON_REQUESTS; index++) {
+      const at = POISON_INTERVAL * (index + 1);
+      const requestKey = `${POISON_KEY}${index}`;
+      const arrival = { ...model[index]!, at, requestKey };
+      fleet.clock.schedule(at, () => {
+        this.#crashesAtStart.push(fleet.outcomes.crashes);
+        this.#send(arrival, RESENDS);
+      });
+    }
+  }
+
+  /** Poison requests that failed; a refusal is no failure. */
+  get failed(): number {
+    return this.#failed;
+  }
+
+  /** Returns the targets that crashed between one poison request and the next. */
+  listCrashes(): number[] {
+    const counts = [...this.#crashesAtStart, this.#fleet.outcomes.crashes];
+    return counts.slice(1).map((count, index) => count - counts[index]!);
+  }
+
+  #send(arrival: Arrival, resends: number): void {
+    this.#fleet.send({
+      arrival,
+      poison: true,
+      onEnd: (end) => {
+        if (end === RequestEnd.Failed) this.#failed++;
+        if (end === RequestEnd.Complete || resends === 0) return;
+        this.#fleet.clock.schedule(RESEND_AFTER, () => {
+          const at = this.#fleet.clock.readMonotonic();
+          this.#send({ ...arrival, at }, resends - 1);
+        });
+      },
+    });
+  }
+}
+
+function computeMean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- a/packages/routing/admission/admission.ts
+++ b/packages/routing/admission/admission.ts
@@ -21,7 +21,7 @@
   type Tokens,
 } from "../../core/mod.ts";
 import { CustomerUse, type LimitReached } from "./customer_limits.ts";
-import { FairQueue, type QueuedTicket } from "./fair_queue.ts";
+import { FairQueue } from "./fair_queue.ts";
 import { PromptWindow } from "./prompt_window.ts";
 import { DrainRate, HoldTimes } from "./service_times.ts";
 import type { Ticket } from "./ticket.ts";
@@ -67,7 +67,7 @@
 }
 
 interface OpenTicket {
-  readonly entry: QueuedTicket;
+  readonly ticket: Ticket;
   startedAt?: MonotonicTime;
   /** Whether its prompt was sent and no token has come back. */
   unread?: boolean;
@@ -107,7 +107,6 @@
     options: { readonly now: MonotonicTime; readonly random: RandomSource },
   ): Either<Refusal, QueueResult> {
     const { now } = options;
-    const cost = this.#holds.compute(ticket.service, ticket.kind);
     const late = this.#findLate(ticket, options);
     if (late !== undefined) return Left(late);
     const state = this.#readService(ticket.service);
@@ -121,9 +120,8 @@
     const limited = this.#admitCustomer(ticket, now);
     if (limited.isLeft()) return limited;
     const displaced = loser === undefined ? [] : [this.#refuse(loser, options)];
-    const entry = { ticket, cost };
-    this.#open.set(ticket.id, { entry });
-    state.queue.add(entry);
+    this.#open.set(ticket.id, { ticket });
+    state.queue.add(ticket);
     state.drain.recordWaiting(true, now);
     return Right({ displaced });
   }
@@ -143,12 +141,12 @@
     const started: Ticket[] = [];
     for (;;) {
       const next = state.queue.listNext()
-        .filter(({ ticket }) => isReadable(ticket, state.window))
-        .find((entry) => options.tryStart(entry.ticket));
+        .filter((ticket) => isReadable(ticket, state.window))
+        .find((ticket) => options.tryStart(ticket));
       if (next === undefined) break;
       state.queue.takeNext(next);
       this.#recordStart(next, options.now);
-      started.push(next.ticket);
+      started.push(next);
     }
     state.drain.recordWaiting(state.queue.size > 0, options.now);
     return started;
@@ -159,7 +157,7 @@
     const open = this.#open.get(ticketId);
     if (open?.startedAt === undefined || open.unread !== true) return;
     open.unread = false;
-    const { service, priority, promptTokens: tokens = 0 } = open.entry.ticket;
+    const { service, priority, promptTokens: tokens = 0 } = open.ticket;
     const delay = now - open.startedAt;
     const { window } = this.#readService(service);
     window.recordRead({ priority, tokens, delay, now });
@@ -171,9 +169,9 @@
   ): RefusedTicket[] {
     const refused: RefusedTicket[] = [];
     for (const state of this.#services.values()) {
-      for (const entry of [...state.queue.values()]) {
-        if (this.#canFinish(entry.ticket, options.now)) continue;
-        refused.push(this.#refuse(entry, options));
+      for (const ticket of [...state.queue.values()]) {
+        if (this.#canFinish(ticket, options.now)) continue;
+        refused.push(this.#refuse(ticket, options));
       }
     }
     return refused;
@@ -191,15 +189,14 @@
   ): void {
     const open = this.#open.get(ticketId);
     if (open === undefined) return;
-    const { entry, startedAt } = open;
+    const { ticket, startedAt } = open;
     if (open.unread === true) {
-      const { service, promptTokens } = entry.ticket;
-      const { window } = this.#readService(service);
-      window.recordDrop(promptTokens ?? 0);
+      const { window } = this.#readService(ticket.service);
+      window.recordDrop(ticket.promptTokens ?? 0);
     }
-    if (startedAt === undefined) this.#removeQueued(entry, options.now);
-    else this.#recordFinish(entry, { ...options, startedAt });
-    this.#close(entry, options);
+    if (startedAt === undefined) this.#removeQueued(ticket, options.now);
+    else this.#recordFinish(ticket, { ...options, startedAt });
+    this.#close(ticket, options);
   }
 
   /** Returns what each service has waiting and running. */
@@ -218,8 +215,7 @@
   computeWait(ticket: Ticket): Millis {
     const state = this.#readService(ticket.service);
     if (state.queue.size === 0) return 0;
-    const cost = this.#holds.compute(ticket.service, ticket.kind);
-    const ahead = state.queue.computeAhead(ticket, cost);
+    const ahead = state.queue.computeAhead(ticket);
     const rate = state.drain.compute();
     // Nothing has run yet, so nothing is known of how long it would take.
     return rate === 0 ? 0 : ahead / rate;
@@ -261,55 +257,54 @@
   }
 
   #refuse(
-    entry: QueuedTicket,
+    ticket: Ticket,
     options: { readonly now: MonotonicTime; readonly random: RandomSource },
   ): RefusedTicket {
-    const retryAfter = this.#computeRetryAfter(entry.ticket, options);
-    this.#removeQueued(entry, options.now);
-    this.#close(entry, { now: options.now, tokens: 0 });
-    const late = !this.#canFinish(entry.ticket, options.now);
+    const retryAfter = this.#computeRetryAfter(ticket, options);
+    this.#removeQueued(ticket, options.now);
+    this.#close(ticket, { now: options.now, tokens: 0 });
+    const late = !this.#canFinish(ticket, options.now);
     const refusal = late ? createTooLate(retryAfter) : createBusy(retryAfter);
-    return { ticket: entry.ticket, refusal };
+    return { ticket, refusal };
   }
 
-  #removeQueued(entry: QueuedTicket, now: MonotonicTime): void {
-    const state = this.#readService(entry.ticket.service);
-    state.queue.remove(entry);
+  #removeQueued(ticket: Ticket, now: MonotonicTime): void {
+    const state = this.#readService(ticket.service);
+    state.queue.remove(ticket);
     state.drain.recordWaiting(state.queue.size > 0, now);
   }
 
-  #recordStart(entry: QueuedTicket, now: MonotonicTime): void {
-    const state = this.#readService(entry.ticket.service);
-    const { id, promptTokens = 0 } = entry.ticket;
+  #recordStart(ticket: Ticket, now: MonotonicTime): void {
+    const state = this.#readService(ticket.service);
+    const { id, promptTokens = 0 } = ticket;
     state.running++;
     state.drain.recordRunning(state.running, now);
     state.window.recordStart(promptTokens);
-    this.#open.set(id, { entry, startedAt: now, unread: promptTokens > 0 });
+    this.#open.set(id, { ticket, startedAt: now, unread: promptTokens > 0 });
   }
 
   #recordFinish(
-    entry: QueuedTicket,
+    ticket: Ticket,
     options: {
       readonly now: MonotonicTime;
       readonly startedAt: MonotonicTime;
       readonly complete?: boolean;
     },
   ): void {
-    const { service, kind } = entry.ticket;
+    const { service, kind } = ticket;
     const state = this.#readService(service);
     state.running--;
     state.drain.recordRunning(state.running, options.now);
     if (options.complete !== true) return;
     const hold = options.now - options.startedAt;
-    state.drain.recordHold(entry.cost, hold);
     this.#holds.record(service, kind, hold);
   }
 
   #close(
-    entry: QueuedTicket,
+    ticket: Ticket,
     options: { readonly now: MonotonicTime; readonly tokens: Tokens },
   ): void {
-    const { id, customer, tokens } = entry.ticket;
+    const { id, customer, tokens } = ticket;
     this.#open.delete(id);
     const use = { expected: tokens, used: options.tokens };
     this.#uses.get(customer)?.settle(use, options.now);
@@ -319,7 +314,7 @@
     const known = this.#services.get(service);
     if (known !== undefined) return known;
     const state = {
-      queue: new FairQueue(),
+      queue: new FairQueue((kind) => this.#holds.compute(service, kind)),
       drain: new DrainRate(),
       window: new PromptWindow(),
       running: 0,
--- a/packages/routing/admission/fair_queue.ts
+++ b/packages/routing/admission/fair_queue.ts
@@ -2,7 +2,7 @@
  * The queue of one service: the first priority first, and within a priority
  * each customer by its weighted share of the work (start-time fair queueing).
  */
-import { type CustomerId, Priority } from "../../core/mod.ts";
+import { type CustomerId, type KindId, Priority } from "../../core/mod.ts";
 import type { Ticket } from "./ticket.ts";
 
 /** Priorities, the first to be served first. */
@@ -16,120 +16,138 @@
 /** Every so many starts the last priority goes first, so that it never starves. */
 const STARTS_PER_LAST = 16;
 
-/** A queued ticket with the slot time it is expected to take. */
-export interface QueuedTicket {
-  readonly ticket: Ticket;
-  /** Expected milliseconds of one slot. */
-  readonly cost: number;
-}
+/** Returns the milliseconds of one slot that a kind is expected to take now. */
+export type CostFunction = (kind: KindId) => number;
 
 interface Backlog {
-  readonly entries: QueuedTicket[];
+  readonly tickets: Ticket[];
+  readonly kinds: Map<KindId, number>;
   weight: number;
-  cost: number;
-  /** Virtual time at which its first entry starts. */
+  /** Virtual time at which its first ticket starts. */
   start: number;
 }
 
 /** One priority's backlogs by customer. */
 class PriorityClass {
+  readonly #computeCost: CostFunction;
   readonly #backlogs = new Map<CustomerId, Backlog>();
   #virtualTime = 0;
   #size = 0;
-  #cost = 0;
 
-  get size(): number {
-    return this.#size;
+  constructor(computeCost: CostFunction) {
+    this.#computeCost = computeCost;
   }
 
-  get cost(): number {
-    return this.#cost;
+  get size(): number {
+    return this.#size;
   }
 
-  add(entry: QueuedTicket): void {
-    const { customer, weight } = entry.ticket;
-    const backlog = this.#backlogs.get(customer) ??
-      { entries: [], weight, cost: 0, start: this.#virtualTime };
-    if (backlog.entries.length === 0) {
+  add(ticket: Ticket): void {
+    const { customer, weight } = ticket;
+    const start = this.#virtualTime;
+    const backlog: Backlog = this.#backlogs.get(customer) ??
+      { tickets: [], kinds: new Map(), weight, start };
+    if (backlog.tickets.length === 0) {
       backlog.start = Math.max(backlog.start, this.#virtualTime);
     }
     backlog.weight = weight;
-    backlog.entries.push(entry);
+    backlog.tickets.push(ticket);
     this.#backlogs.set(customer, backlog);
-    this.#changeTotals(backlog, entry, 1);
+    this.#count(backlog, ticket, 1);
   }
 
-  /** Returns the entry whose customer is furthest behind its share. */
-  findFirst(): QueuedTicket | undefined {
-    return this.#findFirstBacklog()?.entries[0];
+  /** Returns the ticket whose customer is furthest behind its share. */
+  findFirst(): Ticket | undefined {
+    return this.#findFirstBacklog()?.tickets[0];
   }
 
-  takeFirst(): QueuedTicket | undefined {
+  takeFirst(): void {
     const backlog = this.#findFirstBacklog();
-    const entry = backlog?.entries.shift();
-    if (backlog === undefined || entry === undefined) return undefined;
+    const ticket = backlog?.tickets.shift();
+    if (backlog === undefined || ticket === undefined) return;
     this.#virtualTime = Math.max(this.#virtualTime, backlog.start);
-    backlog.start += entry.cost / backlog.weight;
-    this.#changeTotals(backlog, entry, -1);
+    backlog.start += this.#computeCost(ticket.kind) / backlog.weight;
+    this.#count(backlog, ticket, -1);
     this.#dropIdle();
-    return entry;
   }
 
-  remove(entry: QueuedTicket): boolean {
-    const backlog = this.#backlogs.get(entry.ticket.customer);
-    const index = backlog?.entries.indexOf(entry) ?? -1;
+  remove(ticket: Ticket): boolean {
+    const backlog = this.#backlogs.get(ticket.customer);
+    const index = backlog?.tickets.indexOf(ticket) ?? -1;
     if (backlog === undefined || index < 0) return false;
-    backlog.entries.splice(index, 1);
-    this.#changeTotals(backlog, entry, -1);
+    backlog.tickets.splice(index, 1);
+    this.#count(backlog, ticket, -1);
     return true;
   }
 
-  /** Returns the newest entry of the customer with the most work waiting. */
-  findDisplaceable(): QueuedTicket | undefined {
+  /** Returns the newest ticket of the customer with the most work waiting. */
+  findDisplaceable(): Ticket | undefined {
     let longest: Backlog | undefined;
+    let most = -1;
     for (const backlog of this.#backlogs.values()) {
-      const share = backlog.cost / backlog.weight;
-      if (longest === undefined || share > longest.cost / longest.weight) {
-        longest = backlog;
-      }
+      const share = this.#computeWork(backlog) / backlog.weight;
+      if (share <= most) continue;
+      longest = backlog;
+      most = share;
     }
-    return longest?.entries.at(-1);
+    return longest?.tickets.at(-1);
   }
 
-  /** Returns the work that goes before a new entry of a customer. */
-  computeAhead(ticket: Ticket, cost: number): number {
-    const own = this.#backlogs.get(ticket.customer)?.cost ?? 0;
-    const rounds = (own + cost) / ticket.weight;
+  /** Returns the work of all its tickets, in slot milliseconds. */
+  computeWork(): number {
+    let work = 0;
+    for (const backlog of this.#backlogs.values()) {
+      work += this.#computeWork(backlog);
+    }
+    return work;
+  }
+
+  /** Returns the work that goes before a new ticket of a customer. */
+  computeAhead(ticket: Ticket): number {
+    const known = this.#backlogs.get(ticket.customer);
+    const own = known === undefined ? 0 : this.#computeWork(known);
+    const rounds = (own + this.#computeCost(ticket.kind)) / ticket.weight;
     let ahead = own;
     for (const [customer, backlog] of this.#backlogs) {
       if (customer === ticket.customer) continue;
-      ahead += Math.min(backlog.cost, rounds * backlog.weight);
+      const work = this.#computeWork(backlog);
+      ahead += Math.min(work, rounds * backlog.weight);
     }
     return ahead;
   }
 
-  *values(): IterableIterator<QueuedTicket> {
-    for (const backlog of this.#backlogs.values()) yield* backlog.entries;
+  *values(): IterableIterator<Ticket> {
+    for (const backlog of this.#backlogs.values()) yield* backlog.tickets;
+  }
+
+  #computeWork(backlog: Backlog): number {
+    let work = 0;
+    for (const [kind, count] of backlog.kinds) {
+      work += count * this.#computeCost(kind);
+    }
+    return work;
   }
 
   #findFirstBacklog(): Backlog | undefined {
     let first: Backlog | undefined;
     for (const backlog of this.#backlogs.values()) {
-      if (backlog.entries.length === 0) continue;
+      if (backlog.tickets.length === 0) continue;
       if (first === undefined || backlog.start < first.start) first = backlog;
     }
     return first;
   }
 
-  #changeTotals(backlog: Backlog, entry: QueuedTicket, sign: 1 | -1): void {
-    backlog.cost += sign * entry.cost;
-    this.#cost += sign * entry.cost;
+  #count(backlog: Backlog, ticket: Ticket, sign: 1 | -1): void {
+    const { kind } = ticket;
+    const count = (backlog.kinds.get(kind) ?? 0) + sign;
+    if (count === 0) backlog.kinds.delete(kind);
+    else backlog.kinds.set(kind, count);
     this.#size += sign;
   }
 
   #dropIdle(): void {
     for (const [customer, backlog] of this.#backlogs) {
-      const idle = backlog.entries.length === 0;
+      const idle = backlog.tickets.length === 0;
       if (idle && backlog.start <= this.#virtualTime) {
         this.#backlogs.delete(customer);
       }
@@ -139,11 +157,15 @@
 
 /** The queued tickets of one service. */
 export class FairQueue {
-  readonly #classes = new Map<Priority, PriorityClass>(
-    PRIORITY_ORDER.map((priority) => [priority, new PriorityClass()]),
-  );
+  readonly #classes: ReadonlyMap<Priority, PriorityClass>;
   #starts = 0;
 
+  constructor(computeCost: CostFunction) {
+    this.#classes = new Map(
+      PRIORITY_ORDER.map((each) => [each, new PriorityClass(computeCost)]),
+    );
+  }
+
   /** Number of queued tickets. */
   get size(): number {
     let size = 0;
@@ -157,33 +179,33 @@
   }
 
   /** Adds a ticket behind its customer's others of the same priority. */
-  add(entry: QueuedTicket): void {
-    this.#readClass(entry.ticket.priority).add(entry);
+  add(ticket: Ticket): void {
+    this.#readClass(ticket.priority).add(ticket);
   }
 
   /** Returns the tickets that may start next, the preferred one first. */
-  listNext(): QueuedTicket[] {
+  listNext(): Ticket[] {
     const waiting = [...this.#classes.values()].filter((each) => each.size > 0);
     const lastFirst = this.#starts % STARTS_PER_LAST === STARTS_PER_LAST - 1;
     const classes = lastFirst ? [waiting.at(-1), waiting[0]] : [waiting[0]];
     return classes
       .map((each) => each?.findFirst())
-      .filter((entry) => entry !== undefined);
+      .filter((ticket) => ticket !== undefined);
   }
 
   /** Takes a ticket that may start next. */
-  takeNext(entry: QueuedTicket): void {
-    this.#readClass(entry.ticket.priority).takeFirst();
+  takeNext(ticket: Ticket): void {
+    this.#readClass(ticket.priority).takeFirst();
     this.#starts++;
   }
 
   /** Removes a ticket; returns false if it is not queued. */
-  remove(entry: QueuedTicket): boolean {
-    return this.#readClass(entry.ticket.priority).remove(entry);
+  remove(ticket: Ticket): boolean {
+    return this.#readClass(ticket.priority).remove(ticket);
   }
 
   /** Returns a ticket of a later priority that a new one may displace. */
-  findDisplaceable(priority: Priority): QueuedTicket | undefined {
+  findDisplaceable(priority: Priority): Ticket | undefined {
     const place = PRIORITY_ORDER.indexOf(priority);
     const later = PRIORITY_ORDER.slice(place + 1).reverse();
     const found = later.map((each) => this.#readClass(each))
@@ -192,15 +214,15 @@
   }
 
   /** Returns the work, in slot milliseconds, that goes before a new ticket. */
-  computeAhead(ticket: Ticket, cost: number): number {
+  computeAhead(ticket: Ticket): number {
     const place = PRIORITY_ORDER.indexOf(ticket.priority);
     const before = PRIORITY_ORDER.slice(0, place)
-      .reduce((sum, each) => sum + this.#readClass(each).cost, 0);
-    return before + this.#readClass(ticket.priority).computeAhead(ticket, cost);
+      .reduce((sum, each) => sum + this.#readClass(each).computeWork(), 0);
+    return before + this.#readClass(ticket.priority).computeAhead(ticket);
   }
 
   /** Returns every queued ticket. */
-  *values(): IterableIterator<QueuedTicket> {
+  *values(): IterableIterator<Ticket> {
     for (const each of this.#classes.values()) yield* each.values();
   }
 
--- a/packages/routing/admission/service_times.ts
+++ b/packages/routing/admission/service_times.ts
@@ -33,14 +33,12 @@
 }
 
 /**
- * How fast a queue drains: the slots that are busy while it waits, and how much
- * longer than expected the work in them takes. Idle time does not count.
+ * How fast a queue drains: the slots that are busy while it waits, each of
+ * which works off a slot millisecond per millisecond. Idle time does not count.
  */
 export class DrainRate {
   #busy = 0;
   #time: Millis = 0;
-  #expected = 0;
-  #actual = 0;
   #running = 0;
   #seenAt: MonotonicTime | undefined;
 
@@ -56,17 +54,10 @@
     this.#running = running;
   }
 
-  /** Compares the time that one request held a slot with the expected one. */
-  recordHold(expected: Millis, actual: Millis): void {
-    this.#expected = (1 - HOLD_WEIGHT) * this.#expected + expected;
-    this.#actual = (1 - HOLD_WEIGHT) * this.#actual + actual;
-  }
-
-  /** Returns expected slot milliseconds that are worked off per millisecond. */
+  /** Returns slot milliseconds that are worked off per millisecond. */
   compute(): number {
     const busy = this.#time > 0 ? this.#busy / this.#time : this.#running;
-    const slowdown = this.#expected > 0 ? this.#actual / this.#expected : 1;
-    return Math.max(busy, this.#running) / slowdown;
+    return Math.max(busy, this.#running);
   }
 
   #integrate(now: MonotonicTime): void {
