Blame loosely what was being answered; attribute poison crashes exactly

Cause: a harmless request that ran beside a poison one twice was quarantined with it, and an old suspect at a target shielded a new one. Change: a crash is firm for digests without a token yet and loose for others; a loose one does not count once another digest explains it; every digest that ran is recorded. Experiments count crashes by request, and have tests and plots.

--- a/packages/bench/routing/cases.ts
+++ b/packages/bench/routing/cases.ts
@@ -35,6 +35,8 @@
     readonly load: number;
   }[];
   readonly reportLag?: Millis;
+  /** Whether a quick comparison runs it. */
+  readonly quick: boolean;
   readonly schedule?: (fleet: Fleet) => void;
 }
 
@@ -53,12 +55,13 @@
 
 /** The cases in the order of the report. */
 export const CASES: readonly RoutingCase[] = [
-  { name: "calm", steady: 0.5, waves: [] },
-  { name: "wave", steady: 0.3, waves: [WAVE] },
+  { name: "calm", steady: 0.5, waves: [], quick: false },
+  { name: "wave", steady: 0.3, waves: [WAVE], quick: true },
   {
     name: "half lost",
     steady: 0.5,
     waves: [],
+    quick: true,
     schedule: (fleet) =>
       void fleet.clock.schedule(FAULT_AT, () => loseHalf(fleet)),
   },
@@ -68,8 +71,15 @@
     waves: [10_000, 25_000, 40_000]
       .map((start) => ({ start, spread: 3_000, load: 1 })),
     reportLag: 5_000,
+    quick: false,
+  },
+  {
+    name: "brown-out",
+    steady: 0.5,
+    waves: [],
+    quick: false,
+    schedule: scheduleBrownOut,
   },
-  { name: "brown-out", steady: 0.5, waves: [], schedule: scheduleBrownOut },
 ];
 
 /** Returns the waves of a case in requests. */
--- a/packages/bench/routing/compare.ts
+++ b/packages/bench/routing/compare.ts
@@ -6,6 +6,7 @@
   createAtMostGoal,
   type Experiment,
   type ExperimentOptions,
+  type FigurePlot,
   type FigureTable,
   type Goal,
 } from "../report/experiment.ts";
@@ -23,6 +24,7 @@
   LEAST_REPORTED_POLICY,
   OWN_POLICY,
   POLICIES,
+  QUICK_POLICIES,
   type RoutingPolicy,
 } from "./policy.ts";
 
@@ -74,16 +76,19 @@
 
 function runComparison(options: ExperimentOptions) {
   const runs: CaseRun[] = [];
+  const cases = CASES.filter((each) => !options.quick || each.quick);
+  const policies = options.quick ? QUICK_POLICIES : POLICIES;
   for (const user of USERS) {
-    for (const each of CASES) {
+    for (const each of cases) {
       options.log(`${user.mix.name}: ${each.name}`);
-      for (const policy of POLICIES) {
+      for (const policy of policies) {
         runs.push(runCase(user, { case: each, policy, seed: options.seed }));
       }
     }
   }
   return {
     tables: [createLatencyTable(runs), createOutcomeTable(runs)],
+    plots: USERS.map((user) => createPlot(user, runs)),
     goals: createGoals(runs),
     notes: NOTES,
   };
@@ -128,6 +133,24 @@
   };
 }
 
+/** Plots the share of requests answered in time, policy by policy. */
+function createPlot(user: RoutingUser, runs: readonly CaseRun[]): FigurePlot {
+  const cases = [...new Set(runs.map((run) => run.case))];
+  return {
+    name: `routing-${user.mix.name}`,
+    title: `${user.mix.name}: answered in time, by case (${
+      cases.map((each, index) => `${index + 1} ${each.name}`).join(", ")
+    })`,
+    xTitle: "case",
+    yTitle: "answered in time (%)",
+    points: runs.filter((run) => run.user === user).map((run) => ({
+      series: run.policy.name,
+      x: cases.indexOf(run.case) + 1,
+      y: 100 * run.fleet.outcomes.inTime / run.fleet.outcomes.offered,
+    })),
+  };
+}
+
 function createOutcomeTable(runs: readonly CaseRun[]): FigureTable {
   return {
     name: "outcomes",
--- a/packages/bench/routing/entry.ts
+++ b/packages/bench/routing/entry.ts
@@ -305,6 +305,8 @@
     const chunk = { position, data: "", tokens: 1 };
     if (open.answer.receive(attempt, chunk) !== ChunkAction.Pass) return;
     const now = this.#now;
+    const { requestKey } = open.sent.arrival;
+    this.#quarantine.recordProgress(requestKey, open.target!.id);
     const modelled = open.sent.arrival.outputTokens > 0;
     if (open.firstTokenAt === undefined) {
       open.firstTokenAt = now;
@@ -327,6 +329,9 @@
     const now = this.#now;
     const up = this.#options.replicas.get(target.id)!.up;
     const lost = jobEnd === EngineEnd.Broken && open.reached && !up;
+    if (lost && open.sent.poison) {
+      this.#options.outcomes.recordPoisonCrash(digest);
+    }
     const bytes = computeBytes(open.sent.arrival);
     const attemptEnd = computeAttemptEnd(jobEnd, open.reached);
     open.job = undefined;
--- a/packages/bench/routing/fairness.ts
+++ b/packages/bench/routing/fairness.ts
@@ -36,7 +36,9 @@
 
 function runFairness(options: ExperimentOptions) {
   const rows = USERS.flatMap((user) =>
-    [LEAST_REPORTED_POLICY, OWN_POLICY].map((policy) => ({
+    (options.quick ? [OWN_POLICY] : [LEAST_REPORTED_POLICY, OWN_POLICY]).map((
+      policy,
+    ) => ({
       user,
       policy,
       served: computeServed(user, { policy, seed: options.seed }),
--- a/packages/bench/routing/fleet.ts
+++ b/packages/bench/routing/fleet.ts
@@ -132,7 +132,6 @@
           entry.applyCacheEvent(config.id, prefix, stored);
         }
       },
-      onCrash: () => void this.outcomes.crashes++,
     };
     const replica = config.service === "engine"
       ? new EngineReplica(config, common)
--- a/packages/bench/routing/outcomes.ts
+++ b/packages/bench/routing/outcomes.ts
@@ -31,6 +31,8 @@
   readonly gaps = new Histogram();
   readonly refusals = new Map<RefusalKind, number>();
   readonly servedTokens = new Map<string, number>();
+  /** Targets that each poison request crashed. */
+  readonly poisonCrashes = new Map<string, number>();
   offered = 0;
   started = 0;
   attempts = 0;
@@ -38,7 +40,6 @@
   inTime = 0;
   late = 0;
   failed = 0;
-  crashes = 0;
 
   /** Folds in one request. An unanswered one counts as its whole deadline. */
   recordEnd(request: EndedRequest): void {
@@ -61,6 +62,12 @@
     this.gaps.record(gap);
   }
 
+  /** Counts a target that a poison request crashed. */
+  recordPoisonCrash(requestKey: string): void {
+    const crashes = this.poisonCrashes.get(requestKey) ?? 0;
+    this.poisonCrashes.set(requestKey, crashes + 1);
+  }
+
   /** Returns the times to the first token of one priority. */
   readFirstToken(priority: Priority) {
     return this.#readHistogram(priority).readSummary();
--- a/packages/bench/routing/poison.ts
+++ b/packages/bench/routing/poison.ts
@@ -18,12 +18,12 @@
 } from "./policy.ts";
 
 const POISON_REQUESTS = 12;
+const QUICK_POISON_REQUESTS = 3;
 const POISON_INTERVAL: Millis = 30_000;
 const POISON_KEY = "poison-";
 const RESENDS = 5;
 const RESEND_AFTER: Millis = 1_000;
 const LOAD = 0.4;
-const DURATION: Millis = POISON_INTERVAL * (POISON_REQUESTS + 1);
 const DRAIN: Millis = 120_000;
 
 /** Counts targets lost to poison requests that their callers send again. */
@@ -45,11 +45,12 @@
 }
 
 function runPoison(options: ExperimentOptions) {
+  const count = options.quick ? QUICK_POISON_REQUESTS : POISON_REQUESTS;
   const runs = USERS.flatMap((user) =>
     [LEAST_REPORTED_POLICY, OWN_POLICY].map((policy) => ({
       user,
       policy,
-      result: runPoisonCase(user, { policy, seed: options.seed }),
+      result: runPoisonCase(user, { policy, seed: options.seed, count }),
     }))
   );
   return {
@@ -91,8 +92,14 @@
 /** Runs calm traffic with poison requests among it. */
 export function runPoisonCase(
   user: RoutingUser,
-  options: { readonly policy: RoutingPolicy; readonly seed: number },
+  options: {
+    readonly policy: RoutingPolicy;
+    readonly seed: number;
+    /** Number of poison requests. */
+    readonly count: number;
+  },
 ): PoisonResult {
+  const duration = POISON_INTERVAL * (options.count + 1);
   const random = new SeededRandom(options.seed);
   const fleet = new Fleet({
     size: user.size,
@@ -103,11 +110,14 @@
     mix: user.mix,
     random: random.createBranch("arrivals"),
     requestsPerSecond: LOAD * user.capacity,
-    duration: DURATION,
+    duration,
   });
   fleet.sendAll(arrivals);
-  const poison = new PoisonSender(fleet, arrivals);
-  fleet.clock.runSynchronouslyUntil(DURATION + DRAIN);
+  const poison = new PoisonSender(fleet, {
+    arrivals,
+    count: options.count,
+  });
+  fleet.clock.runSynchronouslyUntil(duration + DRAIN);
   const quarantined = [...fleet.listQuarantined()];
   return {
     crashes: poison.listCrashes(),
@@ -121,20 +131,19 @@
 /** Sends poison requests at intervals, each again after a failure. */
 class PoisonSender {
   readonly #fleet: Fleet;
-  readonly #crashesAtStart: number[] = [];
   #failed = 0;
 
-  constructor(fleet: Fleet, arrivals: readonly Arrival[]) {
+  constructor(
+    fleet: Fleet,
+    options: { readonly arrivals: readonly Arrival[]; readonly count: number },
+  ) {
     this.#fleet = fleet;
-    const model = arrivals.filter((each) => each.outputTokens > 0);
-    for (let index = 0; index < POISON_REQUESTS; index++) {
+    const model = options.arrivals.filter((each) => each.outputTokens > 0);
+    for (let index = 0; index < options.count; index++) {
       const at = POISON_INTERVAL * (index + 1);
       const requestKey = `${POISON_KEY}${index}`;
       const arrival = { ...model[index]!, at, requestKey };
-      fleet.clock.schedule(at, () => {
-        this.#crashesAtStart.push(fleet.outcomes.crashes);
-        this.#send(arrival, RESENDS);
-      });
+      fleet.clock.schedule(at, () => this.#send(arrival, RESENDS));
     }
   }
 
@@ -143,10 +152,9 @@
     return this.#failed;
   }
 
-  /** Returns the targets that crashed between one poison request and the next. */
+  /** Returns the targets that each poison request crashed. */
   listCrashes(): number[] {
-    const counts = [...this.#crashesAtStart, this.#fleet.outcomes.crashes];
-    return counts.slice(1).map((count, index) => count - counts[index]!);
+    return [...this.#fleet.outcomes.poisonCrashes.values()];
   }
 
   #send(arrival: Arrival, resends: number): void {
--- a/packages/bench/routing/policy.ts
+++ b/packages/bench/routing/policy.ts
@@ -123,3 +123,10 @@
   CHOICE_POLICY,
   OWN_POLICY,
 ];
+
+/** The policies of a quick comparison. */
+export const QUICK_POLICIES: readonly RoutingPolicy[] = [
+  ROUND_ROBIN_POLICY,
+  LEAST_REPORTED_POLICY,
+  OWN_POLICY,
+];
--- a/packages/bench/routing/replica.ts
+++ b/packages/bench/routing/replica.ts
@@ -39,7 +39,6 @@
   readonly random: SeededRandom;
   readonly reportLag: Millis;
   readonly onCacheEvent: (prefix: string, stored: boolean) => void;
-  readonly onCrash: () => void;
 }
 
 /** A model engine that also counts what its cache would have hit. */
@@ -49,14 +48,12 @@
   readonly #clock: VirtualClock;
   readonly #cached = createCacheMirror();
   readonly #submitted = new Map<EngineJob, EngineJob>();
-  readonly #onCrash: () => void;
   #downUntil = 0;
   #use = { jobs: 0, hits: 0 };
 
   constructor(config: TargetConfig, options: ReplicaOptions) {
     this.config = config;
     this.#clock = options.clock;
-    this.#onCrash = options.onCrash;
     this.#engine = new FakeEngine({ ...SMALL_ENGINE, ...options });
   }
 
@@ -104,7 +101,6 @@
     const now = this.#clock.readMonotonic();
     this.#downUntil = now + SMALL_ENGINE.restartTime;
     this.#cached.clear();
-    this.#onCrash();
   }
 
   #recordCacheUse(job: EngineJob): void {
--- a/packages/routing/quarantine/quarantine.ts
+++ b/packages/routing/quarantine/quarantine.ts
@@ -1,13 +1,14 @@
 /**
  * Requests that crash the targets they run on, by body digest.
  *
- * A crash makes suspects of the digests that were running at the target. If
- * some of them were suspects before, the crash counts against those alone;
- * otherwise against all. A digest that crashed two different targets is
- * quarantined: no VM sends it to a target again until an operator releases it
- * or the entry grows old. A whole answer clears a suspect. When many targets
- * are lost within moments, that is a lost rack and not a request; each digest
- * is spared once, unless it ran at two of them.
+ * A crash counts against every digest that was running at the target: firmly
+ * against those that had brought no token yet, loosely against the others. A
+ * digest with two crashes of different targets is quarantined: no VM sends it to
+ * a target again until an operator releases it or the entry grows old. A loose
+ * crash does not count once another digest has two firm ones of which it is one:
+ * that digest explains it. A whole answer clears a suspect. When many targets
+ * are lost within moments, that is a lost rack and not a request; each digest is
+ * spared once, unless it ran at two of them.
  *
  * Entries travel between VMs with ages, not times, and merge in any order: the
  * higher release number wins, and at equal numbers the crashes are united.
@@ -32,12 +33,17 @@
 const COMMON_FAILURE_TARGETS = 3;
 const COMMON_FAILURE_WINDOW: Millis = 2_000;
 
+/** Crashes of one target within this time are one crash, seen by several VMs. */
+const SAME_CRASH: Millis = 10_000;
+
 const MOST_ENTRIES = 10_000;
 
 /** One crash, as VMs pass it on. */
 export interface CrashWord {
   readonly target: TargetId;
   readonly age: Millis;
+  /** Whether the request had brought no token when the target crashed. */
+  readonly firm: boolean;
 }
 
 /** One digest's entry, as VMs pass it on and operators see it. */
@@ -51,10 +57,20 @@
   readonly age: Millis;
 }
 
+interface Crash {
+  readonly at: MonotonicTime;
+  readonly firm: boolean;
+}
+
+interface RunningDigest {
+  count: number;
+  begun: boolean;
+}
+
 interface Entry {
   readonly digest: BodyDigest;
   readonly release: number;
-  readonly crashes: ReadonlyMap<TargetId, MonotonicTime>;
+  readonly crashes: ReadonlyMap<TargetId, Crash>;
   readonly spared: boolean;
   readonly changedAt: MonotonicTime;
 }
@@ -75,13 +91,15 @@
 /** Suspects and quarantined digests known to one VM. */
 export class Quarantine {
   readonly #entries = new Map<BodyDigest, Entry>();
-  readonly #running = new Map<TargetId, Map<BodyDigest, number>>();
+  readonly #running = new Map<TargetId, Map<BodyDigest, RunningDigest>>();
+  /** Crashes that a digest with two firm ones explains. */
+  readonly #explained = new Map<TargetId, MonotonicTime>();
   #recentCrashes: RecentCrash[] = [];
 
   /** Returns whether a digest must not be sent to any target. */
   isQuarantined(digest: BodyDigest, now: MonotonicTime): boolean {
     const entry = this.#readEntry(digest, now);
-    return entry !== undefined && isQuarantinedEntry(entry);
+    return entry !== undefined && this.#isProven(entry);
   }
 
   /**
@@ -101,11 +119,19 @@
 
   /** Notes that a request runs at a target. */
   recordStart(digest: BodyDigest, target: TargetId): void {
-    const digests = this.#running.get(target) ?? new Map<BodyDigest, number>();
-    digests.set(digest, (digests.get(digest) ?? 0) + 1);
+    const digests = this.#running.get(target) ?? new Map();
+    const running = digests.get(digest) ?? { count: 0, begun: false };
+    running.count++;
+    digests.set(digest, running);
     this.#running.set(target, digests);
   }
 
+  /** Notes that a request's target has brought a first token of its answer. */
+  recordProgress(digest: BodyDigest, target: TargetId): void {
+    const running = this.#running.get(target)?.get(digest);
+    if (running !== undefined) running.begun = true;
+  }
+
   /** Notes that an attempt ended without a crash; a whole answer clears it. */
   recordEnd(
     digest: BodyDigest,
@@ -114,25 +140,24 @@
     this.#dropRunning(digest, options.target);
     const entry = this.#entries.get(digest);
     if (!options.complete || entry === undefined) return;
-    if (!isQuarantinedEntry(entry) && entry.release === 0) {
+    if (!this.#isProven(entry) && entry.release === 0) {
       this.#entries.delete(digest);
     }
   }
 
   /** Counts a crash of a target against what ran there; call it once a crash. */
   recordCrash(target: TargetId, now: MonotonicTime): CrashResult {
-    const digests = [...this.#running.get(target)?.keys() ?? []];
+    const running = this.#running.get(target) ?? new Map();
+    const digests = [...running.keys()];
     this.#running.delete(target);
     const others = this.#listRecent(target, now);
     this.#recentCrashes.push({ target, at: now, digests });
-    const suspects = digests.filter((digest) => this.#isSuspect(digest, now));
-    const blamed = suspects.length > 0 ? suspects : digests;
-    for (const digest of blamed) {
+    for (const [digest, { begun }] of running) {
       const common = isCommonFailure(digest, others);
-      this.#addCrash(digest, { target, common, now });
+      this.#addCrash(digest, { target, common, firm: !begun, now });
     }
-    const changed = blamed.filter((digest) => this.#isSuspect(digest, now));
-    const quarantined = blamed
+    const changed = digests.filter((digest) => this.#isSuspect(digest, now));
+    const quarantined = digests
       .filter((digest) => this.isQuarantined(digest, now));
     return { changed, quarantined };
   }
@@ -157,7 +182,7 @@
     return [...this.#entries.values()]
       .filter((entry) => entry.changedAt > since)
       .filter((entry) => !isOld(entry, options.now))
-      .map((entry) => describeEntry(entry, options.now));
+      .map((entry) => this.#describe(entry, options.now));
   }
 
   /** Folds in a peer's entries; returns the digests whose entries changed. */
@@ -180,11 +205,13 @@
     const known = this.#readEntry(word.digest, now);
     if (known !== undefined && known.release > word.release) return false;
     const crashes = new Map(
-      word.crashes.map((crash) => [crash.target, now - crash.age]),
+      word.crashes.map(({ target, age, firm }) =>
+        [target, { at: now - age, firm }] as const
+      ),
     );
     if (known?.release === word.release) {
       const before = known.crashes.size;
-      for (const [target, at] of known.crashes) crashes.set(target, at);
+      for (const [target, crash] of known.crashes) crashes.set(target, crash);
       if (crashes.size === before) return false;
     }
     this.#put({
@@ -202,15 +229,16 @@
     crash: {
       readonly target: TargetId;
       readonly common: boolean;
+      readonly firm: boolean;
       readonly now: MonotonicTime;
     },
   ): void {
-    const { target, common, now } = crash;
+    const { target, common, firm, now } = crash;
     const known = this.#readEntry(digest, now) ?? createEntry(digest, now);
     const spared = common && !known.spared;
     const crashes = spared
       ? known.crashes
-      : new Map([...known.crashes, [target, now] as const]);
+      : new Map([...known.crashes, [target, { at: now, firm }] as const]);
     this.#put({
       ...known,
       crashes,
@@ -237,29 +265,64 @@
 
   #dropRunning(digest: BodyDigest, target: TargetId): void {
     const digests = this.#running.get(target);
-    const count = digests?.get(digest);
-    if (digests === undefined || count === undefined) return;
-    if (count > 1) digests.set(digest, count - 1);
-    else digests.delete(digest);
+    const running = digests?.get(digest);
+    if (digests === undefined || running === undefined) return;
+    running.count--;
+    if (running.count === 0) digests.delete(digest);
     if (digests.size === 0) this.#running.delete(target);
   }
 
+  /** Returns whether the crashes that nothing else explains are enough. */
+  #isProven(entry: Entry): boolean {
+    const counted = [...entry.crashes]
+      .filter(([target, crash]) =>
+        crash.firm || !this.#isExplained(target, crash)
+      );
+    return counted.length >= CRASHES_TO_QUARANTINE;
+  }
+
+  #isExplained(target: TargetId, crash: Crash): boolean {
+    const at = this.#explained.get(target);
+    return at !== undefined && Math.abs(at - crash.at) <= SAME_CRASH;
+  }
+
   #put(entry: Entry): void {
     this.#entries.delete(entry.digest);
     this.#entries.set(entry.digest, entry);
+    this.#recordExplained(entry);
     if (this.#entries.size > MOST_ENTRIES) this.#dropOne();
   }
 
+  #recordExplained(entry: Entry): void {
+    const firm = [...entry.crashes].filter(([, crash]) => crash.firm);
+    if (firm.length < CRASHES_TO_QUARANTINE) return;
+    for (const [target, crash] of firm) this.#explained.set(target, crash.at);
+  }
+
   /** Makes room: the oldest mere suspect goes first. */
   #dropOne(): void {
     for (const entry of this.#entries.values()) {
-      if (isQuarantinedEntry(entry)) continue;
+      if (entry.crashes.size >= CRASHES_TO_QUARANTINE) continue;
       this.#entries.delete(entry.digest);
       return;
     }
     const [oldest] = this.#entries.keys();
     if (oldest !== undefined) this.#entries.delete(oldest);
   }
+
+  #describe(entry: Entry, now: MonotonicTime): QuarantineWord {
+    return {
+      digest: entry.digest,
+      release: entry.release,
+      crashes: [...entry.crashes].map(([target, { at, firm }]) => ({
+        target,
+        age: now - at,
+        firm,
+      })),
+      quarantined: this.#isProven(entry),
+      age: now - entry.changedAt,
+    };
+  }
 }
 
 /** A digest that ran at another lost target may itself be the common cause. */
@@ -282,25 +345,8 @@
   };
 }
 
-function isQuarantinedEntry(entry: Entry): boolean {
-  return entry.crashes.size >= CRASHES_TO_QUARANTINE;
-}
-
 function isOld(entry: Entry, now: MonotonicTime): boolean {
   const age = now - entry.changedAt;
-  if (isQuarantinedEntry(entry)) return age > QUARANTINE_AGE;
+  if (entry.crashes.size >= CRASHES_TO_QUARANTINE) return age > QUARANTINE_AGE;
   return age > (entry.release > 0 ? RELEASE_AGE : SUSPECT_AGE);
 }
-
-function describeEntry(entry: Entry, now: MonotonicTime): QuarantineWord {
-  return {
-    digest: entry.digest,
-    release: entry.release,
-    crashes: [...entry.crashes].map(([target, at]) => ({
-      target,
-      age: now - at,
-    })),
-    quarantined: isQuarantinedEntry(entry),
-    age: now - entry.changedAt,
-  };
-}
--- a/packages/routing/quarantine/quarantine_test.ts
+++ b/packages/routing/quarantine/quarantine_test.ts
@@ -73,6 +73,45 @@
   t.false(quarantine.isQuarantined("other", 5_000));
 });
 
+test("a request that was being answered is not blamed with one that explains the crashes", (t) => {
+  const one = new Quarantine();
+  const two = new Quarantine();
+  two.recordStart("harmless", "t1");
+  two.recordProgress("harmless", "t1");
+  two.recordCrash("t1", 0);
+  crash(one, ["poison"], { target: "t1", now: 0 });
+  two.recordStart("harmless", "t2");
+  two.recordProgress("harmless", "t2");
+  two.recordCrash("t2", 500);
+  t.true(two.isQuarantined("harmless", 510));
+  crash(one, ["poison"], { target: "t2", now: 500 });
+  sendAll(one, two, 530);
+  t.true(two.isQuarantined("poison", 540));
+  t.false(two.isQuarantined("harmless", 540));
+  sendAll(two, one, 550);
+  t.false(one.isQuarantined("harmless", 560));
+});
+
+test("a request that crashes targets midway is quarantined as soon as any other", (t) => {
+  const quarantine = new Quarantine();
+  for (const [target, now] of [["t1", 0], ["t2", 5_000]] as const) {
+    quarantine.recordStart("midway", target);
+    quarantine.recordStart("other", target);
+    quarantine.recordProgress("midway", target);
+    quarantine.recordEnd("other", { target, complete: true });
+    quarantine.recordCrash(target, now);
+  }
+  t.true(quarantine.isQuarantined("midway", 5_000));
+});
+
+test("an old suspect at the target does not shield a new one", (t) => {
+  const quarantine = new Quarantine();
+  crash(quarantine, ["old"], { target: "t1", now: 0 });
+  crash(quarantine, ["old", "poison"], { target: "t2", now: 9_000 });
+  crash(quarantine, ["poison"], { target: "t3", now: 18_000 });
+  t.true(quarantine.isQuarantined("poison", 18_000));
+});
+
 test("a lost rack does not make a quarantined request of what it ran", (t) => {
   const quarantine = new Quarantine();
   for (const target of ["t1", "t2", "t3", "t4"]) {
