--- /dev/null
+++ b/packages/bench/store_traffic/store_layout.ts
@@ -0,0 +1,192 @@
+/** How grants, claims and bills become rows: as built, and as proposed. */
+import { type Either, Left, Right } from "purify-ts";
+import {
+  type Millis,
+  type MonotonicTime,
+  type PlatformError,
+  PlatformErrorKind,
+  type Row,
+  type RowOperation,
+} from "../../core/mod.ts";
+import { createPlatformError, type StoreWriter } from "../../platform/mod.ts";
+import type { VirtualClock } from "../harness/virtual_clock.ts";
+
+/** Takes the operations and bills of one VM. */
+export interface StoreFace {
+  /** Carries out an operation on rows, or gives up on it. */
+  run<Result>(
+    operation: RowOperation<Result>,
+    options: { readonly giveUpAt: MonotonicTime },
+  ): Promise<Either<PlatformError, Result>>;
+  addBill(requestKey: string): void;
+}
+
+/** As built: each operation writes its own rows, each VM its own bills. */
+export class RowFace implements StoreFace {
+  readonly #writer: StoreWriter;
+  readonly #bills: BatchWriter;
+
+  constructor(writer: StoreWriter, bills: BatchWriter) {
+    this.#writer = writer;
+    this.#bills = bills;
+  }
+
+  run<Result>(
+    operation: RowOperation<Result>,
+    options: { readonly giveUpAt: MonotonicTime },
+  ): Promise<Either<PlatformError, Result>> {
+    return this.#writer.run(operation, options);
+  }
+
+  addBill(requestKey: string): void {
+    this.#bills.add(requestKey);
+  }
+}
+
+/** The owner had not answered when the caller gave up. */
+const LATE = createPlatformError(PlatformErrorKind.AnswerLost, "no answer");
+
+/** Tells which log a key belongs to, and how far away its owner is. */
+export type FindOwner = (
+  key: string,
+) => { readonly owner: LogOwner; readonly hop: Millis };
+
+/**
+ * As proposed: operations go to the owner of the key's log, which decides them
+ * on its own memory and answers when their log row is durable.
+ */
+export class LogFace implements StoreFace {
+  readonly #clock: VirtualClock;
+  readonly #findOwner: FindOwner;
+
+  constructor(clock: VirtualClock, findOwner: FindOwner) {
+    this.#clock = clock;
+    this.#findOwner = findOwner;
+  }
+
+  run<Result>(
+    operation: RowOperation<Result>,
+    options: { readonly giveUpAt: MonotonicTime },
+  ): Promise<Either<PlatformError, Result>> {
+    const wait = options.giveUpAt - this.#clock.readMonotonic();
+    return new Promise((resolve) => {
+      void this.#runAtOwner(operation).then((result) => resolve(Right(result)));
+      if (wait === Infinity) return;
+      this.#clock.schedule(wait, () => resolve(Left(LATE)));
+    });
+  }
+
+  addBill(requestKey: string): void {
+    const { owner, hop } = this.#findOwner(requestKey);
+    this.#clock.schedule(hop, () => owner.addBill(requestKey));
+  }
+
+  async #runAtOwner<Result>(operation: RowOperation<Result>): Promise<Result> {
+    const { owner, hop } = this.#findOwner(operation.keys[0] ?? "");
+    await this.#clock.wait(hop);
+    const result = await owner.run(operation);
+    await this.#clock.wait(hop);
+    return result;
+  }
+}
+
+/**
+ * Owns one log: keeps its rows in memory and appends what changes. Only the
+ * traffic is tried here; how an owner is fenced and how the next one learns the
+ * log is described in docs/CAPACITY.md.
+ */
+export class LogOwner {
+  readonly #rows = new Map<string, Row>();
+  readonly #log: BatchWriter;
+
+  constructor(log: BatchWriter) {
+    this.#log = log;
+  }
+
+  /** Decides an operation; resolves when the log row is durable. */
+  run<Result>(operation: RowOperation<Result>): Promise<Result> {
+    const { writes, result } = operation.decide(this.#rows);
+    if (writes.length === 0) return Promise.resolve(result);
+    for (const { key, value } of writes) {
+      const version = (this.#rows.get(key)?.version ?? 0) + 1;
+      if (value === undefined) this.#rows.delete(key);
+      else this.#rows.set(key, { key, version, value });
+    }
+    return new Promise((resolve) =>
+      this.#log.add(operation.id, () => resolve(result))
+    );
+  }
+
+  addBill(requestKey: string): void {
+    this.#log.add(requestKey);
+  }
+}
+
+interface BatchEntry {
+  readonly id: string;
+  readonly confirm: (() => void) | undefined;
+}
+
+/** What a writer of batches needs. */
+export interface BatchWriterOptions {
+  readonly vm: string;
+  readonly clock: VirtualClock;
+  readonly writer: StoreWriter;
+  readonly interval: Millis;
+  /** Most rows on their way at once; unlimited if absent. */
+  readonly mostOpen?: number;
+}
+
+/** Entries of about 150 bytes that fit a row of 64 KiB. */
+const MAX_ENTRIES = 400;
+
+/** Writes what came within an interval as rows of many entries. */
+export class BatchWriter {
+  readonly #prefix: string;
+  readonly #options: BatchWriterOptions;
+  #waiting: BatchEntry[] = [];
+  #number = 0;
+  #open = 0;
+
+  constructor(prefix: string, options: BatchWriterOptions) {
+    this.#prefix = prefix;
+    this.#options = options;
+    const { clock, interval, mostOpen = Infinity } = options;
+    clock.scheduleEvery(interval, () => {
+      if (this.#open < mostOpen) void this.#writeBatch();
+    });
+  }
+
+  /** Adds an entry; `confirm` runs once it is durable. */
+  add(id: string, confirm?: () => void): void {
+    this.#waiting.push({ id, confirm });
+  }
+
+  async #writeBatch(): Promise<void> {
+    const batch = this.#waiting.splice(0, MAX_ENTRIES);
+    if (batch.length === 0) return;
+    this.#open++;
+    const { vm, writer } = this.#options;
+    const number = String(++this.#number).padStart(10, "0");
+    const key = `${this.#prefix}/${vm}/${number}`;
+    const operation = createRow(key, batch.map((each) => each.id));
+    const answer = await writer.run(operation, { giveUpAt: Infinity });
+    this.#open--;
+    if (answer.isLeft()) this.#waiting.unshift(...batch);
+    else for (const each of batch) each.confirm?.();
+  }
+}
+
+function createRow(
+  key: string,
+  entries: readonly string[],
+): RowOperation<void> {
+  return {
+    id: key,
+    keys: [key],
+    decide(rows) {
+      if (rows.has(key)) return { writes: [], result: undefined };
+      return { writes: [{ key, value: { entries } }], result: undefined };
+    },
+  };
+}
