Use first chunks, load limits by priority and unanswered probes in the daemon

Cause: the daemon queued by one load limit, told admission nothing of first tokens and kept using targets that did not answer. Change: load limits by priority, first chunks release held prompts and mark progress for the quarantine, unanswered probes take a target out. A target that nobody asks again is tried with one attempt after ten seconds, so that a VM which probed once and is not the prober does not lose it for good.

--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { type Either, Left, Right } from "purify-ts";
 import {
+  type Bytes,
   type Millis,
   type MonotonicTime,
   type Refusal,
@@ -36,6 +37,9 @@
 
 const RETRY_AFTER: Millis = 1_000;
 
+/** Usual size of a prompt's token, for the estimate of reading times. */
+const BYTES_PER_TOKEN: Bytes = 4;
+
 /** What an attempt is given. */
 export interface AttemptInput {
   readonly target: TargetConfig;
@@ -139,7 +143,10 @@
     const performed = await perform({
       target,
       signal,
-      recordProgress: () => watch.recordProgress(),
+      recordProgress: () => {
+        if (!watch.isBegun) this.#recordFirstChunk(target);
+        watch.recordProgress();
+      },
     });
     watch.stop();
     const result = watch.isCut && performed.end === AttemptEnd.Cancelled
@@ -150,6 +157,12 @@
     return { target, result, lost };
   }
 
+  #recordFirstChunk(target: TargetConfig): void {
+    const { digest } = this.#request;
+    const attempt = { digest, target: target.id };
+    this.#services.traffic.recordFirstChunk(this.#ticket, attempt);
+  }
+
   /** Returns the target of the next attempt, or why there is none. */
   async choosePlan(
     failed: FinishedAttempt,
@@ -282,6 +295,8 @@
 }
 
 function createTicket(request: CallerRequest): Ticket {
+  const engine = request.service.type === ServiceType.ModelEngine;
+  const promptTokens = Math.ceil(request.body.length / BYTES_PER_TOKEN);
   return {
     id: randomUUID(),
     customer: request.customer.id,
@@ -292,6 +307,7 @@
     tokens: request.promptBound + request.outputBound + request.kind.flatTokens,
     deadline: request.deadline,
     arrivedAt: request.arrivedAt,
+    ...engine ? { promptTokens } : {},
   };
 }
 
@@ -321,6 +337,11 @@
     return this.#controller.signal;
   }
 
+  /** Whether any part of the answer has arrived. */
+  get isBegun(): boolean {
+    return this.#begun;
+  }
+
   get isCut(): boolean {
     return this.#cause !== undefined;
   }
--- a/packages/daemon/features/traffic.ts
+++ b/packages/daemon/features/traffic.ts
@@ -4,6 +4,7 @@
  */
 import type { Either } from "purify-ts";
 import {
+  type BodyDigest,
   combineUndo,
   type CommandType,
   createCommand,
@@ -30,6 +31,7 @@
   applyTargets,
   type AttemptFinish,
   chooseTarget,
+  computeMostLoad,
   createRoutingState,
   type CustomerDemand,
   decideRetry,
@@ -42,6 +44,7 @@
   type QuarantineWord,
   recordAttemptEnd,
   recordAttemptStart,
+  recordReach,
   RetryBudgets,
   type RetryDecision,
   type RoutedRequest,
@@ -65,9 +68,6 @@
 /** Time between two looks at the deadlines of queued requests. */
 const EXPIRY_INTERVAL: Millis = 50;
 
-/** Load at which a target gets no request from the queue. */
-const FULL_LOAD = 1.25;
-
 /** How a queued request is answered or started. */
 export interface QueuedRequest {
   readonly ticket: Ticket;
@@ -78,6 +78,12 @@
   refuse(refusal: Refusal): void;
 }
 
+/** The attempt that brought the first part of an answer. */
+export interface FirstChunk {
+  readonly digest: BodyDigest;
+  readonly target: TargetId;
+}
+
 /** What the feature uses of others. */
 export interface TrafficPorts {
   readonly news: NewsExchange;
@@ -198,6 +204,13 @@
     this.#quarantine.recordStart(request.digest, target);
   }
 
+  /** Notes the first part of an answer, so that more prompts may be sent. */
+  recordFirstChunk(ticket: Ticket, attempt: FirstChunk): void {
+    this.#quarantine.recordProgress(attempt.digest, attempt.target);
+    this.#admission.recordFirstToken(ticket.id, this.#readTime());
+    this.#startReady(ticket.service);
+  }
+
   /** Counts an attempt that ended without losing its target. */
   endAttempt(
     target: TargetId,
@@ -253,8 +266,12 @@
   /** Asks a target for its load over a new connection. */
   async probe(target: TargetConfig): Promise<TargetLoadReport | undefined> {
     const report = await this.#context.targets.probe(target, PROBE_TIMEOUT);
-    if (report === undefined) return undefined;
     const now = this.#readTime();
+    if (report === undefined) {
+      const answered = false;
+      this.#change((state) => recordReach(state, target.id, { answered, now }));
+      return undefined;
+    }
     this.#change((state) => applyReport(state, target.id, { report, now }));
     this.#startReady(target.service);
     return report;
@@ -288,7 +305,7 @@
     const { digest } = queued.routed;
     const avoided = this.#quarantine.listSuspectTargets(digest, now);
     const request = { ...queued.routed, avoided };
-    const mostLoad = FULL_LOAD;
+    const mostLoad = computeMostLoad(ticket.priority);
     return chooseTarget(kernel.read(this.#slice), {
       request,
       now,
--- a/packages/routing/commands/record_attempt.ts
+++ b/packages/routing/commands/record_attempt.ts
@@ -98,13 +98,16 @@
 }
 
 function dropFailures(target: TargetState, now: MonotonicTime): TargetState {
-  if (target.failures === 0 && target.ejectedUntil === undefined) return target;
-  const { ejectedUntil, ...rest } = target;
+  const health = computeHealth(target, now);
+  const out = health === TargetHealth.Ejected ||
+    health === TargetHealth.Unreachable;
+  // An answer of an attempt from before says nothing of the present.
+  if (out) return target;
+  const { ejectedUntil: _, unreachableSince: __, ...rest } = target;
   const cleared = { ...rest, failures: 0, ejections: 0 };
-  // An answer of an attempt from before the ejection says nothing of the present.
-  if (ejectedUntil === undefined) return cleared;
-  if (now < ejectedUntil) return target;
-  return { ...cleared, slowStartFrom: now };
+  return health === TargetHealth.Probation
+    ? { ...cleared, slowStartFrom: now }
+    : cleared;
 }
 
 function addFailure(
@@ -115,6 +118,9 @@
   const failures = target.failures + 1;
   const health = computeHealth(target, now);
   if (health === TargetHealth.Ejected) return { ...target, failures };
+  if (target.unreachableSince !== undefined) {
+    return { ...target, failures, unreachableSince: now };
+  }
   const due = failures >= FAILURES_TO_EJECT ||
     health === TargetHealth.Probation;
   if (!due || !isEjectable(state, target, now)) return { ...target, failures };
--- a/packages/routing/queries/choose_target_test.ts
+++ b/packages/routing/queries/choose_target_test.ts
@@ -162,6 +162,20 @@
   t.true((counts.get("t0") ?? 0) > 0);
 });
 
+test("a target that nobody asks again is tried with one attempt after a while", (t) => {
+  const state = createState();
+  recordReach(state, "t0", { answered: false, now: 0 });
+  t.is(dispatchMany(state, 50, { now: 9_000 }).get("t0"), undefined);
+  t.is(dispatchMany(state, 200, { now: 10_000 }).get("t0"), 1);
+  const end = AttemptEnd.NotSent;
+  recordAttemptEnd(state, "t0", { now: 10_100, end });
+  t.is(dispatchMany(state, 50, { now: 19_000 }).get("t0"), undefined);
+  t.is(dispatchMany(state, 200, { now: 20_200 }).get("t0"), 1);
+  const complete = AttemptEnd.Complete;
+  recordAttemptEnd(state, "t0", { now: 20_300, end: complete });
+  t.is(computeHealth(state.targets.get("t0")!, 20_300), TargetHealth.Healthy);
+});
+
 test("failures eject a target, and one good attempt after that lets it back slowly", (t) => {
   const state = createState();
   recordFailures(state, "t0", 0);
--- a/packages/routing/target_state.ts
+++ b/packages/routing/target_state.ts
@@ -64,6 +64,9 @@
   readonly cacheSequence?: number;
 }
 
+/** Time after which a target that did not answer is tried with one attempt. */
+const UNREACHABLE_TIME: Millis = 10_000;
+
 const SLOW_START: Millis = 30_000;
 const SLOW_START_LEAST = 0.1;
 
@@ -94,7 +97,12 @@
   if (target.listedLeaving || target.word?.leaving === true) {
     return TargetHealth.Leaving;
   }
-  if (target.unreachableSince !== undefined) return TargetHealth.Unreachable;
+  const since = target.unreachableSince;
+  if (since !== undefined) {
+    return now - since < UNREACHABLE_TIME
+      ? TargetHealth.Unreachable
+      : TargetHealth.Probation;
+  }
   if (target.ejectedUntil === undefined) return TargetHealth.Healthy;
   return now < target.ejectedUntil
     ? TargetHealth.Ejected
