--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { type Either, Left, Right } from "purify-ts";
 import {
+  type Bytes,
   type Millis,
   type MonotonicTime,
   type Refusal,
@@ -39,6 +40,9 @@
 
 const RETRY_AFTER: Millis = 1_000;
 
+/** Usual size of a prompt's token, for the estimate of reading times. */
+const BYTES_PER_TOKEN: Bytes = 4;
+
 /** What an attempt is given. */
 export interface AttemptInput {
   readonly target: TargetConfig;
@@ -144,7 +148,7 @@
       target,
       signal,
       recordProgress: () => {
-        if (watch.recordProgress()) traffic.recordFirstChunk(this.#ticket);
+        if (watch.recordProgress()) this.#recordFirstChunk(target);
       },
     });
     watch.stop();
@@ -156,6 +160,12 @@
     return { target, result, lost };
   }
 
+  #recordFirstChunk(target: TargetConfig): void {
+    const { digest } = this.#request;
+    const attempt = { digest, target: target.id };
+    this.#services.traffic.recordFirstChunk(this.#ticket, attempt);
+  }
+
   /** Returns the target of the next attempt, or why there is none. */
   async choosePlan(
     failed: FinishedAttempt,
@@ -288,6 +298,8 @@
 }
 
 function createTicket(request: CallerRequest): Ticket {
+  const engine = request.service.type === ServiceType.ModelEngine;
+  const promptTokens = Math.ceil(request.body.length / BYTES_PER_TOKEN);
   return {
     id: randomUUID(),
     customer: request.customer.id,
@@ -301,6 +313,7 @@
       : { promptTokens: Math.ceil(request.body.length / BYTES_PER_TOKEN) }),
     deadline: request.deadline,
     arrivedAt: request.arrivedAt,
+    ...engine ? { promptTokens } : {},
   };
 }
 
@@ -330,6 +343,11 @@
     return this.#controller.signal;
   }
 
+  /** Whether any part of the answer has arrived. */
+  get isBegun(): boolean {
+    return this.#begun;
+  }
+
   get isCut(): boolean {
     return this.#cause !== undefined;
   }
