--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -32,9 +32,6 @@
 import { createRefusal, createUnknown } from "./refusals.ts";
 import type { RunServices } from "./run_services.ts";
 
-/** Bytes of a prompt that usually make one token; an estimate, not a bound. */
-const BYTES_PER_TOKEN = 4;
-
 /** Pause before a target is looked for again when none is usable. */
 const NO_TARGET_PAUSE: Millis = 200;
 
@@ -136,7 +133,6 @@
     target: TargetConfig,
     perform: PerformAttempt,
   ): Promise<FinishedAttempt> {
-    const { traffic } = this.#services;
     this.#tried.push(target.id);
     this.#attempts++;
     const watch = new SilenceWatch(this.#services, {
@@ -308,9 +304,6 @@
     priority: request.kind.priority,
     weight: request.customer.weight,
     tokens: request.promptBound + request.outputBound + request.kind.flatTokens,
-    ...(request.promptBound === 0
-      ? {}
-      : { promptTokens: Math.ceil(request.body.length / BYTES_PER_TOKEN) }),
     deadline: request.deadline,
     arrivedAt: request.arrivedAt,
     ...engine ? { promptTokens } : {},
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -40,7 +40,7 @@
   grantCheckMillis: z.number().int().positive().default(500),
   grantLifeMillis: z.number().int().positive().default(900_000),
   gossipMillis: z.number().int().positive().default(1_000),
-  heartbeatMillis: z.number().int().positive().default(10_000),
+  heartbeatMillis: z.number().int().positive().default(60_000),
   documentPollMillis: z.number().int().positive().default(5_000),
   loadReportMillis: z.number().int().positive().default(1_000),
   vmListMillis: z.number().int().positive().default(2_000),
