--- a/packages/bench/budget/escrow_policy.ts
+++ b/packages/bench/budget/escrow_policy.ts
@@ -11,6 +11,7 @@
 } from "../../core/mod.ts";
 import {
   AccountSchedule,
+  chooseBorrower,
   computeAccountRoom,
   computeNextDue,
   computeReserved,
@@ -21,6 +22,8 @@
   type GrantExchangeResult,
   type GrantSizing,
   lendTokens,
+  listHopeless,
+  listServable,
   type LoanAnswer,
   type LoanRequest,
   planExchange,
@@ -206,14 +209,14 @@
     return { eventId: queue.event.id, tokens, detail: reservation };
   }
 
-  /** In order; but what fits passes a request that only loans can serve. */
   #serveWaiters(queue: EventQueue): void {
-    for (const waiter of [...queue.waiters]) {
+    const room = computeAccountRoom(queue.account, this.#readNow());
+    const { isScarce } = queue;
+    for (const waiter of listServable(queue.waiters, { room, isScarce })) {
       const held = this.#tryReserve(queue, waiter.tokens);
-      if (held !== undefined) {
-        queue.waiters = queue.waiters.filter((each) => each !== waiter);
-        waiter.onEnd(held);
-      } else if (!queue.isScarce) return;
+      if (held === undefined) return;
+      queue.waiters = queue.waiters.filter((each) => each !== waiter);
+      waiter.onEnd(held);
     }
   }
 
@@ -310,7 +313,7 @@
 
   #stepBorrowing(queue: EventQueue): void {
     this.#serveWaiters(queue);
-    const waiter = findSmallest(queue.waiters);
+    const waiter = chooseBorrower(queue.waiters);
     const now = this.#readNow();
     const room = computeAccountRoom(queue.account, now);
     const missing = waiter === undefined ? 0 : waiter.tokens - room;
@@ -342,13 +345,14 @@
     });
   }
 
-  /** Loans may have left so little missing that the table covers it after all. */
   #refuseHopeless(queue: EventQueue, room: Tokens): void {
-    const own = computeReserved(queue.account);
-    const hope = Math.max(own, queue.heldByPeers, queue.budgetLeft ?? 0);
-    for (const waiter of queue.waiters) {
-      if (waiter.tokens - room > hope) this.#refuse(queue, waiter);
-    }
+    const hopeless = listHopeless(queue.waiters, {
+      room,
+      reserved: computeReserved(queue.account),
+      reservedAtPeer: queue.heldByPeers,
+      budgetLeft: queue.budgetLeft ?? 0,
+    });
+    for (const waiter of hopeless) this.#refuse(queue, waiter);
   }
 
   #endBorrowing(queue: EventQueue): void {
@@ -404,7 +408,7 @@
   /** What the smallest request lacks while nothing but loans can serve it. */
   #describeShortage(queue: EventQueue | undefined) {
     if (queue === undefined || !queue.isScarce) return {};
-    const waiter = findSmallest(queue.waiters);
+    const waiter = chooseBorrower(queue.waiters);
     if (waiter === undefined) return {};
     const room = computeAccountRoom(queue.account, this.#readNow());
     return { shortBy: waiter.tokens - room };
@@ -428,12 +432,3 @@
     this.#node.schedule(VISIT_INTERVAL, () => this.#visitDue());
   }
 }
-
-/** Scarce tokens go to the smallest request first: they serve the most so. */
-function findSmallest(waiters: readonly Waiter[]): Waiter | undefined {
-  return waiters.reduce<Waiter | undefined>(
-    (least, each) =>
-      least === undefined || each.tokens < least.tokens ? each : least,
-    undefined,
-  );
-}
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -45,6 +45,12 @@
 } from "./loans/borrow_tokens.ts";
 export type { LendResult, LoanRequest } from "./loans/lend_tokens.ts";
 export { lendTokens, MAX_LOANS_PER_GRANT } from "./loans/lend_tokens.ts";
+export type { WaitingRequest } from "./queries/choose_waiting.ts";
+export {
+  chooseBorrower,
+  listHopeless,
+  listServable,
+} from "./queries/choose_waiting.ts";
 export type {
   GrantSizing,
   GrantTargets,
