Let a VM that cannot be helped give its tokens to one that can

Cause: of two short VMs the one lacking less kept its tokens even when the other had none to cover that lack, so neither request was served. Change: a loan request says the borrower's room; the VM whose lack the other can cover goes first. The schedule also looks at an account when renewal is due.

--- a/packages/bench/budget/escrow_policy.ts
+++ b/packages/bench/budget/escrow_policy.ts
@@ -382,7 +382,8 @@
       askedAt: this.#readNow(),
     });
     const borrower = { vm, incarnation };
-    const request = { transferId, wanted, least: missing, borrower };
+    const room = computeAccountRoom(queue.account, this.#readNow());
+    const request = { transferId, wanted, least: missing, room, borrower };
     this.#node.send(lender, { eventId: queue.event.id, request });
   }
 
--- a/packages/budget/account_test.ts
+++ b/packages/budget/account_test.ts
@@ -159,6 +159,8 @@
   account = reserve(account, 10, GRANT_TERM / 2).account;
   t.is(planGrants(account, { now: 1, lean: LEAN, need: 0 }).take, undefined);
   const due = { now: GRANT_TERM / 2 + 1, lean: LEAN, need: 0 };
+  const early = { now: GRANT_TERM / 2 - 1, lean: LEAN };
+  t.is(computeNextDue(account, early), GRANT_TERM / 2);
   t.not(planGrants(account, due).take, undefined);
 });
 
--- a/packages/budget/loans/lend_tokens.ts
+++ b/packages/budget/loans/lend_tokens.ts
@@ -33,6 +33,8 @@
   readonly wanted: Tokens;
   /** What a waiting request lacks; lent beyond half of the room if need be. */
   readonly least: Tokens;
+  /** Tokens that the borrower has unreserved; unknown when absent. */
+  readonly room?: Tokens;
   readonly borrower: VmLife;
 }
 
@@ -46,9 +48,9 @@
  * Debits a loan. A transfer id that was answered before gets the same answer.
  *
  * `keep` is what the lender's own waiting requests need. Where these cannot be
- * served either, `shortBy` says what the first of them lacks: of two VMs that
- * are both short, the one that lacks less gets the tokens, and only when they
- * are enough for it.
+ * served either, `shortBy` says what the smallest of them lacks. Of two VMs
+ * that are both short, the one whose lack the other can cover gets the tokens,
+ * and if each could cover the other, the one that lacks less.
  */
 export function lendTokens(
   account: EventAccount,
@@ -64,8 +66,7 @@
     .find((each) => each.transferId === request.transferId);
   if (given !== undefined) return { account, answer: given };
   const room = computeAccountRoom(account, now);
-  const goesFirst = input.shortBy !== undefined &&
-    request.least < input.shortBy && request.least <= room;
+  const goesFirst = isBorrowerFirst(request, { room, shortBy: input.shortBy });
   const spare = Math.max(0, goesFirst ? room : room - input.keep);
   const own = chooseParts(listLenderGrants(account, now), {
     transferId: request.transferId,
@@ -137,6 +138,16 @@
   return parts.reduce((sum, part) => sum + part.tokens, 0);
 }
 
+function isBorrowerFirst(
+  request: LoanRequest,
+  lender: { readonly room: Tokens; readonly shortBy: Tokens | undefined },
+): boolean {
+  const { room, shortBy } = lender;
+  if (shortBy === undefined || request.least > room) return false;
+  const couldBeHelped = shortBy <= (request.room ?? Infinity);
+  return !couldBeHelped || request.least < shortBy;
+}
+
 /** Own grants, the roomiest first. */
 function listLenderGrants(
   account: EventAccount,
--- a/packages/budget/loans/loans_test.ts
+++ b/packages/budget/loans/loans_test.ts
@@ -287,6 +287,17 @@
   t.is(lendTo(101, 200), 0);
 });
 
+test("a VM that its borrower could not help does not keep what helps the borrower", (t) => {
+  const lender = createLender(new MemoryRows());
+  const lendTo = (room: number) => {
+    const request = { ...REQUEST, wanted: 40, least: 40, room };
+    const input = { request, now: 0, keep: 100, shortBy: 30 };
+    return lendTokens(lender, input).answer.tokens;
+  };
+  t.is(lendTo(29), 40);
+  t.is(lendTo(30), 0);
+});
+
 test("a request without an answer is sent again under its id", (t) => {
   const input = { missing: 10, target: 50, peers: ["a", "c"] };
   const early = planLoans(createBorrower(), { ...input, now: 100 });
--- a/packages/budget/queries/plan_grants.ts
+++ b/packages/budget/queries/plan_grants.ts
@@ -94,7 +94,8 @@
   const sizing = input.sizing ?? GRANT_SIZING[input.lean];
   const ends = account.grants
     .filter((grant) => isGrantOpen(grant, now))
-    .map((grant) => grant.deadline);
+    .flatMap((grant) => [grant.deadline - RENEW_TIME, grant.deadline])
+    .filter((time) => time > now);
   return Math.min(now + sizing.returnAfter, ...ends);
 }
 
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -7,6 +7,7 @@
   transferId: z.string().max(200),
   wanted: z.number().int().nonnegative(),
   least: z.number().int().nonnegative(),
+  room: z.number().int().nonnegative().exactOptional(),
   borrower: z.object({ vm: z.string(), incarnation: z.string() }),
 });
 
