--- a/packages/bench/budget/escrow_policy.ts
+++ b/packages/bench/budget/escrow_policy.ts
@@ -57,7 +57,7 @@
 const LOAN_INTERVAL: Millis = 100;
 
 /** How long a peer that had nothing to lend is not asked again. */
-const REFUSAL_TIME: Millis = 500;
+const REFUSAL_TIME: Millis = 250;
 
 /** Loans are asked for in multiples of what is missing, so that they are few. */
 const LOAN_FACTOR = 4;
@@ -105,6 +105,8 @@
   readonly refusedAt: Map<VmId, MonotonicTime>;
   /** Most tokens that requests in progress at one peer hold, as last heard. */
   heldByPeers: Tokens;
+  /** Peers that held tokens of the event when last heard. */
+  readonly lenders: Set<VmId>;
   /** True from when loans were first needed until nobody waits. */
   isScarce: boolean;
   /** When the open exchange was sent. */
@@ -162,6 +164,8 @@
     if (queue === undefined) return;
     const { answer } = body;
     queue.heldByPeers = Math.max(queue.heldByPeers, answer.reserved);
+    if (answer.tokens + answer.reserved > 0) queue.lenders.add(from);
+    else queue.lenders.delete(from);
     if (answer.tokens === 0) queue.refusedAt.set(from, this.#readNow());
     queue.account = receiveLoan(queue.account, {
       answer,
@@ -194,6 +198,7 @@
       refusedAt: new Map<VmId, MonotonicTime>(),
       askedAt: 0,
       heldByPeers: 0,
+      lenders: new Set<VmId>(),
       isScarce: false,
     };
     this.#queues.set(event.id, queue);
@@ -317,7 +322,7 @@
     const now = this.#readNow();
     const room = computeAccountRoom(queue.account, now);
     const missing = waiter === undefined ? 0 : waiter.tokens - room;
-    const peers = this.#options.lends ? this.#node.listPeers() : [];
+    const peers = this.#options.lends ? this.#sortPeers(queue) : [];
     const open = peers.filter((peer) =>
       now - (queue.refusedAt.get(peer) ?? -Infinity) >= REFUSAL_TIME
     );
@@ -345,6 +350,21 @@
     });
   }
 
+  /**
+   * A peer that is known to hold tokens and one that is not, in turn; each the
+   * one that refused the longest ago, so that all are asked in the end.
+   */
+  #sortPeers(queue: EventQueue): VmId[] {
+    const readAge = (peer: VmId) => queue.refusedAt.get(peer) ?? -Infinity;
+    const peers = [...this.#node.listPeers()]
+      .sort((left, right) => readAge(left) - readAge(right) || 0);
+    const lenders = peers.filter((peer) => queue.lenders.has(peer));
+    const others = peers.filter((peer) => !queue.lenders.has(peer));
+    return peers.flatMap((_, index) =>
+      [lenders[index], others[index]].filter((peer) => peer !== undefined)
+    );
+  }
+
   #refuseHopeless(queue: EventQueue, room: Tokens): void {
     const hopeless = listHopeless(queue.waiters, {
       room,
