--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -57,6 +57,8 @@
   /** Shared key of the entry VMs: a file, or the text itself in tests. */
   peerKeyFile: z.string().optional(),
   peerKey: z.string().min(16).optional(),
+  /** SHA-256 hashes, in hexadecimal, of the keys of the fleet's operators. */
+  fleetKeyHashes: z.array(z.string().regex(/^[0-9a-f]{64}$/)).default([]),
   seeds: z.array(z.string()).default([]),
   platform: z.strictObject({
     table: SERVICE_SCHEMA,
