Answer unknown for a call that ran and whose answer is missing

Cause: a row that says ran without an answer fell through to its own attempt's Taken, which would have run the call again (found by the model).

--- a/packages/request/rows/claim_rows_test.ts
+++ b/packages/request/rows/claim_rows_test.ts
@@ -86,6 +86,24 @@
   t.is(take(rows, FIRST).state, ClaimState.Unknown);
 });
 
+test("a call that ran and whose answer is missing is unknown to all", (t) => {
+  const rows = new MemoryRows();
+  const { digest, vm, incarnation, attempt } = FIRST;
+  const key = formatClaimKey("c", "k");
+  const value = {
+    digest,
+    vm,
+    incarnation,
+    attempt: attempt ?? 0,
+    state: "ran",
+    claimedAt: 0,
+  };
+  const write = { writes: [{ key, value }], result: undefined };
+  rows.apply({ id: "damage", keys: [key], decide: () => write });
+  t.is(take(rows, FIRST).state, ClaimState.Unknown);
+  t.is(take(rows, SECOND).state, ClaimState.Unknown);
+});
+
 test("the claim of a lost life is unknown, that of a slow one is running", (t) => {
   const holder = { vm: "a", incarnation: "1", attempt: 3 };
   const describe = (self: string, over: boolean, running: boolean) =>
--- a/packages/request/rows/take_claim.ts
+++ b/packages/request/rows/take_claim.ts
@@ -90,7 +90,9 @@
 ): TakeClaimResult | undefined {
   const own = isHeldBy(row, input);
   if (row.digest !== input.digest) return { state: ClaimState.OtherBody };
-  if (row.state === "ran" && row.answer !== undefined) {
+  if (row.state === "ran") {
+    // Without its answer the call is as good as unknown; it must not run again.
+    if (row.answer === undefined) return { state: ClaimState.Unknown };
     return { state: ClaimState.Ran, answer: row.answer };
   }
   // A decision that is made again after the attempt ended must not reopen it.
