--- a/packages/bench/budget/escrow_policy.ts
+++ b/packages/bench/budget/escrow_policy.ts
@@ -11,6 +11,7 @@
 } from "../../core/mod.ts";
 import {
   AccountSchedule,
+  chooseBorrower,
   computeAccountRoom,
   computeNextDue,
   computeReserved,
@@ -21,6 +22,8 @@
   type GrantExchangeResult,
   type GrantSizing,
   lendTokens,
+  listHopeless,
+  listServable,
   type LoanAnswer,
   type LoanRequest,
   planExchange,
@@ -54,7 +57,7 @@
 const LOAN_INTERVAL: Millis = 100;
 
 /** How long a peer that had nothing to lend is not asked again. */
-const REFUSAL_TIME: Millis = 500;
+const REFUSAL_TIME: Millis = 250;
 
 /** Loans are asked for in multiples of what is missing, so that they are few. */
 const LOAN_FACTOR = 4;
@@ -102,6 +105,8 @@
   readonly refusedAt: Map<VmId, MonotonicTime>;
   /** Most tokens that requests in progress at one peer hold, as last heard. */
   heldByPeers: Tokens;
+  /** Peers that held tokens of the event when last heard. */
+  readonly lenders: Set<VmId>;
   /** True from when loans were first needed until nobody waits. */
   isScarce: boolean;
   /** When the open exchange was sent. */
@@ -159,6 +164,8 @@
     if (queue === undefined) return;
     const { answer } = body;
     queue.heldByPeers = Math.max(queue.heldByPeers, answer.reserved);
+    if (answer.tokens + answer.reserved > 0) queue.lenders.add(from);
+    else queue.lenders.delete(from);
     if (answer.tokens === 0) queue.refusedAt.set(from, this.#readNow());
     queue.account = receiveLoan(queue.account, {
       answer,
@@ -191,6 +198,7 @@
       refusedAt: new Map<VmId, MonotonicTime>(),
       askedAt: 0,
       heldByPeers: 0,
+      lenders: new Set<VmId>(),
       isScarce: false,
     };
     this.#queues.set(event.id, queue);
@@ -206,14 +214,14 @@
     return { eventId: queue.event.id, tokens, detail: reservation };
   }
 
-  /** In order; but what fits passes a request that only loans can serve. */
   #serveWaiters(queue: EventQueue): void {
-    for (const waiter of [...queue.waiters]) {
+    const room = computeAccountRoom(queue.account, this.#readNow());
+    const { isScarce } = queue;
+    for (const waiter of listServable(queue.waiters, { room, isScarce })) {
       const held = this.#tryReserve(queue, waiter.tokens);
-      if (held !== undefined) {
-        queue.waiters = queue.waiters.filter((each) => each !== waiter);
-        waiter.onEnd(held);
-      } else if (!queue.isScarce) return;
+      if (held === undefined) return;
+      queue.waiters = queue.waiters.filter((each) => each !== waiter);
+      waiter.onEnd(held);
     }
   }
 
@@ -310,11 +318,11 @@
 
   #stepBorrowing(queue: EventQueue): void {
     this.#serveWaiters(queue);
-    const waiter = findSmallest(queue.waiters);
+    const waiter = chooseBorrower(queue.waiters);
     const now = this.#readNow();
     const room = computeAccountRoom(queue.account, now);
     const missing = waiter === undefined ? 0 : waiter.tokens - room;
-    const peers = this.#options.lends ? this.#node.listPeers() : [];
+    const peers = this.#options.lends ? this.#sortPeers(queue) : [];
     const open = peers.filter((peer) =>
       now - (queue.refusedAt.get(peer) ?? -Infinity) >= REFUSAL_TIME
     );
@@ -342,13 +350,29 @@
     });
   }
 
-  /** Loans may have left so little missing that the table covers it after all. */
+  /**
+   * A peer that is known to hold tokens and one that is not, in turn; each the
+   * one that refused the longest ago, so that all are asked in the end.
+   */
+  #sortPeers(queue: EventQueue): VmId[] {
+    const readAge = (peer: VmId) => queue.refusedAt.get(peer) ?? -Infinity;
+    const peers = [...this.#node.listPeers()]
+      .sort((left, right) => readAge(left) - readAge(right) || 0);
+    const lenders = peers.filter((peer) => queue.lenders.has(peer));
+    const others = peers.filter((peer) => !queue.lenders.has(peer));
+    return peers.flatMap((_, index) =>
+      [lenders[index], others[index]].filter((peer) => peer !== undefined)
+    );
+  }
+
   #refuseHopeless(queue: EventQueue, room: Tokens): void {
-    const own = computeReserved(queue.account);
-    const hope = Math.max(own, queue.heldByPeers, queue.budgetLeft ?? 0);
-    for (const waiter of queue.waiters) {
-      if (waiter.tokens - room > hope) this.#refuse(queue, waiter);
-    }
+    const hopeless = listHopeless(queue.waiters, {
+      room,
+      reserved: computeReserved(queue.account),
+      reservedAtPeer: queue.heldByPeers,
+      budgetLeft: queue.budgetLeft ?? 0,
+    });
+    for (const waiter of hopeless) this.#refuse(queue, waiter);
   }
 
   #endBorrowing(queue: EventQueue): void {
@@ -378,7 +402,8 @@
       askedAt: this.#readNow(),
     });
     const borrower = { vm, incarnation };
-    const request = { transferId, wanted, least: missing, borrower };
+    const room = computeAccountRoom(queue.account, this.#readNow());
+    const request = { transferId, wanted, least: missing, room, borrower };
     this.#node.send(lender, { eventId: queue.event.id, request });
   }
 
@@ -404,7 +429,7 @@
   /** What the smallest request lacks while nothing but loans can serve it. */
   #describeShortage(queue: EventQueue | undefined) {
     if (queue === undefined || !queue.isScarce) return {};
-    const waiter = findSmallest(queue.waiters);
+    const waiter = chooseBorrower(queue.waiters);
     if (waiter === undefined) return {};
     const room = computeAccountRoom(queue.account, this.#readNow());
     return { shortBy: waiter.tokens - room };
@@ -428,12 +453,3 @@
     this.#node.schedule(VISIT_INTERVAL, () => this.#visitDue());
   }
 }
-
-/** Scarce tokens go to the smallest request first: they serve the most so. */
-function findSmallest(waiters: readonly Waiter[]): Waiter | undefined {
-  return waiters.reduce<Waiter | undefined>(
-    (least, each) =>
-      least === undefined || each.tokens < least.tokens ? each : least,
-    undefined,
-  );
-}
