--- a/packages/daemon/entry/caller_face.ts
+++ b/packages/daemon/entry/caller_face.ts
@@ -3,10 +3,12 @@
 import readRawBody from "raw-body";
 import { type Either, Left, Right } from "purify-ts";
 import {
+  type Millis,
   MILLIS_PER_SECOND,
   type Refusal,
   RefusalKind,
 } from "../../core/mod.ts";
+import { type FreshnessState, isRefusedAsStale } from "../../document/mod.ts";
 import { isPeerKey } from "../../peer/mod.ts";
 import { LogEvent } from "../event_log.ts";
 import {
@@ -25,6 +27,8 @@
 import type { RequestRunner } from "./request_runner.ts";
 import { AnswerWriter, writeRefusal } from "./write_answer.ts";
 
+const STALE_RETRY_AFTER: Millis = 5_000;
+
 /** Path of chat completions. */
 export const CHAT_PATH = "/v1/chat/completions";
 
@@ -35,6 +39,8 @@
 export interface CallerFacePorts {
   readonly runner: RequestRunner;
   readonly forwarding: HomeForwarding;
+  /** How sure this VM is that no newer document is in force. */
+  readonly readFreshness: () => FreshnessState;
   /** Shared key by which entry VMs show that they forward a request. */
   readonly peerKey: string;
 }
@@ -117,7 +123,13 @@
     const { headers } = request;
     const now = clock.readMonotonic();
     const checked = readCallerHeaders(configuration, headers);
-    if (checked.isLeft()) return Left(checked.extract() as Refusal);
+    if (checked.isLeft()) return Left(checked.swap().unsafeCoerce());
+    const { whenStale } = checked.unsafeCoerce().kind;
+    if (isRefusedAsStale(this.#ports.readFreshness(), whenStale)) {
+      return Left(createRefusal(RefusalKind.ConfigurationStale, {
+        retryAfter: STALE_RETRY_AFTER,
+      }));
+    }
     const body = await this.#readBody(request);
     return body.chain((bytes) =>
       createCallerRequest({
--- a/packages/daemon/operators/operator_face.ts
+++ b/packages/daemon/operators/operator_face.ts
@@ -1,20 +1,40 @@
-/** The operators' face: health, metrics, the state dump, and the document. */
-import { createHash, timingSafeEqual } from "node:crypto";
+/**
+ * The operators' face: health, metrics, the state dump, and the administration
+ * API. Nothing but health is open without a key.
+ */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { FleetConfiguration } from "../../core/mod.ts";
+import {
+  AdminFace,
+  type AdminPorts,
+  findCaller,
+  parseBearer,
+} from "../../admin/mod.ts";
+import { LogEvent } from "../event_log.ts";
 import { CONFIGURATION, type NodeContext } from "../node_context.ts";
 
 /** Answers operators. */
 export class OperatorFace {
   readonly #context: NodeContext;
+  readonly #admin: AdminFace;
 
-  constructor(context: NodeContext) {
+  constructor(context: NodeContext, ports: AdminPorts) {
     this.#context = context;
+    this.#admin = new AdminFace({
+      ports,
+      readFleetKeyHashes: () => context.settings.fleetKeyHashes,
+    });
   }
 
   /** Handles one HTTP request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
-    void this.#serve(request, response);
+    response.on("error", () => response.destroy());
+    this.#serve(request, response).catch((error) => {
+      this.#context.log.error(LogEvent.ProcessFailed, {
+        process: "operator_face",
+        reason: String(error),
+      });
+      response.destroy();
+    });
   }
 
   async #serve(
@@ -23,10 +43,11 @@
   ): Promise<void> {
     const path = request.url?.split("?")[0];
     if (path === "/healthz") return send(response, 200, "ok\n");
-    const { kernel, metrics } = this.#context;
-    if (!isOperator(kernel.read(CONFIGURATION), request)) {
+    if (await this.#admin.serve(request, response)) return;
+    if (!this.#isOperator(request)) {
       return send(response, 401, "Send a team key as a bearer token.\n");
     }
+    const { kernel, metrics } = this.#context;
     if (path === "/metrics") {
       return send(response, 200, await metrics.registry.metrics());
     }
@@ -36,6 +57,16 @@
     }
     send(response, 404, "There is nothing at this path.\n");
   }
+
+  #isOperator(request: IncomingMessage): boolean {
+    const key = parseBearer(request.headers.authorization);
+    if (key === undefined) return false;
+    const caller = findCaller(key, {
+      configuration: this.#context.kernel.read(CONFIGURATION),
+      fleetKeyHashes: this.#context.settings.fleetKeyHashes,
+    });
+    return caller !== undefined;
+  }
 }
 
 function send(
@@ -47,19 +78,3 @@
   response.writeHead(status, { "content-type": contentType });
   response.end(body);
 }
-
-/** Says whether the request carries the key of any team. */
-function isOperator(
-  configuration: FleetConfiguration,
-  request: IncomingMessage,
-): boolean {
-  const key = /^Bearer (.+)$/.exec(request.headers.authorization ?? "")?.[1];
-  if (key === undefined) return false;
-  const hash = createHash("sha256").update(key).digest();
-  return [...configuration.teams.values()]
-    .flatMap((team) => team.keyHashes)
-    .some((each) => {
-      const known = Buffer.from(each, "hex");
-      return known.length === hash.length && timingSafeEqual(known, hash);
-    });
-}
--- a/packages/document/queries/plan_change.ts
+++ b/packages/document/queries/plan_change.ts
@@ -30,11 +30,14 @@
 import { quote } from "../schema/node_reader.ts";
 import {
   type Chunk,
-  computeSectionDigest,
   createSectionState,
   findSectionEntry,
   formatSection,
+  isSameText,
+  listChangedChunks,
   listEntries,
+  listNewChunkIds,
+  listNewChunks,
   type SectionState,
 } from "../section_state.ts";
 import { checkEnd, parseMembers } from "../text/members.ts";
@@ -235,14 +238,12 @@
   other: SectionState | undefined,
   container: Container,
 ): ReadonlyMap<string, string> {
-  const shared = new Set(
-    other?.containers.get(container)?.map((chunk) => chunk.id),
+  const chunks = listChangedChunks(
+    section?.containers.get(container) ?? [],
+    other?.containers.get(container) ?? [],
   );
-  const chunks = section?.containers.get(container) ?? [];
   return new Map(
-    chunks
-      .filter((chunk) => !shared.has(chunk.id))
-      .flatMap((chunk) => chunk.entries)
+    chunks.flatMap((chunk) => chunk.entries)
       .map(({ key, text }) => [key, text]),
   );
 }
@@ -348,9 +349,7 @@
   }
   const edits = entries.map(createEntryEdit);
   const made = changeSection(before, edits);
-  return computeSectionDigest(made) === computeSectionDigest(after)
-    ? edits
-    : undefined;
+  return isSameText(made, after) ? edits : undefined;
 }
 
 function createEntryEdit({ container, key, text }: EntryChange): EntryEdit {
@@ -449,7 +448,7 @@
     at: input.wallTime,
     effects: [...effects],
     input: computeInputDigest(input),
-    digest: computeSectionDigest(section),
+    newChunks: listNewChunkIds(before, section),
   };
   const sections = state.sections.add(input.section, section);
   return {
@@ -472,17 +471,6 @@
   return length <= MAX_CARRIED_EDIT;
 }
 
-function listNewChunks(
-  before: SectionState | undefined,
-  after: SectionState,
-): Chunk[] {
-  const known = new Set(
-    [...before?.containers.values() ?? []].flat().map((chunk) => chunk.id),
-  );
-  return [...after.containers.values()].flat()
-    .filter((chunk) => !known.has(chunk.id));
-}
-
 function createInvalid(errors: readonly InputError[]): ChangeRefusal {
   return {
     kind: ChangeRefusalKind.Invalid,
--- a/packages/document/section_state.ts
+++ b/packages/document/section_state.ts
@@ -12,7 +12,7 @@
 import { computeHash } from "../core/mod.ts";
 import type { ScanFault } from "./text/members.ts";
 import {
-  Container,
+  type Container,
   type Entry,
   formatSectionParts,
   type SectionParts,
@@ -93,16 +93,47 @@
   return { id: digest.slice(0, ID_LENGTH), entries, keys };
 }
 
-/** Returns the digest of everything a section holds. */
-export function computeSectionDigest(section: SectionState): string {
-  const hash = createHash("sha256").update(section.skeleton);
-  for (const container of Object.values(Container)) {
-    const chunks = section.containers.get(container);
-    if (chunks === undefined) continue;
-    hash.update(`\n${container}`);
-    for (const chunk of chunks) hash.update(chunk.id);
+/** Returns the ids of the chunks that a section has and an earlier one had not. */
+export function listNewChunkIds(
+  before: SectionState | undefined,
+  after: SectionState,
+): string[] {
+  return listNewChunks(before, after).map((chunk) => chunk.id);
+}
+
+/** Returns the chunks that a section has and an earlier one had not. */
+export function listNewChunks(
+  before: SectionState | undefined,
+  after: SectionState,
+): Chunk[] {
+  return [...after.containers].flatMap(([container, chunks]) =>
+    listChangedChunks(chunks, before?.containers.get(container) ?? [])
+  );
+}
+
+/** Says whether two sections have the same text. */
+export function isSameText(left: SectionState, right: SectionState): boolean {
+  if (left.skeleton !== right.skeleton) return false;
+  return listNewChunks(left, right).length === 0 &&
+    listNewChunks(right, left).length === 0;
+}
+
+/** Returns the chunks of a list that lie between what two lists share. */
+export function listChangedChunks(
+  chunks: readonly Chunk[],
+  others: readonly Chunk[],
+): readonly Chunk[] {
+  const shorter = Math.min(chunks.length, others.length);
+  let start = 0;
+  while (start < shorter && chunks[start]!.id === others[start]!.id) start++;
+  let end = 0;
+  while (
+    end < shorter - start &&
+    chunks.at(-1 - end)!.id === others.at(-1 - end)!.id
+  ) {
+    end++;
   }
-  return hash.digest("hex").slice(0, ID_LENGTH);
+  return chunks.slice(start, chunks.length - end);
 }
 
 /** Says whether a chunk ends after an entry; long entries end more often. */
--- a/packages/replay/inputs/budget_inputs.ts
+++ b/packages/replay/inputs/budget_inputs.ts
@@ -7,6 +7,7 @@
   computeBudgetLeft,
   computeGranted,
   createCloseGrant,
+  createEventAccount,
   createGrantExchange,
   createTakeGrant,
   createTopUp,
@@ -252,7 +253,7 @@
 /** A borrower gives back what is left of a loan, in all its parts. */
 const returnLoan = createInput(
   { ...ACCOUNT, transfer: NAME, limit: COUNT, store: STORE_FAULT },
-  ({ vm, event, transfer, limit, store }, { fleet }) => {
+  ({ vm, event, transfer, limit, store }, { fleet, now }) => {
     const before = fleet.getAccount(vm, event);
     const parts = findLoanParts(before, transfer);
     if (parts.length === 0) return { held: false };
@@ -260,23 +261,23 @@
     fleet.putAccount(vm, closeGrants(before, ids));
     const reserved = parts.reduce((sum, part) => sum + part.reserved, 0);
     if (reserved > 0) return { reserved };
-    const returns = parts.map(({ id, lenderGrantId = "", size, spent }) => ({
-      transferId: id,
-      lenderGrantId,
-      unspent: size - spent,
-    }));
-    const operation = createGrantExchange({
-      eventId: event,
-      id: `${transfer}/return`,
+    const loans = { ...createEventAccount(event), grants: parts };
+    const { exchange } = planLastExchange(loans, {
+      now,
+      need: 0,
+      lean: BudgetLean.FewerRefusals,
+      grantId: `${transfer}/return`,
+      holder: { vm, incarnation: fleet.getVm(vm).incarnation },
       initialLimit: limit,
-      returns,
+      wallTime: now,
     });
-    const answer = fleet.store.run(operation, store);
+    if (exchange === undefined) return { held: false };
+    const answer = fleet.store.run(createGrantExchange(exchange), store);
     return describeStoreAnswer(answer, () => {
       const account = fleet.getAccount(vm, event);
       fleet.putAccount(vm, ids.reduce(dropGrant, account));
-      const returned = returns.reduce((sum, each) => sum + each.unspent, 0);
-      return { returned };
+      const unspent = exchange.returns?.map((each) => each.unspent) ?? [];
+      return { returned: unspent.reduce((sum, each) => sum + each, 0) };
     });
   },
 );
--- a/packages/routing/retry/decide_retry.ts
+++ b/packages/routing/retry/decide_retry.ts
@@ -73,9 +73,10 @@
   const obstacle = findObstacle(failed);
   if (obstacle !== undefined) return createGiveUp(failed, obstacle);
   const extra = chooseExtra(failed);
-  if (!options.budgets.hasRoom(failed.service, extra)) {
-    const after = options.budgets.computeAskAgain(options.now) - options.now;
-    return options.now + after >= failed.deadline
+  const { budgets, now } = options;
+  if (!budgets.hasRoom(failed.service, { extra, now })) {
+    const after = budgets.computeAskAgain(now) - now;
+    return now + after >= failed.deadline
       ? createGiveUp(failed, "the deadline comes before the retry budget")
       : { action: RetryAction.Wait, after };
   }
@@ -119,7 +120,9 @@
 }
 
 function chooseExtra(failed: FailedAttempt): ExtraAttempt {
-  const replaceable = failed.lost && failed.replacements < MOST_REPLACEMENTS;
+  // What was never sent left no work behind that a new attempt would double.
+  const lost = failed.lost || failed.end === AttemptEnd.NotSent;
+  const replaceable = lost && failed.replacements < MOST_REPLACEMENTS;
   return replaceable ? ExtraAttempt.Replacement : ExtraAttempt.Retry;
 }
 
--- a/packages/routing/target_state.ts
+++ b/packages/routing/target_state.ts
@@ -8,6 +8,8 @@
   Leaving = "leaving",
   /** Taken out for a while because its attempts failed. */
   Ejected = "ejected",
+  /** It did not answer over a new connection. */
+  Unreachable = "unreachable",
   /** Back after an ejection; it gets one attempt at a time until one succeeds. */
   Probation = "probation",
 }
@@ -18,8 +20,10 @@
   readonly queued: number;
   readonly models: readonly string[];
   readonly measuredAt: MonotonicTime;
-  /** Attempts of this VM that the report already counts. */
-  readonly ownThen: number;
+  /** Work of other VMs by this report alone. */
+  readonly othersNow: number;
+  /** Work of other VMs, smoothed over the reports so far. */
+  readonly others: number;
 }
 
 /** A sample of this VM's open attempts at a target. */
@@ -52,6 +56,8 @@
   /** Ejections since the last attempt that succeeded. */
   readonly ejections: number;
   readonly ejectedUntil?: MonotonicTime;
+  /** When it last failed to answer over a new connection, until it answers. */
+  readonly unreachableSince?: MonotonicTime;
   /** Rises when cache events were lost, so that older holdings are doubted. */
   readonly cacheEpoch: number;
   /** Sequence number of the last cache event. */
@@ -88,6 +94,7 @@
   if (target.listedLeaving || target.word?.leaving === true) {
     return TargetHealth.Leaving;
   }
+  if (target.unreachableSince !== undefined) return TargetHealth.Unreachable;
   if (target.ejectedUntil === undefined) return TargetHealth.Healthy;
   return now < target.ejectedUntil
     ? TargetHealth.Ejected
