Keep section texts compressed and share what entries have in common

A VM that follows a document of 80,000 events held 151 MB for the configuration and its texts beside (trial, heap after collection, one process), above the 128 MB that a node may spend on control. Texts cut out of a longer one kept the longer one; equal names and kinds were kept once for each event; entry texts lay in the heap. Names and kinds are now shared, cut texts copied, and chunks kept compressed until they change.

--- a/packages/document/commands/apply_entries.ts
+++ b/packages/document/commands/apply_entries.ts
@@ -17,6 +17,7 @@
   parseEntry,
 } from "../schema/parse_entry.ts";
 import { type Reference, ReferenceTarget } from "../schema/reference.ts";
+import { copyText } from "../schema/share_values.ts";
 import { Container } from "../text/section_parts.ts";
 import type { SourceText } from "../text/source_text.ts";
 
@@ -81,7 +82,8 @@
   change: EntryChange,
   faults: InputError[],
 ): ParsedChange | undefined {
-  const name = formatEntryName(change.container, change.key);
+  // A key may be cut out of a whole document, which a copy does not keep.
+  const name = copyText(formatEntryName(change.container, change.key));
   const before = findEntry(index, change.container, change.key);
   if (change.text === undefined) {
     return { change, name, before, after: undefined, references: [] };
@@ -127,7 +129,7 @@
   const faults: InputError[] = [];
   for (const { name, change, after } of parsed) {
     if (after === undefined) continue;
-    const known = index.owners.get(name);
+    const known = findOwner(index, change);
     const held = known !== undefined && known !== change.section &&
       !freed.has(`${known}/${name}`);
     const owner = taken.get(name) ?? (held ? known : undefined);
@@ -152,20 +154,32 @@
   const removed = own.filter(({ after }) => after === undefined)
     .reduce((rest, { change }) => rest.remove(change.key), map);
   return removed.merge(
-    own.flatMap(({ change, after }) =>
+    own.flatMap(({ after }) =>
       after === undefined
         ? []
-        : [[change.key, after.config as unknown as Config] as const]
+        : [[after.config.id, after.config as unknown as Config] as const]
     ),
   );
 }
 
+/** Returns the section that holds an entry. Events name theirs themselves. */
+function findOwner(
+  index: FleetIndex,
+  change: EntryChange,
+): TeamId | undefined {
+  const { container, key } = change;
+  if (container === Container.Events) return index.events.get(key)?.team;
+  return index.owners.get(formatEntryName(container, key));
+}
+
 function applyOwners(index: FleetIndex, parsed: readonly ParsedChange[]) {
-  const removed = parsed
+  const others = parsed
+    .filter(({ change }) => change.container !== Container.Events);
+  const removed = others
     .filter(({ after }) => after === undefined)
     .reduce((rest, { name }) => rest.remove(name), index.owners);
   return removed.merge(
-    parsed.flatMap(({ name, change, after }) =>
+    others.flatMap(({ name, change, after }) =>
       after === undefined ? [] : [[name, change.section] as const]
     ),
   );
--- a/packages/document/commands/change_section.ts
+++ b/packages/document/commands/change_section.ts
@@ -63,12 +63,12 @@
   if (value === undefined) return [{ container, key }];
   const chunks = section.containers.get(container) ?? [];
   const known = chunks.find((chunk) => chunk.keys.has(key))
-    ?.entries.find((entry) => entry.key === key);
+    ?.readEntries().find((entry) => entry.key === key);
   if (known !== undefined) {
     return [{ container, key, text: replaceValue(known, value) }];
   }
   const text = `${NEW_ENTRY_INDENT}${JSON.stringify(key)}: ${value},`;
-  const last = chunks.at(-1)?.entries.at(-1);
+  const last = chunks.at(-1)?.readEntries().at(-1);
   const comma = last === undefined ? undefined : addComma(last);
   return comma === undefined
     ? [{ container, key, text }]
@@ -111,11 +111,11 @@
   const found = chunks.findIndex((chunk) => chunk.keys.has(edit.key));
   if (found < 0 && edit.text === undefined) return chunks;
   const from = found < 0 ? Math.max(0, chunks.length - 1) : found;
-  const entries = changeEntries(chunks[from]?.entries ?? [], edit);
+  const entries = changeEntries(chunks[from]?.readEntries() ?? [], edit);
   let to = from + 1;
   // A chunk that has lost its end runs on into the next one.
   while (to < chunks.length && !isClosed(entries)) {
-    entries.push(...chunks[to]!.entries);
+    entries.push(...chunks[to]!.readEntries());
     to++;
   }
   return [
--- a/packages/document/fleet_index.ts
+++ b/packages/document/fleet_index.ts
@@ -25,7 +25,7 @@
   readonly customers: TrieMap<CustomerConfig>;
   readonly services: TrieMap<ServiceConfig>;
   readonly teams: TrieMap<TeamConfig>;
-  /** Section that holds each entry, by {@link formatEntryName}. */
+  /** Section that holds each entry besides events, by {@link formatEntryName}. */
   readonly owners: TrieMap<TeamId>;
   /** Number of events or kinds that refer to an entry, by its name. */
   readonly uses: TrieMap<number>;
--- a/packages/document/follow/load_document.ts
+++ b/packages/document/follow/load_document.ts
@@ -35,12 +35,7 @@
   SECTION_SCHEMA,
   SECTION_VERSION_SCHEMA,
 } from "../rows/row_schemas.ts";
-import {
-  type Chunk,
-  createChunk,
-  listNewChunkIds,
-  type SectionState,
-} from "../section_state.ts";
+import { Chunk, listNewChunkIds, type SectionState } from "../section_state.ts";
 import { SourceText } from "../text/source_text.ts";
 import type { DocumentReader } from "./document_reader.ts";
 
@@ -363,7 +358,7 @@
       const parsed = checkRow(parseRow(CHUNK_SCHEMA, row));
       if (parsed.isLeft()) return parsed as unknown as Answer<never>;
       const { entries } = parsed.unsafeCoerce();
-      const chunk = createChunk(entries.map(([key, text]) => ({ key, text })));
+      const chunk = new Chunk(entries.map(([key, text]) => ({ key, text })));
       chunks.set(chunk.id, chunk);
     }
     return Right(chunks);
--- a/packages/document/queries/plan_change.ts
+++ b/packages/document/queries/plan_change.ts
@@ -197,7 +197,7 @@
 
 function hasEntries(section: SectionState | undefined): boolean {
   const chunks = [...section?.containers.values() ?? []].flat();
-  return chunks.some((chunk) => chunk.entries.length > 0);
+  return chunks.some((chunk) => chunk.keys.size > 0);
 }
 
 /** Returns the entry changes that lead from one text of a section to another. */
@@ -243,7 +243,7 @@
     other?.containers.get(container) ?? [],
   );
   return new Map(
-    chunks.flatMap((chunk) => chunk.entries)
+    chunks.flatMap((chunk) => chunk.readEntries())
       .map(({ key, text }) => [key, text]),
   );
 }
--- a/packages/document/rows/commit_change.ts
+++ b/packages/document/rows/commit_change.ts
@@ -95,7 +95,7 @@
 
 /** Returns the value of a chunk row. */
 export function formatChunk(chunk: Chunk): JsonValue {
-  return { entries: chunk.entries.map(({ key, text }) => [key, text]) };
+  return { entries: chunk.readEntries().map(({ key, text }) => [key, text]) };
 }
 
 function listWrites(change: ChangeRow, section: SectionState) {
--- a/packages/document/schema/node_reader.ts
+++ b/packages/document/schema/node_reader.ts
@@ -6,6 +6,7 @@
 import type { Node } from "jsonc-parser";
 import { type InputError, InputErrorKind } from "../../core/mod.ts";
 import type { SourceText } from "../text/source_text.ts";
+import { shareText } from "./share_values.ts";
 
 /** Collects faults with their places. */
 export class FaultList {
@@ -108,7 +109,7 @@
   ): readonly { readonly text: string; readonly offset: number }[] {
     return this.readList(key, options).flatMap((node) => {
       if (node.type === "string") {
-        return [{ text: String(node.value), offset: node.offset }];
+        return [{ text: shareText(String(node.value)), offset: node.offset }];
       }
       this.#addWrongType(`${this.path}.${key}`, "string", node);
       return [];
@@ -118,13 +119,13 @@
   /** Returns a text; the fallback when absent, required without one. */
   readText(key: string, fallback?: string): string {
     const node = this.#findTyped(key, "string", fallback === undefined);
-    return node === undefined ? fallback ?? "" : String(node.value);
+    return node === undefined ? fallback ?? "" : shareText(String(node.value));
   }
 
   /** Returns a text, or undefined when absent. */
   readOptionalText(key: string): string | undefined {
     const node = this.#findTyped(key, "string", false);
-    return node === undefined ? undefined : String(node.value);
+    return node === undefined ? undefined : shareText(String(node.value));
   }
 
   /** Returns a boolean, or the fallback when absent. */
--- a/packages/document/schema/parse_entry.ts
+++ b/packages/document/schema/parse_entry.ts
@@ -15,6 +15,7 @@
 import { checkIdentifier } from "./read_identifier.ts";
 import { readService } from "./read_service.ts";
 import type { Reference } from "./reference.ts";
+import { copyText } from "./share_values.ts";
 
 /** The configuration that an entry stands for. */
 export type EntryConfig =
@@ -46,7 +47,8 @@
   const root = parseObject(`{${text}}`, options);
   if (root === undefined) return undefined;
   const reader = new ObjectReader(root, options.path, options.faults);
-  const { container, key, team } = options;
+  const { container, team } = options;
+  const key = copyText(options.key);
   checkIdentifier(reader, key, reader.listKeys().get(key) ?? WRAP);
   const object = reader.readObject(key, { required: true });
   if (object === undefined) return undefined;
--- a/packages/document/schema/read_event.ts
+++ b/packages/document/schema/read_event.ts
@@ -13,6 +13,7 @@
 import type { ObjectReader } from "./node_reader.ts";
 import { checkIdentifier } from "./read_identifier.ts";
 import { type Reference, ReferenceTarget } from "./reference.ts";
+import { shareKinds, shareText } from "./share_values.ts";
 
 const MAX_TOKENS = 1e15;
 const MAX_OUTPUT_TOKENS = 1e7;
@@ -64,7 +65,7 @@
       whole: true,
       fallback: 1,
     }),
-    kinds: readKinds(reader, options.references),
+    kinds: shareKinds(readKinds(reader, options.references)),
   };
 }
 
@@ -78,7 +79,9 @@
   for (const [id, offset] of reader.listKeys()) {
     checkIdentifier(reader, id, offset);
     const kind = reader.readObject(id, { required: true });
-    if (kind !== undefined) kinds.set(id, readKind(kind, id, references));
+    if (kind === undefined) continue;
+    const shared = shareText(id);
+    kinds.set(shared, readKind(kind, shared, references));
   }
   return kinds;
 }
--- a/packages/document/section_state.ts
+++ b/packages/document/section_state.ts
@@ -8,8 +8,10 @@
  * changed, and shared by all versions that have it.
  */
 import { createHash } from "node:crypto";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type { Either } from "purify-ts";
 import { computeHash } from "../core/mod.ts";
+import { copyText } from "./schema/share_values.ts";
 import type { ScanFault } from "./text/members.ts";
 import {
   type Container,
@@ -18,12 +20,32 @@
   type SectionParts,
 } from "./text/section_parts.ts";
 
-/** Some entries of a container that stand side by side. */
-export interface Chunk {
+/**
+ * Some entries of a container that stand side by side. Their text is needed
+ * only when they change or are shown, so it is kept compressed.
+ */
+export class Chunk {
   /** Digest of the entries, in hexadecimal. */
   readonly id: string;
-  readonly entries: readonly Entry[];
   readonly keys: ReadonlySet<string>;
+  readonly #packed: Uint8Array;
+
+  constructor(entries: readonly Entry[]) {
+    const content = JSON.stringify(
+      entries.map(({ key, text }) => [key, text]),
+    );
+    const digest = createHash("sha256").update(content).digest("hex");
+    this.id = digest.slice(0, ID_LENGTH);
+    this.keys = new Set(entries.map((entry) => copyText(entry.key)));
+    this.#packed = deflateRawSync(content, { level: FASTEST_LEVEL });
+  }
+
+  /** Returns the entries in the text's order. */
+  readEntries(): readonly Entry[] {
+    const content = inflateRawSync(this.#packed).toString();
+    const pairs = JSON.parse(content) as readonly (readonly [string, string])[];
+    return pairs.map(([key, text]) => ({ key, text }));
+  }
 }
 
 /** The text of one section at one of its versions. */
@@ -39,6 +61,9 @@
 
 const ID_LENGTH = 32;
 
+/** Compression level that takes the least time. */
+const FASTEST_LEVEL = 1;
+
 /** Returns a section with the given text in parts. */
 export function createSectionState(
   parts: SectionParts,
@@ -68,7 +93,7 @@
   container: Container,
 ): readonly Entry[] {
   const chunks = section.containers.get(container) ?? [];
-  return chunks.flatMap((chunk) => chunk.entries);
+  return chunks.flatMap((chunk) => chunk.readEntries());
 }
 
 /** Returns the chunks of a list of entries. */
@@ -78,21 +103,13 @@
   for (const entry of entries) {
     open.push(entry);
     if (!isChunkEnd(entry)) continue;
-    chunks.push(createChunk(open));
+    chunks.push(new Chunk(open));
     open = [];
   }
-  if (open.length > 0) chunks.push(createChunk(open));
+  if (open.length > 0) chunks.push(new Chunk(open));
   return chunks;
 }
 
-/** Returns a chunk with its id. */
-export function createChunk(entries: readonly Entry[]): Chunk {
-  const content = JSON.stringify(entries.map(({ key, text }) => [key, text]));
-  const digest = createHash("sha256").update(content).digest("hex");
-  const keys = new Set(entries.map((entry) => entry.key));
-  return { id: digest.slice(0, ID_LENGTH), entries, keys };
-}
-
 /** Returns the ids of the chunks that a section has and an earlier one had not. */
 export function listNewChunkIds(
   before: SectionState | undefined,
@@ -149,5 +166,5 @@
 ): Entry | undefined {
   const chunk = section.containers.get(container)
     ?.find((each) => each.keys.has(key));
-  return chunk?.entries.find((entry) => entry.key === key);
+  return chunk?.readEntries().find((entry) => entry.key === key);
 }
