--- a/packages/bench/experiments.ts
+++ b/packages/bench/experiments.ts
@@ -1,4 +1,5 @@
 /** Every experiment, in the order in which `anvilrail bench` runs them. */
+import { budgetExperiment } from "./budget/budget_experiment.ts";
 import { documentInForceExperiment } from "./document/document_in_force_experiment.ts";
 import { documentScaleExperiment } from "./document/document_scale_experiment.ts";
 import { membershipCostExperiment } from "./membership/membership_cost_experiment.ts";
@@ -9,6 +10,7 @@
 import type { Experiment } from "./report/experiment.ts";
 import { storeOutageExperiment } from "./store_traffic/store_outage_experiment.ts";
 import { storeTrafficExperiment } from "./store_traffic/store_traffic_experiment.ts";
+import { routingComparison } from "./routing/compare.ts";
 
 /** Each package of experiments adds a line here. */
 export const EXPERIMENTS: readonly Experiment[] = [
@@ -21,4 +23,6 @@
   controlCostExperiment,
   dataPlaneExperiment,
   streamMemoryExperiment,
+  budgetExperiment,
+  routingComparison,
 ];
--- a/packages/budget/loans/loans_test.ts
+++ b/packages/budget/loans/loans_test.ts
@@ -143,6 +143,44 @@
   });
 }
 
+for (const order of ["abc", "acb", "bac", "bca", "cab", "cba"]) {
+  test(`a part that was handed on returns once, closing in the order ${order}`, (t) => {
+    const rows = new MemoryRows();
+    const first = lend(createLender(rows));
+    let middle = receiveLoan(createBorrower(), {
+      answer: first.answer,
+      deadline: 10,
+    });
+    const second = lendTokens(middle, {
+      request: {
+        transferId: "c/1/1",
+        wanted: 12,
+        least: 12,
+        borrower: { vm: "c", incarnation: "1" },
+      },
+      now: 0,
+      keep: 0,
+    });
+    t.is(second.answer.tokens, 12);
+    middle = spend(second.account, 10);
+    const asked = recordLoanAsked(createEventAccount("e"), {
+      transferId: "c/1/1",
+      lender: "b",
+      wanted: 12,
+      askedAt: 0,
+    });
+    const { answer } = second;
+    const last = spend(receiveLoan(asked, { answer, deadline: 10 }), 5);
+    const accounts: Record<string, EventAccount> = {
+      a: spend(first.account, 20),
+      b: middle,
+      c: last,
+    };
+    for (const vm of order) closeAll(rows, accounts[vm]!, vm);
+    t.is(readLeft(rows), 65);
+  });
+}
+
 test("a loan outlives a lender that was written off, and so does the lender's rest", (t) => {
   const rows = new MemoryRows();
   const { account, answer } = lend(createLender(rows));
@@ -210,6 +248,11 @@
   let lender = createLender(new MemoryRows());
   const kept = lendTokens(lender, { request: REQUEST, now: 0, keep: 90 });
   t.is(kept.answer.tokens, 10);
+  lender = receiveGrant(createEventAccount("e"), {
+    grantId: "a/1/1",
+    size: 2 * MAX_LOANS_PER_GRANT,
+    deadline: GRANT_TERM,
+  });
   for (let number = 0; number <= MAX_LOANS_PER_GRANT; number++) {
     const request = { ...REQUEST, transferId: `b/1/${number}`, wanted: 1 };
     lender = lend(lender, { ...request, least: 1 }).account;
@@ -217,6 +260,33 @@
   t.is(lender.grants[0]?.loans.length, MAX_LOANS_PER_GRANT);
 });
 
+test("a loan is put together from several grants and returned to each", (t) => {
+  const rows = new MemoryRows();
+  let lender = createLender(rows);
+  lender = receiveGrant(spend(lender, 80), {
+    grantId: "a/1/2",
+    size: 20,
+    deadline: GRANT_TERM,
+  });
+  const { answer } = lend(lender);
+  t.is(answer.tokens, 30);
+  t.deepEqual(answer.parts.map((part) => part.tokens), [20, 10]);
+  const borrower = receiveLoan(createBorrower(), { answer, deadline: 10 });
+  t.is(computeAccountRoom(borrower, 0), 30);
+});
+
+test("of two VMs that are short the one that lacks less gets the tokens", (t) => {
+  const lender = createLender(new MemoryRows());
+  const lendTo = (least: number, shortBy: number) => {
+    const request = { ...REQUEST, wanted: least, least };
+    const input = { request, now: 0, keep: 100 };
+    return lendTokens(lender, { ...input, shortBy }).answer.tokens;
+  };
+  t.is(lendTo(30, 40), 30);
+  t.is(lendTo(40, 30), 0);
+  t.is(lendTo(101, 200), 0);
+});
+
 test("a request without an answer is sent again under its id", (t) => {
   const input = { missing: 10, target: 50, peers: ["a", "c"] };
   const early = planLoans(createBorrower(), { ...input, now: 100 });
--- a/packages/routing/queries/choose_target.ts
+++ b/packages/routing/queries/choose_target.ts
@@ -8,9 +8,11 @@
   type Refusal,
   RefusalKind,
   type RegionId,
+  type ServiceId,
   type TargetConfig,
   type TargetId,
 } from "../../core/mod.ts";
+import type { PrefixHolder } from "../prefix_table.ts";
 import {
   DEFAULT_PRIORITY,
   type RoutedRequest,
@@ -21,16 +23,22 @@
   TargetHealth,
   type TargetState,
 } from "../target_state.ts";
-import { computeLoad } from "./compute_load.ts";
+import { computeFullness, computeLoad } from "./compute_load.ts";
 
 const NO_TARGET_RETRY_AFTER: Millis = 2_000;
 const NO_ROOM_RETRY_AFTER: Millis = 1_000;
 
-/** Draws before a group is searched as a whole. */
+/** Draws before more of a group is searched. */
 const MOST_DRAWS = 8;
 
+/** Targets looked at when the draws found no two with room. */
+const MOST_SEARCHED = 48;
+
 /** How far above the sampled load a holder of the prefix may be. */
-const AFFINITY_SLACK = 0.25;
+const AFFINITY_SLACK = 0.15;
+
+/** Load up to which a holder may be busier than the sampled ones at all. */
+const AFFINITY_LOAD = 0.6;
 
 /** Load of the own region from which another region is considered. */
 const SPILL_LOAD = 1;
@@ -50,6 +58,7 @@
 interface Candidate {
   readonly target: TargetState;
   readonly load: number;
+  readonly fullness: number;
 }
 
 /**
@@ -67,8 +76,9 @@
   const remote = spill ? chooseRemote(state, input, regions) : undefined;
   const best = chooseCheaper(own, remote);
   if (best === undefined) return Left(createNoTarget());
-  const full = input.mostLoad !== undefined && best.load >= input.mostLoad;
-  return full ? Left(createNoRoom()) : Right(best.target.config);
+  return hasRoom(best, input)
+    ? Right(best.target.config)
+    : Left(createNoRoom());
 
   function isOwn(region: RegionId): boolean {
     return state.region === undefined || region === state.region;
@@ -109,11 +119,15 @@
     : regions.flatMap((each) => state.targets.listRegion(service, each));
   const sampled = chooseOfTwo(state, input, ids);
   if (sampled === undefined) return undefined;
-  const holder = findHolder(state, input, ids);
-  if (holder !== undefined && holder.load <= sampled.load + AFFINITY_SLACK) {
-    return holder;
-  }
-  return sampled;
+  const holder = findHolder(state, input, regions);
+  if (holder === undefined || !isWorthwhile(holder, sampled)) return sampled;
+  return hasRoom(holder, input) ? holder : sampled;
+}
+
+/** A prefix saves less than waiting at a busy target costs. */
+function isWorthwhile(holder: Candidate, sampled: Candidate): boolean {
+  const most = Math.min(AFFINITY_LOAD, sampled.load + AFFINITY_SLACK);
+  return holder.load <= Math.max(sampled.load, most);
 }
 
 function chooseOfTwo(
@@ -129,43 +143,80 @@
     if (candidate !== undefined) found.push(candidate);
   }
   const best = chooseLighter(found);
-  if (best !== undefined && hasRoom(best, input)) return best;
-  return chooseAmongAll(state, input, ids) ?? best;
+  if (found.length === 2 && best !== undefined && hasRoom(best, input)) {
+    return best;
+  }
+  return chooseAmongMany(state, input, ids) ?? best;
 }
 
-/** Draws among all usable targets with room, or any if none has. */
-function chooseAmongAll(
+/**
+ * Samples two of the usable targets with room, or of the usable if none has. A
+ * large group is searched in part, from a random place on, so that a choice
+ * costs the same however many targets there are.
+ */
+function chooseAmongMany(
   state: RoutingState,
   input: ChooseInput,
   ids: readonly TargetId[],
 ): Candidate | undefined {
-  const usable = ids
+  const usable = listSome(ids, input)
     .map((id) => readCandidate(state, input, id))
     .filter((candidate) => candidate !== undefined);
   const roomy = usable.filter((candidate) => hasRoom(candidate, input));
   const pool = roomy.length > 0 ? roomy : usable;
-  return pool[Math.floor(input.random() * pool.length)];
+  const first = Math.floor(input.random() * pool.length);
+  const step = 1 + Math.floor(input.random() * (pool.length - 1));
+  const second = (first + step) % pool.length;
+  return chooseLighter(
+    [pool[first], pool[second]].filter((each) => each !== undefined),
+  );
+}
+
+function listSome(
+  ids: readonly TargetId[],
+  input: ChooseInput,
+): readonly TargetId[] {
+  if (ids.length <= MOST_SEARCHED) return ids;
+  const from = Math.floor(input.random() * ids.length);
+  return Array.from(
+    { length: MOST_SEARCHED },
+    (_, index) => ids[(from + index) % ids.length]!,
+  );
 }
 
 function findHolder(
   state: RoutingState,
   input: ChooseInput,
-  ids: readonly TargetId[],
+  regions: readonly RegionId[],
 ): Candidate | undefined {
-  const prefixes = input.request.prefixes ?? [];
+  const { prefixes = [], service } = input.request;
   for (const prefix of prefixes.toReversed()) {
     const holders = state.prefixes.list(prefix)
-      .filter(({ target, epoch }) =>
-        state.targets.get(target)?.cacheEpoch === epoch && ids.includes(target)
-      )
+      .filter((holder) => isCurrent(state, holder))
       .map(({ target }) => readCandidate(state, input, target))
-      .filter((candidate) => candidate !== undefined);
+      .filter((candidate) => isInGroup(candidate, { service, regions }));
     const best = chooseLighter(holders);
     if (best !== undefined) return best;
   }
   return undefined;
 }
 
+function isCurrent(state: RoutingState, holder: PrefixHolder): boolean {
+  return state.targets.get(holder.target)?.cacheEpoch === holder.epoch;
+}
+
+function isInGroup(
+  candidate: Candidate | undefined,
+  options: {
+    readonly service: ServiceId;
+    readonly regions: readonly RegionId[];
+  },
+): candidate is Candidate {
+  if (candidate === undefined) return false;
+  const { service, region } = candidate.target.config;
+  return service === options.service && options.regions.includes(region);
+}
+
 function chooseLighter(
   candidates: readonly Candidate[],
 ): Candidate | undefined {
@@ -176,7 +227,7 @@
 }
 
 function hasRoom(candidate: Candidate, input: ChooseInput): boolean {
-  return input.mostLoad === undefined || candidate.load < input.mostLoad;
+  return input.mostLoad === undefined || candidate.fullness < input.mostLoad;
 }
 
 function readCandidate(
@@ -186,7 +237,11 @@
 ): Candidate | undefined {
   const target = id === undefined ? undefined : state.targets.get(id);
   if (target === undefined || !isUsable(target, input)) return undefined;
-  return { target, load: computeLoad(state, target, input.now) };
+  return {
+    target,
+    load: computeLoad(state, target, input.now),
+    fullness: computeFullness(state, target, input.now),
+  };
 }
 
 function isUsable(target: TargetState, input: ChooseInput): boolean {
