--- a/packages/membership/mod.ts
+++ b/packages/membership/mod.ts
@@ -17,6 +17,7 @@
   PROBE_INTERVAL,
   PROBE_TIMEOUT,
 } from "./gossip.ts";
+export { parseGossip } from "./parse_gossip.ts";
 export { chooseHomes } from "./queries/choose_homes.ts";
 export {
   computeSuspicionTimeout,
