--- /dev/null
+++ b/packages/bench/data_plane/data_plane_test.ts
@@ -0,0 +1,95 @@
+/** Tests of the load generator, the baseline and the relay over loopback. */
+import test from "ava";
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setTimeout as wait } from "node:timers/promises";
+import { startByteCounter } from "./byte_counter.ts";
+import { createLeanTarget } from "./lean_target.ts";
+import { openStreams, runClosedLoop, runOpenLoop } from "./load_generator.ts";
+import { createPassThrough } from "./pass_through.ts";
+import { CALL_BODY, createStreamBody } from "./paths.ts";
+
+async function listen(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function countConnections(server: Server): Promise<number> {
+  return new Promise((resolve) =>
+    server.getConnections((_, count) => resolve(count))
+  );
+}
+
+async function startPair() {
+  const target = createLeanTarget();
+  const middle = createPassThrough(await listen(target));
+  return {
+    url: await listen(middle),
+    target,
+    stop: () => {
+      for (const server of [middle, target]) {
+        server.closeAllConnections();
+        server.close();
+      }
+    },
+  };
+}
+
+test("every chunk of every stream is counted and timed", async (t) => {
+  const pair = await startPair();
+  const load = {
+    url: pair.url,
+    headers: {},
+    createBody: () => createStreamBody(30, 0),
+  };
+  const result = await runOpenLoop(load, { perSecond: 100, millis: 200 });
+  pair.stop();
+  t.is(result.requests, 20);
+  t.is(result.failures, 0);
+  t.is(result.chunks, 600);
+  t.is(result.chunkLatency.readSummary().count, 600);
+});
+
+test("a call that breaks off is a failure", async (t) => {
+  const pair = await startPair();
+  pair.target.closeAllConnections();
+  pair.target.close();
+  const load = { url: pair.url, headers: {}, createBody: () => CALL_BODY };
+  const result = await runClosedLoop(load, { connections: 2, millis: 20 });
+  pair.stop();
+  t.true(result.requests > 0);
+  t.is(result.failures, result.requests);
+  t.truthy(result.firstFailure);
+});
+
+test("streams stay open until they are closed, and then the target hears", async (t) => {
+  const pair = await startPair();
+  const load = {
+    url: pair.url,
+    headers: {},
+    createBody: () => createStreamBody(100_000, 10),
+  };
+  const open = await openStreams(load, 5);
+  t.is(open.opened, 5);
+  t.is(open.failures, 0);
+  await open.close();
+  // Waits for the state itself; it ends only when the target has heard.
+  while (await countConnections(pair.target) > 0) await wait(5);
+  pair.stop();
+  t.pass();
+});
+
+test("a relay counts both directions", async (t) => {
+  const target = createLeanTarget();
+  const { port } = new URL(await listen(target));
+  const counter = await startByteCounter(Number(port));
+  const response = await fetch(`http://${counter.address}/`, {
+    method: "POST",
+    body: CALL_BODY,
+  });
+  const answer = await response.text();
+  t.true(counter.readBytes() > CALL_BODY.length + answer.length);
+  await counter.stop();
+  target.closeAllConnections();
+  target.close();
+});
