--- a/packages/replay/inputs/budget_inputs.ts
+++ b/packages/replay/inputs/budget_inputs.ts
@@ -245,13 +245,14 @@
   return { credited: room - computeAccountRoom(before, now), room };
 }
 
-/** A borrower gives back what is left of a loan. */
+/** A borrower gives back what is left of a loan that came from one grant. */
 const returnLoan = createInput(
   { ...ACCOUNT, transfer: NAME, limit: COUNT, store: STORE_FAULT },
   ({ vm, event, transfer, limit, store }, { fleet }) => {
-    const account = closeGrants(fleet.getAccount(vm, event), [transfer]);
+    const part = `${transfer}/0`;
+    const account = closeGrants(fleet.getAccount(vm, event), [part]);
     fleet.putAccount(vm, account);
-    const loan = account.grants.find((each) => each.id === transfer);
+    const loan = account.grants.find((each) => each.id === part);
     if (loan?.lenderGrantId === undefined) return { held: false };
     if (loan.reserved > 0) return { reserved: loan.reserved };
     const unspent = loan.size - loan.spent;
@@ -260,11 +261,11 @@
       eventId: event,
       id: `${transfer}/return`,
       initialLimit: limit,
-      returns: [{ transferId: transfer, lenderGrantId, unspent }],
+      returns: [{ transferId: part, lenderGrantId, unspent, isLast: true }],
     });
     const answer = fleet.store.run(operation, store);
     return describeStoreAnswer(answer, () => {
-      fleet.putAccount(vm, dropGrant(fleet.getAccount(vm, event), transfer));
+      fleet.putAccount(vm, dropGrant(fleet.getAccount(vm, event), part));
       return { returned: unspent };
     });
   },
