--- a/packages/cli/commands/serve_command.ts
+++ b/packages/cli/commands/serve_command.ts
@@ -33,14 +33,13 @@
 
 /** The first signal starts a planned stop, the second hurries it. */
 function waitForStop(daemon: RunningDaemon): Promise<void> {
-  return new Promise((resolve) => {
-    let signals = 0;
-    const onSignal = () => {
-      signals++;
-      if (signals === 1) void daemon.stop().then(resolve);
-      else daemon.hurry();
-    };
-    process.on("SIGTERM", onSignal);
-    process.on("SIGINT", onSignal);
-  });
+  let signals = 0;
+  const onSignal = () => {
+    signals++;
+    if (signals === 1) void daemon.stop();
+    else daemon.hurry();
+  };
+  process.on("SIGTERM", onSignal);
+  process.on("SIGINT", onSignal);
+  return daemon.waitForStop();
 }
--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -50,6 +50,8 @@
   applyConfiguration(configuration: FleetConfiguration): void;
   /** A planned stop: finishes every request, returns grants, flushes bills. */
   stop(): Promise<void>;
+  /** Resolves when the daemon has stopped, for whatever reason. */
+  waitForStop(): Promise<void>;
   /** Ends a planned stop early and logs what is lost. */
   hurry(): void;
   /** Stops at once, as if the VM had died. */
@@ -86,6 +88,8 @@
   #runner!: RequestRunner;
   #forwarding!: HomeForwarding;
   #undo: Undo = () => {};
+  #stopping: Promise<void> | undefined;
+  readonly #stopped = createSignal();
   #hurry: () => void = () => {};
 
   constructor(context: NodeContext) {
@@ -142,7 +146,12 @@
     );
   }
 
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    this.#stopping ??= this.#stop();
+    return this.#stopping;
+  }
+
+  async #stop(): Promise<void> {
     const { log, kernel, settings } = this.context;
     log.info(LogEvent.DrainStarted, { open: this.#runner.countOpen() });
     kernel.dispatch(START_DRAIN, undefined);
@@ -152,6 +161,11 @@
     this.#close();
     await Promise.all(this.#faces.map((face) => face.close()));
     log.info(LogEvent.Stopped, { vm: settings.vm });
+    this.#stopped.resolve();
+  }
+
+  waitForStop(): Promise<void> {
+    return this.#stopped.promise;
   }
 
   hurry(): void {
@@ -221,6 +235,7 @@
         peerAddress: this.peerAddress,
         callerAddress: this.callerAddress,
       },
+      onReplaced: () => void this.stop(),
     });
     const membership = this.#membership;
     this.#traffic = new Traffic(context, {
@@ -319,6 +334,13 @@
   }
 }
 
+/** Returns a promise that is resolved from outside. */
+function createSignal(): { promise: Promise<void>; resolve: () => void } {
+  let resolve = () => {};
+  const promise = new Promise<void>((done) => (resolve = done));
+  return { promise, resolve };
+}
+
 /** Answers requests that arrive before the daemon is composed. */
 const refuseAll: FaceHandler = (_, response) => {
   response.writeHead(503, { "retry-after": "1" });
--- a/packages/daemon/event_log.ts
+++ b/packages/daemon/event_log.ts
@@ -24,6 +24,7 @@
   ClaimUnfinished = "claim_unfinished",
   DocumentApplied = "document_applied",
   DocumentRefused = "document_refused",
+  Replaced = "replaced_by_later_life",
   MemberChanged = "member_changed",
   ForwardFailed = "forward_failed",
   TargetChanged = "target_changed",
--- a/packages/daemon/features/escrow.ts
+++ b/packages/daemon/features/escrow.ts
@@ -5,8 +5,10 @@
 import { type Either, Left, Right } from "purify-ts";
 import {
   AccountSchedule,
+  chooseBorrower,
   computeAccountRoom,
   computeNextDue,
+  computeReserved,
   createEventAccount,
   createGrantExchange,
   type EventAccount,
@@ -14,6 +16,8 @@
   GRANT_TERM,
   type GrantExchange,
   type GrantExchangeResult,
+  listHopeless,
+  listServable,
   planExchange,
   planLastExchange,
   receiveExchange,
@@ -64,17 +68,25 @@
 /** Time without an answer of the table after which peers are asked too. */
 const LOAN_DELAY: Millis = 250;
 
+/** Pause between two steps of borrowing. */
+const LOAN_INTERVAL: Millis = 50;
+
 /** Due accounts looked at in one turn. */
 const MAX_DUE_ACCOUNTS = 1_000;
 
 /**
- * Asks peers for tokens that the table does not give. Resolves when the account
- * was credited or nobody is left to ask.
+ * Asks the next peers once for tokens that the table does not give; the account
+ * is credited with what they lend.
  */
 export type LoanSource = (
   event: EventConfig,
   missing: Tokens,
-) => Promise<void>;
+) => Promise<{
+  /** Peers that could be asked. */
+  readonly askedPeers: number;
+  /** Most tokens that requests in progress at one peer hold. */
+  readonly reservedAtPeer: Tokens;
+}>;
 
 /** Reserves and settles tokens. */
 export class Escrow {
@@ -82,7 +94,8 @@
   readonly #queues = new Map<EventId, WaitQueue>();
   readonly #schedule = new AccountSchedule();
   readonly #exchanges = new Set<Promise<void>>();
-  #borrow: LoanSource = () => Promise.resolve();
+  #borrow: LoanSource = () =>
+    Promise.resolve({ askedPeers: 0, reservedAtPeer: 0 });
   #exchangeNumber = 0;
 
   constructor(context: NodeContext) {
@@ -139,15 +152,16 @@
   }
 
   /**
-   * Returns what the first waiting request of an event lacks while the table
-   * cannot help; undefined when nothing waits for a loan.
+   * Returns what the smallest waiting request of an event lacks while nothing
+   * but loans can serve it; undefined when nothing waits for a loan.
    */
   readShortage(eventId: EventId): Tokens | undefined {
     const queue = this.#queues.get(eventId);
-    const head = queue?.waiters[0];
-    if (queue?.borrowing === undefined || head === undefined) return undefined;
+    if (queue === undefined || !queue.isScarce) return undefined;
+    const waiter = chooseBorrower(queue.waiters);
+    if (waiter === undefined) return undefined;
     const now = this.#context.clock.readMonotonic();
-    return head.tokens - computeAccountRoom(this.readAccount(eventId), now);
+    return waiter.tokens - computeAccountRoom(this.readAccount(eventId), now);
   }
 
   /** Reserves tokens, with a new grant or a loan if need be. */
@@ -159,8 +173,8 @@
     const { tokens } = input;
     if (tokens === 0) return Promise.resolve(Right(createEmpty(event.id)));
     // Those who wait go first, unless only a loan can help them.
-    const waits = queue.waiters.length > 0 && queue.borrowing === undefined;
-    const reserved = waits ? undefined : this.#tryReserve(event.id, tokens);
+    const mayTry = queue.waiters.length === 0 || queue.isScarce;
+    const reserved = mayTry ? this.#tryReserve(event.id, tokens) : undefined;
     if (reserved !== undefined) {
       this.#scheduleVisit(queue);
       return Promise.resolve(Right(reserved));
@@ -264,17 +278,20 @@
     if (!queue.waiters.includes(waiter)) return;
     queue.waiters = queue.waiters.filter((each) => each !== waiter);
     waiter.resolve(Left(refusal));
+    this.#serveWaiters(queue);
   }
 
   #serveWaiters(queue: WaitQueue | undefined): void {
-    if (queue === undefined) return;
-    for (const waiter of [...queue.waiters]) {
+    if (queue === undefined || queue.waiters.length === 0) return;
+    const account = this.readAccount(queue.event.id);
+    const now = this.#context.clock.readMonotonic();
+    const room = computeAccountRoom(account, now);
+    const { isScarce } = queue;
+    for (const waiter of listServable(queue.waiters, { room, isScarce })) {
       const reserved = this.#tryReserve(queue.event.id, waiter.tokens);
-      if (reserved !== undefined) {
-        queue.waiters = queue.waiters.filter((each) => each !== waiter);
-        waiter.resolve(Right(reserved));
-        // A large request that only a loan can serve does not block small ones.
-      } else if (queue.borrowing === undefined) return;
+      if (reserved === undefined) return;
+      queue.waiters = queue.waiters.filter((each) => each !== waiter);
+      waiter.resolve(Right(reserved));
     }
   }
 
@@ -363,9 +380,8 @@
       queue.narrowed = false;
       return;
     }
-    if (exchange.take !== undefined && result.size === 0) {
-      return this.#handleShortage(queue);
-    }
+    queue.isShort = exchange.take !== undefined && result.size === 0;
+    if (queue.isShort) return this.#handleShortage(queue);
     this.#startExchange(queue, planExchange);
   }
 
@@ -375,28 +391,60 @@
       queue.narrowed = true;
       return this.#startExchange(queue, planExchange);
     }
-    const waiter = queue.waiters[0]!;
-    void this.#borrowFor(queue).then(() => {
-      this.#refuse(queue, { waiter, refusal: createSpentRefusal() });
-      if (queue.waiters.length > 0) this.#startExchange(queue, planExchange);
-    });
+    void this.#borrowFor(queue).then(() => this.#endShortage(queue));
+  }
+
+  /** What still waits may be served by a request that ends, here or at a peer. */
+  async #endShortage(queue: WaitQueue): Promise<void> {
+    queue.isShort = false;
+    if (queue.waiters.length > 0) {
+      await this.#sleep(LOAN_INTERVAL);
+      return this.#startExchange(queue, planExchange);
+    }
+    queue.narrowed = false;
+    queue.isScarce = false;
   }
 
-  /** One round of loans at a time for each event. */
+  /** One series of loans at a time for each event. */
   #borrowFor(queue: WaitQueue): Promise<void> {
-    queue.borrowing ??= this.#borrowOnce(queue)
+    queue.borrowing ??= this.#borrowUntilServed(queue)
       .finally(() => (queue.borrowing = undefined));
     return queue.borrowing;
   }
 
-  async #borrowOnce(queue: WaitQueue): Promise<void> {
-    if (queue.waiters.length === 0) return;
+  /** Asks peers in turn until nobody waits or nobody is left to ask. */
+  async #borrowUntilServed(queue: WaitQueue): Promise<void> {
+    queue.isScarce = true;
+    let reservedAtPeer = 0;
+    for (;;) {
+      this.#serveWaiters(queue);
+      const missing = this.readShortage(queue.event.id);
+      if (missing === undefined || missing <= 0) return;
+      const step = await this.#borrow(queue.event, missing);
+      reservedAtPeer = Math.max(reservedAtPeer, step.reservedAtPeer);
+      this.#serveWaiters(queue);
+      if (step.askedPeers === 0) break;
+      await this.#sleep(LOAN_INTERVAL);
+    }
+    if (queue.isShort) this.#refuseHopeless(queue, reservedAtPeer);
+  }
+
+  #refuseHopeless(queue: WaitQueue, reservedAtPeer: Tokens): void {
     const account = this.readAccount(queue.event.id);
     const now = this.#context.clock.readMonotonic();
-    const room = computeAccountRoom(account, now);
-    const missing = queue.computeNeed() - room;
-    if (missing > 0) await this.#borrow(queue.event, missing);
-    this.#serveWaiters(queue);
+    const hopeless = listHopeless(queue.waiters, {
+      room: computeAccountRoom(account, now),
+      reserved: computeReserved(account),
+      reservedAtPeer,
+      budgetLeft: queue.budgetLeft ?? 0,
+    });
+    for (const waiter of hopeless) {
+      this.#refuse(queue, { waiter, refusal: createSpentRefusal() });
+    }
+  }
+
+  #sleep(duration: Millis): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, duration));
   }
 
   #refuseAll(queue: WaitQueue, refusal: Refusal): void {
--- a/packages/daemon/features/loans.ts
+++ b/packages/daemon/features/loans.ts
@@ -1,4 +1,7 @@
-/** Loans between VMs, for when the table cannot give a grant. */
+/**
+ * Loans between VMs, for when the table cannot give a grant. Peers are asked in
+ * turn; one that refused is left alone for a while.
+ */
 import { randomUUID } from "node:crypto";
 import {
   computeAccountRoom,
@@ -9,7 +12,14 @@
   receiveLoan,
   recordLoanAsked,
 } from "../../budget/mod.ts";
-import type { EventConfig, Tokens, VmId } from "../../core/mod.ts";
+import type {
+  EventConfig,
+  EventId,
+  Millis,
+  MonotonicTime,
+  Tokens,
+  VmId,
+} from "../../core/mod.ts";
 import type {
   PeerClient,
   PeerLoanAnswer,
@@ -29,8 +39,22 @@
 /** Asked for in multiples of what is missing, so that loans stay few. */
 const LOAN_FACTOR = 4;
 
-/** Rounds in which peers are asked for one shortage. */
-const MAX_ROUNDS = 4;
+/** How long a peer that refused is not asked again for the event. */
+const REFUSAL_TIME: Millis = 500;
+
+/** Peers that are known to hold, or to lack, an event's tokens. */
+interface KnownPeers {
+  readonly refusedAt: Map<VmId, MonotonicTime>;
+  readonly lenders: Set<VmId>;
+}
+
+/** What a step of borrowing came to. */
+export interface LoanStep {
+  /** Peers that could still be asked when the step began. */
+  readonly askedPeers: number;
+  /** Most tokens that requests in progress at one peer hold. */
+  readonly reservedAtPeer: Tokens;
+}
 
 /** Answers peers' requests for loans and asks for this VM's. */
 export class Loans {
@@ -38,6 +62,7 @@
   readonly #escrow: Escrow;
   readonly #client: PeerClient;
   readonly #listPeers: () => readonly Peer[];
+  readonly #known = new Map<EventId, KnownPeers>();
 
   constructor(
     context: NodeContext,
@@ -56,11 +81,12 @@
 
   /** Debits a loan and returns it. The debit stands whatever becomes of the answer. */
   lend(request: PeerLoanRequest): PeerLoanAnswer {
+    const { eventId } = request;
     const now = this.#context.clock.readMonotonic();
-    const keep = this.#escrow.readWaitingTokens(request.eventId);
-    const shortBy = this.#escrow.readShortage(request.eventId);
+    const keep = this.#escrow.readWaitingTokens(eventId);
+    const shortBy = this.#escrow.readShortage(eventId);
     let answer: PeerLoanAnswer | undefined;
-    this.#escrow.changeAccount(request.eventId, (account) => {
+    this.#escrow.changeAccount(eventId, (account) => {
       const lent = lendTokens(account, {
         request,
         now,
@@ -71,86 +97,131 @@
       return lent.account;
     });
     this.#context.log.info(LogEvent.LoanMade, {
-      event_id: request.eventId,
+      event_id: eventId,
       borrower: request.borrower.vm,
       tokens: answer!.tokens,
     });
     return answer!;
   }
 
-  /** Asks peers until the account holds what is missing or nobody is left. */
-  async borrow(event: EventConfig, missing: Tokens): Promise<void> {
-    const refused = new Set<VmId>();
-    const wanted = this.#computeRoom(event) + missing;
-    for (let round = 0; round < MAX_ROUNDS; round++) {
-      const short = wanted - this.#computeRoom(event);
-      const peers = this.#listPeers().filter((peer) => !refused.has(peer.vm));
-      const plan = planLoans(this.#escrow.readAccount(event.id), {
-        missing: short,
-        target: short * LOAN_FACTOR,
-        peers: peers.map((peer) => peer.vm),
-        now: this.#context.clock.readMonotonic(),
-      });
-      const asks = [...plan.resend, ...plan.ask.map((ask) => this.#open(ask))];
-      if (asks.length === 0) return;
-      await Promise.all(asks.map(async (loan) => {
-        const peer = peers.find((each) => each.vm === loan.lender);
-        const given = await this.#ask(event, { loan, peer, least: short });
-        if (given === 0) refused.add(loan.lender);
-      }));
-    }
+  /** Asks the next peers once for what an event lacks. */
+  async borrow(event: EventConfig, missing: Tokens): Promise<LoanStep> {
+    const known = this.#readKnown(event.id);
+    const now = this.#context.clock.readMonotonic();
+    const open = this.#sortPeers(known).filter((peer) =>
+      now - (known.refusedAt.get(peer.vm) ?? -Infinity) >= REFUSAL_TIME
+    );
+    const account = this.#escrow.readAccount(event.id);
+    const plan = planLoans(account, {
+      missing,
+      target: Math.max(LOAN_FACTOR * missing, account.usualHold),
+      peers: open.map((peer) => peer.vm),
+      now,
+    });
+    const asks = [
+      ...plan.resend,
+      ...plan.ask.map((ask) => ({
+        transferId: randomUUID(),
+        askedAt: now,
+        ...ask,
+      })),
+    ];
+    const reserved = await Promise.all(asks.map((loan) => {
+      const peer = open.find((each) => each.vm === loan.lender);
+      return peer === undefined
+        ? 0
+        : this.#ask(event, { loan, peer, least: missing });
+    }));
+    return {
+      askedPeers: open.length,
+      reservedAtPeer: Math.max(0, ...reserved),
+    };
   }
 
-  #computeRoom(event: EventConfig): Tokens {
-    const now = this.#context.clock.readMonotonic();
-    return computeAccountRoom(this.#escrow.readAccount(event.id), now);
+  #readKnown(eventId: EventId): KnownPeers {
+    const known = this.#known.get(eventId) ??
+      { refusedAt: new Map(), lenders: new Set() };
+    this.#known.set(eventId, known);
+    return known;
   }
 
-  #open(ask: { readonly lender: VmId; readonly wanted: Tokens }): PendingLoan {
-    return {
-      transferId: randomUUID(),
-      askedAt: this.#context.clock.readMonotonic(),
-      ...ask,
-    };
+  /**
+   * A peer that is known to hold tokens and one that is not, in turn; each the
+   * one that refused the longest ago, so that all are asked in the end.
+   */
+  #sortPeers(known: KnownPeers): Peer[] {
+    const readAge = ({ vm }: Peer) => known.refusedAt.get(vm) ?? -Infinity;
+    const peers = [...this.#listPeers()]
+      .sort((left, right) => readAge(left) - readAge(right) || 0);
+    const lenders = peers.filter((peer) => known.lenders.has(peer.vm));
+    const others = peers.filter((peer) => !known.lenders.has(peer.vm));
+    return peers.flatMap((_, index) =>
+      [lenders[index], others[index]].filter((peer) => peer !== undefined)
+    );
   }
 
-  /** Returns the tokens lent; 0 when the peer refused or did not answer. */
+  /** Returns the tokens that requests in progress at the peer hold. */
   async #ask(
     event: EventConfig,
     input: {
       readonly loan: PendingLoan;
-      readonly peer: Peer | undefined;
+      readonly peer: Peer;
       readonly least: Tokens;
     },
   ): Promise<Tokens> {
     const { loan, peer, least } = input;
-    const { settings, incarnation, clock, log } = this.#context;
-    if (peer === undefined) return 0;
+    const { settings, incarnation, clock } = this.#context;
     // The id is pending before the request leaves, so that a late answer is
     // credited and a doubled one is not.
-    this.#escrow.changeAccount(
+    const account = this.#escrow.changeAccount(
       event.id,
-      (account) => recordLoanAsked(account, loan),
+      (before) => recordLoanAsked(before, loan),
     );
     const answer = await this.#client.lend(peer.address, {
       eventId: event.id,
       transferId: loan.transferId,
       wanted: loan.wanted,
       least: Math.min(least, loan.wanted),
+      room: computeAccountRoom(account, clock.readMonotonic()),
       borrower: { vm: settings.vm, incarnation },
     });
-    const given = answer.toMaybe().extract();
-    if (given === undefined) return 0;
-    const deadline = clock.readMonotonic() + GRANT_TERM;
+    const known = this.#readKnown(event.id);
+    return answer.caseOf({
+      Left: () => {
+        known.refusedAt.set(peer.vm, clock.readMonotonic());
+        return 0;
+      },
+      Right: (given) => this.#receive(event, { given, peer, known }),
+    });
+  }
+
+  #receive(
+    event: EventConfig,
+    input: {
+      readonly given: PeerLoanAnswer;
+      readonly peer: Peer;
+      readonly known: KnownPeers;
+    },
+  ): Tokens {
+    const { given, peer, known } = input;
+    const { clock, log } = this.#context;
+    const now = clock.readMonotonic();
+    if (given.tokens === 0) {
+      known.refusedAt.set(peer.vm, now);
+      if (given.reserved === 0) known.lenders.delete(peer.vm);
+      return given.reserved;
+    }
+    known.lenders.add(peer.vm);
+    const deadline = now + GRANT_TERM;
     this.#escrow.changeAccount(
       event.id,
       (account) => receiveLoan(account, { answer: given, deadline }),
     );
     log.info(LogEvent.LoanTaken, {
       event_id: event.id,
-      lender: loan.lender,
+      lender: peer.vm,
       tokens: given.tokens,
     });
-    return given.tokens;
+    return given.reserved;
   }
 }
--- a/packages/daemon/features/membership.ts
+++ b/packages/daemon/features/membership.ts
@@ -81,6 +81,8 @@
   readonly #client: PeerClient;
   readonly #news: NewsExchange;
   readonly #slice: SliceType<MembershipView>;
+  readonly #onReplaced: () => void;
+  #isReplaced = false;
   #heartbeatNumber = 0;
   #lonelyRounds = 0;
   /** When the platform's list was first read without a VM on it. */
@@ -92,8 +94,11 @@
       readonly client: PeerClient;
       readonly news: NewsExchange;
       readonly addresses: OwnAddresses;
+      /** Is called once when a later life of this VM is known. */
+      readonly onReplaced: () => void;
     },
   ) {
+    this.#onReplaced = input.onReplaced;
     this.#context = context;
     this.#client = input.client;
     this.#news = input.news;
@@ -301,10 +306,19 @@
     const contacts = planGossip(view, { now, random });
     this.#change((before) => recordGossipSent(before, { contacts, now }));
     metrics.members.set({ state: MemberState.Live }, this.countVms());
+    if (view.replacedBy !== undefined) this.#reportReplaced(view.replacedBy);
     await this.#meetOthersIfLonely();
     await Promise.all(contacts.map((contact) => this.#contact(contact)));
   }
 
+  /** Two processes must not serve under one name: the earlier one stops. */
+  #reportReplaced(later: Incarnation): void {
+    if (this.#isReplaced) return;
+    this.#isReplaced = true;
+    this.#context.log.warn(LogEvent.Replaced, { later });
+    this.#onReplaced();
+  }
+
   /** A VM that knows nobody looks for others where it did at its start. */
   async #meetOthersIfLonely(): Promise<void> {
     if (this.listPeers().length > 0) {
@@ -383,7 +397,9 @@
     });
     const giveUpAt = clock.readMonotonic() +
       settings.intervals.heartbeatMillis;
-    await writer.run(operation, { giveUpAt });
+    const written = await writer.run(operation, { giveUpAt });
+    const later = written.toMaybe().extract()?.replacedBy;
+    if (later !== undefined) this.#reportReplaced(later);
   }
 
   async #readVmList(): Promise<void> {
--- a/packages/daemon/features/wait_queue.ts
+++ b/packages/daemon/features/wait_queue.ts
@@ -23,6 +23,10 @@
   budgetLeft: Tokens | undefined;
   /** True while an exchange with the table is under way. */
   exchanging = false;
+  /** True when the table's last answer did not cover the least wanted. */
+  isShort = false;
+  /** True from when loans were first needed until nobody waits. */
+  isScarce = false;
   /** Asks for the first waiter alone, after the table could not cover all. */
   narrowed = false;
   waiters: Waiter[] = [];
