--- a/packages/daemon/event_log.ts
+++ b/packages/daemon/event_log.ts
@@ -7,7 +7,6 @@
 /** Names of all events that the daemon logs. */
 export enum LogEvent {
   Started = "started",
-  Listening = "listening",
   DrainStarted = "drain_started",
   DrainHurried = "drain_hurried",
   Stopped = "stopped",
@@ -20,14 +19,11 @@
   StoreFailed = "store_failed",
   BillsFlushed = "bills_flushed",
   BillsAdopted = "bills_adopted",
-  BillsLost = "bills_lost",
   ClaimUnfinished = "claim_unfinished",
   DocumentApplied = "document_applied",
-  DocumentRefused = "document_refused",
   Replaced = "replaced_by_later_life",
   MemberChanged = "member_changed",
   ForwardFailed = "forward_failed",
-  TargetChanged = "target_changed",
   ProcessFailed = "process_failed",
 }
 
--- a/packages/daemon/features/document_follower.ts
+++ b/packages/daemon/features/document_follower.ts
@@ -166,6 +166,8 @@
         : addRecentChange(before.recent, change);
       return { ...before, state, recent };
     });
+    const { version } = this.#read().state;
+    this.#context.log.info(LogEvent.DocumentApplied, { version });
     this.#ports.onChange(this.#read().state);
   }
 
--- a/packages/daemon/operators/operator_face.ts
+++ b/packages/daemon/operators/operator_face.ts
@@ -47,9 +47,9 @@
     if (!this.#isOperator(request)) {
       return send(response, 401, "Send a team key as a bearer token.\n");
     }
-    const { kernel, metrics } = this.#context;
+    const { kernel } = this.#context;
     if (path === "/metrics") {
-      return send(response, 200, await metrics.registry.metrics());
+      return send(response, 200, await this.#readMetrics());
     }
     if (path === "/v1/dump") {
       const dump = JSON.stringify(kernel.readDump(), null, 2);
@@ -58,6 +58,16 @@
     send(response, 404, "There is nothing at this path.\n");
   }
 
+  /** Gauges of the store are brought up to date when they are read. */
+  #readMetrics(): Promise<string> {
+    const { metrics, writer } = this.#context;
+    const counts = writer.readCounts();
+    metrics.storeRowsWritten.set(counts.rowsWritten);
+    metrics.storeTransactions.set(counts.transactions);
+    metrics.storeWaiting.set(counts.waiting);
+    return metrics.registry.metrics();
+  }
+
   #isOperator(request: IncomingMessage): boolean {
     const key = parseBearer(request.headers.authorization);
     if (key === undefined) return false;
