--- a/packages/budget/loans/lend_tokens.ts
+++ b/packages/budget/loans/lend_tokens.ts
@@ -24,6 +24,9 @@
 /** Most loans that are made from one grant. */
 export const MAX_LOANS_PER_GRANT = 128;
 
+/** Most parts of one loan that are handed on by one VM. */
+export const MAX_PARTS_PER_LOAN = 32;
+
 /** Most answers that are remembered for repeated requests. */
 export const MAX_LOAN_ANSWERS = 64;
 
@@ -107,6 +110,7 @@
     const tokens = Math.min(missing, computeGrantRoom(grant));
     if (lenderGrantId === undefined || tokens <= 0) continue;
     if (!isGrantOpen(grant, input.now)) continue;
+    if (grant.parts >= MAX_PARTS_PER_LOAN) continue;
     const transferId = formatPartId(grant);
     parts.push({ transferId, lenderGrantId, tokens });
     missing -= tokens;
