--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { type Either, Left, Right } from "purify-ts";
 import {
+  type Bytes,
   type Millis,
   type MonotonicTime,
   type Refusal,
@@ -31,14 +32,14 @@
 import { createRefusal, createUnknown } from "./refusals.ts";
 import type { RunServices } from "./run_services.ts";
 
-/** Bytes of a prompt that usually make one token; an estimate, not a bound. */
-const BYTES_PER_TOKEN = 4;
-
 /** Pause before a target is looked for again when none is usable. */
 const NO_TARGET_PAUSE: Millis = 200;
 
 const RETRY_AFTER: Millis = 1_000;
 
+/** Usual size of a prompt's token, for the estimate of reading times. */
+const BYTES_PER_TOKEN: Bytes = 4;
+
 /** What an attempt is given. */
 export interface AttemptInput {
   readonly target: TargetConfig;
@@ -132,7 +133,6 @@
     target: TargetConfig,
     perform: PerformAttempt,
   ): Promise<FinishedAttempt> {
-    const { traffic } = this.#services;
     this.#tried.push(target.id);
     this.#attempts++;
     const watch = new SilenceWatch(this.#services, {
@@ -144,7 +144,7 @@
       target,
       signal,
       recordProgress: () => {
-        if (watch.recordProgress()) traffic.recordFirstChunk(this.#ticket);
+        if (watch.recordProgress()) this.#recordFirstChunk(target);
       },
     });
     watch.stop();
@@ -156,6 +156,12 @@
     return { target, result, lost };
   }
 
+  #recordFirstChunk(target: TargetConfig): void {
+    const { digest } = this.#request;
+    const attempt = { digest, target: target.id };
+    this.#services.traffic.recordFirstChunk(this.#ticket, attempt);
+  }
+
   /** Returns the target of the next attempt, or why there is none. */
   async choosePlan(
     failed: FinishedAttempt,
@@ -288,6 +294,8 @@
 }
 
 function createTicket(request: CallerRequest): Ticket {
+  const engine = request.service.type === ServiceType.ModelEngine;
+  const promptTokens = Math.ceil(request.body.length / BYTES_PER_TOKEN);
   return {
     id: randomUUID(),
     customer: request.customer.id,
@@ -296,11 +304,9 @@
     priority: request.kind.priority,
     weight: request.customer.weight,
     tokens: request.promptBound + request.outputBound + request.kind.flatTokens,
-    ...(request.promptBound === 0
-      ? {}
-      : { promptTokens: Math.ceil(request.body.length / BYTES_PER_TOKEN) }),
     deadline: request.deadline,
     arrivedAt: request.arrivedAt,
+    ...engine ? { promptTokens } : {},
   };
 }
 
@@ -330,6 +336,11 @@
     return this.#controller.signal;
   }
 
+  /** Whether any part of the answer has arrived. */
+  get isBegun(): boolean {
+    return this.#begun;
+  }
+
   get isCut(): boolean {
     return this.#cause !== undefined;
   }
