--- /dev/null
+++ b/packages/document/commands/apply_change.ts
@@ -0,0 +1,32 @@
+/** Applies a change of one section to the index. */
+import { type Either, Right } from "purify-ts";
+import type { InputError, TeamId } from "../../core/mod.ts";
+import { FLEET_SECTION, type FleetIndex } from "../fleet_index.ts";
+import type { SectionState } from "../section_state.ts";
+import type { Cut } from "../text/section_parts.ts";
+import { SourceText } from "../text/source_text.ts";
+import { applyEntries } from "./apply_entries.ts";
+import { applyGeneral } from "./apply_general.ts";
+import type { EntryChange } from "./parse_change.ts";
+
+/** A section after a change, with its changed entries. */
+export interface AppliedChange {
+  readonly section: SectionState;
+  readonly entries: readonly EntryChange[];
+  readonly source: SourceText;
+  readonly cuts: readonly Cut[];
+}
+
+/** Applies skeleton and entries, or returns every fault of the whole. */
+export function applyChange(
+  index: FleetIndex,
+  section: TeamId,
+  change: AppliedChange,
+): Either<readonly InputError[], FleetIndex> {
+  const { source, cuts } = change;
+  const { skeleton } = change.section;
+  const general = section === FLEET_SECTION
+    ? Right(index)
+    : applyGeneral(index, { section, skeleton, cuts, source, offset: 0 });
+  return general.chain((next) => applyEntries(next, change.entries));
+}
--- a/packages/document/commands/apply_entries.ts
+++ b/packages/document/commands/apply_entries.ts
@@ -1,53 +1,24 @@
 /** Applies changed entries to the index and checks them against the whole. */
 import { type Either, Left, Right } from "purify-ts";
 import {
-  type EventConfig,
   type InputError,
   InputErrorKind,
-  type ServiceConfig,
-  ServiceType,
   type TeamId,
   type TrieMap,
 } from "../../core/mod.ts";
-import { type FleetIndex, formatEntryName } from "../fleet_index.ts";
-import { describeNearest, FaultList, quote } from "../schema/node_reader.ts";
+import { type FleetIndex, formatEntryName, listUses } from "../fleet_index.ts";
 import {
-  computeEntryOffset,
-  type EntryConfig,
-  parseEntry,
-} from "../schema/parse_entry.ts";
-import { type Reference, ReferenceTarget } from "../schema/reference.ts";
-import { copyText } from "../schema/share_values.ts";
+  listBrokenUses,
+  listReferenceFaults,
+} from "../queries/check_references.ts";
+import type { EntryConfig } from "../schema/parse_entry.ts";
 import { Container } from "../text/section_parts.ts";
-import type { SourceText } from "../text/source_text.ts";
-
-/** One entry that is new, changed or removed. */
-export interface EntryChange {
-  readonly section: TeamId;
-  readonly container: Container;
-  readonly key: string;
-  /** Text of the entry; absent when it is removed. */
-  readonly text?: string;
-  /** Text for places, and the entry's offset in it. */
-  readonly source: SourceText;
-  readonly offset: number;
-}
-
-interface ParsedChange {
-  readonly change: EntryChange;
-  readonly name: string;
-  readonly before: EntryConfig | undefined;
-  readonly after: EntryConfig | undefined;
-  readonly references: readonly Reference[];
-}
-
-const CONTAINER_OF: Readonly<Record<ReferenceTarget, Container>> = {
-  [ReferenceTarget.Customer]: Container.Customers,
-  [ReferenceTarget.Service]: Container.Services,
-};
-
-/** Most events that a fault about a missing entry names. */
-const MAX_NAMED = 5;
+import {
+  createFault,
+  type EntryChange,
+  parseChange,
+  type ParsedChange,
+} from "./parse_change.ts";
 
 /** Applies the changes together, or returns every fault of them. */
 export function applyEntries(
@@ -77,46 +48,6 @@
   return faults.length > 0 ? Left(faults) : Right(next);
 }
 
-function parseChange(
-  index: FleetIndex,
-  change: EntryChange,
-  faults: InputError[],
-): ParsedChange | undefined {
-  // A key may be cut out of a whole document, which a copy does not keep.
-  const name = copyText(formatEntryName(change.container, change.key));
-  const before = findEntry(index, change.container, change.key);
-  if (change.text === undefined) {
-    return { change, name, before, after: undefined, references: [] };
-  }
-  const list = new FaultList(
-    change.source,
-    (offset) => change.offset + computeEntryOffset(offset),
-  );
-  const parsed = parseEntry(change.text, {
-    container: change.container,
-    path: `${change.section}.${change.container}`,
-    key: change.key,
-    team: change.section,
-    faults: list,
-  });
-  faults.push(...list.list());
-  if (parsed === undefined) return undefined;
-  const { entry, references } = parsed;
-  return { change, name, before, after: entry, references };
-}
-
-/** Returns the entry of the index in a container. */
-export function findEntry(
-  index: FleetIndex,
-  container: Container,
-  key: string,
-): EntryConfig | undefined {
-  const config = index[container].get(key);
-  return config === undefined
-    ? undefined
-    : { container, config } as EntryConfig;
-}
-
 function listOwnerFaults(
   index: FleetIndex,
   parsed: readonly ParsedChange[],
@@ -203,14 +134,6 @@
   return index.uses.merge(changed);
 }
 
-function listUses(event: EventConfig): string[] {
-  const kinds = [...event.kinds.values()];
-  return [
-    ...event.customers.map((id) => formatEntryName(Container.Customers, id)),
-    ...kinds.map((kind) => formatEntryName(Container.Services, kind.service)),
-  ];
-}
-
 function applyUnique(
   index: FleetIndex,
   parsed: readonly ParsedChange[],
@@ -250,116 +173,3 @@
       return [];
   }
 }
-
-function listReferenceFaults(
-  index: FleetIndex,
-  parsed: readonly ParsedChange[],
-): InputError[] {
-  return parsed.flatMap(({ change, references }) =>
-    references.flatMap((reference) => {
-      const words = checkReference(index, reference);
-      if (words === undefined) return [];
-      return [createFault(change, computeEntryOffset(reference.offset), words)];
-    })
-  );
-}
-
-function checkReference(index: FleetIndex, reference: Reference) {
-  const container = CONTAINER_OF[reference.target];
-  const found = findEntry(index, container, reference.id);
-  if (found === undefined) {
-    return {
-      kind: InputErrorKind.UnknownReference,
-      message: `There is no ${reference.target} ${quote(reference.id)}`,
-      remedy: describeNearest(reference.id, listSome(index, container)),
-    };
-  }
-  const bare = found.container === Container.Services &&
-    needsOutputBound(found.config) && reference.generates === false;
-  return bare
-    ? {
-      kind: InputErrorKind.MissingKey,
-      message: `A kind of the model engines ${
-        quote(reference.id)
-      } lacks a bound of its answer`,
-      remedy: 'Add "maxOutputTokens", at least 1.',
-    }
-    : undefined;
-}
-
-function needsOutputBound(service: ServiceConfig): boolean {
-  return service.type === ServiceType.ModelEngine;
-}
-
-/** Most names that are searched for the nearest one. */
-const MAX_SEARCHED = 2_000;
-
-function listSome(index: FleetIndex, container: Container): string[] {
-  const names: string[] = [];
-  for (const name of index[container].keys()) {
-    if (names.length >= MAX_SEARCHED) break;
-    names.push(name);
-  }
-  return names;
-}
-
-/** Faults of events outside the change that refer to what it took away. */
-function listBrokenUses(
-  index: FleetIndex,
-  parsed: readonly ParsedChange[],
-): InputError[] {
-  return parsed.flatMap(({ change, name, before, after }) => {
-    const gone = before !== undefined && after === undefined &&
-      findEntry(index, change.container, change.key) === undefined;
-    const retyped = before?.container === Container.Services &&
-      after?.container === Container.Services &&
-      !needsOutputBound(before.config) && needsOutputBound(after.config);
-    if (!gone && !retyped) return [];
-    if ((index.uses.get(name) ?? 0) === 0) return [];
-    const users = listUsers(index, name, { withoutBound: retyped });
-    if (users.length === 0) return [];
-    const list = users.slice(0, MAX_NAMED).join(", ");
-    return [createFault(change, 0, {
-      kind: InputErrorKind.UnknownReference,
-      message: `${name} is used by ${users.length} events: ${list}`,
-      remedy: retyped
-        ? 'Give their kinds "maxOutputTokens" first.'
-        : "Change these events first.",
-    })];
-  });
-}
-
-function listUsers(
-  index: FleetIndex,
-  name: string,
-  options: { readonly withoutBound: boolean },
-): string[] {
-  const users: string[] = [];
-  for (const event of index.events.values()) {
-    const uses = options.withoutBound
-      ? [...event.kinds.values()]
-        .filter((kind) => kind.maxOutputTokens === 0)
-        .map((kind) => formatEntryName(Container.Services, kind.service))
-      : listUses(event);
-    if (uses.includes(name)) users.push(event.id);
-  }
-  return users.sort();
-}
-
-function createFault(
-  change: EntryChange,
-  offset: number,
-  words: {
-    readonly kind: InputErrorKind;
-    readonly message: string;
-    readonly remedy: string;
-  },
-): InputError {
-  const leading = offset === 0 ? findKeyOffset(change.text ?? "") : offset;
-  const place = change.source.findPlace(change.offset + leading);
-  return { ...words, place };
-}
-
-function findKeyOffset(text: string): number {
-  return Math.max(0, text.indexOf('"'));
-}
--- a/packages/document/document_state.ts
+++ b/packages/document/document_state.ts
@@ -1,6 +1,5 @@
 /** The whole document as one VM knows it: texts, indexes and what is in force. */
-import { TrieMap } from "../core/mod.ts";
-import type { FleetConfiguration, TeamId } from "../core/mod.ts";
+import { type FleetConfiguration, type TeamId, TrieMap } from "../core/mod.ts";
 import {
   computeConfiguration,
   createFleetIndex,
--- a/packages/document/fleet_index.ts
+++ b/packages/document/fleet_index.ts
@@ -13,6 +13,7 @@
   type TeamId,
   TrieMap,
 } from "../core/mod.ts";
+import type { EntryConfig } from "./schema/parse_entry.ts";
 import type { SectionGeneral } from "./schema/read_general.ts";
 import { Container } from "./text/section_parts.ts";
 
@@ -72,3 +73,24 @@
     messages: new Map(general.flatMap((each) => [...each.messages])),
   };
 }
+
+/** Returns the entry of the index in a container. */
+export function findEntry(
+  index: FleetIndex,
+  container: Container,
+  key: string,
+): EntryConfig | undefined {
+  const config = index[container].get(key);
+  return config === undefined
+    ? undefined
+    : { container, config } as EntryConfig;
+}
+
+/** Returns the names of what an event refers to, once for each kind. */
+export function listUses(event: EventConfig): string[] {
+  const kinds = [...event.kinds.values()];
+  return [
+    ...event.customers.map((id) => formatEntryName(Container.Customers, id)),
+    ...kinds.map((kind) => formatEntryName(Container.Services, kind.service)),
+  ];
+}
--- a/packages/document/follow/load_document.ts
+++ b/packages/document/follow/load_document.ts
@@ -7,8 +7,8 @@
  * with, and always a version that was accepted as a whole.
  */
 import { Either, Left, Right } from "purify-ts";
-import type { InputError, PlatformError, Row, TeamId } from "../../core/mod.ts";
-import { PlatformErrorKind } from "../../core/mod.ts";
+import type { InputError, TeamId } from "../../core/mod.ts";
+import { applyChange } from "../commands/apply_change.ts";
 import { applyEntries } from "../commands/apply_entries.ts";
 import { changeSection } from "../commands/change_section.ts";
 import {
@@ -17,27 +17,26 @@
   type DocumentState,
 } from "../document_state.ts";
 import type { FleetIndex } from "../fleet_index.ts";
-import { applyChange, listEntryChanges } from "../queries/plan_change.ts";
+import { listEntryChanges } from "../queries/list_entry_changes.ts";
 import {
   CHANGE_SCHEMA,
   type ChangeRow,
-  CHUNK_SCHEMA,
   formatChangeKey,
-  formatChunkKey,
-  formatReceiptKey,
-  formatSectionVersionKey,
-  HEAD_KEY,
-  HEAD_SCHEMA,
   parseRow,
-  type Receipt,
-  RECEIPT_SCHEMA,
-  SECTION_PREFIX,
-  SECTION_SCHEMA,
-  SECTION_VERSION_SCHEMA,
 } from "../rows/row_schemas.ts";
-import { Chunk, listNewChunkIds, type SectionState } from "../section_state.ts";
+import { listNewChunkIds, type SectionState } from "../section_state.ts";
 import { SourceText } from "../text/source_text.ts";
 import type { DocumentReader } from "./document_reader.ts";
+import {
+  type Answer,
+  checkRow,
+  collectChunks,
+  createDamaged,
+  readHead,
+  readRows,
+  readSection,
+  readVersions,
+} from "./read_rows.ts";
 
 /** A document that was brought up, and the changes that were read on the way. */
 export interface LoadedDocument {
@@ -48,14 +47,9 @@
 /** Most changes that are read one by one. */
 const MAX_STEPS = 100;
 
-/** Most rows in one read. */
-const PAGE_ROWS = 100;
-
 /** Times that a whole read begins anew because the document moves on. */
 const MAX_ROUNDS = 10;
 
-type Answer<Value> = Either<PlatformError, Value>;
-
 /** Brings the document up to the reader's newest version. */
 export async function loadDocument(
   reader: DocumentReader,
@@ -77,18 +71,6 @@
   return Right({ state: current, changes });
 }
 
-/** Returns the version of the whole; 0 when there is no document. */
-export async function readHead(
-  reader: DocumentReader,
-): Promise<Answer<number>> {
-  const answer = await reader.read([HEAD_KEY]);
-  return answer.chain(([row]) =>
-    row === undefined
-      ? Right(0)
-      : checkRow(parseRow(HEAD_SCHEMA, row)).map((head) => head.version)
-  );
-}
-
 async function runRound(
   reader: DocumentReader,
   state: DocumentState,
@@ -288,145 +270,3 @@
   }
   return Right(sections);
 }
-
-async function readVersions(
-  reader: DocumentReader,
-): Promise<Answer<ReadonlyMap<TeamId, number>>> {
-  const versions = new Map<TeamId, number>();
-  let after: string | undefined;
-  do {
-    const options = after === undefined
-      ? { limit: PAGE_ROWS }
-      : { limit: PAGE_ROWS, after };
-    const answer = await reader.scan(SECTION_PREFIX, options);
-    if (answer.isLeft()) return answer as unknown as Answer<never>;
-    const page = answer.unsafeCoerce();
-    for (const row of page.rows) {
-      const parsed = checkRow(parseRow(SECTION_SCHEMA, row));
-      if (parsed.isLeft()) return parsed as unknown as Answer<never>;
-      const name = decodeURIComponent(row.key.slice(SECTION_PREFIX.length));
-      versions.set(name, parsed.unsafeCoerce().version);
-    }
-    after = page.next;
-  } while (after !== undefined);
-  return Right(versions);
-}
-
-/** Reads a section at a version; undefined when some of its rows are absent. */
-export async function readSection(
-  reader: DocumentReader,
-  input: {
-    readonly section: TeamId;
-    readonly version: number;
-    readonly chunks: ReadonlyMap<string, Chunk>;
-  },
-): Promise<Answer<SectionState | undefined>> {
-  const key = formatSectionVersionKey(input.section, input.version);
-  const answer = await reader.read([key]);
-  const parsed = answer.chain(([row]) =>
-    row === undefined
-      ? Right(undefined)
-      : checkRow(parseRow(SECTION_VERSION_SCHEMA, row))
-  );
-  if (parsed.isLeft()) return parsed as unknown as Answer<never>;
-  const value = parsed.unsafeCoerce();
-  if (value === undefined) return Right(undefined);
-  const ids = value.containers.flatMap((each) => each.chunks);
-  const read = await readChunks(reader, ids, input.chunks);
-  return read.map((chunks) => {
-    if (ids.some((id) => !chunks.has(id))) return undefined;
-    const containers = new Map(
-      value.containers.map((each) => [
-        each.container,
-        each.chunks.map((id) => chunks.get(id)!),
-      ]),
-    );
-    return { version: input.version, skeleton: value.skeleton, containers };
-  });
-}
-
-async function readChunks(
-  reader: DocumentReader,
-  ids: readonly string[],
-  known: ReadonlyMap<string, Chunk>,
-): Promise<Answer<ReadonlyMap<string, Chunk>>> {
-  const missing = [...new Set(ids)].filter((id) => !known.has(id));
-  const answer = await readRows(reader, missing.map(formatChunkKey));
-  return answer.chain((rows) => {
-    const chunks = new Map(known);
-    for (const row of rows) {
-      const parsed = checkRow(parseRow(CHUNK_SCHEMA, row));
-      if (parsed.isLeft()) return parsed as unknown as Answer<never>;
-      const { entries } = parsed.unsafeCoerce();
-      const chunk = new Chunk(entries.map(([key, text]) => ({ key, text })));
-      chunks.set(chunk.id, chunk);
-    }
-    return Right(chunks);
-  });
-}
-
-async function readRows(
-  reader: DocumentReader,
-  keys: readonly string[],
-): Promise<Answer<readonly Row[]>> {
-  const rows: Row[] = [];
-  for (let from = 0; from < keys.length; from += PAGE_ROWS) {
-    const answer = await reader.read(keys.slice(from, from + PAGE_ROWS));
-    if (answer.isLeft()) return answer;
-    rows.push(...answer.unsafeCoerce());
-  }
-  return Right(rows);
-}
-
-/** Returns the chunks of a section by id. */
-export function collectChunks(
-  section: SectionState | undefined,
-): ReadonlyMap<string, Chunk> {
-  const chunks = [...section?.containers.values() ?? []].flat();
-  return new Map(chunks.map((chunk) => [chunk.id, chunk]));
-}
-
-function checkRow<Value>(parsed: Either<string, Value>): Answer<Value> {
-  return parsed.mapLeft(createDamaged);
-}
-
-function createDamaged(message: string): PlatformError {
-  return {
-    kind: PlatformErrorKind.BadAnswer,
-    message,
-    remedy: "Look at the document's rows and restore them from a backup.",
-  };
-}
-
-/** Returns the receipt of a change; undefined when it was not accepted. */
-export async function readReceipt(
-  reader: DocumentReader,
-  changeId: string,
-): Promise<Answer<Receipt | undefined>> {
-  const answer = await reader.read([formatReceiptKey(changeId)]);
-  return answer.chain(([row]) =>
-    row === undefined
-      ? Right(undefined)
-      : checkRow(parseRow(RECEIPT_SCHEMA, row))
-  );
-}
-
-/** Returns changes of the history, the newest first. */
-export async function readHistory(
-  reader: DocumentReader,
-  options: { readonly before: number; readonly limit: number },
-): Promise<Answer<readonly ChangeRow[]>> {
-  const keys: string[] = [];
-  for (let each = options.before - 1; each >= 1; each--) {
-    if (keys.length >= options.limit) break;
-    keys.push(formatChangeKey(each));
-  }
-  const answer = await readRows(reader, keys);
-  return answer.chain((rows) =>
-    Either.sequence(
-      rows.map((row) => checkRow(parseRow(CHANGE_SCHEMA, row))),
-    )
-  ).map((changes) =>
-    [...changes].sort((left, right) => right.version - left.version)
-  );
-}
--- a/packages/document/mod.ts
+++ b/packages/document/mod.ts
@@ -29,26 +29,17 @@
   recordTableAnswer,
 } from "./follow/freshness.ts";
 export type { LoadedDocument } from "./follow/load_document.ts";
-export {
-  applyCarriedChange,
-  loadDocument,
-  readHead,
-  readHistory,
-  readReceipt,
-} from "./follow/load_document.ts";
+export { applyCarriedChange, loadDocument } from "./follow/load_document.ts";
+export { readHead, readHistory, readReceipt } from "./follow/read_rows.ts";
 export type { BudgetFacts } from "./queries/describe_effects.ts";
+export type { ChangeInput, SectionEdit } from "./queries/change_input.ts";
 export type {
-  ChangeInput,
-  ChangePlan,
   ChangeRefusal,
   EntryDifference,
-  SectionEdit,
-} from "./queries/plan_change.ts";
-export {
-  ChangeRefusalKind,
-  describeChange,
-  planChange,
-} from "./queries/plan_change.ts";
+} from "./queries/change_refusal.ts";
+export { ChangeRefusalKind } from "./queries/change_refusal.ts";
+export type { ChangePlan } from "./queries/plan_change.ts";
+export { describeChange, planChange } from "./queries/plan_change.ts";
 export type { CommitResult } from "./rows/commit_change.ts";
 export {
   CommitState,
--- /dev/null
+++ b/packages/document/queries/change_refusal.ts
@@ -0,0 +1,152 @@
+/** Why a change of the document was refused, and what the operator is shown. */
+import type { InputError, TeamId } from "../../core/mod.ts";
+import type { DocumentState } from "../document_state.ts";
+import { quote } from "../schema/node_reader.ts";
+import {
+  createEmptySection,
+  createSectionState,
+  findSectionEntry,
+  formatSection,
+  listEntries,
+  type SectionState,
+} from "../section_state.ts";
+import { Container, parseSectionParts } from "../text/section_parts.ts";
+import type { ChangeInput, SectionEdit } from "./change_input.ts";
+
+/** Why a change was refused. */
+export enum ChangeRefusalKind {
+  /** Another change of this section came first. */
+  SectionMoved = "section-moved",
+  /** The text, or the whole with it, is faulty. */
+  Invalid = "invalid",
+  /** The section belongs to no team. */
+  UnknownSection = "unknown-section",
+  /** The change id was used for another change. */
+  ChangeIdReused = "change-id-reused",
+}
+
+/** An entry that differs between the section in force and the one submitted. */
+export interface EntryDifference {
+  readonly name: string;
+  readonly current?: string;
+  readonly submitted?: string;
+}
+
+/** A refused change; nothing of it took effect. */
+export interface ChangeRefusal {
+  readonly kind: ChangeRefusalKind;
+  readonly message: string;
+  readonly remedy: string;
+  readonly errors: readonly InputError[];
+  /** Version and text in force, and where the submitted one differs. */
+  readonly current?: { readonly version: number; readonly text: string };
+  readonly differences: readonly EntryDifference[];
+}
+
+/** Returns the refusal of a change with faults. */
+export function createInvalid(errors: readonly InputError[]): ChangeRefusal {
+  return {
+    kind: ChangeRefusalKind.Invalid,
+    message: `The change has ${errors.length} faults; nothing was changed.`,
+    remedy: "Correct each fault at its place and submit the change again.",
+    errors,
+    differences: [],
+  };
+}
+
+/** Returns the refusal of a change whose id belongs to another change. */
+export function createIdReused(changeId: string): ChangeRefusal {
+  return {
+    kind: ChangeRefusalKind.ChangeIdReused,
+    message: `The change id ${quote(changeId)} belongs to another change.`,
+    remedy: "Submit the change under a new id.",
+    errors: [],
+    differences: [],
+  };
+}
+
+/** Returns the refusal of a change of a section that nobody owns. */
+export function createUnknownSection(section: TeamId): ChangeRefusal {
+  return {
+    kind: ChangeRefusalKind.UnknownSection,
+    message: `The section ${quote(section)} belongs to no team.`,
+    remedy: "Add the team first, or correct the name.",
+    errors: [],
+    differences: [],
+  };
+}
+
+/** Returns the refusal of a change that came after another of its section. */
+export function createMoved(
+  state: DocumentState,
+  input: ChangeInput,
+): ChangeRefusal {
+  const current = state.sections.get(input.section);
+  const version = current?.version ?? 0;
+  const text = current === undefined
+    ? ""
+    : formatSection(current).orDefault("");
+  return {
+    kind: ChangeRefusalKind.SectionMoved,
+    message:
+      `The section is at version ${version} and the change was made from version ${input.baseVersion}; nothing was changed.`,
+    remedy:
+      "Look at the differences, make the change again on the current text and submit it with its version.",
+    errors: [],
+    current: { version, text },
+    differences: listDifferences(current, input.edit),
+  };
+}
+
+/** Returns the entries in which a submitted text differs from the current one. */
+function listDifferences(
+  current: SectionState | undefined,
+  edit: SectionEdit,
+): EntryDifference[] {
+  if (!("text" in edit)) {
+    return edit.values.map(({ container, key, value }) =>
+      createDifference(
+        `${container}/${key}`,
+        current && findSectionEntry(current, container, key)?.text,
+        value,
+      )
+    );
+  }
+  const submitted = parseSectionParts(edit.text)
+    .map((parts) => createSectionState(parts, 0))
+    .orDefault(createEmptySection());
+  return Object.values(Container).flatMap((container) => {
+    const before = listTexts(current, container);
+    const after = listTexts(submitted, container);
+    const names = new Set([...before.keys(), ...after.keys()]);
+    return [...names]
+      .filter((key) => before.get(key) !== after.get(key))
+      .map((key) =>
+        createDifference(
+          `${container}/${key}`,
+          before.get(key),
+          after.get(key),
+        )
+      );
+  });
+}
+
+function listTexts(
+  section: SectionState | undefined,
+  container: Container,
+): ReadonlyMap<string, string> {
+  const entries = section === undefined ? [] : listEntries(section, container);
+  return new Map(entries.map(({ key, text }) => [key, text]));
+}
+
+function createDifference(
+  name: string,
+  current: string | undefined,
+  submitted: string | undefined,
+): EntryDifference {
+  return {
+    name,
+    ...(current === undefined ? {} : { current }),
+    ...(submitted === undefined ? {} : { submitted }),
+  };
+}
--- /dev/null
+++ b/packages/document/queries/change_text.ts
@@ -0,0 +1,217 @@
+/** Works out what a change makes of the text of its section. */
+import { type Either, Left, Right } from "purify-ts";
+import { type InputError, InputErrorKind } from "../../core/mod.ts";
+import {
+  changeSection,
+  type EntryEdit,
+  planEntryEdits,
+  type ValueEdit,
+} from "../commands/change_section.ts";
+import type { EntryChange } from "../commands/parse_change.ts";
+import type { DocumentState } from "../document_state.ts";
+import { quote } from "../schema/node_reader.ts";
+import {
+  createEmptySection,
+  createSectionState,
+  isSameText,
+  type SectionState,
+} from "../section_state.ts";
+import { checkEnd, parseMembers } from "../text/members.ts";
+import {
+  type Cut,
+  parseSectionParts,
+  type SectionParts,
+} from "../text/section_parts.ts";
+import { SourceText } from "../text/source_text.ts";
+import type { ChangeInput } from "./change_input.ts";
+import { listEntryChanges } from "./list_entry_changes.ts";
+import { createSyntaxError } from "./parse_document.ts";
+
+/** Longest entry or skeleton, in characters. */
+const MAX_PART_LENGTH = 262_144;
+
+/** A section after a change, and what differs. */
+export interface SectionChange {
+  readonly section: SectionState;
+  readonly entries: readonly EntryChange[];
+  /** Edits that make the section from the one before; absent when they cannot. */
+  readonly edits?: readonly EntryEdit[];
+  readonly source: SourceText;
+  readonly cuts: readonly Cut[];
+}
+
+/** Returns the section after the change, or the faults of its text. */
+export function changeText(
+  state: DocumentState,
+  input: ChangeInput,
+): Either<readonly InputError[], SectionChange> {
+  const before = state.sections.get(input.section);
+  return "text" in input.edit
+    ? changeWhole(before, input, input.edit.text)
+    : changeValues(before, input, input.edit.values);
+}
+
+function changeWhole(
+  before: SectionState | undefined,
+  input: ChangeInput,
+  text: string,
+): Either<readonly InputError[], SectionChange> {
+  const source = new SourceText(input.section, text);
+  return parseWhole(source).chain((parts) => {
+    const long = findLongPart(source, parts);
+    if (long.length > 0) return Left(long);
+    const twice = findDuplicate(source, parts);
+    if (twice.length > 0) return Left(twice);
+    const section = createSectionState(parts, input.baseVersion + 1);
+    const offsets = listOffsets(parts);
+    const entries = listEntryChanges(input.section, {
+      before,
+      after: section,
+      source,
+      offsets,
+    });
+    const edits = findEdits(before, section, entries);
+    const change = { section, entries, source, cuts: parts.cuts };
+    return Right(edits === undefined ? change : { ...change, edits });
+  });
+}
+
+function parseWhole(
+  source: SourceText,
+): Either<readonly InputError[], SectionParts> {
+  const { text } = source;
+  const end = parseMembers(text, 0).map((object) => object.end)
+    .chain((offset) => {
+      const rest = checkEnd(text, offset + 1);
+      return rest === undefined ? Right(offset) : Left(rest);
+    });
+  return end.chain(() => parseSectionParts(text))
+    .mapLeft((fault) => [createSyntaxError(source, fault)]);
+}
+
+function listOffsets(parts: SectionParts): ReadonlyMap<string, number> {
+  const offsets = new Map<string, number>();
+  for (const [container, entries] of parts.entries) {
+    for (const { key, offset } of entries) {
+      offsets.set(`${container}/${key}`, offset);
+    }
+  }
+  return offsets;
+}
+
+function findLongPart(source: SourceText, parts: SectionParts): InputError[] {
+  const long = [...parts.entries.values()].flat()
+    .find((entry) => entry.text.length > MAX_PART_LENGTH);
+  if (parts.skeleton.length <= MAX_PART_LENGTH && long === undefined) return [];
+  return [{
+    kind: InputErrorKind.OutOfRange,
+    message: long === undefined
+      ? "The part of the section besides its entries is too long"
+      : `The entry ${quote(long.key)} is too long`,
+    remedy: `Keep each below ${MAX_PART_LENGTH} characters.`,
+    place: source.findPlace(long?.offset ?? 0),
+  }];
+}
+
+function findDuplicate(source: SourceText, parts: SectionParts): InputError[] {
+  return [...parts.entries.values()].flatMap((entries) => {
+    const seen = new Set<string>();
+    return entries.flatMap(({ key, offset, text }) => {
+      if (!seen.has(key)) {
+        seen.add(key);
+        return [];
+      }
+      return [{
+        kind: InputErrorKind.Duplicate,
+        message: `The section has ${quote(key)} twice`,
+        remedy: "Keep one of the two.",
+        place: source.findPlace(offset + Math.max(0, text.indexOf('"'))),
+      }];
+    });
+  });
+}
+
+/** Returns the edits that make the new text from the old one, if some do. */
+function findEdits(
+  before: SectionState | undefined,
+  after: SectionState,
+  entries: readonly EntryChange[],
+): readonly EntryEdit[] | undefined {
+  if (before === undefined || before.skeleton !== after.skeleton) {
+    return undefined;
+  }
+  const edits = entries.map(createEntryEdit);
+  const made = changeSection(before, edits);
+  return isSameText(made, after) ? edits : undefined;
+}
+
+function createEntryEdit({ container, key, text }: EntryChange): EntryEdit {
+  return text === undefined ? { container, key } : { container, key, text };
+}
+
+function changeValues(
+  before: SectionState | undefined,
+  input: ChangeInput,
+  values: readonly ValueEdit[],
+): Either<readonly InputError[], SectionChange> {
+  const faults = values.flatMap((value) => listValueFaults(input, value));
+  if (faults.length > 0) return Left(faults);
+  const base = addContainers(before ?? createEmptySection(), values);
+  const edits = planEntryEdits(base, values);
+  const section = {
+    ...changeSection(base, edits),
+    version: input.baseVersion + 1,
+  };
+  const source = new SourceText(input.section, "");
+  const entries = listEntryChanges(input.section, {
+    before,
+    after: section,
+    source,
+  });
+  const change = { section, entries, source, cuts: [] };
+  const same = before?.skeleton === section.skeleton;
+  return Right(same ? { ...change, edits } : change);
+}
+
+function listValueFaults(input: ChangeInput, edit: ValueEdit): InputError[] {
+  if (edit.value === undefined) return [];
+  const name = `${input.section}/${edit.container}/${edit.key}`;
+  const source = new SourceText(name, edit.value);
+  const end = parseMembers(edit.value, 0).chain((object) => {
+    const rest = checkEnd(edit.value ?? "", object.end + 1);
+    return rest === undefined ? Right(object) : Left(rest);
+  });
+  if (end.isLeft()) {
+    return [createSyntaxError(source, end.swap().unsafeCoerce())];
+  }
+  if (edit.value.length <= MAX_PART_LENGTH) return [];
+  return [{
+    kind: InputErrorKind.OutOfRange,
+    message: `The entry ${quote(edit.key)} is too long`,
+    remedy: `Keep it below ${MAX_PART_LENGTH} characters.`,
+    place: source.findPlace(0),
+  }];
+}
+
+/** Returns the section with the containers that the edits need. */
+function addContainers(
+  section: SectionState,
+  values: readonly ValueEdit[],
+): SectionState {
+  let { skeleton } = section;
+  const containers = new Map(section.containers);
+  for (const { container } of values) {
+    if (containers.has(container)) continue;
+    const open = skeleton.indexOf("{", findRootOffset(skeleton)) + 1;
+    skeleton = `${skeleton.slice(0, open)}\n  "${container}": {},${
+      skeleton.slice(open)
+    }`;
+    containers.set(container, []);
+  }
+  return { ...section, skeleton, containers };
+}
+
+function findRootOffset(skeleton: string): number {
+  return parseMembers(skeleton, 0).map((object) => object.start - 1)
+    .orDefault(0);
+}
--- a/packages/document/queries/describe_effects.ts
+++ b/packages/document/queries/describe_effects.ts
@@ -8,7 +8,7 @@
   TeamConfig,
   Tokens,
 } from "../../core/mod.ts";
-import type { EntryChange } from "../commands/apply_entries.ts";
+import type { EntryChange } from "../commands/parse_change.ts";
 import type { FleetIndex } from "../fleet_index.ts";
 import { Container } from "../text/section_parts.ts";
 
--- a/packages/document/queries/parse_document.ts
+++ b/packages/document/queries/parse_document.ts
@@ -6,11 +6,12 @@
   InputErrorKind,
   type TeamId,
 } from "../../core/mod.ts";
-import { applyEntries, type EntryChange } from "../commands/apply_entries.ts";
+import { applyEntries } from "../commands/apply_entries.ts";
 import {
   applyGeneral,
   type SkeletonChange,
 } from "../commands/apply_general.ts";
+import type { EntryChange } from "../commands/parse_change.ts";
 import {
   computeConfiguration,
   createFleetIndex,
--- a/packages/document/section_state.ts
+++ b/packages/document/section_state.ts
@@ -77,6 +77,11 @@
   return { version, skeleton: parts.skeleton, containers };
 }
 
+/** Returns a section without entries. */
+export function createEmptySection(): SectionState {
+  return { version: 0, skeleton: "{\n}\n", containers: new Map() };
+}
+
 /** Returns the section's text. */
 export function formatSection(
   section: SectionState,
--- a/packages/document/submit_change.ts
+++ b/packages/document/submit_change.ts
@@ -13,19 +13,17 @@
 } from "../core/mod.ts";
 import type { DocumentState } from "./document_state.ts";
 import type { DocumentReader } from "./follow/document_reader.ts";
-import {
-  loadDocument,
-  readReceipt,
-  readSection,
-} from "./follow/load_document.ts";
+import { loadDocument } from "./follow/load_document.ts";
+import { readReceipt, readSection } from "./follow/read_rows.ts";
 import {
   type ChangeInput,
-  type ChangePlan,
-  type ChangeRefusal,
   computeInputDigest,
+} from "./queries/change_input.ts";
+import {
+  type ChangeRefusal,
   createIdReused,
-  planChange,
-} from "./queries/plan_change.ts";
+} from "./queries/change_refusal.ts";
+import { type ChangePlan, planChange } from "./queries/plan_change.ts";
 import {
   CommitState,
   createChunkWrites,
