--- a/packages/bench/experiments.ts
+++ b/packages/bench/experiments.ts
@@ -1,4 +1,7 @@
 /** Every experiment, in the order in which `anvilrail bench` runs them. */
+import { budgetExperiment } from "./budget/budget_experiment.ts";
+import { documentInForceExperiment } from "./document/document_in_force_experiment.ts";
+import { documentScaleExperiment } from "./document/document_scale_experiment.ts";
 import { membershipCostExperiment } from "./membership/membership_cost_experiment.ts";
 import { decisionsExperiment } from "./capacity/decisions_experiment.ts";
 import { dataPlaneExperiment } from "./data_plane/data_plane_experiment.ts";
@@ -13,6 +16,8 @@
 
 /** Each package of experiments adds a line here. */
 export const EXPERIMENTS: readonly Experiment[] = [
+  documentInForceExperiment,
+  documentScaleExperiment,
   membershipCostExperiment,
   decisionsExperiment,
   storeTrafficExperiment,
@@ -23,4 +28,5 @@
   fairnessExperiment,
   poisonExperiment,
   streamMemoryExperiment,
+  budgetExperiment,
 ];
--- a/packages/budget/account.ts
+++ b/packages/budget/account.ts
@@ -14,6 +14,9 @@
 } from "../core/mod.ts";
 import type { GrantExchange } from "./rows/exchange_grants.ts";
 
+/** Stands between a loan's id and the number of a part that was handed on. */
+export const PART_SEPARATOR = "+";
+
 /** One life of the process on one VM. */
 export interface VmLife {
   readonly vm: VmId;
@@ -43,6 +46,8 @@
   readonly closing: boolean;
   /** Loans that were made from it. */
   readonly loans: readonly LoanOut[];
+  /** Number of parts of it that were handed on, when it is a loan itself. */
+  readonly parts: number;
   /** The lender's grant, when these tokens are a loan from another VM. */
   readonly lenderGrantId?: string;
 }
@@ -55,12 +60,23 @@
   readonly askedAt: MonotonicTime;
 }
 
+/** Tokens lent from one grant. */
+export interface LoanPart {
+  /** Unique over all loans and their parts; parts begin with their loan's id. */
+  readonly transferId: string;
+  /** The grant that the tokens come from. */
+  readonly lenderGrantId: string;
+  readonly tokens: Tokens;
+}
+
 /** What a lender answered; zero tokens are a refusal. */
 export interface LoanAnswer {
   readonly transferId: string;
+  /** The tokens of all parts. */
   readonly tokens: Tokens;
-  /** The grant that the tokens come from; empty for a refusal. */
-  readonly lenderGrantId: string;
+  readonly parts: readonly LoanPart[];
+  /** Tokens that the lender's requests in progress hold; most come free. */
+  readonly reserved: Tokens;
 }
 
 /** Immutable snapshot of one event's account. */
@@ -71,6 +87,8 @@
   readonly drawRate: number;
   /** Rate of reserving in tokens per second, smoothed, as of {@link lastDraw}. */
   readonly demandRate: number;
+  /** Usual size of a reservation in tokens, smoothed; 0 before the first. */
+  readonly usualHold: Tokens;
   /** When the rates were last brought up to date. */
   readonly lastDraw: MonotonicTime;
   /** When tokens were last returned because the rate had fallen. */
@@ -103,6 +121,7 @@
     grants: [],
     drawRate: 0,
     demandRate: 0,
+    usualHold: 0,
     lastDraw: 0,
     lastReturn: 0,
     pendingLoans: [],
@@ -125,6 +144,11 @@
   return !grant.closing && now < grant.deadline;
 }
 
+/** Returns the tokens that requests in progress hold. */
+export function computeReserved(account: EventAccount): Tokens {
+  return account.grants.reduce((sum, grant) => sum + grant.reserved, 0);
+}
+
 /** Returns the tokens that can be reserved now, over all open grants. */
 export function computeAccountRoom(
   account: EventAccount,
@@ -146,3 +170,17 @@
   );
   return { ...account, grants };
 }
+
+/**
+ * Returns the account without the loans that were spent whole. These end
+ * without a word to the table, which counts lent tokens as out until they return.
+ */
+export function removeSpentLoans(account: EventAccount): EventAccount {
+  const grants = account.grants.filter((grant) => !isSpentLoan(grant));
+  if (grants.length === account.grants.length) return account;
+  return { ...account, grants };
+}
+
+function isSpentLoan(grant: Grant): boolean {
+  return grant.lenderGrantId !== undefined && grant.spent === grant.size;
+}
--- a/packages/budget/commands/plan_exchange.ts
+++ b/packages/budget/commands/plan_exchange.ts
@@ -9,13 +9,14 @@
   Tokens,
   WallTime,
 } from "../../core/mod.ts";
+import { PART_SEPARATOR } from "../account.ts";
 import type { EventAccount, Grant, VmLife } from "../account.ts";
 import { planGrants, type PlanInput } from "../queries/plan_grants.ts";
 import type {
   GrantExchange,
   GrantExchangeResult,
 } from "../rows/exchange_grants.ts";
-import type { GrantShrink } from "../rows/row_changes.ts";
+import type { GrantShrink, LoanReturn } from "../rows/row_changes.ts";
 import { changeGrantSize, closeGrants } from "./close_grants.ts";
 import { receiveGrant } from "./receive_grant.ts";
 
@@ -59,8 +60,6 @@
     shrinks,
     ...(plan.take === undefined ? {} : { take: createTake(input, plan.take) }),
   };
-  // A loan that was spent whole ends without a word to the table.
-  changed = removeSpentLoans(changed, closes);
   return hasWork(exchange) ? { ...changed, exchange } : changed;
 }
 
@@ -98,8 +97,7 @@
   const stopped = closeGrants(account, account.grants.map((each) => each.id));
   const idle = stopped.grants.filter((grant) => grant.reserved === 0);
   const exchange = createSettlement(account.eventId, input, idle);
-  const changed = removeSpentLoans(stopped, idle);
-  return hasWork(exchange) ? { ...changed, exchange } : changed;
+  return hasWork(exchange) ? { ...stopped, exchange } : stopped;
 }
 
 function sortGiveBacks(
@@ -128,32 +126,20 @@
   grants: readonly Grant[],
 ): GrantExchange {
   const own = grants.filter((grant) => grant.lenderGrantId === undefined);
-  const borrowed = grants.filter((grant) => !isSpentLoan(grant));
   return {
     eventId,
     id: input.grantId,
     initialLimit: input.initialLimit,
     closes: own.map(({ id, spent, loans }) => ({ grantId: id, spent, loans })),
-    returns: borrowed.flatMap(({ id, lenderGrantId, size, spent }) =>
-      lenderGrantId === undefined
-        ? []
-        : [{ transferId: id, lenderGrantId, unspent: size - spent }]
-    ),
+    returns: grants.flatMap(createReturn),
   };
 }
 
-function isSpentLoan(grant: Grant): boolean {
-  return grant.lenderGrantId !== undefined && grant.spent === grant.size;
-}
-
-function removeSpentLoans(
-  account: EventAccount,
-  closed: readonly Grant[],
-): EventAccount {
-  const spent = closed.filter(isSpentLoan).map((grant) => grant.id);
-  if (spent.length === 0) return account;
-  const grants = account.grants.filter((grant) => !spent.includes(grant.id));
-  return { ...account, grants };
+function createReturn(grant: Grant): LoanReturn[] {
+  const { id, lenderGrantId, size, spent, parts } = grant;
+  if (lenderGrantId === undefined) return [];
+  const isLast = parts === 0 && !id.includes(PART_SEPARATOR);
+  return [{ transferId: id, lenderGrantId, unspent: size - spent, isLast }];
 }
 
 function hasWork(exchange: GrantExchange): boolean {
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -7,6 +7,7 @@
   Grant,
   LoanAnswer,
   LoanOut,
+  LoanPart,
   PendingLoan,
   Reservation,
   ReservationPart,
@@ -16,6 +17,7 @@
   computeAccountRoom,
   computeGrantRoom,
   computeLent,
+  computeReserved,
   createEventAccount,
   isGrantOpen,
 } from "./account.ts";
--- a/packages/budget/queries/plan_grants.ts
+++ b/packages/budget/queries/plan_grants.ts
@@ -3,6 +3,7 @@
 import {
   computeAccountRoom,
   computeGrantRoom,
+  computeReserved,
   isGrantOpen,
 } from "../account.ts";
 import type { EventAccount, Grant } from "../account.ts";
@@ -64,12 +65,13 @@
     const giveBack = listGiveBacks(account, { ...input, room, targets });
     return { close: over, giveBack };
   }
+  const wanted = computeWanted(account, { need, room, targets });
+  const least = short ? need - room : 1;
   // Closing an empty grant alone is not worth a write; with a take it is free.
+  const isLikely = (input.budgetLeft ?? Infinity) >= least;
   const empty = idle.filter((grant) =>
-    isGrantOpen(grant, now) && computeGrantRoom(grant) === 0
+    isLikely && isGrantOpen(grant, now) && computeGrantRoom(grant) === 0
   );
-  const wanted = computeWanted(account, { need, room, targets });
-  const least = short ? need - room : 1;
   return {
     close: [...over, ...empty],
     giveBack: [],
@@ -106,8 +108,7 @@
   },
 ): Tokens {
   const { need, room, targets } = input;
-  const reserved = account.grants
-    .reduce((sum, grant) => sum + grant.reserved, 0);
+  const reserved = computeReserved(account);
   const useful = Math.max(targets.high - room, need * START_FACTOR, reserved);
   return Math.max(1, need - room, Math.min(useful, targets.most));
 }
--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -5,7 +5,6 @@
 import { randomUUID } from "node:crypto";
 import { type Either, Left, Right } from "purify-ts";
 import {
-  type Bytes,
   type Millis,
   type MonotonicTime,
   type Refusal,
@@ -32,14 +31,14 @@
 import { createRefusal, createUnknown } from "./refusals.ts";
 import type { RunServices } from "./run_services.ts";
 
+/** Bytes of a prompt that usually make one token; an estimate, not a bound. */
+const BYTES_PER_TOKEN = 4;
+
 /** Pause before a target is looked for again when none is usable. */
 const NO_TARGET_PAUSE: Millis = 200;
 
 const RETRY_AFTER: Millis = 1_000;
 
-/** Usual size of a prompt's token, for the estimate of reading times. */
-const BYTES_PER_TOKEN: Bytes = 4;
-
 /** What an attempt is given. */
 export interface AttemptInput {
   readonly target: TargetConfig;
@@ -144,8 +143,7 @@
       target,
       signal,
       recordProgress: () => {
-        if (!watch.isBegun) this.#recordFirstChunk(target);
-        watch.recordProgress();
+        if (watch.recordProgress()) this.#recordFirstChunk(target);
       },
     });
     watch.stop();
@@ -295,8 +293,6 @@
 }
 
 function createTicket(request: CallerRequest): Ticket {
-  const engine = request.service.type === ServiceType.ModelEngine;
-  const promptTokens = Math.ceil(request.body.length / BYTES_PER_TOKEN);
   return {
     id: randomUUID(),
     customer: request.customer.id,
@@ -305,9 +301,11 @@
     priority: request.kind.priority,
     weight: request.customer.weight,
     tokens: request.promptBound + request.outputBound + request.kind.flatTokens,
+    ...(request.promptBound === 0
+      ? {}
+      : { promptTokens: Math.ceil(request.body.length / BYTES_PER_TOKEN) }),
     deadline: request.deadline,
     arrivedAt: request.arrivedAt,
-    ...engine ? { promptTokens } : {},
   };
 }
 
@@ -337,11 +335,6 @@
     return this.#controller.signal;
   }
 
-  /** Whether any part of the answer has arrived. */
-  get isBegun(): boolean {
-    return this.#begun;
-  }
-
   get isCut(): boolean {
     return this.#cause !== undefined;
   }
@@ -350,9 +343,12 @@
     return this.#cause === SilenceAction.TargetDead;
   }
 
-  recordProgress(): void {
+  /** Returns true for the first progress of the attempt. */
+  recordProgress(): boolean {
+    const first = !this.#begun;
     this.#lastProgress = this.#services.context.clock.readMonotonic();
     this.#begun = true;
+    return first;
   }
 
   stop(): void {
--- a/packages/daemon/features/traffic.ts
+++ b/packages/daemon/features/traffic.ts
@@ -28,6 +28,7 @@
   applyLeavingSigns,
   applyListedTargets,
   applyReport,
+  applyReports,
   applyTargets,
   type AttemptFinish,
   chooseTarget,
@@ -40,11 +41,13 @@
   type FailedAttempt,
   type LeavingSign,
   listLeavingSigns,
+  listReports,
   Quarantine,
   type QuarantineWord,
   recordAttemptEnd,
   recordAttemptStart,
   recordReach,
+  type ReportWord,
   RetryBudgets,
   type RetryDecision,
   type RoutedRequest,
@@ -105,6 +108,7 @@
   readonly #quarantine = new Quarantine();
   readonly #budgets = new RetryBudgets();
   readonly #queued = new Map<string, QueuedRequest>();
+  #reportRound = 0;
 
   constructor(context: NodeContext, ports: TrafficPorts) {
     this.#context = context;
@@ -204,7 +208,7 @@
     this.#quarantine.recordStart(request.digest, target);
   }
 
-  /** Notes the first part of an answer, so that more prompts may be sent. */
+  /** Notes that a request's first chunk has come. */
   recordFirstChunk(ticket: Ticket, attempt: FirstChunk): void {
     this.#quarantine.recordProgress(attempt.digest, attempt.target);
     this.#admission.recordFirstToken(ticket.id, this.#readTime());
@@ -268,8 +272,8 @@
     const report = await this.#context.targets.probe(target, PROBE_TIMEOUT);
     const now = this.#readTime();
     if (report === undefined) {
-      const answered = false;
-      this.#change((state) => recordReach(state, target.id, { answered, now }));
+      const word = { answered: false, now };
+      this.#change((state) => recordReach(state, target.id, word));
       return undefined;
     }
     this.#change((state) => applyReport(state, target.id, { report, now }));
@@ -360,6 +364,14 @@
           this.#change((state) => applyLeavingSigns(state, { signs, now }));
         },
       }),
+      news.register("reports", {
+        create: () => toJson(this.#listOwnReports()),
+        apply: (_, value) => {
+          const reports = value as unknown as ReportWord[];
+          const now = this.#readTime();
+          this.#change((state) => applyReports(state, { reports, now }));
+        },
+      }),
       news.register("quarantine", {
         create: () => toJson(this.listQuarantine()),
         apply: (_, value) =>
@@ -408,11 +420,24 @@
   }
 
   async #readReports(): Promise<void> {
-    const services = this.#context.kernel.read(CONFIGURATION).services;
-    const targets = [...services.values()]
+    const targets = this.#listProbed();
+    await Promise.all(targets.map((target) => this.probe(target)));
+  }
+
+  /** The targets that this VM asks for its region. */
+  #listProbed(): TargetConfig[] {
+    const { services } = this.#context.kernel.read(CONFIGURATION);
+    return [...services.values()]
       .flatMap((service) => service.targets)
       .filter((target) => this.#ports.isProber(target.id));
-    await Promise.all(targets.map((target) => this.probe(target)));
+  }
+
+  #listOwnReports(): ReportWord[] {
+    return listReports(this.#read(), {
+      ids: this.#listProbed().map((target) => target.id),
+      round: this.#reportRound++,
+      now: this.#readTime(),
+    });
   }
 
   async #readVmList(): Promise<void> {
