Sleep until there is a bill to write or a request to expire

Words on durable bills were lost when a copy failed (found by reading against the model). Change: processes that sleep until they are woken; words on durable bills go with the next message, and copies of a silent peer are written after an hour.

--- a/packages/daemon/features/bill_copies.ts
+++ b/packages/daemon/features/bill_copies.ts
@@ -8,6 +8,9 @@
 import {
   combineUndo,
   type Incarnation,
+  type Millis,
+  MILLIS_PER_HOUR,
+  type MonotonicTime,
   type Undo,
   type VmId,
 } from "../../core/mod.ts";
@@ -21,6 +24,12 @@
 /** Most copies that a VM keeps for others. */
 const MAX_KEPT_COPIES = 100_000;
 
+/** Copies of a peer that is silent for so long are written here, once more. */
+const LONGEST_KEPT: Millis = MILLIS_PER_HOUR;
+
+/** Most words on durable bills that wait for a message. */
+const MAX_DURABLE_WORDS = 10_000;
+
 /** Bills in one message. */
 const MAX_SENT_BILLS = 1_000;
 
@@ -38,6 +47,7 @@
   readonly vm: VmId;
   readonly incarnation: Incarnation;
   readonly bills: Map<number, Bill>;
+  heardAt: MonotonicTime;
 }
 
 /** What the feature uses of others. */
@@ -99,6 +109,8 @@
     const done = new Set(numbers);
     this.#toSend = this.#toSend.filter((each) => !done.has(each.number));
     this.#durable.push(...numbers);
+    const excess = this.#durable.length - MAX_DURABLE_WORDS;
+    if (excess > 0) this.#durable.splice(0, excess);
   }
 
   /** Keeps copies for a peer. */
@@ -108,7 +120,9 @@
       vm: input.vm,
       incarnation: input.incarnation,
       bills: new Map<number, Bill>(),
+      heardAt: 0,
     };
+    life.heardAt = this.#context.clock.readMonotonic();
     this.#kept.set(key, life);
     if (this.#keptCount + input.bills.length > MAX_KEPT_COPIES) {
       throw new Error("Too many copies are kept here. Choose another peer.");
@@ -143,15 +157,23 @@
       bills: batch.map(({ number, bill }) => ({ number, bill })),
       durable,
     });
-    // A copy that failed is not sent again: the table will have the bill.
-    if (sent.isLeft()) return false;
+    if (sent.isLeft()) {
+      // A copy that failed is not sent again: the table will have the bill. The
+      // word on durable ones goes with the next message.
+      this.#durable.unshift(...durable);
+      return false;
+    }
     for (const each of batch) each.confirm();
     return true;
   }
 
   #adoptOrphans(): Promise<void> {
+    const now = this.#context.clock.readMonotonic();
     for (const [key, life] of this.#kept) {
-      if (!this.#ports.isLifeOver(life.vm, life.incarnation)) continue;
+      // A peer that has chosen another backup never says what is durable.
+      const old = now - life.heardAt > LONGEST_KEPT;
+      const over = this.#ports.isLifeOver(life.vm, life.incarnation);
+      if (!over && !old) continue;
       this.#kept.delete(key);
       for (const bill of life.bills.values()) this.#ports.adoptBill(bill);
       if (life.bills.size === 0) continue;
--- a/packages/daemon/features/bill_log.ts
+++ b/packages/daemon/features/bill_log.ts
@@ -13,7 +13,7 @@
 } from "../../request/mod.ts";
 import { LogEvent } from "../event_log.ts";
 import type { NodeContext } from "../node_context.ts";
-import { startPeriodic } from "../processes.ts";
+import { type PeriodicProcess, startOnDemand } from "../processes.ts";
 
 /** Longest time the end of an answer waits for its bill, in milliseconds. */
 export const MAX_BILL_WAIT: Millis = 250;
@@ -45,6 +45,7 @@
   #batchNumber = 0;
   #billNumber = 0;
   #copies: BillCopySink | undefined;
+  #process: PeriodicProcess | undefined;
   #lastBatchAt = -Infinity;
 
   constructor(context: NodeContext, countVms: () => number) {
@@ -54,11 +55,10 @@
 
   /** Registers the feature's dump and its periodic flush. */
   register(): Undo {
-    const { kernel, settings, random, log } = this.#context;
-    const periodic = startPeriodic({
-      interval: settings.intervals.flushMillis,
-      random,
-      run: () => this.#writeDueBatch(),
+    const { kernel, log } = this.#context;
+    this.#process = startOnDemand({
+      computeWait: () => this.#computeWait(),
+      run: () => this.#writeBatch(),
       reportError: (error) =>
         log.error(LogEvent.ProcessFailed, {
           process: "bills",
@@ -67,7 +67,7 @@
     });
     return combineUndo([
       kernel.registerDump("bills", () => ({ waiting: this.countWaiting() })),
-      periodic.stop,
+      this.#process.stop,
     ]);
   }
 
@@ -95,6 +95,7 @@
       const number = ++this.#billNumber;
       this.#waiting.push({ number, bill, confirm });
       this.#copies?.send({ number, bill }, confirm);
+      this.#process?.wake();
     });
   }
 
@@ -106,15 +107,16 @@
     }
   }
 
-  async #writeDueBatch(): Promise<void> {
-    const now = this.#context.clock.readMonotonic();
+  #computeWait(): Millis {
+    const { settings, clock } = this.#context;
     const pause = PAUSE_PER_VM * this.#countVms();
-    if (now - this.#lastBatchAt < pause) return;
-    await this.#writeBatch();
+    const rest = this.#lastBatchAt + pause - clock.readMonotonic();
+    return Math.max(settings.intervals.flushMillis, rest);
   }
 
-  async #writeBatch(): Promise<void> {
-    if (this.#waiting.length === 0 || this.#writing.length > 0) return;
+  /** Returns true when more bills wait. */
+  async #writeBatch(): Promise<boolean> {
+    if (this.#waiting.length === 0 || this.#writing.length > 0) return false;
     this.#lastBatchAt = this.#context.clock.readMonotonic();
     const [bills = []] = planBillBatches(
       this.#waiting.map((each) => each.bill),
@@ -134,10 +136,11 @@
     if (written.isLeft()) {
       // Bills are counted once by identity, so a second row does no harm.
       this.#waiting.unshift(...batch);
-      return;
+      return true;
     }
     for (const each of batch) each.confirm();
     this.#copies?.recordDurable(batch.map((each) => each.number));
     log.info(LogEvent.BillsFlushed, { bills: batch.length });
+    return this.#waiting.length > 0;
   }
 }
--- a/packages/daemon/features/traffic.ts
+++ b/packages/daemon/features/traffic.ts
@@ -56,7 +56,11 @@
 } from "../../routing/mod.ts";
 import { LogEvent } from "../event_log.ts";
 import { CONFIGURATION, type NodeContext } from "../node_context.ts";
-import { startPeriodic } from "../processes.ts";
+import {
+  type PeriodicProcess,
+  startOnDemand,
+  startPeriodic,
+} from "../processes.ts";
 import type { NewsExchange } from "./news_exchange.ts";
 
 type RoutingChange = (state: RoutingState) => RoutingState;
@@ -109,6 +113,7 @@
   readonly #budgets = new RetryBudgets();
   readonly #queued = new Map<string, QueuedRequest>();
   #reportRound = 0;
+  #expiry: PeriodicProcess | undefined;
 
   constructor(context: NodeContext, ports: TrafficPorts) {
     this.#context = context;
@@ -172,6 +177,7 @@
         this.#queued.set(ticket.id, request);
         for (const each of displaced) this.#refuseQueued(each);
         this.#startReady(ticket.service);
+        if (this.#queued.size > 0) this.#expiry?.wake();
       },
     });
   }
@@ -386,19 +392,25 @@
   #startProcesses(): Undo[] {
     const { random, log, settings } = this.#context;
     const { loadReportMillis, vmListMillis, gossipMillis } = settings.intervals;
+    const reportError = (error: unknown) =>
+      log.error(LogEvent.ProcessFailed, {
+        process: "traffic",
+        reason: String(error),
+      });
     const start = (interval: Millis, run: () => Promise<void> | void) =>
       startPeriodic({
         interval,
         random,
         run: async () => await run(),
-        reportError: (error) =>
-          log.error(LogEvent.ProcessFailed, {
-            process: "traffic",
-            reason: String(error),
-          }),
+        reportError,
       }).stop;
+    this.#expiry = startOnDemand({
+      computeWait: () => EXPIRY_INTERVAL,
+      run: () => Promise.resolve(this.#expireQueued()),
+      reportError,
+    });
     return [
-      start(EXPIRY_INTERVAL, () => this.#expireQueued()),
+      this.#expiry.stop,
       start(loadReportMillis, () => this.#readReports()),
       start(vmListMillis, () => this.#readVmList()),
       start(gossipMillis, () => {
@@ -408,7 +420,8 @@
     ];
   }
 
-  #expireQueued(): void {
+  /** Returns true while requests wait. */
+  #expireQueued(): boolean {
     const { random } = this.#context;
     const now = this.#readTime();
     for (const each of this.#admission.expire({ now, random })) {
@@ -417,6 +430,7 @@
     for (const { service, queued } of this.#admission.listLoads()) {
       if (queued > 0) this.#startReady(service);
     }
+    return this.#queued.size > 0;
   }
 
   async #readReports(): Promise<void> {
--- a/packages/daemon/processes.ts
+++ b/packages/daemon/processes.ts
@@ -62,7 +62,46 @@
   };
 }
 
-function runSafely(options: PeriodicOptions): Promise<void> {
+/** What an on-demand process does, and when. */
+export interface OnDemandOptions {
+  /** Returns how long to wait before the next turn. */
+  readonly computeWait: () => Millis;
+  /** Resolves true when there is more to do. */
+  readonly run: () => Promise<boolean>;
+  readonly reportError: (error: unknown) => void;
+}
+
+/**
+ * Starts a process that sleeps until it is woken, then takes turns as long as
+ * there is something to do. It costs nothing while it sleeps.
+ */
+export function startOnDemand(options: OnDemandOptions): PeriodicProcess {
+  const wakeUps = csp.chan<true>(1);
+  const stopped = csp.chan<never>();
+  csp.go(function* () {
+    let busy = false;
+    for (;;) {
+      if (!busy) {
+        const chosen = yield csp.alts([stopped, wakeUps], { priority: true });
+        if (chosen.channel === stopped) return;
+      }
+      const timer = startTimer(options.computeWait());
+      const chosen = yield csp.alts([stopped, timer], { priority: true });
+      if (chosen.channel === stopped) return;
+      const settled = yield awaitPromise(runSafely(options));
+      busy = "value" in settled && settled.value === true;
+      if ("error" in settled) options.reportError(settled.error);
+    }
+  });
+  return {
+    wake: () => void csp.offer(wakeUps, true),
+    stop: () => stopped.close(),
+  };
+}
+
+function runSafely<Result>(
+  options: { readonly run: () => Promise<Result> },
+): Promise<Result> {
   // A synchronous throw becomes a rejection, so that the process lives on.
   return Promise.resolve().then(options.run);
 }
