Speak TLS to peers and homes, mutual where settings ask for it

Cause: the peers' and callers' faces could listen with TLS, but VMs called each other over an agent without it.

--- a/packages/cli/read_settings.ts
+++ b/packages/cli/read_settings.ts
@@ -55,13 +55,14 @@
   tls: NonNullable<Settings["callers"]["tls"]>,
   directory: string,
 ) {
-  const { clientAuthorityFile } = tls;
+  const { authorityFile } = tls;
   return {
+    ...tls,
     certificateFile: resolve(directory, tls.certificateFile),
     keyFile: resolve(directory, tls.keyFile),
-    ...(clientAuthorityFile === undefined
+    ...(authorityFile === undefined
       ? {}
-      : { clientAuthorityFile: resolve(directory, clientAuthorityFile) }),
+      : { authorityFile: resolve(directory, authorityFile) }),
   };
 }
 
--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -22,7 +22,12 @@
 import { Membership } from "./features/membership.ts";
 import { NewsExchange } from "./features/news_exchange.ts";
 import { Traffic } from "./features/traffic.ts";
-import { type FaceHandler, type RunningFace, startFace } from "./http_face.ts";
+import {
+  createFaceAgent,
+  type FaceHandler,
+  type RunningFace,
+  startFace,
+} from "./http_face.ts";
 import {
   createNodeContext,
   readPeerKey,
@@ -58,6 +63,8 @@
   kill(): void;
 }
 
+const MAX_SOCKETS_PER_PEER = 8;
+
 /** Longest silence of a peer. */
 const PEER_TIMEOUT: Millis = 700;
 
@@ -99,6 +106,9 @@
       peerKey: readPeerKey(settings),
       timeout: PEER_TIMEOUT,
       tls: settings.peers.tls !== undefined,
+      agent: createFaceAgent(settings.peers, {
+        maxSockets: MAX_SOCKETS_PER_PEER,
+      }),
     });
     this.#news = new NewsExchange(settings.vm);
     this.#escrow = new Escrow(context);
--- a/packages/daemon/features/home_forwarding.ts
+++ b/packages/daemon/features/home_forwarding.ts
@@ -3,11 +3,12 @@
  * and grants are shared. A home that cannot be reached costs nothing: the
  * request is served here.
  */
-import { Agent, type IncomingMessage, type ServerResponse } from "node:http";
+import type { Agent, IncomingMessage, ServerResponse } from "node:http";
 import type { EventConfig, VmId } from "../../core/mod.ts";
 import { startExchange } from "../../platform/mod.ts";
 import type { CallerRequest } from "../entry/caller_request.ts";
 import { LogEvent } from "../event_log.ts";
+import { createFaceAgent } from "../http_face.ts";
 import type { NodeContext } from "../node_context.ts";
 
 /** Header by which one entry VM shows another that a request was forwarded. */
@@ -44,11 +45,12 @@
 export class HomeForwarding {
   readonly #context: NodeContext;
   readonly #ports: HomePorts;
-  readonly #agent = new Agent({ keepAlive: true });
+  readonly #agent: Agent;
 
   constructor(context: NodeContext, ports: HomePorts) {
     this.#context = context;
     this.#ports = ports;
+    this.#agent = createFaceAgent(context.settings.callers);
   }
 
   /** Closes every idle connection. */
--- a/packages/daemon/http_face.ts
+++ b/packages/daemon/http_face.ts
@@ -1,7 +1,12 @@
 /** Listens on one face of the daemon, with or without TLS. */
 import { readFileSync } from "node:fs";
-import { createServer, type Server, type ServerOptions } from "node:http";
-import { createServer as createTlsServer } from "node:https";
+import {
+  Agent,
+  createServer,
+  type Server,
+  type ServerOptions,
+} from "node:http";
+import { Agent as TlsAgent, createServer as createTlsServer } from "node:https";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { FaceSettings, Settings } from "../settings/mod.ts";
@@ -64,19 +69,40 @@
     requestTimeout: 0,
   };
   if (face.tls === undefined) return createServer(options, input.handler);
-  const { certificateFile, keyFile, clientAuthorityFile } = face.tls;
-  const authority = clientAuthorityFile === undefined ? {} : {
-    ca: readFileSync(clientAuthorityFile),
-    requestCert: true,
-    rejectUnauthorized: true,
+  const { requireClientCertificate } = face.tls;
+  const mutual = {
+    requestCert: requireClientCertificate,
+    rejectUnauthorized: requireClientCertificate,
   };
-  const tls = {
-    ...options,
+  const tls = { ...options, ...readTlsFiles(face.tls), ...mutual };
+  return createTlsServer(tls, input.handler);
+}
+
+/** Certificate, key and trusted authorities of a face. */
+export interface TlsFiles {
+  readonly cert: Buffer;
+  readonly key: Buffer;
+  readonly ca?: Buffer;
+}
+
+/** Reads the files of a face's TLS settings. */
+export function readTlsFiles(tls: NonNullable<FaceSettings["tls"]>): TlsFiles {
+  const { certificateFile, keyFile, authorityFile } = tls;
+  return {
     cert: readFileSync(certificateFile),
     key: readFileSync(keyFile),
-    ...authority,
+    ...(authorityFile === undefined ? {} : { ca: readFileSync(authorityFile) }),
   };
-  return createTlsServer(tls, input.handler);
+}
+
+/** Returns an agent that calls a face of another VM as its TLS settings say. */
+export function createFaceAgent(
+  face: FaceSettings,
+  options: { readonly maxSockets?: number } = {},
+): Agent {
+  const kept = { keepAlive: true, ...options };
+  if (face.tls === undefined) return new Agent(kept);
+  return new TlsAgent({ ...kept, ...readTlsFiles(face.tls) });
 }
 
 function closeServer(server: Server): Promise<void> {
--- a/packages/peer/peer_client.ts
+++ b/packages/peer/peer_client.ts
@@ -1,5 +1,5 @@
 /** Calls the procedures of other entry VMs, over Node's http. */
-import { Agent } from "node:http";
+import type { Agent } from "node:http";
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { type Either, Left, Right } from "purify-ts";
 import { z } from "zod";
@@ -33,19 +33,15 @@
   readonly timeout: Millis;
   /** Whether the peers' face has TLS. */
   readonly tls: boolean;
+  /** Makes the connections; for TLS it has the certificates. */
+  readonly agent: Agent;
   /** Is told of the bytes of each call: sent and received. */
   readonly countBytes?: (bytes: number) => void;
 }
 
-const MAX_SOCKETS_PER_PEER = 8;
-
 /** Calls peers by address; each call returns an error rather than throwing. */
 export class PeerClient {
   readonly #options: PeerClientOptions;
-  readonly #agent = new Agent({
-    keepAlive: true,
-    maxSockets: MAX_SOCKETS_PER_PEER,
-  });
 
   constructor(options: PeerClientOptions) {
     this.#options = options;
@@ -116,7 +112,7 @@
 
   /** Closes every idle connection. */
   close(): void {
-    this.#agent.destroy();
+    this.#options.agent.destroy();
   }
 
   #connect(address: string) {
@@ -142,7 +138,7 @@
       headers: init.headers,
       body,
       idleTimeout: this.#options.timeout,
-      agent: this.#agent,
+      agent: this.#options.agent,
     });
     return answer.caseOf({
       Left: (failure) => {
--- /dev/null
+++ b/packages/settings/parse_settings_test.ts
@@ -0,0 +1,79 @@
+/** Tests of what settings are told about their faults. */
+import { readFileSync } from "node:fs";
+import test from "ava";
+import fc from "fast-check";
+import { formatInputError } from "../core/mod.ts";
+import { parseSettings, SETTINGS_SCHEMA } from "./mod.ts";
+
+const EXAMPLE = readFileSync("packages/cli/example/settings.jsonc", "utf8");
+
+function listFaults(text: string): string[] {
+  return parseSettings(text, "settings.jsonc")
+    .swap()
+    .map((errors) => errors.map(formatInputError))
+    .orDefault([]);
+}
+
+test("the example is valid and shows the defaults", (t) => {
+  const settings = parseSettings(EXAMPLE, "example").unsafeCoerce();
+  const { limits, intervals, logLevel, seeds } = SETTINGS_SCHEMA.parse({
+    ...settings,
+    limits: undefined,
+    intervals: undefined,
+    logLevel: undefined,
+    seeds: undefined,
+  });
+  t.deepEqual(settings.limits, limits);
+  t.deepEqual(settings.intervals, intervals);
+  t.deepEqual(settings.logLevel, logLevel);
+  t.deepEqual(settings.seeds, seeds);
+});
+
+test("an unknown key names the nearest known one, with its place", (t) => {
+  const faults = listFaults(EXAMPLE.replace('"logLevel"', '"logLevle"'));
+  t.is(faults.length, 1);
+  t.regex(faults[0]!, /^settings\.jsonc:\d+:\d+: There is no setting logLevle/);
+  t.regex(faults[0]!, /Did you mean logLevel\?/);
+});
+
+test("a missing key, a wrong type and a bad range are each pointed out", (t) => {
+  const faults = listFaults(
+    EXAMPLE.replace('"region": "addis",', "")
+      .replace('"port": 8080', '"port": "8080"')
+      .replace('"flushMillis": 20', '"flushMillis": 0'),
+  );
+  t.is(faults.length, 3);
+  t.true(faults.some((fault) => fault.includes("region is missing")));
+  t.true(faults.some((fault) => fault.includes("callers.port does not fit")));
+  t.true(faults.some((fault) => fault.includes("flushMillis does not fit")));
+});
+
+test("text that is not JSON gives the line and column of the fault", (t) => {
+  const [fault] = listFaults('{\n  "vm": ,\n}');
+  t.regex(fault!, /^settings\.jsonc:2:9: The text is not JSON/);
+});
+
+test("settings without a peer key say so", (t) => {
+  const [fault] = listFaults(EXAMPLE.replace('"peerKeyFile": "peer.key",', ""));
+  t.regex(fault!, /peerKey/);
+});
+
+test("whatever the text, faults have a message and a remedy", (t) => {
+  const edits = fc.record({
+    at: fc.nat(EXAMPLE.length),
+    cut: fc.nat(40),
+    text: fc.string({ maxLength: 20 }),
+  });
+  fc.assert(
+    fc.property(edits, ({ at, cut, text }) => {
+      const edited = EXAMPLE.slice(0, at) + text + EXAMPLE.slice(at + cut);
+      const parsed = parseSettings(edited, "fuzz");
+      if (parsed.isRight()) return true;
+      const errors = parsed.swap().unsafeCoerce();
+      return errors.length > 0 &&
+        errors.every((error) => error.message !== "" && error.remedy !== "");
+    }),
+    { seed: 7, numRuns: 500 },
+  );
+  t.pass();
+});
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -7,8 +7,10 @@
 const TLS_SCHEMA = z.strictObject({
   certificateFile: z.string(),
   keyFile: z.string(),
-  /** Certificates that peers must present; makes TLS mutual. */
-  clientAuthorityFile: z.string().optional(),
+  /** Authorities that this VM trusts when it calls the same face of others. */
+  authorityFile: z.string().optional(),
+  /** Whether who calls must show a certificate of these authorities. */
+  requireClientCertificate: z.boolean().default(false),
 });
 
 const FACE_SCHEMA = z.strictObject({
