Register the replay command; name functions by the style page's verbs

Some functions of the specifications began with verbs that docs/STYLE.md does not list. anvilrail replay was landed without its place on the command line.

--- a/packages/cli/commands/model_command.ts
+++ b/packages/cli/commands/model_command.ts
@@ -44,7 +44,7 @@
 };
 
 function runModelCommand(options: ModelArguments): ExitCode {
-  if (options.list) return printGuards();
+  if (options.list) return writeGuards();
   if (options.break === undefined) return checkWhole(options.maxStates);
   const guard = findGuard(options.break);
   if (guard === undefined) {
@@ -56,7 +56,7 @@
   return checkBroken(guard, options.maxStates);
 }
 
-function printGuards(): ExitCode {
+function writeGuards(): ExitCode {
   for (const { guard, models, rule } of listGuards()) {
     console.log(`${guard}  [${models.join(", ")}]  ${rule}`);
   }
@@ -66,7 +66,7 @@
 /** Succeeds when every space was exhausted without a violation. */
 function checkWhole(maxStates: number): ExitCode {
   const reports = runModelCheck({ maxStates });
-  printReports(reports);
+  writeReports(reports);
   return reports.every((report) => report.exhausted)
     ? ExitCode.Ok
     : ExitCode.Failed;
@@ -75,7 +75,7 @@
 /** Succeeds when every model that has the guard breaks without it. */
 function checkBroken(breakGuard: Guard, maxStates: number): ExitCode {
   const reports = runModelCheck({ breakGuard, maxStates });
-  printReports(reports);
+  writeReports(reports);
   const found = reports.every((report) => report.violation !== undefined);
   if (found) return ExitCode.Ok;
   console.error(
@@ -84,6 +84,6 @@
   return ExitCode.Failed;
 }
 
-function printReports(reports: readonly ModelReport[]): void {
+function writeReports(reports: readonly ModelReport[]): void {
   for (const report of reports) console.log(formatModelReport(report));
 }
--- a/packages/cli/mod.ts
+++ b/packages/cli/mod.ts
@@ -5,6 +5,7 @@
 import { checkCommand } from "./commands/check_command.ts";
 import { demoCommand } from "./commands/demo_command.ts";
 import { modelCommand } from "./commands/model_command.ts";
+import { replayCommand } from "./commands/replay_command.ts";
 import { serveCommand } from "./commands/serve_command.ts";
 import { standInCommand } from "./commands/stand_in_command.ts";
 import { ExitCode } from "./exit_code.ts";
@@ -19,6 +20,7 @@
     .command(demoCommand)
     .command(standInCommand)
     .command(modelCommand)
+    .command(replayCommand)
     .command(benchCommand)
     .demandCommand(1, "Name a command; --help lists them.")
     .recommendCommands()
--- a/packages/model/specifications/claims.ts
+++ b/packages/model/specifications/claims.ts
@@ -31,7 +31,7 @@
 type ClaimsStep = Step<ClaimsState>;
 
 /** Reads the row, decides the claim and sends its write. */
-function claim(
+function takeClaim(
   state: ClaimsState,
   index: number,
   isOn: GuardCheck,
@@ -63,7 +63,7 @@
 }
 
 /** Claims once more without looking at what the row shows. */
-function claimBlindly(state: ClaimsState, index: number): ClaimsState {
+function takeClaimBlindly(state: ClaimsState, index: number): ClaimsState {
   const value = { mark: ClaimMark.Open, holder: index };
   const write = { base: state.row.version, value };
   return changeAttempt(state, index, { stage: Stage.Claiming, write });
@@ -153,7 +153,7 @@
   const name = ATTEMPTS[index]!.name;
   const refused = changeAttempt(state, index, { stage: Stage.ToldNotRun });
   const steps = [
-    { label: `${name} claim: sent`, next: claim(state, index, isOn) },
+    { label: `${name} claim: sent`, next: takeClaim(state, index, isOn) },
     { label: `${name} store is down: refused`, next: refused },
   ];
   if (isOn(Guard.ClaimBeforeDispatch)) return steps;
@@ -206,8 +206,8 @@
   const name = ATTEMPTS[index]!.name;
   if (stage === Stage.Claiming) {
     const next = isOn(Guard.ReadBackBeforeRetry)
-      ? claim(state, index, isOn)
-      : claimBlindly(state, index);
+      ? takeClaim(state, index, isOn)
+      : takeClaimBlindly(state, index);
     const refused = finishClaim(state, index, Stage.Freeing);
     return [
       { label: `${name} claim: sent again`, next },
--- a/packages/model/specifications/documents.ts
+++ b/packages/model/specifications/documents.ts
@@ -72,7 +72,7 @@
 
 type DocumentsStep = Step<DocumentsState>;
 
-function replaceAt<Item>(
+function changeAt<Item>(
   items: readonly Item[],
   index: number,
   change: Partial<Item>,
@@ -85,7 +85,7 @@
   index: number,
   change: Partial<Change>,
 ): DocumentsState {
-  return { ...state, changes: replaceAt(state.changes, index, change) };
+  return { ...state, changes: changeAt(state.changes, index, change) };
 }
 
 function isValid(values: readonly number[]): boolean {
@@ -104,7 +104,7 @@
   if (change.applied && isOn(Guard.ChangeIdKept)) {
     return changeChange(state, index, { stage: Stage.Accepted });
   }
-  const values = replaceAt(state.sections, section, { value })
+  const values = changeAt(state.sections, section, { value })
     .map((each) => each.value);
   const stale = version !== change.saw && isOn(Guard.SectionVersionChecked);
   if (stale || !isValid(values)) {
@@ -117,7 +117,7 @@
   });
 }
 
-function commit(state: DocumentsState, index: number): DocumentsState {
+function applyCommit(state: DocumentsState, index: number): DocumentsState {
   const { section, value } = CHANGES[index]!;
   const change = state.changes[index]!;
   const { version } = state.sections[section]!;
@@ -125,7 +125,7 @@
   return {
     ...next,
     head: state.head + 1,
-    sections: replaceAt(state.sections, section, {
+    sections: changeAt(state.sections, section, {
       version: version + 1,
       value,
     }),
@@ -179,7 +179,7 @@
   if (moved) {
     return [{ label: `change ${name}: moved on`, next: unsure(state) }];
   }
-  const done = commit(state, index);
+  const done = applyCommit(state, index);
   return [
     {
       label: `change ${name}: committed`,
@@ -199,7 +199,7 @@
   const put = (inForce: number) => {
     const highest = Math.max(vm.highest, inForce);
     const change = { inForce, highest, loaded: true };
-    return { ...state, vms: replaceAt(state.vms, index, change) };
+    return { ...state, vms: changeAt(state.vms, index, change) };
   };
   if (!vm.loaded) return listLoads(state, index, { put, isOn });
   const steps: DocumentsStep[] = [];
@@ -209,7 +209,7 @@
     steps.push({ label, next: put(version) });
   }
   if (state.crashes >= MAX_CRASHES) return steps;
-  const vms = replaceAt(state.vms, index, { inForce: 0, loaded: false });
+  const vms = changeAt(state.vms, index, { inForce: 0, loaded: false });
   const next = { ...state, vms, crashes: state.crashes + 1 };
   return [...steps, { label: `${name} crash`, next }];
 }
--- a/packages/model/specifications/leases.ts
+++ b/packages/model/specifications/leases.ts
@@ -107,11 +107,11 @@
     .filter((order) => order.left >= 0);
   return {
     label: "tick",
-    next: { ...state, orders, vms: state.vms.map(ageVm) },
+    next: { ...state, orders, vms: state.vms.map(applyTick) },
   };
 }
 
-function ageVm(vm: Vm): Vm {
+function applyTick(vm: Vm): Vm {
   const aged = {
     ...vm,
     left: Math.max(OVER, vm.left - 1),
@@ -135,7 +135,7 @@
     const next = changeVm(state, index, { seen: state.token, seenFor: 0 });
     steps.push({ label: `${name} reads the lease row`, next });
   }
-  if (vm.write === undefined && mayTake(vm, isOn)) {
+  if (vm.write === undefined && isTakeAllowed(vm, isOn)) {
     const write = { base: vm.seen, age: 0, token: 0 };
     const next = changeVm(state, index, { write });
     steps.push({ label: `${name} take lease: sent`, next });
@@ -144,7 +144,7 @@
 }
 
 /** A lease that is held must have been seen unchanged for its whole length. */
-function mayTake(vm: Vm, isOn: GuardCheck): boolean {
+function isTakeAllowed(vm: Vm, isOn: GuardCheck): boolean {
   if (vm.token === vm.seen && vm.token > 0) return false;
   if (vm.seen === 0 || !isOn(Guard.LeaseObservedWhole)) return true;
   return vm.seenFor > LEASE;
--- a/packages/model/specifications/loan_row.ts
+++ b/packages/model/specifications/loan_row.ts
@@ -51,7 +51,7 @@
   readonly returning: boolean;
 }
 
-export function replaceAt<Item>(
+export function changeAt<Item>(
   items: readonly Item[],
   index: number,
   item: Item,
@@ -59,7 +59,7 @@
   return items.map((each, position) => position === index ? item : each);
 }
 
-export function count(flags: readonly boolean[]): number {
+export function computeCount(flags: readonly boolean[]): number {
   return flags.filter((flag) => flag).length;
 }
 
@@ -80,7 +80,7 @@
     entry.mark === EntryMark.WrittenOff;
   if (!known) return row;
   const out = lender.lent.map((lent, id) => lent && !entry.returned[id]);
-  const lent = isOn(Guard.LoanCountsAsSpent) ? count(out) * LOAN : 0;
+  const lent = isOn(Guard.LoanCountsAsSpent) ? computeCount(out) * LOAN : 0;
   const used = lender.spent + lent;
   const closed = entry.mark === EntryMark.Open
     ? row.closed + used
@@ -89,13 +89,13 @@
   return {
     ...row,
     closed,
-    entries: replaceAt(row.entries, lender.life, { ...entry, mark }),
-    loansOut: replaceAt(row.loansOut, lender.life, out),
+    entries: changeAt(row.entries, lender.life, { ...entry, mark }),
+    loansOut: changeAt(row.loansOut, lender.life, out),
   };
 }
 
 /** Gives a loan back, once for its id. */
-export function returnLoan(
+export function receiveReturn(
   row: LoanRow,
   loan: Loan,
   isOn: GuardCheck,
@@ -109,19 +109,19 @@
     return {
       ...row,
       closed: row.closed - unspent,
-      loansOut: replaceAt(row.loansOut, lenderLife, replaceAt(out, id, false)),
+      loansOut: changeAt(row.loansOut, lenderLife, changeAt(out, id, false)),
     };
   }
   if (entry.returned[id] && isOn(Guard.LoanReturnedOnce)) return row;
   const changed = {
     ...entry,
     size: entry.size - unspent,
-    returned: replaceAt(entry.returned, id, true),
+    returned: changeAt(entry.returned, id, true),
   };
   const lost = entry.mark === EntryMark.WrittenOff ? unspent : 0;
   return {
     ...row,
     closed: row.closed - lost,
-    entries: replaceAt(row.entries, lenderLife, changed),
+    entries: changeAt(row.entries, lenderLife, changed),
   };
 }
--- a/packages/model/specifications/loans.ts
+++ b/packages/model/specifications/loans.ts
@@ -9,13 +9,13 @@
  */
 import type { GrantEntry, Lender, Loan, LoanRow } from "./loan_row.ts";
 import {
+  changeAt,
   closeEntry,
+  computeCount,
   computeOpen,
-  count,
   EntryMark,
   LOAN,
-  replaceAt,
-  returnLoan,
+  receiveReturn,
 } from "./loan_row.ts";
 import { Guard } from "../guard.ts";
 import type { GuardCheck, Specification, Step } from "../specification.ts";
@@ -59,7 +59,7 @@
 
 function computeRoom(lender: Lender, entry: GrantEntry | undefined): number {
   if (!lender.holds || lender.closing || entry === undefined) return 0;
-  return TOP_UP - lender.spent - count(lender.lent) * LOAN;
+  return TOP_UP - lender.spent - computeCount(lender.lent) * LOAN;
 }
 
 function changeRow(state: LoansState, change: Partial<LoanRow>): LoansState {
@@ -94,7 +94,7 @@
   const left = row.limit - row.closed - computeOpen(row);
   if (entry.mark === EntryMark.None && left >= TOP_UP) {
     const taken = { ...entry, mark: EntryMark.Open, size: TOP_UP };
-    const entries = replaceAt(row.entries, lender.life, taken);
+    const entries = changeAt(row.entries, lender.life, taken);
     const next = changeLender(changeRow(state, { entries }), { holds: true });
     steps.push({ label: "B takes a grant", next });
   }
@@ -121,7 +121,7 @@
   return row.entries.flatMap((entry, life) => {
     if (entry.mark !== EntryMark.Open) return [];
     const mark = EntryMark.WrittenOff;
-    const entries = replaceAt(row.entries, life, { ...entry, mark });
+    const entries = changeAt(row.entries, life, { ...entry, mark });
     const closed = row.closed + entry.size;
     const next = changeRow(state, { entries, closed });
     return [{ label: `grant of B's life ${life + 1} written off`, next }];
@@ -140,26 +140,26 @@
   state.asked.forEach((asked, id) => {
     if (!asked || lender.lent[id] || lender.owed[id] || room < LOAN) return;
     const label = `B lends to A's life ${id + 1}`;
-    steps.push({ label, next: lend(state, id, isOn) });
+    steps.push({ label, next: sendLoan(state, id, isOn) });
   });
   lender.owed.forEach((owed, id) => {
     if (!owed || room < LOAN) return;
     const next = changeLender(state, {
-      owed: replaceAt(lender.owed, id, false),
-      lent: replaceAt(lender.lent, id, true),
+      owed: changeAt(lender.owed, id, false),
+      lent: changeAt(lender.lent, id, true),
     });
     steps.push({ label: `B debits the loan to A's life ${id + 1}`, next });
   });
   return steps;
 }
 
-function lend(state: LoansState, id: number, isOn: GuardCheck): LoansState {
+function sendLoan(state: LoansState, id: number, isOn: GuardCheck): LoansState {
   const { lender, answers } = state;
-  const own = replaceAt(answers[lender.life]!, id, true);
-  const sent = { ...state, answers: replaceAt(answers, lender.life, own) };
+  const own = changeAt(answers[lender.life]!, id, true);
+  const sent = { ...state, answers: changeAt(answers, lender.life, own) };
   return isOn(Guard.DebitBeforeSend)
-    ? changeLender(sent, { lent: replaceAt(lender.lent, id, true) })
-    : changeLender(sent, { owed: replaceAt(lender.owed, id, true) });
+    ? changeLender(sent, { lent: changeAt(lender.lent, id, true) })
+    : changeLender(sent, { owed: changeAt(lender.owed, id, true) });
 }
 
 function listBorrowerSteps(state: LoansState, isOn: GuardCheck): LoansStep[] {
@@ -168,14 +168,14 @@
   if (!asked[borrower.life]) {
     const next = {
       ...changeBorrower(state, { pending: true }),
-      asked: replaceAt(asked, borrower.life, true),
+      asked: changeAt(asked, borrower.life, true),
     };
     steps.push({ label: "A asks for a loan", next });
   }
   borrower.loans.forEach((loan, index) => {
     if (loan.spent < LOAN && !loan.returning) {
       const spent = { ...loan, spent: loan.spent + 1 };
-      const loans = replaceAt(borrower.loans, index, spent);
+      const loans = changeAt(borrower.loans, index, spent);
       const next = changeBorrower(state, { loans });
       const label = `A spends 1 of loan ${index + 1}`;
       steps.push({ label, next: { ...next, spent: state.spent + 1 } });
@@ -218,9 +218,9 @@
   if (cut === "1") return [];
   return borrower.loans.flatMap((loan, index) => {
     if (loan.spent >= LOAN) return [];
-    const kept = replaceAt(borrower.loans, index, { ...loan, returning: true });
+    const kept = changeAt(borrower.loans, index, { ...loan, returning: true });
     const marked = changeBorrower(state, { loans: kept });
-    const row = returnLoan(state.row, loan, isOn);
+    const row = receiveReturn(state.row, loan, isOn);
     const done = { ...marked, row };
     const loans = borrower.loans.filter((each) => each !== loan);
     const name = `A returns loan ${index + 1}`;
--- a/packages/replay/inputs/store_inputs.ts
+++ b/packages/replay/inputs/store_inputs.ts
@@ -18,13 +18,13 @@
 /** A late write lands; the versions it was decided from decide on it. */
 const land = createInput(
   { write: NAME },
-  ({ write }, { fleet }) => ({ landed: fleet.store.land(write) }),
+  ({ write }, { fleet }) => ({ landed: fleet.store.applyLate(write) }),
 );
 
 /** A VM loses its memory and begins a new life. */
 const restart = createInput(
   { vm: NAME },
-  ({ vm }, { fleet }) => ({ incarnation: fleet.restartVm(vm) }),
+  ({ vm }, { fleet }) => ({ incarnation: fleet.startNextLife(vm) }),
 );
 
 /** Late writes and restarts. */
--- a/packages/replay/replay_fleet.ts
+++ b/packages/replay/replay_fleet.ts
@@ -40,7 +40,7 @@
   }
 
   /** Begins a new life of a VM, which remembers nothing. */
-  restartVm(vm: VmId): Incarnation {
+  startNextLife(vm: VmId): Incarnation {
     const life = Number(this.getVm(vm).incarnation) + 1;
     return this.#startVm(vm, String(life)).incarnation;
   }
--- a/packages/replay/replay_store.ts
+++ b/packages/replay/replay_store.ts
@@ -58,7 +58,7 @@
   }
 
   /** Lands a write that was given up; returns whether the versions allowed it. */
-  land(name: string): boolean {
+  applyLate(name: string): boolean {
     const late = this.#late.get(name);
     if (late === undefined) {
       throw new Error(
--- a/packages/replay/replay_trace_test.ts
+++ b/packages/replay/replay_trace_test.ts
@@ -35,7 +35,7 @@
   return replayed.unsafeCoerce().difference;
 }
 
-function replaceExpect(text: string, line: number): string {
+function changeExpect(text: string, line: number): string {
   const lines = text.split("\n");
   const step = JSON.parse(lines[line - 1] ?? "");
   lines[line - 1] = JSON.stringify({ ...step, expect: { wrong: true } });
@@ -52,7 +52,7 @@
   test(`${name} fails at each outcome that is stated wrongly`, async (t) => {
     const { steps } = parseTrace(text, REPLAY_INPUTS).unsafeCoerce();
     for (const { line, expect } of steps) {
-      const difference = await findDifference(replaceExpect(text, line));
+      const difference = await findDifference(changeExpect(text, line));
       t.is(difference?.line, line);
       t.deepEqual(difference?.found, expect);
     }
--- a/packages/replay/specification_test.ts
+++ b/packages/replay/specification_test.ts
@@ -137,7 +137,7 @@
 });
 
 /** Forgets what the rows show of earlier effects under a key. */
-function hideRows(operation: RowOperation<unknown>, prefix: string) {
+function dropRows(operation: RowOperation<unknown>, prefix: string) {
   return {
     ...operation,
     decide: (rows) =>
@@ -149,10 +149,10 @@
 
 const FAULTY_CALLS: Readonly<Record<string, CreateCall>> = {
   "a top-up that does not look for its id": (call) =>
-    hideRows(createCall(call), "topup/"),
+    dropRows(createCall(call), "topup/"),
   "a take that does not see other grants": (call) =>
     call.kind === CallKind.Take
-      ? hideRows(createCall(call), "budget/")
+      ? dropRows(createCall(call), "budget/")
       : createCall(call),
   "a close that reports nothing as spent": (call) =>
     createCall(call.kind === CallKind.Close ? { ...call, spent: 0 } : call),
