--- /dev/null
+++ b/packages/replay/inputs/membership_inputs.ts
@@ -0,0 +1,94 @@
+/** Inputs for the decisions of packages/membership. */
+import type {
+  Member,
+  MembershipView,
+  MemberUpdate,
+} from "../../membership/mod.ts";
+import {
+  chooseHomes,
+  expireMembers,
+  receiveGossip,
+  recordProbeFailed,
+} from "../../membership/mod.ts";
+import { REPLAY_REGION } from "../replay_fleet.ts";
+import type { InputTable } from "../replay_input.ts";
+import { COUNT, createInput, NAME } from "../replay_input.ts";
+
+/** Returns what a view has of a member, as news. */
+function createNews(view: MembershipView, member: Member): MemberUpdate {
+  const { vm, incarnation, state, documentVersion } = member;
+  const { region, dataCentre, peerAddress, callerAddress } = member;
+  return {
+    vm,
+    incarnation,
+    state,
+    documentVersion,
+    refutation: view.records.get(vm)?.refutation ?? 0,
+    place: { region, dataCentre, peerAddress, callerAddress },
+  };
+}
+
+/** Returns the state of each member, by name. */
+function describeView(view: MembershipView): unknown {
+  const states = [...view.members.values()]
+    .map((member) => [member.vm, member.state] as const)
+    .sort(([left], [right]) => left < right ? -1 : 1);
+  return Object.fromEntries(states);
+}
+
+/** A VM tells another all that it believes. */
+const tell = createInput(
+  { from: NAME, to: NAME },
+  ({ from, to }, { fleet, now }) => {
+    const { view } = fleet.getVm(from);
+    const self = view.members.get(from)!;
+    const others = [...view.members.values()]
+      .filter((member) => member.vm !== from);
+    const message = {
+      from: createNews(view, self),
+      digest: view.digest,
+      updates: others.map((member) => createNews(view, member)),
+    };
+    const receiver = fleet.getVm(to);
+    receiver.view = receiveGossip(receiver.view, { message, now });
+    return describeView(receiver.view);
+  },
+);
+
+/** A member answered neither this VM nor those that it asked. */
+const noAnswer = createInput(
+  { vm: NAME, of: NAME },
+  ({ vm, of }, { fleet, now }) => {
+    const life = fleet.getVm(vm);
+    life.view = recordProbeFailed(life.view, { vm: of, now });
+    return describeView(life.view);
+  },
+);
+
+/** A round of the VM's own; a long time since the last one was a pause. */
+const tick = createInput(
+  { vm: NAME },
+  ({ vm }, { fleet, now }) => {
+    const life = fleet.getVm(vm);
+    life.view = expireMembers(life.view, { now });
+    return describeView(life.view);
+  },
+);
+
+const homes = createInput(
+  { vm: NAME, event: NAME, homes: COUNT },
+  ({ vm, event, homes }, { fleet }) =>
+    chooseHomes(fleet.getVm(vm).view, {
+      eventId: event,
+      region: REPLAY_REGION,
+      homes,
+    }),
+);
+
+/** What VMs believe of each other. */
+export const MEMBERSHIP_INPUTS: InputTable = {
+  "membership/tell": tell,
+  "membership/no-answer": noAnswer,
+  "membership/tick": tick,
+  "membership/homes": homes,
+};
--- a/packages/replay/replay_fleet.ts
+++ b/packages/replay/replay_fleet.ts
@@ -4,11 +4,16 @@
 import type { EventId, Incarnation, VmId } from "../core/mod.ts";
 import type { DocumentState } from "../document/mod.ts";
 import { createDocumentState } from "../document/mod.ts";
+import type { MembershipView } from "../membership/mod.ts";
+import { createMembershipView, MemberState } from "../membership/mod.ts";
 import { RequestTable } from "../request/mod.ts";
 import type { AnswerAssembler, DutyWatch } from "../routing/mod.ts";
 import { Quarantine, RetryBudgets } from "../routing/mod.ts";
 import { ReplayStore } from "./replay_store.ts";
 
+/** The region that every VM of a replay is in. */
+export const REPLAY_REGION = "region";
+
 /** What one life of a VM has in memory. */
 export interface ReplayVm {
   readonly vm: VmId;
@@ -23,6 +28,7 @@
   /** Answers that are being streamed, by the name of the request. */
   readonly answers: Map<string, AnswerAssembler>;
   document: DocumentState;
+  view: MembershipView;
 }
 
 /** VMs, the messages between them and the store. */
@@ -77,6 +83,17 @@
       retries: new RetryBudgets(),
       answers: new Map(),
       document: createDocumentState(),
+      view: createMembershipView({
+        vm,
+        incarnation,
+        state: MemberState.Live,
+        region: REPLAY_REGION,
+        dataCentre: "data-centre",
+        peerAddress: `${vm}:1`,
+        callerAddress: `${vm}:2`,
+        documentVersion: 0,
+        heardAt: 0,
+      }),
     };
     this.#vms.set(vm, started);
     return started;
--- a/packages/replay/replay_trace.ts
+++ b/packages/replay/replay_trace.ts
@@ -8,6 +8,7 @@
 import type { JsonValue } from "../core/mod.ts";
 import { BUDGET_INPUTS } from "./inputs/budget_inputs.ts";
 import { DOCUMENT_INPUTS } from "./inputs/document_inputs.ts";
+import { MEMBERSHIP_INPUTS } from "./inputs/membership_inputs.ts";
 import { REQUEST_INPUTS } from "./inputs/request_inputs.ts";
 import { ROUTING_INPUTS } from "./inputs/routing_inputs.ts";
 import { STORE_INPUTS } from "./inputs/store_inputs.ts";
@@ -26,6 +27,7 @@
   ...ROUTING_INPUTS,
   ...STREAM_INPUTS,
   ...DOCUMENT_INPUTS,
+  ...MEMBERSHIP_INPUTS,
 };
 
 /** The first step whose outcome is not the stated one. */
