--- a/packages/bench/experiments.ts
+++ b/packages/bench/experiments.ts
@@ -14,6 +14,8 @@
 import { storeOutageExperiment } from "./store_traffic/store_outage_experiment.ts";
 import { storeTrafficExperiment } from "./store_traffic/store_traffic_experiment.ts";
 import { routingComparison } from "./routing/compare.ts";
+import { fairnessExperiment } from "./routing/fairness.ts";
+import { poisonExperiment } from "./routing/poison.ts";
 
 /** Each package of experiments adds a line here. */
 export const EXPERIMENTS: readonly Experiment[] = [
@@ -26,9 +28,11 @@
   controlCostExperiment,
   dataPlaneExperiment,
   streamMemoryExperiment,
+  budgetExperiment,
+  routingComparison,
   peerCostExperiment,
   vmStartExperiment,
   recoveryExperiment,
-  budgetExperiment,
-  routingComparison,
+  fairnessExperiment,
+  poisonExperiment,
 ];
--- a/packages/daemon/features/traffic.ts
+++ b/packages/daemon/features/traffic.ts
@@ -4,6 +4,7 @@
  */
 import type { Either } from "purify-ts";
 import {
+  type BodyDigest,
   combineUndo,
   type CommandType,
   createCommand,
@@ -80,6 +81,12 @@
   refuse(refusal: Refusal): void;
 }
 
+/** The attempt that brought the first part of an answer. */
+export interface FirstChunk {
+  readonly digest: BodyDigest;
+  readonly target: TargetId;
+}
+
 /** What the feature uses of others. */
 export interface TrafficPorts {
   readonly news: NewsExchange;
@@ -201,8 +208,9 @@
     this.#quarantine.recordStart(request.digest, target);
   }
 
-  /** Notes that a request's first chunk has come. */
-  recordFirstChunk(ticket: Ticket): void {
+  /** Notes the first part of an answer, so that more prompts may be sent. */
+  recordFirstChunk(ticket: Ticket, attempt: FirstChunk): void {
+    this.#quarantine.recordProgress(attempt.digest, attempt.target);
     this.#admission.recordFirstToken(ticket.id, this.#readTime());
     this.#startReady(ticket.service);
   }
@@ -264,8 +272,8 @@
     const report = await this.#context.targets.probe(target, PROBE_TIMEOUT);
     const now = this.#readTime();
     if (report === undefined) {
-      const word = { answered: false, now };
-      this.#change((state) => recordReach(state, target.id, word));
+      const answered = false;
+      this.#change((state) => recordReach(state, target.id, { answered, now }));
       return undefined;
     }
     this.#change((state) => applyReport(state, target.id, { report, now }));
