Choose by the prompt text that is unread, not by requests alone

Cause: an audit draft has a prompt of twelve thousand tokens; counted as one request among others it was sent behind many more, and holders of its prefix were followed at any length of theirs. Change: a target's own unread prompt tokens count as load, 8,192 as much as a full batch; a holder may cost more by the tokens that its prefix saves.

--- a/packages/bench/routing/entry.ts
+++ b/packages/bench/routing/entry.ts
@@ -35,6 +35,7 @@
   type QuarantineWord,
   recordAttemptEnd,
   recordAttemptStart,
+  recordPromptRead,
   recordReach,
   RetryAction,
   RetryBudgets,
@@ -100,6 +101,8 @@
   probe?: ProbeResult | undefined;
   /** Whether the target of the attempt listened when the request arrived. */
   reached: boolean;
+  /** Whether the attempt has brought a token. */
+  read: boolean;
   mayHaveRun: boolean;
   lastProgress: number;
   firstTokenAt?: number;
@@ -242,6 +245,8 @@
       tried: open.tried,
       priority: arrival.kind.priority,
       prefixes: arrival.prefix.tokens > 0 ? [arrival.prefix.id] : [],
+      promptTokens: arrival.promptTokens,
+      prefixTokens: arrival.prefix.tokens,
       ...guards
         ? { avoided: this.#quarantine.listSuspectTargets(digest, this.#now) }
         : {},
@@ -269,6 +274,7 @@
     open.attempts++;
     open.target = target;
     open.probe = undefined;
+    open.read = false;
     open.lastProgress = this.#now;
     open.tried = [...open.tried, target.id];
     this.#running.add(open);
@@ -276,6 +282,7 @@
     recordAttemptStart(this.#state, target.id, {
       now: this.#now,
       prefixes: arrival.prefix.tokens > 0 ? [arrival.prefix.id] : [],
+      promptTokens: arrival.promptTokens,
       expectedBytes: computeBytes(arrival),
     });
     const job: EngineJob = {
@@ -305,6 +312,11 @@
     const chunk = { position, data: "", tokens: 1 };
     if (open.answer.receive(attempt, chunk) !== ChunkAction.Pass) return;
     const now = this.#now;
+    if (!open.read) {
+      open.read = true;
+      const { promptTokens } = open.sent.arrival;
+      recordPromptRead(this.#state, open.target!.id, promptTokens);
+    }
     const { requestKey } = open.sent.arrival;
     this.#quarantine.recordProgress(requestKey, open.target!.id);
     const modelled = open.sent.arrival.outputTokens > 0;
@@ -339,6 +351,7 @@
     recordAttemptEnd(this.#state, target.id, {
       now,
       end: attemptEnd,
+      unreadTokens: open.read ? 0 : open.sent.arrival.promptTokens,
       expectedBytes: bytes,
       bytes,
     });
@@ -527,6 +540,7 @@
     attempts: 0,
     replacements: 0,
     reached: false,
+    read: false,
     mayHaveRun: false,
     lastProgress: now,
   };
--- a/packages/routing/commands/record_attempt.ts
+++ b/packages/routing/commands/record_attempt.ts
@@ -1,5 +1,11 @@
 /** Counts the attempts that are open at each target and how they end. */
-import type { Bytes, Millis, MonotonicTime, TargetId } from "../../core/mod.ts";
+import type {
+  Bytes,
+  Millis,
+  MonotonicTime,
+  TargetId,
+  Tokens,
+} from "../../core/mod.ts";
 import { AttemptEnd } from "../../platform/mod.ts";
 import type { PrefixDigest } from "../prefix_table.ts";
 import type { RoutingState } from "../state.ts";
@@ -13,6 +19,8 @@
 export interface AttemptStart {
   readonly now: MonotonicTime;
   readonly prefixes?: readonly PrefixDigest[];
+  /** Tokens of the prompt; none for plain services. */
+  readonly promptTokens?: Tokens;
   /** Bytes that the attempt is expected to move in both directions. */
   readonly expectedBytes?: Bytes;
 }
@@ -21,6 +29,8 @@
 export interface AttemptFinish {
   readonly now: MonotonicTime;
   readonly end: AttemptEnd;
+  /** The prompt's tokens, if no token of the answer had come. */
+  readonly unreadTokens?: Tokens;
   /** The figure given at the start. */
   readonly expectedBytes?: Bytes;
   /** Bytes that it moved in both directions. */
@@ -44,7 +54,11 @@
 ): RoutingState {
   const known = state.targets.get(target);
   if (known === undefined) return state;
-  state.targets.put({ ...known, inFlight: known.inFlight + 1 });
+  state.targets.put({
+    ...known,
+    inFlight: known.inFlight + 1,
+    unreadTokens: known.unreadTokens + (start?.promptTokens ?? 0),
+  });
   if (start === undefined) return state;
   const holder = { target, epoch: known.cacheEpoch };
   for (const prefix of start.prefixes ?? []) {
@@ -54,6 +68,19 @@
   return state;
 }
 
+/** Counts a prompt as read: the first token of its answer has come. */
+export function recordPromptRead(
+  state: RoutingState,
+  target: TargetId,
+  tokens: Tokens,
+): RoutingState {
+  const known = state.targets.get(target);
+  if (known === undefined) return state;
+  const unreadTokens = Math.max(0, known.unreadTokens - tokens);
+  state.targets.put({ ...known, unreadTokens });
+  return state;
+}
+
 /** Counts an attempt that ended; repeated failures eject the target. */
 export function recordAttemptEnd(
   state: RoutingState,
@@ -62,7 +89,11 @@
 ): RoutingState {
   const known = state.targets.get(target);
   if (known === undefined) return state;
-  const counted = { ...known, inFlight: Math.max(0, known.inFlight - 1) };
+  const inFlight = Math.max(0, known.inFlight - 1);
+  const unread = known.unreadTokens - (finish?.unreadTokens ?? 0);
+  // Without attempts nothing is unread, whatever a caller left out.
+  const unreadTokens = inFlight === 0 ? 0 : Math.max(0, unread);
+  const counted = { ...known, inFlight, unreadTokens };
   if (finish === undefined) {
     state.targets.put(counted);
     return state;
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -32,6 +32,7 @@
 export {
   recordAttemptEnd,
   recordAttemptStart,
+  recordPromptRead,
 } from "./commands/record_attempt.ts";
 export type { ReportWord } from "./commands/exchange_reports.ts";
 export { applyReports, listReports } from "./commands/exchange_reports.ts";
--- a/packages/routing/queries/choose_target.ts
+++ b/packages/routing/queries/choose_target.ts
@@ -11,6 +11,7 @@
   type ServiceId,
   type TargetConfig,
   type TargetId,
+  type Tokens,
 } from "../../core/mod.ts";
 import type { PrefixHolder } from "../prefix_table.ts";
 import {
@@ -34,7 +35,10 @@
 /** Targets looked at when the draws found no two with room. */
 const MOST_SEARCHED = 48;
 
-/** How far above the sampled load a holder of the prefix may be. */
+/** Unread prompt tokens that delay a prompt as much as a full batch does. */
+const TOKENS_PER_LOAD: Tokens = 8_192;
+
+/** How much a holder of a prefix of unknown length may cost more. */
 const AFFINITY_SLACK = 0.15;
 
 /** Load up to which a holder may be busier than the sampled ones at all. */
@@ -58,6 +62,8 @@
 interface Candidate {
   readonly target: TargetState;
   readonly load: number;
+  /** The load, and what is to be read before the prompt, as a load. */
+  readonly cost: number;
   readonly fullness: number;
 }
 
@@ -120,14 +126,24 @@
   const sampled = chooseOfTwo(state, input, ids);
   if (sampled === undefined) return undefined;
   const holder = findHolder(state, input, regions);
-  if (holder === undefined || !isWorthwhile(holder, sampled)) return sampled;
+  const { prefixTokens } = input.request;
+  if (holder === undefined || !isWorthwhile(holder, sampled, prefixTokens)) {
+    return sampled;
+  }
   return hasRoom(holder, input) ? holder : sampled;
 }
 
-/** A prefix saves less than waiting at a busy target costs. */
-function isWorthwhile(holder: Candidate, sampled: Candidate): boolean {
-  const most = Math.min(AFFINITY_LOAD, sampled.load + AFFINITY_SLACK);
-  return holder.load <= Math.max(sampled.load, most);
+/** A holder may cost more by what its prefix saves, unless it is nearly full. */
+function isWorthwhile(
+  holder: Candidate,
+  sampled: Candidate,
+  prefixTokens: Tokens | undefined,
+): boolean {
+  const saved = prefixTokens === undefined
+    ? AFFINITY_SLACK
+    : prefixTokens / TOKENS_PER_LOAD;
+  return holder.cost <= sampled.cost + saved &&
+    holder.load <= Math.max(sampled.load, AFFINITY_LOAD);
 }
 
 function chooseOfTwo(
@@ -221,7 +237,7 @@
   candidates: readonly Candidate[],
 ): Candidate | undefined {
   return candidates.reduce<Candidate | undefined>(
-    (best, each) => best === undefined || each.load < best.load ? each : best,
+    (best, each) => best === undefined || each.cost < best.cost ? each : best,
     undefined,
   );
 }
@@ -237,9 +253,11 @@
 ): Candidate | undefined {
   const target = id === undefined ? undefined : state.targets.get(id);
   if (target === undefined || !isUsable(target, input)) return undefined;
+  const load = computeLoad(state, target, input.now);
   return {
     target,
-    load: computeLoad(state, target, input.now),
+    load,
+    cost: load + target.unreadTokens / TOKENS_PER_LOAD,
     fullness: computeFullness(state, target, input.now),
   };
 }
--- a/packages/routing/state.ts
+++ b/packages/routing/state.ts
@@ -15,6 +15,7 @@
   type ServiceConfig,
   type ServiceId,
   type TargetId,
+  type Tokens,
 } from "../core/mod.ts";
 import { LinkTable } from "./link_table.ts";
 import { type PrefixDigest, PrefixTable } from "./prefix_table.ts";
@@ -45,6 +46,10 @@
   readonly models?: readonly string[];
   /** Digests of the prompt's beginning, the shortest first. */
   readonly prefixes?: readonly PrefixDigest[];
+  /** Tokens of the prompt, as far as known; none for plain services. */
+  readonly promptTokens?: Tokens;
+  /** Tokens of the longest prefix, which a holder need not read again. */
+  readonly prefixTokens?: Tokens;
   /** Bytes that the request and its answer are expected to take. */
   readonly expectedBytes?: Bytes;
 }
--- a/packages/routing/target_state.ts
+++ b/packages/routing/target_state.ts
@@ -1,5 +1,10 @@
 /** What one VM knows of one target: an immutable record and what follows from it. */
-import type { Millis, MonotonicTime, TargetConfig } from "../core/mod.ts";
+import type {
+  Millis,
+  MonotonicTime,
+  TargetConfig,
+  Tokens,
+} from "../core/mod.ts";
 
 /** Whether a target is given new work. */
 export enum TargetHealth {
@@ -43,6 +48,8 @@
   readonly config: TargetConfig;
   /** Attempts that this VM has open at it. */
   readonly inFlight: number;
+  /** Prompt tokens of those attempts that have brought no token yet. */
+  readonly unreadTokens: Tokens;
   readonly knownSince: MonotonicTime;
   /** Start of the slow start; absent when the target was there from the first. */
   readonly slowStartFrom?: MonotonicTime;
@@ -78,6 +85,7 @@
   const state = {
     config,
     inFlight: 0,
+    unreadTokens: 0,
     knownSince: options.now,
     ownSamples: [],
     listedLeaving: false,
