Begin with an open prompt window and shrink it to what is unread

Cause: a first window of 8,192 tokens let one long prompt at a time go to all engines of a service, late or not.

--- a/packages/routing/admission/prompt_window.ts
+++ b/packages/routing/admission/prompt_window.ts
@@ -16,7 +16,6 @@
   type Tokens,
 } from "../../core/mod.ts";
 
-const FIRST_WINDOW: Tokens = 8_192;
 const LEAST_WINDOW: Tokens = 1_024;
 const MOST_WINDOW: Tokens = 262_144;
 
@@ -95,10 +94,11 @@
   ): void {
     const late = this.#isLate(read.tokens, read.delay);
     const place = ORDER.indexOf(read.priority);
+    const { now } = read;
     for (const priority of ORDER.slice(place)) {
       const window = this.#windows.get(priority)!;
       if (priority === read.priority) this.#growQuiet(window, read);
-      else if (late) shrinkWindow(window, read.now);
+      else if (late) shrinkWindow(window, { unread: this.#unread, now });
       else this.#grow(window, read.tokens);
     }
     this.recordDrop(read.tokens);
@@ -131,11 +131,17 @@
 
 function createWindow(priority: Priority): Window {
   const first = priority === ORDER[0];
-  return { size: first ? Infinity : FIRST_WINDOW, shrunkAt: -Infinity };
+  return { size: first ? Infinity : MOST_WINDOW, shrunkAt: -Infinity };
 }
 
-function shrinkWindow(window: Window, now: MonotonicTime): void {
+function shrinkWindow(
+  window: Window,
+  options: { readonly unread: Tokens; readonly now: MonotonicTime },
+): void {
+  const { unread, now } = options;
   if (now - window.shrunkAt < SHRINK_INTERVAL) return;
   window.shrunkAt = now;
-  window.size = Math.max(LEAST_WINDOW, window.size * SHRINK);
+  // A window that was never filled says nothing; what is unread was too much.
+  const size = Math.min(window.size, unread) * SHRINK;
+  window.size = Math.max(LEAST_WINDOW, size);
 }
