--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -31,9 +31,6 @@
 import { createRefusal, createUnknown } from "./refusals.ts";
 import type { RunServices } from "./run_services.ts";
 
-/** Bytes of a prompt that usually make one token; an estimate, not a bound. */
-const BYTES_PER_TOKEN = 4;
-
 /** Pause before a target is looked for again when none is usable. */
 const NO_TARGET_PAUSE: Millis = 200;
 
@@ -124,6 +121,7 @@
       complete: false,
       bytes: 0,
       pathDead: false,
+      unread: true,
     });
   }
 
@@ -229,6 +227,7 @@
     const { traffic, context } = this.#services;
     const { result, watch } = input;
     const request = this.#createRouted();
+    const unread = !watch.isBegun;
     const { service, kind } = this.#request;
     context.metrics.attempts.inc({ service: service.id, end: result.end });
     const complete = result.end === AttemptEnd.Complete;
@@ -241,14 +240,22 @@
       });
     }
     if (await this.#isTargetLost(target, { result, watch })) {
-      await traffic.endCrashed(target.id, { request, end: result.end });
+      const { end } = result;
+      await traffic.endCrashed(target.id, { request, end, unread });
       return true;
     }
     const pathDead = result.end === AttemptEnd.Broken;
     if (pathDead) context.targets.dropPool(target.id);
     const bytes = result.bytesSent + result.bytesReceived;
     const { end } = result;
-    traffic.endAttempt(target.id, { request, end, complete, bytes, pathDead });
+    traffic.endAttempt(target.id, {
+      request,
+      end,
+      complete,
+      bytes,
+      pathDead,
+      unread,
+    });
     return pathDead;
   }
 
@@ -273,6 +280,7 @@
       tried: this.#tried,
       priority: kind.priority,
       prefixes,
+      promptTokens: this.#ticket.promptTokens ?? 0,
       expectedBytes: body.length,
     };
   }
@@ -301,9 +309,6 @@
     priority: request.kind.priority,
     weight: request.customer.weight,
     tokens: request.promptBound + request.outputBound + request.kind.flatTokens,
-    ...(request.promptBound === 0
-      ? {}
-      : { promptTokens: Math.ceil(request.body.length / BYTES_PER_TOKEN) }),
     deadline: request.deadline,
     arrivedAt: request.arrivedAt,
   };
@@ -335,6 +340,11 @@
     return this.#controller.signal;
   }
 
+  /** Whether any part of an answer has come. */
+  get isBegun(): boolean {
+    return this.#begun;
+  }
+
   get isCut(): boolean {
     return this.#cause !== undefined;
   }
--- a/packages/daemon/features/traffic.ts
+++ b/packages/daemon/features/traffic.ts
@@ -46,6 +46,7 @@
   type QuarantineWord,
   recordAttemptEnd,
   recordAttemptStart,
+  recordPromptRead,
   recordReach,
   type ReportWord,
   RetryBudgets,
@@ -201,16 +202,18 @@
   /** Counts an attempt that starts. */
   startAttempt(target: TargetId, request: RoutedRequest): void {
     const now = this.#readTime();
-    const { prefixes = [], expectedBytes = 0 } = request;
-    this.#change((state) =>
-      recordAttemptStart(state, target, { now, prefixes, expectedBytes })
-    );
+    const { prefixes = [], promptTokens = 0, expectedBytes = 0 } = request;
+    const start = { now, prefixes, promptTokens, expectedBytes };
+    this.#change((state) => recordAttemptStart(state, target, start));
     this.#quarantine.recordStart(request.digest, target);
   }
 
-  /** Notes that a request's first chunk has come. */
+  /** Notes the first part of an answer, so that more prompts may be sent. */
   recordFirstChunk(ticket: Ticket, attempt: FirstChunk): void {
-    this.#quarantine.recordProgress(attempt.digest, attempt.target);
+    const { digest, target } = attempt;
+    const tokens = ticket.promptTokens ?? 0;
+    this.#quarantine.recordProgress(digest, target);
+    this.#change((state) => recordPromptRead(state, target, tokens));
     this.#admission.recordFirstToken(ticket.id, this.#readTime());
     this.#startReady(ticket.service);
   }
@@ -224,6 +227,8 @@
       readonly complete: boolean;
       readonly bytes: number;
       readonly pathDead: boolean;
+      /** Whether no part of an answer had come. */
+      readonly unread: boolean;
     },
   ): void {
     const { request, complete } = input;
@@ -233,6 +238,7 @@
       bytes: input.bytes,
       expectedBytes: request.expectedBytes ?? 0,
       pathDead: input.pathDead,
+      unreadTokens: input.unread ? request.promptTokens ?? 0 : 0,
     });
     this.#quarantine.recordEnd(request.digest, { target, complete });
   }
@@ -240,10 +246,16 @@
   /** Counts an attempt whose target was lost; peers hear before this resolves. */
   async endCrashed(
     target: TargetId,
-    input: { readonly request: RoutedRequest; readonly end: AttemptEnd },
+    input: {
+      readonly request: RoutedRequest;
+      readonly end: AttemptEnd;
+      readonly unread: boolean;
+    },
   ): Promise<void> {
     const now = this.#readTime();
-    this.#recordEnd(target, { now, end: input.end });
+    const { request, end, unread } = input;
+    const unreadTokens = unread ? request.promptTokens ?? 0 : 0;
+    this.#recordEnd(target, { now, end, unreadTokens });
     const { changed } = this.#quarantine.recordCrash(target, now);
     if (changed.length > 0) await this.#ports.pushNews();
   }
@@ -272,8 +284,8 @@
     const report = await this.#context.targets.probe(target, PROBE_TIMEOUT);
     const now = this.#readTime();
     if (report === undefined) {
-      const word = { answered: false, now };
-      this.#change((state) => recordReach(state, target.id, word));
+      const answered = false;
+      this.#change((state) => recordReach(state, target.id, { answered, now }));
       return undefined;
     }
     this.#change((state) => applyReport(state, target.id, { report, now }));
