--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -121,6 +121,7 @@
       complete: false,
       bytes: 0,
       pathDead: false,
+      unread: true,
     });
   }
 
@@ -226,6 +227,7 @@
     const { traffic, context } = this.#services;
     const { result, watch } = input;
     const request = this.#createRouted();
+    const unread = !watch.isBegun;
     const { service, kind } = this.#request;
     context.metrics.attempts.inc({ service: service.id, end: result.end });
     const complete = result.end === AttemptEnd.Complete;
@@ -238,14 +240,22 @@
       });
     }
     if (await this.#isTargetLost(target, { result, watch })) {
-      await traffic.endCrashed(target.id, { request, end: result.end });
+      const { end } = result;
+      await traffic.endCrashed(target.id, { request, end, unread });
       return true;
     }
     const pathDead = result.end === AttemptEnd.Broken;
     if (pathDead) context.targets.dropPool(target.id);
     const bytes = result.bytesSent + result.bytesReceived;
     const { end } = result;
-    traffic.endAttempt(target.id, { request, end, complete, bytes, pathDead });
+    traffic.endAttempt(target.id, {
+      request,
+      end,
+      complete,
+      bytes,
+      pathDead,
+      unread,
+    });
     return pathDead;
   }
 
@@ -270,6 +280,7 @@
       tried: this.#tried,
       priority: kind.priority,
       prefixes,
+      promptTokens: this.#ticket.promptTokens ?? 0,
       expectedBytes: body.length,
     };
   }
@@ -329,6 +340,11 @@
     return this.#controller.signal;
   }
 
+  /** Whether any part of an answer has come. */
+  get isBegun(): boolean {
+    return this.#begun;
+  }
+
   get isCut(): boolean {
     return this.#cause !== undefined;
   }
