Give engines their orders under a fenced lease

Cause: the duty decisions had no caller; a service's model was never loaded. Change: a daemon feature that takes, renews, releases and carries out one duty a service; engines take orders over HTTP with a fencing number; requests go to targets that have the service's model.

--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -16,6 +16,7 @@
 import { BillCopies } from "./features/bill_copies.ts";
 import { BillLog } from "./features/bill_log.ts";
 import { DocumentFollower } from "./features/document_follower.ts";
+import { Duties } from "./features/duties.ts";
 import { Escrow } from "./features/escrow.ts";
 import { HomeForwarding } from "./features/home_forwarding.ts";
 import { Loans } from "./features/loans.ts";
@@ -92,6 +93,7 @@
   readonly #faces: RunningFace[] = [];
   #traffic!: Traffic;
   #membership!: Membership;
+  #duties!: Duties;
   #runner!: RequestRunner;
   #forwarding!: HomeForwarding;
   #undo: Undo = () => {};
@@ -198,6 +200,7 @@
     await this.#runner.waitForIdle();
     await this.#bills.flush();
     await this.#escrow.returnGrants();
+    await this.#duties.release();
     await this.#membership.dropHeartbeat();
   }
 
@@ -280,8 +283,11 @@
       listHomes: (event) => membership.listHomes(event),
       findCallerAddress: (vm) => membership.findMember(vm)?.callerAddress,
     });
+    const duties = new Duties(context, this.#traffic);
+    this.#duties = duties;
     this.#undo = combineUndo([
       registerNode(context),
+      duties.register(),
       membership.register(),
       this.#escrow.register(),
       this.#bills.register(),
--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -282,6 +282,7 @@
       prefixes,
       promptTokens: this.#ticket.promptTokens ?? 0,
       expectedBytes: body.length,
+      ...(service.model === undefined ? {} : { models: [service.model] }),
     };
   }
 
--- a/packages/daemon/features/traffic.ts
+++ b/packages/daemon/features/traffic.ts
@@ -39,6 +39,7 @@
   DemandTable,
   describeRouting,
   type FailedAttempt,
+  isLeaving,
   type LeavingSign,
   listLeavingSigns,
   listReports,
@@ -53,6 +54,7 @@
   type RetryDecision,
   type RoutedRequest,
   type RoutingState,
+  type TargetFacts,
   type Ticket,
 } from "../../routing/mod.ts";
 import { LogEvent } from "../event_log.ts";
@@ -155,6 +157,15 @@
     return this.#quarantine.isQuarantined(digest, this.#readTime());
   }
 
+  /** Returns what a target last said of itself; undefined before it did. */
+  readFacts(target: TargetId): TargetFacts | undefined {
+    const known = this.#read().targets.get(target);
+    if (known?.report === undefined) return undefined;
+    const { models } = known.report;
+    const leaving = isLeaving(this.#read(), target, this.#readTime());
+    return { models, adapters: [], leaving };
+  }
+
   /** Returns the quarantine's entries, for operators. */
   listQuarantine(): QuarantineWord[] {
     return this.#quarantine.listEntries({ now: this.#readTime() });
--- a/packages/platform/http_targets.ts
+++ b/packages/platform/http_targets.ts
@@ -21,6 +21,7 @@
 import {
   AttemptEnd,
   type ChunkSink,
+  type EngineOrder,
   type TargetCall,
   type TargetLoadReport,
   type TargetPort,
@@ -106,6 +107,18 @@
       .toMaybe().extract();
   }
 
+  async order(target: TargetConfig, order: EngineOrder): Promise<boolean> {
+    const { type, name, fence, timeout } = order;
+    const answer = await sendJsonRequest({
+      method: "POST",
+      url: `${target.url}/v1/orders`,
+      headers: { connection: "close", "x-fencing-number": String(fence) },
+      body: JSON.stringify({ type, name }),
+      idleTimeout: timeout,
+    });
+    return answer.map((whole) => whole.status === 200).orDefault(false);
+  }
+
   async probe(
     target: TargetConfig,
     timeout: Millis,
--- a/packages/platform/mod.ts
+++ b/packages/platform/mod.ts
@@ -12,6 +12,7 @@
 export { ListedVmState } from "./vm_list_port.ts";
 export type {
   ChunkSink,
+  EngineOrder,
   StreamChunk,
   TargetCall,
   TargetLoadReport,
--- a/packages/platform/target_port.ts
+++ b/packages/platform/target_port.ts
@@ -65,6 +65,15 @@
   readonly outputTokens: Tokens;
 }
 
+/** One order to an engine, such as to load a model. */
+export interface EngineOrder {
+  readonly type: string;
+  /** Model with version, adapter, or role. */
+  readonly name: string;
+  readonly fence: number;
+  readonly timeout: Millis;
+}
+
 /** What an attempt ended with. */
 export interface TargetResult {
   readonly end: AttemptEnd;
@@ -98,6 +107,11 @@
     target: TargetConfig,
     options: { readonly streamId: string; readonly timeout: Millis },
   ): Promise<TokenUsage | undefined>;
+  /**
+   * Gives an engine an order; returns whether it accepted it. One that checks
+   * fencing numbers refuses an order with an old one.
+   */
+  order(target: TargetConfig, order: EngineOrder): Promise<boolean>;
   /** Asks a target for its load over a new connection. */
   probe(
     target: TargetConfig,
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -45,6 +45,7 @@
   heartbeatMillis: z.number().int().positive().default(60_000),
   documentPollMillis: z.number().int().positive().default(5_000),
   loadReportMillis: z.number().int().positive().default(1_000),
+  dutyMillis: z.number().int().positive().default(1_000),
   vmListMillis: z.number().int().positive().default(2_000),
 });
 
--- a/packages/stand_ins/engine_server.ts
+++ b/packages/stand_ins/engine_server.ts
@@ -23,6 +23,8 @@
   stream: z.boolean().optional(),
 });
 
+const ORDER_SCHEMA = z.object({ type: z.string(), name: z.string() });
+
 type ChatBody = z.infer<typeof CHAT_SCHEMA>;
 
 /** How the engine behaves. */
@@ -37,6 +39,10 @@
   readonly answerTokens?: number;
   /** Requests it runs at once; others wait. */
   readonly slots?: number;
+  /** Models it has loaded at the start. */
+  readonly models?: readonly string[];
+  /** Whether it refuses orders with an old fencing number. */
+  readonly checksFencing?: boolean;
 }
 
 /** Faults that a test can switch on, and counts. */
@@ -52,6 +58,15 @@
   /** Says that it is leaving. */
   leave(): void;
   readCounts(): EngineCounts;
+  /** Returns the orders it carried out. */
+  readOrders(): readonly EngineOrderRecord[];
+}
+
+/** One order that an engine carried out. */
+export interface EngineOrderRecord {
+  readonly type: string;
+  readonly name: string;
+  readonly fence: number;
 }
 
 /** Counts since the start. */
@@ -98,6 +113,9 @@
   readonly #waiting: (() => void)[] = [];
   /** Usage of each named stream so far; cancelled ones generate no more. */
   readonly #streams = new Map<string, StreamUsage>();
+  readonly #models: Set<string>;
+  readonly #orders: EngineOrderRecord[] = [];
+  #highestFence = 0;
   #running = 0;
   #crashed = false;
   #frozen = false;
@@ -112,7 +130,10 @@
       tokenDelay: options.tokenDelay ?? 1,
       answerTokens: options.answerTokens ?? 20,
       slots: options.slots ?? 32,
+      models: options.models ?? ["stand-in"],
+      checksFencing: options.checksFencing ?? false,
     };
+    this.#models = new Set(this.#options.models);
   }
 
   createControls(): EngineControls {
@@ -123,6 +144,7 @@
       breakAfter: (chunks) => void (this.#breakAfter = chunks),
       leave: () => void (this.#leaving = true),
       readCounts: () => ({ ...this.#counts }),
+      readOrders: () => [...this.#orders],
     };
   }
 
@@ -135,6 +157,13 @@
     const bytes = await readBytes(request);
     const cancel = /^\/v1\/streams\/([^/]+)\/cancel$/.exec(request.url ?? "");
     if (cancel !== null) return this.#cancelStream(cancel[1] ?? "", response);
+    if (request.url === "/v1/orders") {
+      const fence = Number(request.headers["x-fencing-number"] ?? 0);
+      return this.#carryOut(JSON.parse(bytes.toString("utf8")), {
+        fence,
+        response,
+      });
+    }
     if (this.#frozen) return;
     const body = CHAT_SCHEMA.parse(JSON.parse(bytes.toString("utf8")));
     this.#counts.requests++;
@@ -165,6 +194,22 @@
     });
   }
 
+  #carryOut(
+    body: unknown,
+    input: { readonly fence: number; readonly response: ServerResponse },
+  ): void {
+    const { fence, response } = input;
+    const { type, name } = ORDER_SCHEMA.parse(body);
+    if (this.#options.checksFencing && fence < this.#highestFence) {
+      return sendJson(response, 409, { error: "old fencing number" });
+    }
+    this.#highestFence = Math.max(this.#highestFence, fence);
+    this.#orders.push({ type, name, fence });
+    if (type === "load-model") this.#models.add(name);
+    if (type === "unload-model") this.#models.delete(name);
+    sendJson(response, 200, {});
+  }
+
   #openStream(id: string, promptTokens: number): StreamUsage {
     const stream = { promptTokens, outputTokens: 0, cancelled: false };
     if (id !== "") this.#streams.set(id, stream);
@@ -182,7 +227,7 @@
       running: this.#running,
       queued: this.#waiting.length,
       leaving: this.#leaving,
-      models: ["stand-in"],
+      models: [...this.#models],
     });
   }
 
--- a/packages/stand_ins/mod.ts
+++ b/packages/stand_ins/mod.ts
@@ -6,6 +6,7 @@
   EngineControls,
   EngineCounts,
   EngineOptions,
+  EngineOrderRecord,
   EngineServer,
 } from "./engine_server.ts";
 export { computePiece, startEngineServer } from "./engine_server.ts";
--- a/packages/trial/fleet.ts
+++ b/packages/trial/fleet.ts
@@ -51,6 +51,8 @@
   readonly budgetTokens?: number;
   /** Silence after which a path is suspected, in milliseconds. */
   readonly progressTimeoutMillis?: number;
+  /** Model that the engines are to have loaded. */
+  readonly model?: string;
   /** Changes to the settings of each VM. */
   readonly settings?: Readonly<Record<string, unknown>>;
   readonly log?: EventLog;
--- a/packages/trial/trial_document.ts
+++ b/packages/trial/trial_document.ts
@@ -38,6 +38,11 @@
         services: {
           chat: {
             type: "model-engine",
+            ...(options.model === undefined ? {} : {
+              model: options.model,
+              checksFencing: true,
+              longestOrderMillis: 1_000,
+            }),
             path: "/v1/chat/completions",
             progressTimeoutMillis,
             targets: createTargets("engine", engines),
