--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -5,7 +5,6 @@
 import { randomUUID } from "node:crypto";
 import { type Either, Left, Right } from "purify-ts";
 import {
-  type Bytes,
   type Millis,
   type MonotonicTime,
   type Refusal,
@@ -37,9 +36,6 @@
 
 const RETRY_AFTER: Millis = 1_000;
 
-/** Usual size of a prompt's token, for the estimate of reading times. */
-const BYTES_PER_TOKEN: Bytes = 4;
-
 /** What an attempt is given. */
 export interface AttemptInput {
   readonly target: TargetConfig;
@@ -294,8 +290,6 @@
 }
 
 function createTicket(request: CallerRequest): Ticket {
-  const engine = request.service.type === ServiceType.ModelEngine;
-  const promptTokens = Math.ceil(request.body.length / BYTES_PER_TOKEN);
   return {
     id: randomUUID(),
     customer: request.customer.id,
@@ -306,7 +300,6 @@
     tokens: request.promptBound + request.outputBound + request.kind.flatTokens,
     deadline: request.deadline,
     arrivedAt: request.arrivedAt,
-    ...engine ? { promptTokens } : {},
   };
 }
 
@@ -336,11 +329,6 @@
     return this.#controller.signal;
   }
 
-  /** Whether any part of the answer has arrived. */
-  get isBegun(): boolean {
-    return this.#begun;
-  }
-
   get isCut(): boolean {
     return this.#cause !== undefined;
   }
