--- a/packages/daemon/features/membership.ts
+++ b/packages/daemon/features/membership.ts
@@ -33,6 +33,7 @@
   type Member,
   type MembershipView,
   MemberState,
+  parseGossip,
   planGossip,
   planIndirectProbes,
   planReply,
@@ -457,6 +458,6 @@
 }
 
 function readGossip(news: PeerNews): GossipMessage | undefined {
-  // The peer's key was checked; the decisions tolerate any field.
-  return news.parts[NEWS_PART] as unknown as GossipMessage | undefined;
+  // What does not parse, as from another build, is passed over.
+  return parseGossip(news.parts[NEWS_PART]).toMaybe().extract();
 }
