--- a/packages/daemon/features/duties.ts
+++ b/packages/daemon/features/duties.ts
@@ -25,7 +25,7 @@
   type TargetWish,
 } from "../../routing/mod.ts";
 import { LogEvent } from "../event_log.ts";
-import { CONFIGURATION, type NodeContext } from "../node_context.ts";
+import { CONFIGURATION, DRAINING, type NodeContext } from "../node_context.ts";
 import { startPeriodic } from "../processes.ts";
 import type { Traffic } from "./traffic.ts";
 
@@ -88,6 +88,8 @@
   }
 
   async #visitAll(): Promise<void> {
+    // A VM that is being stopped takes nothing it would have to give back.
+    if (this.#context.kernel.read(DRAINING)) return;
     const { services } = this.#context.kernel.read(CONFIGURATION);
     const wanted = [...services.values()].filter((service) =>
       service.type === ServiceType.ModelEngine && service.model !== undefined
