Test poison requests and two failures at once through real daemons

Cause: quarantine, and failures that come together, were tested as decisions only. Change: poison requests lose two of four targets and are then refused by both VMs; one during a drain; a target that dies while the store is down.

--- a/packages/stand_ins/engine_server.ts
+++ b/packages/stand_ins/engine_server.ts
@@ -41,6 +41,8 @@
   readonly slots?: number;
   /** Models it has loaded at the start. */
   readonly models?: readonly string[];
+  /** A prompt with this text crashes it, as a poison request does. */
+  readonly crashesOn?: string;
   /** Whether it refuses orders with an old fencing number. */
   readonly checksFencing?: boolean;
 }
@@ -108,7 +110,8 @@
 const MAX_STREAMS = 10_000;
 
 class Engine {
-  readonly #options: Required<Omit<EngineOptions, "port">>;
+  readonly #options: Required<Omit<EngineOptions, "port" | "crashesOn">>;
+  readonly #crashesOn: string | undefined;
   readonly #open = new Set<ServerResponse>();
   readonly #waiting: (() => void)[] = [];
   /** Usage of each named stream so far; cancelled ones generate no more. */
@@ -133,6 +136,7 @@
       models: options.models ?? ["stand-in"],
       checksFencing: options.checksFencing ?? false,
     };
+    this.#crashesOn = options.crashesOn;
     this.#models = new Set(this.#options.models);
   }
 
@@ -168,6 +172,8 @@
     const body = CHAT_SCHEMA.parse(JSON.parse(bytes.toString("utf8")));
     this.#counts.requests++;
     this.#open.add(response);
+    const poison = this.#crashesOn;
+    if (poison !== undefined && bytes.includes(poison)) return this.#crash();
     await this.#takeSlot();
     try {
       await this.#answer({ request, response, bytes, body });
