--- a/packages/bench/capacity/decisions_experiment.ts
+++ b/packages/bench/capacity/decisions_experiment.ts
@@ -18,6 +18,7 @@
   measureCalls,
   QUICK_EFFORT,
 } from "./measure_calls.ts";
+import { measureStates } from "./state_sizes.ts";
 
 interface ProbeResult {
   readonly probe: DecisionProbe;
@@ -44,7 +45,7 @@
     }));
   });
   return Promise.resolve({
-    tables: [createTable(results)],
+    tables: [createTable(results), measureStates()],
     plots: [createPlot(results)],
     goals: DECISION_PROBES
       .filter((probe) => probe.onRequestPath)
