Guess what reports cannot show yet when a target counts as full

Cause: in the first moments of a wave each VM filled the targets by its own count; the engines' own queues are served in order of arrival, so the large customers of those moments kept their lead. Change: fullness takes the other VMs of the region to have started as much as this one in the last two seconds.

--- a/packages/routing/commands/apply_targets.ts
+++ b/packages/routing/commands/apply_targets.ts
@@ -21,6 +21,7 @@
   },
 ): RoutingState {
   const { configuration, now } = input;
+  state.vms.count = input.vms ?? 1;
   removeMissing(state, configuration);
   state.services.clear();
   for (const service of configuration.services.values()) {
--- a/packages/routing/queries/compute_load.ts
+++ b/packages/routing/queries/compute_load.ts
@@ -24,10 +24,14 @@
   return work / computeCapacity(target, now);
 }
 
+/** Time that a start may take to show in a report. */
+const REPORT_DELAY: Millis = 2_000;
+
 /**
  * Returns the load by which a target counts as full. It takes the last report
  * at its word where that is higher: in the first moments of a wave what has
- * lasted says nothing yet.
+ * lasted says nothing yet. What reports cannot show yet is guessed: the other
+ * VMs are taken to start as much as this one did.
  */
 export function computeFullness(
   state: RoutingState,
@@ -36,7 +40,15 @@
 ): number {
   const others = computeOthers(state, target, now);
   const most = Math.max(others, target.report?.othersNow ?? 0);
-  return (target.inFlight + most) / computeCapacity(target, now);
+  const unseen = computeRecentStarts(target, now) * (state.vms.count - 1);
+  return (target.inFlight + most + unseen) / computeCapacity(target, now);
+}
+
+function computeRecentStarts(target: TargetState, now: MonotonicTime): number {
+  const recent = target.ownSamples
+    .filter((sample) => now - sample.at < REPORT_DELAY)
+    .map((sample) => sample.inFlight);
+  return target.inFlight - Math.min(target.inFlight, ...recent);
 }
 
 /** Returns the attempts of other VMs that a target is thought to have. */
--- a/packages/routing/state.ts
+++ b/packages/routing/state.ts
@@ -29,6 +29,8 @@
   readonly prefixes: PrefixTable;
   readonly links: LinkTable;
   readonly services: Map<ServiceId, ServiceConfig>;
+  /** Live entry VMs of this region, this one included. */
+  readonly vms: { count: number };
 }
 
 /** What routing needs to know of a request. */
@@ -67,5 +69,6 @@
     prefixes: new PrefixTable(),
     links: new LinkTable(),
     services: new Map(),
+    vms: { count: 1 },
   };
 }
