Begin with a prompt window of 24,576 tokens

Cause: an open first window let the first moments of a wave fill the engines' queues in order of arrival, past the fair shares. Change: the first window is 24,576 tokens.

--- a/packages/routing/admission/prompt_window.ts
+++ b/packages/routing/admission/prompt_window.ts
@@ -16,6 +16,7 @@
   type Tokens,
 } from "../../core/mod.ts";
 
+const FIRST_WINDOW: Tokens = 24_576;
 const LEAST_WINDOW: Tokens = 1_024;
 const MOST_WINDOW: Tokens = 262_144;
 
@@ -131,7 +132,7 @@
 
 function createWindow(priority: Priority): Window {
   const first = priority === ORDER[0];
-  return { size: first ? Infinity : MOST_WINDOW, shrunkAt: -Infinity };
+  return { size: first ? Infinity : FIRST_WINDOW, shrunkAt: -Infinity };
 }
 
 function shrinkWindow(
