--- a/packages/daemon/features/duties.ts
+++ b/packages/daemon/features/duties.ts
@@ -29,8 +29,14 @@
 import { startPeriodic } from "../processes.ts";
 import type { Traffic } from "./traffic.ts";
 
-/** Loads that the weight store takes from the whole fleet, by this duty. */
-const WEIGHT_STORE = { loadsPerSecond: 0.5, burst: 2 };
+/**
+ * Loads a second that the weight store takes from the whole fleet. Different
+ * VMs may hold the duties, so each duty has an equal part of the rate.
+ */
+const WEIGHT_STORE_LOADS_PER_SECOND = 0.5;
+
+/** Loads that one duty may order at once after a quiet time. */
+const LOAD_BURST = 1;
 
 /** One service's duty as this VM sees it. */
 interface Duty {
@@ -90,11 +96,16 @@
   async #visitAll(): Promise<void> {
     // A VM that is being stopped takes nothing it would have to give back.
     if (this.#context.kernel.read(DRAINING)) return;
+    const services = this.#listServices();
+    await Promise.all(services.map((service) => this.#visit(service)));
+  }
+
+  /** Services whose engines are to have a model. */
+  #listServices(): ServiceConfig[] {
     const { services } = this.#context.kernel.read(CONFIGURATION);
-    const wanted = [...services.values()].filter((service) =>
+    return [...services.values()].filter((service) =>
       service.type === ServiceType.ModelEngine && service.model !== undefined
     );
-    await Promise.all(wanted.map((service) => this.#visit(service)));
   }
 
   async #visit(service: ServiceConfig): Promise<void> {
@@ -110,7 +121,12 @@
   #readDuty(service: ServiceId): Duty {
     const known = this.#duties.get(service);
     if (known !== undefined) return known;
-    const planner = new OrderPlanner(WEIGHT_STORE, this.#readTime());
+    const duties = Math.max(1, this.#listServices().length);
+    const limit = {
+      loadsPerSecond: WEIGHT_STORE_LOADS_PER_SECOND / duties,
+      burst: LOAD_BURST,
+    };
+    const planner = new OrderPlanner(limit, this.#readTime());
     const duty = { watch: new DutyWatch(), planner };
     this.#duties.set(service, duty);
     return duty;
