--- a/packages/bench/capacity/measure_calls.ts
+++ b/packages/bench/capacity/measure_calls.ts
@@ -41,7 +41,7 @@
   return { micros, bytes: measureBytes(call, batches) };
 }
 
-/** Returns the resident memory after a collection, in bytes of the heap. */
+/** Returns the bytes on this thread's heap after a collection. */
 export function measureHeap(): number {
   collectGarbage();
   return process.memoryUsage().heapUsed;
