--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -16,13 +16,19 @@
 import { BillCopies } from "./features/bill_copies.ts";
 import { BillLog } from "./features/bill_log.ts";
 import { DocumentFollower } from "./features/document_follower.ts";
+import { Duties } from "./features/duties.ts";
 import { Escrow } from "./features/escrow.ts";
 import { HomeForwarding } from "./features/home_forwarding.ts";
 import { Loans } from "./features/loans.ts";
 import { Membership } from "./features/membership.ts";
 import { NewsExchange } from "./features/news_exchange.ts";
 import { Traffic } from "./features/traffic.ts";
-import { type FaceHandler, type RunningFace, startFace } from "./http_face.ts";
+import {
+  createFaceAgent,
+  type FaceHandler,
+  type RunningFace,
+  startFace,
+} from "./http_face.ts";
 import {
   createNodeContext,
   readPeerKey,
@@ -58,6 +64,8 @@
   kill(): void;
 }
 
+const MAX_SOCKETS_PER_PEER = 8;
+
 /** Longest silence of a peer. */
 const PEER_TIMEOUT: Millis = 700;
 
@@ -85,6 +93,7 @@
   readonly #faces: RunningFace[] = [];
   #traffic!: Traffic;
   #membership!: Membership;
+  #duties!: Duties;
   #runner!: RequestRunner;
   #forwarding!: HomeForwarding;
   #undo: Undo = () => {};
@@ -99,6 +108,9 @@
       peerKey: readPeerKey(settings),
       timeout: PEER_TIMEOUT,
       tls: settings.peers.tls !== undefined,
+      agent: createFaceAgent(settings.peers, {
+        maxSockets: MAX_SOCKETS_PER_PEER,
+      }),
     });
     this.#news = new NewsExchange(settings.vm);
     this.#escrow = new Escrow(context);
@@ -188,6 +200,7 @@
     await this.#runner.waitForIdle();
     await this.#bills.flush();
     await this.#escrow.returnGrants();
+    await this.#duties.release();
     await this.#membership.dropHeartbeat();
   }
 
@@ -270,8 +283,11 @@
       listHomes: (event) => membership.listHomes(event),
       findCallerAddress: (vm) => membership.findMember(vm)?.callerAddress,
     });
+    const duties = new Duties(context, this.#traffic);
+    this.#duties = duties;
     this.#undo = combineUndo([
       registerNode(context),
+      duties.register(),
       membership.register(),
       this.#escrow.register(),
       this.#bills.register(),
--- a/packages/routing/queries/choose_target_test.ts
+++ b/packages/routing/queries/choose_target_test.ts
@@ -15,6 +15,7 @@
   listLeavingSigns,
   recordAttemptEnd,
   recordAttemptStart,
+  recordPromptRead,
   recordReach,
   type RoutedRequest,
   type RoutingState,
@@ -234,6 +235,44 @@
   t.true((counts.get("t3") ?? 0) < 10, `${counts.get("t3")} at t3`);
 });
 
+test("an unread prompt keeps others away until it is read or its attempt ends", (t) => {
+  const state = createState([createTarget("t0"), createTarget("t1")]);
+  const promptTokens = 12_000;
+  recordAttemptStart(state, "t0", { now: 0, promptTokens });
+  for (let open = 0; open < 5; open++) recordAttemptStart(state, "t1");
+  const request = createRequest();
+  const choose = () =>
+    chooseTarget(state, { request, now: 0, random: createRandom() })
+      .unsafeCoerce().id;
+  t.is(choose(), "t1");
+  recordPromptRead(state, "t0", promptTokens);
+  t.is(choose(), "t0");
+  recordAttemptStart(state, "t0", { now: 0, promptTokens });
+  t.is(choose(), "t1");
+  recordAttemptEnd(state, "t0", {
+    now: 0,
+    end: AttemptEnd.Broken,
+    unreadTokens: promptTokens,
+  });
+  t.is(choose(), "t0");
+});
+
+test("a holder is worth the tokens that its prefix saves and no more", (t) => {
+  const state = createState([createTarget("t0"), createTarget("t1")]);
+  recordAttemptStart(state, "t0", {
+    now: 0,
+    prefixes: ["p"],
+    promptTokens: 4_000,
+  });
+  const choose = (prefixTokens: number) => {
+    const request = createRequest({ prefixes: ["p"], prefixTokens });
+    return chooseTarget(state, { request, now: 0, random: createRandom() })
+      .unsafeCoerce().id;
+  };
+  t.is(choose(6_000), "t0");
+  t.is(choose(1_000), "t1");
+});
+
 test("a holder that is nearly full is not preferred to one that is less so", (t) => {
   const state = createState([createTarget("t0"), createTarget("t1")]);
   for (let open = 0; open < 7; open++) recordAttemptStart(state, "t0");
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -7,8 +7,10 @@
 const TLS_SCHEMA = z.strictObject({
   certificateFile: z.string(),
   keyFile: z.string(),
-  /** Certificates that peers must present; makes TLS mutual. */
-  clientAuthorityFile: z.string().optional(),
+  /** Authorities that this VM trusts when it calls the same face of others. */
+  authorityFile: z.string().optional(),
+  /** Whether who calls must show a certificate of these authorities. */
+  requireClientCertificate: z.boolean().default(false),
 });
 
 const FACE_SCHEMA = z.strictObject({
@@ -43,6 +45,7 @@
   heartbeatMillis: z.number().int().positive().default(60_000),
   documentPollMillis: z.number().int().positive().default(5_000),
   loadReportMillis: z.number().int().positive().default(1_000),
+  dutyMillis: z.number().int().positive().default(1_000),
   vmListMillis: z.number().int().positive().default(2_000),
 });
 
