Keep a client for each peer; cancel without errors and combined signals

Cause: a profile of small calls showed an abort error made for each forwarded answer that had ended, a combined signal for each attempt, and a tRPC client made for each call. Change: one client a peer; nothing is cancelled after a whole answer; one controller with a listener for each attempt.

--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -136,15 +136,19 @@
       target,
       request: this.#request,
     });
-    const signal = AbortSignal.any([this.#abandoned, watch.signal]);
+    // One controller with a listener costs less than a combined signal.
+    const abandon = () => watch.abandon();
+    this.#abandoned.addEventListener("abort", abandon, { once: true });
+    if (this.#abandoned.aborted) abandon();
     const performed = await perform({
       target,
-      signal,
+      signal: watch.signal,
       recordProgress: () => {
         if (watch.recordProgress()) this.#recordFirstChunk(target);
       },
     });
     watch.stop();
+    this.#abandoned.removeEventListener("abort", abandon);
     const result = watch.isCut && performed.end === AttemptEnd.Cancelled
       ? { ...performed, end: AttemptEnd.Broken, detail: "silent" }
       : performed;
@@ -366,6 +370,11 @@
     clearTimeout(this.#timer);
   }
 
+  /** Ends the attempt because nobody waits for it. */
+  abandon(): void {
+    this.#controller.abort();
+  }
+
   async #look(): Promise<void> {
     const { clock } = this.#services.context;
     const silence = clock.readMonotonic() - this.#lastProgress;
--- a/packages/daemon/features/home_forwarding.ts
+++ b/packages/daemon/features/home_forwarding.ts
@@ -86,7 +86,10 @@
     const { request, response, accepted } = input;
     const { settings, log } = this.#context;
     const left = new AbortController();
-    response.on("close", () => left.abort());
+    // An answer that went out whole leaves nothing to cancel.
+    response.on("close", () => {
+      if (!response.writableFinished) left.abort();
+    });
     const scheme = settings.callers.tls === undefined ? "http" : "https";
     const started = await startExchange({
       method: "POST",
--- a/packages/peer/peer_client.ts
+++ b/packages/peer/peer_client.ts
@@ -1,6 +1,7 @@
 /** Calls the procedures of other entry VMs, over Node's http. */
 import type { Agent } from "node:http";
-import { createTRPCClient, httpLink } from "@trpc/client";
+import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { LRUCache } from "lru-cache";
 import { type Either, Left, Right } from "purify-ts";
 import { z } from "zod";
 import {
@@ -39,10 +40,17 @@
   readonly countBytes?: (bytes: number) => void;
 }
 
+/** Peers whose clients are kept. */
+const MAX_CLIENTS = 1_000;
+
 /** Calls peers by address; each call returns an error rather than throwing. */
 export class PeerClient {
   readonly #options: PeerClientOptions;
 
+  readonly #clients = new LRUCache<string, TRPCClient<PeerRouter>>({
+    max: MAX_CLIENTS,
+  });
+
   constructor(options: PeerClientOptions) {
     this.#options = options;
   }
@@ -115,7 +123,16 @@
     this.#options.agent.destroy();
   }
 
-  #connect(address: string) {
+  /** One client for each peer; making one costs more than a call. */
+  #connect(address: string): TRPCClient<PeerRouter> {
+    const known = this.#clients.get(address);
+    if (known !== undefined) return known;
+    const client = this.#createClient(address);
+    this.#clients.set(address, client);
+    return client;
+  }
+
+  #createClient(address: string): TRPCClient<PeerRouter> {
     const scheme = this.#options.tls ? "https" : "http";
     return createTRPCClient<PeerRouter>({
       links: [
