--- a/packages/bench/capacity/decision_probes.ts
+++ b/packages/bench/capacity/decision_probes.ts
@@ -27,7 +27,10 @@
   type RoutingState,
 } from "../../routing/mod.ts";
 import { SeededRandom } from "../harness/random.ts";
-import { prepareFollowChange, preparePlanChange } from "./document_probes.ts";
+import {
+  createFollowChangeProbe,
+  createPlanChangeProbe,
+} from "./document_probes.ts";
 import {
   createSampleConfiguration,
   createSampleView,
@@ -143,14 +146,14 @@
     unit: SizeUnit.Budgets,
     onRequestPath: false,
     slowToPrepare: true,
-    prepare: preparePlanChange,
+    prepare: createPlanChangeProbe,
   },
   {
     name: "follow a change of one event",
     unit: SizeUnit.Budgets,
     onRequestPath: false,
     slowToPrepare: true,
-    prepare: prepareFollowChange,
+    prepare: createFollowChangeProbe,
   },
   {
     name: "index the homes of a new view",
--- a/packages/bench/capacity/document_probes.ts
+++ b/packages/bench/capacity/document_probes.ts
@@ -17,7 +17,7 @@
 const MOST_TEAMS = 40;
 
 /** Returns the planning of a change of one event. */
-export function preparePlanChange(
+export function createPlanChangeProbe(
   budgets: number,
   random: SeededRandom,
 ): () => unknown {
@@ -26,7 +26,7 @@
 }
 
 /** Returns the following of a change that another VM committed. */
-export function prepareFollowChange(
+export function createFollowChangeProbe(
   budgets: number,
   random: SeededRandom,
 ): () => unknown {
--- a/packages/bench/data_plane/data_plane_test.ts
+++ b/packages/bench/data_plane/data_plane_test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { startByteCounter } from "./byte_counter.ts";
 import { createLeanTarget } from "./lean_target.ts";
-import { openStreams, runClosedLoop, runOpenLoop } from "./load_generator.ts";
+import { runClosedLoop, runOpenLoop, startStreams } from "./load_generator.ts";
 import { createPassThrough } from "./pass_through.ts";
 import { CALL_BODY, createStreamBody } from "./paths.ts";
 
@@ -69,7 +69,7 @@
     headers: {},
     createBody: () => createStreamBody(100_000, 10),
   };
-  const open = await openStreams(load, 5);
+  const open = await startStreams(load, 5);
   t.is(open.opened, 5);
   t.is(open.failures, 0);
   await open.close();
--- a/packages/bench/data_plane/load_generator.ts
+++ b/packages/bench/data_plane/load_generator.ts
@@ -128,7 +128,7 @@
 const OPENING_GROUP = 50;
 
 /** Opens streams and resolves when each has sent its first chunk. */
-export async function openStreams(
+export async function startStreams(
   target: LoadTarget,
   count: number,
 ): Promise<OpenStreams> {
--- a/packages/bench/data_plane/stream_memory_experiment.ts
+++ b/packages/bench/data_plane/stream_memory_experiment.ts
@@ -8,7 +8,7 @@
   type ExperimentOptions,
   type Figures,
 } from "../report/experiment.ts";
-import { openStreams } from "./load_generator.ts";
+import { startStreams } from "./load_generator.ts";
 import { ENTRY, type LoadPath, startPaths } from "./paths.ts";
 
 interface MemoryResult {
@@ -82,9 +82,9 @@
   streams: number,
 ): Promise<MemoryResult> {
   // One stream first, so that what is set up once is not counted.
-  const first = await openStreams(path.createStreams(CHUNKS, CHUNK_PAUSE), 1);
+  const first = await startStreams(path.createStreams(CHUNKS, CHUNK_PAUSE), 1);
   const before = await readMemory(path);
-  const open = await openStreams(
+  const open = await startStreams(
     path.createStreams(CHUNKS, CHUNK_PAUSE),
     streams,
   );
--- a/packages/bench/routing/compare.ts
+++ b/packages/bench/routing/compare.ts
@@ -179,11 +179,11 @@
         ...describeRun(run),
         offered,
         ...[inTime, late, failed, refused]
-          .map((count) => roundTo(100 * count / offered, 1)),
+          .map((count) => computeRounded(100 * count / offered, 1)),
         causes,
-        roundTo(outcomes.computeAmplification(), 3),
-        roundTo(100 * run.fleet.computeHitShare(), 1),
-        roundTo(run.fleet.readLinkBytes() / 1e6, 1),
+        computeRounded(outcomes.computeAmplification(), 3),
+        computeRounded(100 * run.fleet.computeHitShare(), 1),
+        computeRounded(run.fleet.readLinkBytes() / 1e6, 1),
       ];
     }),
   };
@@ -197,7 +197,7 @@
       name: "wave",
       policy: LEAST_REPORTED_POLICY,
     });
-    const value = roundTo(readTopP95(least) / readTopP95(own), 2);
+    const value = computeRounded(readTopP95(least) / readTopP95(own), 2);
     const name =
       `${user.mix.name}: p95 first token of the top priority in the wave, least reported load over anvilrail`;
     return createAtLeastGoal(name, { bound: 2, unit: "times", value });
@@ -211,7 +211,7 @@
     createAtMostGoal("retry amplification in any case", {
       bound: 1.1,
       unit: "attempts a request",
-      value: roundTo(amplification, 3),
+      value: computeRounded(amplification, 3),
     }),
   ];
 }
@@ -240,6 +240,6 @@
 }
 
 /** Rounds to some digits after the point. */
-export function roundTo(value: number, digits: number): number {
+export function computeRounded(value: number, digits: number): number {
   return Number(value.toFixed(digits));
 }
--- a/packages/bench/routing/fairness.ts
+++ b/packages/bench/routing/fairness.ts
@@ -8,7 +8,7 @@
   type ExperimentOptions,
 } from "../report/experiment.ts";
 import { type RoutingUser, USERS } from "./cases.ts";
-import { roundTo } from "./compare.ts";
+import { computeRounded } from "./compare.ts";
 import { Fleet } from "./fleet.ts";
 import { computeJain } from "./outcomes.ts";
 import {
@@ -59,14 +59,14 @@
         user.mix.name,
         policy.name,
         ...[Math.min(...served), Math.max(...served)].map(computeRate),
-        roundTo(computeJain(served), 3),
+        computeRounded(computeJain(served), 3),
       ]),
     }],
     goals: rows.filter((row) => row.policy === OWN_POLICY).map((row) =>
       createAtLeastGoal(`${row.user.mix.name}: Jain's index`, {
         bound: 0.95,
         unit: "",
-        value: roundTo(computeJain(row.served), 3),
+        value: computeRounded(computeJain(row.served), 3),
       })
     ),
     notes: [
@@ -140,5 +140,5 @@
 }
 
 function computeRate(tokens: number): number {
-  return roundTo(tokens * MILLIS_PER_SECOND / (DURATION - WARM_UP), 1);
+  return computeRounded(tokens * MILLIS_PER_SECOND / (DURATION - WARM_UP), 1);
 }
--- a/packages/bench/routing/poison.ts
+++ b/packages/bench/routing/poison.ts
@@ -8,7 +8,7 @@
   type ExperimentOptions,
 } from "../report/experiment.ts";
 import { type RoutingUser, USERS } from "./cases.ts";
-import { roundTo } from "./compare.ts";
+import { computeRounded } from "./compare.ts";
 import { Fleet } from "./fleet.ts";
 import { RequestEnd } from "./outcomes.ts";
 import {
@@ -69,7 +69,7 @@
       rows: runs.map(({ user, policy, result }) => [
         user.mix.name,
         policy.name,
-        roundTo(computeMean(result.crashes), 2),
+        computeRounded(computeMean(result.crashes), 2),
         Math.max(...result.crashes),
         result.harmless,
         result.wronglyQuarantined,
--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -249,6 +249,7 @@
         callerAddress: this.callerAddress,
       },
       onReplaced: () => void this.stop(),
+      onListed: (listed) => this.#traffic.applyVmList(listed),
     });
     const membership = this.#membership;
     this.#traffic = new Traffic(context, {
--- a/packages/daemon/features/document_follower.ts
+++ b/packages/daemon/features/document_follower.ts
@@ -265,7 +265,7 @@
 }
 
 /** Turns an answer into one that a peer is sent; an error becomes no rows. */
-export function toPeerRows(
+export function createPeerRows(
   answer: Either<PlatformError, { rows: readonly Row[]; next?: string }>,
 ): PeerRows {
   return answer.caseOf<PeerRows>({
--- a/packages/daemon/features/membership.ts
+++ b/packages/daemon/features/membership.ts
@@ -13,7 +13,7 @@
   type MonotonicTime,
   rankMembers,
   type SliceType,
-  type TargetId,
+  type TargetConfig,
   type Undo,
   type VmId,
 } from "../../core/mod.ts";
@@ -45,7 +45,7 @@
   recordReplySent,
 } from "../../membership/mod.ts";
 import type { PeerClient, PeerNews } from "../../peer/mod.ts";
-import { ListedVmState } from "../../platform/mod.ts";
+import { type ListedVm, ListedVmState } from "../../platform/mod.ts";
 import { LogEvent } from "../event_log.ts";
 import { CONFIGURATION, type NodeContext } from "../node_context.ts";
 import { startPeriodic } from "../processes.ts";
@@ -83,6 +83,7 @@
   readonly #news: NewsExchange;
   readonly #slice: SliceType<MembershipView>;
   readonly #onReplaced: () => void;
+  readonly #onListed: (listed: readonly ListedVm[]) => void;
   #isReplaced = false;
   #heartbeatNumber = 0;
   #lonelyRounds = 0;
@@ -97,8 +98,11 @@
       readonly addresses: OwnAddresses;
       /** Is called once when a later life of this VM is known. */
       readonly onReplaced: () => void;
+      /** Is given the platform's list each time that it was read. */
+      readonly onListed: (listed: readonly ListedVm[]) => void;
     },
   ) {
+    this.#onListed = input.onListed;
     this.#onReplaced = input.onReplaced;
     this.#context = context;
     this.#client = input.client;
@@ -222,11 +226,22 @@
     });
   }
 
-  /** Says whether this VM asks a target for its load for the region. */
-  isProber(target: TargetId): boolean {
+  /**
+   * Says whether this VM asks a target for its load: one VM of the target's
+   * region does, or one of each region where the target's has no VM. The others
+   * hear of it from their peers.
+   */
+  isProber(target: TargetConfig): boolean {
     const { region, vm } = this.#context.settings;
-    const input = { eventId: `target/${target}`, region, homes: 1 };
-    return chooseHomes(this.#read(), input).includes(vm);
+    const view = this.#read();
+    const eventId = `target/${target.id}`;
+    const near = chooseHomes(view, {
+      eventId,
+      region: target.region,
+      homes: 1,
+    });
+    if (near.length > 0) return near.includes(vm);
+    return chooseHomes(view, { eventId, region, homes: 1 }).includes(vm);
   }
 
   /** Says whether the life of a VM is known to be over. */
@@ -411,6 +426,7 @@
       leaving: vm.state === ListedVmState.Leaving,
     }));
     const now = this.#readTime();
+    this.#onListed(listed);
     this.#recordUnlisted(new Set(listed.map((vm) => vm.id)), now);
     this.#change((view) => applyVmList(view, { listed: members, now }));
   }
--- a/packages/daemon/features/traffic.ts
+++ b/packages/daemon/features/traffic.ts
@@ -20,6 +20,7 @@
 } from "../../core/mod.ts";
 import {
   type AttemptEnd,
+  type ListedVm,
   ListedVmState,
   type TargetLoadReport,
 } from "../../platform/mod.ts";
@@ -99,8 +100,8 @@
   readonly news: NewsExchange;
   /** Number of live entry VMs, this one included. */
   readonly countVms: () => number;
-  /** Whether this VM is the one of its region that asks a target for its load. */
-  readonly isProber: (target: TargetId) => boolean;
+  /** Whether this VM is the one that asks a target for its load. */
+  readonly isProber: (target: TargetConfig) => boolean;
   /** Sends this VM's news to its peers at once; resolves within a short bound. */
   readonly pushNews: () => Promise<void>;
 }
@@ -177,6 +178,20 @@
     await this.#ports.pushNews();
   }
 
+  /** Takes the platform's list: targets that it calls leaving get nothing new. */
+  applyVmList(listed: readonly ListedVm[]): void {
+    const { kernel } = this.#context;
+    const leaving = new Set(
+      listed.filter((vm) => vm.state === ListedVmState.Leaving)
+        .map((vm) => vm.id),
+    );
+    const known = [...kernel.read(CONFIGURATION).services.values()]
+      .flatMap((service) => service.targets)
+      .map((target) => target.id);
+    const signs = new Set(known.filter((id) => leaving.has(id)));
+    this.#change((state) => applyListedTargets(state, signs));
+  }
+
   /** Queues a request; it is started or refused through its callbacks. */
   admit(request: QueuedRequest): void {
     const { ticket } = request;
@@ -414,7 +429,7 @@
 
   #startProcesses(): Undo[] {
     const { random, log, settings } = this.#context;
-    const { loadReportMillis, vmListMillis, gossipMillis } = settings.intervals;
+    const { loadReportMillis, gossipMillis } = settings.intervals;
     const reportError = (error: unknown) =>
       log.error(LogEvent.ProcessFailed, {
         process: "traffic",
@@ -435,7 +450,6 @@
     return [
       this.#expiry.stop,
       start(loadReportMillis, () => this.#readReports()),
-      start(vmListMillis, () => this.#readVmList()),
       start(gossipMillis, () => {
         this.#changeCustomers();
         this.#quarantine.expire(this.#readTime());
@@ -466,7 +480,7 @@
     const { services } = this.#context.kernel.read(CONFIGURATION);
     return [...services.values()]
       .flatMap((service) => service.targets)
-      .filter((target) => this.#ports.isProber(target.id));
+      .filter((target) => this.#ports.isProber(target));
   }
 
   #listOwnReports(): ReportWord[] {
@@ -477,21 +491,6 @@
     });
   }
 
-  async #readVmList(): Promise<void> {
-    const { vmList, kernel } = this.#context;
-    const listed = (await vmList?.list())?.toMaybe().extract();
-    if (listed === undefined) return;
-    const leaving = new Set(
-      listed.filter((vm) => vm.state === ListedVmState.Leaving)
-        .map((vm) => vm.id),
-    );
-    const known = [...kernel.read(CONFIGURATION).services.values()]
-      .flatMap((service) => service.targets)
-      .map((target) => target.id);
-    const signs = new Set(known.filter((id) => leaving.has(id)));
-    this.#change((state) => applyListedTargets(state, signs));
-  }
-
   #read(): RoutingState {
     return this.#context.kernel.read(this.#slice);
   }
--- a/packages/daemon/peers/peer_face.ts
+++ b/packages/daemon/peers/peer_face.ts
@@ -10,8 +10,8 @@
 } from "../../peer/mod.ts";
 import type { BillCopies } from "../features/bill_copies.ts";
 import {
+  createPeerRows,
   type DocumentFollower,
-  toPeerRows,
 } from "../features/document_follower.ts";
 import type { Loans } from "../features/loans.ts";
 import type { Membership } from "../features/membership.ts";
@@ -52,7 +52,7 @@
   async readRows(keys: readonly string[]): Promise<PeerRows> {
     const reader = this.#features.follower.createReader();
     const answer = await reader.read(keys);
-    return toPeerRows(answer.map((rows) => ({ rows })));
+    return createPeerRows(answer.map((rows) => ({ rows })));
   }
 
   async scanRows(input: {
@@ -63,6 +63,6 @@
     const reader = this.#features.follower.createReader();
     const { prefix, after, limit } = input;
     const options = after === undefined ? { limit } : { after, limit };
-    return toPeerRows(await reader.scan(prefix, options));
+    return createPeerRows(await reader.scan(prefix, options));
   }
 }
--- a/packages/document/queries/change_refusal.ts
+++ b/packages/document/queries/change_refusal.ts
@@ -1,7 +1,7 @@
 /** Why a change of the document was refused, and what the operator is shown. */
 import type { InputError, TeamId } from "../../core/mod.ts";
 import type { DocumentState } from "../document_state.ts";
-import { quote } from "../schema/node_reader.ts";
+import { formatQuoted } from "../schema/node_reader.ts";
 import {
   createEmptySection,
   createSectionState,
@@ -58,7 +58,9 @@
 export function createIdReused(changeId: string): ChangeRefusal {
   return {
     kind: ChangeRefusalKind.ChangeIdReused,
-    message: `The change id ${quote(changeId)} belongs to another change.`,
+    message: `The change id ${
+      formatQuoted(changeId)
+    } belongs to another change.`,
     remedy: "Submit the change under a new id.",
     errors: [],
     differences: [],
@@ -69,7 +71,7 @@
 export function createUnknownSection(section: TeamId): ChangeRefusal {
   return {
     kind: ChangeRefusalKind.UnknownSection,
-    message: `The section ${quote(section)} belongs to no team.`,
+    message: `The section ${formatQuoted(section)} belongs to no team.`,
     remedy: "Add the team first, or correct the name.",
     errors: [],
     differences: [],
--- a/packages/document/queries/change_text.ts
+++ b/packages/document/queries/change_text.ts
@@ -9,7 +9,7 @@
 } from "../commands/change_section.ts";
 import type { EntryChange } from "../commands/parse_change.ts";
 import type { DocumentState } from "../document_state.ts";
-import { quote } from "../schema/node_reader.ts";
+import { formatQuoted } from "../schema/node_reader.ts";
 import {
   createEmptySection,
   createSectionState,
@@ -107,7 +107,7 @@
     kind: InputErrorKind.OutOfRange,
     message: long === undefined
       ? "The part of the section besides its entries is too long"
-      : `The entry ${quote(long.key)} is too long`,
+      : `The entry ${formatQuoted(long.key)} is too long`,
     remedy: `Keep each below ${MAX_PART_LENGTH} characters.`,
     place: source.findPlace(long?.offset ?? 0),
   }];
@@ -123,7 +123,7 @@
       }
       return [{
         kind: InputErrorKind.Duplicate,
-        message: `The section has ${quote(key)} twice`,
+        message: `The section has ${formatQuoted(key)} twice`,
         remedy: "Keep one of the two.",
         place: source.findPlace(offset + Math.max(0, text.indexOf('"'))),
       }];
@@ -187,7 +187,7 @@
   if (edit.value.length <= MAX_PART_LENGTH) return [];
   return [{
     kind: InputErrorKind.OutOfRange,
-    message: `The entry ${quote(edit.key)} is too long`,
+    message: `The entry ${formatQuoted(edit.key)} is too long`,
     remedy: `Keep it below ${MAX_PART_LENGTH} characters.`,
     place: source.findPlace(0),
   }];
--- a/packages/document/queries/check_references.ts
+++ b/packages/document/queries/check_references.ts
@@ -12,7 +12,7 @@
   formatEntryName,
   listUses,
 } from "../fleet_index.ts";
-import { describeNearest, quote } from "../schema/node_reader.ts";
+import { describeNearest, formatQuoted } from "../schema/node_reader.ts";
 import { computeEntryOffset } from "../schema/parse_entry.ts";
 import { type Reference, ReferenceTarget } from "../schema/reference.ts";
 import { Container } from "../text/section_parts.ts";
@@ -45,7 +45,7 @@
   if (found === undefined) {
     return {
       kind: InputErrorKind.UnknownReference,
-      message: `There is no ${reference.target} ${quote(reference.id)}`,
+      message: `There is no ${reference.target} ${formatQuoted(reference.id)}`,
       remedy: describeNearest(reference.id, listSome(index, container)),
     };
   }
@@ -55,7 +55,7 @@
     ? {
       kind: InputErrorKind.MissingKey,
       message: `A kind of the model engines ${
-        quote(reference.id)
+        formatQuoted(reference.id)
       } lacks a bound of its answer`,
       remedy: 'Add "maxOutputTokens", at least 1.',
     }
--- a/packages/document/queries/parse_document.ts
+++ b/packages/document/queries/parse_document.ts
@@ -18,7 +18,7 @@
   FLEET_SECTION,
   type FleetIndex,
 } from "../fleet_index.ts";
-import { describeNearest, quote } from "../schema/node_reader.ts";
+import { describeNearest, formatQuoted } from "../schema/node_reader.ts";
 import {
   checkEnd,
   type Member,
@@ -121,7 +121,7 @@
     if (twice) {
       return [{
         kind: InputErrorKind.Duplicate,
-        message: `The document has the key ${quote(key)} twice`,
+        message: `The document has the key ${formatQuoted(key)} twice`,
         remedy: "Keep one of the two.",
         place,
       }];
@@ -129,7 +129,7 @@
     if (ROOT_KEYS.includes(key)) return [];
     return [{
       kind: InputErrorKind.UnknownKey,
-      message: `The document has an unknown key ${quote(key)}`,
+      message: `The document has an unknown key ${formatQuoted(key)}`,
       remedy: describeNearest(key, ROOT_KEYS),
       place,
     }];
@@ -210,7 +210,7 @@
     .filter(({ section }) => !index.teams.has(section))
     .map(({ section, source, offset }) => ({
       kind: InputErrorKind.UnknownReference,
-      message: `The section ${quote(section)} belongs to no team`,
+      message: `The section ${formatQuoted(section)} belongs to no team`,
       remedy: describeNearest(section, [...index.teams.keys()]),
       place: source.findPlace(offset),
     }));
--- a/packages/document/queries/plan_change.ts
+++ b/packages/document/queries/plan_change.ts
@@ -19,7 +19,7 @@
 } from "../document_state.ts";
 import { FLEET_SECTION, type FleetIndex } from "../fleet_index.ts";
 import type { ChangeRow } from "../rows/row_schemas.ts";
-import { quote } from "../schema/node_reader.ts";
+import { formatQuoted } from "../schema/node_reader.ts";
 import {
   type Chunk,
   listNewChunkIds,
@@ -96,7 +96,7 @@
   if (left.length === 0) return Right(index);
   return Left(left.map(({ key }) => ({
     kind: InputErrorKind.UnknownReference,
-    message: `The section of team ${quote(key)} still has entries`,
+    message: `The section of team ${formatQuoted(key)} still has entries`,
     remedy: "Take these out first, then remove the team.",
   })));
 }
--- a/packages/document/schema/node_reader.ts
+++ b/packages/document/schema/node_reader.ts
@@ -69,7 +69,7 @@
     for (const [key, offset] of this.#keyOffsets) {
       if (known.includes(key)) continue;
       this.#faults.add(InputErrorKind.UnknownKey, offset, {
-        message: `${this.path} has an unknown key ${quote(key)}`,
+        message: `${this.path} has an unknown key ${formatQuoted(key)}`,
         remedy: describeNearest(key, known),
       });
     }
@@ -164,7 +164,7 @@
     const offset = this.findNode(key)?.offset;
     if (offset !== undefined && text !== "") {
       this.#faults.add(InputErrorKind.OutOfRange, offset, {
-        message: `${this.path}.${key} is ${quote(text)}`,
+        message: `${this.path}.${key} is ${formatQuoted(text)}`,
         remedy: describeNearest(text, values),
       });
     }
@@ -187,7 +187,7 @@
       const key = String(keyNode.value);
       if (this.#members.has(key)) {
         this.#faults.add(InputErrorKind.Duplicate, keyNode.offset, {
-          message: `${this.path} has the key ${quote(key)} twice`,
+          message: `${this.path} has the key ${formatQuoted(key)} twice`,
           remedy: "Keep one of the two.",
         });
         continue;
@@ -210,8 +210,8 @@
 
   #addMissing(key: string, type: Node["type"]): void {
     this.#faults.add(InputErrorKind.MissingKey, this.offset, {
-      message: `${this.path} lacks the key ${quote(key)}`,
-      remedy: `Add ${quote(key)} with ${describeType(type)}.`,
+      message: `${this.path} lacks the key ${formatQuoted(key)}`,
+      remedy: `Add ${formatQuoted(key)} with ${describeType(type)}.`,
     });
   }
 
@@ -233,11 +233,13 @@
   const far = distance(word.slice(0, MAX_COMPARED), nearest) >
     Math.max(2, nearest.length / 2);
   const list = known.slice(0, MAX_LISTED).join(", ");
-  return far ? `Use one of: ${list}.` : `Did you mean ${quote(nearest)}?`;
+  return far
+    ? `Use one of: ${list}.`
+    : `Did you mean ${formatQuoted(nearest)}?`;
 }
 
 /** Quotes a word of an operator for a message, cut to a length that fits. */
-export function quote(word: string): string {
+export function formatQuoted(word: string): string {
   const cut = word.length > MAX_COMPARED
     ? `${word.slice(0, MAX_COMPARED)}...`
     : word;
--- a/packages/document/schema/read_general.ts
+++ b/packages/document/schema/read_general.ts
@@ -11,8 +11,8 @@
 import {
   describeNearest,
   type FaultList,
+  formatQuoted,
   ObjectReader,
-  quote,
 } from "./node_reader.ts";
 
 const SECTION_KEYS = [
@@ -88,7 +88,7 @@
     messages.set(kind, text);
     if (!kinds.includes(kind)) {
       reader.addFault(InputErrorKind.UnknownKey, offset, {
-        message: `${reader.path} has no refusal kind ${quote(kind)}`,
+        message: `${reader.path} has no refusal kind ${formatQuoted(kind)}`,
         remedy: describeNearest(kind, kinds),
       });
     }
--- a/packages/document/schema/read_identifier.ts
+++ b/packages/document/schema/read_identifier.ts
@@ -1,6 +1,6 @@
 /** Checks of identifiers and key hashes, which become parts of row keys. */
 import { InputErrorKind } from "../../core/mod.ts";
-import { type ObjectReader, quote } from "./node_reader.ts";
+import { formatQuoted, type ObjectReader } from "./node_reader.ts";
 
 const IDENTIFIER = /^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/;
 const KEY_HASH = /^[0-9a-f]{64}$/;
@@ -18,7 +18,7 @@
 ): void {
   if (isIdentifier(id)) return;
   reader.addFault(InputErrorKind.OutOfRange, offset, {
-    message: `${quote(id)} cannot be a name`,
+    message: `${formatQuoted(id)} cannot be a name`,
     remedy:
       "Use 1 to 128 letters, digits, dots, dashes and underscores, beginning with a letter or digit.",
   });
@@ -30,7 +30,7 @@
   for (const { text, offset } of hashes) {
     if (KEY_HASH.test(text)) continue;
     reader.addFault(InputErrorKind.OutOfRange, offset, {
-      message: `${reader.path}.keyHashes has ${quote(text)}`,
+      message: `${reader.path}.keyHashes has ${formatQuoted(text)}`,
       remedy:
         "Give the SHA-256 of the key as 64 lower-case hexadecimal digits.",
     });
--- a/packages/document/schema/read_service.ts
+++ b/packages/document/schema/read_service.ts
@@ -8,7 +8,7 @@
   ServiceType,
   type TargetConfig,
 } from "../../core/mod.ts";
-import { type ObjectReader, quote } from "./node_reader.ts";
+import { formatQuoted, type ObjectReader } from "./node_reader.ts";
 import { checkIdentifier } from "./read_identifier.ts";
 
 const SERVICE_KEYS = [
@@ -73,7 +73,7 @@
   const offset = reader.findNode("path")?.offset ?? reader.offset;
   if (!/^\/[\x21-\x7e]*$/.test(path)) {
     reader.addFault(InputErrorKind.OutOfRange, offset, {
-      message: `${reader.path}.path is ${quote(path)}`,
+      message: `${reader.path}.path is ${formatQuoted(path)}`,
       remedy: "Give a path that begins with a slash and has no spaces.",
     });
   }
@@ -116,7 +116,7 @@
   const node = reader.findNode("url");
   if (node?.type === "string" && !isBaseUrl(url)) {
     reader.addFault(InputErrorKind.OutOfRange, node.offset, {
-      message: `${reader.path}.url is ${quote(url)}`,
+      message: `${reader.path}.url is ${formatQuoted(url)}`,
       remedy: "Give a base URL such as http://10.0.0.5:8000.",
     });
   }
--- a/packages/document/text/members.ts
+++ b/packages/document/text/members.ts
@@ -9,7 +9,7 @@
 /** One `"key": value` of an object; all offsets are into the scanned text. */
 export interface Member {
   readonly key: string;
-  /** Start of the key's opening quote. */
+  /** Start of the key's opening formatQuoted. */
   readonly keyOffset: number;
   readonly valueOffset: number;
   /** End of the value, exclusive. */
@@ -166,7 +166,7 @@
   return "the text ends too early";
 }
 
-/** Returns the offset after a string's closing quote, or -1 without one. */
+/** Returns the offset after a string's closing formatQuoted, or -1 without one. */
 function findStringEnd(text: string, offset: number): number {
   let at = offset;
   while (at < text.length) {
