Say how many grants a hurried stop leaves unreturned

Cause: the log line of a hurried stop named requests and bills only; grants that are not returned stay out until they are written off. Change: the line names them.

--- a/packages/bench/report/markdown.ts
+++ b/packages/bench/report/markdown.ts
@@ -9,7 +9,7 @@
   return `${run.experiment}-${plot}.svg`;
 }
 
-/** Returns the report of some runs of one session. */
+/** Returns the report of the runs of one command. */
 export function formatReport(runs: readonly ExperimentRun[]): string {
   return ["# Experiments", ...runs.flatMap(formatRun), ""].join("\n\n");
 }
--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -184,6 +184,7 @@
     this.context.log.warn(LogEvent.DrainHurried, {
       open_requests: this.#runner.countOpen(),
       unwritten_bills: this.#bills.countWaiting(),
+      unreturned_grants: this.#escrow.countGrants(),
     });
     this.#hurry();
   }
--- a/packages/daemon/entry/run_services.ts
+++ b/packages/daemon/entry/run_services.ts
@@ -10,7 +10,7 @@
 import type { NodeContext } from "../node_context.ts";
 import type { CallerRequest } from "./caller_request.ts";
 
-/** Features and helpers that runs share. */
+/** Features and functions that runs share. */
 export interface RunServices {
   readonly context: NodeContext;
   readonly escrow: Escrow;
--- a/packages/daemon/features/escrow.ts
+++ b/packages/daemon/features/escrow.ts
@@ -145,6 +145,15 @@
     return account;
   }
 
+  /** Returns the number of grants that this VM holds. */
+  countGrants(): number {
+    let count = 0;
+    for (const account of this.#readAccounts().values()) {
+      count += account.grants.length;
+    }
+    return count;
+  }
+
   /** Returns the tokens that this VM's waiting requests of an event need. */
   readWaitingTokens(eventId: EventId): Tokens {
     const waiters = this.#queues.get(eventId)?.waiters ?? [];
