--- a/packages/daemon/bad_input_test.ts
+++ b/packages/daemon/bad_input_test.ts
@@ -100,6 +100,12 @@
     status: 401,
     reason: "bad-key",
   },
+  "a key of another customer than the one named": {
+    ...CHAT,
+    customer: "other-tours",
+    status: 401,
+    reason: "bad-key",
+  },
   "a booking without a key": {
     kind: "booking",
     body: {},
--- a/packages/daemon/entry/read_caller_request.ts
+++ b/packages/daemon/entry/read_caller_request.ts
@@ -23,6 +23,8 @@
 /** Headers that callers use besides `Authorization` and `Idempotency-Key`. */
 export const EVENT_HEADER = "x-anvilrail-event";
 export const KIND_HEADER = "x-anvilrail-kind";
+/** Optional: the key says who calls, and this must not say otherwise. */
+export const CUSTOMER_HEADER = "x-anvilrail-customer";
 export const DEADLINE_HEADER = "x-anvilrail-deadline-ms";
 
 const MAX_REQUEST_KEY_LENGTH = 200;
@@ -63,6 +65,10 @@
   headers: IncomingHttpHeaders,
 ): Either<Refusal, CallerHeaders> {
   return findCustomer(configuration, headers).chain((customer) => {
+    const named = readHeader(headers, CUSTOMER_HEADER);
+    if (named !== "" && named !== customer.id) {
+      return Left(createRefusal(RefusalKind.BadKey));
+    }
     const event = configuration.events.get(readHeader(headers, EVENT_HEADER));
     if (event === undefined) {
       return Left(createRefusal(RefusalKind.UnknownEvent));
--- a/packages/trial/caller.ts
+++ b/packages/trial/caller.ts
@@ -11,6 +11,8 @@
   readonly requestKey?: string;
   readonly event?: string;
   readonly customerKey?: string;
+  /** Name of the customer, sent beside its key. */
+  readonly customer?: string;
   readonly deadlineMillis?: number;
   /** Hangs up when this text has arrived. */
   readonly hangUpAfter?: string;
@@ -108,6 +110,9 @@
   if (call.requestKey !== undefined) {
     headers["idempotency-key"] = call.requestKey;
   }
+  if (call.customer !== undefined) {
+    headers["x-anvilrail-customer"] = call.customer;
+  }
   if (call.deadlineMillis !== undefined) {
     headers["x-anvilrail-deadline-ms"] = String(call.deadlineMillis);
   }
