Use one failure report, one pause and one connection timeout in the daemon

Cause: read again as a whole, seven features wrote the same report of a failed process, two runs the same bound on a silent connection, and two classes a pause that Node's timers/promises has. Change: createFailureReport; the bound stands with the attempts that it belongs to; the library's pause.

--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -3,6 +3,7 @@
  * routing, and followed by the next one as the retry rules allow.
  */
 import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type Either, Left, Right } from "purify-ts";
 import {
   type Millis,
@@ -36,9 +37,17 @@
 
 const RETRY_AFTER: Millis = 1_000;
 
+/**
+ * Progress timeouts after which the connection itself gives up; until then the
+ * silence watch decides.
+ */
+const CONNECTION_TIMEOUTS = 8;
+
 /** What an attempt is given. */
 export interface AttemptInput {
   readonly target: TargetConfig;
+  /** Longest silence of the connection itself. */
+  readonly connectionTimeout: Millis;
   /** Aborts when the attempt must end. */
   readonly signal: AbortSignal;
   /** Is to be called when something of the answer arrives. */
@@ -140,8 +149,10 @@
     const abandon = () => watch.abandon();
     this.#abandoned.addEventListener("abort", abandon, { once: true });
     if (this.#abandoned.aborted) abandon();
+    const { progressTimeout } = this.#request.service;
     const performed = await perform({
       target,
+      connectionTimeout: progressTimeout * CONNECTION_TIMEOUTS,
       signal: watch.signal,
       recordProgress: () => {
         if (watch.recordProgress()) this.#recordFirstChunk(target);
@@ -173,7 +184,7 @@
       if (decision.action === RetryAction.GiveUp) {
         return Left(this.#createGiveUp(decision.outcome));
       }
-      await this.#sleep(decision.after);
+      await sleep(decision.after);
       if (decision.action === RetryAction.Wait) continue;
       if (decision.extra === ExtraAttempt.Replacement) this.#replacements++;
       return await this.#chooseNext();
@@ -220,7 +231,7 @@
           ? Left(this.#createGiveUp(RequestOutcome.Unknown))
           : chosen;
       }
-      await this.#sleep(NO_TARGET_PAUSE);
+      await sleep(NO_TARGET_PAUSE);
     }
   }
 
@@ -299,10 +310,6 @@
     }
     return createUnknown(RefusalKind.TargetFailed, { retryAfter: RETRY_AFTER });
   }
-
-  #sleep(duration: Millis): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, duration));
-  }
 }
 
 function createTicket(request: CallerRequest): Ticket {
--- a/packages/daemon/entry/run_engine_request.ts
+++ b/packages/daemon/entry/run_engine_request.ts
@@ -33,12 +33,6 @@
 /** Longest wait for an engine to say what a cancelled stream used. */
 const CANCEL_TIMEOUT: Millis = 1_000;
 
-/**
- * Progress timeouts after which the connection itself gives up; until then the
- * silence watch decides.
- */
-const CONNECTION_TIMEOUTS = 8;
-
 /** Runs one engine request to its end. */
 export class EngineRequestRun {
   readonly #services: RunServices;
@@ -140,7 +134,7 @@
       requestKey,
       digest,
       streamId,
-      progressTimeout: service.progressTimeout * CONNECTION_TIMEOUTS,
+      progressTimeout: input.connectionTimeout,
       ...(position === 0 ? {} : { resume }),
       signal: AbortSignal.any([input.signal, cut.signal]),
     }, (chunk) => {
--- a/packages/daemon/entry/run_service_request.ts
+++ b/packages/daemon/entry/run_service_request.ts
@@ -38,9 +38,6 @@
 const STORE_RETRY_AFTER: Millis = 2_000;
 const STILL_RUNNING_RETRY_AFTER: Millis = 1_000;
 
-/** Progress timeouts after which the connection itself gives up. */
-const CONNECTION_TIMEOUTS = 8;
-
 /** How the attempts of a call ended together. */
 type CallOutcome =
   | { readonly type: "ran"; readonly result: TargetResult }
@@ -216,7 +213,7 @@
       priority: kind.priority,
       requestKey,
       digest,
-      progressTimeout: service.progressTimeout * CONNECTION_TIMEOUTS,
+      progressTimeout: input.connectionTimeout,
       signal: input.signal,
     });
   }
--- a/packages/daemon/event_log.ts
+++ b/packages/daemon/event_log.ts
@@ -70,6 +70,15 @@
   };
 }
 
+/** Returns what a process calls with an error that ended one of its turns. */
+export function createFailureReport(
+  log: EventLog,
+  process: string,
+): (error: unknown) => void {
+  return (error) =>
+    log.error(LogEvent.ProcessFailed, { process, reason: String(error) });
+}
+
 /** Formats one event as `event=NAME key=value ...`. */
 export function formatLine(event: LogEvent, fields: LogFields = {}): string {
   const pairs = Object.entries(fields)
--- a/packages/daemon/features/bill_copies.ts
+++ b/packages/daemon/features/bill_copies.ts
@@ -16,7 +16,7 @@
 } from "../../core/mod.ts";
 import type { PeerBills, PeerClient } from "../../peer/mod.ts";
 import type { Bill } from "../../request/mod.ts";
-import { LogEvent } from "../event_log.ts";
+import { createFailureReport, LogEvent } from "../event_log.ts";
 import type { NodeContext } from "../node_context.ts";
 import { startPeriodic } from "../processes.ts";
 import type { Peer } from "./loans.ts";
@@ -83,11 +83,7 @@
       interval: settings.intervals.gossipMillis,
       random,
       run: () => this.#adoptOrphans(),
-      reportError: (error) =>
-        log.error(LogEvent.ProcessFailed, {
-          process: "bill_copies",
-          reason: String(error),
-        }),
+      reportError: createFailureReport(log, "bill_copies"),
     });
     return combineUndo([
       kernel.registerDump("billCopies", () => ({
--- a/packages/daemon/features/bill_log.ts
+++ b/packages/daemon/features/bill_log.ts
@@ -11,7 +11,7 @@
   createBillBatch,
   planBillBatches,
 } from "../../request/mod.ts";
-import { LogEvent } from "../event_log.ts";
+import { createFailureReport, LogEvent } from "../event_log.ts";
 import type { NodeContext } from "../node_context.ts";
 import { type PeriodicProcess, startOnDemand } from "../processes.ts";
 
@@ -59,11 +59,7 @@
     this.#process = startOnDemand({
       computeWait: () => this.#computeWait(),
       run: () => this.#writeBatch(),
-      reportError: (error) =>
-        log.error(LogEvent.ProcessFailed, {
-          process: "bills",
-          reason: String(error),
-        }),
+      reportError: createFailureReport(log, "bills"),
     });
     return combineUndo([
       kernel.registerDump("bills", () => ({ waiting: this.countWaiting() })),
--- a/packages/daemon/features/document_follower.ts
+++ b/packages/daemon/features/document_follower.ts
@@ -34,7 +34,7 @@
   StateReader,
 } from "../../document/mod.ts";
 import type { PeerClient, PeerRows } from "../../peer/mod.ts";
-import { LogEvent } from "../event_log.ts";
+import { createFailureReport, LogEvent } from "../event_log.ts";
 import type { NodeContext } from "../node_context.ts";
 import { type PeriodicProcess, startPeriodic } from "../processes.ts";
 import type { NewsExchange } from "./news_exchange.ts";
@@ -109,11 +109,7 @@
       interval: settings.intervals.documentPollMillis,
       random,
       run: () => this.follow(),
-      reportError: (error) =>
-        log.error(LogEvent.ProcessFailed, {
-          process: "document",
-          reason: String(error),
-        }),
+      reportError: createFailureReport(log, "document"),
     });
     return combineUndo([
       undoCommand,
--- a/packages/daemon/features/duties.ts
+++ b/packages/daemon/features/duties.ts
@@ -24,7 +24,7 @@
   type TargetOrder,
   type TargetWish,
 } from "../../routing/mod.ts";
-import { LogEvent } from "../event_log.ts";
+import { createFailureReport, LogEvent } from "../event_log.ts";
 import { CONFIGURATION, DRAINING, type NodeContext } from "../node_context.ts";
 import { startPeriodic } from "../processes.ts";
 import type { Traffic } from "./traffic.ts";
@@ -62,11 +62,7 @@
       interval: settings.intervals.dutyMillis,
       random,
       run: () => this.#visitAll(),
-      reportError: (error) =>
-        log.error(LogEvent.ProcessFailed, {
-          process: "duties",
-          reason: String(error),
-        }),
+      reportError: createFailureReport(log, "duties"),
     });
     return combineUndo([
       kernel.registerDump("duties", () => this.#describe()),
--- a/packages/daemon/features/escrow.ts
+++ b/packages/daemon/features/escrow.ts
@@ -2,6 +2,7 @@
  * Budgets on this VM: reservations against grants in memory, and the grants'
  * traffic with the table and with peers.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import { type Either, Left, Right } from "purify-ts";
 import {
   AccountSchedule,
@@ -40,7 +41,7 @@
   type Tokens,
   type Undo,
 } from "../../core/mod.ts";
-import { LogEvent } from "../event_log.ts";
+import { createFailureReport, LogEvent } from "../event_log.ts";
 import type { NodeContext } from "../node_context.ts";
 import { startPeriodic } from "../processes.ts";
 import { type Waiter, WaitQueue } from "./wait_queue.ts";
@@ -114,11 +115,7 @@
       interval: settings.intervals.grantCheckMillis,
       random,
       run: () => this.#visitDueAccounts(),
-      reportError: (error) =>
-        log.error(LogEvent.ProcessFailed, {
-          process: "escrow",
-          reason: String(error),
-        }),
+      reportError: createFailureReport(log, "escrow"),
     });
     return combineUndo([
       kernel.registerCommand(CHANGE_ACCOUNT, ({ eventId, change }, update) => {
@@ -407,7 +404,7 @@
   async #endShortage(queue: WaitQueue): Promise<void> {
     queue.isShort = false;
     if (queue.waiters.length > 0) {
-      await this.#sleep(LOAN_INTERVAL);
+      await sleep(LOAN_INTERVAL);
       return this.#startExchange(queue, planExchange);
     }
     queue.narrowed = false;
@@ -433,7 +430,7 @@
       reservedAtPeer = Math.max(reservedAtPeer, step.reservedAtPeer);
       this.#serveWaiters(queue);
       if (step.askedPeers === 0) break;
-      await this.#sleep(LOAN_INTERVAL);
+      await sleep(LOAN_INTERVAL);
     }
     if (queue.isShort) this.#refuseHopeless(queue, reservedAtPeer);
   }
@@ -452,10 +449,6 @@
     }
   }
 
-  #sleep(duration: Millis): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, duration));
-  }
-
   #refuseAll(queue: WaitQueue, refusal: Refusal): void {
     for (const waiter of [...queue.waiters]) {
       this.#refuse(queue, { waiter, refusal });
--- a/packages/daemon/features/membership.ts
+++ b/packages/daemon/features/membership.ts
@@ -46,7 +46,7 @@
 } from "../../membership/mod.ts";
 import type { PeerClient, PeerNews } from "../../peer/mod.ts";
 import { type ListedVm, ListedVmState } from "../../platform/mod.ts";
-import { LogEvent } from "../event_log.ts";
+import { createFailureReport, LogEvent } from "../event_log.ts";
 import { CONFIGURATION, type NodeContext } from "../node_context.ts";
 import { startPeriodic } from "../processes.ts";
 import type { Peer } from "./loans.ts";
@@ -279,11 +279,7 @@
       interval,
       random,
       run,
-      reportError: (error) =>
-        log.error(LogEvent.ProcessFailed, {
-          process: "membership",
-          reason: String(error),
-        }),
+      reportError: createFailureReport(log, "membership"),
     }).stop;
   }
 
--- a/packages/daemon/features/traffic.ts
+++ b/packages/daemon/features/traffic.ts
@@ -58,7 +58,7 @@
   type TargetFacts,
   type Ticket,
 } from "../../routing/mod.ts";
-import { LogEvent } from "../event_log.ts";
+import { createFailureReport } from "../event_log.ts";
 import { CONFIGURATION, type NodeContext } from "../node_context.ts";
 import {
   type PeriodicProcess,
@@ -430,11 +430,7 @@
   #startProcesses(): Undo[] {
     const { random, log, settings } = this.#context;
     const { loadReportMillis, gossipMillis } = settings.intervals;
-    const reportError = (error: unknown) =>
-      log.error(LogEvent.ProcessFailed, {
-        process: "traffic",
-        reason: String(error),
-      });
+    const reportError = createFailureReport(log, "traffic");
     const start = (interval: Millis, run: () => Promise<void> | void) =>
       startPeriodic({
         interval,
