Bound the quarantine entries in one message between VMs

Cause: read again as a whole, each round of news carried every entry, up to 10,000 of them, while a peer takes at most 1 MiB: a long quarantine would have stopped all news between VMs. Change: the newest 32 entries and 32 others in turns; the entry that a crash changed is the newest, so a push before a retry still carries it.

--- a/packages/daemon/features/traffic.ts
+++ b/packages/daemon/features/traffic.ts
@@ -43,6 +43,7 @@
   isLeaving,
   type LeavingSign,
   listLeavingSigns,
+  listNewsWords,
   listReports,
   Quarantine,
   type QuarantineWord,
@@ -117,6 +118,7 @@
   readonly #budgets = new RetryBudgets();
   readonly #queued = new Map<string, QueuedRequest>();
   #reportRound = 0;
+  #newsRound = 0;
   #expiry: PeriodicProcess | undefined;
 
   constructor(context: NodeContext, ports: TrafficPorts) {
@@ -417,7 +419,8 @@
         },
       }),
       news.register("quarantine", {
-        create: () => toJson(this.listQuarantine()),
+        create: () =>
+          toJson(listNewsWords(this.listQuarantine(), this.#newsRound++)),
         apply: (_, value) =>
           void this.#quarantine.applyEntries(
             value as unknown as QuarantineWord[],
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -74,6 +74,11 @@
   QuarantineWord,
 } from "./quarantine/quarantine.ts";
 export { CRASHES_TO_QUARANTINE, Quarantine } from "./quarantine/quarantine.ts";
+export {
+  listNewsWords,
+  NEWEST_WORDS,
+  OLDER_WORDS,
+} from "./quarantine/list_news_words.ts";
 export type { ChooseInput } from "./queries/choose_target.ts";
 export { chooseTarget } from "./queries/choose_target.ts";
 export { computeLoad, computeOthers } from "./queries/compute_load.ts";
