Name the ports package ports and move processes and logs to runtime

The users' platform/ will be the adapter to their pages, so the package of ports can no longer be called platform. Processes on js-csp and structured logs move out of the daemon, so that another daemon can use the same copy without loading this one. No behaviour changes.

--- a/packages/admin/admin_test.ts
+++ b/packages/admin/admin_test.ts
@@ -13,7 +13,7 @@
   FLEET_SECTION,
 } from "../document/mod.ts";
 import { createMembershipView, MemberState } from "../membership/mod.ts";
-import { StoreWriter } from "../platform/mod.ts";
+import { StoreWriter } from "../ports/mod.ts";
 import { MemoryTable } from "../stand_ins/mod.ts";
 import {
   ADMIN_ROUTES,
--- a/packages/bench/budget/budget_fleet.ts
+++ b/packages/bench/budget/budget_fleet.ts
@@ -26,7 +26,7 @@
   createPlatformError,
   StoreWriter,
   type TablePort,
-} from "../../platform/mod.ts";
+} from "../../ports/mod.ts";
 import { Left } from "purify-ts";
 import { rankMembers } from "../../core/mod.ts";
 import type { SeededRandom } from "../harness/random.ts";
--- a/packages/bench/budget/budget_node.ts
+++ b/packages/bench/budget/budget_node.ts
@@ -10,7 +10,7 @@
   Tokens,
   VmId,
 } from "../../core/mod.ts";
-import type { StoreWriter } from "../../platform/mod.ts";
+import type { StoreWriter } from "../../ports/mod.ts";
 import type { Action, CancelAction } from "../harness/virtual_clock.ts";
 
 /** One prepaid event of an experiment. */
--- a/packages/bench/fleet/vm_start_experiment.ts
+++ b/packages/bench/fleet/vm_start_experiment.ts
@@ -9,7 +9,7 @@
   type SubmitPorts,
   SubmitState,
 } from "../../document/mod.ts";
-import { HttpTable, StoreWriter } from "../../platform/mod.ts";
+import { HttpTable, StoreWriter } from "../../ports/mod.ts";
 import { createSampleSections } from "../capacity/document_probes.ts";
 import { computeMedian } from "../capacity/measure_calls.ts";
 import type {
--- a/packages/bench/harness/timed_table.ts
+++ b/packages/bench/harness/timed_table.ts
@@ -1,6 +1,6 @@
 /** A memory table whose calls take virtual time and which has outages. */
 import type { Millis, MonotonicTime } from "../../core/mod.ts";
-import type { TablePort } from "../../platform/mod.ts";
+import type { TablePort } from "../../ports/mod.ts";
 import { CallFault, MemoryTable } from "../../stand_ins/mod.ts";
 import type { SeededRandom } from "./random.ts";
 import type { VirtualClock } from "./virtual_clock.ts";
--- a/packages/bench/routing/entry.ts
+++ b/packages/bench/routing/entry.ts
@@ -16,7 +16,7 @@
   type TargetId,
   type VmId,
 } from "../../core/mod.ts";
-import { AttemptEnd } from "../../platform/mod.ts";
+import { AttemptEnd } from "../../ports/mod.ts";
 import {
   Admission,
   AnswerAssembler,
--- a/packages/bench/store_traffic/row_meter.ts
+++ b/packages/bench/store_traffic/row_meter.ts
@@ -6,7 +6,7 @@
   type PlatformError,
   PlatformErrorKind,
 } from "../../core/mod.ts";
-import type { TablePort } from "../../platform/mod.ts";
+import type { TablePort } from "../../ports/mod.ts";
 import type { TimedTable } from "../harness/timed_table.ts";
 import type { VirtualClock } from "../harness/virtual_clock.ts";
 
--- a/packages/bench/store_traffic/store_layout.ts
+++ b/packages/bench/store_traffic/store_layout.ts
@@ -8,7 +8,7 @@
   type Row,
   type RowOperation,
 } from "../../core/mod.ts";
-import { createPlatformError, type StoreWriter } from "../../platform/mod.ts";
+import { createPlatformError, type StoreWriter } from "../../ports/mod.ts";
 import type { VirtualClock } from "../harness/virtual_clock.ts";
 
 /** Takes the operations and bills of one VM. */
--- a/packages/bench/store_traffic/traffic_fleet.ts
+++ b/packages/bench/store_traffic/traffic_fleet.ts
@@ -1,7 +1,7 @@
 /** Some entry VMs in virtual time that share one table, and their traffic. */
 import { computeHash, type Millis, rankMembers } from "../../core/mod.ts";
 import { HEARTBEAT_INTERVAL } from "../../membership/mod.ts";
-import { StoreWriter } from "../../platform/mod.ts";
+import { StoreWriter } from "../../ports/mod.ts";
 import { Histogram } from "../harness/histogram.ts";
 import { createZipfChoice, SeededRandom } from "../harness/random.ts";
 import { TimedTable, type TimeWindow } from "../harness/timed_table.ts";
--- a/packages/cli/admin_client.ts
+++ b/packages/cli/admin_client.ts
@@ -3,7 +3,7 @@
 import process from "node:process";
 import type { Argv } from "yargs";
 import type { JsonValue, Millis } from "../core/mod.ts";
-import { sendJsonRequest } from "../platform/mod.ts";
+import { sendJsonRequest } from "../ports/mod.ts";
 import { ExitCode } from "./exit_code.ts";
 
 /** Options of every command that talks to a VM. */
--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -12,7 +12,7 @@
 import type { Settings } from "../settings/mod.ts";
 import { CallerFace } from "./entry/caller_face.ts";
 import { RequestRunner } from "./entry/request_runner.ts";
-import { type EventLog, LogEvent } from "./event_log.ts";
+import { type EventLog, LogEvent } from "../runtime/mod.ts";
 import { BillCopies } from "./features/bill_copies.ts";
 import { BillLog } from "./features/bill_log.ts";
 import { DocumentFollower } from "./features/document_follower.ts";
--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -17,7 +17,7 @@
   type TargetId,
   type Tokens,
 } from "../../core/mod.ts";
-import { AttemptEnd, type TargetResult } from "../../platform/mod.ts";
+import { AttemptEnd, type TargetResult } from "../../ports/mod.ts";
 import {
   decideSilence,
   ExtraAttempt,
@@ -27,7 +27,7 @@
   SilenceAction,
   type Ticket,
 } from "../../routing/mod.ts";
-import { LogEvent } from "../event_log.ts";
+import { LogEvent } from "../../runtime/mod.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { createRefusal, createUnknown } from "./refusals.ts";
 import type { RunServices } from "./run_services.ts";
--- a/packages/daemon/entry/caller_face.ts
+++ b/packages/daemon/entry/caller_face.ts
@@ -10,7 +10,7 @@
 } from "../../core/mod.ts";
 import { type FreshnessState, isRefusedAsStale } from "../../document/mod.ts";
 import { isPeerKey } from "../../peer/mod.ts";
-import { LogEvent } from "../event_log.ts";
+import { LogEvent } from "../../runtime/mod.ts";
 import {
   FORWARDED_HEADER,
   type HomeForwarding,
--- a/packages/daemon/entry/request_runner.ts
+++ b/packages/daemon/entry/request_runner.ts
@@ -21,7 +21,7 @@
 import type { BillLog } from "../features/bill_log.ts";
 import type { Escrow } from "../features/escrow.ts";
 import type { Traffic } from "../features/traffic.ts";
-import { LogEvent } from "../event_log.ts";
+import { LogEvent } from "../../runtime/mod.ts";
 import { DRAINING, type NodeContext } from "../node_context.ts";
 import { AnswerRun } from "./answer_run.ts";
 import type { CallerRequest } from "./caller_request.ts";
--- a/packages/daemon/entry/run_engine_request.ts
+++ b/packages/daemon/entry/run_engine_request.ts
@@ -19,7 +19,7 @@
   type StreamChunk,
   type TargetResult,
   type TokenUsage,
-} from "../../platform/mod.ts";
+} from "../../ports/mod.ts";
 import type { AnswerRun } from "./answer_run.ts";
 import {
   type AttemptInput,
--- a/packages/daemon/entry/run_service_request.ts
+++ b/packages/daemon/entry/run_service_request.ts
@@ -16,7 +16,7 @@
   RequestOutcome,
   type TargetConfig,
 } from "../../core/mod.ts";
-import { AttemptEnd, type TargetResult } from "../../platform/mod.ts";
+import { AttemptEnd, type TargetResult } from "../../ports/mod.ts";
 import {
   type ClaimEnd,
   type ClaimInput,
@@ -28,7 +28,7 @@
   planKeptAnswer,
   type TakeClaimResult,
 } from "../../request/mod.ts";
-import { LogEvent } from "../event_log.ts";
+import { LogEvent } from "../../runtime/mod.ts";
 import type { AnswerRun, RunEnd } from "./answer_run.ts";
 import { type AttemptInput, AttemptRunner } from "./attempt_runner.ts";
 import type { CallerRequest } from "./caller_request.ts";
--- a/packages/daemon/entry/write_answer.ts
+++ b/packages/daemon/entry/write_answer.ts
@@ -1,7 +1,7 @@
 /** Writes the answer of a run to a caller over HTTP. */
 import type { ServerResponse } from "node:http";
 import { type Millis, type Refusal, RequestOutcome } from "../../core/mod.ts";
-import { STREAM_END } from "../../platform/mod.ts";
+import { STREAM_END } from "../../ports/mod.ts";
 import type { AnswerRun, RunEnd } from "./answer_run.ts";
 import {
   createRefusalHeaders,
--- a/packages/daemon/features/bill_copies.ts
+++ b/packages/daemon/features/bill_copies.ts
@@ -16,9 +16,12 @@
 } from "../../core/mod.ts";
 import type { PeerBills, PeerClient } from "../../peer/mod.ts";
 import type { Bill } from "../../request/mod.ts";
-import { createFailureReport, LogEvent } from "../event_log.ts";
+import {
+  createFailureReport,
+  LogEvent,
+  startPeriodic,
+} from "../../runtime/mod.ts";
 import type { NodeContext } from "../node_context.ts";
-import { startPeriodic } from "../processes.ts";
 import type { Peer } from "./loans.ts";
 
 /** Most copies that a VM keeps for others. */
--- a/packages/daemon/features/bill_log.ts
+++ b/packages/daemon/features/bill_log.ts
@@ -11,9 +11,13 @@
   createBillBatch,
   planBillBatches,
 } from "../../request/mod.ts";
-import { createFailureReport, LogEvent } from "../event_log.ts";
+import {
+  createFailureReport,
+  LogEvent,
+  type PeriodicProcess,
+  startOnDemand,
+} from "../../runtime/mod.ts";
 import type { NodeContext } from "../node_context.ts";
-import { type PeriodicProcess, startOnDemand } from "../processes.ts";
 
 /** Longest time the end of an answer waits for its bill, in milliseconds. */
 export const MAX_BILL_WAIT: Millis = 250;
--- a/packages/daemon/features/document_follower.ts
+++ b/packages/daemon/features/document_follower.ts
@@ -34,9 +34,13 @@
   StateReader,
 } from "../../document/mod.ts";
 import type { PeerClient, PeerRows } from "../../peer/mod.ts";
-import { createFailureReport, LogEvent } from "../event_log.ts";
+import {
+  createFailureReport,
+  LogEvent,
+  type PeriodicProcess,
+  startPeriodic,
+} from "../../runtime/mod.ts";
 import type { NodeContext } from "../node_context.ts";
-import { type PeriodicProcess, startPeriodic } from "../processes.ts";
 import type { NewsExchange } from "./news_exchange.ts";
 
 /** A peer's word on its document, as it travels. */
--- a/packages/daemon/features/duties.ts
+++ b/packages/daemon/features/duties.ts
@@ -24,9 +24,12 @@
   type TargetOrder,
   type TargetWish,
 } from "../../routing/mod.ts";
-import { createFailureReport, LogEvent } from "../event_log.ts";
+import {
+  createFailureReport,
+  LogEvent,
+  startPeriodic,
+} from "../../runtime/mod.ts";
 import { CONFIGURATION, DRAINING, type NodeContext } from "../node_context.ts";
-import { startPeriodic } from "../processes.ts";
 import type { Traffic } from "./traffic.ts";
 
 /**
--- a/packages/daemon/features/escrow.ts
+++ b/packages/daemon/features/escrow.ts
@@ -41,9 +41,12 @@
   type Tokens,
   type Undo,
 } from "../../core/mod.ts";
-import { createFailureReport, LogEvent } from "../event_log.ts";
+import {
+  createFailureReport,
+  LogEvent,
+  startPeriodic,
+} from "../../runtime/mod.ts";
 import type { NodeContext } from "../node_context.ts";
-import { startPeriodic } from "../processes.ts";
 import { type Waiter, WaitQueue } from "./wait_queue.ts";
 
 /** All accounts of this VM, by event. Changed in place, in handlers only. */
--- a/packages/daemon/features/home_forwarding.ts
+++ b/packages/daemon/features/home_forwarding.ts
@@ -5,9 +5,9 @@
  */
 import type { Agent, IncomingMessage, ServerResponse } from "node:http";
 import type { EventConfig, VmId } from "../../core/mod.ts";
-import { startExchange } from "../../platform/mod.ts";
+import { startExchange } from "../../ports/mod.ts";
 import type { CallerRequest } from "../entry/caller_request.ts";
-import { LogEvent } from "../event_log.ts";
+import { LogEvent } from "../../runtime/mod.ts";
 import { createFaceAgent } from "../http_face.ts";
 import type { NodeContext } from "../node_context.ts";
 
--- a/packages/daemon/features/loans.ts
+++ b/packages/daemon/features/loans.ts
@@ -25,7 +25,7 @@
   PeerLoanAnswer,
   PeerLoanRequest,
 } from "../../peer/mod.ts";
-import { LogEvent } from "../event_log.ts";
+import { LogEvent } from "../../runtime/mod.ts";
 import type { NodeContext } from "../node_context.ts";
 import type { Escrow } from "./escrow.ts";
 
--- a/packages/daemon/features/membership.ts
+++ b/packages/daemon/features/membership.ts
@@ -45,10 +45,13 @@
   recordReplySent,
 } from "../../membership/mod.ts";
 import type { PeerClient, PeerNews } from "../../peer/mod.ts";
-import { type ListedVm, ListedVmState } from "../../platform/mod.ts";
-import { createFailureReport, LogEvent } from "../event_log.ts";
+import { type ListedVm, ListedVmState } from "../../ports/mod.ts";
+import {
+  createFailureReport,
+  LogEvent,
+  startPeriodic,
+} from "../../runtime/mod.ts";
 import { CONFIGURATION, type NodeContext } from "../node_context.ts";
-import { startPeriodic } from "../processes.ts";
 import type { Peer } from "./loans.ts";
 import type { NewsExchange } from "./news_exchange.ts";
 
--- a/packages/daemon/features/traffic.ts
+++ b/packages/daemon/features/traffic.ts
@@ -23,7 +23,7 @@
   type ListedVm,
   ListedVmState,
   type TargetLoadReport,
-} from "../../platform/mod.ts";
+} from "../../ports/mod.ts";
 import {
   Admission,
   applyLeavingSigns,
@@ -59,13 +59,13 @@
   type TargetFacts,
   type Ticket,
 } from "../../routing/mod.ts";
-import { createFailureReport } from "../event_log.ts";
-import { CONFIGURATION, type NodeContext } from "../node_context.ts";
 import {
+  createFailureReport,
   type PeriodicProcess,
   startOnDemand,
   startPeriodic,
-} from "../processes.ts";
+} from "../../runtime/mod.ts";
+import { CONFIGURATION, type NodeContext } from "../node_context.ts";
 import type { NewsExchange } from "./news_exchange.ts";
 
 type RoutingChange = (state: RoutingState) => RoutingState;
--- a/packages/daemon/mod.ts
+++ b/packages/daemon/mod.ts
@@ -1,6 +1,6 @@
 /** The daemon as a library. */
 export type { DaemonOptions, RunningDaemon } from "./daemon.ts";
 export { startDaemon } from "./daemon.ts";
-export type { EventLog, LogFields } from "./event_log.ts";
+export type { EventLog, LogFields } from "../runtime/mod.ts";
 export { createNodeMetrics } from "./node_metrics.ts";
-export { createEventLog, createSilentLog, LogEvent } from "./event_log.ts";
+export { createEventLog, createSilentLog, LogEvent } from "../runtime/mod.ts";
--- a/packages/daemon/node.ts
+++ b/packages/daemon/node.ts
@@ -18,9 +18,9 @@
   HttpTargets,
   HttpVmList,
   StoreWriter,
-} from "../platform/mod.ts";
+} from "../ports/mod.ts";
 import type { ServiceSettings, Settings } from "../settings/mod.ts";
-import { createEventLog, type EventLog } from "./event_log.ts";
+import { createEventLog, type EventLog } from "../runtime/mod.ts";
 import { CONFIGURATION, DRAINING, type NodeContext } from "./node_context.ts";
 import { createNodeMetrics } from "./node_metrics.ts";
 
--- a/packages/daemon/node_context.ts
+++ b/packages/daemon/node_context.ts
@@ -8,10 +8,10 @@
   SliceType,
 } from "../core/mod.ts";
 import { createEmptyConfiguration } from "../core/mod.ts";
-import type { StoreWriter, TablePort } from "../platform/mod.ts";
-import type { HttpTargets, ObjectPort, VmListPort } from "../platform/mod.ts";
+import type { StoreWriter, TablePort } from "../ports/mod.ts";
+import type { HttpTargets, ObjectPort, VmListPort } from "../ports/mod.ts";
 import type { Settings } from "../settings/mod.ts";
-import type { EventLog } from "./event_log.ts";
+import type { EventLog } from "../runtime/mod.ts";
 import type { NodeMetrics } from "./node_metrics.ts";
 
 /** The daemon's surroundings: its settings, ports, state and reports. */
--- a/packages/daemon/operators/operator_face.ts
+++ b/packages/daemon/operators/operator_face.ts
@@ -9,7 +9,7 @@
   findCaller,
   parseBearer,
 } from "../../admin/mod.ts";
-import { LogEvent } from "../event_log.ts";
+import { LogEvent } from "../../runtime/mod.ts";
 import { CONFIGURATION, type NodeContext } from "../node_context.ts";
 
 /** Answers operators. */
--- a/packages/document/submit_change_test.ts
+++ b/packages/document/submit_change_test.ts
@@ -2,7 +2,7 @@
 import test from "ava";
 import fc from "fast-check";
 import { createManualClock } from "../core/mod.ts";
-import { StoreWriter } from "../platform/mod.ts";
+import { StoreWriter } from "../ports/mod.ts";
 import { CallFault, MemoryTable } from "../stand_ins/mod.ts";
 import {
   ChangeRefusalKind,
--- a/packages/peer/peer_client.ts
+++ b/packages/peer/peer_client.ts
@@ -13,7 +13,7 @@
   createPlatformError,
   describeError,
   sendRequest,
-} from "../platform/mod.ts";
+} from "../ports/mod.ts";
 import type { PeerRouter } from "./peer_router.ts";
 import {
   LOAN_ANSWER_SCHEMA,
--- a/packages/replay/inputs/stream_inputs.ts
+++ b/packages/replay/inputs/stream_inputs.ts
@@ -1,7 +1,7 @@
 /** Inputs for attempts, the chunks of streams and retries. */
 import { z } from "zod";
 import { Repeatability } from "../../core/mod.ts";
-import { AttemptEnd } from "../../platform/mod.ts";
+import { AttemptEnd } from "../../ports/mod.ts";
 import {
   AnswerAssembler,
   decideRetry,
--- a/packages/routing/commands/apply_report.ts
+++ b/packages/routing/commands/apply_report.ts
@@ -1,6 +1,6 @@
 /** Folds in what targets report: load, leaving, models and cache changes. */
 import type { Millis, MonotonicTime, TargetId } from "../../core/mod.ts";
-import type { TargetLoadReport } from "../../platform/mod.ts";
+import type { TargetLoadReport } from "../../ports/mod.ts";
 import type { PrefixDigest } from "../prefix_table.ts";
 import type { RoutingState } from "../state.ts";
 import type { OwnSample, TargetState } from "../target_state.ts";
--- a/packages/routing/commands/exchange_reports_test.ts
+++ b/packages/routing/commands/exchange_reports_test.ts
@@ -1,6 +1,6 @@
 /** Tests of reports that VMs pass on to each other. */
 import test from "ava";
-import { AttemptEnd } from "../../platform/mod.ts";
+import { AttemptEnd } from "../../ports/mod.ts";
 import {
   applyReport,
   applyReports,
--- a/packages/routing/commands/record_attempt.ts
+++ b/packages/routing/commands/record_attempt.ts
@@ -6,7 +6,7 @@
   TargetId,
   Tokens,
 } from "../../core/mod.ts";
-import { AttemptEnd } from "../../platform/mod.ts";
+import { AttemptEnd } from "../../ports/mod.ts";
 import type { PrefixDigest } from "../prefix_table.ts";
 import type { RoutingState } from "../state.ts";
 import {
--- a/packages/routing/queries/choose_target_test.ts
+++ b/packages/routing/queries/choose_target_test.ts
@@ -1,7 +1,7 @@
 /** Tests of the choice of target under stale reports, failures and leaving. */
 import test from "ava";
 import { Priority, RefusalKind } from "../../core/mod.ts";
-import { AttemptEnd } from "../../platform/mod.ts";
+import { AttemptEnd } from "../../ports/mod.ts";
 import {
   applyCacheEvents,
   applyLeavingSigns,
--- a/packages/routing/retry/decide_retry.ts
+++ b/packages/routing/retry/decide_retry.ts
@@ -7,7 +7,7 @@
   RequestOutcome,
   type ServiceId,
 } from "../../core/mod.ts";
-import { AttemptEnd } from "../../platform/mod.ts";
+import { AttemptEnd } from "../../ports/mod.ts";
 import { ExtraAttempt, type RetryBudgets } from "./retry_budget.ts";
 
 /** What follows a failed attempt. */
--- a/packages/routing/retry/retry_test.ts
+++ b/packages/routing/retry/retry_test.ts
@@ -1,7 +1,7 @@
 /** Tests of retries, their budget and hedges. */
 import test from "ava";
 import { Repeatability, RequestOutcome, ServiceType } from "../../core/mod.ts";
-import { AttemptEnd } from "../../platform/mod.ts";
+import { AttemptEnd } from "../../ports/mod.ts";
 import {
   decideHedge,
   decideRetry,
--- a/packages/routing/stream/answer_assembler.ts
+++ b/packages/routing/stream/answer_assembler.ts
@@ -7,7 +7,7 @@
  * continued by another attempt only by resuming it at the next position.
  */
 import type { Tokens } from "../../core/mod.ts";
-import type { StreamChunk } from "../../platform/mod.ts";
+import type { StreamChunk } from "../../ports/mod.ts";
 
 /** What to do with a chunk. */
 export enum ChunkAction {
--- a/packages/routing/stream/answer_assembler_test.ts
+++ b/packages/routing/stream/answer_assembler_test.ts
@@ -1,7 +1,7 @@
 /** Tests that answers are whole, in order and never spliced. */
 import test from "ava";
 import fc from "fast-check";
-import type { StreamChunk } from "../../platform/mod.ts";
+import type { StreamChunk } from "../../ports/mod.ts";
 import {
   AnswerAssembler,
   ChunkAction,
--- a/packages/routing/two_faults_test.ts
+++ b/packages/routing/two_faults_test.ts
@@ -1,6 +1,6 @@
 /** Tests of two faults at once. */
 import test from "ava";
-import { AttemptEnd } from "../platform/mod.ts";
+import { AttemptEnd } from "../ports/mod.ts";
 import {
   AnswerAssembler,
   applyLeavingSigns,
--- a/packages/stand_ins/memory_table.ts
+++ b/packages/stand_ins/memory_table.ts
@@ -16,7 +16,7 @@
   TablePort,
   TableTransaction,
   TransactionAnswer,
-} from "../platform/mod.ts";
+} from "../ports/mod.ts";
 
 /** What befalls one call. */
 export enum CallFault {
--- a/packages/stand_ins/platform_servers.ts
+++ b/packages/stand_ins/platform_servers.ts
@@ -1,7 +1,7 @@
 /** Stand-ins of the table service, the object store and the VM list. */
 import { z } from "zod";
 import { PlatformErrorKind, type RowWrite } from "../core/mod.ts";
-import { type ListedVm, ListedVmState } from "../platform/mod.ts";
+import { type ListedVm, ListedVmState } from "../ports/mod.ts";
 import {
   readBytes,
   readJson,
--- a/tools/check_imports.ts
+++ b/tools/check_imports.ts
@@ -10,20 +10,21 @@
 /** What each package may import besides itself. */
 const LAYERS: Readonly<Record<string, readonly string[]>> = {
   core: [],
+  runtime: ["core"],
   settings: ["core"],
-  platform: ["core"],
+  ports: ["core"],
   budget: ["core"],
   request: ["core"],
-  routing: ["core", "platform"],
+  routing: ["core", "ports"],
   document: ["core"],
   membership: ["core"],
   admin: ["core", "budget", "request", "document", "membership", "routing"],
-  peer: ["core", "platform"],
-  stand_ins: ["core", "platform"],
+  peer: ["core", "ports"],
+  stand_ins: ["core", "ports"],
   model: ["core"],
   replay: [
     "core",
-    "platform",
+    "ports",
     "budget",
     "request",
     "routing",
@@ -31,9 +32,10 @@
     "membership",
   ],
   daemon: [
+    "runtime",
     "core",
     "settings",
-    "platform",
+    "ports",
     "budget",
     "request",
     "routing",
@@ -61,7 +63,7 @@
   "stand_ins",
   "model",
   "daemon",
-  "platform",
+  "ports",
   "bench",
 ];
 
