--- a/packages/budget/commands/plan_exchange.ts
+++ b/packages/budget/commands/plan_exchange.ts
@@ -11,7 +11,11 @@
 } from "../../core/mod.ts";
 import { PART_SEPARATOR } from "../account.ts";
 import type { EventAccount, Grant, VmLife } from "../account.ts";
-import { planGrants, type PlanInput } from "../queries/plan_grants.ts";
+import {
+  type GrantPlan,
+  planGrants,
+  type PlanInput,
+} from "../queries/plan_grants.ts";
 import type {
   GrantExchange,
   GrantExchangeResult,
@@ -26,7 +30,11 @@
   readonly grantId: string;
   readonly holder: VmLife;
   readonly initialLimit: Tokens;
+  /** Whether an existing row's limit rises to the initial one; false if absent. */
+  readonly raisesLimit?: boolean;
   readonly wallTime: WallTime;
+  /** Says what to take and to give back; {@link planGrants} if absent. */
+  readonly plan?: (account: EventAccount) => GrantPlan;
 }
 
 /**
@@ -40,7 +48,7 @@
   input: ExchangeInput,
 ): EventAccount {
   if (account.exchange !== undefined) return account;
-  const plan = planGrants(account, input);
+  const plan = input.plan?.(account) ?? planGrants(account, input);
   const { now } = input;
   const { closing, shrinking } = sortGiveBacks(plan.giveBack);
   const closes = [...plan.close, ...closing];
@@ -130,6 +138,7 @@
     eventId,
     id: input.grantId,
     initialLimit: input.initialLimit,
+    ...(input.raisesLimit === true ? { raisesLimit: true } : {}),
     closes: own.map(({ id, spent, loans }) => ({ grantId: id, spent, loans })),
     returns: grants.flatMap(createReturn),
   };
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -34,6 +34,9 @@
 export type { ReserveResult, Shortfall } from "./commands/reserve_tokens.ts";
 export { reserveTokens } from "./commands/reserve_tokens.ts";
 export { settleReservation } from "./commands/settle_reservation.ts";
+export { DrawMeter } from "./holding/draw_meter.ts";
+export type { HoldingInput } from "./holding/plan_holding.ts";
+export { computeHoldingTarget, planHolding } from "./holding/plan_holding.ts";
 export { computeRates, RATE_WINDOW } from "./draw_rate.ts";
 export type { LoanPlan } from "./loans/borrow_tokens.ts";
 export {
--- a/packages/budget/rows/budget_row.ts
+++ b/packages/budget/rows/budget_row.ts
@@ -106,6 +106,11 @@
   return Object.values(row.grants).reduce((sum, each) => sum + each.size, 0);
 }
 
+/** Returns the number of VMs that hold open grants. */
+export function countHolders(row: BudgetRow): number {
+  return new Set(Object.values(row.grants).map((each) => each.vm)).size;
+}
+
 /** Returns the tokens that can still be granted. */
 export function computeBudgetLeft(row: BudgetRow): Tokens {
   return row.limit - row.closed - computeGranted(row);
--- a/packages/budget/rows/exchange_grants.ts
+++ b/packages/budget/rows/exchange_grants.ts
@@ -11,10 +11,12 @@
 } from "../../core/mod.ts";
 import {
   computeBudgetLeft,
+  countHolders,
   formatBudgetKey,
   readBudgetRow,
 } from "./budget_row.ts";
 import {
+  applyLimit,
   closeEntry,
   findEntry,
   type GrantClose,
@@ -33,6 +35,8 @@
   readonly id: string;
   /** Limit of an event whose row does not exist yet. */
   readonly initialLimit: Tokens;
+  /** Whether an existing row's limit rises to the initial one; it never falls. */
+  readonly raisesLimit?: boolean;
   readonly closes?: readonly GrantClose[];
   readonly returns?: readonly LoanReturn[];
   readonly shrinks?: readonly GrantShrink[];
@@ -47,6 +51,10 @@
   /** Tokens left to grant after this operation. */
   readonly budgetLeft: Tokens;
   readonly limit: Tokens;
+  /** Tokens that are spent for good, or lost with a VM. */
+  readonly closed: Tokens;
+  /** VMs that hold grants after this operation. */
+  readonly holders: number;
 }
 
 /** Returns the operation that carries out an exchange. */
@@ -60,6 +68,9 @@
     decide(rows) {
       const before = readBudgetRow(rows, exchange);
       let row = before;
+      if (exchange.raisesLimit === true) {
+        row = applyLimit(row, exchange.initialLimit);
+      }
       for (const close of exchange.closes ?? []) row = closeEntry(row, close);
       for (const loan of exchange.returns ?? []) row = returnLoan(row, loan);
       for (const each of exchange.shrinks ?? []) row = shrinkEntry(row, each);
@@ -72,6 +83,8 @@
           size: taken?.size ?? 0,
           budgetLeft: computeBudgetLeft(row),
           limit: row.limit,
+          closed: row.closed,
+          holders: countHolders(row),
         },
       };
     },
--- a/packages/budget/rows/row_changes.ts
+++ b/packages/budget/rows/row_changes.ts
@@ -49,6 +49,11 @@
   readonly isLast: boolean;
 }
 
+/** Raises the limit to a figure that comes whole; a lower one changes nothing. */
+export function applyLimit(row: BudgetRow, limit: Tokens): BudgetRow {
+  return limit > row.limit ? { ...row, limit } : row;
+}
+
 /** Adds a grant; grants less than wanted near the end of the budget. */
 export function takeEntry(row: BudgetRow, take: GrantTake): BudgetRow {
   if (findEntry(row, take.grantId) !== undefined) return row;
--- /dev/null
+++ b/packages/cli/commands/gateway_command.ts
@@ -0,0 +1,109 @@
+/** `anvilrail gateway`. */
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import type { CommandModule } from "yargs";
+import { createPlatformDialect } from "../../../platform/mod.ts";
+import { Gateway } from "../../gateway/mod.ts";
+import { createEventLog, type EventLog, LogEvent } from "../../runtime/mod.ts";
+import {
+  type GatewaySettings,
+  parseGatewaySettings,
+} from "../../settings/mod.ts";
+import { ExitCode } from "../exit_code.ts";
+import { formatInputErrors, readTextFile } from "../read_settings.ts";
+
+interface GatewayArguments {
+  readonly settings: string;
+}
+
+/** How often the settings file is looked at, since it may change unannounced. */
+const SETTINGS_CHECK_MILLIS = 5_000;
+
+/** Longest time of a store call; the store answers within a few milliseconds. */
+const STORE_TIMEOUT_MILLIS = 1_000;
+
+/** Longest wait for a connection to the store, over a region's round trip. */
+const STORE_CONNECT_MILLIS = 500;
+
+/** Runs one entry VM that serves routes until SIGTERM or SIGINT. */
+export const gatewayCommand: CommandModule<unknown, GatewayArguments> = {
+  command: "gateway",
+  describe: "run one entry VM that serves routes of the platform",
+  builder: (parser) =>
+    parser.option("settings", {
+      type: "string",
+      demandOption: true,
+      describe: "settings file, JSON with comments",
+    }),
+  handler: async ({ settings: path }) => {
+    const settings = readTextFile(path).chain((text) =>
+      parseGatewaySettings(text, path)
+    );
+    if (settings.isLeft()) {
+      console.error(formatInputErrors(settings.swap().unsafeCoerce()));
+      process.exitCode = ExitCode.BadInput;
+      return;
+    }
+    await runGateway(path, settings.unsafeCoerce());
+  },
+};
+
+async function runGateway(
+  path: string,
+  settings: GatewaySettings,
+): Promise<void> {
+  const log = createEventLog(settings.logLevel);
+  const gateway = new Gateway({
+    settings,
+    log,
+    dialect: createPlatformDialect({
+      address: settings.store.address,
+      timeout: STORE_TIMEOUT_MILLIS,
+      connectTimeout: STORE_CONNECT_MILLIS,
+    }),
+  });
+  await gateway.start();
+  const watch = new SettingsWatch(path, { gateway, log });
+  process.on("SIGHUP", () => watch.reload());
+  const timer = setInterval(() => watch.reload(), SETTINGS_CHECK_MILLIS);
+  await new Promise<void>((resolve) => {
+    const stop = () => void gateway.stop().then(resolve);
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+  });
+  clearInterval(timer);
+  // Requests that outlast the time to stop would keep the process alive.
+  process.exit(ExitCode.Ok);
+}
+
+/** Takes over a settings file when its text has changed. */
+class SettingsWatch {
+  readonly #path: string;
+  readonly #gateway: Gateway;
+  readonly #log: EventLog;
+  #text: string;
+
+  constructor(
+    path: string,
+    options: { readonly gateway: Gateway; readonly log: EventLog },
+  ) {
+    this.#path = path;
+    this.#gateway = options.gateway;
+    this.#log = options.log;
+    this.#text = readFileSync(path, "utf8");
+  }
+
+  reload(): void {
+    const read = readTextFile(this.#path);
+    const text = read.orDefault(this.#text);
+    if (text === this.#text) return;
+    this.#text = text;
+    parseGatewaySettings(text, this.#path).caseOf({
+      Left: (errors) =>
+        this.#log.error(LogEvent.SettingsRefused, {
+          reason: formatInputErrors(errors),
+        }),
+      Right: (settings) => this.#gateway.changeSettings(settings),
+    });
+  }
+}
--- a/packages/core/enums.ts
+++ b/packages/core/enums.ts
@@ -57,6 +57,7 @@
   BadKey = "bad-key",
   UnknownEvent = "unknown-event",
   UnknownKind = "unknown-kind",
+  UnknownRoute = "unknown-route",
   CustomerNotAllowed = "customer-not-allowed",
   RequestKeyMissing = "request-key-missing",
   RequestKeyReused = "request-key-reused",
@@ -72,6 +73,7 @@
   Draining = "draining",
   TargetFailed = "target-failed",
   OutcomeUnknown = "outcome-unknown",
+  TimedOut = "timed-out",
   StillRunning = "still-running",
   Internal = "internal",
 }
--- a/packages/daemon/entry/attempt_runner.ts
+++ b/packages/daemon/entry/attempt_runner.ts
@@ -27,9 +27,8 @@
   SilenceAction,
   type Ticket,
 } from "../../routing/mod.ts";
-import { LogEvent } from "../../runtime/mod.ts";
+import { createRefusal, createUnknown, LogEvent } from "../../runtime/mod.ts";
 import type { CallerRequest } from "./caller_request.ts";
-import { createRefusal, createUnknown } from "./refusals.ts";
 import type { RunServices } from "./run_services.ts";
 
 /** Pause before a target is looked for again when none is usable. */
--- a/packages/daemon/entry/caller_face.ts
+++ b/packages/daemon/entry/caller_face.ts
@@ -10,7 +10,11 @@
 } from "../../core/mod.ts";
 import { type FreshnessState, isRefusedAsStale } from "../../document/mod.ts";
 import { isPeerKey } from "../../peer/mod.ts";
-import { LogEvent } from "../../runtime/mod.ts";
+import {
+  createBadRequest,
+  createRefusal,
+  LogEvent,
+} from "../../runtime/mod.ts";
 import {
   FORWARDED_HEADER,
   type HomeForwarding,
@@ -23,7 +27,6 @@
   createCallerRequest,
   readCallerHeaders,
 } from "./read_caller_request.ts";
-import { createBadRequest, createRefusal } from "./refusals.ts";
 import type { RequestRunner } from "./request_runner.ts";
 import { AnswerWriter, writeRefusal } from "./write_answer.ts";
 
--- a/packages/daemon/entry/read_caller_request.ts
+++ b/packages/daemon/entry/read_caller_request.ts
@@ -18,7 +18,7 @@
 } from "../../core/mod.ts";
 import { computePromptBound } from "../../request/mod.ts";
 import type { CallerRequest } from "./caller_request.ts";
-import { createBadRequest, createRefusal } from "./refusals.ts";
+import { createBadRequest, createRefusal } from "../../runtime/mod.ts";
 
 /** Headers that callers use besides `Authorization` and `Idempotency-Key`. */
 export const EVENT_HEADER = "x-anvilrail-event";
--- a/packages/daemon/entry/request_runner.ts
+++ b/packages/daemon/entry/request_runner.ts
@@ -21,11 +21,10 @@
 import type { BillLog } from "../features/bill_log.ts";
 import type { Escrow } from "../features/escrow.ts";
 import type { Traffic } from "../features/traffic.ts";
-import { LogEvent } from "../../runtime/mod.ts";
+import { createRefusal, createUnknown, LogEvent } from "../../runtime/mod.ts";
 import { DRAINING, type NodeContext } from "../node_context.ts";
 import { AnswerRun } from "./answer_run.ts";
 import type { CallerRequest } from "./caller_request.ts";
-import { createRefusal, createUnknown } from "./refusals.ts";
 import { EngineRequestRun } from "./run_engine_request.ts";
 import { ServiceRequestRun } from "./run_service_request.ts";
 import type { RunServices } from "./run_services.ts";
--- a/packages/daemon/entry/run_engine_request.ts
+++ b/packages/daemon/entry/run_engine_request.ts
@@ -27,7 +27,7 @@
   type FinishedAttempt,
 } from "./attempt_runner.ts";
 import type { CallerRequest } from "./caller_request.ts";
-import { createUnknown } from "./refusals.ts";
+import { createUnknown } from "../../runtime/mod.ts";
 import type { RunServices } from "./run_services.ts";
 
 /** Longest wait for an engine to say what a cancelled stream used. */
--- a/packages/daemon/entry/run_service_request.ts
+++ b/packages/daemon/entry/run_service_request.ts
@@ -28,11 +28,10 @@
   planKeptAnswer,
   type TakeClaimResult,
 } from "../../request/mod.ts";
-import { LogEvent } from "../../runtime/mod.ts";
+import { createRefusal, createUnknown, LogEvent } from "../../runtime/mod.ts";
 import type { AnswerRun, RunEnd } from "./answer_run.ts";
 import { type AttemptInput, AttemptRunner } from "./attempt_runner.ts";
 import type { CallerRequest } from "./caller_request.ts";
-import { createRefusal, createUnknown } from "./refusals.ts";
 import type { RunServices } from "./run_services.ts";
 
 const STORE_RETRY_AFTER: Millis = 2_000;
--- a/packages/daemon/entry/write_answer.ts
+++ b/packages/daemon/entry/write_answer.ts
@@ -7,7 +7,7 @@
   createRefusalHeaders,
   formatRefusalBody,
   readRefusalStatus,
-} from "./refusals.ts";
+} from "../../runtime/mod.ts";
 
 /** Longest time a caller may leave its stream unread, in milliseconds. */
 export const MAX_CALLER_SILENCE: Millis = 60_000;
--- /dev/null
+++ b/packages/gateway/entry/call_runner.ts
@@ -0,0 +1,448 @@
+/**
+ * Carries one request out: attempts at targets until one brings the whole
+ * answer, or nothing more may be tried.
+ */
+import {
+  type Millis,
+  type Refusal,
+  RefusalKind,
+  Repeatability,
+  RequestOutcome,
+  type TargetConfig,
+} from "../../core/mod.ts";
+import { AttemptEnd, type ConnectionPools } from "../../ports/mod.ts";
+import {
+  ExtraAttempt,
+  hasReachedTarget,
+  type RetryBudgets,
+} from "../../routing/mod.ts";
+import { AnswerForm } from "../../routes/mod.ts";
+import { createRefusal, createUnknown, LogEvent } from "../../runtime/mod.ts";
+import type { AnswerHead, ListedTarget } from "../dialect.ts";
+import type { TargetKeeper } from "../features/target_keeper.ts";
+import type { GatewayContext } from "../gateway_context.ts";
+import {
+  CallProgress,
+  computeSeconds,
+  findBeginning,
+  type RoutedCall,
+} from "./routed_call.ts";
+import {
+  type AttemptFailure,
+  callWhole,
+  type EventSink,
+  forwardEvents,
+  type TargetExchangeInput,
+  type WholeAnswer,
+} from "./target_exchange.ts";
+
+/** How a request ended, for logs and metrics. */
+export interface CallEnd {
+  readonly outcome: RequestOutcome;
+  readonly status: number;
+  readonly detail?: string;
+}
+
+/** Sends that a target said it did not run, or never got, beyond the runs. */
+const MOST_UNRUN_SENDS = 2;
+
+/** Time left below which an attempt has no use. */
+const LEAST_TIME_LEFT: Millis = 30;
+
+/** Silence before the first event that counts as a lost target, in goals. */
+const FIRST_EVENT_GOALS = 3;
+
+/** Silence between events that counts as a lost target, in pause goals. */
+const PAUSE_GOALS = 2;
+
+/** Least silence that counts as a lost target. */
+const LEAST_SILENCE: Millis = 1_200;
+
+/** Pause goal of routes that state none. */
+const USUAL_PAUSE: Millis = 600;
+
+/** What runs calls needs. */
+export interface CallRunnerOptions {
+  readonly context: GatewayContext;
+  readonly targets: TargetKeeper;
+  readonly pools: ConnectionPools;
+  readonly retries: RetryBudgets;
+}
+
+/** Runs calls. */
+export class CallRunner {
+  readonly #options: CallRunnerOptions;
+
+  constructor(options: CallRunnerOptions) {
+    this.#options = options;
+  }
+
+  /** Runs a call to its final answer. Never throws. */
+  async run(call: RoutedCall, progress: CallProgress): Promise<CallEnd> {
+    const { retries, context } = this.#options;
+    retries.recordFirst(call.service, context.settings.retries.ratio / 2);
+    let failure: AttemptFailure | undefined;
+    let spare: WholeAnswer | undefined;
+    for (let sends = 0;; sends++) {
+      if (call.exchange.isGone) return createGone(progress);
+      const isRetry = sends > 0;
+      if (isRetry && !this.#mayRetry(call, { progress, failure, sends })) break;
+      const chosen = this.#choose(call, progress);
+      if (typeof chosen === "string") {
+        if (isRetry) break;
+        return this.#refuse(call, createRefusal(chosen, RETRY_LATER));
+      }
+      if (isRetry) this.#recordRetry(call, { progress, failure });
+      const result = await this.#attempt(call, { progress, target: chosen });
+      if (result.isWhole) {
+        const isWorthRetry = this.#isFailedAnswer(call, result.answer);
+        if (!isWorthRetry) return this.#deliver(call, result.answer);
+        spare = result.answer;
+        failure = {
+          end: AttemptEnd.Broken,
+          detail: `the target answered ${result.answer.head.status}`,
+        };
+      } else failure = result.failure;
+    }
+    if (spare !== undefined && !call.exchange.hasBegun) {
+      return this.#deliver(call, spare);
+    }
+    return this.#giveUp(call, { progress, failure });
+  }
+
+  /** Whether a repeatable call's answer is a failure of the target's own. */
+  #isFailedAnswer(call: RoutedCall, answer: WholeAnswer): boolean {
+    return call.route.repeatability === Repeatability.Repeatable &&
+      answer.head.status >= 500 && !call.exchange.hasBegun;
+  }
+
+  #mayRetry(
+    call: RoutedCall,
+    input: {
+      readonly progress: CallProgress;
+      readonly failure: AttemptFailure | undefined;
+      readonly sends: number;
+    },
+  ): boolean {
+    const { progress, failure, sends } = input;
+    const { context, retries } = this.#options;
+    const now = context.clock.readMonotonic();
+    if (failure === undefined || failure.end === AttemptEnd.Cancelled) {
+      return false;
+    }
+    if (call.deadline - now < LEAST_TIME_LEFT) return false;
+    const mayRepeat = call.route.repeatability === Repeatability.Repeatable;
+    if (progress.runs > 0 && !mayRepeat) return false;
+    if (progress.events > 0 && !call.route.resumable) return false;
+    if (progress.runs >= call.route.maxAttempts) return false;
+    if (sends - progress.runs > MOST_UNRUN_SENDS) return false;
+    return retries.hasRoom(call.service, { extra: ExtraAttempt.Retry, now });
+  }
+
+  #recordRetry(
+    call: RoutedCall,
+    input: {
+      readonly progress: CallProgress;
+      readonly failure: AttemptFailure | undefined;
+    },
+  ): void {
+    const { context, retries } = this.#options;
+    retries.recordExtra(call.service, ExtraAttempt.Retry);
+    const { progress, failure } = input;
+    const event = progress.events > 0
+      ? LogEvent.StreamResumed
+      : LogEvent.AttemptRetried;
+    context.log.info(event, {
+      request: call.request.id,
+      after: failure?.end,
+      reason: failure?.detail,
+      events: progress.events,
+      last_event: progress.lastEvent,
+    });
+  }
+
+  #choose(
+    call: RoutedCall,
+    progress: CallProgress,
+  ): TargetConfig | RefusalKind {
+    return this.#options.targets.choose({
+      service: call.service,
+      tried: progress.tried,
+      ...findBeginning(call.request.prompt),
+    }).caseOf<TargetConfig | RefusalKind>({
+      Left: (refusal) => refusal.kind,
+      Right: (target) => target,
+    });
+  }
+
+  async #attempt(
+    call: RoutedCall,
+    input: { readonly progress: CallProgress; readonly target: TargetConfig },
+  ): Promise<
+    | { readonly isWhole: true; readonly answer: WholeAnswer }
+    | { readonly isWhole: false; readonly failure: AttemptFailure }
+  > {
+    const { progress, target } = input;
+    const { context, targets } = this.#options;
+    const { clock, log, metrics } = context;
+    const listed = targets.find(target.id);
+    if (listed === undefined) {
+      const end = AttemptEnd.NotSent;
+      return { isWhole: false, failure: { end, detail: "the target is gone" } };
+    }
+    progress.tried.push(target.id);
+    const startedAt = clock.readMonotonic();
+    const promptTokens = call.request.prompt?.tokens ?? 0;
+    targets.recordStart(target.id, { now: startedAt, promptTokens });
+    const watch = new AttemptWatch(call, {
+      now: startedAt,
+      resumable: call.route.resumable &&
+        progress.runs + 1 < call.route.maxAttempts,
+    });
+    const eventsBefore = progress.events;
+    const exchange = this.#createExchange(call, {
+      progress,
+      listed,
+      signal: watch.signal,
+    });
+    const result = call.route.form === AnswerForm.Events
+      ? await forwardEvents({
+        ...exchange,
+        sink: this.#createSink(call, progress, target),
+        recordProgress: () => watch.recordProgress(),
+      })
+      : await callWhole(exchange);
+    watch.stop();
+    const now = clock.readMonotonic();
+    const failure = result.isLeft()
+      ? watch.explain(result.extract() as AttemptFailure)
+      : undefined;
+    const answer = failure === undefined
+      ? result.extract() as WholeAnswer
+      : undefined;
+    const end = failure?.end ?? AttemptEnd.Complete;
+    if (hasReachedTarget(end)) progress.runs++;
+    const head = answer?.head ?? failure?.head;
+    if (head?.load !== undefined) targets.recordLoad(target.id, head.load);
+    const isUnread = progress.events === eventsBefore;
+    targets.recordEnd(target.id, {
+      now,
+      end,
+      ...(isUnread ? { unreadTokens: promptTokens } : {}),
+    });
+    metrics.attempts.inc({ end });
+    if (failure !== undefined) {
+      log.warn(LogEvent.AttemptFailed, {
+        request: call.request.id,
+        target: target.id,
+        end,
+        reason: failure.detail,
+        events: progress.events,
+        ms: Math.round(now - startedAt),
+      });
+      return { isWhole: false, failure };
+    }
+    return { isWhole: true, answer: answer! };
+  }
+
+  #createExchange(
+    call: RoutedCall,
+    input: {
+      readonly progress: CallProgress;
+      readonly listed: ListedTarget;
+      readonly signal: AbortSignal;
+    },
+  ): TargetExchangeInput {
+    const { context, pools } = this.#options;
+    const { customer, request, route } = call;
+    const rank = customer?.rank ?? route.rank;
+    const resumeAfter = input.progress.lastEvent ?? request.resumeAfter;
+    return {
+      dialect: context.dialect,
+      pools,
+      target: input.listed,
+      request,
+      body: call.body,
+      signal: input.signal,
+      head: {
+        timeLeft: call.deadline - context.clock.readMonotonic(),
+        ...(customer === undefined ? {} : { customer: customer.id }),
+        ...(request.prompt === undefined ? {} : { rank }),
+        ...(resumeAfter === undefined ? {} : { resumeAfter }),
+      },
+    };
+  }
+
+  #createSink(
+    call: RoutedCall,
+    progress: CallProgress,
+    target: TargetConfig,
+  ): EventSink {
+    const { targets } = this.#options;
+    let head: AnswerHead | undefined;
+    let isFirst = true;
+    return {
+      takeHead: (taken) => {
+        head = taken;
+      },
+      takeEvent: (event) => {
+        if (isFirst) {
+          isFirst = false;
+          targets.recordRead(target.id, call.request.prompt?.tokens ?? 0);
+          this.#recordFirstByte(call, progress);
+        }
+        call.exchange.sendHead(head!.status, head!.headers);
+        progress.events++;
+        progress.lastEvent = event.id ?? progress.lastEvent;
+        if (call.exchange.write(event.bytes)) return undefined;
+        return call.exchange.waitDrain();
+      },
+    };
+  }
+
+  #recordFirstByte(call: RoutedCall, progress: CallProgress): void {
+    if (progress.firstByteAt !== undefined) return;
+    const { clock, metrics } = this.#options.context;
+    progress.firstByteAt = clock.readMonotonic();
+    metrics.firstByte.observe(
+      computeSeconds(call.arrivedAt, progress.firstByteAt),
+    );
+  }
+
+  #deliver(call: RoutedCall, answer: WholeAnswer): CallEnd {
+    const { head, body } = answer;
+    const { exchange } = call;
+    if (exchange.hasBegun) {
+      if (body.length > 0) exchange.write(body);
+      exchange.end();
+    } else {
+      exchange.sendWhole({ status: head.status, headers: head.headers, body });
+    }
+    return { outcome: RequestOutcome.Ran, status: head.status };
+  }
+
+  #giveUp(
+    call: RoutedCall,
+    input: {
+      readonly progress: CallProgress;
+      readonly failure: AttemptFailure | undefined;
+    },
+  ): CallEnd {
+    const { progress, failure } = input;
+    const { exchange } = call;
+    if (exchange.isGone) return createGone(progress);
+    const now = this.#options.context.clock.readMonotonic();
+    const isLate = call.deadline - now < LEAST_TIME_LEFT;
+    const detail = failure?.detail;
+    const end = (refusal: Refusal): CallEnd => {
+      const refused = this.#refuse(call, refusal);
+      return detail === undefined ? refused : { ...refused, detail };
+    };
+    if (progress.runs === 0) {
+      const kind = isLate ? RefusalKind.DeadlineTooSoon : RefusalKind.NoTarget;
+      return end(createRefusal(kind, RETRY_LATER));
+    }
+    return end(createUnknown(
+      isLate ? RefusalKind.TimedOut : RefusalKind.TargetFailed,
+    ));
+  }
+
+  #refuse(call: RoutedCall, refusal: Refusal): CallEnd {
+    const { context } = this.#options;
+    const isCut = call.exchange.hasBegun;
+    call.exchange.refuse(refusal, {
+      dialect: context.dialect,
+      requestId: call.request.id,
+    });
+    context.metrics.refusals.inc({ reason: refusal.kind });
+    return {
+      outcome: refusal.outcome,
+      status: 0,
+      detail: isCut ? `cut off: ${refusal.kind}` : refusal.kind,
+    };
+  }
+}
+
+/** A target that is listed anew, or a slot, comes within about a second. */
+const RETRY_LATER = { retryAfter: 1_000 };
+
+function createGone(progress: CallProgress): CallEnd {
+  return {
+    outcome: progress.runs > 0 ? RequestOutcome.Unknown : RequestOutcome.NotRun,
+    status: 0,
+    detail: "the caller left",
+  };
+}
+
+/** Ends an attempt that has no use any more, and says why. */
+class AttemptWatch {
+  readonly #controller = new AbortController();
+  readonly #deadlineTimer: NodeJS.Timeout;
+  readonly #call: RoutedCall;
+  readonly #watchesSilence: boolean;
+  readonly #leave = () => this.#abort("the caller left");
+  #silenceTimer: NodeJS.Timeout | undefined;
+  #reason: string | undefined;
+  #isSilent = false;
+
+  constructor(
+    call: RoutedCall,
+    input: { readonly now: number; readonly resumable: boolean },
+  ) {
+    this.#call = call;
+    this.#watchesSilence = input.resumable;
+    this.#deadlineTimer = setTimeout(
+      () => this.#abort("the time for it was over"),
+      Math.max(0, call.deadline - input.now),
+    );
+    // What may not be repeated goes on, since it may take effect anyway.
+    const isStoppable = call.route.form === AnswerForm.Events ||
+      call.route.repeatability === Repeatability.Repeatable;
+    if (isStoppable) {
+      call.exchange.gone.addEventListener("abort", this.#leave, { once: true });
+    }
+    this.#watchSilence(
+      Math.max(LEAST_SILENCE, FIRST_EVENT_GOALS * call.route.latencyGoal),
+    );
+  }
+
+  get signal(): AbortSignal {
+    return this.#controller.signal;
+  }
+
+  /** Notes a sign of life. */
+  recordProgress(): void {
+    const pause = this.#call.route.pauseGoal ?? USUAL_PAUSE;
+    this.#watchSilence(Math.max(LEAST_SILENCE, PAUSE_GOALS * pause));
+  }
+
+  stop(): void {
+    clearTimeout(this.#deadlineTimer);
+    clearTimeout(this.#silenceTimer);
+    this.#call.exchange.gone.removeEventListener("abort", this.#leave);
+  }
+
+  /** Returns a failure with the watch's own reason, where it has one. */
+  explain(failure: AttemptFailure): AttemptFailure {
+    if (this.#reason === undefined) return failure;
+    // A silent target is a broken one: another may go on.
+    const end = this.#isSilent && failure.end === AttemptEnd.Cancelled
+      ? AttemptEnd.Broken
+      : failure.end;
+    return { ...failure, end, detail: this.#reason };
+  }
+
+  #watchSilence(limit: Millis): void {
+    if (!this.#watchesSilence) return;
+    clearTimeout(this.#silenceTimer);
+    this.#silenceTimer = setTimeout(() => {
+      this.#isSilent = true;
+      this.#abort(`silent for ${Math.round(limit)} ms`);
+    }, limit);
+  }
+
+  #abort(reason: string): void {
+    this.#reason ??= reason;
+    this.#controller.abort();
+  }
+}
--- /dev/null
+++ b/packages/gateway/entry/caller_exchange.ts
@@ -0,0 +1,178 @@
+/** One caller's request and its answer, as the entry handles them. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { type Either, Left, Right } from "purify-ts";
+import {
+  type Bytes,
+  type Millis,
+  type Refusal,
+  RefusalKind,
+} from "../../core/mod.ts";
+import {
+  createRefusal,
+  createRefusalHeaders,
+  formatRefusalBody,
+  readRefusalStatus,
+} from "../../runtime/mod.ts";
+import type { Dialect, HeaderList } from "../dialect.ts";
+
+/** Reads a request and writes its answer, once. */
+export class CallerExchange {
+  readonly #incoming: IncomingMessage;
+  readonly #outgoing: ServerResponse;
+  readonly #gone = new AbortController();
+  #isAnswered = false;
+
+  constructor(incoming: IncomingMessage, outgoing: ServerResponse) {
+    this.#incoming = incoming;
+    this.#outgoing = outgoing;
+    // Writing to a connection that the caller reset must not end the process.
+    outgoing.on("error", () => {});
+    incoming.on("error", () => {});
+    outgoing.on("close", () => {
+      if (!outgoing.writableFinished) this.#gone.abort();
+    });
+  }
+
+  /** Aborted when the caller's connection closes before the answer is sent. */
+  get gone(): AbortSignal {
+    return this.#gone.signal;
+  }
+
+  /** Whether the caller's connection has closed. */
+  get isGone(): boolean {
+    return this.#gone.signal.aborted;
+  }
+
+  /** Whether a part of an answer has been written. */
+  get hasBegun(): boolean {
+    return this.#outgoing.headersSent;
+  }
+
+  /** Whether the answer is complete or given up. */
+  get isAnswered(): boolean {
+    return this.#isAnswered;
+  }
+
+  /** Reads the whole body, within bounds of size and of silence. */
+  readBody(
+    limits: { readonly maxBytes: Bytes; readonly idle: Millis },
+  ): Promise<Either<Refusal, Buffer>> {
+    const incoming = this.#incoming;
+    const declared = Number(incoming.headers["content-length"] ?? 0);
+    if (declared > limits.maxBytes) {
+      return Promise.resolve(Left(createRefusal(RefusalKind.BodyTooLarge)));
+    }
+    return new Promise((resolve) => {
+      const parts: Buffer[] = [];
+      let size = 0;
+      const finish = (result: Either<Refusal, Buffer>) => {
+        clearTimeout(silence);
+        incoming.removeAllListeners("data");
+        resolve(result);
+      };
+      let silence = setTimeout(endSlow, limits.idle);
+      function endSlow(): void {
+        finish(Left(createRefusal(RefusalKind.SlowSender)));
+      }
+      incoming.on("data", (part: Buffer) => {
+        clearTimeout(silence);
+        silence = setTimeout(endSlow, limits.idle);
+        size += part.length;
+        if (size > limits.maxBytes) {
+          return finish(Left(createRefusal(RefusalKind.BodyTooLarge)));
+        }
+        parts.push(part);
+      });
+      incoming.on("end", () => finish(Right(Buffer.concat(parts))));
+      incoming.on("close", () => {
+        if (!incoming.complete) {
+          finish(Left(createRefusal(RefusalKind.SlowSender)));
+        }
+      });
+    });
+  }
+
+  /** Asks the caller to close the connection after this answer. */
+  closeAfter(): void {
+    this.#outgoing.shouldKeepAlive = false;
+  }
+
+  /** Sends a refusal, unless an answer has begun. */
+  refuse(
+    refusal: Refusal,
+    input: { readonly dialect: Dialect; readonly requestId?: string },
+  ): void {
+    if (this.#isAnswered || this.hasBegun) return this.breakOff();
+    this.#isAnswered = true;
+    const { retryAfter } = refusal;
+    const own = input.dialect.formatOwnAnswer({
+      ...(input.requestId === undefined ? {} : { requestId: input.requestId }),
+      ...(retryAfter === undefined ? {} : { retryAfter }),
+    });
+    const { "retry-after": _, ...plain } = createRefusalHeaders(refusal);
+    const body = formatRefusalBody(refusal);
+    // What is left of a body that was not read must not be taken for a request.
+    if (!this.#incoming.complete) this.#outgoing.shouldKeepAlive = false;
+    this.#outgoing.writeHead(readRefusalStatus(refusal), [
+      ...Object.entries(plain).flat(),
+      ...own,
+      "content-length",
+      String(Buffer.byteLength(body)),
+    ]);
+    this.#outgoing.end(body);
+  }
+
+  /** Sends a whole answer of a target. */
+  sendWhole(
+    answer: {
+      readonly status: number;
+      readonly headers: HeaderList;
+      readonly body: Uint8Array;
+    },
+  ): void {
+    if (this.#isAnswered || this.hasBegun) return;
+    this.#isAnswered = true;
+    this.#outgoing.writeHead(answer.status, [
+      ...answer.headers,
+      "content-length",
+      String(answer.body.length),
+    ]);
+    this.#outgoing.end(answer.body);
+  }
+
+  /** Sends the head of an answer whose length is not known. */
+  sendHead(status: number, headers: HeaderList): void {
+    if (this.hasBegun) return;
+    this.#outgoing.writeHead(status, [...headers]);
+  }
+
+  /** Writes a part of the answer; false asks to wait for {@link waitDrain}. */
+  write(bytes: Uint8Array): boolean {
+    return this.#outgoing.write(bytes);
+  }
+
+  /** Resolves when the caller has taken what was written, or is gone. */
+  waitDrain(): Promise<void> {
+    return new Promise((resolve) => {
+      if (this.isGone) return resolve();
+      this.#outgoing.once("drain", resolve);
+      this.#gone.signal.addEventListener("abort", () => resolve(), {
+        once: true,
+      });
+    });
+  }
+
+  /** Ends an answer that is complete. */
+  end(): void {
+    if (this.#isAnswered) return;
+    this.#isAnswered = true;
+    this.#outgoing.end();
+  }
+
+  /** Closes the connection, so that a part can't be taken for the whole. */
+  breakOff(): void {
+    if (this.#isAnswered) return;
+    this.#isAnswered = true;
+    this.#outgoing.destroy();
+  }
+}
--- /dev/null
+++ b/packages/gateway/entry/operator_face.ts
@@ -0,0 +1,62 @@
+/** Where the balancer asks for readiness, and operators for metrics and state. */
+import { createServer, type Server, type ServerResponse } from "node:http";
+import type { GatewayContext } from "../gateway_context.ts";
+
+/** What the faces tell. */
+export interface OperatorFaceOptions {
+  readonly context: GatewayContext;
+  isReady(): boolean;
+}
+
+/** Answers `200` while this VM takes new connections, else `503`. */
+export function createReadinessServer(options: OperatorFaceOptions): Server {
+  return createServer((incoming, outgoing) => {
+    incoming.resume();
+    sendText(outgoing, {
+      status: options.isReady() ? 200 : 503,
+      type: "text/plain",
+      body: options.isReady() ? "ready\n" : "not ready\n",
+    });
+  });
+}
+
+/** Serves `/metrics` and `/dump`. */
+export function createOperatorServer(options: OperatorFaceOptions): Server {
+  const { kernel, metrics } = options.context;
+  return createServer((incoming, outgoing) => {
+    incoming.resume();
+    if (incoming.url === "/dump") {
+      return sendText(outgoing, {
+        status: 200,
+        type: "application/json",
+        body: JSON.stringify(kernel.readDump()),
+      });
+    }
+    if (incoming.url !== "/metrics") {
+      return sendText(outgoing, {
+        status: 404,
+        type: "text/plain",
+        body: "There are /metrics and /dump.\n",
+      });
+    }
+    void metrics.registry.metrics().then((body) =>
+      sendText(outgoing, {
+        status: 200,
+        type: metrics.registry.contentType,
+        body,
+      })
+    );
+  });
+}
+
+function sendText(
+  outgoing: ServerResponse,
+  answer: {
+    readonly status: number;
+    readonly type: string;
+    readonly body: string;
+  },
+): void {
+  outgoing.writeHead(answer.status, { "content-type": answer.type });
+  outgoing.end(answer.body);
+}
--- /dev/null
+++ b/packages/gateway/features/customer_budgets.ts
@@ -0,0 +1,497 @@
+/**
+ * Prepaid budgets of customers on this VM: reservations in memory against
+ * grants from the table, sized to carry the VM through a time without it.
+ */
+import { type Either, Left, Right } from "purify-ts";
+import {
+  computeAccountRoom,
+  computeReserved,
+  createEventAccount,
+  createGrantExchange,
+  createWriteOff,
+  DrawMeter,
+  type EventAccount,
+  type ExchangeInput,
+  GRANT_TERM,
+  type GrantExchange,
+  type GrantExchangeResult,
+  LossEvidenceKind,
+  planExchange,
+  planHolding,
+  planLastExchange,
+  receiveExchange,
+  type Reservation,
+  reserveTokens,
+  settleReservation,
+} from "../../budget/mod.ts";
+import {
+  BudgetLean,
+  combineUndo,
+  type CommandType,
+  createCommand,
+  type CustomerId,
+  type Millis,
+  type MonotonicTime,
+  type Refusal,
+  RefusalKind,
+  type SliceType,
+  type Tokens,
+  type Undo,
+} from "../../core/mod.ts";
+import type { RouteConfiguration, RoutedCustomer } from "../../routes/mod.ts";
+import {
+  createFailureReport,
+  createRefusal,
+  LogEvent,
+  startPeriodic,
+} from "../../runtime/mod.ts";
+import type { GatewayContext } from "../gateway_context.ts";
+
+/** Accounts by customer; a budget row is named like its customer. */
+const ACCOUNTS: SliceType<Map<CustomerId, EventAccount>> = {
+  name: "customer_accounts",
+  createInitial: () => new Map(),
+};
+
+/** Returns the account after a change. */
+type AccountChange = (account: EventAccount) => EventAccount;
+
+const CHANGE_ACCOUNT: CommandType<
+  { readonly customer: CustomerId; readonly change: AccountChange },
+  EventAccount
+> = createCommand("gateway.change_account");
+
+/** Pause between two looks at all holdings; refills of customers go together. */
+const VISIT_INTERVAL: Millis = 400;
+
+/** Longest wait for tokens within a request; one exchange and a conflict. */
+const MAX_TOKEN_WAIT: Millis = 800;
+
+/** Time after which tokens that others hold may have come back. */
+const HELD_RETRY_AFTER: Millis = 1_000;
+
+/** Customers whose first holding is taken before their first request. */
+const MOST_PREFETCHED = 200;
+
+interface Waiter {
+  readonly tokens: Tokens;
+  readonly deadline: MonotonicTime;
+  resolve(result: Either<Refusal, Reservation>): void;
+}
+
+/** What is known of one customer's budget besides the account. */
+interface Holding {
+  readonly customer: CustomerId;
+  prepaid: Tokens;
+  /** The limit that the row is known to have. */
+  rowLimit: Tokens;
+  budgetLeft: Tokens | undefined;
+  closed: Tokens;
+  holders: number;
+  /** Present from the first draw on. */
+  meter: DrawMeter | undefined;
+  exchanging: boolean;
+  waiters: Waiter[];
+}
+
+/** Reserves and settles tokens of customers. */
+export class CustomerBudgets {
+  readonly #context: GatewayContext;
+  readonly #holdings = new Map<CustomerId, Holding>();
+  readonly #exchanges = new Set<Promise<void>>();
+  #exchangeNumber = 0;
+  #isStopping = false;
+  #listenVms: (count: number) => void = () => {};
+
+  constructor(context: GatewayContext) {
+    this.#context = context;
+  }
+
+  /** Registers the command, the dump and the periodic refills. */
+  register(): Undo {
+    const { kernel, random, log } = this.#context;
+    const periodic = startPeriodic({
+      interval: VISIT_INTERVAL,
+      random,
+      run: () => {
+        this.#visitAll();
+        return Promise.resolve();
+      },
+      reportError: createFailureReport(log, "budgets"),
+    });
+    return combineUndo([
+      kernel.registerCommand(CHANGE_ACCOUNT, ({ customer, change }, update) => {
+        const accounts = update.read(ACCOUNTS);
+        const before = accounts.get(customer) ?? createEventAccount(customer);
+        const after = change(before);
+        accounts.set(customer, after);
+        return after;
+      }),
+      kernel.registerDump("budgets", () => this.#describe()),
+      periodic.stop,
+    ]);
+  }
+
+  /** Calls a function with the number of VMs that hold tokens, as it changes. */
+  listenVmCount(listener: (count: number) => void): void {
+    this.#listenVms = listener;
+  }
+
+  /** Takes over the limits of a configuration. */
+  applyConfiguration(configuration: RouteConfiguration): void {
+    const isPrefetched = configuration.customers.length <= MOST_PREFETCHED;
+    for (const customer of configuration.customers) {
+      if (customer.prepaid === undefined) continue;
+      const holding = this.#holdings.get(customer.id);
+      if (holding !== undefined) {
+        holding.prepaid = Math.max(holding.prepaid, customer.prepaid);
+      } else if (isPrefetched) this.#readHolding(customer);
+    }
+    this.#visitAll();
+  }
+
+  /** Reserves the most that a request can use. */
+  reserve(
+    customer: RoutedCustomer,
+    input: { readonly tokens: Tokens; readonly deadline: MonotonicTime },
+  ): Promise<Either<Refusal, Reservation>> {
+    const holding = this.#readHolding(customer);
+    const { tokens } = input;
+    const now = this.#context.clock.readMonotonic();
+    holding.meter ??= new DrawMeter(now);
+    const reserved = holding.waiters.length === 0
+      ? this.#tryReserve(holding, tokens)
+      : undefined;
+    if (reserved !== undefined) return Promise.resolve(Right(reserved));
+    if (this.#isSpent(holding, tokens)) {
+      return Promise.resolve(Left(this.#createShort(holding, tokens)));
+    }
+    const deadline = Math.min(input.deadline, now + MAX_TOKEN_WAIT);
+    return new Promise((resolve) => {
+      this.#addWaiter(holding, { tokens, deadline, resolve });
+    });
+  }
+
+  /** Settles a reservation at the tokens that were used. */
+  settle(reservation: Reservation, used: Tokens): void {
+    const now = this.#context.clock.readMonotonic();
+    const spent = Math.min(used, reservation.tokens);
+    const customer = reservation.eventId;
+    this.#change(
+      customer,
+      (account) => settleReservation(account, { reservation, spent, now }),
+    );
+    this.#context.metrics.tokensSpent.inc(spent);
+    const holding = this.#holdings.get(customer);
+    if (holding === undefined) return;
+    holding.meter?.record(spent, now);
+    this.#serveWaiters(holding);
+  }
+
+  /** Returns every unreserved token to the table, for a planned stop. */
+  async returnAll(): Promise<void> {
+    this.#isStopping = true;
+    await Promise.all([...this.#exchanges]);
+    for (const holding of this.#holdings.values()) {
+      this.#startExchange(holding, planLastExchange);
+    }
+    await Promise.all([...this.#exchanges]);
+  }
+
+  #readHolding(customer: RoutedCustomer): Holding {
+    const known = this.#holdings.get(customer.id);
+    if (known !== undefined) return known;
+    const holding: Holding = {
+      customer: customer.id,
+      prepaid: customer.prepaid ?? 0,
+      rowLimit: 0,
+      budgetLeft: undefined,
+      closed: 0,
+      holders: 0,
+      meter: undefined,
+      exchanging: false,
+      waiters: [],
+    };
+    this.#holdings.set(customer.id, holding);
+    this.#writeOffEarlierLives(holding);
+    return holding;
+  }
+
+  /** What earlier lives of this VM held is gone with their memory. */
+  #writeOffEarlierLives(holding: Holding): void {
+    const { writer, vm, incarnation, clock, log } = this.#context;
+    createWriteOff({
+      eventId: holding.customer,
+      evidence: { kind: LossEvidenceKind.LaterLife, vm, incarnation },
+      initialLimit: holding.prepaid,
+      wallTime: clock.readWall(),
+    }).caseOf({
+      Left: (weak) => log.error(LogEvent.StoreFailed, { reason: weak.message }),
+      Right: (operation) => {
+        void writer.run(operation, { giveUpAt: Infinity }).then((answer) =>
+          answer.ifRight(({ tokens }) => {
+            if (tokens === 0) return;
+            log.warn(LogEvent.GrantExchanged, {
+              customer: holding.customer,
+              written_off: tokens,
+            });
+          })
+        );
+      },
+    });
+  }
+
+  #readAccount(customer: CustomerId): EventAccount {
+    return this.#context.kernel.read(ACCOUNTS).get(customer) ??
+      createEventAccount(customer);
+  }
+
+  #change(customer: CustomerId, change: AccountChange): EventAccount {
+    return this.#context.kernel.dispatch(CHANGE_ACCOUNT, { customer, change });
+  }
+
+  #tryReserve(holding: Holding, tokens: Tokens): Reservation | undefined {
+    const now = this.#context.clock.readMonotonic();
+    let reservation: Reservation | undefined;
+    this.#change(
+      holding.customer,
+      (account) =>
+        reserveTokens(account, { tokens, now }).caseOf({
+          Left: () => account,
+          Right: (result) => {
+            reservation = result.reservation;
+            return result.account;
+          },
+        }),
+    );
+    return reservation;
+  }
+
+  /**
+   * Whether not even all tokens that other VMs may hold unspent would cover a
+   * request. What this life has spent and what is closed can't come back.
+   */
+  #isSpent(holding: Holding, tokens: Tokens): boolean {
+    if (holding.budgetLeft === undefined) return false;
+    if (holding.prepaid > holding.rowLimit) return false;
+    const open = this.#readAccount(holding.customer).grants
+      .reduce((sum, grant) => sum + grant.spent, 0);
+    return holding.rowLimit - holding.closed - open < tokens;
+  }
+
+  #createShort(holding: Holding, tokens: Tokens): Refusal {
+    const isSpent = this.#isSpent(holding, tokens);
+    const account = this.#readAccount(holding.customer);
+    this.#context.log.warn(LogEvent.BudgetShort, {
+      customer: holding.customer,
+      tokens,
+      room: computeAccountRoom(account, this.#context.clock.readMonotonic()),
+      reserved: computeReserved(account),
+      budget_left: holding.budgetLeft,
+      closed: holding.closed,
+      limit: holding.rowLimit,
+      spent: isSpent,
+    });
+    return isSpent
+      ? createRefusal(RefusalKind.BudgetSpent)
+      : createRefusal(RefusalKind.BudgetUnreachable, {
+        retryAfter: HELD_RETRY_AFTER,
+      });
+  }
+
+  #addWaiter(holding: Holding, waiter: Waiter): void {
+    const wait = waiter.deadline - this.#context.clock.readMonotonic();
+    const waiting: Waiter = {
+      ...waiter,
+      resolve: (result) => {
+        clearTimeout(timer);
+        waiter.resolve(result);
+      },
+    };
+    const timer = setTimeout(
+      () => this.#refuse(holding, waiting),
+      Math.max(0, wait),
+    );
+    holding.waiters.push(waiting);
+    this.#startExchange(holding, planExchange);
+  }
+
+  #refuse(holding: Holding, waiter: Waiter): void {
+    if (!holding.waiters.includes(waiter)) return;
+    holding.waiters = holding.waiters.filter((each) => each !== waiter);
+    waiter.resolve(Left(this.#createShort(holding, waiter.tokens)));
+  }
+
+  #serveWaiters(holding: Holding): void {
+    while (holding.waiters.length > 0) {
+      const [waiter, ...rest] = holding.waiters;
+      const reserved = this.#tryReserve(holding, waiter!.tokens);
+      if (reserved === undefined) return;
+      holding.waiters = rest;
+      waiter!.resolve(Right(reserved));
+    }
+  }
+
+  #visitAll(): void {
+    if (this.#isStopping) return;
+    for (const holding of this.#holdings.values()) {
+      this.#startExchange(holding, planExchange);
+    }
+  }
+
+  #startExchange(
+    holding: Holding,
+    plan: (account: EventAccount, input: ExchangeInput) => EventAccount,
+  ): void {
+    if (holding.exchanging) return;
+    const input = this.#createExchangeInput(holding);
+    const account = this.#change(
+      holding.customer,
+      (before) => plan(before, input),
+    );
+    if (account.exchange === undefined) return;
+    holding.exchanging = true;
+    const running = this.#runExchange(holding, account.exchange);
+    this.#exchanges.add(running);
+    void running.finally(() => this.#exchanges.delete(running));
+  }
+
+  #createExchangeInput(holding: Holding): ExchangeInput {
+    const { vm, incarnation, clock, settings } = this.#context;
+    const now = clock.readMonotonic();
+    const need = holding.waiters.reduce((sum, each) => sum + each.tokens, 0);
+    const left = holding.budgetLeft;
+    // A raised limit is news to the row, so that what was spent may be had.
+    const isRaised = holding.prepaid > holding.rowLimit;
+    const budgetLeft = left === undefined || !isRaised
+      ? left
+      : left + holding.prepaid - holding.rowLimit;
+    const known = budgetLeft === undefined ? holding.prepaid : budgetLeft;
+    return {
+      now,
+      wallTime: clock.readWall(),
+      lean: BudgetLean.TighterBudget,
+      need,
+      grantId: `${vm}/${incarnation}/${++this.#exchangeNumber}`,
+      holder: { vm, incarnation },
+      initialLimit: holding.prepaid,
+      raisesLimit: true,
+      plan: (account) =>
+        planHolding(account, {
+          now,
+          need,
+          budgetLeft: known,
+          holders: holding.holders,
+          offline: settings.budgets.offlineMillis,
+          ...(holding.meter === undefined
+            ? {}
+            : { rate: holding.meter.computeRate(now) }),
+        }),
+    };
+  }
+
+  async #runExchange(holding: Holding, exchange: GrantExchange): Promise<void> {
+    const { writer, clock, log } = this.#context;
+    const askedAt = clock.readMonotonic();
+    // The table may apply it after any time, so it is never abandoned.
+    const answer = await writer.run(createGrantExchange(exchange), {
+      giveUpAt: Infinity,
+    });
+    holding.exchanging = false;
+    answer.caseOf({
+      Left: (error) => {
+        log.error(LogEvent.StoreFailed, {
+          customer: holding.customer,
+          reason: error.message,
+        });
+      },
+      Right: (result) => this.#receive(holding, { exchange, result, askedAt }),
+    });
+  }
+
+  #receive(
+    holding: Holding,
+    input: {
+      readonly exchange: GrantExchange;
+      readonly result: GrantExchangeResult;
+      readonly askedAt: MonotonicTime;
+    },
+  ): void {
+    const { exchange, result, askedAt } = input;
+    holding.budgetLeft = result.budgetLeft;
+    holding.rowLimit = result.limit;
+    holding.closed = result.closed;
+    if (result.holders !== holding.holders) {
+      holding.holders = result.holders;
+      this.#listenVms(this.countHolders());
+    }
+    this.#change(
+      holding.customer,
+      (account) =>
+        receiveExchange(account, { result, deadline: askedAt + GRANT_TERM }),
+    );
+    this.#logExchange(holding, { exchange, result });
+    this.#serveWaiters(holding);
+    this.#refuseHopeless(holding);
+  }
+
+  #logExchange(
+    holding: Holding,
+    input: {
+      readonly exchange: GrantExchange;
+      readonly result: GrantExchangeResult;
+    },
+  ): void {
+    const { exchange, result } = input;
+    const { log, metrics } = this.#context;
+    if (result.size > 0) metrics.grantsTaken.inc();
+    log.info(LogEvent.GrantExchanged, {
+      customer: holding.customer,
+      exchange: exchange.id,
+      wanted: exchange.take?.wanted,
+      size: result.size,
+      closed_grants: exchange.closes?.length ?? 0,
+      lowered: exchange.shrinks?.length ?? 0,
+      budget_left: result.budgetLeft,
+      closed: result.closed,
+      limit: result.limit,
+      holders: result.holders,
+    });
+  }
+
+  /** Refuses at once whoever the table's answer leaves without hope. */
+  #refuseHopeless(holding: Holding): void {
+    for (const waiter of [...holding.waiters]) {
+      const isShort = (holding.budgetLeft ?? 0) < waiter.tokens;
+      if (isShort) this.#refuse(holding, waiter);
+    }
+    if (holding.waiters.length > 0) this.#startExchange(holding, planExchange);
+  }
+
+  /** Returns the largest number of VMs that hold tokens of one customer. */
+  countHolders(): number {
+    return Math.max(
+      1,
+      ...[...this.#holdings.values()].map((each) => each.holders),
+    );
+  }
+
+  #describe(): unknown {
+    const now = this.#context.clock.readMonotonic();
+    return [...this.#holdings.values()].map((each) => {
+      const account = this.#readAccount(each.customer);
+      return {
+        customer: each.customer,
+        prepaid: each.prepaid,
+        rowLimit: each.rowLimit,
+        budgetLeft: each.budgetLeft,
+        closed: each.closed,
+        holders: each.holders,
+        rate: Math.round(each.meter?.computeRate(now) ?? 0),
+        room: computeAccountRoom(account, now),
+        reserved: computeReserved(account),
+        waiting: each.waiters.length,
+      };
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/features/target_keeper.ts
@@ -0,0 +1,290 @@
+/**
+ * Keeps the targets that have registered themselves, and what this VM has seen
+ * of each: open attempts, failures, load.
+ */
+import type { Either } from "purify-ts";
+import {
+  combineUndo,
+  createEmptyConfiguration,
+  type Millis,
+  type MonotonicTime,
+  type Refusal,
+  type RegionId,
+  type ServiceConfig,
+  type ServiceId,
+  ServiceType,
+  type TargetConfig,
+  type TargetId,
+  type Undo,
+} from "../../core/mod.ts";
+import {
+  applyListedTargets,
+  applyReport,
+  applyTargets,
+  type AttemptFinish,
+  type AttemptStart,
+  choosePlaced,
+  computeHealth,
+  createRoutingState,
+  type PlacementInput,
+  recordAttemptEnd,
+  recordAttemptStart,
+  recordPromptRead,
+  type RoutingState,
+  TargetHealth,
+} from "../../routing/mod.ts";
+import { LogEvent } from "../../runtime/mod.ts";
+import type { ListedTarget, LoadWord } from "../dialect.ts";
+import type { GatewayContext } from "../gateway_context.ts";
+import { FeedFollower, type RowChange } from "./follow_feed.ts";
+
+/** Longest wait of one call for changes. */
+const WAIT: Millis = 1_000;
+
+/** Targets write often; their changes are taken together. */
+const PACE: Millis = 500;
+
+/**
+ * How long a target whose entry went away is kept when the store had failed
+ * shortly before: it may only have been unable to renew the entry.
+ */
+const RETURN_TIME: Millis = 2_200;
+
+/** Retry and progress settings do not come from here; these are not used. */
+const SERVICE_DEFAULTS = {
+  path: "",
+  checksRequestKeys: false,
+  checksFencing: false,
+  longestOrder: 0,
+  retryRatio: 0,
+  progressTimeout: 0,
+};
+
+/** Follows the targets and chooses among them. */
+export class TargetKeeper {
+  readonly #context: GatewayContext;
+  readonly #follower: FeedFollower<ListedTarget>;
+  readonly #listed = new Map<TargetId, ListedTarget>();
+  /** Targets whose entry went away, by when they are given up. */
+  readonly #missing = new Map<TargetId, MonotonicTime>();
+  readonly #ejected = new Set<TargetId>();
+  readonly #state: RoutingState;
+
+  constructor(context: GatewayContext) {
+    this.#context = context;
+    this.#state = createRoutingState(
+      context.region === undefined ? {} : { region: context.region },
+    );
+    this.#follower = new FeedFollower(context, {
+      name: "targets",
+      feed: context.dialect.targets,
+      wait: WAIT,
+      pace: PACE,
+      apply: (changes) => this.#apply(changes),
+    });
+  }
+
+  /** Registers the dump and the follower. */
+  register(): Undo {
+    return combineUndo([
+      this.#context.kernel.registerDump("targets", () => this.#describe()),
+      this.#follower.register(),
+    ]);
+  }
+
+  /** Whether the targets were read at least once. */
+  get isLoaded(): boolean {
+    return this.#follower.isLoaded;
+  }
+
+  /** Sets how many VMs share the targets, this one included. */
+  changeVmCount(count: number): void {
+    this.#state.vms.count = Math.max(1, count);
+  }
+
+  /** Returns where a target is. */
+  find(id: TargetId): ListedTarget | undefined {
+    return this.#listed.get(id);
+  }
+
+  /** Chooses the target of an attempt. */
+  choose(
+    input: Omit<PlacementInput, "now" | "dataCentre">,
+  ): Either<Refusal, TargetConfig> {
+    this.#dropMissing();
+    const now = this.#context.clock.readMonotonic();
+    const { dataCentre } = this.#context.settings;
+    return choosePlaced(this.#state, { ...input, now, dataCentre });
+  }
+
+  /** Counts an attempt that starts. */
+  recordStart(target: TargetId, start: AttemptStart): void {
+    recordAttemptStart(this.#state, target, start);
+  }
+
+  /** Counts a prompt as read. */
+  recordRead(target: TargetId, tokens: number): void {
+    recordPromptRead(this.#state, target, tokens);
+  }
+
+  /** Counts an attempt that ended. */
+  recordEnd(target: TargetId, finish: AttemptFinish): void {
+    recordAttemptEnd(this.#state, target, finish);
+    this.#watchHealth(target);
+  }
+
+  /** Takes in a target's own word on its load. */
+  recordLoad(target: TargetId, load: LoadWord): void {
+    applyReport(this.#state, target, {
+      now: this.#context.clock.readMonotonic(),
+      report: {
+        running: load.running,
+        queued: load.waiting,
+        leaving: this.#listed.get(target)?.leaving ?? false,
+        models: [],
+      },
+    });
+  }
+
+  #apply(changes: readonly RowChange<ListedTarget>[]): void {
+    let hasChanged = false;
+    for (const { key, value } of changes) {
+      hasChanged = (value === undefined
+        ? this.#applyMissing(key)
+        : this.#applyEntry(value)) || hasChanged;
+    }
+    if (hasChanged) this.#rebuild();
+  }
+
+  #applyEntry(entry: ListedTarget): boolean {
+    const known = this.#listed.get(entry.id);
+    this.#missing.delete(entry.id);
+    if (known !== undefined && isSameEntry(known, entry)) return false;
+    const { log } = this.#context;
+    const fields = {
+      target: entry.id,
+      service: entry.service,
+      data_centre: entry.dataCentre,
+      life: entry.life,
+    };
+    if (known !== undefined && known.life !== entry.life) {
+      // A new life of the target knows nothing of the one before.
+      this.#state.targets.remove(entry.id);
+    }
+    this.#listed.set(entry.id, entry);
+    if (entry.leaving) log.info(LogEvent.TargetLeaving, fields);
+    else log.info(LogEvent.TargetListed, fields);
+    return true;
+  }
+
+  #applyMissing(id: TargetId): boolean {
+    if (!this.#listed.has(id) || this.#missing.has(id)) return false;
+    const now = this.#context.clock.readMonotonic();
+    const isDoubtful = now - this.#follower.lastFailure < RETURN_TIME;
+    if (isDoubtful) {
+      this.#missing.set(id, now + RETURN_TIME);
+      return false;
+    }
+    return this.#drop(id);
+  }
+
+  #dropMissing(): void {
+    if (this.#missing.size === 0) return;
+    const now = this.#context.clock.readMonotonic();
+    let hasChanged = false;
+    for (const [id, until] of this.#missing) {
+      if (now < until) continue;
+      this.#missing.delete(id);
+      hasChanged = this.#drop(id) || hasChanged;
+    }
+    if (hasChanged) this.#rebuild();
+  }
+
+  #drop(id: TargetId): boolean {
+    const known = this.#listed.get(id);
+    if (known === undefined) return false;
+    this.#listed.delete(id);
+    this.#context.log.info(LogEvent.TargetGone, {
+      target: id,
+      service: known.service,
+      life: known.life,
+    });
+    return true;
+  }
+
+  #rebuild(): void {
+    const groups = new Map<ServiceId, TargetConfig[]>();
+    for (const entry of this.#listed.values()) {
+      const group = groups.get(entry.service) ?? [];
+      groups.set(entry.service, group);
+      group.push(this.#createTarget(entry));
+    }
+    const services = new Map<ServiceId, ServiceConfig>();
+    for (const [id, targets] of groups) {
+      const type = ServiceType.PlainService;
+      services.set(id, { ...SERVICE_DEFAULTS, id, type, targets });
+    }
+    applyTargets(this.#state, {
+      configuration: { ...createEmptyConfiguration(), services },
+      now: this.#context.clock.readMonotonic(),
+      vms: this.#state.vms.count,
+    });
+    const leaving = [...this.#listed.values()].filter((each) => each.leaving);
+    applyListedTargets(this.#state, new Set(leaving.map((each) => each.id)));
+    const { metrics } = this.#context;
+    metrics.targets.set({ state: "leaving" }, leaving.length);
+    metrics.targets.set(
+      { state: "ready" },
+      this.#listed.size - leaving.length,
+    );
+  }
+
+  #createTarget(entry: ListedTarget): TargetConfig {
+    return {
+      id: entry.id,
+      service: entry.service,
+      url: `http://${entry.host}:${entry.port}`,
+      region: this.#findRegion(entry.dataCentre),
+      dataCentre: entry.dataCentre,
+      capacity: entry.slots,
+    };
+  }
+
+  #findRegion(dataCentre: string): RegionId {
+    return this.#context.settings.regions[dataCentre] ?? dataCentre;
+  }
+
+  #watchHealth(id: TargetId): void {
+    const state = this.#state.targets.get(id);
+    if (state === undefined) return;
+    const now = this.#context.clock.readMonotonic();
+    const isOut = computeHealth(state, now) === TargetHealth.Ejected;
+    if (isOut === this.#ejected.has(id)) return;
+    const { log } = this.#context;
+    if (isOut) this.#ejected.add(id);
+    else this.#ejected.delete(id);
+    const event = isOut ? LogEvent.TargetEjected : LogEvent.TargetBack;
+    log.warn(event, { target: id, failures: state.failures });
+  }
+
+  #describe(): unknown {
+    const now = this.#context.clock.readMonotonic();
+    return [...this.#state.targets.values()].map((each) => ({
+      id: each.config.id,
+      service: each.config.service,
+      dataCentre: each.config.dataCentre,
+      health: computeHealth(each, now),
+      inFlight: each.inFlight,
+      unreadTokens: each.unreadTokens,
+      failures: each.failures,
+    }));
+  }
+}
+
+/** Entries are written often; only some of their fields matter. */
+function isSameEntry(left: ListedTarget, right: ListedTarget): boolean {
+  return left.life === right.life && left.service === right.service &&
+    left.host === right.host && left.port === right.port &&
+    left.dataCentre === right.dataCentre && left.slots === right.slots &&
+    left.leaving === right.leaving;
+}
--- /dev/null
+++ b/packages/gateway/gateway.ts
@@ -0,0 +1,229 @@
+/**
+ * One entry VM that serves routes: it follows the configuration and the
+ * targets, keeps customers' budgets, and passes requests on.
+ */
+import type { Server } from "node:http";
+import { randomBytes } from "node:crypto";
+import {
+  combineUndo,
+  createSystemClock,
+  Kernel,
+  type Millis,
+  type Undo,
+} from "../core/mod.ts";
+import { computeIncarnation } from "../membership/mod.ts";
+import { ConnectionPools, StoreWriter } from "../ports/mod.ts";
+import { RetryBudgets } from "../routing/mod.ts";
+import { createEventLog, type EventLog, LogEvent } from "../runtime/mod.ts";
+import type { GatewaySettings } from "../settings/mod.ts";
+import type { Dialect } from "./dialect.ts";
+import { CallRunner } from "./entry/call_runner.ts";
+import { CallerFace } from "./entry/caller_face.ts";
+import {
+  createOperatorServer,
+  createReadinessServer,
+} from "./entry/operator_face.ts";
+import { ConfigurationKeeper } from "./features/configuration_keeper.ts";
+import { CustomerBudgets } from "./features/customer_budgets.ts";
+import { TargetKeeper } from "./features/target_keeper.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+import { createGatewayMetrics } from "./gateway_metrics.ts";
+
+/** What a gateway is made from. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly dialect: Dialect;
+  readonly log?: EventLog;
+}
+
+/** Bytes of chance in an incarnation. */
+const SALT_BYTES = 4;
+
+/** How long store operations of different customers wait for each other. */
+const GROUP_DELAY: Millis = 10;
+
+/**
+ * Time after the stop signal until the listener closes: the balancer asks once
+ * a second and sends no new connections after two misses.
+ */
+const LISTEN_TIME: Millis = 3_000;
+
+/** Kept back from the time to stop for returning tokens and ending. */
+const LAST_TIME: Millis = 700;
+
+/** Pause between two looks at whether all requests have ended. */
+const DRAIN_CHECK: Millis = 100;
+
+/** VMs that share the retry budget before their number is known. */
+const LEAST_VMS = 6;
+
+/** A running gateway. */
+export class Gateway {
+  readonly #context: GatewayContext;
+  readonly #configuration: ConfigurationKeeper;
+  readonly #targets: TargetKeeper;
+  readonly #budgets: CustomerBudgets;
+  readonly #callers: CallerFace;
+  readonly #pools: ConnectionPools;
+  readonly #retries = new RetryBudgets();
+  readonly #servers: Server[] = [];
+  #undo: Undo = () => {};
+  #stopping: Promise<void> | undefined;
+
+  constructor(options: GatewayOptions) {
+    this.#context = createGatewayContext(options);
+    const context = this.#context;
+    this.#pools = new ConnectionPools(context.clock);
+    this.#configuration = new ConfigurationKeeper(context);
+    this.#targets = new TargetKeeper(context);
+    this.#budgets = new CustomerBudgets(context);
+    this.#callers = new CallerFace({
+      context,
+      configuration: this.#configuration,
+      budgets: this.#budgets,
+      runner: new CallRunner({
+        context,
+        targets: this.#targets,
+        pools: this.#pools,
+        retries: this.#retries,
+      }),
+    });
+    this.#configuration.listen((configuration) => {
+      this.#callers.changeLimits(configuration.limits);
+      this.#budgets.applyConfiguration(configuration);
+    });
+    this.#budgets.listenVmCount((count) => this.#changeVmCount(count));
+    this.#changeVmCount(LEAST_VMS);
+  }
+
+  /** Port of the callers' face, which the kernel may have chosen. */
+  get callerPort(): number {
+    return this.#callers.readPort();
+  }
+
+  /** Whether this VM takes new connections. */
+  get isReady(): boolean {
+    return this.#stopping === undefined &&
+      this.#configuration.read() !== undefined && this.#targets.isLoaded;
+  }
+
+  /** Listens and starts to follow; rejects when an address can't be had. */
+  async start(): Promise<void> {
+    const { settings, log, incarnation, vm } = this.#context;
+    await this.#callers.listen(parseAddress(settings.callers));
+    const faces = { context: this.#context, isReady: () => this.isReady };
+    await this.#listen(createReadinessServer(faces), settings.readiness);
+    if (settings.operators !== undefined) {
+      await this.#listen(createOperatorServer(faces), settings.operators);
+    }
+    this.#undo = combineUndo([
+      this.#configuration.register(),
+      this.#targets.register(),
+      this.#budgets.register(),
+    ]);
+    log.info(LogEvent.Started, {
+      vm,
+      incarnation,
+      data_centre: settings.dataCentre,
+      callers: settings.callers,
+    });
+  }
+
+  /**
+   * Stops as planned: takes no new connections, ends what is open, returns
+   * tokens. Resolves when the process may end.
+   */
+  stop(): Promise<void> {
+    this.#stopping ??= this.#drain();
+    return this.#stopping;
+  }
+
+  /** Takes over settings that may change while it runs. */
+  changeSettings(settings: GatewaySettings): void {
+    this.#context.settings = settings;
+    this.#changeVmCount(this.#budgets.countHolders());
+    this.#context.log.info(LogEvent.SettingsReloaded, {
+      log_level: settings.logLevel,
+      offline_ms: settings.budgets.offlineMillis,
+    });
+  }
+
+  async #drain(): Promise<void> {
+    const { clock, log, settings } = this.#context;
+    const startedAt = clock.readMonotonic();
+    log.info(LogEvent.DrainStarted, { open: this.#callers.open });
+    this.#callers.startDrain();
+    await sleep(LISTEN_TIME);
+    this.#callers.stopListening();
+    const end = startedAt + settings.stopMillis - LAST_TIME;
+    while (this.#callers.open > 0 && clock.readMonotonic() < end) {
+      await sleep(DRAIN_CHECK);
+      // Connections whose last answer was sent are idle now.
+      this.#callers.stopListening();
+    }
+    await Promise.race([this.#budgets.returnAll(), sleep(LAST_TIME / 2)]);
+    this.#undo();
+    this.#context.writer.close();
+    for (const server of this.#servers) server.close();
+    log.info(LogEvent.Stopped, {
+      open: this.#callers.open,
+      ms: Math.round(clock.readMonotonic() - startedAt),
+    });
+  }
+
+  #changeVmCount(count: number): void {
+    const vms = Math.max(LEAST_VMS, count);
+    this.#targets.changeVmCount(vms);
+    const { slack } = this.#context.settings.retries;
+    // Half of the slack: two windows may share the same burst.
+    this.#retries.changeMostSaved(Math.max(1, slack / vms / 2));
+  }
+
+  async #listen(server: Server, address: string): Promise<void> {
+    const { host, port } = parseAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(port, host, resolve);
+    });
+    this.#servers.push(server);
+  }
+}
+
+function createGatewayContext(options: GatewayOptions): GatewayContext {
+  const { settings, dialect } = options;
+  const clock = createSystemClock();
+  return {
+    settings,
+    vm: settings.vm,
+    region: settings.regions[settings.dataCentre],
+    incarnation: computeIncarnation({
+      wallTime: clock.readWall(),
+      salt: randomBytes(SALT_BYTES).toString("hex"),
+    }),
+    dialect,
+    kernel: new Kernel(),
+    clock,
+    random: Math.random,
+    writer: new StoreWriter({
+      table: dialect.table,
+      clock,
+      random: Math.random,
+      sleep,
+      groupDelay: GROUP_DELAY,
+    }),
+    log: options.log ?? createEventLog(settings.logLevel),
+    metrics: createGatewayMetrics(),
+  };
+}
+
+function sleep(duration: Millis): Promise<void> {
+  return new Promise((done) => setTimeout(done, duration));
+}
+
+function parseAddress(address: string): { host: string; port: number } {
+  const end = address.lastIndexOf(":");
+  return {
+    host: address.slice(0, end),
+    port: Number(address.slice(end + 1)),
+  };
+}
--- /dev/null
+++ b/packages/gateway/gateway_context.ts
@@ -0,0 +1,30 @@
+/** What every part of a gateway has in common. */
+import type {
+  Clock,
+  Incarnation,
+  Kernel,
+  RandomSource,
+  RegionId,
+  VmId,
+} from "../core/mod.ts";
+import type { StoreWriter } from "../ports/mod.ts";
+import type { EventLog } from "../runtime/mod.ts";
+import type { GatewaySettings } from "../settings/mod.ts";
+import type { Dialect } from "./dialect.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+
+/** Surroundings of one gateway process. */
+export interface GatewayContext {
+  /** Replaced when the settings file has changed. */
+  settings: GatewaySettings;
+  readonly vm: VmId;
+  readonly region: RegionId | undefined;
+  readonly incarnation: Incarnation;
+  readonly dialect: Dialect;
+  readonly kernel: Kernel;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly writer: StoreWriter;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+}
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -19,12 +19,22 @@
 
 /** One request to be sent. */
 export interface HttpRequest {
-  readonly method: "GET" | "POST" | "PUT" | "DELETE";
+  readonly method: string;
   readonly url: string;
-  readonly headers?: Readonly<Record<string, string>>;
+  /** Sent byte for byte in place of the path of `url`, which is normalized. */
+  readonly path?: string;
+  /**
+   * By name, or names and values in turn. A list is sent as it is and must
+   * carry the host and the body's length itself.
+   */
+  readonly headers?: Readonly<Record<string, string>> | readonly string[];
   readonly body?: Uint8Array | string;
   /** Longest silence of the connection, in milliseconds; 0 for no limit. */
   readonly idleTimeout: Millis;
+  /** Longest wait for a new connection; Node has no limit of its own for it. */
+  readonly connectTimeout?: Millis;
+  /** Longest time from the start to the end of the whole answer. */
+  readonly totalTimeout?: Millis;
   readonly agent?: Agent;
   readonly signal?: AbortSignal;
 }
@@ -58,24 +68,33 @@
       }));
     if (input.signal?.aborted) return fail("cancelled before it was sent");
     const start = input.url.startsWith("https:") ? startHttps : startHttp;
-    const length = input.body === undefined
-      ? 0
-      : Buffer.byteLength(input.body as string);
     const outgoing = start(input.url, {
       method: input.method,
-      headers: { "content-length": String(length), ...input.headers },
+      headers: createHeaders(input),
+      ...(input.path === undefined ? {} : { path: input.path }),
       ...(input.agent === undefined ? {} : { agent: input.agent }),
     });
+    const { connectTimeout } = input;
+    const connecting = connectTimeout === undefined ? undefined : setTimeout(
+      () =>
+        outgoing.destroy(new Error(`no connection in ${connectTimeout} ms`)),
+      connectTimeout,
+    );
     // Node's own signal option leaves a pooled socket without an error handler.
     const cancel = () => outgoing.destroy(new Error("cancelled"));
     input.signal?.addEventListener("abort", cancel, { once: true });
     outgoing.on("close", () => {
+      clearTimeout(connecting);
       input.signal?.removeEventListener("abort", cancel);
     });
+    const markConnected = () => {
+      connected = true;
+      clearTimeout(connecting);
+    };
     outgoing.on("socket", (socket) => {
       // A pooled socket is connected already.
-      if (!socket.connecting) connected = true;
-      else socket.once("connect", () => (connected = true));
+      if (!socket.connecting) markConnected();
+      else socket.once("connect", markConnected);
     });
     if (input.idleTimeout > 0) {
       outgoing.setTimeout(
@@ -93,15 +112,38 @@
   });
 }
 
+function createHeaders(input: HttpRequest): Record<string, string> | string[] {
+  const { headers } = input;
+  if (Array.isArray(headers)) return headers;
+  const length = input.body === undefined
+    ? 0
+    : Buffer.byteLength(input.body as string);
+  return { "content-length": String(length), ...headers as object };
+}
+
 /** Sends a request and reads the whole answer. */
 export async function sendRequest(
   input: HttpRequest,
+): Promise<Either<HttpFailure, HttpAnswer>> {
+  if (input.totalTimeout === undefined) return await exchangeWhole(input);
+  const controller = new AbortController();
+  const abort = () => controller.abort();
+  const timer = setTimeout(abort, input.totalTimeout);
+  input.signal?.addEventListener("abort", abort, { once: true });
+  const answer = await exchangeWhole({ ...input, signal: controller.signal });
+  clearTimeout(timer);
+  input.signal?.removeEventListener("abort", abort);
+  return answer;
+}
+
+async function exchangeWhole(
+  input: HttpRequest,
 ): Promise<Either<HttpFailure, HttpAnswer>> {
   const started = await startExchange(input);
   const incoming = started.extract();
   if (!("statusCode" in incoming)) return Left(incoming as HttpFailure);
   try {
-    const body = await readBody(incoming);
+    const body = await readBody(incoming, input.signal);
     return Right({
       status: incoming.statusCode ?? 0,
       headers: incoming.headers,
@@ -120,7 +162,10 @@
 export async function sendJsonRequest(
   input: HttpRequest,
 ): Promise<Either<HttpFailure, { status: number; body: unknown }>> {
-  const headers = { "content-type": "application/json", ...input.headers };
+  const headers = {
+    "content-type": "application/json",
+    ...input.headers as Record<string, string>,
+  };
   const answer = await sendRequest({ ...input, headers });
   return answer.chain((whole) => {
     try {
@@ -139,9 +184,17 @@
   });
 }
 
-async function readBody(incoming: IncomingMessage): Promise<Uint8Array> {
+async function readBody(
+  incoming: IncomingMessage,
+  signal: AbortSignal | undefined,
+): Promise<Uint8Array> {
   const parts: Buffer[] = [];
   let size = 0;
+  signal?.addEventListener(
+    "abort",
+    () => void incoming.destroy(new Error("cancelled")),
+    { once: true },
+  );
   for await (const part of incoming) {
     size += (part as Buffer).length;
     if (size > MAX_ANSWER_BYTES) {
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -7,6 +7,7 @@
   TransactionAnswer,
 } from "./table_port.ts";
 export { MAX_TRANSACTION_ROWS } from "./table_port.ts";
+export type { FeedChange, FeedPage, FeedPort, FeedRow } from "./feed_port.ts";
 export type { ObjectPort } from "./object_port.ts";
 export type { ListedVm, VmListPort } from "./vm_list_port.ts";
 export { ListedVmState } from "./vm_list_port.ts";
--- a/packages/ports/store_writer.ts
+++ b/packages/ports/store_writer.ts
@@ -225,12 +225,13 @@
     if (!outcome.committed) {
       this.#counts.conflicts++;
       for (const check of checks) this.#cache.delete(check.key);
+      for (const row of outcome.rows ?? []) this.#cache.set(row.key, row);
       this.#waiting.unshift(...group);
       return undefined;
     }
     this.#counts.transactions++;
     this.#counts.rowsWritten += writes.length;
-    this.#remember(writes, checks);
+    this.#remember(writes, { checks, version: outcome.version });
     finishGroup(decision);
     return undefined;
   }
@@ -254,11 +255,17 @@
 
   #remember(
     writes: readonly RowWrite[],
-    checks: readonly RowCheck[],
+    input: {
+      readonly checks: readonly RowCheck[];
+      /** Absent where versions rise by one with each write of a row. */
+      readonly version: number | undefined;
+    },
   ): void {
-    const versions = new Map(checks.map((each) => [each.key, each.version]));
+    const versions = new Map(
+      input.checks.map((each) => [each.key, each.version]),
+    );
     for (const { key, value } of writes) {
-      const version = (versions.get(key) ?? 0) + 1;
+      const version = input.version ?? (versions.get(key) ?? 0) + 1;
       if (value === undefined) this.#cache.delete(key);
       else this.#cache.set(key, { key, version, value });
     }
--- a/packages/ports/table_port.ts
+++ b/packages/ports/table_port.ts
@@ -22,9 +22,18 @@
 
 /** What became of a transaction that the service answered. */
 export type TransactionAnswer =
-  | { readonly committed: true }
+  | {
+    readonly committed: true;
+    /** Version of every row written, where the service tells it. */
+    readonly version?: number;
+  }
   /** Nothing was written; these rows had another version. */
-  | { readonly committed: false; readonly conflicts: readonly string[] };
+  | {
+    readonly committed: false;
+    readonly conflicts: readonly string[];
+    /** All rows checked, as they are now, where the service tells them. */
+    readonly rows?: readonly Row[];
+  };
 
 /** One page of rows in key order. */
 export interface RowPage {
--- /dev/null
+++ b/packages/routing/queries/choose_placed.ts
@@ -0,0 +1,132 @@
+/**
+ * Chooses a target for a request whose prompt is described by its parts.
+ *
+ * Answers the load in which many prompts share long beginnings: reading one a
+ * second time costs more than most waits. All VMs rank the same targets for the
+ * same beginning, so that it is read in one place without a word between them,
+ * and leave that place only when its backlog costs more than reading again.
+ */
+import { type Either, Left, Right } from "purify-ts";
+import {
+  computeHash,
+  computeScore,
+  type MonotonicTime,
+  type Refusal,
+  type RegionId,
+  type ServiceId,
+  type TargetConfig,
+  type TargetId,
+  type Tokens,
+} from "../../core/mod.ts";
+import type { RoutingState } from "../state.ts";
+import {
+  computeHealth,
+  TargetHealth,
+  type TargetState,
+} from "../target_state.ts";
+import { computeOthers } from "./compute_load.ts";
+import { createNoRoom, createNoTarget } from "./create_refusals.ts";
+
+/** What a placement is made from. */
+export interface PlacementInput {
+  readonly service: ServiceId;
+  /** Names the shared beginning of the prompt; absent when nothing is shared. */
+  readonly beginning?: string;
+  /** Tokens of the shared beginning. */
+  readonly sharedTokens: Tokens;
+  /** Targets that attempts of this request have used. */
+  readonly tried: readonly TargetId[];
+  /** The VM's own data centre, which is preferred among equals. */
+  readonly dataCentre: string;
+  readonly now: MonotonicTime;
+}
+
+/** Unread prompt tokens that delay a request as much as a full batch does. */
+const FULL_BATCH_TOKENS: Tokens = 12_000;
+
+/** How much dearer reading a shared beginning again is than waiting as long. */
+const READ_AGAIN_WEIGHT = 3;
+
+/** Round trip and price of another region, as tokens that could be read. */
+const REGION_TOKENS: Tokens = 20_000;
+
+/** Price of the link to another data centre, as tokens that could be read. */
+const DATA_CENTRE_TOKENS: Tokens = 150;
+
+/** Work beyond its slots that a target may be given, as a part of them. */
+const MOST_LOAD = 1.25;
+
+interface Candidate {
+  readonly target: TargetState;
+  readonly cost: number;
+  readonly load: number;
+}
+
+/** Returns the target whose wait and reading cost least. */
+export function choosePlaced(
+  state: RoutingState,
+  input: PlacementInput,
+): Either<Refusal, TargetConfig> {
+  const usable = state.targets.listService(input.service)
+    .filter((target) => isUsable(target, input));
+  if (usable.length === 0) return Left(createNoTarget());
+  const holder = findHolder(state, usable, input);
+  let best: Candidate | undefined;
+  for (const target of usable) {
+    const candidate = computeCandidate(state, target, { ...input, holder });
+    if (candidate.load >= MOST_LOAD) continue;
+    if (best === undefined || candidate.cost < best.cost) best = candidate;
+  }
+  if (best === undefined) return Left(createNoRoom());
+  return Right(best.target.config);
+}
+
+/** Returns the target of the region that all VMs rank first for a beginning. */
+function findHolder(
+  state: RoutingState,
+  usable: readonly TargetState[],
+  input: PlacementInput,
+): TargetId | undefined {
+  const { beginning } = input;
+  if (beginning === undefined) return undefined;
+  const own = usable.filter((each) => isInRegion(each, state.region));
+  const keyHash = computeHash(beginning);
+  let best: { readonly id: TargetId; readonly score: number } | undefined;
+  for (const { config: { id } } of own.length > 0 ? own : usable) {
+    const score = computeScore(keyHash, computeHash(id));
+    if (best === undefined || score > best.score) best = { id, score };
+  }
+  return best?.id;
+}
+
+function computeCandidate(
+  state: RoutingState,
+  target: TargetState,
+  input: PlacementInput & { readonly holder: TargetId | undefined },
+): Candidate {
+  const { config } = target;
+  const work = target.inFlight + computeOthers(state, target, input.now);
+  const load = work / config.capacity;
+  const isHeld = config.id === input.holder;
+  const missing = isHeld ? 0 : input.sharedTokens * READ_AGAIN_WEIGHT;
+  const away = isInRegion(target, state.region) ? 0 : REGION_TOKENS;
+  const across = config.dataCentre === input.dataCentre
+    ? 0
+    : DATA_CENTRE_TOKENS;
+  const waiting = target.unreadTokens + load * FULL_BATCH_TOKENS;
+  return { target, load, cost: waiting + missing + away + across };
+}
+
+function isUsable(target: TargetState, input: PlacementInput): boolean {
+  if (input.tried.includes(target.config.id)) return false;
+  const health = computeHealth(target, input.now);
+  if (health === TargetHealth.Probation) return target.inFlight === 0;
+  return health === TargetHealth.Healthy;
+}
+
+function isInRegion(
+  target: TargetState,
+  region: RegionId | undefined,
+): boolean {
+  return region === undefined || target.config.region === region;
+}
--- a/packages/routing/queries/choose_target.ts
+++ b/packages/routing/queries/choose_target.ts
@@ -1,12 +1,9 @@
 /** Chooses the target of an attempt. */
 import { type Either, Left, Right } from "purify-ts";
 import {
-  createNotRun,
-  type Millis,
   type MonotonicTime,
   type RandomSource,
   type Refusal,
-  RefusalKind,
   type RegionId,
   type ServiceId,
   type TargetConfig,
@@ -25,9 +22,7 @@
   type TargetState,
 } from "../target_state.ts";
 import { computeFullness, computeLoad } from "./compute_load.ts";
-
-const NO_TARGET_RETRY_AFTER: Millis = 2_000;
-const NO_ROOM_RETRY_AFTER: Millis = 1_000;
+import { createNoRoom, createNoTarget } from "./create_refusals.ts";
 
 /** Draws before more of a group is searched. */
 const MOST_DRAWS = 8;
@@ -279,19 +274,3 @@
   if (loaded.length === 0) return true;
   return wanted.every((model) => loaded.includes(model));
 }
-
-function createNoTarget(): Refusal {
-  return createNotRun(
-    RefusalKind.NoTarget,
-    "We could not reach a service that can answer this right now. Nothing was done. Please try again shortly.",
-    { retryAfter: NO_TARGET_RETRY_AFTER },
-  );
-}
-
-function createNoRoom(): Refusal {
-  return createNotRun(
-    RefusalKind.Overloaded,
-    "We are very busy at the moment. Nothing was done. Please try again shortly.",
-    { retryAfter: NO_ROOM_RETRY_AFTER },
-  );
-}
--- a/packages/routing/retry/retry_budget.ts
+++ b/packages/routing/retry/retry_budget.ts
@@ -9,7 +9,7 @@
  */
 import type { Millis, MonotonicTime, ServiceId } from "../../core/mod.ts";
 
-/** Retries that a quiet service may have at once. */
+/** Retries that a quiet service may have at once, unless a bound is given. */
 const MOST_SAVED = 10;
 
 /** Retries that a service has to begin with. */
@@ -48,11 +48,17 @@
 /** The retry budgets of all services on one VM. */
 export class RetryBudgets {
   readonly #services = new Map<ServiceId, ServiceBudget>();
+  #mostSaved = MOST_SAVED;
+
+  /** Sets how many retries a quiet service may have at once. */
+  changeMostSaved(most: number): void {
+    this.#mostSaved = most;
+  }
 
   /** Counts a first attempt, which earns a part of a retry. */
   recordFirst(service: ServiceId, ratio: number): void {
     const budget = this.#readService(service);
-    budget.saved = Math.min(MOST_SAVED, budget.saved + ratio);
+    budget.saved = Math.min(this.#mostSaved, budget.saved + ratio);
     budget.counts = { ...budget.counts, first: budget.counts.first + 1 };
   }
 
@@ -63,7 +69,7 @@
   ): boolean {
     if (options.extra === ExtraAttempt.Replacement) return true;
     const budget = this.#readService(service);
-    earnByTime(budget, options.now);
+    earnByTime(budget, { now: options.now, most: this.#mostSaved });
     return budget.saved >= 1;
   }
 
@@ -94,11 +100,15 @@
   }
 }
 
-function earnByTime(budget: ServiceBudget, now: MonotonicTime): void {
+function earnByTime(
+  budget: ServiceBudget,
+  input: { readonly now: MonotonicTime; readonly most: number },
+): void {
+  const { now } = input;
   const elapsed = Math.max(0, now - (budget.earnedAt ?? now));
   budget.earnedAt = Math.max(now, budget.earnedAt ?? now);
   const saved = budget.saved + elapsed / EARN_INTERVAL;
-  budget.saved = Math.min(MOST_SAVED, saved);
+  budget.saved = Math.min(input.most, saved);
 }
 
 function addCount(counts: RetryCounts, extra: ExtraAttempt): RetryCounts {
--- a/packages/runtime/mod.ts
+++ b/packages/runtime/mod.ts
@@ -13,3 +13,11 @@
   PeriodicProcess,
 } from "./processes.ts";
 export { awaitPromise, startOnDemand, startPeriodic } from "./processes.ts";
+export {
+  createBadRequest,
+  createRefusal,
+  createRefusalHeaders,
+  createUnknown,
+  formatRefusalBody,
+  readRefusalStatus,
+} from "./refusals.ts";
--- a/packages/daemon/entry/refusals.ts
+++ b/packages/runtime/refusals.ts
@@ -6,7 +6,7 @@
   type Refusal,
   RefusalKind,
   RequestOutcome,
-} from "../../core/mod.ts";
+} from "../core/mod.ts";
 
 const STATUS: Readonly<Record<RefusalKind, number>> = {
   [RefusalKind.BadRequest]: 400,
@@ -15,6 +15,7 @@
   [RefusalKind.BadKey]: 401,
   [RefusalKind.UnknownEvent]: 404,
   [RefusalKind.UnknownKind]: 404,
+  [RefusalKind.UnknownRoute]: 404,
   [RefusalKind.CustomerNotAllowed]: 403,
   [RefusalKind.RequestKeyMissing]: 400,
   [RefusalKind.RequestKeyReused]: 422,
@@ -30,6 +31,7 @@
   [RefusalKind.Draining]: 503,
   [RefusalKind.TargetFailed]: 502,
   [RefusalKind.OutcomeUnknown]: 502,
+  [RefusalKind.TimedOut]: 504,
   [RefusalKind.StillRunning]: 409,
   [RefusalKind.Internal]: 500,
 };
@@ -46,6 +48,20 @@
     "We do not know this event. Nothing was done. Please check its name.",
   [RefusalKind.UnknownKind]:
     "This event does not take this kind of request. Nothing was done. Please check the name of the kind.",
+  [RefusalKind.UnknownRoute]:
+    "There is no service at this address. Nothing was done. Please check the address.",
+  [RefusalKind.BudgetSpent]:
+    "The prepaid budget does not cover this request any more. Nothing was done. Please ask the person who looks after the budget to top it up.",
+  [RefusalKind.BudgetUnreachable]:
+    "We could not check the prepaid budget just now. Nothing was done. Please try again shortly.",
+  [RefusalKind.NoTarget]:
+    "We could not reach a service that can answer this right now. Nothing was done. Please try again shortly.",
+  [RefusalKind.Overloaded]:
+    "We are very busy at the moment. Nothing was done. Please try again shortly.",
+  [RefusalKind.DeadlineTooSoon]:
+    "We could not answer this in time. Nothing was done. Please try again shortly.",
+  [RefusalKind.TimedOut]:
+    "The answer did not come in time. It may have been done; please check before you send it again.",
   [RefusalKind.CustomerNotAllowed]:
     "This event is not open to your organisation. Nothing was done. Please ask the person who looks after the event.",
   [RefusalKind.RequestKeyMissing]:
--- a/packages/settings/mod.ts
+++ b/packages/settings/mod.ts
@@ -1,4 +1,6 @@
 /** Settings of one daemon: JSON with comments, checked. */
-export { parseSettings } from "./parse_settings.ts";
+export type { GatewaySettings } from "./gateway_settings.ts";
+export { GATEWAY_SCHEMA } from "./gateway_settings.ts";
+export { parseGatewaySettings, parseSettings } from "./parse_settings.ts";
 export type { FaceSettings, ServiceSettings, Settings } from "./settings.ts";
 export { SETTINGS_SCHEMA } from "./settings.ts";
--- a/packages/settings/parse_settings.ts
+++ b/packages/settings/parse_settings.ts
@@ -15,6 +15,7 @@
   InputErrorKind,
   type TextPlace,
 } from "../core/mod.ts";
+import { GATEWAY_SCHEMA, type GatewaySettings } from "./gateway_settings.ts";
 import { type Settings, SETTINGS_SCHEMA } from "./settings.ts";
 
 /** A text with the tree that was parsed from it. */
@@ -22,6 +23,18 @@
   readonly text: string;
   readonly source: string;
   readonly root: Node;
+  /** Names its known keys when one is misspelled. */
+  readonly schema: z.ZodType;
+}
+
+/** Parses settings of an entry VM that serves routes; every fault is returned. */
+export function parseGatewaySettings(
+  text: string,
+  source: string,
+): Either<readonly InputError[], GatewaySettings> {
+  return parseText(text, { source, schema: GATEWAY_SCHEMA }).chain((parsed) =>
+    checkShape(parsed, GATEWAY_SCHEMA)
+  );
 }
 
 /** Parses settings; every fault found is returned, in the order of the text. */
@@ -29,26 +42,35 @@
   text: string,
   source: string,
 ): Either<readonly InputError[], Settings> {
-  return parseText(text, source).chain((parsed) => {
-    const result = SETTINGS_SCHEMA.safeParse(getNodeValue(parsed.root));
-    if (!result.success) {
-      return Left(
-        result.error.issues.flatMap((issue) => describeIssue(issue, parsed)),
-      );
-    }
-    const key = checkPeerKey(result.data, parsed);
-    return key === undefined ? Right(result.data) : Left([key]);
-  });
+  return parseText(text, { source, schema: SETTINGS_SCHEMA })
+    .chain((parsed) =>
+      checkShape(parsed, SETTINGS_SCHEMA).chain((settings) => {
+        const key = checkPeerKey(settings, parsed);
+        return key === undefined ? Right(settings) : Left([key]);
+      })
+    );
+}
+
+function checkShape<Value>(
+  parsed: ParsedText,
+  schema: z.ZodType<Value>,
+): Either<readonly InputError[], Value> {
+  const result = schema.safeParse(getNodeValue(parsed.root));
+  if (result.success) return Right(result.data);
+  return Left(
+    result.error.issues.flatMap((issue) => describeIssue(issue, parsed)),
+  );
 }
 
 function parseText(
   text: string,
-  source: string,
+  input: { readonly source: string; readonly schema: z.ZodType },
 ): Either<readonly InputError[], ParsedText> {
+  const { source, schema } = input;
   const errors: ParseError[] = [];
   const root = parseTree(text, errors, { allowTrailingComma: true });
   if (root !== undefined && errors.length === 0) {
-    return Right({ text, source, root });
+    return Right({ text, source, root, schema });
   }
   return Left(errors.map((error) => ({
     kind: InputErrorKind.Syntax,
@@ -93,7 +115,7 @@
   parsed: ParsedText,
 ): InputError {
   const key = String(path.at(-1));
-  const nearest = findNearestKey(key);
+  const nearest = findNearestKey(key, parsed.schema);
   return {
     kind: InputErrorKind.UnknownKey,
     message: `There is no setting ${path.join(".")}`,
@@ -107,8 +129,8 @@
 /** Longest edit distance at which a known key is offered. */
 const MAX_KEY_DISTANCE = 4;
 
-function findNearestKey(key: string): string | undefined {
-  const scored = [...collectKeys(SETTINGS_SCHEMA)]
+function findNearestKey(key: string, schema: z.ZodType): string | undefined {
+  const scored = [...collectKeys(schema)]
     .map((known) => ({ known, distance: distance(key, known) }))
     .sort((left, right) => left.distance - right.distance);
   const best = scored[0];
--- a/tools/check_imports.ts
+++ b/tools/check_imports.ts
@@ -12,6 +12,7 @@
   core: [],
   runtime: ["core"],
   settings: ["core"],
+  routes: ["core"],
   ports: ["core"],
   budget: ["core"],
   request: ["core"],
@@ -53,6 +54,19 @@
     "stand_ins",
     "daemon",
   ],
+  gateway: [
+    "core",
+    "runtime",
+    "settings",
+    "ports",
+    "budget",
+    "routing",
+    "routes",
+    "membership",
+  ],
+  // The adapter speaks the platform's protocol and decides nothing, so it gets
+  // no package that decides; of the gateway it has only the types.
+  platform: ["core", "ports", "routes", "gateway"],
   bench: ["*"],
   cli: ["*"],
 };
@@ -68,7 +82,9 @@
 ];
 
 const PACKAGES = resolve("packages");
+const ADAPTER = resolve("platform");
 const IMPORT = /(?:from|import)\s+"(\.[^"]+)"/g;
+const VALUE_IMPORT = /^import \{[^}]*\} from "[^"]*gateway\/mod\.ts"/m;
 
 /** One import that breaks a rule. */
 interface BrokenImport {
@@ -85,10 +101,17 @@
   });
 }
 
+/** Returns the package that a file is in, and its path within. */
+function splitPath(file: string): readonly string[] {
+  const inAdapter = relative(ADAPTER, file);
+  return inAdapter.startsWith("..")
+    ? relative(PACKAGES, file).split("/")
+    : ["platform", ...inAdapter.split("/")];
+}
+
 function checkImport(file: string, specifier: string): string | undefined {
-  const from = relative(PACKAGES, file).split("/")[0] ?? "";
-  const path = relative(PACKAGES, resolve(dirname(file), specifier));
-  const [to = "", ...rest] = path.split("/");
+  const [from = ""] = splitPath(file);
+  const [to = "", ...rest] = splitPath(resolve(dirname(file), specifier));
   if (to === from) return undefined;
   if (rest.join("/") !== "mod.ts") return "reaches past the package's mod.ts";
   const layers = LAYERS[from] ?? [];
@@ -100,13 +123,25 @@
 }
 
 function findBrokenImports(): BrokenImport[] {
-  return listSources(PACKAGES).flatMap((file) =>
-    [...readFileSync(file, "utf8").matchAll(IMPORT)].flatMap((match) => {
+  const sources = [PACKAGES, ADAPTER].flatMap(listSources);
+  return sources.flatMap((file) => {
+    const text = readFileSync(file, "utf8");
+    const broken = [...text.matchAll(IMPORT)].flatMap((match) => {
       const target = match[1] ?? "";
       const reason = checkImport(file, target);
       return reason === undefined ? [] : [{ file, target, reason }];
-    })
-  );
+    });
+    return [...broken, ...findAdapterImports(file, text)];
+  });
+}
+
+/** The adapter may know the gateway's types, but call nothing of it. */
+function findAdapterImports(file: string, text: string): BrokenImport[] {
+  const isAdapter = splitPath(file)[0] === "platform";
+  if (!isAdapter || file.endsWith("_test.ts")) return [];
+  const target = VALUE_IMPORT.exec(text)?.[0];
+  if (target === undefined) return [];
+  return [{ file, target, reason: "the adapter takes only types of gateway" }];
 }
 
 const broken = findBrokenImports();
--- a/tools/check_verbs.ts
+++ b/tools/check_verbs.ts
@@ -27,7 +27,8 @@
 }
 
 function findBadNames(verbs: ReadonlySet<string>): string[] {
-  return listSources("packages").flatMap((file) =>
+  const sources = ["packages", "platform"].flatMap(listSources);
+  return sources.flatMap((file) =>
     [...readFileSync(file, "utf8").matchAll(EXPORTED)]
       .map((match) => match[1] ?? "")
       .filter((name) => !verbs.has(/^[a-z]+/.exec(name)?.[0] ?? ""))
