Tell a VM's rate of drawing with its grants; break off answers that are reset

Cause: a VM that serves a whole data centre drew half of a budget and was held to an equal share of it, so its callers were refused in cuts of all VMs. Grants now carry their holder's rate, and a holding is bounded by the VM's part of the fleet's drawing.

--- a/packages/budget/account_test.ts
+++ b/packages/budget/account_test.ts
@@ -190,7 +190,14 @@
   let account = planLastExchange(first.account, createInput(1, 0));
   t.deepEqual(account.exchange?.closes?.map((each) => each.grantId), ["g1"]);
   t.true(reserveTokens(account, { tokens: 1, now: 1 }).isLeft());
-  const result = { size: 0, budgetLeft: 0, limit: 0, closed: 0, holders: 0 };
+  const result = {
+    size: 0,
+    budgetLeft: 0,
+    limit: 0,
+    closed: 0,
+    holders: 0,
+    othersRate: 0,
+  };
   account = receiveExchange(account, { result, deadline: 0 });
   account = settleReservation(account, {
     reservation: first.reservation,
--- a/packages/budget/commands/plan_exchange.ts
+++ b/packages/budget/commands/plan_exchange.ts
@@ -33,6 +33,8 @@
   /** Whether an existing row's limit rises to the initial one; false if absent. */
   readonly raisesLimit?: boolean;
   readonly wallTime: WallTime;
+  /** Tokens a second that this VM draws, told to the others with a take. */
+  readonly drawRate?: number;
   /** Says what to take and to give back; {@link planGrants} if absent. */
   readonly plan?: (account: EventAccount) => GrantPlan;
 }
@@ -124,8 +126,9 @@
   input: ExchangeInput,
   take: { readonly wanted: Tokens; readonly least: Tokens },
 ) {
-  const { grantId, holder, wallTime } = input;
-  return { grantId, holder, wallTime, ...take };
+  const { grantId, holder, wallTime, drawRate } = input;
+  const rate = drawRate === undefined ? {} : { drawRate };
+  return { grantId, holder, wallTime, ...rate, ...take };
 }
 
 function createSettlement(
--- a/packages/budget/holding/draw_meter.ts
+++ b/packages/budget/holding/draw_meter.ts
@@ -26,7 +26,7 @@
     this.#at = now;
   }
 
-  /** Adds tokens that were drawn now. */
+  /** Adds tokens that were drawn now; a negative number takes some back. */
   record(tokens: Tokens, now: MonotonicTime): void {
     this.#sum = this.#computeSum(now) + tokens;
     this.#at = now;
@@ -36,7 +36,8 @@
   computeRate(now: MonotonicTime): number {
     const age = Math.max(LEAST_SPAN, now - this.#startedAt);
     const weight = 1 - Math.exp(-age / WINDOW);
-    return this.#computeSum(now) * MILLIS_PER_SECOND / (WINDOW * weight);
+    const sum = Math.max(0, this.#computeSum(now));
+    return sum * MILLIS_PER_SECOND / (WINDOW * weight);
   }
 
   #computeSum(now: MonotonicTime): number {
--- a/packages/budget/holding/plan_holding.ts
+++ b/packages/budget/holding/plan_holding.ts
@@ -29,6 +29,8 @@
   readonly holders: number;
   /** Drawing by this VM in tokens per second; absent before the first draw. */
   readonly rate?: number;
+  /** Drawing by other VMs in tokens per second, by the row. */
+  readonly othersRate: number;
   /** How long the holding should last without the store. */
   readonly offline: Millis;
 }
@@ -36,8 +38,18 @@
 /** VMs that are provided for before the row shows how many there are. */
 const LEAST_HOLDERS = 6;
 
-/** Part of its share that a VM takes before it knows its rate of drawing. */
-const FIRST_SHARE = 0.5;
+/**
+ * How much more than its part of the fleet's drawing a VM may hold of what is
+ * left. What VMs want for their rates adds up to less than the whole until a
+ * budget nears its end; then nearly all of it should be where it is drawn.
+ */
+const PART_FACTOR = 1.6;
+
+/** Largest part of what is left that one VM holds, whatever it draws. */
+const LARGEST_PART = 0.8;
+
+/** Part of an equal share that a VM takes before it draws. */
+const FIRST_SHARE = 0.6;
 
 /** Usual requests that a holding covers besides what its rate says. */
 const USUAL_REQUESTS = 3;
@@ -55,11 +67,13 @@
 ): Tokens {
   const room = computeAccountRoom(account, input.now);
   const pool = (input.budgetLeft ?? 0) + room;
-  const share = pool / (Math.max(input.holders, LEAST_HOLDERS) + 1);
-  if (input.rate === undefined) return Math.floor(share * FIRST_SHARE);
+  const equal = 1 / (Math.max(input.holders, LEAST_HOLDERS) + 1);
+  if (input.rate === undefined) return Math.floor(pool * equal * FIRST_SHARE);
   const drawn = input.rate * input.offline / MILLIS_PER_SECOND;
   const wanted = drawn + USUAL_REQUESTS * account.usualHold;
-  return Math.floor(Math.min(wanted, share));
+  const part = input.rate / Math.max(1, input.rate + input.othersRate);
+  const most = Math.min(LARGEST_PART, Math.max(equal / 2, part * PART_FACTOR));
+  return Math.floor(Math.min(wanted, pool * most));
 }
 
 /** Plans what to take and what to give back. */
--- a/packages/budget/rows/budget_row.ts
+++ b/packages/budget/rows/budget_row.ts
@@ -16,6 +16,8 @@
   incarnation: z.string(),
   size: TOKENS_SCHEMA,
   takenAt: z.number(),
+  /** Tokens a second that the holder drew when it took the grant. */
+  drawRate: z.number().optional(),
   /** Tokens that borrowers gave back, by transfer id; `size` is without them. */
   returned: z.record(z.string(), TOKENS_SCHEMA).optional(),
   /** Loans whose borrower has accounted for all of them. */
@@ -111,6 +113,18 @@
   return new Set(Object.values(row.grants).map((each) => each.vm)).size;
 }
 
+/** Returns the tokens a second that VMs other than one draw, by their word. */
+export function sumOtherRates(row: BudgetRow, vm: string): number {
+  const newest = new Map<string, GrantEntry>();
+  for (const entry of Object.values(row.grants)) {
+    const known = newest.get(entry.vm);
+    if (entry.vm === vm || entry.takenAt < (known?.takenAt ?? 0)) continue;
+    newest.set(entry.vm, entry);
+  }
+  return [...newest.values()]
+    .reduce((sum, entry) => sum + (entry.drawRate ?? 0), 0);
+}
+
 /** Returns the tokens that can still be granted. */
 export function computeBudgetLeft(row: BudgetRow): Tokens {
   return row.limit - row.closed - computeGranted(row);
--- a/packages/budget/rows/budget_rows_test.ts
+++ b/packages/budget/rows/budget_rows_test.ts
@@ -34,11 +34,17 @@
     size: 60,
     budgetLeft: 40,
     limit: 100,
+    closed: 0,
+    holders: 1,
+    othersRate: 0,
   });
   t.deepEqual(rows.apply(takeGrant("g1", 60)), {
     size: 60,
     budgetLeft: 40,
     limit: 100,
+    closed: 0,
+    holders: 1,
+    othersRate: 0,
   });
   t.is(readLeft(rows), 40);
 });
--- a/packages/budget/rows/exchange_grants.ts
+++ b/packages/budget/rows/exchange_grants.ts
@@ -14,6 +14,7 @@
   countHolders,
   formatBudgetKey,
   readBudgetRow,
+  sumOtherRates,
 } from "./budget_row.ts";
 import {
   applyLimit,
@@ -55,6 +56,8 @@
   readonly closed: Tokens;
   /** VMs that hold grants after this operation. */
   readonly holders: number;
+  /** Tokens a second that VMs other than the one of the take draw. */
+  readonly othersRate: number;
 }
 
 /** Returns the operation that carries out an exchange. */
@@ -85,6 +88,7 @@
           limit: row.limit,
           closed: row.closed,
           holders: countHolders(row),
+          othersRate: sumOtherRates(row, exchange.take?.holder.vm ?? ""),
         },
       };
     },
--- a/packages/budget/rows/row_changes.ts
+++ b/packages/budget/rows/row_changes.ts
@@ -22,6 +22,8 @@
   /** Fewer than this are of no use; then nothing is granted. */
   readonly least: Tokens;
   readonly wallTime: WallTime;
+  /** Tokens a second that the holder draws, for the others to know. */
+  readonly drawRate?: number;
 }
 
 /** A grant that its holder closes. Nothing is reserved from it any more. */
@@ -59,7 +61,8 @@
   if (findEntry(row, take.grantId) !== undefined) return row;
   const size = Math.min(take.wanted, computeBudgetLeft(row));
   if (size < take.least || size <= 0) return row;
-  const entry = { ...take.holder, size, takenAt: take.wallTime };
+  const rate = take.drawRate === undefined ? {} : { drawRate: take.drawRate };
+  const entry = { ...take.holder, size, takenAt: take.wallTime, ...rate };
   return { ...row, grants: { ...row.grants, [take.grantId]: entry } };
 }
 
--- a/packages/gateway/features/customer_budgets.ts
+++ b/packages/gateway/features/customer_budgets.ts
@@ -67,6 +67,9 @@
 /** Longest wait for tokens within a request; one exchange and a conflict. */
 const MAX_TOKEN_WAIT: Millis = 800;
 
+/** Longest time that an exchange takes while the table answers. */
+const USUAL_EXCHANGE: Millis = 800;
+
 /** Time after which tokens that others hold may have come back. */
 const HELD_RETRY_AFTER: Millis = 1_000;
 
@@ -88,6 +91,9 @@
   budgetLeft: Tokens | undefined;
   closed: Tokens;
   holders: number;
+  othersRate: number;
+  /** When the exchange under way was sent. */
+  askedAt: MonotonicTime;
   /** Present from the first draw on. */
   meter: DrawMeter | undefined;
   exchanging: boolean;
@@ -163,7 +169,7 @@
       ? this.#tryReserve(holding, tokens)
       : undefined;
     if (reserved !== undefined) return Promise.resolve(Right(reserved));
-    if (this.#isSpent(holding, tokens)) {
+    if (this.#isSpent(holding, tokens) || this.#computeOutage(holding) > 0) {
       return Promise.resolve(Left(this.#createShort(holding, tokens)));
     }
     const deadline = Math.min(input.deadline, now + MAX_TOKEN_WAIT);
@@ -184,7 +190,8 @@
     this.#context.metrics.tokensSpent.inc(spent);
     const holding = this.#holdings.get(customer);
     if (holding === undefined) return;
-    holding.meter?.record(spent, now);
+    // The rate was counted at the reservation, so that a wave shows at once.
+    holding.meter?.record(spent - reservation.tokens, now);
     this.#serveWaiters(holding);
   }
 
@@ -208,6 +215,8 @@
       budgetLeft: undefined,
       closed: 0,
       holders: 0,
+      othersRate: 0,
+      askedAt: 0,
       meter: undefined,
       exchanging: false,
       waiters: [],
@@ -264,6 +273,7 @@
           },
         }),
     );
+    if (reservation !== undefined) holding.meter?.record(tokens, now);
     return reservation;
   }
 
@@ -279,6 +289,16 @@
     return holding.rowLimit - holding.closed - open < tokens;
   }
 
+  /**
+   * Returns how long the table has not answered about a customer, once that is
+   * longer than an answer takes; waiting for it has no use then.
+   */
+  #computeOutage(holding: Holding): Millis {
+    if (!holding.exchanging) return 0;
+    const silent = this.#context.clock.readMonotonic() - holding.askedAt;
+    return silent > USUAL_EXCHANGE ? silent : 0;
+  }
+
   #createShort(holding: Holding, tokens: Tokens): Refusal {
     const isSpent = this.#isSpent(holding, tokens);
     const account = this.#readAccount(holding.customer);
@@ -295,7 +315,8 @@
     return isSpent
       ? createRefusal(RefusalKind.BudgetSpent)
       : createRefusal(RefusalKind.BudgetUnreachable, {
-        retryAfter: HELD_RETRY_AFTER,
+        // An outage that has lasted so long is likely to last about as long.
+        retryAfter: Math.max(HELD_RETRY_AFTER, this.#computeOutage(holding)),
       });
   }
 
@@ -351,6 +372,7 @@
     );
     if (account.exchange === undefined) return;
     holding.exchanging = true;
+    holding.askedAt = this.#context.clock.readMonotonic();
     const running = this.#runExchange(holding, account.exchange);
     this.#exchanges.add(running);
     void running.finally(() => this.#exchanges.delete(running));
@@ -367,6 +389,7 @@
       ? left
       : left + holding.prepaid - holding.rowLimit;
     const known = budgetLeft === undefined ? holding.prepaid : budgetLeft;
+    const rate = holding.meter?.computeRate(now);
     return {
       now,
       wallTime: clock.readWall(),
@@ -376,16 +399,16 @@
       holder: { vm, incarnation },
       initialLimit: holding.prepaid,
       raisesLimit: true,
+      drawRate: Math.round(rate ?? 0),
       plan: (account) =>
         planHolding(account, {
           now,
           need,
           budgetLeft: known,
           holders: holding.holders,
+          othersRate: holding.othersRate,
           offline: settings.budgets.offlineMillis,
-          ...(holding.meter === undefined
-            ? {}
-            : { rate: holding.meter.computeRate(now) }),
+          ...(rate === undefined ? {} : { rate }),
         }),
     };
   }
@@ -421,6 +444,7 @@
     holding.budgetLeft = result.budgetLeft;
     holding.rowLimit = result.limit;
     holding.closed = result.closed;
+    if (exchange.take !== undefined) holding.othersRate = result.othersRate;
     if (result.holders !== holding.holders) {
       holding.holders = result.holders;
       this.#listenVms(this.countHolders());
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -102,8 +102,14 @@
         () => outgoing.destroy(new Error(`silent for ${input.idleTimeout} ms`)),
       );
     }
-    outgoing.on("error", (error) => fail(describeError(error)));
+    let answer: IncomingMessage | undefined;
+    outgoing.on("error", (error) => {
+      // Node takes an answer without a length for whole when it is reset.
+      answer?.destroy(error);
+      fail(describeError(error));
+    });
     outgoing.on("response", (incoming) => {
+      answer = incoming;
       // A reader that has left must not turn a late error into a crash.
       incoming.on("error", () => {});
       resolve(Right(incoming));
--- a/packages/settings/gateway_settings.ts
+++ b/packages/settings/gateway_settings.ts
@@ -32,7 +32,7 @@
   /** Tokens of customers' budgets. */
   budgets: z.strictObject({
     /** How long a VM that can't reach the store goes on serving. */
-    offlineMillis: MILLIS_SCHEMA.default(10_000),
+    offlineMillis: MILLIS_SCHEMA.default(12_000),
   }).prefault({}),
   retries: z.strictObject({
     /** Second attempts allowed for each request to a service, fleet-wide. */
