Keep standby tokens that come back after a kill; a writer for each budget row

A VM now holds what it may use at once for some seconds, and the rest on standby: it may use that only when it has sent no word to the table for 3.2 s. Its last word then proves what a life that ended soon after can't have used, and the next life of the VM frees it. Cause 2: VMs kept their first holding of customers that never drew there. Cause 3: one transaction for all customers' rows conflicted nearly always for VMs 60 ms from the store, which starved them while in touch.

--- a/packages/budget/account_test.ts
+++ b/packages/budget/account_test.ts
@@ -197,6 +197,7 @@
     closed: 0,
     holders: 0,
     othersRate: 0,
+    standbySize: 0,
   };
   account = receiveExchange(account, { result, deadline: 0 });
   account = settleReservation(account, {
--- a/packages/budget/commands/plan_exchange.ts
+++ b/packages/budget/commands/plan_exchange.ts
@@ -9,7 +9,7 @@
   Tokens,
   WallTime,
 } from "../../core/mod.ts";
-import { PART_SEPARATOR } from "../account.ts";
+import { computeGrantRoom, PART_SEPARATOR } from "../account.ts";
 import type { EventAccount, Grant, VmLife } from "../account.ts";
 import {
   type GrantPlan,
@@ -21,6 +21,7 @@
   GrantExchangeResult,
 } from "../rows/exchange_grants.ts";
 import type { GrantShrink, LoanReturn } from "../rows/row_changes.ts";
+import type { StandbyExchange } from "../standby/standby_changes.ts";
 import { changeGrantSize, closeGrants } from "./close_grants.ts";
 import { receiveGrant } from "./receive_grant.ts";
 
@@ -33,8 +34,12 @@
   /** Whether an existing row's limit rises to the initial one; false if absent. */
   readonly raisesLimit?: boolean;
   readonly wallTime: WallTime;
-  /** Tokens a second that this VM draws, told to the others with a take. */
+  /** Tokens a second that this VM draws; absent where VMs don't tell. */
   readonly drawRate?: number;
+  /** The unused standby grant, which a planned stop gives back. */
+  readonly heldStandby?: string;
+  /** Standby grants whose use has begun and that the table doesn't know of. */
+  readonly usedStandby?: readonly string[];
   /** Says what to take and to give back; {@link planGrants} if absent. */
   readonly plan?: (account: EventAccount) => GrantPlan;
 }
@@ -69,6 +74,7 @@
     ...createSettlement(account.eventId, input, closes),
     shrinks,
     ...(plan.take === undefined ? {} : { take: createTake(input, plan.take) }),
+    ...createStandby(input, plan.standby ?? {}),
   };
   return hasWork(exchange) ? { ...changed, exchange } : changed;
 }
@@ -98,15 +104,37 @@
   });
 }
 
-/** Plans the return of everything that is not reserved, for a planned stop. */
+/**
+ * Plans the return of everything that is not reserved, for a planned stop:
+ * grants without reservations are closed and the others are lowered.
+ */
 export function planLastExchange(
   account: EventAccount,
   input: ExchangeInput,
 ): EventAccount {
   if (account.exchange !== undefined) return account;
-  const stopped = closeGrants(account, account.grants.map((each) => each.id));
+  let stopped = closeGrants(account, account.grants.map((each) => each.id));
   const idle = stopped.grants.filter((grant) => grant.reserved === 0);
-  const exchange = createSettlement(account.eventId, input, idle);
+  const { heldStandby: drop } = input;
+  const standby = createStandby(input, {
+    ...(drop === undefined ? {} : { drop }),
+  });
+  const shrinks = stopped.grants
+    .filter((grant) => grant.reserved > 0 && computeGrantRoom(grant) > 0)
+    .filter((grant) => grant.lenderGrantId === undefined)
+    .map((grant) => ({
+      grantId: grant.id,
+      returned: computeGrantRoom(grant),
+      size: grant.size - computeGrantRoom(grant),
+    }));
+  for (const { grantId, returned } of shrinks) {
+    stopped = changeGrantSize(stopped, { grantId, returned, now: input.now });
+  }
+  const exchange = {
+    ...createSettlement(account.eventId, input, idle),
+    shrinks: shrinks.map(({ grantId, size }) => ({ grantId, size })),
+    ...standby,
+  };
   return hasWork(exchange) ? { ...stopped, exchange } : stopped;
 }
 
@@ -126,9 +154,31 @@
   input: ExchangeInput,
   take: { readonly wanted: Tokens; readonly least: Tokens },
 ) {
-  const { grantId, holder, wallTime, drawRate } = input;
-  const rate = drawRate === undefined ? {} : { drawRate };
-  return { grantId, holder, wallTime, ...rate, ...take };
+  const { grantId, holder, wallTime } = input;
+  return { grantId, holder, wallTime, ...take };
+}
+
+/** The names of standby grants are those of their exchange with a mark. */
+const STANDBY_MARK = "s";
+
+function createStandby(
+  input: ExchangeInput,
+  plan: NonNullable<GrantPlan["standby"]>,
+): { standby?: StandbyExchange } {
+  const used = input.usedStandby ?? [];
+  const { drop, take } = plan;
+  if (used.length === 0 && drop === undefined && take === undefined) return {};
+  const { holder, wallTime } = input;
+  const grantId = `${input.grantId}${STANDBY_MARK}`;
+  return {
+    standby: {
+      used,
+      ...(drop === undefined ? {} : { drop }),
+      ...(take === undefined
+        ? {}
+        : { take: { grantId, holder, wallTime, wanted: take } }),
+    },
+  };
 }
 
 function createSettlement(
@@ -142,6 +192,9 @@
     id: input.grantId,
     initialLimit: input.initialLimit,
     ...(input.raisesLimit === true ? { raisesLimit: true } : {}),
+    ...(input.drawRate === undefined
+      ? {}
+      : { rate: { vm: input.holder.vm, rate: input.drawRate } }),
     closes: own.map(({ id, spent, loans }) => ({ grantId: id, spent, loans })),
     returns: grants.flatMap(createReturn),
   };
@@ -155,6 +208,7 @@
 }
 
 function hasWork(exchange: GrantExchange): boolean {
-  return exchange.take !== undefined || (exchange.closes ?? []).length > 0 ||
+  return exchange.take !== undefined || exchange.standby !== undefined ||
+    (exchange.closes ?? []).length > 0 ||
     (exchange.returns ?? []).length > 0 || (exchange.shrinks ?? []).length > 0;
 }
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -35,8 +35,12 @@
 export { reserveTokens } from "./commands/reserve_tokens.ts";
 export { settleReservation } from "./commands/settle_reservation.ts";
 export { DrawMeter } from "./holding/draw_meter.ts";
-export type { HoldingInput } from "./holding/plan_holding.ts";
-export { computeHoldingTarget, planHolding } from "./holding/plan_holding.ts";
+export type {
+  HoldingInput,
+  HoldingTargets,
+  StandbyHolding,
+} from "./holding/plan_holding.ts";
+export { computeHoldingTargets, planHolding } from "./holding/plan_holding.ts";
 export { computeRates, RATE_WINDOW } from "./draw_rate.ts";
 export type { LoanPlan } from "./loans/borrow_tokens.ts";
 export {
@@ -112,3 +116,17 @@
   WriteOffResult,
 } from "./rows/write_off.ts";
 export { createWriteOff, LossEvidenceKind } from "./rows/write_off.ts";
+export type { EndedLives } from "./standby/end_earlier_lives.ts";
+export { createEndEarlierLives } from "./standby/end_earlier_lives.ts";
+export type { LifeEnd, Presence, TableTime } from "./standby/presence_row.ts";
+export {
+  createPresenceWrite,
+  findUntouchedLife,
+  formatPresenceKey,
+  parsePresence,
+  STANDBY_DELAY,
+} from "./standby/presence_row.ts";
+export type {
+  StandbyExchange,
+  StandbyTake,
+} from "./standby/standby_changes.ts";
--- a/packages/budget/queries/plan_grants.ts
+++ b/packages/budget/queries/plan_grants.ts
@@ -41,6 +41,8 @@
   readonly close: readonly Grant[];
   /** Unused tokens to give back; the account must be changed first. */
   readonly giveBack: readonly GiveBack[];
+  /** Standby tokens to give back whole or to take; absent for no change. */
+  readonly standby?: { readonly drop?: string; readonly take?: Tokens };
 }
 
 /** Unreserved tokens of one grant to give back. */
--- a/packages/budget/rows/budget_row.ts
+++ b/packages/budget/rows/budget_row.ts
@@ -16,8 +16,8 @@
   incarnation: z.string(),
   size: TOKENS_SCHEMA,
   takenAt: z.number(),
-  /** Tokens a second that the holder drew when it took the grant. */
-  drawRate: z.number().optional(),
+  /** Whether the holder may not use it yet; see presence rows. */
+  standby: z.boolean().optional(),
   /** Tokens that borrowers gave back, by transfer id; `size` is without them. */
   returned: z.record(z.string(), TOKENS_SCHEMA).optional(),
   /** Loans whose borrower has accounted for all of them. */
@@ -41,6 +41,8 @@
   limit: TOKENS_SCHEMA,
   closed: TOKENS_SCHEMA,
   grants: z.record(z.string(), GRANT_SCHEMA),
+  /** Tokens a second that each VM last said it draws. */
+  rates: z.record(z.string(), z.number()).optional(),
   /** Loans that are out although the lender's grant is closed, by grant and transfer id. */
   loans: z.record(z.string(), LOAN_SCHEMA).optional(),
   /** Tokens lost with VMs and not accounted for, in all. */
@@ -114,15 +116,10 @@
 }
 
 /** Returns the tokens a second that VMs other than one draw, by their word. */
-export function sumOtherRates(row: BudgetRow, vm: string): number {
-  const newest = new Map<string, GrantEntry>();
-  for (const entry of Object.values(row.grants)) {
-    const known = newest.get(entry.vm);
-    if (entry.vm === vm || entry.takenAt < (known?.takenAt ?? 0)) continue;
-    newest.set(entry.vm, entry);
-  }
-  return [...newest.values()]
-    .reduce((sum, entry) => sum + (entry.drawRate ?? 0), 0);
+export function sumOtherRates(row: BudgetRow, vm: string | undefined): number {
+  return Object.entries(row.rates ?? {})
+    .filter(([each]) => each !== vm)
+    .reduce((sum, [, rate]) => sum + rate, 0);
 }
 
 /** Returns the tokens that can still be granted. */
--- a/packages/budget/rows/budget_rows_test.ts
+++ b/packages/budget/rows/budget_rows_test.ts
@@ -37,6 +37,7 @@
     closed: 0,
     holders: 1,
     othersRate: 0,
+    standbySize: 0,
   });
   t.deepEqual(rows.apply(takeGrant("g1", 60)), {
     size: 60,
@@ -45,6 +46,7 @@
     closed: 0,
     holders: 1,
     othersRate: 0,
+    standbySize: 0,
   });
   t.is(readLeft(rows), 40);
 });
--- a/packages/budget/rows/exchange_grants.ts
+++ b/packages/budget/rows/exchange_grants.ts
@@ -16,6 +16,11 @@
   readBudgetRow,
   sumOtherRates,
 } from "./budget_row.ts";
+import {
+  applyStandbyReturn,
+  applyStandbyTake,
+  type StandbyExchange,
+} from "../standby/standby_changes.ts";
 import {
   applyLimit,
   closeEntry,
@@ -24,6 +29,8 @@
   type GrantShrink,
   type GrantTake,
   type LoanReturn,
+  type RateWord,
+  recordRate,
   returnLoan,
   shrinkEntry,
   takeEntry,
@@ -41,14 +48,19 @@
   readonly closes?: readonly GrantClose[];
   readonly returns?: readonly LoanReturn[];
   readonly shrinks?: readonly GrantShrink[];
-  /** Applied last, so that it can have what the others gave back. */
+  /** Applied after these, so that it can have what they gave back. */
   readonly take?: GrantTake;
+  readonly standby?: StandbyExchange;
+  /** What the VM says of its drawing; absent where VMs don't tell. */
+  readonly rate?: RateWord;
 }
 
 /** What became of an exchange. Its closes, returns and shrinks always hold. */
 export interface GrantExchangeResult {
   /** Tokens granted; 0 when none were asked for or the least was not there. */
   readonly size: Tokens;
+  /** Standby tokens granted. */
+  readonly standbySize: Tokens;
   /** Tokens left to grant after this operation. */
   readonly budgetLeft: Tokens;
   readonly limit: Tokens;
@@ -56,7 +68,7 @@
   readonly closed: Tokens;
   /** VMs that hold grants after this operation. */
   readonly holders: number;
-  /** Tokens a second that VMs other than the one of the take draw. */
+  /** Tokens a second that VMs other than the exchange's draw. */
   readonly othersRate: number;
 }
 
@@ -74,21 +86,28 @@
       if (exchange.raisesLimit === true) {
         row = applyLimit(row, exchange.initialLimit);
       }
+      row = applyStandbyReturn(row, exchange.standby ?? {});
       for (const close of exchange.closes ?? []) row = closeEntry(row, close);
       for (const loan of exchange.returns ?? []) row = returnLoan(row, loan);
       for (const each of exchange.shrinks ?? []) row = shrinkEntry(row, each);
       if (exchange.take !== undefined) row = takeEntry(row, exchange.take);
+      row = applyStandbyTake(row, exchange.standby?.take);
+      if (row !== before && exchange.rate !== undefined) {
+        row = recordRate(row, exchange.rate);
+      }
       const taken = findEntry(row, exchange.take?.grantId ?? "");
       const value: JsonValue = { ...row };
       return {
         writes: row === before ? [] : [{ key, value }],
         result: {
           size: taken?.size ?? 0,
+          standbySize:
+            findEntry(row, exchange.standby?.take?.grantId ?? "")?.size ?? 0,
           budgetLeft: computeBudgetLeft(row),
           limit: row.limit,
           closed: row.closed,
           holders: countHolders(row),
-          othersRate: sumOtherRates(row, exchange.take?.holder.vm ?? ""),
+          othersRate: sumOtherRates(row, exchange.rate?.vm),
         },
       };
     },
--- a/packages/budget/rows/row_changes.ts
+++ b/packages/budget/rows/row_changes.ts
@@ -3,7 +3,7 @@
  * change has taken effect already or has nothing to act on, which makes the
  * operations built from them idempotent.
  */
-import type { Tokens, WallTime } from "../../core/mod.ts";
+import type { Tokens, VmId, WallTime } from "../../core/mod.ts";
 import { type LoanOut, PART_SEPARATOR, type VmLife } from "../account.ts";
 import {
   type BudgetRow,
@@ -22,8 +22,13 @@
   /** Fewer than this are of no use; then nothing is granted. */
   readonly least: Tokens;
   readonly wallTime: WallTime;
-  /** Tokens a second that the holder draws, for the others to know. */
-  readonly drawRate?: number;
+}
+
+/** What a VM says of its drawing, for the others to know. */
+export interface RateWord {
+  readonly vm: VmId;
+  /** Tokens a second; 0 takes the VM off the row. */
+  readonly rate: number;
 }
 
 /** A grant that its holder closes. Nothing is reserved from it any more. */
@@ -56,13 +61,19 @@
   return limit > row.limit ? { ...row, limit } : row;
 }
 
+/** Records a VM's rate, in a row that is written anyway. */
+export function recordRate(row: BudgetRow, word: RateWord): BudgetRow {
+  const rates = removeKey(row.rates ?? {}, word.vm);
+  if (word.rate <= 0) return { ...row, rates };
+  return { ...row, rates: { ...rates, [word.vm]: word.rate } };
+}
+
 /** Adds a grant; grants less than wanted near the end of the budget. */
 export function takeEntry(row: BudgetRow, take: GrantTake): BudgetRow {
   if (findEntry(row, take.grantId) !== undefined) return row;
   const size = Math.min(take.wanted, computeBudgetLeft(row));
   if (size < take.least || size <= 0) return row;
-  const rate = take.drawRate === undefined ? {} : { drawRate: take.drawRate };
-  const entry = { ...take.holder, size, takenAt: take.wallTime, ...rate };
+  const entry = { ...take.holder, size, takenAt: take.wallTime };
   return { ...row, grants: { ...row.grants, [take.grantId]: entry } };
 }
 
--- a/packages/budget/rows/write_off.ts
+++ b/packages/budget/rows/write_off.ts
@@ -88,7 +88,7 @@
     keys: [key],
     decide(rows) {
       const before = readBudgetRow(rows, input);
-      const row = writeOff(before, evidence, input.wallTime);
+      const row = writeOffLives(before, evidence, input.wallTime);
       const total = row.writtenOff ?? 0;
       const value: JsonValue = { ...row };
       return {
@@ -99,7 +99,8 @@
   });
 }
 
-function writeOff(
+/** Returns the row with the grants and loans of lives that are over written off. */
+export function writeOffLives(
   row: BudgetRow,
   evidence: LossEvidence,
   wallTime: WallTime,
--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -12,7 +12,7 @@
   TargetId,
   Tokens,
 } from "../core/mod.ts";
-import type { FeedPort, TablePort } from "../ports/mod.ts";
+import type { FeedPort, RowPort } from "../ports/mod.ts";
 import type { RouteConfiguration } from "../routes/mod.ts";
 
 /** Names and values in turn, as they are on the wire. */
@@ -118,7 +118,8 @@
   ): HeaderList;
   readonly configurations: FeedPort<RouteConfiguration>;
   readonly targets: FeedPort<ListedTarget>;
-  readonly table: TablePort;
+  /** Rows of the gateway's own; one transaction changes one row. */
+  readonly table: RowPort;
 }
 
 /** When a request came and when it must be answered. */
--- a/packages/gateway/entry/caller_face.ts
+++ b/packages/gateway/entry/caller_face.ts
@@ -327,6 +327,7 @@
       version: call.configurationVersion,
       targets: progress.tried.join(","),
       runs: progress.runs,
+      tokens: computeUsedTokens(call, progress),
       events: progress.events,
       outcome,
       status: end?.status,
--- a/packages/gateway/features/customer_budgets.ts
+++ b/packages/gateway/features/customer_budgets.ts
@@ -6,23 +6,25 @@
 import {
   computeAccountRoom,
   computeReserved,
+  createEndEarlierLives,
   createEventAccount,
   createGrantExchange,
-  createWriteOff,
   DrawMeter,
   type EventAccount,
   type ExchangeInput,
   GRANT_TERM,
   type GrantExchange,
   type GrantExchangeResult,
-  LossEvidenceKind,
   planExchange,
   planHolding,
   planLastExchange,
   receiveExchange,
+  receiveGrant,
   type Reservation,
   reserveTokens,
   settleReservation,
+  STANDBY_DELAY,
+  type StandbyHolding,
 } from "../../budget/mod.ts";
 import {
   BudgetLean,
@@ -38,6 +40,7 @@
   type Tokens,
   type Undo,
 } from "../../core/mod.ts";
+import { StoreWriter } from "../../ports/mod.ts";
 import type { RouteConfiguration, RoutedCustomer } from "../../routes/mod.ts";
 import {
   createFailureReport,
@@ -46,6 +49,7 @@
   startPeriodic,
 } from "../../runtime/mod.ts";
 import type { GatewayContext } from "../gateway_context.ts";
+import { PRESENCE_INTERVAL, PresenceKeeper } from "./presence_keeper.ts";
 
 /** Accounts by customer; a budget row is named like its customer. */
 const ACCOUNTS: SliceType<Map<CustomerId, EventAccount>> = {
@@ -64,9 +68,18 @@
 /** Pause between two looks at all holdings; refills of customers go together. */
 const VISIT_INTERVAL: Millis = 400;
 
+/** Time that a refill takes at the longest while the table answers. */
+const REFILL_TIME: Millis = 700;
+
 /** Longest wait for tokens within a request; one exchange and a conflict. */
 const MAX_TOKEN_WAIT: Millis = 800;
 
+/** Time from the first draw until it shows which customers draw here. */
+const SETTLING_TIME: Millis = 3_000;
+
+/** Longest pause between tries: tokens run out while the table is away. */
+const LONGEST_BACKOFF: Millis = 400;
+
 /** Longest time that an exchange takes while the table answers. */
 const USUAL_EXCHANGE: Millis = 800;
 
@@ -85,6 +98,8 @@
 /** What is known of one customer's budget besides the account. */
 interface Holding {
   readonly customer: CustomerId;
+  /** Of the budget's one row: customers' rows don't wait for each other. */
+  readonly writer: StoreWriter;
   prepaid: Tokens;
   /** The limit that the row is known to have. */
   rowLimit: Tokens;
@@ -92,6 +107,10 @@
   closed: Tokens;
   holders: number;
   othersRate: number;
+  /** Tokens that wait for a time without the table. */
+  standby: StandbyHolding | undefined;
+  /** Standby grants in use of which the table doesn't know. */
+  usedStandby: readonly string[];
   /** When the exchange under way was sent. */
   askedAt: MonotonicTime;
   /** Present from the first draw on. */
@@ -103,14 +122,19 @@
 /** Reserves and settles tokens of customers. */
 export class CustomerBudgets {
   readonly #context: GatewayContext;
+  readonly #presence: PresenceKeeper;
   readonly #holdings = new Map<CustomerId, Holding>();
   readonly #exchanges = new Set<Promise<void>>();
   #exchangeNumber = 0;
+  #firstDraw: MonotonicTime | undefined;
   #isStopping = false;
   #listenVms: (count: number) => void = () => {};
 
   constructor(context: GatewayContext) {
     this.#context = context;
+    this.#presence = new PresenceKeeper(context, {
+      mayConfirm: () => !this.#hasUntoldStandby(),
+    });
   }
 
   /** Registers the command, the dump and the periodic refills. */
@@ -134,6 +158,7 @@
         return after;
       }),
       kernel.registerDump("budgets", () => this.#describe()),
+      this.#presence.register(),
       periodic.stop,
     ]);
   }
@@ -165,8 +190,10 @@
     const { tokens } = input;
     const now = this.#context.clock.readMonotonic();
     holding.meter ??= new DrawMeter(now);
+    this.#firstDraw ??= now;
     const reserved = holding.waiters.length === 0
-      ? this.#tryReserve(holding, tokens)
+      ? this.#tryReserve(holding, tokens) ??
+        this.#reserveFromStandby(holding, tokens)
       : undefined;
     if (reserved !== undefined) return Promise.resolve(Right(reserved));
     if (this.#isSpent(holding, tokens) || this.#computeOutage(holding) > 0) {
@@ -203,6 +230,7 @@
       this.#startExchange(holding, planLastExchange);
     }
     await Promise.all([...this.#exchanges]);
+    for (const { writer } of this.#holdings.values()) writer.close();
   }
 
   #readHolding(customer: RoutedCustomer): Holding {
@@ -210,43 +238,58 @@
     if (known !== undefined) return known;
     const holding: Holding = {
       customer: customer.id,
+      writer: this.#createWriter(),
       prepaid: customer.prepaid ?? 0,
       rowLimit: 0,
       budgetLeft: undefined,
       closed: 0,
       holders: 0,
       othersRate: 0,
+      standby: undefined,
+      usedStandby: [],
       askedAt: 0,
       meter: undefined,
       exchanging: false,
       waiters: [],
     };
     this.#holdings.set(customer.id, holding);
-    this.#writeOffEarlierLives(holding);
+    void this.#endEarlierLives(holding);
     return holding;
   }
 
-  /** What earlier lives of this VM held is gone with their memory. */
-  #writeOffEarlierLives(holding: Holding): void {
-    const { writer, vm, incarnation, clock, log } = this.#context;
-    createWriteOff({
+  #createWriter(): StoreWriter {
+    const { dialect, clock, random } = this.#context;
+    return new StoreWriter({
+      table: dialect.table,
+      clock,
+      random,
+      sleep: (duration) => new Promise((done) => setTimeout(done, duration)),
+      groupDelay: 0,
+      longestBackoff: LONGEST_BACKOFF,
+    });
+  }
+
+  /** Frees what earlier lives of this VM can't have used and ends the rest. */
+  async #endEarlierLives(holding: Holding): Promise<void> {
+    const { vm, incarnation, clock, log } = this.#context;
+    const untouched = await this.#presence.findUntouchedLife();
+    const operation = createEndEarlierLives({
       eventId: holding.customer,
-      evidence: { kind: LossEvidenceKind.LaterLife, vm, incarnation },
+      vm,
+      incarnation,
+      untouched,
       initialLimit: holding.prepaid,
       wallTime: clock.readWall(),
-    }).caseOf({
-      Left: (weak) => log.error(LogEvent.StoreFailed, { reason: weak.message }),
-      Right: (operation) => {
-        void writer.run(operation, { giveUpAt: Infinity }).then((answer) =>
-          answer.ifRight(({ tokens }) => {
-            if (tokens === 0) return;
-            log.warn(LogEvent.GrantExchanged, {
-              customer: holding.customer,
-              written_off: tokens,
-            });
-          })
-        );
-      },
+    });
+    const answer = await holding.writer.run(operation, { giveUpAt: Infinity });
+    answer.ifRight(({ freed, writtenOff }) => {
+      if (freed + writtenOff === 0) return;
+      log.warn(LogEvent.GrantWrittenOff, {
+        customer: holding.customer,
+        written_off: writtenOff,
+        freed,
+        life: untouched,
+      });
     });
   }
 
@@ -277,6 +320,37 @@
     return reservation;
   }
 
+  /** Begins to use the standby tokens when the table was away for long enough. */
+  #reserveFromStandby(
+    holding: Holding,
+    tokens: Tokens,
+  ): Reservation | undefined {
+    const { standby } = holding;
+    if (standby === undefined || !this.#presence.mayUseStandby()) {
+      return undefined;
+    }
+    holding.standby = undefined;
+    holding.usedStandby = [...holding.usedStandby, standby.grantId];
+    const now = this.#context.clock.readMonotonic();
+    const deadline = now + GRANT_TERM;
+    this.#change(
+      holding.customer,
+      (account) => receiveGrant(account, { ...standby, deadline }),
+    );
+    this.#context.log.info(LogEvent.StandbyUsed, {
+      customer: holding.customer,
+      grant: standby.grantId,
+      size: standby.size,
+      away_ms: Math.round(this.#presence.computeSilence()),
+    });
+    return this.#tryReserve(holding, tokens);
+  }
+
+  #hasUntoldStandby(): boolean {
+    return [...this.#holdings.values()]
+      .some((each) => each.usedStandby.length > 0);
+  }
+
   /**
    * Whether not even all tokens that other VMs may hold unspent would cover a
    * request. What this life has spent and what is closed can't come back.
@@ -371,6 +445,9 @@
       (before) => plan(before, input),
     );
     if (account.exchange === undefined) return;
+    // From here on the table may count a dropped standby grant as free.
+    const { drop } = account.exchange.standby ?? {};
+    if (drop === holding.standby?.grantId) holding.standby = undefined;
     holding.exchanging = true;
     holding.askedAt = this.#context.clock.readMonotonic();
     const running = this.#runExchange(holding, account.exchange);
@@ -399,25 +476,32 @@
       holder: { vm, incarnation },
       initialLimit: holding.prepaid,
       raisesLimit: true,
-      drawRate: Math.round(rate ?? 0),
+      drawRate: this.#isStopping ? 0 : Math.round(rate ?? 0),
+      usedStandby: holding.usedStandby,
+      ...(holding.standby === undefined
+        ? {}
+        : { heldStandby: holding.standby.grantId }),
       plan: (account) =>
         planHolding(account, {
           now,
           need,
           budgetLeft: known,
           holders: holding.holders,
+          isTrafficOn: now - (this.#firstDraw ?? now) > SETTLING_TIME,
           othersRate: holding.othersRate,
           offline: settings.budgets.offlineMillis,
+          active: STANDBY_DELAY + PRESENCE_INTERVAL + REFILL_TIME,
+          standby: holding.standby,
           ...(rate === undefined ? {} : { rate }),
         }),
     };
   }
 
   async #runExchange(holding: Holding, exchange: GrantExchange): Promise<void> {
-    const { writer, clock, log } = this.#context;
+    const { clock, log } = this.#context;
     const askedAt = clock.readMonotonic();
     // The table may apply it after any time, so it is never abandoned.
-    const answer = await writer.run(createGrantExchange(exchange), {
+    const answer = await holding.writer.run(createGrantExchange(exchange), {
       giveUpAt: Infinity,
     });
     holding.exchanging = false;
@@ -444,7 +528,8 @@
     holding.budgetLeft = result.budgetLeft;
     holding.rowLimit = result.limit;
     holding.closed = result.closed;
-    if (exchange.take !== undefined) holding.othersRate = result.othersRate;
+    this.#receiveStandby(holding, input);
+    holding.othersRate = result.othersRate;
     if (result.holders !== holding.holders) {
       holding.holders = result.holders;
       this.#listenVms(this.countHolders());
@@ -459,6 +544,21 @@
     this.#refuseHopeless(holding);
   }
 
+  #receiveStandby(
+    holding: Holding,
+    input: {
+      readonly exchange: GrantExchange;
+      readonly result: GrantExchangeResult;
+    },
+  ): void {
+    const { used = [], take } = input.exchange.standby ?? {};
+    holding.usedStandby = holding.usedStandby
+      .filter((each) => !used.includes(each));
+    const size = input.result.standbySize;
+    if (take === undefined || size === 0) return;
+    holding.standby = { grantId: take.grantId, size };
+  }
+
   #logExchange(
     holding: Holding,
     input: {
@@ -467,13 +567,21 @@
     },
   ): void {
     const { exchange, result } = input;
-    const { log, metrics } = this.#context;
+    const { log, metrics, clock } = this.#context;
     if (result.size > 0) metrics.grantsTaken.inc();
+    const account = this.#readAccount(holding.customer);
+    const now = clock.readMonotonic();
     log.info(LogEvent.GrantExchanged, {
       customer: holding.customer,
       exchange: exchange.id,
+      rate: Math.round(holding.meter?.computeRate(now) ?? 0),
+      others_rate: holding.othersRate,
+      room: computeAccountRoom(account, now),
+      reserved: computeReserved(account),
+      held_standby: holding.standby?.size ?? 0,
       wanted: exchange.take?.wanted,
       size: result.size,
+      standby: result.standbySize,
       closed_grants: exchange.closes?.length ?? 0,
       lowered: exchange.shrinks?.length ?? 0,
       budget_left: result.budgetLeft,
@@ -514,6 +622,7 @@
         rate: Math.round(each.meter?.computeRate(now) ?? 0),
         room: computeAccountRoom(account, now),
         reserved: computeReserved(account),
+        standby: each.standby?.size ?? 0,
         waiting: each.waiters.length,
       };
     });
--- /dev/null
+++ b/packages/gateway/features/presence_keeper.ts
@@ -0,0 +1,143 @@
+/**
+ * Tells the table that this life of the VM is there, and decides when standby
+ * tokens may be used: only after a time in which nothing was sent, so that the
+ * table's last word of a life proves what that life can't have used.
+ */
+import type {
+  Incarnation,
+  Millis,
+  MonotonicTime,
+  PlatformError,
+  Row,
+  Undo,
+} from "../../core/mod.ts";
+import {
+  createPresenceWrite,
+  findUntouchedLife,
+  formatPresenceKey,
+  parsePresence,
+  STANDBY_DELAY,
+  type TableTime,
+} from "../../budget/mod.ts";
+import type { TransactionAnswer } from "../../ports/mod.ts";
+import { createFailureReport, startPeriodic } from "../../runtime/mod.ts";
+import type { GatewayContext } from "../gateway_context.ts";
+
+/** Pause between two words; a life's end is known this much less closely. */
+export const PRESENCE_INTERVAL: Millis = 600;
+
+/** What the keeper needs to know of the tokens. */
+export interface PresenceOptions {
+  /** Whether the table knows of all standby tokens that are in use. */
+  mayConfirm(): boolean;
+}
+
+/** Keeps this VM's presence row. */
+export class PresenceKeeper {
+  readonly #context: GatewayContext;
+  readonly #options: PresenceOptions;
+  readonly #earlier: Promise<Incarnation | undefined>;
+  #resolveEarlier: (life: Incarnation | undefined) => void = () => {};
+  #hasRead = false;
+  /** Version of the row; undefined while it isn't known. */
+  #version: number | undefined;
+  #lastSent: MonotonicTime | undefined;
+
+  constructor(context: GatewayContext, options: PresenceOptions) {
+    this.#context = context;
+    this.#options = options;
+    this.#earlier = new Promise((resolve) => (this.#resolveEarlier = resolve));
+  }
+
+  /** Starts to tell. */
+  register(): Undo {
+    const { random, log } = this.#context;
+    return startPeriodic({
+      interval: PRESENCE_INTERVAL,
+      random,
+      run: () => this.#takeTurn(),
+      reportError: createFailureReport(log, "presence"),
+    }).stop;
+  }
+
+  /**
+   * Resolves with the earlier life that can't have used its standby tokens, or
+   * undefined, once the table has told what that life last said.
+   */
+  findUntouchedLife(): Promise<Incarnation | undefined> {
+    return this.#earlier;
+  }
+
+  /** Whether standby tokens may be used now. */
+  mayUseStandby(): boolean {
+    return this.computeSilence() >= STANDBY_DELAY;
+  }
+
+  /** Returns how long nothing was sent. */
+  computeSilence(): Millis {
+    if (this.#lastSent === undefined) return 0;
+    return this.#context.clock.readMonotonic() - this.#lastSent;
+  }
+
+  async #takeTurn(): Promise<void> {
+    // While an answer is missing only a read may go out: it changes nothing.
+    if (this.#version === undefined && !await this.#readRow()) return;
+    if (!this.#options.mayConfirm()) return;
+    await this.#confirm();
+  }
+
+  async #readRow(): Promise<boolean> {
+    const { dialect, vm } = this.#context;
+    const answer = await dialect.table.read([formatPresenceKey(vm)]);
+    if (answer.isLeft()) return false;
+    const [row] = answer.extract() as readonly Row[];
+    this.#version = row?.version ?? 0;
+    if (!this.#hasRead) {
+      this.#hasRead = true;
+      this.#resolveEarlier(this.#judgeEarlier(row));
+    }
+    return true;
+  }
+
+  #judgeEarlier(row: Row | undefined): Incarnation | undefined {
+    const presence = row === undefined ? undefined : parsePresence(row.value);
+    const reading = this.#context.dialect.table.readTime?.();
+    if (presence === undefined || reading === undefined) return undefined;
+    return findUntouchedLife({
+      presence,
+      address: this.#context.settings.callers,
+      // The process's monotonic clock began with it.
+      startedBy: reading.time - reading.sentAt,
+    });
+  }
+
+  async #confirm(): Promise<void> {
+    const { dialect, vm, incarnation, clock, settings } = this.#context;
+    const presentAt = this.#computePresentAt();
+    if (presentAt === undefined || this.#version === undefined) return;
+    const key = formatPresenceKey(vm);
+    const address = settings.callers;
+    this.#lastSent = clock.readMonotonic();
+    const answer = await dialect.table.transact({
+      checks: [{ key, version: this.#version }],
+      writes: [createPresenceWrite(vm, { incarnation, address, presentAt })],
+    });
+    this.#version = answer.caseOf<number | undefined>({
+      Left: (_error: PlatformError) => undefined,
+      Right: findVersion,
+    });
+  }
+
+  /** Returns a time of the table's clock that has certainly come. */
+  #computePresentAt(): TableTime | undefined {
+    const reading = this.#context.dialect.table.readTime?.();
+    if (reading === undefined) return undefined;
+    const since = this.#context.clock.readMonotonic() - reading.receivedAt;
+    return reading.time + Math.max(0, since);
+  }
+}
+
+/** The new version, or undefined when the row must be read again. */
+function findVersion(answer: TransactionAnswer): number | undefined {
+  return answer.committed ? answer.version : undefined;
+}
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -12,7 +12,7 @@
   type Undo,
 } from "../core/mod.ts";
 import { computeIncarnation } from "../membership/mod.ts";
-import { ConnectionPools, StoreWriter } from "../ports/mod.ts";
+import { ConnectionPools } from "../ports/mod.ts";
 import { RetryBudgets } from "../routing/mod.ts";
 import { createEventLog, type EventLog, LogEvent } from "../runtime/mod.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
@@ -39,9 +39,6 @@
 /** Bytes of chance in an incarnation. */
 const SALT_BYTES = 4;
 
-/** How long store operations of different customers wait for each other. */
-const GROUP_DELAY: Millis = 10;
-
 /**
  * Time after the stop signal until the listener closes: the balancer asks once
  * a second and sends no new connections after two misses.
@@ -163,7 +160,6 @@
     }
     await Promise.race([this.#budgets.returnAll(), sleep(LAST_TIME / 2)]);
     this.#undo();
-    this.#context.writer.close();
     for (const server of this.#servers) server.close();
     log.info(LogEvent.Stopped, {
       open: this.#callers.open,
@@ -204,13 +200,6 @@
     kernel: new Kernel(),
     clock,
     random: Math.random,
-    writer: new StoreWriter({
-      table: dialect.table,
-      clock,
-      random: Math.random,
-      sleep,
-      groupDelay: GROUP_DELAY,
-    }),
     log: options.log ?? createEventLog(settings.logLevel),
     metrics: createGatewayMetrics(),
   };
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -7,7 +7,6 @@
   RegionId,
   VmId,
 } from "../core/mod.ts";
-import type { StoreWriter } from "../ports/mod.ts";
 import type { EventLog } from "../runtime/mod.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
 import type { Dialect } from "./dialect.ts";
@@ -24,7 +23,6 @@
   readonly kernel: Kernel;
   readonly clock: Clock;
   readonly random: RandomSource;
-  readonly writer: StoreWriter;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
 }
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -2,6 +2,8 @@
 export type {
   RowCheck,
   RowPage,
+  RowPort,
+  ServiceTime,
   TablePort,
   TableTransaction,
   TransactionAnswer,
--- a/packages/ports/store_writer.ts
+++ b/packages/ports/store_writer.ts
@@ -27,7 +27,7 @@
 import {
   MAX_TRANSACTION_ROWS,
   type RowCheck,
-  type TablePort,
+  type RowPort,
 } from "./table_port.ts";
 
 /** Most operations that wait; beyond it they are refused as not done. */
@@ -41,13 +41,15 @@
 
 /** What the writer needs from outside. */
 export interface StoreWriterOptions {
-  readonly table: TablePort;
+  readonly table: RowPort;
   readonly clock: Clock;
   readonly random: RandomSource;
   /** Waits for a duration; virtual in tests. */
   readonly sleep: (duration: Millis) => Promise<void>;
   /** How long a group waits for company, in milliseconds. */
   readonly groupDelay: Millis;
+  /** Longest pause after a failure; 2 s if absent. */
+  readonly longestBackoff?: Millis;
 }
 
 /** Counts since the start. */
@@ -162,7 +164,8 @@
         continue;
       }
       await this.#options.sleep(this.#computePause(backoff));
-      backoff = Math.min(LONGEST_BACKOFF, backoff * 2);
+      const longest = this.#options.longestBackoff ?? LONGEST_BACKOFF;
+      backoff = Math.min(longest, backoff * 2);
     }
     this.#running = false;
   }
--- a/packages/ports/table_port.ts
+++ b/packages/ports/table_port.ts
@@ -6,7 +6,13 @@
  * have this shape.
  */
 import type { Either } from "purify-ts";
-import type { PlatformError, Row, RowWrite } from "../core/mod.ts";
+import type {
+  Millis,
+  MonotonicTime,
+  PlatformError,
+  Row,
+  RowWrite,
+} from "../core/mod.ts";
 
 /** Says that a row must still have the version it was read at; 0 means absent. */
 export interface RowCheck {
@@ -45,6 +51,18 @@
 /** Largest number of rows in one transaction or one read. */
 export const MAX_TRANSACTION_ROWS = 100;
 
+/** A reading of the service's own steady clock, and when it was on its way. */
+export interface ServiceTime {
+  /** In milliseconds; comparable between all VMs and lives. */
+  readonly time: Millis;
+  /** By this process's monotonic clock. */
+  readonly sentAt: MonotonicTime;
+  readonly receivedAt: MonotonicTime;
+}
+
+/** What a writer of rows needs of the table. */
+export type RowPort = Pick<TablePort, "read" | "transact" | "readTime">;
+
 /** Reads and changes rows. Calls never throw; they return a platform error. */
 export interface TablePort {
   /** Reads rows by key; rows that do not exist are left out. */
@@ -58,4 +76,6 @@
   transact(
     transaction: TableTransaction,
   ): Promise<Either<PlatformError, TransactionAnswer>>;
+  /** Returns the latest reading of the service's clock, where it tells it. */
+  readTime?(): ServiceTime | undefined;
 }
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -39,6 +39,8 @@
   AttemptRetried = "attempt_retried",
   StreamResumed = "stream_resumed",
   BudgetReserved = "budget_reserved",
+  GrantWrittenOff = "grant_written_off",
+  StandbyUsed = "standby_used",
   BudgetShort = "budget_short",
   DependencyLost = "dependency_lost",
   DependencyBack = "dependency_back",
