--- a/packages/budget/commands/plan_exchange.ts
+++ b/packages/budget/commands/plan_exchange.ts
@@ -15,6 +15,7 @@
   type GrantPlan,
   planGrants,
   type PlanInput,
+  type StandbyPlan,
 } from "../queries/plan_grants.ts";
 import type {
   GrantExchange,
@@ -36,8 +37,8 @@
   readonly wallTime: WallTime;
   /** Tokens a second that this VM draws; absent where VMs don't tell. */
   readonly drawRate?: number;
-  /** The unused standby grant, which a planned stop gives back. */
-  readonly heldStandby?: string;
+  /** The unused standby grants, which a planned stop gives back. */
+  readonly heldStandby?: readonly string[];
   /** Standby grants whose use has begun and that the table doesn't know of. */
   readonly usedStandby?: readonly string[];
   /** Says what to take and to give back; {@link planGrants} if absent. */
@@ -74,7 +75,7 @@
     ...createSettlement(account.eventId, input, closes),
     shrinks,
     ...(plan.take === undefined ? {} : { take: createTake(input, plan.take) }),
-    ...createStandby(input, plan.standby ?? {}),
+    ...createStandby(input, plan.standby ?? { drops: [], take: 0 }),
   };
   return hasWork(exchange) ? { ...changed, exchange } : changed;
 }
@@ -115,10 +116,8 @@
   if (account.exchange !== undefined) return account;
   let stopped = closeGrants(account, account.grants.map((each) => each.id));
   const idle = stopped.grants.filter((grant) => grant.reserved === 0);
-  const { heldStandby: drop } = input;
-  const standby = createStandby(input, {
-    ...(drop === undefined ? {} : { drop }),
-  });
+  const drops = input.heldStandby ?? [];
+  const standby = createStandby(input, { drops, take: 0 });
   const shrinks = stopped.grants
     .filter((grant) => grant.reserved > 0 && computeGrantRoom(grant) > 0)
     .filter((grant) => grant.lenderGrantId === undefined)
@@ -163,18 +162,18 @@
 
 function createStandby(
   input: ExchangeInput,
-  plan: NonNullable<GrantPlan["standby"]>,
+  plan: StandbyPlan,
 ): { standby?: StandbyExchange } {
   const used = input.usedStandby ?? [];
-  const { drop, take } = plan;
-  if (used.length === 0 && drop === undefined && take === undefined) return {};
+  const { drops, take } = plan;
+  if (used.length === 0 && drops.length === 0 && take === 0) return {};
   const { holder, wallTime } = input;
   const grantId = `${input.grantId}${STANDBY_MARK}`;
   return {
     standby: {
       used,
-      ...(drop === undefined ? {} : { drop }),
-      ...(take === undefined
+      drops,
+      ...(take === 0
         ? {}
         : { take: { grantId, holder, wallTime, wanted: take } }),
     },
--- a/packages/budget/holding/plan_holding.ts
+++ b/packages/budget/holding/plan_holding.ts
@@ -37,11 +37,13 @@
   readonly offline: Millis;
   /** How long the tokens that may be used at once should last. */
   readonly active: Millis;
-  /** The standby grant held, if any. */
-  readonly standby: StandbyHolding | undefined;
+  /** Usual size of a request of any customer; 0 before the first. */
+  readonly usualRequest: Tokens;
+  /** The standby grants held. */
+  readonly standby: readonly StandbyHolding[];
 }
 
-/** Standby tokens of a VM, as the table knows them. */
+/** One standby grant of a VM, as the table knows it. */
 export interface StandbyHolding {
   readonly grantId: string;
   readonly size: Tokens;
@@ -69,8 +71,8 @@
 /** Part of an equal share that a VM takes before any traffic shows who draws. */
 const FIRST_SHARE = 0.6;
 
-/** Part of an equal share kept for a customer that draws at other VMs only. */
-const IDLE_SHARE = 0.06;
+/** Requests for which every VM has standby tokens, whoever draws where. */
+const STANDBY_REQUESTS = 2;
 
 /** Usual requests that a holding covers besides what its rate says. */
 const USUAL_REQUESTS = 1;
@@ -82,6 +84,9 @@
 const STANDBY_LOW = 0.7;
 const STANDBY_HIGH = 1.6;
 
+/** Standby grants beyond which the smallest are put together. */
+const MOST_STANDBY_GRANTS = 5;
+
 /** Multiple of the target above which tokens are given back. */
 const GIVE_BACK_ABOVE = 1.3;
 
@@ -91,22 +96,29 @@
   input: HoldingInput,
 ): HoldingTargets {
   const room = computeAccountRoom(account, input.now);
-  const pool = (input.budgetLeft ?? 0) + room + (input.standby?.size ?? 0);
+  const pool = (input.budgetLeft ?? 0) + room + sumStandby(input.standby);
   const equal = 1 / (Math.max(input.holders, LEAST_HOLDERS) + 1);
-  if (input.rate === undefined) {
-    const share = input.isTrafficOn ? IDLE_SHARE : FIRST_SHARE;
-    const active = Math.floor(pool * equal * share);
-    return { active, standby: 0 };
+  if (input.rate === undefined && !input.isTrafficOn) {
+    return { active: Math.floor(pool * equal * FIRST_SHARE), standby: 0 };
   }
-  const part = input.rate / Math.max(1, input.rate + input.othersRate);
+  const rate = input.rate ?? 0;
+  const part = rate / Math.max(1, rate + input.othersRate);
   const most = pool *
     Math.min(LARGEST_PART, Math.max(equal / 2, part * PART_FACTOR));
-  const perMilli = input.rate / MILLIS_PER_SECOND;
-  const used = perMilli * input.active + USUAL_REQUESTS * account.usualHold;
+  const usual = account.usualHold || input.usualRequest;
+  const perMilli = rate / MILLIS_PER_SECOND;
+  const used = perMilli * input.active + USUAL_REQUESTS * usual;
   const active = Math.floor(Math.min(used, most));
   const rest = perMilli * Math.max(0, input.offline - input.active);
-  const standby = Math.floor(Math.max(0, Math.min(rest, most - active)));
-  return { active, standby };
+  const wanted = Math.max(rest, STANDBY_REQUESTS * usual);
+  return {
+    active,
+    standby: Math.floor(Math.max(0, Math.min(wanted, most - active))),
+  };
+}
+
+function sumStandby(standby: readonly StandbyHolding[]): Tokens {
+  return standby.reduce((sum, each) => sum + each.size, 0);
 }
 
 /** Plans what to take and what to give back. */
@@ -148,30 +160,55 @@
 }
 
 /**
- * Standby tokens are given back and taken whole, since nobody may use a part of
- * them, and seldom, since they can't be used while the table is asked.
+ * Standby grants are given back whole, since nobody may use a part of one, and
+ * a larger target is met by one more: tokens on their way back or in can't be
+ * used, and a time without the table may begin at any moment.
  */
 function planStandby(
   input: HoldingInput,
   options: { readonly targets: HoldingTargets; readonly isNeeded: boolean },
 ): Pick<GrantPlan, "standby"> {
   const { standby } = input;
-  const target = options.targets.standby;
+  const ids = (list: readonly StandbyHolding[]) =>
+    list.map((each) => each.grantId);
   if (options.isNeeded) {
-    return standby === undefined ? {} : { standby: { drop: standby.grantId } };
+    return standby.length === 0
+      ? {}
+      : { standby: { drops: ids(standby), take: 0 } };
   }
-  const held = standby?.size ?? 0;
-  const isFit = held >= target * STANDBY_LOW && held <= target * STANDBY_HIGH;
-  const isWorthwhile = Math.max(held, target) > 0 && input.budgetLeft !== 0;
-  if (isFit || (!isWorthwhile && held <= target)) return {};
+  const target = options.targets.standby;
+  const held = sumStandby(standby);
+  if (held > target * STANDBY_HIGH) {
+    const drops = chooseDrops(standby, held - target);
+    const take = Math.max(0, target - held + sumStandby(drops));
+    return { standby: { drops: ids(drops), take } };
+  }
+  if (held >= target * STANDBY_LOW || input.budgetLeft === 0) return {};
+  const drops = standby.length < MOST_STANDBY_GRANTS
+    ? []
+    : chooseSmallest(standby).slice(0, 2);
   return {
-    standby: {
-      ...(standby === undefined ? {} : { drop: standby.grantId }),
-      ...(target > 0 ? { take: target } : {}),
-    },
+    standby: { drops: ids(drops), take: target - held + sumStandby(drops) },
   };
 }
 
+function chooseSmallest(standby: readonly StandbyHolding[]): StandbyHolding[] {
+  return standby.toSorted((left, right) => left.size - right.size);
+}
+
+/** Chooses the fewest grants that cover an excess. */
+function chooseDrops(
+  standby: readonly StandbyHolding[],
+  excess: Tokens,
+): StandbyHolding[] {
+  const drops: StandbyHolding[] = [];
+  for (const each of chooseSmallest(standby).toReversed()) {
+    if (sumStandby(drops) >= excess) break;
+    drops.push(each);
+  }
+  return drops;
+}
+
 function listGiveBacks(
   account: EventAccount,
   input: { readonly excess: Tokens; readonly now: MonotonicTime },
--- a/packages/budget/queries/plan_grants.ts
+++ b/packages/budget/queries/plan_grants.ts
@@ -41,8 +41,15 @@
   readonly close: readonly Grant[];
   /** Unused tokens to give back; the account must be changed first. */
   readonly giveBack: readonly GiveBack[];
-  /** Standby tokens to give back whole or to take; absent for no change. */
-  readonly standby?: { readonly drop?: string; readonly take?: Tokens };
+  /** Standby grants to give back and tokens to take; absent for no change. */
+  readonly standby?: StandbyPlan;
+}
+
+/** What to change about standby tokens. */
+export interface StandbyPlan {
+  readonly drops: readonly string[];
+  /** 0 for none. */
+  readonly take: Tokens;
 }
 
 /** Unreserved tokens of one grant to give back. */
--- a/packages/budget/standby/standby_changes.ts
+++ b/packages/budget/standby/standby_changes.ts
@@ -18,8 +18,8 @@
 
 /** What an exchange does with a VM's standby tokens. */
 export interface StandbyExchange {
-  /** Standby grant that was not used and goes back whole. */
-  readonly drop?: string;
+  /** Standby grants that were not used and go back whole. */
+  readonly drops?: readonly string[];
   /** Standby grants whose use has begun; they are grants like others now. */
   readonly used?: readonly string[];
   readonly take?: StandbyTake;
@@ -32,9 +32,11 @@
 ): BudgetRow {
   let changed = row;
   for (const id of exchange.used ?? []) changed = changeToUsed(changed, id);
-  const { drop } = exchange;
-  if (drop === undefined || changed.grants[drop] === undefined) return changed;
-  return { ...changed, grants: removeKey(changed.grants, drop) };
+  for (const id of exchange.drops ?? []) {
+    if (changed.grants[id] === undefined) continue;
+    changed = { ...changed, grants: removeKey(changed.grants, id) };
+  }
+  return changed;
 }
 
 /** Carries out what an exchange does after its other parts. */
--- a/packages/gateway/features/customer_budgets.ts
+++ b/packages/gateway/features/customer_budgets.ts
@@ -74,6 +74,9 @@
 /** Longest wait for tokens within a request; one exchange and a conflict. */
 const MAX_TOKEN_WAIT: Millis = 800;
 
+/** Weight of the newest request in the usual size. */
+const USUAL_WEIGHT = 1 / 32;
+
 /** Time from the first draw until it shows which customers draw here. */
 const SETTLING_TIME: Millis = 3_000;
 
@@ -108,7 +111,7 @@
   holders: number;
   othersRate: number;
   /** Tokens that wait for a time without the table. */
-  standby: StandbyHolding | undefined;
+  standby: readonly StandbyHolding[];
   /** Standby grants in use of which the table doesn't know. */
   usedStandby: readonly string[];
   /** When the exchange under way was sent. */
@@ -126,6 +129,8 @@
   readonly #holdings = new Map<CustomerId, Holding>();
   readonly #exchanges = new Set<Promise<void>>();
   #exchangeNumber = 0;
+  /** Smoothed over the requests of all customers. */
+  #usualRequest: Tokens = 0;
   #firstDraw: MonotonicTime | undefined;
   #isStopping = false;
   #listenVms: (count: number) => void = () => {};
@@ -191,6 +196,7 @@
     const now = this.#context.clock.readMonotonic();
     holding.meter ??= new DrawMeter(now);
     this.#firstDraw ??= now;
+    this.#usualRequest += (tokens - this.#usualRequest) * USUAL_WEIGHT;
     const reserved = holding.waiters.length === 0
       ? this.#tryReserve(holding, tokens) ??
         this.#reserveFromStandby(holding, tokens)
@@ -245,7 +251,7 @@
       closed: 0,
       holders: 0,
       othersRate: 0,
-      standby: undefined,
+      standby: [],
       usedStandby: [],
       askedAt: 0,
       meter: undefined,
@@ -326,21 +332,26 @@
     tokens: Tokens,
   ): Reservation | undefined {
     const { standby } = holding;
-    if (standby === undefined || !this.#presence.mayUseStandby()) {
+    if (standby.length === 0 || !this.#presence.mayUseStandby()) {
       return undefined;
     }
-    holding.standby = undefined;
-    holding.usedStandby = [...holding.usedStandby, standby.grantId];
+    const ids = standby.map((each) => each.grantId);
+    holding.standby = [];
+    holding.usedStandby = [...holding.usedStandby, ...ids];
     const now = this.#context.clock.readMonotonic();
     const deadline = now + GRANT_TERM;
     this.#change(
       holding.customer,
-      (account) => receiveGrant(account, { ...standby, deadline }),
+      (account) =>
+        standby.reduce(
+          (changed, grant) => receiveGrant(changed, { ...grant, deadline }),
+          account,
+        ),
     );
     this.#context.log.info(LogEvent.StandbyUsed, {
       customer: holding.customer,
-      grant: standby.grantId,
-      size: standby.size,
+      grants: ids.length,
+      size: sumSizes(standby),
       away_ms: Math.round(this.#presence.computeSilence()),
     });
     return this.#tryReserve(holding, tokens);
@@ -446,8 +457,9 @@
     );
     if (account.exchange === undefined) return;
     // From here on the table may count a dropped standby grant as free.
-    const { drop } = account.exchange.standby ?? {};
-    if (drop === holding.standby?.grantId) holding.standby = undefined;
+    const { drops = [] } = account.exchange.standby ?? {};
+    holding.standby = holding.standby
+      .filter((each) => !drops.includes(each.grantId));
     holding.exchanging = true;
     holding.askedAt = this.#context.clock.readMonotonic();
     const running = this.#runExchange(holding, account.exchange);
@@ -478,9 +490,7 @@
       raisesLimit: true,
       drawRate: this.#isStopping ? 0 : Math.round(rate ?? 0),
       usedStandby: holding.usedStandby,
-      ...(holding.standby === undefined
-        ? {}
-        : { heldStandby: holding.standby.grantId }),
+      heldStandby: holding.standby.map((each) => each.grantId),
       plan: (account) =>
         planHolding(account, {
           now,
@@ -491,6 +501,7 @@
           othersRate: holding.othersRate,
           offline: settings.budgets.offlineMillis,
           active: STANDBY_DELAY + PRESENCE_INTERVAL + REFILL_TIME,
+          usualRequest: this.#usualRequest,
           standby: holding.standby,
           ...(rate === undefined ? {} : { rate }),
         }),
@@ -556,7 +567,7 @@
       .filter((each) => !used.includes(each));
     const size = input.result.standbySize;
     if (take === undefined || size === 0) return;
-    holding.standby = { grantId: take.grantId, size };
+    holding.standby = [...holding.standby, { grantId: take.grantId, size }];
   }
 
   #logExchange(
@@ -578,7 +589,7 @@
       others_rate: holding.othersRate,
       room: computeAccountRoom(account, now),
       reserved: computeReserved(account),
-      held_standby: holding.standby?.size ?? 0,
+      held_standby: sumSizes(holding.standby),
       wanted: exchange.take?.wanted,
       size: result.size,
       standby: result.standbySize,
@@ -622,9 +633,13 @@
         rate: Math.round(each.meter?.computeRate(now) ?? 0),
         room: computeAccountRoom(account, now),
         reserved: computeReserved(account),
-        standby: each.standby?.size ?? 0,
+        standby: sumSizes(each.standby),
         waiting: each.waiters.length,
       };
     });
   }
 }
+
+function sumSizes(standby: readonly StandbyHolding[]): Tokens {
+  return standby.reduce((sum, each) => sum + each.size, 0);
+}
