Bounded logs on standard output that never block; find resets behind data

Logs go to standard output through a sink whose writes run on another thread; what a stopped reader leaves is bounded, counted and told. Lines of each event are bounded by the second, routine lines apart from failures.

--- /dev/null
+++ b/packages/budget/holding/holding_test.ts
@@ -0,0 +1,129 @@
+/** Tests of how many tokens a VM holds for use and on standby. */
+import test from "ava";
+import {
+  computeAccountRoom,
+  computeHoldingTargets,
+  createEventAccount,
+  DrawMeter,
+  type EventAccount,
+  type HoldingInput,
+  planHolding,
+  receiveGrant,
+} from "../mod.ts";
+
+const INPUT: HoldingInput = {
+  now: 0,
+  need: 0,
+  budgetLeft: 1_000_000,
+  holders: 6,
+  rate: 10_000,
+  isTrafficOn: true,
+  othersRate: 50_000,
+  offline: 12_000,
+  active: 4_500,
+  usualRequest: 1_000,
+  standby: [],
+};
+
+function createAccount(room: number): EventAccount {
+  const account = createEventAccount("c");
+  if (room === 0) return account;
+  return receiveGrant(account, { grantId: "g", size: room, deadline: 1e9 });
+}
+
+test("a holding carries a VM through the stated time without the table", (t) => {
+  const { active, standby } = computeHoldingTargets(createAccount(0), INPUT);
+  t.true(active + standby >= INPUT.rate! * INPUT.offline / 1_000);
+  t.true(active >= INPUT.rate! * INPUT.active / 1_000);
+  t.true(active < INPUT.rate! * 6);
+});
+
+test("near the end a VM holds by its part of the drawing", (t) => {
+  const scarce = { ...INPUT, budgetLeft: 60_000 };
+  const small = computeHoldingTargets(createAccount(0), scarce);
+  const large = computeHoldingTargets(createAccount(0), {
+    ...scarce,
+    rate: 50_000,
+    othersRate: 10_000,
+  });
+  t.true(small.active + small.standby <= 60_000 / 3);
+  t.true(large.active + large.standby >= 60_000 / 2);
+  t.true(large.active + large.standby < 60_000);
+});
+
+test("a customer that draws elsewhere costs a few requests on standby", (t) => {
+  const { rate: _, ...idle } = INPUT;
+  const targets = computeHoldingTargets(createAccount(0), idle);
+  t.true(targets.active <= 2 * INPUT.usualRequest);
+  t.true(targets.standby <= 4 * INPUT.usualRequest);
+  t.true(targets.standby >= INPUT.usualRequest);
+});
+
+test("before any traffic no more than half of a budget is held by the fleet", (t) => {
+  const { rate: _, ...idle } = INPUT;
+  const first = { ...idle, isTrafficOn: false, usualRequest: 0 };
+  let left = 1_000_000;
+  for (let vm = 0; vm < 6; vm++) {
+    left -= computeHoldingTargets(createAccount(0), {
+      ...first,
+      budgetLeft: left,
+    }).active;
+  }
+  t.true(left >= 500_000);
+});
+
+test("a single request takes exactly what it lacks at the end", (t) => {
+  const plan = planHolding(createAccount(100), {
+    ...INPUT,
+    budgetLeft: 0,
+    need: 700,
+  });
+  t.is(plan.take?.least, 600);
+});
+
+test("standby tokens go back when a request needs what the table lacks", (t) => {
+  const standby = [{ grantId: "s", size: 5_000 }];
+  const plan = planHolding(createAccount(0), {
+    ...INPUT,
+    budgetLeft: 10,
+    need: 700,
+    standby,
+  });
+  t.deepEqual(plan.standby?.drops, ["s"]);
+  t.is(plan.take?.least, 700);
+});
+
+test("a single standby grant that is far too large is replaced", (t) => {
+  const standby = [{ grantId: "s", size: 400_000 }];
+  const plan = planHolding(createAccount(60_000), { ...INPUT, standby });
+  t.deepEqual(plan.standby?.drops, ["s"]);
+  const { standby: target } = computeHoldingTargets(createAccount(60_000), {
+    ...INPUT,
+    standby,
+  });
+  t.is(plan.standby?.take, target);
+});
+
+test("a larger standby target leaves the grants held in place", (t) => {
+  const standby = [{ grantId: "s", size: 20_000 }];
+  const plan = planHolding(createAccount(55_000), { ...INPUT, standby });
+  t.deepEqual(plan.standby?.drops, []);
+  t.true(plan.standby!.take > 0);
+});
+
+test("an excess goes back and leaves the target", (t) => {
+  const account = createAccount(300_000);
+  const plan = planHolding(account, INPUT);
+  const back = plan.giveBack.reduce((sum, each) => sum + each.tokens, 0);
+  const { active } = computeHoldingTargets(account, INPUT);
+  t.is(computeAccountRoom(account, 0) - back, active);
+});
+
+test("a rate is right in its first seconds and follows a change", (t) => {
+  const meter = new DrawMeter(0);
+  for (let at = 0; at < 3_000; at += 100) meter.record(100, at);
+  t.true(Math.abs(meter.computeRate(3_000) - 1_000) < 150);
+  for (let at = 3_000; at < 20_000; at += 100) meter.record(300, at);
+  t.true(Math.abs(meter.computeRate(20_000) - 3_000) < 300);
+  t.true(meter.computeRate(60_000) < 10);
+});
--- a/packages/cli/commands/gateway_command.ts
+++ b/packages/cli/commands/gateway_command.ts
@@ -4,7 +4,7 @@
 import type { CommandModule } from "yargs";
 import { createPlatformDialect } from "../../../platform/mod.ts";
 import { Gateway } from "../../gateway/mod.ts";
-import { createEventLog, type EventLog, LogEvent } from "../../runtime/mod.ts";
+import { LogEvent } from "../../runtime/mod.ts";
 import {
   type GatewaySettings,
   parseGatewaySettings,
@@ -52,10 +52,8 @@
   path: string,
   settings: GatewaySettings,
 ): Promise<void> {
-  const log = createEventLog(settings.logLevel);
   const gateway = new Gateway({
     settings,
-    log,
     dialect: createPlatformDialect({
       address: settings.store.address,
       timeout: STORE_TIMEOUT_MILLIS,
@@ -63,7 +61,7 @@
     }),
   });
   await gateway.start();
-  const watch = new SettingsWatch(path, { gateway, log });
+  const watch = new SettingsWatch(path, gateway);
   process.on("SIGHUP", () => watch.reload());
   const timer = setInterval(() => watch.reload(), SETTINGS_CHECK_MILLIS);
   await new Promise<void>((resolve) => {
@@ -80,16 +78,11 @@
 class SettingsWatch {
   readonly #path: string;
   readonly #gateway: Gateway;
-  readonly #log: EventLog;
   #text: string;
 
-  constructor(
-    path: string,
-    options: { readonly gateway: Gateway; readonly log: EventLog },
-  ) {
+  constructor(path: string, gateway: Gateway) {
     this.#path = path;
-    this.#gateway = options.gateway;
-    this.#log = options.log;
+    this.#gateway = gateway;
     this.#text = readFileSync(path, "utf8");
   }
 
@@ -100,7 +93,7 @@
     this.#text = text;
     parseGatewaySettings(text, this.#path).caseOf({
       Left: (errors) =>
-        this.#log.error(LogEvent.SettingsRefused, {
+        this.#gateway.log.error(LogEvent.SettingsRefused, {
           reason: formatInputErrors(errors),
         }),
       Right: (settings) => this.#gateway.changeSettings(settings),
--- a/packages/daemon/node.ts
+++ b/packages/daemon/node.ts
@@ -71,7 +71,7 @@
       ? undefined
       : new HttpVmList(createServiceOptions(platform.vmList)),
     targets: new HttpTargets(clock),
-    log: log ?? createEventLog(settings.logLevel),
+    log: log ?? createEventLog({ level: settings.logLevel }),
     metrics: createNodeMetrics(),
   };
 }
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -9,11 +9,13 @@
   Repeatability,
   RequestOutcome,
   type TargetConfig,
+  type Tokens,
 } from "../../core/mod.ts";
 import { AttemptEnd, type ConnectionPools } from "../../ports/mod.ts";
 import {
   ExtraAttempt,
   hasReachedTarget,
+  type Placement,
   type RetryBudgets,
 } from "../../routing/mod.ts";
 import { AnswerForm } from "../../routes/mod.ts";
@@ -165,13 +167,35 @@
     call: RoutedCall,
     progress: CallProgress,
   ): TargetConfig | RefusalKind {
+    const shared = findBeginning(call.request.prompt);
     return this.#options.targets.choose({
       service: call.service,
       tried: progress.tried,
-      ...findBeginning(call.request.prompt),
+      ...shared,
     }).caseOf<TargetConfig | RefusalKind>({
       Left: (refusal) => refusal.kind,
-      Right: (target) => target,
+      Right: (placement) => {
+        this.#logChoice(call, { placement, sharedTokens: shared.sharedTokens });
+        return placement.target;
+      },
+    });
+  }
+
+  #logChoice(
+    call: RoutedCall,
+    input: { readonly placement: Placement; readonly sharedTokens: Tokens },
+  ): void {
+    const { target, load, loadAge, isHolder, usable } = input.placement;
+    this.#options.context.log.info(LogEvent.TargetChosen, {
+      request: call.request.id,
+      target: target.id,
+      service: call.service,
+      data_centre: target.dataCentre,
+      load: load.toFixed(2),
+      load_age_ms: loadAge === undefined ? undefined : Math.round(loadAge),
+      holder: isHolder,
+      shared_tokens: input.sharedTokens,
+      usable,
     });
   }
 
--- a/packages/gateway/entry/caller_face.ts
+++ b/packages/gateway/entry/caller_face.ts
@@ -252,14 +252,25 @@
     const { customer } = call;
     let reservation: Reservation | undefined;
     if (customer?.prepaid !== undefined && tokens > 0) {
-      const { deadline } = call;
-      const reserved = await budgets.reserve(customer, { tokens, deadline });
+      const reserved = await budgets.reserve(customer, {
+        requestId: call.request.id,
+        tokens,
+        deadline: call.deadline,
+      });
       if (reserved.isLeft()) {
         const refusal = reserved.extract() as Refusal;
         const { exchange, request, arrivedAt } = call;
         return this.#refuse(exchange, { refusal, request, arrivedAt });
       }
       reservation = reserved.extract() as Reservation;
+      this.#options.context.log.info(LogEvent.BudgetReserved, {
+        request: call.request.id,
+        customer: customer.id,
+        tokens,
+        ms: Math.round(
+          this.#options.context.clock.readMonotonic() - call.arrivedAt,
+        ),
+      });
     }
     let end: CallEnd | undefined;
     try {
--- /dev/null
+++ b/packages/gateway/entry/event_splitter_test.ts
@@ -0,0 +1,30 @@
+/** Tests of cutting an event stream into whole events. */
+import test from "ava";
+import fc from "fast-check";
+import { EventSplitter } from "./event_splitter.ts";
+
+test("events come out unchanged and with their ids, however they are cut", (t) => {
+  const events = [
+    "id: 1\ndata: a\n\n",
+    "data: no id\n\n",
+    "id:3\r\ndata: b\r\n\r\n",
+    ": comment\nid: 4\ndata: id: 9\n\n",
+  ];
+  const text = Buffer.from(events.join("") + "id: 5\ndata: cut");
+  fc.assert(
+    fc.property(fc.array(fc.nat(text.length)), (cuts) => {
+      const splitter = new EventSplitter();
+      const ends = [...cuts, text.length].sort((left, right) => left - right);
+      const seen = [];
+      let from = 0;
+      for (const end of ends) {
+        seen.push(...splitter.push(text.subarray(from, end)));
+        from = end;
+      }
+      t.deepEqual(seen.map((each) => each.bytes.toString()), events);
+      t.deepEqual(seen.map((each) => each.id), ["1", undefined, "3", "4"]);
+      t.is(splitter.takeRest().toString(), "id: 5\ndata: cut");
+    }),
+    { seed: 11, numRuns: 200 },
+  );
+});
--- a/packages/gateway/features/configuration_keeper.ts
+++ b/packages/gateway/features/configuration_keeper.ts
@@ -82,12 +82,29 @@
         routes: value.routes.length,
         services: value.services.size,
         customers: value.customers.length,
-        keys_dropped: countDroppedKeys(before, value),
       });
+      this.#logRevoked(before, value);
       for (const listener of this.#listeners) listener(value);
     }
   }
 
+  /** Names customers only: a key has no place in a log. */
+  #logRevoked(
+    before: RouteConfiguration | undefined,
+    after: RouteConfiguration,
+  ): void {
+    const kept = new Set(after.customers.flatMap((each) => each.keys));
+    for (const { id, keys } of before?.customers ?? []) {
+      const dropped = keys.filter((key) => !kept.has(key)).length;
+      if (dropped === 0) continue;
+      this.#context.log.info(LogEvent.KeyRevoked, {
+        customer: id,
+        keys: dropped,
+        version: after.version,
+      });
+    }
+  }
+
   #describe(): unknown {
     const configuration = this.read()?.configuration;
     if (configuration === undefined) return undefined;
@@ -99,13 +116,3 @@
     };
   }
 }
-
-function countDroppedKeys(
-  before: RouteConfiguration | undefined,
-  after: RouteConfiguration,
-): number {
-  const kept = new Set(after.customers.flatMap((each) => each.keys));
-  return (before?.customers ?? [])
-    .flatMap((each) => each.keys)
-    .filter((key) => !kept.has(key)).length;
-}
--- a/packages/gateway/features/customer_budgets.ts
+++ b/packages/gateway/features/customer_budgets.ts
@@ -93,6 +93,7 @@
 const MOST_PREFETCHED = 200;
 
 interface Waiter {
+  readonly requestId: string;
   readonly tokens: Tokens;
   readonly deadline: MonotonicTime;
   resolve(result: Either<Refusal, Reservation>): void;
@@ -189,10 +190,15 @@
   /** Reserves the most that a request can use. */
   reserve(
     customer: RoutedCustomer,
-    input: { readonly tokens: Tokens; readonly deadline: MonotonicTime },
+    input: {
+      /** Names the request in logs. */
+      readonly requestId: string;
+      readonly tokens: Tokens;
+      readonly deadline: MonotonicTime;
+    },
   ): Promise<Either<Refusal, Reservation>> {
     const holding = this.#readHolding(customer);
-    const { tokens } = input;
+    const { tokens, requestId } = input;
     const now = this.#context.clock.readMonotonic();
     holding.meter ??= new DrawMeter(now);
     this.#firstDraw ??= now;
@@ -203,11 +209,12 @@
       : undefined;
     if (reserved !== undefined) return Promise.resolve(Right(reserved));
     if (this.#isSpent(holding, tokens) || this.#computeOutage(holding) > 0) {
-      return Promise.resolve(Left(this.#createShort(holding, tokens)));
+      const refusal = this.#createShort(holding, { tokens, requestId });
+      return Promise.resolve(Left(refusal));
     }
     const deadline = Math.min(input.deadline, now + MAX_TOKEN_WAIT);
     return new Promise((resolve) => {
-      this.#addWaiter(holding, { tokens, deadline, resolve });
+      this.#addWaiter(holding, { requestId, tokens, deadline, resolve });
     });
   }
 
@@ -384,10 +391,15 @@
     return silent > USUAL_EXCHANGE ? silent : 0;
   }
 
-  #createShort(holding: Holding, tokens: Tokens): Refusal {
+  #createShort(
+    holding: Holding,
+    input: { readonly tokens: Tokens; readonly requestId: string },
+  ): Refusal {
+    const { tokens, requestId } = input;
     const isSpent = this.#isSpent(holding, tokens);
     const account = this.#readAccount(holding.customer);
     this.#context.log.warn(LogEvent.BudgetShort, {
+      request: requestId,
       customer: holding.customer,
       tokens,
       room: computeAccountRoom(account, this.#context.clock.readMonotonic()),
@@ -425,7 +437,7 @@
   #refuse(holding: Holding, waiter: Waiter): void {
     if (!holding.waiters.includes(waiter)) return;
     holding.waiters = holding.waiters.filter((each) => each !== waiter);
-    waiter.resolve(Left(this.#createShort(holding, waiter.tokens)));
+    waiter.resolve(Left(this.#createShort(holding, waiter)));
   }
 
   #serveWaiters(holding: Holding): void {
--- a/packages/gateway/features/target_keeper.ts
+++ b/packages/gateway/features/target_keeper.ts
@@ -26,6 +26,7 @@
   choosePlaced,
   computeHealth,
   createRoutingState,
+  type Placement,
   type PlacementInput,
   recordAttemptEnd,
   recordAttemptStart,
@@ -110,7 +111,7 @@
   /** Chooses the target of an attempt. */
   choose(
     input: Omit<PlacementInput, "now" | "dataCentre">,
-  ): Either<Refusal, TargetConfig> {
+  ): Either<Refusal, Placement> {
     this.#dropMissing();
     const now = this.#context.clock.readMonotonic();
     const { dataCentre } = this.#context.settings;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -98,6 +98,11 @@
     return this.#callers.readPort();
   }
 
+  /** The process's log. */
+  get log(): EventLog {
+    return this.#context.log;
+  }
+
   /** Whether this VM takes new connections. */
   get isReady(): boolean {
     return this.#stopping === undefined &&
@@ -165,6 +170,7 @@
       open: this.#callers.open,
       ms: Math.round(clock.readMonotonic() - startedAt),
     });
+    await Promise.race([log.flush(), sleep(LAST_TIME / 2)]);
   }
 
   #changeVmCount(count: number): void {
@@ -188,6 +194,7 @@
 function createGatewayContext(options: GatewayOptions): GatewayContext {
   const { settings, dialect } = options;
   const clock = createSystemClock();
+  const metrics = createGatewayMetrics();
   return {
     settings,
     vm: settings.vm,
@@ -200,8 +207,11 @@
     kernel: new Kernel(),
     clock,
     random: Math.random,
-    log: options.log ?? createEventLog(settings.logLevel),
-    metrics: createGatewayMetrics(),
+    log: options.log ?? createEventLog({
+      level: settings.logLevel,
+      countLeftOut: (lines) => metrics.linesLeftOut.inc(lines),
+    }),
+    metrics,
   };
 }
 
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -11,6 +11,7 @@
   request as startHttp,
 } from "node:http";
 import { request as startHttps } from "node:https";
+import type { Socket } from "node:net";
 import { type Either, Left, Right } from "purify-ts";
 import type { Bytes, Millis } from "../core/mod.ts";
 
@@ -60,6 +61,7 @@
 ): Promise<Either<HttpFailure, IncomingMessage>> {
   return new Promise((resolve) => {
     let connected = false;
+    let answer: IncomingMessage | undefined;
     const fail = (detail: string) =>
       resolve(Left({
         sent: connected,
@@ -83,15 +85,25 @@
     // Node's own signal option leaves a pooled socket without an error handler.
     const cancel = () => outgoing.destroy(new Error("cancelled"));
     input.signal?.addEventListener("abort", cancel, { once: true });
+    let socket: Socket | undefined;
+    const checkEnd = () => {
+      if (socket !== undefined && isReset(socket)) {
+        answer?.destroy(new Error("the connection was reset"));
+      }
+    };
     outgoing.on("close", () => {
       clearTimeout(connecting);
+      socket?.removeListener("end", checkEnd);
       input.signal?.removeEventListener("abort", cancel);
     });
     const markConnected = () => {
       connected = true;
       clearTimeout(connecting);
     };
-    outgoing.on("socket", (socket) => {
+    outgoing.on("socket", (assigned) => {
+      socket = assigned;
+      // Before Node's own listener, which ends the answer.
+      socket.prependListener("end", checkEnd);
       // A pooled socket is connected already.
       if (!socket.connecting) markConnected();
       else socket.once("connect", markConnected);
@@ -102,7 +114,6 @@
         () => outgoing.destroy(new Error(`silent for ${input.idleTimeout} ms`)),
       );
     }
-    let answer: IncomingMessage | undefined;
     outgoing.on("error", (error) => {
       // Node takes an answer without a length for whole when it is reset.
       answer?.destroy(error);
@@ -118,6 +129,16 @@
   });
 }
 
+/**
+ * Whether a connection that Node says has ended was reset. When a reset comes
+ * right behind data, libuv reports an end without an error, and an answer that
+ * ends with its connection would pass for whole. A connection that was reset
+ * has no peer any more; one that the peer closed still has it.
+ */
+function isReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
 function createHeaders(input: HttpRequest): Record<string, string> | string[] {
   const { headers } = input;
   if (Array.isArray(headers)) return headers;
--- /dev/null
+++ b/packages/ports/http_client_test.ts
@@ -0,0 +1,82 @@
+/** Tests of exchanges whose connection is reset or can't be made. */
+import { Agent } from "node:http";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import test from "ava";
+import { type HttpFailure, sendRequest } from "./mod.ts";
+
+const HEAD = "HTTP/1.1 200 OK\r\n\r\n";
+
+/** Serves one connection after the other and closes each as it is told to. */
+async function serveRaw(end: (socket: Socket) => void) {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.write(`${HEAD}a part`);
+      setTimeout(() => end(socket), 0);
+    });
+  });
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  return { url: `http://127.0.0.1:${port}/`, close: () => server.close() };
+}
+
+async function countWhole(end: (socket: Socket) => void): Promise<number> {
+  const server = await serveRaw(end);
+  let whole = 0;
+  for (let number = 0; number < 60; number++) {
+    const agent = new Agent({ keepAlive: true });
+    const { url } = server;
+    const answer = await sendRequest({
+      method: "GET",
+      url,
+      idleTimeout: 0,
+      agent,
+    });
+    if (answer.isRight()) whole++;
+  }
+  server.close();
+  return whole;
+}
+
+test("an answer without a length that is reset is never whole", async (t) => {
+  t.is(await countWhole((socket) => void socket.resetAndDestroy()), 0);
+});
+
+test("an answer without a length that its sender closes is whole", async (t) => {
+  t.is(await countWhole((socket) => void socket.end()), 60);
+});
+
+test("an exchange has an end, whatever the other side does", async (t) => {
+  const server = createServer(() => {});
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  const answer = await sendRequest({
+    method: "GET",
+    url: `http://127.0.0.1:${port}/`,
+    idleTimeout: 0,
+    totalTimeout: 50,
+  });
+  t.true((answer.extract() as HttpFailure).sent);
+  server.close();
+});
+
+test("a path is sent byte for byte", async (t) => {
+  const paths: string[] = [];
+  const server = createServer((socket) =>
+    socket.once("data", (data) => {
+      paths.push(data.toString().split(" ")[1]!);
+      socket.end(`${HEAD}`);
+    })
+  );
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  await sendRequest({
+    method: "GET",
+    url: `http://127.0.0.1:${port}`,
+    path: "/a/../b//c?d=%2e",
+    headers: ["host", "x"],
+    idleTimeout: 0,
+  });
+  t.deepEqual(paths, ["/a/../b//c?d=%2e"]);
+  server.close();
+});
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -81,7 +81,7 @@
 } from "./quarantine/list_news_words.ts";
 export type { ChooseInput } from "./queries/choose_target.ts";
 export { chooseTarget } from "./queries/choose_target.ts";
-export type { PlacementInput } from "./queries/choose_placed.ts";
+export type { Placement, PlacementInput } from "./queries/choose_placed.ts";
 export { choosePlaced } from "./queries/choose_placed.ts";
 export { computeLoad, computeOthers } from "./queries/compute_load.ts";
 export { computeMostLoad } from "./queries/compute_most_load.ts";
--- a/packages/routing/queries/choose_placed.ts
+++ b/packages/routing/queries/choose_placed.ts
@@ -10,6 +10,7 @@
 import {
   computeHash,
   computeScore,
+  type Millis,
   type MonotonicTime,
   type Refusal,
   type RegionId,
@@ -41,6 +42,19 @@
   readonly now: MonotonicTime;
 }
 
+/** A target that was chosen, and what decided it. */
+export interface Placement {
+  readonly target: TargetConfig;
+  /** Work at it as a part of its slots, by own attempts and its last word. */
+  readonly load: number;
+  /** Age of its last word on its load; absent if there was none. */
+  readonly loadAge?: Millis;
+  /** Whether the prompt's beginning is expected to be there. */
+  readonly isHolder: boolean;
+  /** Targets that could be chosen. */
+  readonly usable: number;
+}
+
 /** Unread prompt tokens that delay a request as much as a full batch does. */
 const FULL_BATCH_TOKENS: Tokens = 12_000;
 
@@ -66,7 +80,7 @@
 export function choosePlaced(
   state: RoutingState,
   input: PlacementInput,
-): Either<Refusal, TargetConfig> {
+): Either<Refusal, Placement> {
   const usable = state.targets.listService(input.service)
     .filter((target) => isUsable(target, input));
   if (usable.length === 0) return Left(createNoTarget());
@@ -78,7 +92,15 @@
     if (best === undefined || candidate.cost < best.cost) best = candidate;
   }
   if (best === undefined) return Left(createNoRoom());
-  return Right(best.target.config);
+  const { target, load } = best;
+  const report = target.report;
+  return Right({
+    target: target.config,
+    load,
+    isHolder: target.config.id === holder,
+    usable: usable.length,
+    ...(report === undefined ? {} : { loadAge: input.now - report.measuredAt }),
+  });
 }
 
 /** Returns the target of the region that all VMs rank first for a beginning. */
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -1,8 +1,15 @@
 /**
  * Structured logs: one line of key=value pairs for each event, on standard
- * error, through winston.
+ * output, through winston. The volume is bounded and a reader that stops
+ * reading holds nothing up.
  */
 import { createLogger, format, type Logger, transports } from "winston";
+import { LineLimit, type LineLimits, LineRank } from "./line_limit.ts";
+import {
+  createDescriptorSink,
+  createSinkStream,
+  type LineSink,
+} from "./line_sink.ts";
 
 /** Names of all events that the daemon logs. */
 export enum LogEvent {
@@ -60,33 +67,95 @@
   info(event: LogEvent, fields?: LogFields): void;
   warn(event: LogEvent, fields?: LogFields): void;
   error(event: LogEvent, fields?: LogFields): void;
+  /** Resolves when all lines so far were written. */
+  flush(): Promise<void>;
+}
+
+/** How a log is written. */
+export interface EventLogOptions {
+  readonly level: string;
+  /** Standard output if absent. */
+  readonly sink?: LineSink;
+  /** Most lines of one event in a second. */
+  readonly limits?: LineLimits;
+  /** Called with the number of lines that were left out. */
+  readonly countLeftOut?: (lines: number) => void;
+}
+
+const STANDARD_OUTPUT = 1;
+
+/** Room for a request's lines at the rate that one small VM serves. */
+const USUAL_LIMITS: LineLimits = {
+  [LineRank.Routine]: 200,
+  [LineRank.Notable]: 400,
+};
+
+/** Events that come with each request that goes well. */
+const ROUTINE_EVENTS: ReadonlySet<string> = new Set([
+  LogEvent.TargetChosen,
+  LogEvent.BudgetReserved,
+  LogEvent.RequestEnded,
+  LogEvent.GrantExchanged,
+]);
+
+function findRank(event: string): LineRank {
+  return ROUTINE_EVENTS.has(event) ? LineRank.Routine : LineRank.Notable;
 }
 
 /** Returns a log that writes lines at or above a level. */
-export function createEventLog(level: string): EventLog {
+export function createEventLog(options: EventLogOptions): EventLog {
+  const sink = options.sink ?? createDescriptorSink(STANDARD_OUTPUT);
   const logger = createLogger({
-    level,
+    level: options.level,
     format: format.printf((entry) =>
       `ts=${new Date().toISOString()} level=${entry.level} ${entry.message}`
     ),
-    transports: [new transports.Console({ stderrLevels: ALL_LEVELS })],
+    transports: [
+      new transports.Stream({ stream: createSinkStream(sink), eol: "\n" }),
+    ],
   });
-  return createLog(logger);
+  const limit = new LineLimit(options.limits ?? USUAL_LIMITS);
+  return createLog(logger, { ...options, sink, limit });
 }
 
 /** Returns a log that drops every line, for tests. */
 export function createSilentLog(): EventLog {
   const drop = () => {};
-  return { info: drop, warn: drop, error: drop };
+  return { info: drop, warn: drop, error: drop, flush: async () => {} };
 }
 
-const ALL_LEVELS = ["error", "warn", "info", "debug"];
-
-function createLog(logger: Logger): EventLog {
+function createLog(
+  logger: Logger,
+  options: EventLogOptions & {
+    readonly sink: LineSink;
+    readonly limit: LineLimit;
+  },
+): EventLog {
+  const { sink, limit, countLeftOut } = options;
+  const write = (
+    level: "info" | "warn" | "error",
+    event: LogEvent,
+    fields?: LogFields,
+  ) => {
+    const leftOut = limit.takeLeftOut(performance.now(), findRank);
+    const unwritten = sink.takeLeftOut();
+    if (unwritten > 0) leftOut.push({ event: "unwritten", lines: unwritten });
+    for (const { event: kind, lines } of leftOut) {
+      countLeftOut?.(lines);
+      logger.warn(formatLine(LogEvent.LinesLeftOut, { kind, lines }));
+    }
+    if (!limit.admit(event, findRank(event))) return;
+    logger.log(level, formatLine(event, fields));
+  };
   return {
-    info: (event, fields) => void logger.info(formatLine(event, fields)),
-    warn: (event, fields) => void logger.warn(formatLine(event, fields)),
-    error: (event, fields) => void logger.error(formatLine(event, fields)),
+    info: (event, fields) => write("info", event, fields),
+    warn: (event, fields) => write("warn", event, fields),
+    error: (event, fields) => write("error", event, fields),
+    flush: async () => {
+      // Lines pass through the library in turns of the event loop.
+      await new Promise((done) => setImmediate(done));
+      await sink.waitEmpty();
+    },
   };
 }
 
--- a/packages/runtime/mod.ts
+++ b/packages/runtime/mod.ts
@@ -1,5 +1,5 @@
 /** Long-lived processes on js-csp, and structured logs. */
-export type { EventLog, LogFields } from "./event_log.ts";
+export type { EventLog, EventLogOptions, LogFields } from "./event_log.ts";
 export {
   createEventLog,
   createFailureReport,
@@ -7,6 +7,10 @@
   formatLine,
   LogEvent,
 } from "./event_log.ts";
+export type { LeftOut, LineLimits } from "./line_limit.ts";
+export { LineLimit, LineRank } from "./line_limit.ts";
+export type { WriteBytes } from "./line_sink.ts";
+export { createDescriptorSink, LineSink } from "./line_sink.ts";
 export type {
   OnDemandOptions,
   PeriodicOptions,
