--- a/packages/budget/holding/plan_holding.ts
+++ b/packages/budget/holding/plan_holding.ts
@@ -29,7 +29,7 @@
   readonly holders: number;
   /** Drawing by this VM in tokens per second; absent before the first draw. */
   readonly rate?: number;
-  /** Whether this VM has served other customers for a while. */
+  /** Whether this VM has served any customer for a while. */
   readonly isTrafficOn: boolean;
   /** Drawing by other VMs in tokens per second, by the row. */
   readonly othersRate: number;
@@ -98,7 +98,8 @@
   const room = computeAccountRoom(account, input.now);
   const pool = (input.budgetLeft ?? 0) + room + sumStandby(input.standby);
   const equal = 1 / (Math.max(input.holders, LEAST_HOLDERS) + 1);
-  if (input.rate === undefined && !input.isTrafficOn) {
+  const isQuiet = !input.isTrafficOn && input.othersRate === 0;
+  if (input.rate === undefined && isQuiet) {
     return { active: Math.floor(pool * equal * FIRST_SHARE), standby: 0 };
   }
   const rate = input.rate ?? 0;
--- a/packages/budget/standby/end_earlier_lives.ts
+++ b/packages/budget/standby/end_earlier_lives.ts
@@ -11,8 +11,12 @@
   VmId,
   WallTime,
 } from "../../core/mod.ts";
-import { type BudgetRow, formatBudgetKey } from "../rows/budget_row.ts";
-import { readBudgetRow } from "../rows/budget_row.ts";
+import {
+  type BudgetRow,
+  formatBudgetKey,
+  readBudgetRow,
+  sumOtherRates,
+} from "../rows/budget_row.ts";
 import { LossEvidenceKind, writeOffLives } from "../rows/write_off.ts";
 
 /** What became of the grants of earlier lives. */
@@ -21,6 +25,8 @@
   readonly freed: Tokens;
   /** Tokens that count as spent. */
   readonly writtenOff: Tokens;
+  /** Tokens a second that other VMs draw, by their word. */
+  readonly othersRate: number;
 }
 
 /** Returns the operation that a new life of a VM runs for each budget. */
@@ -50,6 +56,7 @@
         result: {
           freed: freed.tokens,
           writtenOff: (row.writtenOff ?? 0) - (before.writtenOff ?? 0),
+          othersRate: sumOtherRates(row, vm),
         },
       };
     },
--- a/packages/budget/standby/standby_test.ts
+++ b/packages/budget/standby/standby_test.ts
@@ -68,16 +68,28 @@
 test("standby tokens of an untouched life are free, the rest is spent", (t) => {
   const row = new OneRow();
   t.like(takeBoth(row, "1"), { size: 300, standbySize: 400, budgetLeft: 300 });
-  t.deepEqual(endLives(row, "1"), { freed: 400, writtenOff: 300 });
+  t.deepEqual(endLives(row, "1"), {
+    freed: 400,
+    writtenOff: 300,
+    othersRate: 0,
+  });
   t.is(computeBudgetLeft(row.read()), 700);
-  t.deepEqual(endLives(row, "1"), { freed: 0, writtenOff: 0 });
+  t.deepEqual(endLives(row, "1"), {
+    freed: 0,
+    writtenOff: 0,
+    othersRate: 0,
+  });
 });
 
 test("without evidence, or with that of another life, all is spent", (t) => {
   for (const untouched of [undefined, "0"]) {
     const row = new OneRow();
     takeBoth(row, "1");
-    t.deepEqual(endLives(row, untouched), { freed: 0, writtenOff: 700 });
+    t.deepEqual(endLives(row, untouched), {
+      freed: 0,
+      writtenOff: 700,
+      othersRate: 0,
+    });
   }
 });
 
@@ -90,7 +102,11 @@
     initialLimit: 1_000,
     standby: { used: ["1/1s"] },
   }));
-  t.deepEqual(endLives(row, "1"), { freed: 0, writtenOff: 700 });
+  t.deepEqual(endLives(row, "1"), {
+    freed: 0,
+    writtenOff: 700,
+    othersRate: 0,
+  });
 });
 
 test("a standby grant that went back can't be freed again", (t) => {
@@ -105,7 +121,11 @@
   row.apply(drop);
   row.apply(drop);
   t.is(computeBudgetLeft(row.read()), 700);
-  t.deepEqual(endLives(row, "1"), { freed: 0, writtenOff: 300 });
+  t.deepEqual(endLives(row, "1"), {
+    freed: 0,
+    writtenOff: 300,
+    othersRate: 0,
+  });
 });
 
 const PRESENCE: Presence = {
--- a/packages/gateway/entry/caller_face.ts
+++ b/packages/gateway/entry/caller_face.ts
@@ -9,6 +9,7 @@
 import {
   type Bytes,
   type Millis,
+  type MonotonicTime,
   type Refusal,
   RefusalKind,
   RequestOutcome,
@@ -82,6 +83,7 @@
   readonly #server: Server;
   #limits = FIRST_LIMITS;
   #open = 0;
+  #lastConnection: MonotonicTime = -Infinity;
   #isStopping = false;
 
   constructor(options: CallerFaceOptions) {
@@ -93,7 +95,14 @@
       keepAliveTimeout: FIRST_LIMITS.idleTimeout,
       headersTimeout: FIRST_LIMITS.headerTimeout,
     }, (incoming, outgoing) => void this.#serve(incoming, outgoing));
-    this.#server.on("connection", (socket) => socket.setNoDelay(true));
+    this.#server.on("connection", () => {
+      this.#lastConnection = options.context.clock.readMonotonic();
+    });
+  }
+
+  /** When a caller last connected; -Infinity before the first. */
+  get lastConnection(): MonotonicTime {
+    return this.#lastConnection;
   }
 
   /** Requests in progress. */
--- a/packages/gateway/features/customer_budgets.ts
+++ b/packages/gateway/features/customer_budgets.ts
@@ -117,6 +117,8 @@
   usedStandby: readonly string[];
   /** When the exchange under way was sent. */
   askedAt: MonotonicTime;
+  /** Whether the row was read by this life, so that its state is known. */
+  hasJoined: boolean;
   /** Present from the first draw on. */
   meter: DrawMeter | undefined;
   exchanging: boolean;
@@ -261,6 +263,7 @@
       standby: [],
       usedStandby: [],
       askedAt: 0,
+      hasJoined: false,
       meter: undefined,
       exchanging: false,
       waiters: [],
@@ -295,7 +298,10 @@
       wallTime: clock.readWall(),
     });
     const answer = await holding.writer.run(operation, { giveUpAt: Infinity });
-    answer.ifRight(({ freed, writtenOff }) => {
+    answer.ifRight(({ freed, writtenOff, othersRate }) => {
+      holding.othersRate = othersRate;
+      holding.hasJoined = true;
+      this.#startExchange(holding, planExchange);
       if (freed + writtenOff === 0) return;
       log.warn(LogEvent.GrantWrittenOff, {
         customer: holding.customer,
@@ -453,7 +459,7 @@
   #visitAll(): void {
     if (this.#isStopping) return;
     for (const holding of this.#holdings.values()) {
-      this.#startExchange(holding, planExchange);
+      if (holding.hasJoined) this.#startExchange(holding, planExchange);
     }
   }
 
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -40,11 +40,17 @@
 const SALT_BYTES = 4;
 
 /**
- * Time after the stop signal until the listener closes: the balancer asks once
- * a second and sends no new connections after two misses.
+ * Least time after the stop signal until the listener closes: the balancer asks
+ * once a second and sends no new connections after two misses.
  */
 const LISTEN_TIME: Millis = 3_000;
 
+/**
+ * Time without a new connection after which the balancer is taken to have
+ * others; where it has none, callers still come here.
+ */
+const QUIET_TIME: Millis = 1_000;
+
 /** Kept back from the time to stop for returning tokens and ending. */
 const LAST_TIME: Millis = 700;
 
@@ -155,14 +161,17 @@
     const startedAt = clock.readMonotonic();
     log.info(LogEvent.DrainStarted, { open: this.#callers.open });
     this.#callers.startDrain();
-    await sleep(LISTEN_TIME);
-    this.#callers.stopListening();
     const end = startedAt + settings.stopMillis - LAST_TIME;
-    while (this.#callers.open > 0 && clock.readMonotonic() < end) {
+    await sleep(LISTEN_TIME);
+    for (;;) {
+      const now = clock.readMonotonic();
+      const isQuiet = now - this.#callers.lastConnection > QUIET_TIME;
+      // Connections whose last answer was sent are idle by now.
+      if (isQuiet) this.#callers.stopListening();
+      if ((isQuiet && this.#callers.open === 0) || now >= end) break;
       await sleep(DRAIN_CHECK);
-      // Connections whose last answer was sent are idle now.
-      this.#callers.stopListening();
     }
+    this.#callers.stopListening();
     await Promise.race([this.#budgets.returnAll(), sleep(LAST_TIME / 2)]);
     this.#undo();
     for (const server of this.#servers) server.close();
