--- a/packages/cli/commands/gateway_command.ts
+++ b/packages/cli/commands/gateway_command.ts
@@ -22,8 +22,8 @@
 /** Longest time of a store call; the store answers within a few milliseconds. */
 const STORE_TIMEOUT_MILLIS = 1_000;
 
-/** Longest wait for a connection to the store, over a region's round trip. */
-const STORE_CONNECT_MILLIS = 500;
+/** Longest wait for a connection to the store: some round trips of a region. */
+const STORE_CONNECT_MILLIS = 300;
 
 /** Runs one entry VM that serves routes until SIGTERM or SIGINT. */
 export const gatewayCommand: CommandModule<unknown, GatewayArguments> = {
--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -74,6 +74,8 @@
   readonly requestId?: string;
   /** Whether the target says that it did not run the request. */
   readonly notRun: boolean;
+  /** Whether another target than the one asked for has answered. */
+  readonly isOtherTarget: boolean;
   /** Whether it carries the proof that a target made it. */
   readonly sealed: boolean;
   /** Whether the body is encoded, which no target does. */
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -247,7 +247,14 @@
     const end = failure?.end ?? AttemptEnd.Complete;
     if (hasReachedTarget(end)) progress.runs++;
     const head = answer?.head ?? failure?.head;
-    if (head?.load !== undefined) targets.recordLoad(target.id, head.load);
+    if (end === AttemptEnd.Refused && head !== undefined) {
+      targets.recordRefusal(target.id, {
+        isOther: head.isOtherTarget,
+        ...(head.load === undefined ? {} : { load: head.load }),
+      });
+    } else if (head?.load !== undefined) {
+      targets.recordLoad(target.id, head.load);
+    }
     const isUnread = progress.events === eventsBefore;
     targets.recordEnd(target.id, {
       now,
--- a/packages/gateway/entry/caller_face.ts
+++ b/packages/gateway/entry/caller_face.ts
@@ -144,6 +144,12 @@
     this.#server.closeIdleConnections();
   }
 
+  /** Closes every connection at once. */
+  destroy(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
   async #serve(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
--- a/packages/gateway/features/customer_budgets.ts
+++ b/packages/gateway/features/customer_budgets.ts
@@ -81,7 +81,7 @@
 const SETTLING_TIME: Millis = 3_000;
 
 /** Longest pause between tries: tokens run out while the table is away. */
-const LONGEST_BACKOFF: Millis = 400;
+const LONGEST_BACKOFF: Millis = 250;
 
 /** Longest time that an exchange takes while the table answers. */
 const USUAL_EXCHANGE: Millis = 800;
--- a/packages/gateway/features/follow_feed.ts
+++ b/packages/gateway/features/follow_feed.ts
@@ -31,7 +31,7 @@
 }
 
 const FIRST_BACKOFF: Millis = 100;
-const LONGEST_BACKOFF: Millis = 800;
+const LONGEST_BACKOFF: Millis = 300;
 
 /** Follows a table until it is stopped. */
 export class FeedFollower<Value> {
--- a/packages/gateway/features/target_keeper.ts
+++ b/packages/gateway/features/target_keeper.ts
@@ -31,6 +31,7 @@
   recordAttemptEnd,
   recordAttemptStart,
   recordPromptRead,
+  recordReach,
   type RoutingState,
   TargetHealth,
 } from "../../routing/mod.ts";
@@ -147,6 +148,24 @@
     });
   }
 
+  /**
+   * Takes in that a target did not run an attempt: it is full, or what has its
+   * address is another target.
+   */
+  recordRefusal(
+    target: TargetId,
+    refusal: { readonly isOther: boolean; readonly load?: LoadWord },
+  ): void {
+    const now = this.#context.clock.readMonotonic();
+    if (refusal.isOther) {
+      recordReach(this.#state, target, { answered: false, now });
+      return;
+    }
+    const slots = this.#listed.get(target)?.slots ?? 1;
+    const full = { running: slots, waiting: slots, slots };
+    this.recordLoad(target, refusal.load ?? full);
+  }
+
   #apply(changes: readonly RowChange<ListedTarget>[]): void {
     let hasChanged = false;
     for (const { key, value } of changes) {
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -146,6 +146,19 @@
     return this.#stopping;
   }
 
+  /** Ends at once, as a process that is killed does; for tests. */
+  kill(): void {
+    this.#context.kernel.close();
+    this.#undo();
+    this.#callers.destroy();
+    for (const server of this.#servers) server.close();
+  }
+
+  /** Returns the state of every part, for operators. */
+  readDump(): Record<string, unknown> {
+    return this.#context.kernel.readDump();
+  }
+
   /** Takes over settings that may change while it runs. */
   changeSettings(settings: GatewaySettings): void {
     this.#context.settings = settings;
@@ -173,6 +186,7 @@
     }
     this.#callers.stopListening();
     await Promise.race([this.#budgets.returnAll(), sleep(LAST_TIME / 2)]);
+    this.#context.kernel.close();
     this.#undo();
     for (const server of this.#servers) server.close();
     log.info(LogEvent.Stopped, {
--- a/packages/routing/queries/choose_placed.ts
+++ b/packages/routing/queries/choose_placed.ts
@@ -74,10 +74,15 @@
 /** Work beyond its slots that a target may be given, as a part of them. */
 const MOST_LOAD = 1.25;
 
+/** Age up to which a target's own word that it is full is believed. */
+const FULL_WORD_AGE: Millis = 1_000;
+
 interface Candidate {
   readonly target: TargetState;
   readonly cost: number;
   readonly load: number;
+  /** Whether the target itself said lately that it has no room. */
+  readonly isFull: boolean;
 }
 
 /** Returns the target whose wait and reading cost least. */
@@ -92,7 +97,7 @@
   let best: Candidate | undefined;
   for (const target of usable) {
     const candidate = computeCandidate(state, target, { ...input, holders });
-    if (candidate.load >= MOST_LOAD) continue;
+    if (candidate.isFull) continue;
     if (best === undefined || candidate.cost < best.cost) best = candidate;
   }
   if (best === undefined) return Left(createNoRoom());
@@ -143,7 +148,20 @@
     ? 0
     : DATA_CENTRE_TOKENS;
   const waiting = target.unreadTokens + load * FULL_BATCH_TOKENS;
-  return { target, load, cost: waiting + missing + away + across };
+  return {
+    target,
+    load,
+    cost: waiting + missing + away + across,
+    isFull: isFull(target, input.now),
+  };
+}
+
+/** What was only guessed from other targets refuses nobody. */
+function isFull(target: TargetState, now: MonotonicTime): boolean {
+  const { report, inFlight, config } = target;
+  if (report === undefined) return false;
+  if (now - report.measuredAt > FULL_WORD_AGE) return false;
+  return (inFlight + report.othersNow) / config.capacity >= MOST_LOAD;
 }
 
 function isUsable(target: TargetState, input: PlacementInput): boolean {
