--- a/packages/model/guard.ts
+++ b/packages/model/guard.ts
@@ -40,6 +40,10 @@
   WholeCheckedTogether = "whole-checked-together",
   ChangeIdKept = "change-id-kept",
   RestartReadsStore = "restart-reads-store",
+  StandbyWaits = "standby-waits",
+  StandbyCountsFromSend = "standby-counts-from-send",
+  StandbyToldBeforeWord = "standby-told-before-word",
+  StandbyProofInTime = "standby-proof-in-time",
 }
 
 /** What each guard demands, in one sentence. */
@@ -112,4 +116,12 @@
     "A change's id is kept, so that a repeated one is not refused as stale.",
   [Guard.RestartReadsStore]:
     "A new life serves only after it has read the document's head in the store.",
+  [Guard.StandbyWaits]:
+    "Standby tokens are used only after a time without a word to the table.",
+  [Guard.StandbyCountsFromSend]:
+    "That time counts from when a word was sent, whether it was answered or not.",
+  [Guard.StandbyToldBeforeWord]:
+    "No word goes out before the table knows which standby tokens are in use.",
+  [Guard.StandbyProofInTime]:
+    "Standby tokens are freed only if the life ended within that time of its last word.",
 };
--- a/packages/model/run_model_check.ts
+++ b/packages/model/run_model_check.ts
@@ -9,6 +9,7 @@
 import { GRANTS, TOP_UPS } from "./specifications/grants.ts";
 import { LEASES } from "./specifications/leases.ts";
 import { LOANS } from "./specifications/loans.ts";
+import { STANDBY } from "./specifications/standby.ts";
 
 /** States after which the exploration of one model gives up. */
 export const DEFAULT_MAX_STATES = 2_000_000;
@@ -36,6 +37,7 @@
   createModel(ANSWERS),
   createModel(LEASES),
   createModel(DOCUMENTS),
+  createModel(STANDBY),
 ];
 
 /** Returns every model. */
--- a/packages/routing/queries/choose_placed.ts
+++ b/packages/routing/queries/choose_placed.ts
@@ -68,6 +68,9 @@
  */
 const REGION_TOKENS: Tokens = 4_000;
 
+/** How much dearer than the way reading again must be to go the way. */
+const LONG_WAY = 2;
+
 /** Price of the link to another data centre, as tokens that could be read. */
 const DATA_CENTRE_TOKENS: Tokens = 150;
 
@@ -93,7 +96,7 @@
   const usable = state.targets.listService(input.service)
     .filter((target) => isUsable(target, input));
   if (usable.length === 0) return Left(createNoTarget());
-  const holders = findHolders(usable, input.beginning);
+  const holders = findHolders(usable, input);
   let best: Candidate | undefined;
   for (const target of usable) {
     const candidate = computeCandidate(state, target, { ...input, holders });
@@ -113,21 +116,26 @@
 }
 
 /**
- * Returns the target of each region that all VMs rank first for a beginning, so
- * that a request that goes to another region meets what its callers left there.
+ * Returns the targets at which a beginning is expected. All VMs rank them alike.
+ * A long beginning has one place for all regions, since reading it again costs
+ * more than the way to another region; a short one has a place in each, so that
+ * a request that goes there meets what that region's callers left.
  */
 function findHolders(
   usable: readonly TargetState[],
-  beginning: string | undefined,
+  input: PlacementInput,
 ): ReadonlySet<TargetId> {
+  const { beginning, sharedTokens } = input;
   if (beginning === undefined) return new Set();
+  const isLong = sharedTokens * READ_AGAIN_WEIGHT > LONG_WAY * REGION_TOKENS;
   const keyHash = computeHash(beginning);
   const best = new Map<RegionId, { id: TargetId; score: number }>();
   for (const { config: { id, region } } of usable) {
+    const place = isLong ? "" : region;
     const score = computeScore(keyHash, computeHash(id));
-    const known = best.get(region);
+    const known = best.get(place);
     if (known === undefined || score > known.score) {
-      best.set(region, { id, score });
+      best.set(place, { id, score });
     }
   }
   return new Set([...best.values()].map((each) => each.id));
