--- /dev/null
+++ b/packages/cli/commands/explain_command.ts
@@ -0,0 +1,67 @@
+/** `anvilrail explain`. */
+import { createReadStream, existsSync } from "node:fs";
+import process from "node:process";
+import { createInterface } from "node:readline";
+import type { CommandModule } from "yargs";
+import {
+  findRequestStory,
+  formatStory,
+  type LogLine,
+  parseLogLine,
+} from "../../explain/mod.ts";
+import { ExitCode } from "../exit_code.ts";
+
+interface ExplainArguments {
+  readonly request: string;
+  readonly files: readonly string[];
+}
+
+/** Prints what became of one request, from log files of any number of VMs. */
+export const explainCommand: CommandModule<unknown, ExplainArguments> = {
+  command: "explain <request> <files..>",
+  describe: "tell the story of one request from log files",
+  builder: (parser) =>
+    parser
+      .positional("request", {
+        type: "string",
+        demandOption: true,
+        describe: "the request's id",
+      })
+      .positional("files", {
+        type: "string",
+        array: true,
+        demandOption: true,
+        describe:
+          "log files; of several VMs, all that the request may have met",
+      }),
+  handler: async ({ request, files }) => {
+    const missing = files.filter((file) => !existsSync(file));
+    if (missing.length > 0) {
+      console.error(`There is no file ${missing.join(", ")}. Check the names.`);
+      process.exitCode = ExitCode.BadInput;
+      return;
+    }
+    const lines: LogLine[] = [];
+    let unreadable = 0;
+    for (const file of files) {
+      const reader = createInterface({ input: createReadStream(file) });
+      for await (const text of reader) {
+        const line = parseLogLine(text, file);
+        if (line !== undefined) lines.push(line);
+        else if (text.trim() !== "") unreadable++;
+      }
+    }
+    const story = findRequestStory(lines, request);
+    if (unreadable > 0) {
+      console.error(`${unreadable} lines are no log lines and were skipped.`);
+    }
+    if (story.steps.length > 0) {
+      console.log(formatStory(story));
+      return;
+    }
+    console.error(
+      `No line of ${lines.length} names the request ${request}. Check that the files cover its time and its VM, and whether lines_left_out tells of missing lines.`,
+    );
+    process.exitCode = ExitCode.BadInput;
+  },
+};
--- a/packages/cli/mod.ts
+++ b/packages/cli/mod.ts
@@ -5,6 +5,7 @@
 import { checkCommand } from "./commands/check_command.ts";
 import { demoCommand } from "./commands/demo_command.ts";
 import { documentCommand } from "./commands/document_command.ts";
+import { explainCommand } from "./commands/explain_command.ts";
 import {
   budgetCommand,
   dumpCommand,
@@ -15,6 +16,7 @@
   topUpCommand,
   writeOffCommand,
 } from "./commands/fleet_commands.ts";
+import { gatewayCommand } from "./commands/gateway_command.ts";
 import { modelCommand } from "./commands/model_command.ts";
 import { replayCommand } from "./commands/replay_command.ts";
 import { serveCommand } from "./commands/serve_command.ts";
@@ -27,6 +29,8 @@
     .scriptName("anvilrail")
     .usage("$0 COMMAND\n\nA router fleet for prepaid token budgets.")
     .command(serveCommand)
+    .command(gatewayCommand)
+    .command(explainCommand)
     .command(checkCommand)
     .command(demoCommand)
     .command(standInCommand)
--- /dev/null
+++ b/packages/explain/explain_test.ts
@@ -0,0 +1,49 @@
+/** Tests of explaining a request from log lines. */
+import test from "ava";
+import { findRequestStory, formatStory, parseLogLine } from "./mod.ts";
+
+const TEXT = `
+  1.0 v1 ts=2026-01-01T00:00:01.000Z level=info event=configuration_applied version=3
+  1.1 v1 ts=2026-01-01T00:00:01.100Z level=info event=configuration_applied version=4
+  1.2 v2 ts=2026-01-01T00:00:01.200Z level=info event=configuration_applied version=9
+  1.3 v1 ts=2026-01-01T00:00:01.300Z level=warn event=dependency_lost dependency=targets reason=cancelled
+  1.5 v1 ts=2026-01-01T00:00:01.500Z level=info event=grant_exchanged customer=tours room=10 budget_left=900
+  1.6 v1 ts=2026-01-01T00:00:01.600Z level=info event=grant_exchanged customer=others room=7
+  2.0 v1 ts=2026-01-01T00:00:02.000Z level=warn event=budget_short request=q7 customer=tours tokens=50 room=10
+not a line
+  2.0 v1 ts=2026-01-01T00:00:02.001Z level=info event=request_refused request=q7 reason="budget unreachable" status=503
+  2.1 v1 ts=2026-01-01T00:00:02.100Z level=info event=request_ended request=q8 status=200
+  2.2 v1 ts=2026-01-01T00:00:02.200Z level=info event=standby_used customer=tours
+`;
+
+function parse(text: string) {
+  return text.split("\n").map((line) => parseLogLine(line, "file"))
+    .filter((line) => line !== undefined);
+}
+
+test("a story has the request's steps and what its VM believed then", (t) => {
+  const story = findRequestStory(parse(TEXT), "q7");
+  t.deepEqual(story.steps.map((step) => step.text), [
+    "budget_short customer=tours tokens=50 room=10",
+    "request_refused reason=budget unreachable status=503",
+  ]);
+  t.deepEqual(story.beliefs.map((step) => step.text), [
+    "configuration_applied version=4",
+    "dependency_lost dependency=targets reason=cancelled",
+    "grant_exchanged customer=tours room=10 budget_left=900",
+  ]);
+  t.is(
+    formatStory(story).split("\n").at(-1),
+    "*     1 ms  v1  request_refused reason=budget unreachable status=503",
+  );
+});
+
+test("an unknown request has no story, and other text is no line", (t) => {
+  t.deepEqual(findRequestStory(parse(TEXT), "q9").steps, []);
+  t.is(parseLogLine("", "f"), undefined);
+  t.is(parseLogLine("ts=never level=info event=x", "f"), undefined);
+  t.is(
+    parse('ts=2026-01-01T00:00:00Z level=info event=x a="cut')[0]?.source,
+    "file",
+  );
+});
--- /dev/null
+++ b/packages/explain/mod.ts
@@ -0,0 +1,5 @@
+/** Explains what became of a request from log lines alone. */
+export type { RequestStory, StoryStep } from "./explain_request.ts";
+export { findRequestStory, formatStory } from "./explain_request.ts";
+export type { LogLine } from "./parse_line.ts";
+export { parseLogLine } from "./parse_line.ts";
--- a/tools/check_imports.ts
+++ b/tools/check_imports.ts
@@ -13,6 +13,7 @@
   runtime: ["core"],
   settings: ["core"],
   routes: ["core"],
+  explain: ["core"],
   ports: ["core"],
   budget: ["core"],
   request: ["core"],
@@ -79,6 +80,8 @@
   "daemon",
   "ports",
   "bench",
+  "runtime",
+  "settings",
 ];
 
 const PACKAGES = resolve("packages");
