--- a/packages/cli/gateway_main.ts
+++ b/packages/cli/gateway_main.ts
@@ -3,7 +3,7 @@
 import yargs from "yargs";
 import { gatewayCommand } from "./commands/gateway_command.ts";
 
-await yargs(process.argv.slice(2))
+void yargs(process.argv.slice(2))
   .scriptName("anvilrail")
   .command(gatewayCommand)
   .demandCommand(1)
