Pace refills and words by the store's rate and the number of VMs

What the store allows is shared: refills of all VMs take 0.4 of its writes and words 0.25, whatever the number of VMs; requests that wait are not held back. Settings that nothing read are gone.

--- a/packages/gateway/features/customer_budgets.ts
+++ b/packages/gateway/features/customer_budgets.ts
@@ -49,7 +49,8 @@
   startPeriodic,
 } from "../../runtime/mod.ts";
 import type { GatewayContext } from "../gateway_context.ts";
-import { PRESENCE_INTERVAL, PresenceKeeper } from "./presence_keeper.ts";
+import { computePresenceInterval, PresenceKeeper } from "./presence_keeper.ts";
+import { WritePace } from "./write_pace.ts";
 
 /** Accounts by customer; a budget row is named like its customer. */
 const ACCOUNTS: SliceType<Map<CustomerId, EventAccount>> = {
@@ -135,6 +136,7 @@
   /** Smoothed over the requests of all customers. */
   #usualRequest: Tokens = 0;
   #firstDraw: MonotonicTime | undefined;
+  readonly #pace = new WritePace();
   #isStopping = false;
   #listenVms: (count: number) => void = () => {};
 
@@ -142,6 +144,7 @@
     this.#context = context;
     this.#presence = new PresenceKeeper(context, {
       mayConfirm: () => !this.#hasUntoldStandby(),
+      computeInterval: () => this.#computePresenceInterval(),
     });
   }
 
@@ -456,24 +459,42 @@
     }
   }
 
+  #computePresenceInterval(): Millis {
+    const { writesPerSecond } = this.#context.settings.store;
+    return computePresenceInterval({
+      vms: this.countHolders(),
+      writesPerSecond,
+    });
+  }
+
+  /** Fills up and gives back, within this VM's share of the table's writes. */
   #visitAll(): void {
     if (this.#isStopping) return;
-    for (const holding of this.#holdings.values()) {
-      if (holding.hasJoined) this.#startExchange(holding, planExchange);
+    const { clock, settings } = this.#context;
+    const { writesPerSecond } = settings.store;
+    const vms = this.countHolders();
+    this.#pace.earn(clock.readMonotonic(), { vms, writesPerSecond });
+    const joined = [...this.#holdings.values()]
+      .filter((each) => each.hasJoined)
+      .sort((left, right) => left.askedAt - right.askedAt);
+    for (const holding of joined) {
+      if (!this.#pace.hasRoom) return;
+      if (this.#startExchange(holding, planExchange)) this.#pace.take();
     }
   }
 
+  /** Returns whether the table is asked. */
   #startExchange(
     holding: Holding,
     plan: (account: EventAccount, input: ExchangeInput) => EventAccount,
-  ): void {
-    if (holding.exchanging) return;
+  ): boolean {
+    if (holding.exchanging) return false;
     const input = this.#createExchangeInput(holding);
     const account = this.#change(
       holding.customer,
       (before) => plan(before, input),
     );
-    if (account.exchange === undefined) return;
+    if (account.exchange === undefined) return false;
     // From here on the table may count a dropped standby grant as free.
     const { drops = [] } = account.exchange.standby ?? {};
     holding.standby = holding.standby
@@ -483,6 +504,7 @@
     const running = this.#runExchange(holding, account.exchange);
     this.#exchanges.add(running);
     void running.finally(() => this.#exchanges.delete(running));
+    return true;
   }
 
   #createExchangeInput(holding: Holding): ExchangeInput {
@@ -518,7 +540,8 @@
           isTrafficOn: now - (this.#firstDraw ?? now) > SETTLING_TIME,
           othersRate: holding.othersRate,
           offline: settings.budgets.offlineMillis,
-          active: STANDBY_DELAY + PRESENCE_INTERVAL + REFILL_TIME,
+          active: STANDBY_DELAY + this.#computePresenceInterval() +
+            REFILL_TIME,
           usualRequest: this.#usualRequest,
           standby: holding.standby,
           ...(rate === undefined ? {} : { rate }),
--- a/packages/gateway/features/presence_keeper.ts
+++ b/packages/gateway/features/presence_keeper.ts
@@ -3,13 +3,14 @@
  * tokens may be used: only after a time in which nothing was sent, so that the
  * table's last word of a life proves what that life can't have used.
  */
-import type {
-  Incarnation,
-  Millis,
-  MonotonicTime,
-  PlatformError,
-  Row,
-  Undo,
+import {
+  type Incarnation,
+  type Millis,
+  MILLIS_PER_SECOND,
+  type MonotonicTime,
+  type PlatformError,
+  type Row,
+  type Undo,
 } from "../../core/mod.ts";
 import {
   createPresenceWrite,
@@ -27,13 +28,26 @@
 } from "../../runtime/mod.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 
-/** Pause between two words; a life's end is known this much less closely. */
-export const PRESENCE_INTERVAL: Millis = 600;
+/** Least pause between two words; a life's end is known that much less closely. */
+const LEAST_INTERVAL: Millis = 600;
+
+/** Part of the table's writes that all VMs' words may take. */
+const WORDS_SHARE = 0.25;
+
+/** Returns the pause between two words of a VM, so that all keep to their share. */
+export function computePresenceInterval(
+  input: { readonly vms: number; readonly writesPerSecond: number },
+): Millis {
+  const perVm = input.writesPerSecond * WORDS_SHARE / input.vms;
+  return Math.max(LEAST_INTERVAL, MILLIS_PER_SECOND / perVm);
+}
 
 /** What the keeper needs to know of the tokens. */
 export interface PresenceOptions {
   /** Whether the table knows of all standby tokens that are in use. */
   mayConfirm(): boolean;
+  /** Returns the pause between two words. */
+  computeInterval(): Millis;
 }
 
 /** Keeps this VM's presence row. */
@@ -57,13 +71,20 @@
   register(): Undo {
     const { random, log } = this.#context;
     return startPeriodic({
-      interval: PRESENCE_INTERVAL,
+      interval: LEAST_INTERVAL,
       random,
       run: () => this.#takeTurn(),
       reportError: createFailureReport(log, "presence"),
     }).stop;
   }
 
+  #isDue(): boolean {
+    if (this.#lastSent === undefined) return true;
+    // A turn that comes a little early is as good as the next.
+    return this.computeSilence() >=
+      this.#options.computeInterval() - LEAST_INTERVAL / 2;
+  }
+
   /**
    * Resolves with the earlier life that can't have used its standby tokens, or
    * undefined, once the table has told what that life last said.
@@ -86,7 +107,7 @@
   async #takeTurn(): Promise<void> {
     // While an answer is missing only a read may go out: it changes nothing.
     if (this.#version === undefined && !await this.#readRow()) return;
-    if (!this.#options.mayConfirm()) return;
+    if (!this.#options.mayConfirm() || !this.#isDue()) return;
     await this.#confirm();
   }
 
--- /dev/null
+++ b/packages/gateway/features/write_pace_test.ts
@@ -0,0 +1,36 @@
+/** Tests of what a fleet writes at the store, from one VM's share. */
+import test from "ava";
+import { computePresenceInterval } from "./presence_keeper.ts";
+import { WritePace } from "./write_pace.ts";
+
+test("refills and words of all VMs keep to their parts of the store's writes", (t) => {
+  const writesPerSecond = 600;
+  for (const vms of [1, 8, 79, 380]) {
+    const pace = new WritePace();
+    let refills = 0;
+    for (let now = 0; now <= 60_000; now += 400) {
+      pace.earn(now, { vms, writesPerSecond });
+      while (pace.hasRoom) {
+        pace.take();
+        refills++;
+      }
+    }
+    const words = 60_000 / computePresenceInterval({ vms, writesPerSecond });
+    // What was saved at the start comes once and not each minute.
+    t.true(vms * (refills - 25) / 60 <= writesPerSecond * 0.4, String(vms));
+    t.true(vms * words / 60 <= writesPerSecond * 0.25 + 1e-9, String(vms));
+  }
+});
+
+test("a small fleet refills as often as it looks", (t) => {
+  const pace = new WritePace();
+  let refills = 0;
+  for (let now = 0; now < 60_000; now += 400) {
+    pace.earn(now, { vms: 6, writesPerSecond: 600 });
+    for (let customer = 0; customer < 10 && pace.hasRoom; customer++) {
+      pace.take();
+      refills++;
+    }
+  }
+  t.is(refills, 1_500);
+});
--- a/packages/settings/gateway_settings.ts
+++ b/packages/settings/gateway_settings.ts
@@ -25,9 +25,8 @@
   operators: ADDRESS_SCHEMA.optional(),
   store: z.strictObject({
     address: ADDRESS_SCHEMA,
-    /** Calls a second that all VMs may make together. */
+    /** Writes a second that all VMs may make together. */
     writesPerSecond: z.number().positive().default(600),
-    readsPerSecond: z.number().positive().default(2_000),
   }),
   /** Tokens of customers' budgets. */
   budgets: z.strictObject({
@@ -37,12 +36,9 @@
   retries: z.strictObject({
     /** Second attempts allowed for each request to a service, fleet-wide. */
     ratio: z.number().min(0).max(1).default(0.2),
-    /** Second attempts allowed beyond the ratio in each window, fleet-wide. */
+    /** Second attempts allowed beyond the ratio in ten seconds, fleet-wide. */
     slack: z.number().min(0).default(50),
-    windowMillis: MILLIS_SCHEMA.default(10_000),
   }).prefault({}),
-  /** How long after the store lists a target as leaving it may get new work. */
-  leavingMillis: MILLIS_SCHEMA.default(3_000),
   /** How long after a new configuration is stored it must be in force. */
   configurationMillis: MILLIS_SCHEMA.default(3_000),
   /** Time between a stop signal and the forced end of the process. */
