--- a/packages/gateway/entry/caller_face.ts
+++ b/packages/gateway/entry/caller_face.ts
@@ -317,7 +317,9 @@
       path: request?.path,
       reason: refusal.kind,
       status: readRefusalStatus(refusal),
-      retry_after_ms: refusal.retryAfter,
+      retry_after_ms: refusal.retryAfter === undefined
+        ? undefined
+        : Math.round(refusal.retryAfter),
       version: this.#options.configuration.read()?.configuration.version,
       ms: Math.round(context.clock.readMonotonic() - arrivedAt),
     });
--- a/packages/gateway/features/customer_budgets.ts
+++ b/packages/gateway/features/customer_budgets.ts
@@ -90,6 +90,9 @@
 /** Time after which tokens that others hold may have come back. */
 const HELD_RETRY_AFTER: Millis = 1_000;
 
+/** Least time to come back in: a round trip and some margin. */
+const LEAST_RETURN_TIME: Millis = 100;
+
 /** Customers whose first holding is taken before their first request. */
 const MOST_PREFETCHED = 200;
 
@@ -421,11 +424,21 @@
     return isSpent
       ? createRefusal(RefusalKind.BudgetSpent)
       : createRefusal(RefusalKind.BudgetUnreachable, {
-        // An outage that has lasted so long is likely to last about as long.
-        retryAfter: Math.max(HELD_RETRY_AFTER, this.#computeOutage(holding)),
+        retryAfter: this.#computeReturnTime(holding, tokens),
       });
   }
 
+  /** Returns when coming back is likely to help. */
+  #computeReturnTime(holding: Holding, tokens: Tokens): Millis {
+    const outage = this.#computeOutage(holding);
+    if (outage > 0 && sumSizes(holding.standby) >= tokens) {
+      const left = STANDBY_DELAY - this.#presence.computeSilence();
+      return Math.max(LEAST_RETURN_TIME, left);
+    }
+    // An outage that has lasted so long is likely to last about as long.
+    return Math.round(Math.max(HELD_RETRY_AFTER, outage));
+  }
+
   #addWaiter(holding: Holding, waiter: Waiter): void {
     const wait = waiter.deadline - this.#context.clock.readMonotonic();
     const waiting: Waiter = {
