--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -7,7 +7,6 @@
   CustomerId,
   DataCentreId,
   Millis,
-  MonotonicTime,
   ServiceId,
   TargetId,
   Tokens,
@@ -123,9 +122,3 @@
   /** Rows of the gateway's own; one transaction changes one row. */
   readonly table: RowPort;
 }
-
-/** When a request came and when it must be answered. */
-export interface RequestTimes {
-  readonly arrivedAt: MonotonicTime;
-  readonly deadline: MonotonicTime;
-}
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -4,6 +4,7 @@
  */
 import {
   type Millis,
+  type MonotonicTime,
   type Refusal,
   RefusalKind,
   Repeatability,
@@ -23,6 +24,7 @@
 import type { AnswerHead, ListedTarget } from "../dialect.ts";
 import type { TargetKeeper } from "../features/target_keeper.ts";
 import type { GatewayContext } from "../gateway_context.ts";
+import { AttemptWatch } from "./attempt_watch.ts";
 import {
   CallProgress,
   computeSeconds,
@@ -45,25 +47,26 @@
   readonly detail?: string;
 }
 
+/**
+ * Part of the fleet's retry ratio that requests earn; the rest is the slack that
+ * VMs may use at once, so that both together keep to the fleet's bound.
+ */
+const EARNED_PART = 0.5;
+
 /** Sends that a target said it did not run, or never got, beyond the runs. */
 const MOST_UNRUN_SENDS = 2;
 
 /** Time left below which an attempt has no use. */
 const LEAST_TIME_LEFT: Millis = 30;
 
-/** Silence before the first event that counts as a lost target, in goals. */
-const FIRST_EVENT_GOALS = 3;
-
-/** Silence between events that counts as a lost target, in pause goals. */
-const PAUSE_GOALS = 2;
-
-/** Least silence that counts as a lost target. */
-const LEAST_SILENCE: Millis = 1_200;
-
-/** Pause goal of routes that state none. */
-const USUAL_PAUSE: Millis = 600;
+/** An attempt under way, and how far its request was when it began. */
+interface StartedAttempt {
+  readonly progress: CallProgress;
+  readonly startedAt: MonotonicTime;
+  readonly eventsBefore: number;
+}
 
-/** What runs calls needs. */
+/** What running calls needs. */
 export interface CallRunnerOptions {
   readonly context: GatewayContext;
   readonly targets: TargetKeeper;
@@ -82,7 +85,8 @@
   /** Runs a call to its final answer. Never throws. */
   async run(call: RoutedCall, progress: CallProgress): Promise<CallEnd> {
     const { retries, context } = this.#options;
-    retries.recordFirst(call.service, context.settings.retries.ratio / 2);
+    const { ratio } = context.settings.retries;
+    retries.recordFirst(call.service, ratio * EARNED_PART);
     let failure: AttemptFailure | undefined;
     let spare: WholeAnswer | undefined;
     for (let sends = 0;; sends++) {
@@ -208,14 +212,13 @@
   > {
     const { progress, target } = input;
     const { context, targets } = this.#options;
-    const { clock, log, metrics } = context;
     const listed = targets.find(target.id);
     if (listed === undefined) {
       const end = AttemptEnd.NotSent;
       return { isWhole: false, failure: { end, detail: "the target is gone" } };
     }
     progress.tried.push(target.id);
-    const startedAt = clock.readMonotonic();
+    const startedAt = context.clock.readMonotonic();
     const promptTokens = call.request.prompt?.tokens ?? 0;
     targets.recordStart(target.id, { now: startedAt, promptTokens });
     const watch = new AttemptWatch(call, {
@@ -223,7 +226,7 @@
       resumable: call.route.resumable &&
         progress.runs + 1 < call.route.maxAttempts,
     });
-    const eventsBefore = progress.events;
+    const started = { progress, startedAt, eventsBefore: progress.events };
     const exchange = this.#createExchange(call, {
       progress,
       listed,
@@ -237,43 +240,71 @@
       })
       : await callWhole(exchange);
     watch.stop();
-    const now = clock.readMonotonic();
-    const failure = result.isLeft()
-      ? watch.explain(result.extract() as AttemptFailure)
-      : undefined;
-    const answer = failure === undefined
-      ? result.extract() as WholeAnswer
-      : undefined;
+    if (result.isRight()) {
+      const answer = result.extract() as WholeAnswer;
+      this.#recordOutcome(call, { target, started, head: answer.head });
+      return { isWhole: true, answer };
+    }
+    const failure = watch.explain(result.extract() as AttemptFailure);
+    this.#recordOutcome(call, {
+      target,
+      started,
+      failure,
+      ...(failure.head === undefined ? {} : { head: failure.head }),
+    });
+    return { isWhole: false, failure };
+  }
+
+  /** Folds the end of an attempt into what is known of its request and target. */
+  #recordOutcome(
+    call: RoutedCall,
+    input: {
+      readonly target: TargetConfig;
+      readonly started: StartedAttempt;
+      readonly head?: AnswerHead;
+      readonly failure?: AttemptFailure;
+    },
+  ): void {
+    const { target, started, head, failure } = input;
+    const { progress, startedAt, eventsBefore } = started;
+    const { context, targets } = this.#options;
+    const now = context.clock.readMonotonic();
     const end = failure?.end ?? AttemptEnd.Complete;
     if (hasReachedTarget(end)) progress.runs++;
-    const head = answer?.head ?? failure?.head;
-    if (end === AttemptEnd.Refused && head !== undefined) {
-      targets.recordRefusal(target.id, {
-        isOther: head.isOtherTarget,
-        ...(head.load === undefined ? {} : { load: head.load }),
-      });
-    } else if (head?.load !== undefined) {
-      targets.recordLoad(target.id, head.load);
-    }
+    this.#recordLoad(target, { end, head });
     const isUnread = progress.events === eventsBefore;
     targets.recordEnd(target.id, {
       now,
       end,
-      ...(isUnread ? { unreadTokens: promptTokens } : {}),
+      ...(isUnread ? { unreadTokens: call.request.prompt?.tokens ?? 0 } : {}),
     });
-    metrics.attempts.inc({ end });
-    if (failure !== undefined) {
-      log.warn(LogEvent.AttemptFailed, {
-        request: call.request.id,
-        target: target.id,
-        end,
-        reason: failure.detail,
-        events: progress.events,
-        ms: Math.round(now - startedAt),
-      });
-      return { isWhole: false, failure };
+    context.metrics.attempts.inc({ end });
+    if (failure === undefined) return;
+    context.log.warn(LogEvent.AttemptFailed, {
+      request: call.request.id,
+      target: target.id,
+      end,
+      reason: failure.detail,
+      events: progress.events,
+      ms: Math.round(now - startedAt),
+    });
+  }
+
+  /** Takes in what a target says of its load, or that it ran nothing. */
+  #recordLoad(
+    target: TargetConfig,
+    input: { readonly end: AttemptEnd; readonly head: AnswerHead | undefined },
+  ): void {
+    const { end, head } = input;
+    const { targets } = this.#options;
+    if (head === undefined) return;
+    const load = head.load === undefined ? {} : { load: head.load };
+    if (end === AttemptEnd.Refused) {
+      const isOther = head.isOtherTarget;
+      targets.recordRefusal(target.id, { isOther, ...load });
+    } else if (head.load !== undefined) {
+      targets.recordLoad(target.id, head.load);
     }
-    return { isWhole: true, answer: answer! };
   }
 
   #createExchange(
@@ -404,76 +435,3 @@
     detail: "the caller left",
   };
 }
-
-/** Ends an attempt that has no use any more, and says why. */
-class AttemptWatch {
-  readonly #controller = new AbortController();
-  readonly #deadlineTimer: NodeJS.Timeout;
-  readonly #call: RoutedCall;
-  readonly #watchesSilence: boolean;
-  readonly #leave = () => this.#abort("the caller left");
-  #silenceTimer: NodeJS.Timeout | undefined;
-  #reason: string | undefined;
-  #isSilent = false;
-
-  constructor(
-    call: RoutedCall,
-    input: { readonly now: number; readonly resumable: boolean },
-  ) {
-    this.#call = call;
-    this.#watchesSilence = input.resumable;
-    this.#deadlineTimer = setTimeout(
-      () => this.#abort("the time for it was over"),
-      Math.max(0, call.deadline - input.now),
-    );
-    // What may not be repeated goes on, since it may take effect anyway.
-    const isStoppable = call.route.form === AnswerForm.Events ||
-      call.route.repeatability === Repeatability.Repeatable;
-    if (isStoppable) {
-      call.exchange.gone.addEventListener("abort", this.#leave, { once: true });
-    }
-    this.#watchSilence(
-      Math.max(LEAST_SILENCE, FIRST_EVENT_GOALS * call.route.latencyGoal),
-    );
-  }
-
-  get signal(): AbortSignal {
-    return this.#controller.signal;
-  }
-
-  /** Notes a sign of life. */
-  recordProgress(): void {
-    const pause = this.#call.route.pauseGoal ?? USUAL_PAUSE;
-    this.#watchSilence(Math.max(LEAST_SILENCE, PAUSE_GOALS * pause));
-  }
-
-  stop(): void {
-    clearTimeout(this.#deadlineTimer);
-    clearTimeout(this.#silenceTimer);
-    this.#call.exchange.gone.removeEventListener("abort", this.#leave);
-  }
-
-  /** Returns a failure with the watch's own reason, where it has one. */
-  explain(failure: AttemptFailure): AttemptFailure {
-    if (this.#reason === undefined) return failure;
-    // A silent target is a broken one: another may go on.
-    const end = this.#isSilent && failure.end === AttemptEnd.Cancelled
-      ? AttemptEnd.Broken
-      : failure.end;
-    return { ...failure, end, detail: this.#reason };
-  }
-
-  #watchSilence(limit: Millis): void {
-    if (!this.#watchesSilence) return;
-    clearTimeout(this.#silenceTimer);
-    this.#silenceTimer = setTimeout(() => {
-      this.#isSilent = true;
-      this.#abort(`silent for ${Math.round(limit)} ms`);
-    }, limit);
-  }
-
-  #abort(reason: string): void {
-    this.#reason ??= reason;
-    this.#controller.abort();
-  }
-}
--- a/packages/settings/parse_settings_test.ts
+++ b/packages/settings/parse_settings_test.ts
@@ -3,7 +3,12 @@
 import test from "ava";
 import fc from "fast-check";
 import { formatInputError } from "../core/mod.ts";
-import { parseSettings, SETTINGS_SCHEMA } from "./mod.ts";
+import {
+  GATEWAY_SCHEMA,
+  parseGatewaySettings,
+  parseSettings,
+  SETTINGS_SCHEMA,
+} from "./mod.ts";
 
 const EXAMPLE = readFileSync("packages/cli/example/settings.jsonc", "utf8");
 
@@ -77,3 +82,30 @@
   );
   t.pass();
 });
+
+const GATEWAY = `{
+  // A gateway on this machine.
+  "vm": "v1", "dataCentre": "addis-a", "regions": { "addis-a": "addis" },
+  "callers": "127.0.0.1:8080", "readiness": "127.0.0.1:8081",
+  "store": { "address": "127.0.0.1:9000" },
+}`;
+
+function listGatewayFaults(text: string): string[] {
+  return parseGatewaySettings(text, "gateway.jsonc")
+    .swap()
+    .map((errors) => errors.map(formatInputError))
+    .orDefault([]);
+}
+
+test("a gateway's settings have defaults and say where they are wrong", (t) => {
+  const settings = parseGatewaySettings(GATEWAY, "g").unsafeCoerce();
+  t.deepEqual(settings, GATEWAY_SCHEMA.parse(settings));
+  t.is(settings.budgets.offlineMillis, 12_000);
+  const [unknown] = listGatewayFaults(
+    GATEWAY.replace('"readiness"', '"readyness"'),
+  ).filter((fault) => fault.includes("There is no setting"));
+  t.regex(unknown!, /^gateway\.jsonc:4:\d+: There is no setting readyness/);
+  t.regex(unknown!, /Did you mean readiness\?/);
+  const [address] = listGatewayFaults(GATEWAY.replace(":8080", ""));
+  t.regex(address!, /callers does not fit: must be HOST:PORT/);
+});
