Drop the connections of targets that are gone; forget versions of removed rows

Found on reading the diff: pools of targets that never come back, and versions of rows that were removed, were kept for the life of the process.

--- a/packages/gateway/features/follow_feed.ts
+++ b/packages/gateway/features/follow_feed.ts
@@ -37,7 +37,10 @@
 export class FeedFollower<Value> {
   readonly #context: GatewayContext;
   readonly #options: FeedOptions<Value>;
-  /** Version of each row that was applied, removed ones included. */
+  /**
+   * Version of each row that was applied. Rows that were removed need none: what
+   * is older than the highest version seen is not taken.
+   */
   readonly #versions = new Map<string, number>();
   #after: number | undefined;
   #highest = 0;
@@ -131,7 +134,9 @@
     for (const row of page.rows) {
       const known = this.#versions.get(row.key);
       if (known !== undefined && row.version <= known) continue;
-      this.#versions.set(row.key, row.version);
+      const isRemoved = row.value === undefined && row.fault === undefined;
+      if (isRemoved) this.#versions.delete(row.key);
+      else this.#versions.set(row.key, row.version);
       if (row.fault !== undefined) this.#reportFault(row);
       changes.push(
         row.value === undefined
--- a/packages/gateway/features/target_keeper.ts
+++ b/packages/gateway/features/target_keeper.ts
@@ -70,6 +70,7 @@
   /** Targets whose entry went away, by when they are given up. */
   readonly #missing = new Map<TargetId, MonotonicTime>();
   readonly #ejected = new Set<TargetId>();
+  readonly #goneListeners: ((target: TargetId) => void)[] = [];
   readonly #state: RoutingState;
 
   constructor(context: GatewayContext) {
@@ -104,6 +105,11 @@
     this.#state.vms.count = Math.max(1, count);
   }
 
+  /** Calls a function with each target that is gone. */
+  listenGone(listener: (target: TargetId) => void): void {
+    this.#goneListeners.push(listener);
+  }
+
   /** Returns where a target is. */
   find(id: TargetId): ListedTarget | undefined {
     return this.#listed.get(id);
@@ -224,6 +230,8 @@
     const known = this.#listed.get(id);
     if (known === undefined) return false;
     this.#listed.delete(id);
+    this.#ejected.delete(id);
+    for (const listener of this.#goneListeners) listener(id);
     this.#context.log.info(LogEvent.TargetGone, {
       target: id,
       service: known.service,
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -95,6 +95,7 @@
       this.#callers.changeLimits(configuration.limits);
       this.#budgets.applyConfiguration(configuration);
     });
+    this.#targets.listenGone((target) => this.#pools.dropPool(target));
     this.#budgets.listenVmCount((count) => this.#changeVmCount(count));
     this.#changeVmCount(LEAST_VMS);
   }
