--- a/packages/gateway/features/customer_budgets.ts
+++ b/packages/gateway/features/customer_budgets.ts
@@ -251,6 +251,11 @@
       this.#startExchange(holding, planLastExchange);
     }
     await Promise.all([...this.#exchanges]);
+  }
+
+  /** Gives up on what is on its way to the table; nothing is asked after it. */
+  close(): void {
+    this.#isStopping = true;
     for (const { writer } of this.#holdings.values()) writer.close();
   }
 
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -151,6 +151,7 @@
   kill(): void {
     this.#context.kernel.close();
     this.#undo();
+    this.#budgets.close();
     this.#callers.destroy();
     for (const server of this.#servers) server.close();
   }
@@ -189,6 +190,7 @@
     await Promise.race([this.#budgets.returnAll(), sleep(LAST_TIME / 2)]);
     this.#context.kernel.close();
     this.#undo();
+    this.#budgets.close();
     for (const server of this.#servers) server.close();
     log.info(LogEvent.Stopped, {
       open: this.#callers.open,
