Give loans back to their lenders instead of writing them to the budget row

Callers of the region far from the store got 503 (budget-unreachable) for most streams, though tokens were left that no VM held, and proper requests got 404.

Cause: a VM that is not a home VM borrows the tokens of each request. Unspent tokens of a loan went back through the budget row, and a home VM closed each empty grant together with the loans made from it, which the row then kept until the borrowers returned them, up to 256. Each attempt to write carries the row twice; the attempts of the far region filled the link between the regions.

Change: a borrower gives unspent tokens back to the lender, with its next request or once a loan was idle for a second, and never to the row as well. The report is repeated until it is answered, and a lender ends each loan once. A home VM adds tokens to its open grant instead of taking another one and keeps it open while loans are outstanding; the entry names the last exchange that added tokens, so that a repeated decision finds that it took effect.

--- a/packages/budget/account.ts
+++ b/packages/budget/account.ts
@@ -103,18 +103,23 @@
   readonly reserved: Tokens;
 }
 
-/** A loan that its borrower has fully spent without re-lending a part of it. */
-export interface SpentLoan {
+/**
+ * A loan that its borrower has fully spent or given up, without re-lending a
+ * part of it.
+ */
+export interface SettledLoan {
   readonly transferId: string;
   readonly lenderGrantId: string;
+  /** Tokens that the lender gets back. */
+  readonly unspent: Tokens;
 }
 
 /**
- * Maximum number of fully spent loans that are kept until they are reported to
+ * Maximum number of settled loans that are kept until they are reported to
  * their lenders. Lenders keep counting older ones as lent, and write them to
  * the store as loans when they close the grant.
  */
-const MAX_SPENT_LOANS = 64;
+const MAX_SETTLED_LOANS = 64;
 
 /** Immutable snapshot of one event's account. */
 export interface EventAccount {
@@ -133,8 +138,8 @@
   /** When tokens were last returned to the budget. */
   readonly lastReturn: MonotonicTime;
   readonly pendingLoans: readonly PendingLoan[];
-  /** Fully spent loans that were not yet reported to their lenders. */
-  readonly spentLoans: readonly SpentLoan[];
+  /** Settled loans that were not yet reported to their lenders. */
+  readonly settledLoans: readonly SettledLoan[];
   /**
    * Latest answers that this VM gave to loan requests; a repeated request gets
    * the same answer.
@@ -169,7 +174,7 @@
     lastDraw: 0,
     lastReturn: 0,
     pendingLoans: [],
-    spentLoans: [],
+    settledLoans: [],
     loanAnswers: [],
   };
 }
@@ -224,16 +229,41 @@
  * loan request to a lender reports its fully spent loans, if they are undivided.
  */
 export function removeSpentLoans(account: EventAccount): EventAccount {
-  const grants = account.grants.filter((grant) => !isSpentLoan(grant));
+  return removeLoans(account, isSpentLoan);
+}
+
+/**
+ * Returns the account without the loans that are neither reserved from, nor
+ * divided, nor part of an exchange. Their lenders get the unspent tokens back
+ * with the next report, which is sent again until it is answered; these tokens
+ * are never returned to the budget row as well.
+ */
+export function returnLoans(account: EventAccount): EventAccount {
+  return removeLoans(
+    account,
+    (grant) =>
+      grant.lenderGrantId !== undefined && grant.reserved === 0 &&
+      !grant.closing && isUndividedLoan(grant),
+  );
+}
+
+/** Moves undivided loans from the grants to the settled loans. */
+function removeLoans(
+  account: EventAccount,
+  isRemoved: (grant: Grant) => boolean,
+): EventAccount {
+  const grants = account.grants.filter((grant) => !isRemoved(grant));
   if (grants.length === account.grants.length) return account;
-  const spent = account.grants
-    .filter((grant) => isSpentLoan(grant) && isUndividedLoan(grant))
-    .map(({ id, lenderGrantId }) => ({
+  const settled = account.grants
+    .filter((grant) => isRemoved(grant) && isUndividedLoan(grant))
+    .map(({ id, lenderGrantId, size, spent }) => ({
       transferId: id,
       lenderGrantId: lenderGrantId!,
+      unspent: size - spent,
     }));
-  const spentLoans = [...account.spentLoans, ...spent].slice(-MAX_SPENT_LOANS);
-  return { ...account, grants, spentLoans };
+  const settledLoans = [...account.settledLoans, ...settled]
+    .slice(-MAX_SETTLED_LOANS);
+  return { ...account, grants, settledLoans };
 }
 
 /**
--- a/packages/budget/commands/plan_exchange.ts
+++ b/packages/budget/commands/plan_exchange.ts
@@ -10,7 +10,7 @@
   Tokens,
   WallTime,
 } from "../../core/mod.ts";
-import { computeGrantRoom, PART_SEPARATOR } from "../account.ts";
+import { changeGrant, computeGrantRoom, PART_SEPARATOR } from "../account.ts";
 import type { EventAccount, Grant, VmIncarnation } from "../account.ts";
 import type { GrantReturn } from "../queries/choose_grant_returns.ts";
 import {
@@ -24,7 +24,10 @@
   GrantExchangeResult,
 } from "../rows/exchange_grants.ts";
 import type { GrantShrink, LoanReturn } from "../rows/row_changes.ts";
-import type { StandbyExchange } from "../standby/standby_changes.ts";
+import {
+  createStandbyGrantId,
+  type StandbyExchange,
+} from "../standby/standby_changes.ts";
 import { closeGrants, shrinkGrant } from "./close_grants.ts";
 import { receiveGrant } from "./receive_grant.ts";
 
@@ -110,10 +113,17 @@
   ];
   const grants = rest.grants.filter((grant) => !removedIds.includes(grant.id));
   const completed = { ...rest, grants };
-  if (exchange.take === undefined || input.result.size === 0) return completed;
+  const { size, grownGrantId } = input.result;
+  if (exchange.take === undefined || size === 0) return completed;
+  if (grownGrantId !== undefined) {
+    return changeGrant(completed, grownGrantId, (grant) => ({
+      ...grant,
+      size: grant.size + size,
+    }));
+  }
   return receiveGrant(completed, {
     grantId: exchange.take.grantId,
-    size: input.result.size,
+    size,
     deadline: input.deadline,
   });
 }
@@ -190,15 +200,12 @@
 
 function createTake(
   input: ExchangeInput,
-  take: { readonly wanted: Tokens; readonly least: Tokens },
+  take: NonNullable<GrantPlan["take"]>,
 ) {
   const { grantId, holder, wallTime } = input;
   return { grantId, holder, wallTime, ...take };
 }
 
-/** A standby grant's id is the id of its exchange with this suffix. */
-const STANDBY_SUFFIX = "s";
-
 function createStandby(
   input: ExchangeInput,
   plan: StandbyPlan,
@@ -207,7 +214,7 @@
   const { drops, take } = plan;
   if (used.length === 0 && drops.length === 0 && take === 0) return {};
   const { holder, wallTime } = input;
-  const grantId = `${input.grantId}${STANDBY_SUFFIX}`;
+  const grantId = createStandbyGrantId(input.grantId);
   return {
     standby: {
       used,
--- a/packages/budget/holding/plan_holding.ts
+++ b/packages/budget/holding/plan_holding.ts
@@ -13,10 +13,12 @@
   computeAccountRoom,
   computeGrantRoom,
   type EventAccount,
+  type Grant,
   isGrantOpen,
 } from "../account.ts";
 import { chooseGrantReturns } from "../queries/choose_grant_returns.ts";
-import type { GrantPlan } from "../queries/plan_grants.ts";
+import { type GrantPlan, RENEW_TIME } from "../queries/plan_grants.ts";
+import { isStandbyGrantId } from "../standby/standby_changes.ts";
 
 /** Inputs from which a VM's holding is planned. */
 export interface HoldingInput {
@@ -184,8 +186,10 @@
   const isLow = input.isHome && input.budgetLeft !== 0 &&
     room < REFILL_THRESHOLD * targets.active;
   if (isShort || isLow) {
+    const grown = chooseGrownGrant(account, now);
     const empty = unreserved.filter((grant) =>
-      isGrantOpen(grant, now) && computeGrantRoom(grant) === 0
+      isGrantOpen(grant, now) && computeGrantRoom(grant) === 0 &&
+      grant.loans.length === 0 && grant !== grown
     );
     const missing = Math.max(0, need - room);
     const isStandbyNeeded = missing > (input.budgetLeft ?? Infinity);
@@ -195,11 +199,15 @@
       take: {
         wanted: Math.max(1, missing, targets.active - room + need),
         least: Math.max(1, missing),
+        ...(grown === undefined ? {} : { into: grown.id }),
       },
       ...planStandby(input, { targets, isNeeded: isStandbyNeeded }),
     };
   }
-  const open = account.grants.filter((grant) => isGrantOpen(grant, now));
+  // Unspent tokens of loans go back to their lenders.
+  const open = account.grants.filter((grant) =>
+    isGrantOpen(grant, now) && grant.lenderGrantId === undefined
+  );
   const excess = room > RETURN_THRESHOLD * targets.active
     ? room - targets.active - need
     : 0;
@@ -210,6 +218,23 @@
   };
 }
 
+/**
+ * Chooses the grant that new tokens are added to, so that the budget row has
+ * few entries and loans can be settled with the grant that they come from.
+ * Returns undefined when there is none or it must be replaced soon.
+ */
+function chooseGrownGrant(
+  account: EventAccount,
+  now: MonotonicTime,
+): Grant | undefined {
+  return account.grants
+    .filter((grant) =>
+      grant.lenderGrantId === undefined && !isStandbyGrantId(grant.id)
+    )
+    .filter((grant) => !grant.closing && grant.deadline - now > RENEW_TIME)
+    .toSorted((left, right) => right.deadline - left.deadline)[0];
+}
+
 /**
  * Plans changes of the standby grants. A standby grant is returned in full,
  * since no part of it may be used before it is unlocked. When the target rises,
--- a/packages/budget/loans/borrow_tokens.ts
+++ b/packages/budget/loans/borrow_tokens.ts
@@ -4,7 +4,12 @@
  * effect. A request without an answer is sent again under the same id.
  */
 import type { Millis, MonotonicTime, Tokens, VmId } from "../../core/mod.ts";
-import type { EventAccount, LoanAnswer, PendingLoan } from "../account.ts";
+import type {
+  EventAccount,
+  LoanAnswer,
+  PendingLoan,
+  SettledLoan,
+} from "../account.ts";
 import { receiveGrant } from "../commands/receive_grant.ts";
 
 /** Maximum number of pending loan requests; the oldest is discarded first. */
@@ -27,22 +32,24 @@
   return { ...account, pendingLoans };
 }
 
-/** Returns the transfer ids of fully spent loans from one lender's grants. */
-export function listSpentLoans(account: EventAccount, lender: VmId): string[] {
-  return account.spentLoans
-    .filter((loan) => loan.lenderGrantId.startsWith(`${lender}/`))
-    .map((loan) => loan.transferId);
+/** Returns the settled loans from one lender's grants. */
+export function listSettledLoans(
+  account: EventAccount,
+  lender: VmId,
+): SettledLoan[] {
+  return account.settledLoans
+    .filter((loan) => loan.lenderGrantId.startsWith(`${lender}/`));
 }
 
-/** Removes spent loans that have been reported to their lender. */
+/** Removes settled loans that have been reported to their lender. */
 export function removeReportedLoans(
   account: EventAccount,
   transferIds: readonly string[],
 ): EventAccount {
   if (transferIds.length === 0) return account;
-  const spentLoans = account.spentLoans
+  const settledLoans = account.settledLoans
     .filter((loan) => !transferIds.includes(loan.transferId));
-  return { ...account, spentLoans };
+  return { ...account, settledLoans };
 }
 
 /**
--- a/packages/budget/loans/lend_tokens.ts
+++ b/packages/budget/loans/lend_tokens.ts
@@ -19,6 +19,7 @@
   LoanAnswer,
   LoanPart,
   OutstandingLoan,
+  SettledLoan,
   VmIncarnation,
 } from "../account.ts";
 
@@ -53,10 +54,6 @@
   /** Unreserved tokens that the borrower holds; absent if unknown. */
   readonly room?: Tokens;
   readonly borrower: VmIncarnation;
-  /**
-   * Transfer ids of loans from this lender that the borrower has fully spent.
-   */
-  readonly spent?: readonly string[];
 }
 
 /** The lender's account after the debit, and the answer to send. */
@@ -66,25 +63,30 @@
 }
 
 /**
- * Counts loans that their borrowers have fully spent as spent by the lender, so
- * that the budget row does not have to keep them.
+ * Ends loans that their borrowers have settled: what they have spent counts as
+ * spent by the lender and the rest is available again, so that the budget row
+ * does not have to keep the loans. A report that comes again changes nothing.
  */
-export function settleSpentLoans(
+export function settleLoans(
   account: EventAccount,
-  transferIds: readonly string[],
+  settled: readonly Pick<SettledLoan, "transferId" | "unspent">[],
 ): EventAccount {
-  if (transferIds.length === 0) return account;
-  const isSpent = (loan: OutstandingLoan) =>
-    transferIds.includes(loan.transferId);
+  if (settled.length === 0) return account;
+  const unspent = new Map(
+    settled.map((loan) => [loan.transferId, loan.unspent]),
+  );
+  const isSettled = (loan: OutstandingLoan) => unspent.has(loan.transferId);
   const grants = account.grants.map((grant) => {
     // The loans of a closing grant are already part of its close in the planned
     // exchange.
-    if (grant.closing) return grant;
-    const tokens = grant.loans.filter(isSpent)
-      .reduce((sum, loan) => sum + loan.tokens, 0);
-    if (tokens === 0) return grant;
-    const loans = grant.loans.filter((loan) => !isSpent(loan));
-    return { ...grant, loans, spent: grant.spent + tokens };
+    if (grant.closing || !grant.loans.some(isSettled)) return grant;
+    const spent = grant.loans.filter(isSettled).reduce(
+      (sum, { transferId, tokens }) =>
+        sum + Math.max(0, tokens - unspent.get(transferId)!),
+      grant.spent,
+    );
+    const loans = grant.loans.filter((loan) => !isSettled(loan));
+    return { ...grant, loans, spent };
   });
   return { ...account, grants };
 }
--- a/packages/budget/loans/loans_test.ts
+++ b/packages/budget/loans/loans_test.ts
@@ -12,7 +12,7 @@
   type EventAccount,
   GRANT_TERM,
   lendTokens,
-  listSpentLoans,
+  listSettledLoans,
   type LoanRequest,
   LossEvidenceKind,
   MAX_LOANS_PER_GRANT,
@@ -25,8 +25,9 @@
   recordLoanRequest,
   removeReportedLoans,
   reserveTokens,
+  returnLoans,
+  settleLoans,
   settleReservation,
-  settleSpentLoans,
 } from "../mod.ts";
 
 const REQUEST: LoanRequest = {
@@ -340,12 +341,59 @@
     spent: 40,
     now: 0,
   });
-  t.deepEqual(listSpentLoans(spent, "b"), []);
-  const reportedIds = listSpentLoans(spent, "a");
-  t.is(reportedIds.length, 1);
-  t.deepEqual(removeReportedLoans(spent, reportedIds).spentLoans, []);
-  const settled = settleSpentLoans(lent.account, reportedIds);
+  t.deepEqual(listSettledLoans(spent, "b"), []);
+  const reported = listSettledLoans(spent, "a");
+  t.is(reported.length, 1);
+  const reportedIds = reported.map((loan) => loan.transferId);
+  t.deepEqual(removeReportedLoans(spent, reportedIds).settledLoans, []);
+  const settled = settleLoans(lent.account, reported);
   t.like(settled.grants[0], { spent: 40, loans: [] });
   // Reporting a loan twice, or an unknown one, changes nothing.
-  t.deepEqual(settleSpentLoans(settled, [...reportedIds, "t9/0"]), settled);
+  const unknown = { ...reported[0]!, transferId: "t9/0" };
+  t.deepEqual(settleLoans(settled, [...reported, unknown]), settled);
+});
+
+test("a loan that is given back is available to its lender once and leaves nothing in the row", (t) => {
+  const rows = new MemoryRows();
+  const lender = createLender(rows);
+  const lent = lendTokens(lender, { request: REQUEST, now: 0, keep: 0 });
+  const credited = receiveLoan(createBorrower(), {
+    answer: lent.answer,
+    deadline: GRANT_TERM,
+  });
+  const idle = returnLoans(spend(credited, 10));
+  t.deepEqual(idle.grants, []);
+  const reported = listSettledLoans(idle, "a");
+  t.deepEqual(reported.map((loan) => loan.unspent), [20]);
+  const settled = settleLoans(lent.account, reported);
+  t.is(computeAccountRoom(settled, 0), 90);
+  t.deepEqual(settleLoans(settled, reported), settled);
+  const closing = planLastExchange(settled, {
+    now: 0,
+    wallTime: 0,
+    lean: BudgetPreference.TighterBudget,
+    need: 0,
+    grantId: "a/1/2",
+    holder: { vm: "a", incarnation: "1" },
+    initialLimit: 100,
+  });
+  rows.apply(createGrantExchange(closing.exchange!));
+  t.is(readLeft(rows), 90);
+  t.deepEqual(readRow(rows).loans ?? {}, {});
+});
+
+test("a loan with a request in progress is not given back", (t) => {
+  const rows = new MemoryRows();
+  const lent = lendTokens(createLender(rows), {
+    request: REQUEST,
+    now: 0,
+    keep: 0,
+  });
+  const credited = receiveLoan(createBorrower(), {
+    answer: lent.answer,
+    deadline: GRANT_TERM,
+  });
+  const reserved = reserveTokens(credited, { tokens: 10, now: 0 })
+    .unsafeCoerce().account;
+  t.is(returnLoans(reserved), reserved);
 });
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -12,6 +12,7 @@
   PendingLoan,
   Reservation,
   ReservationPart,
+  SettledLoan,
   VmIncarnation,
 } from "./account.ts";
 export {
@@ -21,6 +22,7 @@
   computeReserved,
   createEventAccount,
   isGrantOpen,
+  returnLoans,
 } from "./account.ts";
 export type { AccountChange } from "./accounts.ts";
 export { Accounts } from "./accounts.ts";
@@ -52,7 +54,7 @@
 export { computeRates, RATE_WINDOW } from "./account_rates.ts";
 export type { LoanPlan } from "./loans/borrow_tokens.ts";
 export {
-  listSpentLoans,
+  listSettledLoans,
   LOAN_RETRY_TIME,
   MAX_PENDING_LOANS,
   planLoans,
@@ -64,7 +66,7 @@
 export {
   lendTokens,
   MAX_LOANS_PER_GRANT,
-  settleSpentLoans,
+  settleLoans,
 } from "./loans/lend_tokens.ts";
 export type { WaitingRequest } from "./queries/choose_waiting.ts";
 export {
@@ -84,6 +86,10 @@
   START_FACTOR,
 } from "./queries/compute_grant_targets.ts";
 export type { GrantReturn } from "./queries/choose_grant_returns.ts";
+export {
+  isLoanReturnDue,
+  LOAN_IDLE_TIME,
+} from "./queries/is_loan_return_due.ts";
 export type { GrantPlan, PlanInput } from "./queries/plan_grants.ts";
 export {
   computeNextDue,
--- a/packages/budget/queries/plan_grants.ts
+++ b/packages/budget/queries/plan_grants.ts
@@ -50,7 +50,12 @@
    * Tokens to ask for, and the smallest number worth granting; absent when
    * nothing should be taken.
    */
-  readonly take?: { readonly wanted: Tokens; readonly least: Tokens };
+  readonly take?: {
+    readonly wanted: Tokens;
+    readonly least: Tokens;
+    /** Id of an open grant to add the tokens to; absent for a new grant. */
+    readonly into?: string;
+  };
   /**
    * Grants to close: nothing is reserved from them, and they take no new
    * reservation or have no tokens available.
--- a/packages/budget/rows/budget_row.ts
+++ b/packages/budget/rows/budget_row.ts
@@ -25,6 +25,11 @@
    * they are unlocked; see `standby/presence_row.ts`.
    */
   standby: z.boolean().optional(),
+  /**
+   * The last exchange that added tokens to the grant, and how many. An exchange
+   * that is decided again after a lost answer finds here that it took effect.
+   */
+  growth: z.object({ exchange: z.string(), tokens: TOKENS_SCHEMA }).optional(),
   /** Tokens that borrowers returned, by transfer id; `size` excludes them. */
   returned: z.record(z.string(), TOKENS_SCHEMA).optional(),
   /** Transfer ids of loans that their borrowers have settled in full. */
--- a/packages/budget/rows/budget_rows_test.ts
+++ b/packages/budget/rows/budget_rows_test.ts
@@ -4,6 +4,7 @@
 import {
   computeBudgetLeft,
   createCloseGrant,
+  createGrantExchange,
   createLowerLimit,
   createTakeGrant,
   createTopUp,
@@ -53,6 +54,43 @@
   t.is(readLeft(rows), 40);
 });
 
+function growGrant(exchangeId: string, wanted: number) {
+  return createGrantExchange({
+    eventId: "e",
+    id: exchangeId,
+    initialLimit: 100,
+    take: {
+      grantId: exchangeId,
+      into: "g1",
+      holder: { vm: "vm-1", incarnation: "1" },
+      wanted,
+      least: 1,
+      wallTime: 0,
+    },
+  });
+}
+
+test("tokens that are added to an open grant are added once, within the limit", (t) => {
+  const rows = new MemoryRows();
+  rows.apply(takeGrant("g1", 60));
+  const expected = { size: 30, grownGrantId: "g1", budgetLeft: 10 };
+  t.like(rows.apply(growGrant("x1", 30)), expected);
+  t.like(rows.apply(growGrant("x1", 30)), expected);
+  t.like(rows.apply(growGrant("x2", 30)), { size: 10, budgetLeft: 0 });
+  t.is(rows.apply(growGrant("x3", 30)).size, 0);
+  const row = parseBudgetRow(rows.peek("budget/e") ?? null).unsafeCoerce();
+  t.is(row.grants["g1"]?.size, 100);
+});
+
+test("tokens for a grant that the row no longer has become a new grant", (t) => {
+  const rows = new MemoryRows();
+  const { size, grownGrantId } = rows.apply(growGrant("x1", 30));
+  t.is(size, 30);
+  t.is(grownGrantId, undefined);
+  t.is(rows.apply(growGrant("x1", 30)).size, 30);
+  t.is(readLeft(rows), 70);
+});
+
 test("grants never exceed the limit", (t) => {
   const rows = new MemoryRows();
   rows.apply(takeGrant("g1", 60));
--- a/packages/budget/rows/exchange_grants.ts
+++ b/packages/budget/rows/exchange_grants.ts
@@ -29,6 +29,7 @@
   applyLimit,
   closeEntry,
   findEntry,
+  findTaken,
   type GrantClose,
   type GrantShrink,
   type GrantTake,
@@ -73,6 +74,8 @@
    * Tokens granted; 0 when none were requested or fewer than `least` were left.
    */
   readonly size: Tokens;
+  /** The open grant that they were added to; absent for a new grant. */
+  readonly grownGrantId?: string;
   /** Standby tokens granted. */
   readonly standbySize: Tokens;
   /** Tokens left to grant after this operation. */
@@ -117,12 +120,17 @@
       if (row !== before && exchange.rate !== undefined) {
         row = recordRate(row, exchange.rate);
       }
-      const taken = findEntry(row, exchange.take?.grantId ?? "");
+      const taken = exchange.take === undefined
+        ? undefined
+        : findTaken(row, exchange.take);
       const value: JsonValue = { ...row };
       return {
         writes: row === before ? [] : [{ key, value }],
         result: {
-          size: taken?.size ?? 0,
+          size: taken?.tokens ?? 0,
+          ...(taken === undefined || taken.grantId === exchange.take?.grantId
+            ? {}
+            : { grownGrantId: taken.grantId }),
           standbySize:
             findEntry(row, exchange.standby?.take?.grantId ?? "")?.size ?? 0,
           budgetLeft: computeBudgetLeft(row),
--- a/packages/budget/rows/row_changes.ts
+++ b/packages/budget/rows/row_changes.ts
@@ -20,7 +20,13 @@
 
 /** Tokens to move from the budget to a VM. */
 export interface GrantTake {
+  /** Id of the new grant, and of the exchange that takes it. */
   readonly grantId: string;
+  /**
+   * Id of an open grant of the holder that the tokens are added to. If it is
+   * absent, or the row has no such grant, a new grant is added.
+   */
+  readonly into?: string;
   readonly holder: VmIncarnation;
   readonly wanted: Tokens;
   /** Smallest useful number; when fewer tokens are left, nothing is granted. */
@@ -88,15 +94,39 @@
 }
 
 /**
- * Adds a grant, with fewer tokens than wanted when the budget has fewer left.
- * Adds none when fewer than `least` are left or the row already has the grant.
+ * Adds a grant, or tokens to an open one, with fewer tokens than wanted when
+ * the budget has fewer left. Adds none when fewer than `least` are left or the
+ * row shows that the take has already taken effect.
  */
 export function addEntry(row: BudgetRow, take: GrantTake): BudgetRow {
-  if (findEntry(row, take.grantId) !== undefined) return row;
+  if (findTaken(row, take) !== undefined) return row;
   const size = Math.min(take.wanted, computeBudgetLeft(row));
   if (size < take.least || size <= 0) return row;
+  const { grantId, into = grantId } = take;
+  const grown = row.grants[into];
+  if (grown !== undefined && grown.standby !== true) {
+    const growth = { exchange: grantId, tokens: size };
+    const entry = { ...grown, size: grown.size + size, growth };
+    return { ...row, grants: { ...row.grants, [into]: entry } };
+  }
   const entry = { ...take.holder, size, takenAt: take.wallTime };
-  return { ...row, grants: { ...row.grants, [take.grantId]: entry } };
+  return { ...row, grants: { ...row.grants, [grantId]: entry } };
+}
+
+/**
+ * Returns the grant that a take has added tokens to, and how many; undefined if
+ * the take has not taken effect.
+ */
+export function findTaken(
+  row: BudgetRow,
+  take: Pick<GrantTake, "grantId" | "into">,
+): { readonly grantId: string; readonly tokens: Tokens } | undefined {
+  const { grantId, into = grantId } = take;
+  const added = findEntry(row, grantId);
+  if (added !== undefined) return { grantId, tokens: added.size };
+  const growth = row.grants[into]?.growth;
+  if (growth?.exchange !== grantId) return undefined;
+  return { grantId: into, tokens: growth.tokens };
 }
 
 /**
--- a/packages/budget/standby/standby_changes.ts
+++ b/packages/budget/standby/standby_changes.ts
@@ -12,6 +12,19 @@
 } from "../rows/budget_row.ts";
 import { findEntry } from "../rows/row_changes.ts";
 
+/** Ends the id of each standby grant, also after it was unlocked. */
+const STANDBY_SUFFIX = "s";
+
+/** Returns the id of the standby grant that an exchange takes. */
+export function createStandbyGrantId(exchangeId: string): string {
+  return `${exchangeId}${STANDBY_SUFFIX}`;
+}
+
+/** Returns whether a grant was taken as a standby grant. */
+export function isStandbyGrantId(grantId: string): boolean {
+  return grantId.endsWith(STANDBY_SUFFIX);
+}
+
 /** Standby tokens to move from the budget to a VM. */
 export interface StandbyTake {
   readonly grantId: string;
--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -13,6 +13,7 @@
   computeReserved,
   type EventAccount,
   type ExchangeInput,
+  isLoanReturnDue,
   listServable,
   planExchange,
   type Reservation,
@@ -78,6 +79,9 @@
 /** Pause between two calls of {@link TokenLoans.borrow} in a round of loans. */
 const LOAN_INTERVAL: Millis = 10;
 
+/** Maximum time that a planned stop waits for lenders to take loans back. */
+const MAX_LOAN_RETURN_TIME: Millis = 100;
+
 /** Weight of the newest request in the moving average of request sizes. */
 const REQUEST_SIZE_WEIGHT = 1 / 32;
 
@@ -154,6 +158,7 @@
       run: () => {
         this.#countHolders();
         this.#exchanges.rebalance(this.#budgets.values());
+        this.#returnIdleLoans();
         return Promise.resolve();
       },
       reportError: createErrorReporter(log, "budgets"),
@@ -247,9 +252,15 @@
     this.#serveWaiters(budget);
   }
 
-  /** Returns every unreserved token to the store, for a planned stop. */
-  returnAll(): Promise<void> {
-    return this.#exchanges.returnAll([...this.#budgets.values()]);
+  /**
+   * Returns every unreserved token to its lender or to the store, for a planned
+   * stop.
+   */
+  async returnAll(): Promise<void> {
+    const budgets = [...this.#budgets.values()];
+    const loans = budgets.map((each) => this.loans.returnLoans(each.customer));
+    await Promise.race([Promise.all(loans), sleep(MAX_LOAN_RETURN_TIME)]);
+    await this.#exchanges.returnAll(budgets);
   }
 
   /** Abandons exchanges in progress and starts no further refills. */
@@ -344,6 +355,22 @@
     }
   }
 
+  /**
+   * Gives loans back to their lenders when they have not been used for a while
+   * or exceed what this VM should hold. Their lenders can lend them again at
+   * once, while a return to the store would write the budget's row.
+   */
+  #returnIdleLoans(): void {
+    const now = this.#context.clock.readMonotonic();
+    const report = createErrorReporter(this.#context.log, "loans");
+    for (const { customer, waiters } of this.#budgets.values()) {
+      const account = this.#accounts.read(customer);
+      const isReturnDue = waiters.length === 0 &&
+        isLoanReturnDue(account, now);
+      if (isReturnDue) this.loans.returnLoans(customer).catch(report);
+    }
+  }
+
   #findOrCreateBudget(customer: RoutedCustomer): BudgetState {
     const known = this.#budgets.get(customer.id);
     if (known !== undefined) return known;
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -25,6 +25,7 @@
   createLoanRouter,
   createPeerHandler,
   PeerClient,
+  type PeerLoanAnswer,
 } from "../../../peer/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
 import { PeerList } from "./peer_list.ts";
@@ -42,6 +43,11 @@
  */
 const MAX_SOCKETS_PER_PEER = 4;
 
+/** Returns the answer to a request that only reports settled loans. */
+function createEmptyAnswer(transferId: string): PeerLoanAnswer {
+  return { transferId, tokens: 0, parts: [], reserved: 0 };
+}
+
 /** The accounts that loans are made from and credited to. */
 export interface LoanAccounts extends LoanAccountAccess {
   /**
@@ -107,6 +113,9 @@
     const router = createLoanRouter({
       lend: async (request) => {
         const { eventId, least } = request;
+        // Loans that come back count as spending undone.
+        this.#accounts.recordLent(eventId, -this.#loans.settle(request));
+        if (request.wanted === 0) return createEmptyAnswer(request.transferId);
         const returning = await this.#accounts.prepareToLend(eventId, least);
         const answer = this.#loans.lend(request);
         this.#accounts.recordLent(eventId, answer.tokens);
@@ -162,6 +171,11 @@
     return this.#loans.borrow(customer, need);
   }
 
+  /** Gives a customer's loans that no request uses back to their lenders. */
+  returnLoans(customer: CustomerId): Promise<void> {
+    return this.#loans.returnLoans(customer);
+  }
+
   #choosePeers(customer: CustomerId): readonly Peer[] {
     const holders = this.#accounts.listHolders(customer);
     const homes = this.isHome(customer) ? [] : this.#findHomes(customer);
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -10,13 +10,14 @@
   type EventAccount,
   GRANT_TERM,
   lendTokens,
-  listSpentLoans,
+  listSettledLoans,
   type PendingLoan,
   planLoans,
   receiveLoan,
   recordLoanRequest,
   removeReportedLoans,
-  settleSpentLoans,
+  returnLoans,
+  settleLoans,
   type VmIncarnation,
 } from "../budget/mod.ts";
 import type {
@@ -24,6 +25,7 @@
   EventId,
   Millis,
   MonotonicTime,
+  PlatformError,
   Tokens,
   VmId,
 } from "../core/mod.ts";
@@ -135,6 +137,8 @@
   readonly #histories = new Map<EventId, PeerHistory>();
   /** Time from which a peer that did not answer may be asked again. */
   readonly #backoffUntil = new Map<VmId, MonotonicTime>();
+  /** Events with reports of settled loans in progress. */
+  readonly #reporting = new Set<EventId>();
 
   constructor(
     context: LoanContext,
@@ -151,19 +155,33 @@
     this.#listPeers = input.listPeers;
   }
 
+  /**
+   * Ends the loans that a borrower reports as settled; returns the tokens that
+   * became available again.
+   */
+  settle(request: PeerLoanRequest): Tokens {
+    const { eventId, settled = [] } = request;
+    if (settled.length === 0) return 0;
+    const now = this.#context.clock.readMonotonic();
+    const before = this.#accounts.readAccount(eventId);
+    const after = settleLoans(before, settled);
+    this.#accounts.changeAccount(eventId, () => after);
+    return computeAccountRoom(after, now) - computeAccountRoom(before, now);
+  }
+
   /**
    * Debits a loan and returns the answer to send. The debit stands even if the
    * answer is lost.
    */
   lend(request: PeerLoanRequest): PeerLoanAnswer {
     const { eventId } = request;
+    this.settle(request);
     const now = this.#context.clock.readMonotonic();
     const keep = this.#accounts.readWaitingTokens(eventId);
     const shortBy = this.#accounts.readShortfall(eventId);
     let answer: PeerLoanAnswer | undefined;
     this.#accounts.changeAccount(eventId, (account) => {
-      const settled = settleSpentLoans(account, request.spent ?? []);
-      const lent = lendTokens(settled, {
+      const lent = lendTokens(account, {
         request,
         now,
         keep,
@@ -233,6 +251,72 @@
     };
   }
 
+  /**
+   * Gives the loans of an event that no request uses back to their lenders, and
+   * reports those that were settled before. A report without an answer is sent
+   * again at the next call.
+   */
+  async returnLoans(eventId: EventId): Promise<void> {
+    if (this.#reporting.has(eventId)) return;
+    const account = this.#accounts.changeAccount(eventId, returnLoans);
+    if (account.settledLoans.length === 0) return;
+    this.#reporting.add(eventId);
+    const now = this.#context.clock.readMonotonic();
+    const reports = this.#listPeers(eventId)
+      .filter((peer) => now >= (this.#backoffUntil.get(peer.vm) ?? -Infinity))
+      .filter((peer) => listSettledLoans(account, peer.vm).length > 0)
+      .map((peer) => this.#reportLoans(eventId, peer));
+    await Promise.all(reports);
+    this.#reporting.delete(eventId);
+  }
+
+  /** Sends a loan request for no tokens, which reports the settled loans. */
+  async #reportLoans(eventId: EventId, peer: Peer): Promise<void> {
+    const { vmIncarnation: borrower } = this.#context;
+    const settled = this.#listReported(eventId, peer.vm);
+    const answer = await this.#client.lend(peer.address, {
+      eventId,
+      transferId: randomUUID(),
+      wanted: 0,
+      least: 0,
+      borrower,
+      settled,
+    });
+    answer.caseOf({
+      Left: (error) => this.#recordSilence(peer.vm, error),
+      Right: () => this.#removeReported(eventId, settled),
+    });
+  }
+
+  /** Returns the settled loans to report to a lender. */
+  #listReported(
+    eventId: EventId,
+    lender: VmId,
+  ): { transferId: string; unspent: Tokens }[] {
+    return listSettledLoans(this.#accounts.readAccount(eventId), lender)
+      .map(({ transferId, unspent }) => ({ transferId, unspent }));
+  }
+
+  #removeReported(
+    eventId: EventId,
+    settled: readonly { readonly transferId: string }[],
+  ): void {
+    const ids = settled.map((loan) => loan.transferId);
+    this.#accounts.changeAccount(
+      eventId,
+      (before) => removeReportedLoans(before, ids),
+    );
+  }
+
+  #recordSilence(peer: VmId, error: PlatformError): void {
+    const until = this.#context.clock.readMonotonic() + UNANSWERED_BACKOFF;
+    this.#backoffUntil.set(peer, until);
+    this.#context.log.warn(LogEvent.PeerSilent, {
+      peer,
+      reason: error.message,
+    });
+  }
+
   #readHistory(eventId: EventId): PeerHistory {
     const history = this.#histories.get(eventId) ??
       { askAgainAt: new Map(), lenders: new Set(), askedAt: new Map() };
@@ -278,7 +362,7 @@
       eventId,
       (before) => recordLoanRequest(before, loan),
     );
-    const spent = listSpentLoans(account, peer.vm);
+    const settled = this.#listReported(eventId, peer.vm);
     const answer = await this.#client.lend(peer.address, {
       eventId,
       transferId: loan.transferId,
@@ -286,25 +370,17 @@
       least: Math.min(least, loan.wanted),
       room: computeAccountRoom(account, clock.readMonotonic()),
       borrower,
-      ...(spent.length === 0 ? {} : { spent }),
+      ...(settled.length === 0 ? {} : { settled }),
     });
     const history = this.#readHistory(eventId);
     return answer.caseOf<PeerLoanAnswer | undefined>({
       Left: (error) => {
-        const until = clock.readMonotonic() + UNANSWERED_BACKOFF;
-        this.#backoffUntil.set(peer.vm, until);
-        this.#context.log.warn(LogEvent.PeerSilent, {
-          peer: peer.vm,
-          reason: error.message,
-        });
+        this.#recordSilence(peer.vm, error);
         return undefined;
       },
       Right: (loanAnswer) => {
         this.#backoffUntil.delete(peer.vm);
-        this.#accounts.changeAccount(
-          eventId,
-          (before) => removeReportedLoans(before, spent),
-        );
+        this.#removeReported(eventId, settled);
         this.#creditAnswer(eventId, { loanAnswer, peer, history });
         return loanAnswer;
       },
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -1,8 +1,8 @@
 /** Schemas of the messages between entry VMs. */
 import { z } from "zod";
 
-/** Maximum number of spent loans that one request lists. */
-const MAX_SPENT_LOANS = 100;
+/** Maximum number of settled loans that one request lists. */
+const MAX_SETTLED_LOANS = 100;
 
 /** Request for a loan of tokens. */
 export const LOAN_REQUEST_SCHEMA = z.object({
@@ -14,8 +14,12 @@
   /** Unreserved tokens that the borrower holds; absent if unknown. */
   room: z.number().int().nonnegative().exactOptional(),
   borrower: z.object({ vm: z.string(), incarnation: z.string() }),
-  /** Transfer ids of loans from this lender that were fully spent. */
-  spent: z.array(z.string()).max(MAX_SPENT_LOANS).exactOptional(),
+  /** Loans from this lender that the borrower has spent or gives back. */
+  settled: z.array(z.object({
+    transferId: z.string(),
+    /** Tokens that the lender gets back. */
+    unspent: z.number().int().nonnegative(),
+  })).max(MAX_SETTLED_LOANS).exactOptional(),
 });
 
 /** Maximum number of grants that one loan is taken from. */
