Measure calls to the store, and conflicts and row sizes of exchanges

Callers saw requests refused for want of tokens while exchanges with the store took longer than such a request waits. Logs and metrics didn't show the bytes and times of calls to the store, how often a write lost a conflict, or the size of a row, so that the causes could not be told apart.

grant_exchanged now has ms, conflicts and row_bytes. The store's client reports each call to a function that it is given; the gateway counts bytes and times by kind and outcome in its registry.

--- a/packages/cli/commands/gateway_command.ts
+++ b/packages/cli/commands/gateway_command.ts
@@ -3,7 +3,11 @@
 import process from "node:process";
 import type { CommandModule } from "yargs";
 import { createPlatformDialect } from "../../../platform/mod.ts";
-import { Gateway } from "../../gateway/mod.ts";
+import {
+  createGatewayMetrics,
+  Gateway,
+  recordStoreCall,
+} from "../../gateway/mod.ts";
 import { LogEvent } from "../../runtime/mod.ts";
 import {
   type GatewaySettings,
@@ -52,12 +56,15 @@
   path: string,
   settings: GatewaySettings,
 ): Promise<void> {
+  const metrics = createGatewayMetrics();
   const gateway = new Gateway({
     settings,
+    metrics,
     dialect: createPlatformDialect({
       address: settings.store.address,
       timeout: STORE_TIMEOUT_MILLIS,
       connectTimeout: STORE_CONNECT_TIMEOUT_MILLIS,
+      recordCall: (call) => recordStoreCall(metrics, call),
     }),
   });
   await gateway.start();
--- a/packages/gateway/features/budgets/grant_exchanges.ts
+++ b/packages/gateway/features/budgets/grant_exchanges.ts
@@ -29,6 +29,7 @@
   type MonotonicTime,
   type Tokens,
 } from "../../../core/mod.ts";
+import type { OperationFacts } from "../../../ports/mod.ts";
 import { LogEvent } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
 import {
@@ -258,8 +259,10 @@
     const sentAt = clock.readMonotonic();
     // The store may still apply the exchange at any later time, so it is
     // retried until its outcome is known.
+    let facts: OperationFacts | undefined;
     const answer = await budget.writer.run(createGrantExchange(exchange), {
       giveUpAt: Infinity,
+      onCompleted: (completed) => (facts = completed),
     });
     budget.exchanging = false;
     answer.caseOf({
@@ -269,7 +272,8 @@
           reason: error.message,
         });
       },
-      Right: (result) => this.#receive(budget, { exchange, result, sentAt }),
+      Right: (result) =>
+        this.#receive(budget, { exchange, result, sentAt, facts }),
     });
   }
 
@@ -280,6 +284,7 @@
       readonly result: GrantExchangeResult;
       /** When the exchange was first sent; the grant's term starts then. */
       readonly sentAt: MonotonicTime;
+      readonly facts: OperationFacts | undefined;
     },
   ): void {
     const { exchange, result, sentAt } = input;
@@ -298,7 +303,7 @@
       (account) =>
         receiveExchange(account, { result, deadline: sentAt + GRANT_TERM }),
     );
-    this.#logAnswer(budget, { exchange, result });
+    this.#logAnswer(budget, input);
     onAnswer(budget);
   }
 
@@ -307,9 +312,11 @@
     input: {
       readonly exchange: GrantExchange;
       readonly result: GrantExchangeResult;
+      readonly sentAt: MonotonicTime;
+      readonly facts: OperationFacts | undefined;
     },
   ): void {
-    const { exchange, result } = input;
+    const { exchange, result, sentAt, facts } = input;
     const { log, metrics, clock } = this.#context;
     if (result.size > 0) metrics.grantsTaken.inc();
     const account = this.#options.accounts.read(budget.customer);
@@ -331,6 +338,9 @@
       closed: result.closed,
       limit: result.limit,
       holders: result.holders,
+      ms: Math.round(now - sentAt),
+      conflicts: facts?.conflicts,
+      row_bytes: facts?.rowBytes,
     });
   }
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -29,7 +29,10 @@
 import { CustomerBudgets } from "./features/budgets/customer_budgets.ts";
 import { TargetRegistry } from "./features/target_registry.ts";
 import type { GatewayContext } from "./gateway_context.ts";
-import { createGatewayMetrics } from "./gateway_metrics.ts";
+import {
+  createGatewayMetrics,
+  type GatewayMetrics,
+} from "./gateway_metrics.ts";
 
 /** Options of a {@link Gateway}. */
 export interface GatewayOptions {
@@ -37,6 +40,8 @@
   readonly dialect: Dialect;
   /** A log at the level of the settings is created by default. */
   readonly log?: EventLog;
+  /** Created by default; the dialect may record its calls in them. */
+  readonly metrics?: GatewayMetrics;
 }
 
 /** Number of random bytes in the identifier of an incarnation. */
@@ -249,7 +254,7 @@
 function createGatewayContext(options: GatewayOptions): GatewayContext {
   const { settings, dialect } = options;
   const clock = createSystemClock();
-  const metrics = createGatewayMetrics();
+  const metrics = options.metrics ?? createGatewayMetrics();
   return {
     settings,
     vm: settings.vm,
--- a/packages/gateway/gateway_metrics.ts
+++ b/packages/gateway/gateway_metrics.ts
@@ -1,5 +1,7 @@
 /** Prometheus metrics of one gateway. */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { MILLIS_PER_SECOND } from "../core/mod.ts";
+import type { StoreCall } from "../ports/mod.ts";
 
 /** Latency buckets; finer around typical latency goals of 0.2 to 1.2 s. */
 const LATENCY_BUCKETS_SECONDS = [
@@ -17,6 +19,25 @@
   15,
 ];
 
+/**
+ * Buckets of calls to the store: an answer within a region takes some
+ * milliseconds, one between regions some tens, and a feed waits for seconds.
+ */
+const STORE_BUCKETS_SECONDS = [
+  0.005,
+  0.01,
+  0.02,
+  0.05,
+  0.075,
+  0.1,
+  0.15,
+  0.2,
+  0.3,
+  0.5,
+  1,
+  3,
+];
+
 /** The gateway's metrics. */
 export interface GatewayMetrics {
   readonly registry: Registry;
@@ -32,6 +53,9 @@
   readonly configurationVersion: Gauge;
   readonly targets: Gauge<"state">;
   readonly droppedLogLines: Counter;
+  readonly storeCallDuration: Histogram<"kind" | "outcome">;
+  readonly storeSentBytes: Counter<"kind" | "outcome">;
+  readonly storeReceivedBytes: Counter<"kind" | "outcome">;
 }
 
 /** Creates the metrics in a registry of their own, one for each gateway. */
@@ -106,5 +130,35 @@
       help: "Log lines left out to keep the volume bounded.",
       registers,
     }),
+    storeCallDuration: new Histogram({
+      name: "anvilrail_gateway_store_call_seconds",
+      help: "Time of calls to the store, by kind and outcome.",
+      labelNames: ["kind", "outcome"],
+      buckets: STORE_BUCKETS_SECONDS,
+      registers,
+    }),
+    storeSentBytes: new Counter({
+      name: "anvilrail_gateway_store_sent_bytes_total",
+      help: "Bytes of the bodies sent to the store.",
+      labelNames: ["kind", "outcome"],
+      registers,
+    }),
+    storeReceivedBytes: new Counter({
+      name: "anvilrail_gateway_store_received_bytes_total",
+      help: "Bytes of the bodies received from the store.",
+      labelNames: ["kind", "outcome"],
+      registers,
+    }),
   };
 }
+
+/** Adds one call to the store to the metrics. */
+export function recordStoreCall(
+  metrics: GatewayMetrics,
+  call: StoreCall,
+): void {
+  const labels = { kind: call.kind, outcome: call.outcome };
+  metrics.storeCallDuration.observe(labels, call.duration / MILLIS_PER_SECOND);
+  metrics.storeSentBytes.inc(labels, call.sentBytes);
+  metrics.storeReceivedBytes.inc(labels, call.receivedBytes);
+}
--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -13,3 +13,5 @@
 } from "./dialect.ts";
 export type { GatewayOptions } from "./gateway.ts";
 export { Gateway } from "./gateway.ts";
+export type { GatewayMetrics } from "./gateway_metrics.ts";
+export { createGatewayMetrics, recordStoreCall } from "./gateway_metrics.ts";
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -197,7 +197,9 @@
 /** Sends a JSON request and parses the answer's body as JSON. */
 export async function sendJsonRequest(
   input: HttpRequest,
-): Promise<Either<HttpFailure, { status: number; body: unknown }>> {
+): Promise<
+  Either<HttpFailure, { status: number; body: unknown; bodyBytes: Bytes }>
+> {
   const headers = {
     "content-type": "application/json",
     ...input.headers as Record<string, string>,
@@ -209,6 +211,7 @@
       return Right({
         status: received.status,
         body: text === "" ? undefined : JSON.parse(text),
+        bodyBytes: received.body.byteLength,
       });
     } catch (error) {
       return Left({
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -9,6 +9,8 @@
   TransactionAnswer,
 } from "./table_port.ts";
 export { MAX_TRANSACTION_ROWS } from "./table_port.ts";
+export type { StoreCall } from "./store_calls.ts";
+export { StoreCallKind, StoreCallOutcome } from "./store_calls.ts";
 export type { FeedChange, FeedPage, FeedPort, FeedRow } from "./feed_port.ts";
 export type { ObjectPort } from "./object_port.ts";
 export type { ListedVm, VmListPort } from "./vm_list_port.ts";
@@ -39,7 +41,11 @@
   HttpTable,
   HttpVmList,
 } from "./http_platform.ts";
-export type { StoreWriterCounts, StoreWriterOptions } from "./store_writer.ts";
+export type {
+  OperationFacts,
+  StoreWriterCounts,
+  StoreWriterOptions,
+} from "./store_writer.ts";
 export { MAX_WAITING_OPERATIONS, StoreWriter } from "./store_writer.ts";
 export { ConnectionPools, MAX_POOL_AGE } from "./connection_pools.ts";
 export { HttpTargets, STREAM_END } from "./http_targets.ts";
--- a/packages/ports/store_writer.ts
+++ b/packages/ports/store_writer.ts
@@ -13,6 +13,7 @@
 import { LRUCache } from "lru-cache";
 import { type Either, Left, Right } from "purify-ts";
 import {
+  type Bytes,
   type Clock,
   type Millis,
   type MonotonicTime,
@@ -65,10 +66,25 @@
   readonly waiting: number;
 }
 
+/** What it took to complete an operation. */
+export interface OperationFacts {
+  /** Transactions that wrote nothing, since a row had changed meanwhile. */
+  readonly conflicts: number;
+  /** Size of the operation's rows as JSON, as they are after it. */
+  readonly rowBytes: Bytes;
+}
+
+/** Deadline of an operation, and the listener of what it took. */
+export interface RunOptions {
+  readonly giveUpAt: MonotonicTime;
+  /** Called before the operation's result is returned, unless it fails. */
+  readonly onCompleted?: (facts: OperationFacts) => void;
+}
+
 /** A queued operation, its deadline and the callback for its result. */
-interface Job {
+interface Job extends RunOptions {
   readonly operation: RowOperation<unknown>;
-  readonly giveUpAt: MonotonicTime;
+  conflicts: number;
   /** True once a commit was sent and its answer lost: it may have committed. */
   uncertain: boolean;
   finish(result: Either<PlatformError, unknown>): void;
@@ -77,6 +93,8 @@
 /** Rows that a group writes, and the result of each of its operations. */
 interface GroupDecision {
   readonly writes: ReadonlyMap<string, RowWrite>;
+  /** The rows as they are after the writes. */
+  readonly rows: RowView;
   readonly results: ReadonlyMap<Job, unknown>;
 }
 
@@ -119,7 +137,7 @@
    */
   run<Result>(
     operation: RowOperation<Result>,
-    options: { readonly giveUpAt: MonotonicTime },
+    options: RunOptions,
   ): Promise<Either<PlatformError, Result>> {
     const refusalReason = this.#findRefusalReason();
     if (refusalReason !== undefined) {
@@ -131,8 +149,9 @@
     }
     return new Promise((resolve) => {
       this.#waiting.push({
+        ...options,
         operation,
-        giveUpAt: options.giveUpAt,
+        conflicts: 0,
         uncertain: false,
         finish: (result) => resolve(result as Either<PlatformError, Result>),
       });
@@ -238,6 +257,7 @@
     const outcome = answer.unsafeCoerce();
     if (!outcome.committed) {
       this.#counts.conflicts++;
+      for (const job of group) job.conflicts++;
       for (const check of checks) this.#cache.delete(check.key);
       for (const row of outcome.rows ?? []) this.#cache.set(row.key, row);
       this.#waiting.unshift(...group);
@@ -333,7 +353,7 @@
       )));
     }
   }
-  return { writes, results };
+  return { writes, rows: current, results };
 }
 
 function applyWrite(rows: Map<string, Row>, write: RowWrite): void {
@@ -363,5 +383,20 @@
 }
 
 function finishGroup(decision: GroupDecision): void {
-  for (const [job, result] of decision.results) job.finish(Right(result));
+  for (const [job, result] of decision.results) {
+    job.onCompleted?.({
+      conflicts: job.conflicts,
+      rowBytes: measureRows(job.operation.keys, decision.rows),
+    });
+    job.finish(Right(result));
+  }
+}
+
+function measureRows(keys: readonly string[], rows: RowView): Bytes {
+  const present = keys.map((key) => rows.get(key)?.value)
+    .filter((value) => value !== undefined);
+  return present.reduce<Bytes>(
+    (sum, value) => sum + Buffer.byteLength(JSON.stringify(value)),
+    0,
+  );
 }
