Pause between repeated conflicts of a row operation

Callers in the region far from the store saw requests refused for want of tokens. A transaction that conflicts returned no error, so that the writer decided and sent it again at once, without bound. Each attempt carries the row twice and takes the store 5 ms of the row's 200 transactions a second, also if it fails: writers of one row slowed each other down and filled the link.

The first retry is still made at once, with the row of the answer. From the second conflict on, the writer pauses for 5 ms on average, doubled with each conflict up to 160 ms, with jitter; after 40 ms or more it reads the row again, since an attempt with an old row would fail. After a commit that took a conflict, the row is not kept for the next operation.

Before the change two of the new tests fail: "adding writers of a row doesn't use up its transactions in attempts that fail" (20 writers in each region) and "an operation that always loses conflicts makes several attempts, the second at once, and never repeats without bound".

--- a/packages/bench/mod.ts
+++ b/packages/bench/mod.ts
@@ -1,5 +1,6 @@
 /** Seeded load and failure experiments and their reports. */
 export { SeededRandom } from "./harness/random.ts";
+export { VirtualClock } from "./harness/virtual_clock.ts";
 export { EXPERIMENTS } from "./experiments.ts";
 export type {
   Experiment,
--- a/packages/ports/store_writer.ts
+++ b/packages/ports/store_writer.ts
@@ -5,9 +5,9 @@
  * are queued and committed together in the next one, up to the store's row
  * limit. The writer evaluates each operation on the rows it read, commits with
  * the versions of these rows, and evaluates it again on fresh rows after a
- * conflict or a lost answer. Operations are idempotent, so no change takes
- * effect twice. Every commit checks row versions, so an abandoned write cannot
- * overwrite a later one.
+ * conflict or a lost answer. It pauses between repeated conflicts. Operations
+ * are idempotent, so no change takes effect twice. Every commit checks row
+ * versions, so an abandoned write cannot overwrite a later one.
  */
 import { setTimeout as sleepWithTimer } from "node:timers/promises";
 import { LRUCache } from "lru-cache";
@@ -41,6 +41,20 @@
 const INITIAL_BACKOFF: Millis = 20;
 const MAX_BACKOFF: Millis = 2_000;
 
+/**
+ * Mean pause after the second conflict in a row of an operation. It doubles
+ * with each further conflict, up to the maximum, with which a writer 64 ms away
+ * from the store still makes five attempts in 800 ms.
+ */
+const INITIAL_CONFLICT_PAUSE: Millis = 5;
+const MAX_CONFLICT_PAUSE: Millis = 160;
+
+/**
+ * Pause after a conflict from which the rows are read again. After a shorter
+ * one, the rows of the last answer are probably still the newest.
+ */
+const MIN_PAUSE_TO_READ: Millis = 40;
+
 /** Dependencies and timing of a store writer. */
 export interface StoreWriterOptions {
   readonly table: RowPort;
@@ -103,6 +117,11 @@
   readonly #options: StoreWriterOptions;
   readonly #sleep: (duration: Millis) => Promise<void>;
   readonly #cache = new LRUCache<string, Row>({ max: MAX_CACHED_ROWS });
+  /**
+   * Rows with a conflict since this writer's last commit. Others write them,
+   * so that a cached row would probably cause the next conflict.
+   */
+  readonly #contended = new LRUCache<string, true>({ max: MAX_CACHED_ROWS });
   #waiting: Job[] = [];
   #running = false;
   #closed = false;
@@ -187,10 +206,14 @@
       this.#abandonExpired();
       const group = this.#takeGroup();
       if (group.length === 0) continue;
+      const { conflicts } = this.#counts;
       const error = await this.#commitGroup(group);
       this.#lastError = error;
       if (error === undefined) {
         backoff = INITIAL_BACKOFF;
+        if (this.#counts.conflicts > conflicts) {
+          await this.#pauseAfterConflict(group);
+        }
         continue;
       }
       await this.#sleep(this.#addJitter(backoff));
@@ -200,6 +223,25 @@
     this.#running = false;
   }
 
+  /**
+   * Pauses if a group has lost several conflicts in a row, so that writers of
+   * one row don't fill the link and the row's write rate with attempts that
+   * fail. The first retry is made at once, with the row of the answer.
+   */
+  async #pauseAfterConflict(group: readonly Job[]): Promise<void> {
+    const conflicts = Math.max(...group.map((job) => job.conflicts));
+    if (conflicts < 2) return;
+    const pause = this.#addJitter(Math.min(
+      MAX_CONFLICT_PAUSE,
+      INITIAL_CONFLICT_PAUSE * 2 ** (conflicts - 2),
+    ));
+    await this.#sleep(pause);
+    if (pause < MIN_PAUSE_TO_READ) return;
+    for (const key of group.flatMap((job) => job.operation.keys)) {
+      this.#cache.delete(key);
+    }
+  }
+
   /** Adds jitter, so that writers do not all retry at once after an outage. */
   #addJitter(backoff: Millis): Millis {
     return backoff / 2 + this.#options.random() * backoff;
@@ -258,6 +300,7 @@
     if (!outcome.committed) {
       this.#counts.conflicts++;
       for (const job of group) job.conflicts++;
+      for (const key of outcome.conflicts) this.#contended.set(key, true);
       for (const check of checks) this.#cache.delete(check.key);
       for (const row of outcome.rows ?? []) this.#cache.set(row.key, row);
       this.#waiting.unshift(...group);
@@ -300,7 +343,8 @@
     );
     for (const { key, value } of writes) {
       const version = input.version ?? (versions.get(key) ?? 0) + 1;
-      if (value === undefined) this.#cache.delete(key);
+      const isContended = this.#contended.delete(key);
+      if (value === undefined || isContended) this.#cache.delete(key);
       else this.#cache.set(key, { key, version, value });
     }
   }
--- a/packages/ports/store_writer_test.ts
+++ b/packages/ports/store_writer_test.ts
@@ -1,7 +1,15 @@
 import test from "ava";
-import type { JsonValue, RowOperation } from "../core/mod.ts";
+import { Right } from "purify-ts";
+import {
+  type JsonValue,
+  type Millis,
+  MILLIS_PER_SECOND,
+  type Row,
+  type RowOperation,
+} from "../core/mod.ts";
+import { SeededRandom, VirtualClock } from "../bench/mod.ts";
 import { MemoryTable } from "../stand_ins/mod.ts";
-import { type OperationFacts, StoreWriter } from "./mod.ts";
+import { type OperationFacts, type RowPort, StoreWriter } from "./mod.ts";
 
 const KEY = "budget/tours";
 
@@ -48,3 +56,135 @@
     { conflicts: 1, rowBytes: 1 },
   ]);
 });
+
+/** Round trips to the store from its own region and from another one. */
+const NEAR: Millis = 4;
+const FAR: Millis = 64;
+
+/** Time that the store takes for one transaction on a row, one at a time. */
+const TRANSACTION_TIME: Millis = 5;
+
+/** Duration of a simulated run. */
+const RUN_TIME: Millis = 20 * MILLIS_PER_SECOND;
+
+/** Maximum time that a request waits for tokens. */
+const MAX_WAIT: Millis = 800;
+
+interface WriterFacts {
+  transactions: number;
+  readonly durations: Millis[];
+}
+
+/** Writers near and far from one row; each pauses after each operation. */
+async function runWriters(
+  input: { readonly perRegion: number; readonly pause: Millis },
+): Promise<{ near: WriterFacts; far: WriterFacts }> {
+  const clock = new VirtualClock();
+  const random = new SeededRandom(1);
+  const memory = new MemoryTable({ now: () => clock.readMonotonic() });
+  let freeAt = 0;
+  const createTable = (roundTrip: Millis, facts: WriterFacts): RowPort => ({
+    async read(keys) {
+      await clock.wait(roundTrip / 2);
+      const answer = await memory.read(keys);
+      await clock.wait(roundTrip / 2);
+      return answer;
+    },
+    async transact(transaction) {
+      facts.transactions++;
+      await clock.wait(roundTrip / 2);
+      freeAt = Math.max(freeAt, clock.readMonotonic()) + TRANSACTION_TIME;
+      await clock.wait(freeAt - clock.readMonotonic());
+      const answer = await memory.transact(transaction);
+      const row = memory.peek(KEY);
+      await clock.wait(roundTrip / 2);
+      return answer.map((each) =>
+        each.committed
+          ? each
+          : { ...each, rows: row === undefined ? [] : [row] }
+      );
+    },
+  });
+  const run = async (name: string, input: {
+    readonly roundTrip: Millis;
+    readonly pause: Millis;
+    readonly facts: WriterFacts;
+  }) => {
+    const writer = new StoreWriter({
+      table: createTable(input.roundTrip, input.facts),
+      clock,
+      random: random.createBranch(name).uniform,
+      sleep: (duration) => clock.wait(duration),
+      groupDelay: 0,
+    });
+    const pauses = random.createBranch(`pauses/${name}`);
+    await clock.wait(pauses.uniform() * input.pause);
+    for (let number = 0;; number++) {
+      const startedAt = clock.readMonotonic();
+      await writer.run(createIncrement(`${name}/${number}`), {
+        giveUpAt: Infinity,
+      });
+      input.facts.durations.push(clock.readMonotonic() - startedAt);
+      await clock.wait(input.pause * (0.9 + 0.2 * pauses.uniform()));
+    }
+  };
+  const near: WriterFacts = { transactions: 0, durations: [] };
+  const far: WriterFacts = { transactions: 0, durations: [] };
+  for (let number = 0; number < input.perRegion; number++) {
+    const { pause } = input;
+    void run(`near-${number}`, { roundTrip: NEAR, pause, facts: near });
+    void run(`far-${number}`, { roundTrip: FAR, pause, facts: far });
+  }
+  await clock.runUntil(RUN_TIME);
+  return { near, far };
+}
+
+test("writers far from the store get through beside as many near ones within the time that a request waits", async (t) => {
+  const { far } = await runWriters({ perRegion: 5, pause: MAX_WAIT });
+  const late = far.durations.filter((duration) => duration > MAX_WAIT);
+  t.true(late.length <= far.durations.length / 20);
+  // Each writer completes more than half of what it would without the others.
+  const alone = RUN_TIME / (MAX_WAIT + FAR + TRANSACTION_TIME);
+  t.true(far.durations.length > 5 * alone / 2);
+});
+
+test("adding writers of a row doesn't use up its transactions in attempts that fail", async (t) => {
+  for (const perRegion of [3, 10, 20]) {
+    const { near, far } = await runWriters({ perRegion, pause: 400 });
+    const completed = near.durations.length + far.durations.length;
+    const transactions = near.transactions + far.transactions;
+    t.true(transactions <= 10 * completed, `${perRegion} a region`);
+  }
+});
+
+test("an operation that always loses conflicts makes several attempts, the second at once, and never repeats without bound", async (t) => {
+  const clock = new VirtualClock();
+  const attempts: Millis[] = [];
+  let version = 1;
+  const readRow = (): Row => ({ key: KEY, version: version++, value: 1 });
+  const writer = new StoreWriter({
+    table: {
+      async read() {
+        await clock.wait(FAR);
+        return Right([readRow()]);
+      },
+      async transact() {
+        attempts.push(clock.readMonotonic());
+        await clock.wait(FAR);
+        return Right({ committed: false, conflicts: [KEY], rows: [readRow()] });
+      },
+    },
+    clock,
+    random: () => 0.5,
+    sleep: (duration) => clock.wait(duration),
+    groupDelay: 0,
+  });
+  void writer.run(createIncrement("a"), { giveUpAt: Infinity });
+  await clock.runUntil(FAR + MAX_WAIT);
+  t.is(attempts[1]! - attempts[0]!, FAR);
+  t.true(attempts.length >= 5);
+  await clock.runUntil(RUN_TIME);
+  const late = attempts.filter((at) => at > RUN_TIME - MILLIS_PER_SECOND);
+  // A request's wait of 800 ms has at least two attempts, however long it took.
+  t.true(late.length >= 2 && late.length <= 5);
+});
