Pace the exchanges of a row that no request waits for by its holders

Callers in the region far from the store saw requests refused for want of tokens while the store accepted 80 exchanges a second of VMs near to it. Each holder of a customer's tokens could write the row at each check, every 400 ms, so that the row's writes grew with the number of holders; a writer 60 ms away loses each attempt during which another one writes. About 4 in 10 exchanges only returned tokens.

A periodic check starts an exchange only if the last one of the budget is holders / 20 s ago, and at least 400 ms; with more than 8 holders it returns tokens and adjusts standby grants only after twice that. Exchanges that a request or a peer waits for are not paced. Active tokens are planned to last for the longer interval too.

Six holders still write at each check.

--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -43,6 +43,7 @@
   startPeriodic,
 } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
+import { REBALANCE_INTERVAL } from "./exchange_pace.ts";
 import { GrantExchanges } from "./grant_exchanges.ts";
 import {
   type BudgetState,
@@ -57,9 +58,6 @@
 import { listInUse, StandbyTokens } from "./standby_tokens.ts";
 import { type LoanAccounts, TokenLoans } from "./token_loans.ts";
 
-/** Interval between two checks of all budgets, which batches their refills. */
-const REBALANCE_INTERVAL: Millis = 400;
-
 /**
  * Maximum time that a request waits for tokens. It covers an exchange that is
  * repeated after a conflict.
--- a/packages/gateway/features/budgets/grant_exchanges.ts
+++ b/packages/gateway/features/budgets/grant_exchanges.ts
@@ -38,6 +38,12 @@
   MAX_EXCHANGE_TIME,
   sumWaitingTokens,
 } from "./budget_state.ts";
+import {
+  choosePermit,
+  computeRefillInterval,
+  ExchangePermit,
+  REBALANCE_INTERVAL,
+} from "./exchange_pace.ts";
 import type { StandbyTokens } from "./standby_tokens.ts";
 import { RefillLimiter } from "./refill_limiter.ts";
 
@@ -47,7 +53,10 @@
  */
 const MIN_UNLOCKED_FRACTION = 0.05;
 
-/** Maximum time that a refill takes while the store is available. */
+/**
+ * Maximum time that a refill takes while the store is available and a refill
+ * may start at each periodic check.
+ */
 const MAX_REFILL_TIME: Millis = 700;
 
 /**
@@ -154,21 +163,31 @@
 
   /**
    * Starts the exchanges that budgets need to reach their planned holdings,
-   * within this VM's share of the store's write rate. Budgets whose last
-   * exchange started the longest ago come first.
+   * within this VM's share of the store's write rate and of the writes of each
+   * budget's row. Budgets whose last exchange started the longest ago come
+   * first.
    */
   rebalance(budgets: Iterable<BudgetState>): void {
     if (this.#isStopping) return;
     const { clock, settings } = this.#context;
     const { writesPerSecond } = settings.store;
     const vms = this.#options.countVms();
-    this.#refillLimiter.accrue(clock.readMonotonic(), { vms, writesPerSecond });
+    const now = clock.readMonotonic();
+    this.#refillLimiter.accrue(now, { vms, writesPerSecond });
     const initialized = [...budgets]
       .filter((each) => each.isInitialized)
       .sort((left, right) => left.exchangeStartedAt - right.exchangeStartedAt);
     for (const budget of initialized) {
       if (!this.#refillLimiter.hasPermit) return;
-      if (this.start(budget, planExchange)) this.#refillLimiter.consume();
+      const permit = choosePermit({
+        now,
+        startedAt: budget.exchangeStartedAt,
+        holders: budget.holders,
+        isUrgent: budget.waiters.length > 0 || budget.borrowerDemand > 0,
+      });
+      if (permit === ExchangePermit.None) continue;
+      const plan = permit === ExchangePermit.Any ? planExchange : planRefill;
+      if (this.start(budget, plan)) this.#refillLimiter.consume();
     }
   }
 
@@ -247,7 +266,8 @@
       othersRate: budget.othersRate,
       outageCoverage: settings.budgets.offlineMillis,
       activeCoverage: computeUnlockTime(MIN_UNLOCKED_FRACTION) +
-        options.computePresenceInterval() + MAX_REFILL_TIME,
+        options.computePresenceInterval() + MAX_REFILL_TIME +
+        computeRefillInterval(budget.holders) - REBALANCE_INTERVAL,
       usualRequest: options.readUsualRequest(),
       standby: budget.standby,
       isHome: options.isHome(budget),
@@ -345,6 +365,12 @@
   }
 }
 
+/** Plans an exchange only if it takes active tokens. */
+function planRefill(account: EventAccount, input: ExchangeInput): EventAccount {
+  const planned = planExchange(account, input);
+  return planned.exchange?.take === undefined ? account : planned;
+}
+
 /**
  * Returns the tokens that no VM holds, as far as known. A raised limit that the
  * row doesn't have yet is included, so that a VM asks for the new tokens of a
