--- a/packages/gateway/features/budgets/grant_exchanges.ts
+++ b/packages/gateway/features/budgets/grant_exchanges.ts
@@ -29,6 +29,7 @@
   type MonotonicTime,
   type Tokens,
 } from "../../../core/mod.ts";
+import type { OperationFacts } from "../../../ports/mod.ts";
 import { LogEvent } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
 import {
@@ -37,6 +38,12 @@
   MAX_EXCHANGE_TIME,
   sumWaitingTokens,
 } from "./budget_state.ts";
+import {
+  choosePermit,
+  computeRefillInterval,
+  ExchangePermit,
+  REBALANCE_INTERVAL,
+} from "./exchange_pace.ts";
 import type { StandbyTokens } from "./standby_tokens.ts";
 import { RefillLimiter } from "./refill_limiter.ts";
 
@@ -46,7 +53,10 @@
  */
 const MIN_UNLOCKED_FRACTION = 0.05;
 
-/** Maximum time that a refill takes while the store is available. */
+/**
+ * Maximum time that a refill takes while the store is available and a refill
+ * may start at each periodic check.
+ */
 const MAX_REFILL_TIME: Millis = 700;
 
 /**
@@ -153,21 +163,31 @@
 
   /**
    * Starts the exchanges that budgets need to reach their planned holdings,
-   * within this VM's share of the store's write rate. Budgets whose last
-   * exchange started the longest ago come first.
+   * within this VM's share of the store's write rate and of the writes of each
+   * budget's row. Budgets whose last exchange started the longest ago come
+   * first.
    */
   rebalance(budgets: Iterable<BudgetState>): void {
     if (this.#isStopping) return;
     const { clock, settings } = this.#context;
     const { writesPerSecond } = settings.store;
     const vms = this.#options.countVms();
-    this.#refillLimiter.accrue(clock.readMonotonic(), { vms, writesPerSecond });
+    const now = clock.readMonotonic();
+    this.#refillLimiter.accrue(now, { vms, writesPerSecond });
     const initialized = [...budgets]
       .filter((each) => each.isInitialized)
       .sort((left, right) => left.exchangeStartedAt - right.exchangeStartedAt);
     for (const budget of initialized) {
       if (!this.#refillLimiter.hasPermit) return;
-      if (this.start(budget, planExchange)) this.#refillLimiter.consume();
+      const permit = choosePermit({
+        now,
+        startedAt: budget.exchangeStartedAt,
+        holders: budget.holders,
+        isUrgent: budget.waiters.length > 0 || budget.borrowerDemand > 0,
+      });
+      if (permit === ExchangePermit.None) continue;
+      const plan = permit === ExchangePermit.Any ? planExchange : planRefill;
+      if (this.start(budget, plan)) this.#refillLimiter.consume();
     }
   }
 
@@ -246,7 +266,8 @@
       othersRate: budget.othersRate,
       outageCoverage: settings.budgets.offlineMillis,
       activeCoverage: computeUnlockTime(MIN_UNLOCKED_FRACTION) +
-        options.computePresenceInterval() + MAX_REFILL_TIME,
+        options.computePresenceInterval() + MAX_REFILL_TIME +
+        computeRefillInterval(budget.holders) - REBALANCE_INTERVAL,
       usualRequest: options.readUsualRequest(),
       standby: budget.standby,
       isHome: options.isHome(budget),
@@ -258,8 +279,10 @@
     const sentAt = clock.readMonotonic();
     // The store may still apply the exchange at any later time, so it is
     // retried until its outcome is known.
+    let facts: OperationFacts | undefined;
     const answer = await budget.writer.run(createGrantExchange(exchange), {
       giveUpAt: Infinity,
+      onCompleted: (completed) => (facts = completed),
     });
     budget.exchanging = false;
     answer.caseOf({
@@ -269,7 +292,8 @@
           reason: error.message,
         });
       },
-      Right: (result) => this.#receive(budget, { exchange, result, sentAt }),
+      Right: (result) =>
+        this.#receive(budget, { exchange, result, sentAt, facts }),
     });
   }
 
@@ -280,6 +304,7 @@
       readonly result: GrantExchangeResult;
       /** When the exchange was first sent; the grant's term starts then. */
       readonly sentAt: MonotonicTime;
+      readonly facts: OperationFacts | undefined;
     },
   ): void {
     const { exchange, result, sentAt } = input;
@@ -298,7 +323,7 @@
       (account) =>
         receiveExchange(account, { result, deadline: sentAt + GRANT_TERM }),
     );
-    this.#logAnswer(budget, { exchange, result });
+    this.#logAnswer(budget, input);
     onAnswer(budget);
   }
 
@@ -307,9 +332,11 @@
     input: {
       readonly exchange: GrantExchange;
       readonly result: GrantExchangeResult;
+      readonly sentAt: MonotonicTime;
+      readonly facts: OperationFacts | undefined;
     },
   ): void {
-    const { exchange, result } = input;
+    const { exchange, result, sentAt, facts } = input;
     const { log, metrics, clock } = this.#context;
     if (result.size > 0) metrics.grantsTaken.inc();
     const account = this.#options.accounts.read(budget.customer);
@@ -331,10 +358,19 @@
       closed: result.closed,
       limit: result.limit,
       holders: result.holders,
+      ms: Math.round(now - sentAt),
+      conflicts: facts?.conflicts,
+      row_bytes: facts?.rowBytes,
     });
   }
 }
 
+/** Plans an exchange only if it takes active tokens. */
+function planRefill(account: EventAccount, input: ExchangeInput): EventAccount {
+  const planned = planExchange(account, input);
+  return planned.exchange?.take === undefined ? account : planned;
+}
+
 /**
  * Returns the tokens that no VM holds, as far as known. A raised limit that the
  * row doesn't have yet is included, so that a VM asks for the new tokens of a
