Adapt the time limits of store calls to the path

Callers saw 404 and 401 for routes and keys that a newer configuration had, from VMs that were turned away by the store for some seconds and did not come back when it accepted them again.

Cause: each connection was given up after 300 ms and each feed call 1 s after its wait, and the next try had the same limit. Over a path on which connecting takes longer, every try was abandoned and started anew, without end.

The limit of connecting and the limit of each feed's calls now grow when calls exceed them, up to a bound, and follow the measured time of calls that end: twice that time, and at least the former limit. A success on a slow path thus doesn't shorten the limit below what the path takes, and one on a fast path restores it. Calls that started before the last change of the limit don't count, so a burst counts once. While a connection is being established another attempt starts every 300 ms and the first to succeed is used, so that a long limit doesn't delay the return to a path that works again; for the same reason a feed's first call after a failure is held for 300 ms at most. The growth factor and the pause after a failure are partly random, since many VMs lose the store at the same moment.

The limit of a call now counts from its connection, which has a limit of its own.

Evidence: on the code before, with a hook for the test's connections, "a VM that was turned away gets new configurations although connecting to the store is slow" and "a VM loads tables that take longer to read than the initial limit of a call" did not end within 40 s. "a VM whose connections hung for long is back soon after the path works again" passed before and passes: it guards the short return.

--- a/packages/cli/commands/gateway_command.ts
+++ b/packages/cli/commands/gateway_command.ts
@@ -22,8 +22,14 @@
 /** Timeout of a store call; the store answers within a few milliseconds. */
 const STORE_TIMEOUT_MILLIS = 1_000;
 
-/** Timeout of connecting to the store: some round trips within a region. */
-const STORE_CONNECT_TIMEOUT_MILLIS = 300;
+/** Range of the timeout of a feed's call, in addition to its wait time. */
+const FEED_TIMEOUT_MILLIS = { initial: 1_000, max: 3_000 };
+
+/**
+ * Range of the timeout of connecting to the store: from some round trips within
+ * a region to the time after which TCP has sent a lost packet twice more.
+ */
+const STORE_CONNECT_TIMEOUT_MILLIS = { initial: 300, max: 3_500 };
 
 /** Runs one entry VM that serves routes until SIGTERM or SIGINT. */
 export const gatewayCommand: CommandModule<unknown, GatewayArguments> = {
@@ -57,7 +63,9 @@
     dialect: createPlatformDialect({
       address: settings.store.address,
       timeout: STORE_TIMEOUT_MILLIS,
+      feedTimeout: FEED_TIMEOUT_MILLIS,
       connectTimeout: STORE_CONNECT_TIMEOUT_MILLIS,
+      random: Math.random,
     }),
   });
   await gateway.start();
--- a/packages/gateway/features/feed_follower.ts
+++ b/packages/gateway/features/feed_follower.ts
@@ -37,6 +37,12 @@
 const INITIAL_BACKOFF: Millis = 100;
 const MAX_BACKOFF: Millis = 300;
 
+/**
+ * Maximum time for which the store holds a call that follows a failed one, so
+ * that its answer shows early that the store is available again.
+ */
+const RETRY_WAIT: Millis = 300;
+
 /** Follows a feed until it is stopped. */
 export class FeedFollower<Value> {
   readonly #context: GatewayContext;
@@ -86,16 +92,19 @@
   }
 
   #computeWait(): Millis {
-    if (this.#failingSince !== undefined) return this.#backoff;
+    if (this.#failingSince !== undefined) {
+      // VMs that lost the store at the same moment retry at different times.
+      return this.#backoff * (1 + this.#context.random()) / 2;
+    }
     return this.#isLoaded ? this.#options.pause : 0;
   }
 
   async #poll(): Promise<void> {
     if (this.#cursor === undefined) return await this.#load();
-    const answer = await this.#options.feed.follow(
-      this.#cursor,
-      this.#options.wait,
-    );
+    const wait = this.#failingSince === undefined
+      ? this.#options.wait
+      : Math.min(this.#options.wait, RETRY_WAIT);
+    const answer = await this.#options.feed.follow(this.#cursor, wait);
     answer.caseOf({
       Left: (error) => this.#recordFailure(error),
       Right: (change) => {
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -35,8 +35,12 @@
   readonly idleTimeout: Millis;
   /** Maximum time to establish a connection, which Node does not limit. */
   readonly connectTimeout?: Millis;
-  /** Maximum time until the complete answer has arrived. */
-  readonly totalTimeout?: Millis;
+  /**
+   * Maximum time from the connection until the complete answer has arrived.
+   */
+  readonly answerTimeout?: Millis;
+  /** Called when a connection is established, or a pooled one is reused. */
+  readonly onConnected?: () => void;
   readonly agent?: Agent;
   readonly signal?: AbortSignal;
 }
@@ -45,8 +49,10 @@
 export interface HttpFailure {
   /** False if no connection was established, so nothing was sent. */
   readonly sent: boolean;
-  /** True if the signal was aborted or the total timeout elapsed. */
+  /** True if the signal was aborted or the answer timeout elapsed. */
   readonly cancelled: boolean;
+  /** True if the answer timeout elapsed. */
+  readonly timedOut?: boolean;
   readonly detail: string;
 }
 
@@ -103,6 +109,7 @@
     const markConnected = () => {
       connected = true;
       clearTimeout(connectTimer);
+      input.onConnected?.();
     };
     outgoing.on("socket", (assigned) => {
       socket = assigned;
@@ -158,18 +165,29 @@
 export async function sendRequest(
   input: HttpRequest,
 ): Promise<Either<HttpFailure, HttpAnswer>> {
-  if (input.totalTimeout === undefined) return await sendAndReadAnswer(input);
+  const { answerTimeout } = input;
+  if (answerTimeout === undefined) return await sendAndReadAnswer(input);
   const controller = new AbortController();
   const abort = () => controller.abort();
-  const timer = setTimeout(abort, input.totalTimeout);
+  let timer: NodeJS.Timeout | undefined;
+  let timedOut = false;
   input.signal?.addEventListener("abort", abort, { once: true });
   const answer = await sendAndReadAnswer({
     ...input,
     signal: controller.signal,
+    onConnected: () => {
+      input.onConnected?.();
+      timer = setTimeout(() => {
+        timedOut = true;
+        abort();
+      }, answerTimeout);
+    },
   });
   clearTimeout(timer);
   input.signal?.removeEventListener("abort", abort);
-  return answer;
+  if (!timedOut) return answer;
+  const detail = `no complete answer within ${Math.round(answerTimeout)} ms`;
+  return answer.mapLeft((failure) => ({ ...failure, timedOut, detail }));
 }
 
 async function sendAndReadAnswer(
--- a/packages/ports/http_client_test.ts
+++ b/packages/ports/http_client_test.ts
@@ -51,7 +51,7 @@
   t.is(await countCompleteAnswers((socket) => void socket.end()), 60);
 });
 
-test("the total timeout ends a request that the server never answers", async (t) => {
+test("the answer timeout ends a request that the server never answers", async (t) => {
   const server = createServer(() => {});
   await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
   const { port } = server.address() as AddressInfo;
@@ -59,7 +59,7 @@
     method: "GET",
     url: `http://127.0.0.1:${port}/`,
     idleTimeout: 0,
-    totalTimeout: 50,
+    answerTimeout: 50,
   });
   t.true((answer.extract() as HttpFailure).sent);
   server.close();
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -41,5 +41,12 @@
 } from "./http_platform.ts";
 export type { StoreWriterCounts, StoreWriterOptions } from "./store_writer.ts";
 export { MAX_WAITING_OPERATIONS, StoreWriter } from "./store_writer.ts";
+export type { TimeoutRange } from "./adaptive_timeout.ts";
+export { AdaptiveTimeout } from "./adaptive_timeout.ts";
+export type {
+  AdaptiveAgentOptions,
+  StartConnection,
+} from "./adaptive_agent.ts";
+export { AdaptiveAgent } from "./adaptive_agent.ts";
 export { ConnectionPools, MAX_POOL_AGE } from "./connection_pools.ts";
 export { HttpTargets, STREAM_END } from "./http_targets.ts";
