Grow the time limits of store calls by a factor of three to four

A long limit costs little, since attempts to connect start every 300 ms whatever the limit is, so the factor is larger.

--- a/packages/cli/commands/gateway_command.ts
+++ b/packages/cli/commands/gateway_command.ts
@@ -23,7 +23,7 @@
 const STORE_TIMEOUT_MILLIS = 1_000;
 
 /** Range of the timeout of a feed's call, in addition to its wait time. */
-const FEED_TIMEOUT_MILLIS = { initial: 1_000, max: 3_000 };
+const FEED_TIMEOUT_MILLIS = { initial: 1_000, max: 2_500 };
 
 /**
  * Range of the timeout of connecting to the store: from some round trips within
--- a/packages/ports/adaptive_timeout.ts
+++ b/packages/ports/adaptive_timeout.ts
@@ -13,7 +13,7 @@
 }
 
 /** Minimum factor by which a limit grows. */
-const MIN_GROWTH = 1.5;
+const MIN_GROWTH = 3;
 
 /**
  * Range of the random part of the factor. It spreads the retries of VMs that
