Refuse nothing as unknown from a configuration that may be out of date

Callers got 404 and 401 for routes and keys that existed, from VMs whose configuration feed had had no answer for more than ten seconds.

Cause: a VM took its last configuration for the newest one whatever the state of its feed, and 404 and 401 tell a caller not to ask again.

Each answer of a feed now records up to which moment all changes are known: when the call was sent, and the end of its wait if it brought no rows. Once that moment is longer ago than configurationMillis, a route that isn't found, a bad key and a body over the configured limit are refused as configuration-stale (503, not run, Retry-After 100 ms). Known routes and keys are served as before. A failed load, a lost history, a table read in an old version and a call that hangs prove nothing, whatever other calls of the VM are answered. The same holds while the newest configuration can't be decoded. After an answer with rows the next call waits half as long, so that a VM whose store answers doesn't become stale between two calls.

Logs: configuration_stale and configuration_current, once for each change; configuration_age_ms in the line of such a refusal. Metric: anvilrail_gateway_configuration_age_seconds.

--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -71,9 +71,19 @@
  */
 const NO_CONFIGURATION_RETRY_AFTER: Millis = 500;
 
-/** Retry-after of a draining VM; another VM can admit the request at once. */
+/**
+ * Retry-after of a draining VM and of one whose configuration is stale; another
+ * VM can admit the request at once.
+ */
 const OTHER_VM_RETRY_AFTER: Millis = 100;
 
+/** Refusals that a newer configuration may revoke. */
+const CONFIGURED_REFUSALS: ReadonlySet<RefusalKind> = new Set([
+  RefusalKind.UnknownRoute,
+  RefusalKind.BadKey,
+  RefusalKind.BodyTooLarge,
+]);
+
 /** Timeout of callers that state none; the route's timeout applies as well. */
 const DEFAULT_CALLER_TIMEOUT: Millis = 60_000;
 
@@ -340,8 +350,10 @@
       readonly arrivedAt: number;
     },
   ): void {
-    const { refusal, request, arrivedAt } = input;
-    const { context } = this.#options;
+    const { request, arrivedAt } = input;
+    const { context, configuration } = this.#options;
+    const refusal = this.#checkRefusal(input.refusal);
+    const isStale = refusal.kind === RefusalKind.ConfigurationStale;
     exchange.refuse(refusal, {
       dialect: context.dialect,
       ...(request === undefined ? {} : { requestId: request.id }),
@@ -356,11 +368,25 @@
       retry_after_ms: refusal.retryAfter === undefined
         ? undefined
         : Math.round(refusal.retryAfter),
-      version: this.#options.configuration.read()?.configuration.version,
+      version: configuration.read()?.configuration.version,
+      configuration_age_ms: isStale
+        ? Math.round(configuration.computeAge())
+        : undefined,
       ms: Math.round(context.clock.readMonotonic() - arrivedAt),
     });
   }
 
+  /** Replaces a refusal that a missing configuration may revoke. */
+  #checkRefusal(refusal: Refusal): Refusal {
+    const { configuration } = this.#options;
+    const isSound = !CONFIGURED_REFUSALS.has(refusal.kind) ||
+      !configuration.isStale;
+    if (isSound) return refusal;
+    return createRefusal(RefusalKind.ConfigurationStale, {
+      retryAfter: OTHER_VM_RETRY_AFTER,
+    });
+  }
+
   #logDisconnect(request: CallerRequest, arrivedAt: number): void {
     const { log, clock } = this.#options.context;
     log.info(LogEvent.RequestEnded, {
--- a/packages/gateway/features/configuration_follower.ts
+++ b/packages/gateway/features/configuration_follower.ts
@@ -4,11 +4,17 @@
   type CommandType,
   createCommand,
   type Millis,
+  MILLIS_PER_SECOND,
+  type MonotonicTime,
   type SliceType,
   type Undo,
 } from "../../core/mod.ts";
 import { type GatewayConfiguration, RouteIndex } from "../../routes/mod.ts";
-import { LogEvent } from "../../runtime/mod.ts";
+import {
+  createErrorReporter,
+  LogEvent,
+  startPeriodic,
+} from "../../runtime/mod.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import { FeedFollower, type RowChange } from "./feed_follower.ts";
 
@@ -29,11 +35,20 @@
 /** Pause between two calls, which batches a burst of versions. */
 const FEED_PAUSE: Millis = 60;
 
+/** Interval between two checks whether the configuration is stale. */
+const AGE_CHECK_INTERVAL: Millis = 250;
+
 /** Follows the configuration feed and applies each new version. */
 export class ConfigurationFollower {
   readonly #context: GatewayContext;
   readonly #follower: FeedFollower<GatewayConfiguration>;
   readonly #listeners: ((configuration: GatewayConfiguration) => void)[] = [];
+  /** Key of the row of the configuration in effect. */
+  #key: string | undefined;
+  /** Whether the newest version of that row could not be decoded. */
+  #isDamaged = false;
+  /** When the configuration became stale; undefined while it is current. */
+  #staleSince: MonotonicTime | undefined;
 
   constructor(context: GatewayContext) {
     this.#context = context;
@@ -48,7 +63,7 @@
 
   /** Registers the command and the dump, and starts to follow the feed. */
   register(): Undo {
-    const { kernel } = this.#context;
+    const { kernel, log, random } = this.#context;
     return combineUndo([
       kernel.registerCommand(APPLY_CONFIGURATION, (configuration, update) => {
         const known = update.read(ROUTES)?.configuration.version ?? -Infinity;
@@ -58,9 +73,33 @@
       }),
       kernel.registerDump("configuration", () => this.#describe()),
       this.#follower.register(),
+      startPeriodic({
+        interval: AGE_CHECK_INTERVAL,
+        random,
+        run: () => Promise.resolve(this.#checkAge()),
+        reportError: createErrorReporter(log, "age of the configuration"),
+      }).stop,
     ]);
   }
 
+  /**
+   * Returns the time since the last moment up to which all versions are known;
+   * since the start of the process before the first one.
+   */
+  computeAge(): Millis {
+    const now = this.#context.clock.readMonotonic();
+    return now - (this.#follower.currentUntil ?? 0);
+  }
+
+  /**
+   * Whether a version that must be in use by now may be missing, so that a
+   * route or key that is not found may exist.
+   */
+  get isStale(): boolean {
+    const { configurationMillis } = this.#context.settings;
+    return this.#isDamaged || this.computeAge() > configurationMillis;
+  }
+
   /** Returns the current routes; undefined before the first configuration. */
   read(): RouteIndex | undefined {
     return this.#context.kernel.read(ROUTES);
@@ -72,9 +111,11 @@
   }
 
   #apply(changes: readonly RowChange<GatewayConfiguration>[]): void {
-    for (const { value } of changes) {
+    for (const { key, value, fault } of changes) {
+      if (key === this.#key) this.#isDamaged = fault !== undefined;
       // If the row was removed or is damaged, the last configuration stays.
       if (value === undefined) continue;
+      this.#key = key;
       const before = this.read()?.configuration;
       const { kernel, log, metrics } = this.#context;
       if (!kernel.dispatch(APPLY_CONFIGURATION, value)) continue;
@@ -91,6 +132,29 @@
     }
   }
 
+  #checkAge(): void {
+    const { clock, log, metrics } = this.#context;
+    const age = this.computeAge();
+    metrics.configurationAge.set(age / MILLIS_PER_SECOND);
+    const version = this.read()?.configuration.version;
+    if (version === undefined) return;
+    const now = clock.readMonotonic();
+    if (this.isStale && this.#staleSince === undefined) {
+      this.#staleSince = now;
+      log.warn(LogEvent.ConfigurationStale, {
+        version,
+        age_ms: Math.round(age),
+        damaged: this.#isDamaged,
+      });
+    } else if (!this.isStale && this.#staleSince !== undefined) {
+      log.info(LogEvent.ConfigurationCurrent, {
+        version,
+        stale_ms: Math.round(now - this.#staleSince),
+      });
+      this.#staleSince = undefined;
+    }
+  }
+
   /** Logs how many keys of each customer were removed, but never the keys. */
   #logRevokedKeys(
     before: GatewayConfiguration | undefined,
@@ -113,6 +177,8 @@
     if (configuration === undefined) return undefined;
     return {
       version: configuration.version,
+      age: Math.round(this.computeAge()),
+      stale: this.isStale,
       routes: configuration.routes.length,
       services: [...configuration.services.keys()],
       customers: configuration.customers.map((each) => each.id),
--- a/packages/gateway/features/feed_follower.ts
+++ b/packages/gateway/features/feed_follower.ts
@@ -4,7 +4,12 @@
  * the last poll. A known row is never replaced by an older version, even if
  * answers arrive out of order.
  */
-import type { Millis, PlatformError, Undo } from "../../core/mod.ts";
+import type {
+  Millis,
+  MonotonicTime,
+  PlatformError,
+  Undo,
+} from "../../core/mod.ts";
 import type { FeedPage, FeedPort, FeedRow } from "../../ports/mod.ts";
 import {
   createErrorReporter,
@@ -17,8 +22,13 @@
 export interface RowChange<Value> {
   readonly key: string;
   readonly value?: Value;
+  /** Why the row is damaged. */
+  readonly fault?: string;
 }
 
+/** What a follower needs of its gateway. */
+export type FeedContext = Pick<GatewayContext, "clock" | "log" | "random">;
+
 /** The feed to follow, and the consumer of its changes. */
 export interface FeedOptions<Value> {
   /** Identifies the feed in logs. */
@@ -45,7 +55,7 @@
 
 /** Follows a feed until it is stopped. */
 export class FeedFollower<Value> {
-  readonly #context: GatewayContext;
+  readonly #context: FeedContext;
   readonly #options: FeedOptions<Value>;
   /**
    * Version of each applied row that exists. Removed rows need none, since a
@@ -57,9 +67,11 @@
   #isLoaded = false;
   #failingSince: number | undefined;
   #lastFailure = -Infinity;
+  #currentUntil: MonotonicTime | undefined;
+  #hasNewRows = false;
   #backoff = INITIAL_BACKOFF;
 
-  constructor(context: GatewayContext, options: FeedOptions<Value>) {
+  constructor(context: FeedContext, options: FeedOptions<Value>) {
     this.#context = context;
     this.#options = options;
   }
@@ -74,6 +86,14 @@
     return this.#lastFailure;
   }
 
+  /**
+   * Latest time up to which all changes are known to be received; undefined
+   * before the first load.
+   */
+  get currentUntil(): MonotonicTime | undefined {
+    return this.#currentUntil;
+  }
+
   /** Starts to follow the feed. */
   register(): Undo {
     const process = startOnDemand({
@@ -101,9 +121,8 @@
 
   async #poll(): Promise<void> {
     if (this.#cursor === undefined) return await this.#load();
-    const wait = this.#failingSince === undefined
-      ? this.#options.wait
-      : Math.min(this.#options.wait, RETRY_WAIT);
+    const wait = this.#chooseWait();
+    const sentAt = this.#context.clock.readMonotonic();
     const answer = await this.#options.feed.follow(this.#cursor, wait);
     answer.caseOf({
       Left: (error) => this.#recordFailure(error),
@@ -117,12 +136,33 @@
           });
           return;
         }
-        this.#applyRows(change.page);
+        const { page } = change;
+        this.#hasNewRows = page.rows.length > 0;
+        // The store answers at once when there are rows, else after the wait.
+        const held = this.#hasNewRows ? 0 : wait;
+        this.#recordCurrent(page, sentAt + held);
+        this.#applyRows(page);
       },
     });
   }
 
+  #chooseWait(): Millis {
+    const { wait } = this.#options;
+    if (this.#failingSince !== undefined) return Math.min(wait, RETRY_WAIT);
+    // Rows only show what was current when the call was sent, so the next call
+    // ends earlier.
+    return this.#hasNewRows ? wait / 2 : wait;
+  }
+
+  #recordCurrent(page: FeedPage<Value>, until: MonotonicTime): void {
+    if (page.version < this.#highestVersion) return;
+    const now = this.#context.clock.readMonotonic();
+    const known = this.#currentUntil ?? -Infinity;
+    this.#currentUntil = Math.max(known, Math.min(now, until));
+  }
+
   async #load(): Promise<void> {
+    const sentAt = this.#context.clock.readMonotonic();
     const answer = await this.#options.feed.load();
     answer.caseOf({
       Left: (error) => this.#recordFailure(error),
@@ -130,6 +170,7 @@
         this.#recordSuccess();
         // An answer from before the known version would restore old rows.
         if (page.version < this.#highestVersion) return;
+        this.#recordCurrent(page, sentAt);
         const present = new Set(page.rows.map((row) => row.key));
         const missing = [...this.#versions]
           .filter(([key, version]) =>
@@ -151,11 +192,8 @@
       if (isRemoved) this.#versions.delete(row.key);
       else this.#versions.set(row.key, row.version);
       if (row.fault !== undefined) this.#logDamagedRow(row);
-      changes.push(
-        row.value === undefined
-          ? { key: row.key }
-          : { key: row.key, value: row.value },
-      );
+      const { version: _, ...change } = row;
+      changes.push(change);
     }
     this.#cursor = page.version;
     this.#highestVersion = Math.max(this.#highestVersion, page.version);
--- a/packages/gateway/gateway_metrics.ts
+++ b/packages/gateway/gateway_metrics.ts
@@ -30,6 +30,7 @@
   readonly tokensLent: Counter;
   readonly grantsTaken: Counter;
   readonly configurationVersion: Gauge;
+  readonly configurationAge: Gauge;
   readonly targets: Gauge<"state">;
   readonly droppedLogLines: Counter;
 }
@@ -95,6 +96,11 @@
       help: "Version of the configuration in force; 0 before the first.",
       registers,
     }),
+    configurationAge: new Gauge({
+      name: "anvilrail_gateway_configuration_age_seconds",
+      help: "Time since the configuration was last known to be the newest.",
+      registers,
+    }),
     targets: new Gauge({
       name: "anvilrail_gateway_targets",
       help: "Targets known, by state.",
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -45,6 +45,9 @@
   ForwardFailed = "forward_failed",
   ProcessFailed = "process_failed",
   ConfigurationApplied = "configuration_applied",
+  /** Versions that must be in use by now may be missing. */
+  ConfigurationStale = "configuration_stale",
+  ConfigurationCurrent = "configuration_current",
   KeyRevoked = "key_revoked",
   TargetListed = "target_listed",
   TargetLeaving = "target_leaving",
