--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -77,9 +77,6 @@
 /** Pause between two calls of {@link TokenLoans.borrow} in a round of loans. */
 const LOAN_INTERVAL: Millis = 10;
 
-/** Maximum time that a planned stop waits for lenders to take loans back. */
-const MAX_LOAN_RETURN_TIME: Millis = 100;
-
 /** Weight of the newest request in the moving average of request sizes. */
 const REQUEST_SIZE_WEIGHT = 1 / 32;
 
@@ -251,14 +248,11 @@
   }
 
   /**
-   * Returns every unreserved token to its lender or to the store, for a planned
-   * stop.
+   * Returns every unreserved token to the store, for a planned stop. Loans go
+   * through the row as well, since their lenders may be stopping too.
    */
-  async returnAll(): Promise<void> {
-    const budgets = [...this.#budgets.values()];
-    const loans = budgets.map((each) => this.loans.returnLoans(each.customer));
-    await Promise.race([Promise.all(loans), sleep(MAX_LOAN_RETURN_TIME)]);
-    await this.#exchanges.returnAll(budgets);
+  returnAll(): Promise<void> {
+    return this.#exchanges.returnAll([...this.#budgets.values()]);
   }
 
   /** Abandons exchanges in progress and starts no further refills. */
@@ -655,6 +649,9 @@
         rate: Math.round(each.meter?.computeRate(now) ?? 0),
         room: this.#accounts.computeRoom(each.customer),
         reserved: computeReserved(account),
+        loans: account.grants.filter((grant) =>
+          grant.lenderGrantId !== undefined
+        ).length + account.settledLoans.length,
         standby: sumStandbySizes(each.standby),
         opening: sumUnlockedTokens(each.unlockedGrants),
         waiting: each.waiters.length,
