Ignore relayed load reports from before a target's failure

Callers saw: a repeatable chat ended as "unknown" although half of the engines were sound, just after another request had crashed the two others.

Cause: one VM probes each target and relays its reports with the gossip. applyReport takes any report without a newer one as a sign that the target answers, and a failed probe discards the known report. Until the prober's next probe, its gossip carries a report from before the crash, and the home VM, which has found both engines dead, counts them as healthy again. If the harmless chat is then sent to these two, both attempts break before a token, and the quarantine takes it for the request that crashed them. In end_to_end_test the home VM is entry-2, and entry-1 probes engines 1 to 3, so that it needs both crashed ones among these, gossip between the crash and the next probe, and both chosen first: rare, but not a matter of load.

Change: a relayed report makes an unreachable target usable only if it was measured later than the failure by more than a report can be on its way, 1 s.

Not changed: the quarantine still counts a crash against a request that was sent to a target that was already down.

--- a/packages/routing/commands/exchange_reports.ts
+++ b/packages/routing/commands/exchange_reports.ts
@@ -31,6 +31,12 @@
 /** Reports older than this are not sent to peers. */
 const MAX_REPORT_AGE: Millis = 10_000;
 
+/**
+ * Maximum time that a message takes from one VM to another. A report seems
+ * newer than it is by the time that it was on its way.
+ */
+const MAX_RELAY_TIME: Millis = 1_000;
+
 /**
  * Returns the last reports of the given targets for a message to peers, at most
  * 16. With more targets than that, successive rounds cycle through them.
@@ -55,7 +61,10 @@
     .filter((report) => report !== undefined);
 }
 
-/** Applies a peer's reports; one older than the known report is ignored. */
+/**
+ * Applies a peer's reports. One is ignored if it is older than the known report
+ * or may be older than the failure by which the target is unreachable.
+ */
 export function applyReports(
   state: RoutingState,
   input: {
@@ -73,11 +82,13 @@
   now: MonotonicTime,
 ): void {
   const { target, load, age } = report;
+  const known = state.targets.get(target);
   if (load !== undefined) {
+    const failedAt = known?.unreachableSince ?? -Infinity;
+    if (now - age - MAX_RELAY_TIME <= failedAt) return;
     applyReport(state, target, { report: load, now, age });
     return;
   }
-  const known = state.targets.get(target);
   const newer = (known?.report?.measuredAt ?? -Infinity) < now - age;
   // A VM whose own network path is broken must not make the target unreachable
   // for all others: its failure counts only if an attempt of this VM failed too.
--- a/packages/routing/commands/exchange_reports_test.ts
+++ b/packages/routing/commands/exchange_reports_test.ts
@@ -88,3 +88,21 @@
   const health = computeHealth(failing.targets.get("t0")!, 100);
   t.is(health, TargetHealth.Unreachable);
 });
+
+test("a relayed report from before a target stopped answering does not make it usable again", (t) => {
+  const prober = createState();
+  const other = createState();
+  const relay = (times: { sentAt: number; receivedAt: number }) => {
+    const { sentAt, receivedAt } = times;
+    const reports = listReports(prober, { ids: ["t0"], round: 0, now: sentAt });
+    applyReports(other, { reports, now: receivedAt });
+    return computeHealth(other.targets.get("t0")!, receivedAt);
+  };
+  applyReport(prober, "t0", { report: createReport(1), now: 1_000 });
+  recordProbe(other, "t0", { answered: false, now: 1_050 });
+  const { Unreachable, Healthy } = TargetHealth;
+  t.is(relay({ sentAt: 1_100, receivedAt: 1_110 }), Unreachable);
+  t.is(relay({ sentAt: 1_010, receivedAt: 1_310 }), Unreachable);
+  applyReport(prober, "t0", { report: createReport(1), now: 2_100 });
+  t.is(relay({ sentAt: 2_110, receivedAt: 2_120 }), Healthy);
+});
