Let the kernel choose the ports of a soak's VMs when they listen

Cause: the soak opened three ports for each VM, closed them and wrote their numbers into the VM's settings. Until the VM's process had started and listened, the kernel could give such a port to any other process, and also to a relay of the soak itself. The gateway then ends with EADDRINUSE and nothing starts it again. The same could happen at each restart, while the VM was down.

Evidence: with a listener on the VM's port between the choice of the ports and the start, the process ends with "listen EADDRINUSE" and is not ready after 20 s. Of 20,000 listeners on ports that the kernel chose, 11 got one of six ports that had just been closed. A start took 0.8 s at a load average of 9, and 5.6 s and 2.0 s beside 16 busy processes.

Change: the settings leave the ports to the kernel. The gateway logs the addresses it has bound in the event `started`, and VmProcess reads them there. A call to a VM whose process doesn't listen counts as unanswered, as a refused connection did. The former port of a VM is never called, since another process may have it.

Not ruled out: a start that takes over 20 s on a busier machine gives the same message.

--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -135,9 +135,13 @@
    */
   async start(): Promise<void> {
     const { settings, log, incarnation, vm } = this.#context;
-    await this.#callers.listen(parseAddress(settings.callers));
+    const callers = parseAddress(settings.callers);
+    await this.#callers.listen(callers);
     const options = { context: this.#context, isReady: () => this.isReady };
-    await this.#listen(createReadinessServer(options), settings.readiness);
+    const readiness = await this.#listen(
+      createReadinessServer(options),
+      settings.readiness,
+    );
     if (settings.operators !== undefined) {
       await this.#listen(createOperatorServer(options), settings.operators);
     }
@@ -151,7 +155,8 @@
       vm,
       incarnation,
       data_centre: settings.dataCentre,
-      callers: settings.callers,
+      callers: `${callers.host}:${this.callerPort}`,
+      readiness,
     });
   }
 
@@ -230,19 +235,18 @@
 
   async #listenToPeers(address: string): Promise<void> {
     const server = this.#budgets.loans.createServer();
-    await this.#listen(server, address);
-    const { host } = parseAddress(address);
-    const { port } = server.address() as AddressInfo;
-    void this.#budgets.loans.announce(`${host}:${port}`);
+    void this.#budgets.loans.announce(await this.#listen(server, address));
   }
 
-  async #listen(server: Server, address: string): Promise<void> {
+  /** Starts to listen; returns the address with the port that was bound. */
+  async #listen(server: Server, address: string): Promise<string> {
     const { host, port } = parseAddress(address);
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
       server.listen(port, host, resolve);
     });
     this.#servers.push(server);
+    return `${host}:${(server.address() as AddressInfo).port}`;
   }
 }
 
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -145,7 +145,7 @@
       relays.push(relay);
       const name = `v${number}`;
       const storeAddress = relay.address;
-      vms.push(await VmProcess.create({ name, storeAddress, folder }));
+      vms.push(new VmProcess({ name, storeAddress, folder }));
     }
     const soak = new Soak(options, { store, targets, relays, vms, folder });
     for (const target of targets) soak.#listTarget(target, "ready");
@@ -394,7 +394,7 @@
     const { incarnation } = vm;
     const answer = await callGateway({
       id,
-      port: vm.callerPort,
+      ...(vm.callerPort === undefined ? {} : { port: vm.callerPort }),
       route,
       key: `key-${customer}-${keyVersion}`,
       ...(isPrompt ? { promptTokens } : {}),
--- a/packages/soak/vm_process.ts
+++ b/packages/soak/vm_process.ts
@@ -2,9 +2,9 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { createWriteStream, writeFileSync, type WriteStream } from "node:fs";
 import { get } from "node:http";
-import { type AddressInfo, createServer } from "node:net";
 import { join } from "node:path";
 import process from "node:process";
+import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
 import type { Millis } from "../core/mod.ts";
 
@@ -16,6 +16,13 @@
 /** Time limit for a planned stop. */
 const MAX_STOP_TIME: Millis = 5_000;
 
+/** Lets the kernel choose the port, so that it can't be taken before. */
+const ANY_PORT = "127.0.0.1:0";
+
+/** The log line with the ports on which a process listens. */
+const STARTED =
+  /\bevent=started\b.* callers=\S+:(?<callers>\d+) readiness=\S+:(?<readiness>\d+)/;
+
 /** Interval at which a VM's readiness is polled. */
 const READY_POLL_INTERVAL: Millis = 50;
 
@@ -27,6 +34,12 @@
   readonly folder: string;
 }
 
+/** Ports on which a VM's process listens. */
+interface VmPorts {
+  readonly callers: number;
+  readonly readiness: number;
+}
+
 /** Starts, signals and ends the process of one VM, across restarts. */
 export class VmProcess {
   readonly name: string;
@@ -34,29 +47,28 @@
   incarnation = 0;
   readonly #settingsPath: string;
   readonly #log: WriteStream;
-  readonly #ports: readonly number[];
   readonly #killOnExit = () => this.#child?.kill("SIGKILL");
   #child: ChildProcess | undefined;
+  /** Undefined while the process doesn't listen. */
+  #ports: VmPorts | undefined;
   #exited: Promise<void> = Promise.resolve();
 
-  private constructor(options: VmOptions, ports: readonly number[]) {
+  /** Writes the VM's settings file; doesn't start it yet. */
+  constructor(options: VmOptions) {
     this.name = options.name;
-    this.#ports = ports;
     this.#settingsPath = join(options.folder, `${options.name}.jsonc`);
     const logPath = join(options.folder, `${options.name}.log`);
     this.#log = createWriteStream(logPath, { flags: "a" });
-    writeFileSync(this.#settingsPath, formatSettings(options, ports));
+    writeFileSync(this.#settingsPath, formatSettings(options));
     process.on("exit", this.#killOnExit);
   }
 
-  /** Writes the VM's settings file with free ports; doesn't start it yet. */
-  static async create(options: VmOptions): Promise<VmProcess> {
-    return new VmProcess(options, await findFreePorts(3));
-  }
-
-  /** Port on which the VM accepts callers' requests. */
-  get callerPort(): number {
-    return this.#ports[0]!;
+  /**
+   * Port on which the VM accepts callers' requests; a new one after each start,
+   * and undefined while the process doesn't listen.
+   */
+  get callerPort(): number | undefined {
+    return this.#ports?.callers;
   }
 
   get isRunning(): boolean {
@@ -74,10 +86,16 @@
     );
     child.stdout.pipe(this.#log, { end: false });
     child.stderr.pipe(this.#log, { end: false });
+    createInterface({ input: child.stdout }).on("line", (line) => {
+      if (this.#child === child) this.#ports ??= parseStartedPorts(line);
+    });
     this.#child = child;
     this.#exited = new Promise((resolve) => {
       child.on("exit", () => {
-        if (this.#child === child) this.#child = undefined;
+        if (this.#child === child) {
+          this.#child = undefined;
+          this.#ports = undefined;
+        }
         resolve();
       });
     });
@@ -95,9 +113,11 @@
 
   /** Returns whether the VM's readiness endpoint answers with 200. */
   isReady(): Promise<boolean> {
+    const port = this.#ports?.readiness;
+    if (port === undefined) return Promise.resolve(false);
     return new Promise((resolve) => {
       const request = get(
-        { host: "127.0.0.1", port: this.#ports[1], timeout: 500 },
+        { host: "127.0.0.1", port, timeout: 500 },
         (response) => {
           response.resume();
           resolve(response.statusCode === 200);
@@ -128,31 +148,24 @@
   }
 }
 
-function formatSettings(options: VmOptions, ports: readonly number[]): string {
-  const [callers, readiness, peers] = ports.map((port) => `127.0.0.1:${port}`);
+function formatSettings(options: VmOptions): string {
   return JSON.stringify({
     vm: options.name,
     dataCentre: "here-a",
     regions: { "here-a": "here" },
-    callers,
-    readiness,
-    peers,
+    callers: ANY_PORT,
+    readiness: ANY_PORT,
+    peers: ANY_PORT,
     store: { address: options.storeAddress },
     stopMillis: MAX_STOP_TIME,
   });
 }
 
-/** Returns free loopback ports, which the VM keeps across its restarts. */
-async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  await Promise.all(
-    servers.map((server) =>
-      new Promise<void>((done) => server.listen(0, "127.0.0.1", done))
-    ),
-  );
-  const ports = servers.map((each) => (each.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map((server) => new Promise((done) => server.close(done))),
-  );
-  return ports;
+function parseStartedPorts(line: string): VmPorts | undefined {
+  const ports = STARTED.exec(line)?.groups;
+  if (ports === undefined) return undefined;
+  return {
+    callers: Number(ports["callers"]),
+    readiness: Number(ports["readiness"]),
+  };
 }
