Decide which prompt parts crash targets

Adds two pure decisions. CrashWatch tells a crash of a target from a connection that was lost for another reason. PartQuarantine merges the evidence of all VMs: crashes of distinct target incarnations against the parts of prompts that waited there, and answers that began, which prove their parts harmless. Nothing uses them yet.

--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -79,6 +79,22 @@
   NEWEST_ENTRIES,
   OLDER_ENTRIES,
 } from "./quarantine/list_entries_to_send.ts";
+export type { LostAttempt, ObservedCrash } from "./quarantine/crash_watch.ts";
+export { CrashWatch } from "./quarantine/crash_watch.ts";
+export type {
+  CrashReport,
+  EvidenceReport,
+  PartProof,
+  QuarantinedParts,
+  SharedTime,
+} from "./quarantine/part_quarantine.ts";
+export {
+  CRASHES_TO_REFUSE_PART,
+  MAX_REPORTED_CRASHES,
+  MAX_REPORTED_PARTS,
+  MAX_REPORTED_PROOFS,
+  PartQuarantine,
+} from "./quarantine/part_quarantine.ts";
 export type { ChooseInput } from "./queries/choose_target.ts";
 export { chooseTarget } from "./queries/choose_target.ts";
 export type { Placement, PlacementInput } from "./queries/choose_placement.ts";
