Refuse prompt parts that crash targets after three crashes

Callers saw: one part of prompts, in requests of which no two are alike, crashed one target after the other; streams of other callers at these targets broke off and too few targets were left.

Cause: the gateway remembered nothing of a crash beyond the target's health. A request with the part was sent to the next target, by the same VM as a retry and by every other VM. The quarantine of the daemon knows whole requests by the digest of their bodies, which differ here.

Change: after a connection is lost before the first event, the VM probes the target's address once; if it is refused, or the target is listed with another incarnation, the crash counts against the parts of the prompts that waited there. VMs share crashes and proofs in rows crashes/VM. At three crashes of distinct target incarnations without a begun answer, all VMs refuse the part with 503 and the time until the quarantine ends, before tokens are reserved. A request with a suspect is not retried.

--- a/packages/core/enums.ts
+++ b/packages/core/enums.ts
@@ -93,6 +93,7 @@
   DeadlineTooSoon = "deadline-too-soon",
   NoTarget = "no-target",
   Quarantined = "quarantined",
+  PartQuarantined = "part-quarantined",
   ConfigurationStale = "configuration-stale",
   Draining = "draining",
   TargetFailed = "target-failed",
--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -135,6 +135,8 @@
   readonly targets: FeedPort<ListedTarget>;
   /** Feed of the rows `peers/VM`, which the gateways themselves write. */
   readonly peers: FeedPort<JsonValue>;
+  /** Feed of the rows `crashes/VM`, which the gateways themselves write. */
+  readonly crashReports: FeedPort<JsonValue>;
   /** The gateways' own rows; a transaction changes only one row. */
   readonly table: RowPort;
 }
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -26,6 +26,8 @@
   LogEvent,
 } from "../../runtime/mod.ts";
 import type { AnswerHead, ListedTarget } from "../dialect.ts";
+import type { CrashDetector } from "../features/crashes/crash_detector.ts";
+import type { CrashReports } from "../features/crashes/crash_reports.ts";
 import type { TargetRegistry } from "../features/target_registry.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import { AttemptWatchdog } from "./attempt_watchdog.ts";
@@ -39,6 +41,7 @@
   type AttemptFailure,
   callTarget,
   type CompleteAnswer,
+  ConnectionState,
   type EventSink,
   forwardEvents,
   type TargetExchangeInput,
@@ -82,6 +85,8 @@
   readonly targets: TargetRegistry;
   readonly pools: ConnectionPools;
   readonly retries: RetryBudgets;
+  readonly crashReports: CrashReports;
+  readonly crashDetector: CrashDetector;
 }
 
 /** Runs calls at targets, with retries and resumed streams. */
@@ -98,15 +103,26 @@
    * refusal and does not reject the promise.
    */
   async run(call: RoutedCall, progress: CallProgress): Promise<CallEnd> {
-    const { retries, context } = this.#options;
+    const { retries, context, crashReports } = this.#options;
+    const { prompt } = call.request;
     const { ratio } = context.settings.retries;
     retries.recordFirstAttempt(call.service, ratio * EARNED_RATIO_SHARE);
     let failure: AttemptFailure | undefined;
     let errorAnswer: CompleteAnswer | undefined;
+    let lossCheck: Promise<void> | undefined;
     for (let sends = 0;; sends++) {
       if (call.exchange.isDisconnected) return createDisconnectedEnd(progress);
       const isRetry = sends > 0;
       if (isRetry && !this.#mayRetry(call, { progress, failure, sends })) break;
+      await lossCheck;
+      // A suspect that goes on to another target may crash that as well.
+      if (isRetry && crashReports.hasSuspect(prompt)) break;
+      const quarantined = crashReports.findRefusal(prompt);
+      if (quarantined !== undefined) {
+        if (progress.runs > 0) break;
+        const { refusal, detail } = quarantined;
+        return { ...this.#refuse(call, refusal), detail };
+      }
       const chosen = this.#chooseTarget(call, progress);
       if (typeof chosen === "string") {
         if (isRetry) break;
@@ -122,7 +138,10 @@
           end: AttemptEnd.Broken,
           detail: `the target answered ${result.answer.head.status}`,
         };
-      } else failure = result.failure;
+      } else {
+        failure = result.failure;
+        lossCheck = result.lossCheck;
+      }
     }
     if (errorAnswer !== undefined && !call.exchange.hasSentHead) {
       return this.#deliver(call, errorAnswer);
@@ -226,7 +245,12 @@
     input: { readonly progress: CallProgress; readonly target: TargetConfig },
   ): Promise<
     | { readonly isComplete: true; readonly answer: CompleteAnswer }
-    | { readonly isComplete: false; readonly failure: AttemptFailure }
+    | {
+      readonly isComplete: false;
+      readonly failure: AttemptFailure;
+      /** Resolves when it is known whether the target has crashed. */
+      readonly lossCheck?: Promise<void>;
+    }
   > {
     const { progress, target } = input;
     const { context, targets } = this.#options;
@@ -240,7 +264,8 @@
     }
     progress.triedTargets.push(target.id);
     const startedAt = context.clock.readMonotonic();
-    const promptTokens = call.request.prompt?.tokens ?? 0;
+    const { prompt } = call.request;
+    const promptTokens = prompt?.tokens ?? 0;
     targets.recordStart(target.id, { now: startedAt, promptTokens });
     const watchdog = new AttemptWatchdog(call, {
       now: startedAt,
@@ -264,6 +289,8 @@
     if (result.isRight()) {
       const answer = result.extract() as CompleteAnswer;
       this.#recordOutcome(call, { target, started, head: answer.head });
+      const { status } = answer.head;
+      if (status < 300) this.#options.crashReports.recordBegun(prompt);
       return { isComplete: true, answer };
     }
     const failure = watchdog.explainFailure(result.extract() as AttemptFailure);
@@ -273,7 +300,39 @@
       failure,
       ...(failure.head === undefined ? {} : { head: failure.head }),
     });
-    return { isComplete: false, failure };
+    const hasEvent = progress.events > started.eventsBefore;
+    const lossCheck = this.#recordConnection(call, {
+      listed,
+      failure,
+      hasEvent,
+    });
+    return { isComplete: false, failure, lossCheck };
+  }
+
+  /**
+   * Records what a failed attempt shows about a crash of its target. Resolves
+   * when it is known whether there was one.
+   */
+  #recordConnection(
+    call: RoutedCall,
+    input: {
+      readonly listed: ListedTarget;
+      readonly failure: AttemptFailure;
+      readonly hasEvent: boolean;
+    },
+  ): Promise<void> {
+    const { listed, failure, hasEvent } = input;
+    const { crashDetector } = this.#options;
+    if (failure.connection === ConnectionState.Refused) {
+      crashDetector.recordRefused(listed.id);
+    }
+    if (failure.connection !== ConnectionState.Lost || hasEvent) {
+      return Promise.resolve();
+    }
+    return crashDetector.recordLost(listed, {
+      prompt: call.request.prompt,
+      hasHead: failure.head !== undefined,
+    });
   }
 
   /** Records the end of an attempt: progress, target state, metrics and log. */
@@ -375,6 +434,7 @@
           isFirst = false;
           targets.recordPrefillEnd(target.id, call.request.prompt?.tokens ?? 0);
           this.#recordFirstByte(call, progress);
+          this.#options.crashReports.recordBegun(call.request.prompt);
         }
         call.exchange.sendHead(head!.status, head!.headers);
         progress.events++;
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -33,6 +33,7 @@
 import type { CallerRequest } from "../dialect.ts";
 import type { ConfigurationFollower } from "../features/configuration_follower.ts";
 import type { CustomerBudgets } from "../features/budgets/customer_budgets.ts";
+import type { CrashReports } from "../features/crashes/crash_reports.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallEnd, CallRunner } from "./call_runner.ts";
 import { CallerExchange } from "./caller_exchange.ts";
@@ -85,12 +86,15 @@
   readonly context: GatewayContext;
   readonly configuration: ConfigurationFollower;
   readonly budgets: CustomerBudgets;
+  readonly crashReports: CrashReports;
   readonly runner: CallRunner;
 }
 
 /** A request that the gateway refuses, and why. */
 interface RefusedRequest {
   readonly refusal: Refusal;
+  /** What the reason was, for the log. */
+  readonly detail?: string;
 }
 
 /** Accepts callers' connections and serves their requests. */
@@ -254,6 +258,11 @@
       });
       return this.#refuse(exchange, { refusal, request, arrivedAt });
     }
+    const { prompt } = request;
+    const quarantined = this.#options.crashReports.findRefusal(prompt);
+    if (quarantined !== undefined) {
+      return this.#refuse(exchange, { ...quarantined, request, arrivedAt });
+    }
     await this.#runCall(call);
   }
 
@@ -340,7 +349,7 @@
       readonly arrivedAt: number;
     },
   ): void {
-    const { refusal, request, arrivedAt } = input;
+    const { refusal, detail, request, arrivedAt } = input;
     const { context } = this.#options;
     exchange.refuse(refusal, {
       dialect: context.dialect,
@@ -352,6 +361,7 @@
       request: request?.id,
       path: request?.path,
       reason: refusal.kind,
+      detail,
       status: readRefusalStatus(refusal),
       retry_after_ms: refusal.retryAfter === undefined
         ? undefined
--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -31,11 +31,21 @@
   readonly signal: AbortSignal;
 }
 
+/** State of a target's connection after a failed attempt. */
+export enum ConnectionState {
+  /** It was established and closed or reset before the answer's end. */
+  Lost = "lost",
+  /** The target's machine answered that no process listens. */
+  Refused = "refused",
+}
+
 /** Why an attempt did not return a complete answer. */
 export interface AttemptFailure {
   readonly end: AttemptEnd;
   /** One line for logs. */
   readonly detail: string;
+  /** What the failure says about the target's connection. */
+  readonly connection?: ConnectionState;
   /** The head of the answer, if one arrived and passed validation. */
   readonly head?: AnswerHead;
 }
@@ -139,9 +149,11 @@
     ...(body.length === 0 ? {} : { body }),
   });
   return started
-    .mapLeft(({ sent, cancelled, detail }): AttemptFailure => ({
+    .mapLeft(({ sent, cancelled, refused, detail }): AttemptFailure => ({
       end: classifyFailure({ sent, cancelled }),
       detail,
+      ...(refused ? { connection: ConnectionState.Refused } : {}),
+      ...(sent && !cancelled ? { connection: ConnectionState.Lost } : {}),
     }))
     .chain((incoming) => validateHead(incoming, input));
 }
@@ -212,11 +224,11 @@
       if (incoming.complete) resolve(undefined);
     });
     incoming.on("close", () => {
-      const cancelled = input.signal.aborted;
-      resolve({
-        end: cancelled ? AttemptEnd.Cancelled : AttemptEnd.Broken,
-        detail,
-      });
+      if (input.signal.aborted) {
+        return resolve({ end: AttemptEnd.Cancelled, detail });
+      }
+      const connection = ConnectionState.Lost;
+      resolve({ end: AttemptEnd.Broken, detail, connection });
     });
   });
 }
--- /dev/null
+++ b/packages/gateway/features/crashes/crash_detector.ts
@@ -0,0 +1,112 @@
+/**
+ * Detects crashes of targets. When a connection to a target is lost before the
+ * first event of an answer, it probes whether the target still accepts
+ * connections, and reports the parts of the prompts that a crash ended.
+ */
+import { type Millis, type TargetId } from "../../../core/mod.ts";
+import { checkConnection, ConnectionProbe } from "../../../ports/mod.ts";
+import {
+  CrashWatch,
+  type LostAttempt,
+  type ObservedCrash,
+} from "../../../routing/mod.ts";
+import { LogEvent } from "../../../runtime/mod.ts";
+import type { ListedTarget, PromptFacts } from "../../dialect.ts";
+import type { GatewayContext } from "../../gateway_context.ts";
+import { type CrashReports, listSharedParts } from "./crash_reports.ts";
+
+/** Time limit of a probe: some round trips between regions. */
+const PROBE_TIMEOUT: Millis = 300;
+
+/** What shows that a lost connection was a crash, as logged. */
+enum CrashProof {
+  /** The target's machine refused a connection. */
+  Refused = "refused",
+  /** The target is listed with another incarnation. */
+  Restarted = "restarted",
+  /** The crash was proven before; this is one more attempt that it ended. */
+  Earlier = "earlier",
+}
+
+/** Detects crashes by the connections and the entries of targets. */
+export class CrashDetector {
+  readonly #context: GatewayContext;
+  readonly #reports: CrashReports;
+  readonly #watch = new CrashWatch();
+  readonly #probes = new Map<TargetId, Promise<void>>();
+
+  constructor(context: GatewayContext, reports: CrashReports) {
+    this.#context = context;
+    this.#reports = reports;
+  }
+
+  /**
+   * Records that a connection was lost before the first event of an answer.
+   * Resolves when the target's machine has been probed.
+   */
+  async recordLost(
+    target: ListedTarget,
+    input: {
+      readonly prompt: PromptFacts | undefined;
+      readonly hasHead: boolean;
+    },
+  ): Promise<void> {
+    const parts = listSharedParts(input.prompt);
+    if (parts.length === 0) return;
+    const crash = this.#watch.recordLost(target.id, {
+      incarnation: target.incarnation,
+      attempt: { parts, hasHead: input.hasHead },
+      now: this.#context.clock.readMonotonic(),
+    });
+    if (crash !== undefined) return this.#report(crash, CrashProof.Earlier);
+    const probe = this.#probes.get(target.id) ?? this.#probe(target);
+    this.#probes.set(target.id, probe);
+    await probe;
+  }
+
+  /** Records that a target's machine refused the connection of an attempt. */
+  recordRefused(target: TargetId): void {
+    const now = this.#context.clock.readMonotonic();
+    this.#report(this.#watch.recordRefused(target, now), CrashProof.Refused);
+  }
+
+  /** Records a changed entry of a target. */
+  recordListed({ id, incarnation }: ListedTarget): void {
+    const now = this.#context.clock.readMonotonic();
+    const crash = this.#watch.recordListed(id, { incarnation, now });
+    this.#report(crash, CrashProof.Restarted);
+  }
+
+  async #probe({ id, host, port }: ListedTarget): Promise<void> {
+    const timeout = PROBE_TIMEOUT;
+    const result = await checkConnection({ host, port, timeout });
+    this.#probes.delete(id);
+    if (result === ConnectionProbe.Refused) this.recordRefused(id);
+  }
+
+  #report(crash: ObservedCrash | undefined, proof: CrashProof): void {
+    if (crash === undefined) return;
+    const { target, incarnation, at, attempts } = crash;
+    const suspects = this.#reports.recordCrash({
+      target,
+      incarnation,
+      age: this.#context.clock.readMonotonic() - at,
+      parts: listPartsByEvidence(attempts),
+    });
+    if (proof !== CrashProof.Earlier) this.#context.metrics.targetCrashes.inc();
+    this.#context.log.warn(LogEvent.TargetCrashed, {
+      target,
+      life: incarnation,
+      proof,
+      attempts: attempts.length,
+      suspects: suspects.join(","),
+    });
+  }
+}
+
+/** Lists the parts of answers that had begun first, which matters in a limit. */
+function listPartsByEvidence(attempts: readonly LostAttempt[]): string[] {
+  const begun = attempts.filter((attempt) => attempt.hasHead);
+  const others = attempts.filter((attempt) => !attempt.hasHead);
+  return [...begun, ...others].flatMap((attempt) => [...attempt.parts]);
+}
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -77,6 +77,7 @@
   readonly #missing = new Map<TargetId, MonotonicTime>();
   readonly #ejected = new Set<TargetId>();
   readonly #removalListeners: ((target: TargetId) => void)[] = [];
+  readonly #listingListeners: ((entry: ListedTarget) => void)[] = [];
   readonly #state: RoutingState;
 
   constructor(context: GatewayContext) {
@@ -116,6 +117,11 @@
     this.#removalListeners.push(listener);
   }
 
+  /** Adds a function that is called with each new or changed entry. */
+  addListingListener(listener: (entry: ListedTarget) => void): void {
+    this.#listingListeners.push(listener);
+  }
+
   /** Returns a target's entry; undefined for an unknown target. */
   find(id: TargetId): ListedTarget | undefined {
     return this.#listed.get(id);
@@ -205,6 +211,7 @@
       this.#state.targets.remove(entry.id);
     }
     this.#listed.set(entry.id, entry);
+    for (const listener of this.#listingListeners) listener(entry);
     if (entry.leaving) log.info(LogEvent.TargetLeaving, fields);
     else log.info(LogEvent.TargetListed, fields);
     return true;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -26,6 +26,8 @@
   createReadinessServer,
 } from "./entry/operator_servers.ts";
 import { ConfigurationFollower } from "./features/configuration_follower.ts";
+import { CrashDetector } from "./features/crashes/crash_detector.ts";
+import { CrashReports } from "./features/crashes/crash_reports.ts";
 import { CustomerBudgets } from "./features/budgets/customer_budgets.ts";
 import { TargetRegistry } from "./features/target_registry.ts";
 import type { GatewayContext } from "./gateway_context.ts";
@@ -76,6 +78,7 @@
   readonly #configuration: ConfigurationFollower;
   readonly #targets: TargetRegistry;
   readonly #budgets: CustomerBudgets;
+  readonly #crashReports: CrashReports;
   readonly #callers: CallerServer;
   readonly #pools: ConnectionPools;
   readonly #retries = new RetryBudgets();
@@ -90,15 +93,22 @@
     this.#configuration = new ConfigurationFollower(context);
     this.#targets = new TargetRegistry(context);
     this.#budgets = new CustomerBudgets(context);
+    this.#crashReports = new CrashReports(context, {
+      countVms: () => this.#budgets.countVms(),
+    });
+    const crashDetector = new CrashDetector(context, this.#crashReports);
     this.#callers = new CallerServer({
       context,
       configuration: this.#configuration,
       budgets: this.#budgets,
+      crashReports: this.#crashReports,
       runner: new CallRunner({
         context,
         targets: this.#targets,
         pools: this.#pools,
         retries: this.#retries,
+        crashReports: this.#crashReports,
+        crashDetector,
       }),
     });
     this.#configuration.addListener((configuration) => {
@@ -106,6 +116,9 @@
       this.#budgets.applyConfiguration(configuration);
     });
     this.#targets.addRemovalListener((target) => this.#pools.dropPool(target));
+    this.#targets.addListingListener((entry) =>
+      crashDetector.recordListed(entry)
+    );
     this.#budgets.setVmCountListener((count) => this.#changeVmCount(count));
     this.#changeVmCount(MIN_VM_COUNT);
   }
@@ -146,6 +159,7 @@
       this.#configuration.register(),
       this.#targets.register(),
       this.#budgets.register(),
+      this.#crashReports.register(),
     ]);
     log.info(LogEvent.Started, {
       vm,
--- a/packages/gateway/gateway_metrics.ts
+++ b/packages/gateway/gateway_metrics.ts
@@ -31,6 +31,8 @@
   readonly grantsTaken: Counter;
   readonly configurationVersion: Gauge;
   readonly targets: Gauge<"state">;
+  readonly targetCrashes: Counter;
+  readonly quarantinedParts: Gauge;
   readonly droppedLogLines: Counter;
 }
 
@@ -101,6 +103,16 @@
       labelNames: ["state"],
       registers,
     }),
+    targetCrashes: new Counter({
+      name: "anvilrail_gateway_target_crashes_total",
+      help: "Crashes of targets that ended attempts of this VM.",
+      registers,
+    }),
+    quarantinedParts: new Gauge({
+      name: "anvilrail_gateway_quarantined_parts",
+      help: "Prompt parts, or groups of them, whose requests are refused.",
+      registers,
+    }),
     droppedLogLines: new Counter({
       name: "anvilrail_gateway_log_lines_left_out_total",
       help: "Log lines left out to keep the volume bounded.",
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -15,6 +15,7 @@
 import type { Socket } from "node:net";
 import { type Either, Left, Right } from "purify-ts";
 import type { Bytes, Millis } from "../core/mod.ts";
+import { isRefusedConnection } from "./probe_connection.ts";
 
 /** Maximum size of an answer body, in bytes. */
 export const MAX_ANSWER_BYTES: Bytes = 16 * 1_048_576;
@@ -47,6 +48,8 @@
   readonly sent: boolean;
   /** True if the signal was aborted or the total timeout elapsed. */
   readonly cancelled: boolean;
+  /** True if the server's machine answered that no process listens. */
+  readonly refused?: boolean;
   readonly detail: string;
 }
 
@@ -64,10 +67,11 @@
   return new Promise((resolve) => {
     let connected = false;
     let answer: IncomingMessage | undefined;
-    const fail = (detail: string) =>
+    const fail = (detail: string, refused = false) =>
       resolve(Left({
         sent: connected,
         cancelled: input.signal?.aborted ?? false,
+        refused,
         detail,
       }));
     if (input.signal?.aborted) return fail("cancelled before it was sent");
@@ -122,7 +126,7 @@
     outgoing.on("error", (error) => {
       // Otherwise Node treats a reset answer without a length as complete.
       answer?.destroy(error);
-      fail(describeError(error));
+      fail(describeError(error), isRefusedConnection(error));
     });
     outgoing.on("response", (incoming) => {
       answer = incoming;
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -24,6 +24,11 @@
   TokenUsage,
 } from "./target_port.ts";
 export { AttemptEnd } from "./target_port.ts";
+export {
+  checkConnection,
+  ConnectionProbe,
+  isRefusedConnection,
+} from "./probe_connection.ts";
 export type { HttpAnswer, HttpFailure, HttpRequest } from "./http_client.ts";
 export {
   describeError,
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -51,6 +51,11 @@
   TargetGone = "target_gone",
   TargetEjected = "target_ejected",
   TargetBack = "target_back",
+  /** Lost connections were found to be a crash of their target. */
+  TargetCrashed = "target_crashed",
+  /** Requests that hold all of these prompt parts are refused from now on. */
+  PartsQuarantined = "parts_quarantined",
+  PartsReleased = "parts_released",
   TargetChosen = "target_chosen",
   AttemptRetried = "attempt_retried",
   StreamResumed = "stream_resumed",
--- a/packages/runtime/refusals.ts
+++ b/packages/runtime/refusals.ts
@@ -27,6 +27,7 @@
   [RefusalKind.DeadlineTooSoon]: 503,
   [RefusalKind.NoTarget]: 503,
   [RefusalKind.Quarantined]: 422,
+  [RefusalKind.PartQuarantined]: 503,
   [RefusalKind.ConfigurationStale]: 503,
   [RefusalKind.Draining]: 503,
   [RefusalKind.TargetFailed]: 502,
@@ -72,6 +73,8 @@
     "We could not make sure that this would be done only once, so this try was not carried out. Please try again shortly, with the same Idempotency-Key if you have sent it before.",
   [RefusalKind.Quarantined]:
     "This request has made our services fail more than once, so we are not sending it again. Nothing was done. Please ask the person who looks after the event.",
+  [RefusalKind.PartQuarantined]:
+    "A part of this prompt has made our services fail several times, so requests with it are not run for some minutes. Nothing was done. Please leave that part out, or try again later.",
   [RefusalKind.ConfigurationStale]:
     "We could not check that our settings are up to date. Nothing was done. Please try again in a moment.",
   [RefusalKind.Draining]:
