Fail an answer that turns invalid right after its head at once

Callers saw: no answer at all, not even when their time was over, when a target sent bytes that are no answer in the same packet as a valid head.

Cause: the parser's error destroys the answer in the same turn in which its head arrives. The stream emits its close before the reader, which starts in a later microtask, listens for it, so the reader waits for ever, and the deadline can only cancel a request that is over.

Evidence: the new test got "socket hang up" from its own time limit of 4 s before, and 502 within a second now.

Change: the reader checks whether the answer is destroyed before it listens.

--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -213,6 +213,14 @@
 ): Promise<AttemptFailure | undefined> {
   return new Promise((resolve) => {
     let detail = "the answer was interrupted";
+    // It may have been closed before this function could listen for that.
+    if (incoming.destroyed) {
+      return resolve({
+        end: AttemptEnd.Broken,
+        detail: describeError(incoming.errored ?? detail),
+        connection: ConnectionState.Lost,
+      });
+    }
     incoming.on("data", (chunk: Buffer) => {
       const backpressure = input.handleChunk(chunk);
       if (backpressure === undefined) return;
