Deliver a complete answer although other bytes follow it at once

Callers saw: 502 for a call that had run and whose whole answer had arrived, when the target sent more bytes after it in the same packet.

Cause: the parser's error about the extra bytes destroyed the answer before its body was read, although the message was complete.

Evidence: the new test got 502 before and gets 200 with the whole body now. The test that a reset answer without a length is never complete still passes: such an answer is not complete when its error is reported.

--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -124,8 +124,9 @@
       );
     }
     outgoing.on("error", (error) => {
-      // Otherwise Node treats a reset answer without a length as complete.
-      answer?.destroy(error);
+      // Otherwise Node treats a reset answer without a length as complete. An
+      // error after the end of an answer is due to bytes that follow it.
+      if (answer?.complete === false) answer.destroy(error);
       fail(describeError(error), isRefusedConnection(error));
     });
     outgoing.on("response", (incoming) => {
