--- a/packages/ports/connection_pools.ts
+++ b/packages/ports/connection_pools.ts
@@ -3,7 +3,8 @@
  * reaches its maximum age or when the network path to its target has failed:
  * requests in progress keep their connections, and new calls open new ones.
  */
-import { Agent } from "node:http";
+import { Agent, type ClientRequest } from "node:http";
+import type { Duplex } from "node:stream";
 import type { Clock, Millis, MonotonicTime, TargetId } from "../core/mod.ts";
 
 /** Maximum age of a pool; later calls use a new pool. */
@@ -11,6 +12,27 @@
 
 const MAX_IDLE_SOCKETS = 1_024;
 
+/**
+ * Agent that closes an idle connection on which bytes arrive: they answer no
+ * request, and would be read as the answer to the next one.
+ */
+class TargetAgent extends Agent {
+  override keepSocketAlive(socket: Duplex): boolean {
+    const isKept = super.keepSocketAlive(socket) as unknown as boolean;
+    if (isKept) socket.on("data", closeSocket);
+    return isKept;
+  }
+
+  override reuseSocket(socket: Duplex, request: ClientRequest): void {
+    socket.removeListener("data", closeSocket);
+    super.reuseSocket(socket, request);
+  }
+}
+
+function closeSocket(this: Duplex): void {
+  this.destroy();
+}
+
 interface Pool {
   readonly agent: Agent;
   readonly createdAt: MonotonicTime;
@@ -33,7 +55,7 @@
       return known.agent;
     }
     this.dropPool(target);
-    const agent = new Agent({
+    const agent = new TargetAgent({
       keepAlive: true,
       maxFreeSockets: MAX_IDLE_SOCKETS,
       scheduling: "lifo",
