Never pass on a stream that ends inside an event as complete

Callers saw: a stream that its target broke off inside an event, or before the first, ended like a complete one if the connection was closed normally.

Cause: what followed the last event was delivered as the rest of the answer whenever the message was complete by its framing. An answer without a length or chunks is complete by its framing whenever its connection ends.

Evidence: before, the new tests got complete answers for streams that end inside an event by the end of the connection, in chunks and with a length, and 200 for one without any event. Now such a stream has been broken off: it is resumed at another target or ends as interrupted. Answers and streams that end with their connection after an event are complete, as before.

--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -86,6 +86,8 @@
   readonly isOtherTarget: boolean;
   /** Whether it carries the header that proves that a target produced it. */
   readonly sealed: boolean;
+  /** Whether the body is a stream of events, or no type of it is stated. */
+  readonly isEventStream: boolean;
   /** Whether the body has a content encoding, which targets never apply. */
   readonly encoded: boolean;
   readonly load?: LoadReport;
--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -52,7 +52,7 @@
 
 /**
  * An answer that was read to its end. If its events were forwarded, the body is
- * what follows the last event.
+ * empty.
  */
 export interface CompleteAnswer {
   readonly head: AnswerHead;
@@ -84,9 +84,9 @@
 }
 
 /**
- * Sends a request and passes the events of a successful answer to the sink.
- * Resolves to a Right when the answer is complete; its body is then the bytes
- * after the last event or, if the status is not 2xx, the complete body.
+ * Sends a request and passes the events of a successful stream to the sink. A
+ * stream is complete if it ends after an event. The body of any other answer is
+ * returned.
  */
 export async function forwardEvents(
   input: TargetExchangeInput & {
@@ -99,28 +99,46 @@
   if (started.isLeft()) return Left(started.extract() as AttemptFailure);
   const { incoming, head } = started.extract() as StartedExchange;
   input.recordProgress();
-  const isSuccess = head.status >= 200 && head.status < 300;
-  if (isSuccess) input.sink.handleHead(head);
+  const isStream = isEventStream(head);
+  if (isStream) input.sink.handleHead(head);
   const splitter = new EventSplitter();
+  // A stream may be resumed after its last event.
+  let hasEvent = input.head.resumeAfter !== undefined;
   const chunks: Buffer[] = [];
   const failure = await readAnswer(incoming, {
     signal: input.signal,
     handleChunk: (chunk) => {
       input.recordProgress();
-      if (!isSuccess) {
+      if (!isStream) {
         chunks.push(chunk);
         return undefined;
       }
       let backpressure: Promise<void> | undefined;
       for (const event of splitter.push(chunk)) {
+        hasEvent = true;
         backpressure = input.sink.handleEvent(event) ?? backpressure;
       }
       return backpressure;
     },
   });
   if (failure !== undefined) return Left({ ...failure, head });
-  const body = isSuccess ? splitter.takeRemainder() : Buffer.concat(chunks);
-  return Right({ head, body });
+  const isCut = splitter.takeRemainder().length > 0;
+  if (isStream && (isCut || !hasEvent)) {
+    return Left({
+      end: AttemptEnd.Broken,
+      detail: `the stream ended ${
+        isCut ? "inside an" : "before its first"
+      } event`,
+      connection: ConnectionState.Lost,
+      head,
+    });
+  }
+  return Right({ head, body: Buffer.concat(chunks) });
+}
+
+/** Whether an answer is a stream whose events can be forwarded. */
+export function isEventStream(head: AnswerHead): boolean {
+  return head.status >= 200 && head.status < 300 && head.isEventStream;
 }
 
 interface StartedExchange {
