Never end a resumed stream with the error of its next target

Callers saw: a stream that was interrupted and resumed at another target, which answered with an error, ended as complete, with the error's body behind the last event.

Cause: an answer with a status of 500 or more counted as failed only before the caller's answer had begun; after that, any complete answer ended the stream.

Evidence: the new test got a complete answer before and an interrupted one now.

--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -44,6 +44,7 @@
   ConnectionState,
   type EventSink,
   forwardEvents,
+  isEventStream,
   type TargetExchangeInput,
 } from "./target_exchange.ts";
 
@@ -149,10 +150,14 @@
     return this.#giveUp(call, { progress, failure });
   }
 
-  /** Whether a repeatable call got a server error, which may be retried. */
+  /**
+   * Whether a repeatable call got a server error, which may be retried, or a
+   * stream that has begun got an answer that can't continue it.
+   */
   #isFailedAnswer(call: RoutedCall, answer: CompleteAnswer): boolean {
+    if (call.exchange.hasSentHead) return !isEventStream(answer.head);
     return call.route.repeatability === Repeatability.Repeatable &&
-      answer.head.status >= 500 && !call.exchange.hasSentHead;
+      answer.head.status >= 500;
   }
 
   /**
@@ -457,10 +462,8 @@
   #deliver(call: RoutedCall, answer: CompleteAnswer): CallEnd {
     const { head, body } = answer;
     const { exchange } = call;
-    if (exchange.hasSentHead) {
-      if (body.length > 0) exchange.write(body);
-      exchange.end();
-    } else {
+    if (exchange.hasSentHead) exchange.end();
+    else {
       exchange.sendComplete({
         status: head.status,
         headers: head.headers,
