Bound what a target may send that is no answer

What happens: a target that sends bytes without end was read until the caller's time was over, or for ever. Interim heads were read until the deadline, and an event in tiny chunks was copied whole for each chunk.

Cause: bodies were collected without a bound, a body that is not needed was read without one, and the splitter of events joined its remainder with each chunk.

Change: one buffered answer, all of them together, an event, a discarded body and the number of interim heads are bounded; beyond it the connection is closed and the attempt has failed. The splitter's memory grows by doubling.

--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -30,6 +30,7 @@
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
 import type { TargetRegistry } from "../features/target_registry.ts";
 import type { GatewayContext } from "../gateway_context.ts";
+import { AnswerMemory } from "./answer_buffer.ts";
 import { AttemptWatchdog } from "./attempt_watchdog.ts";
 import {
   CallProgress,
@@ -93,6 +94,7 @@
 /** Runs calls at targets, with retries and resumed streams. */
 export class CallRunner {
   readonly #options: CallRunnerOptions;
+  readonly #memory = new AnswerMemory();
 
   constructor(options: CallRunnerOptions) {
     this.#options = options;
@@ -412,6 +414,7 @@
       target: input.listed,
       request,
       body: call.body,
+      memory: this.#memory,
       signal: input.signal,
       head: {
         timeLeft: call.deadline - context.clock.readMonotonic(),
--- a/packages/gateway/entry/event_splitter.ts
+++ b/packages/gateway/entry/event_splitter.ts
@@ -18,14 +18,14 @@
 /** Splits a stream, received in chunks, into events. */
 export class EventSplitter {
   #remainder: Buffer = Buffer.alloc(0);
+  /** Memory that begins with the remainder and has space to append to it. */
+  #memory: Buffer = this.#remainder;
 
   /** Appends received bytes and returns the events that they complete. */
   push(bytes: Buffer): ServerSentEvent[] {
-    let buffer = this.#remainder.length === 0
-      ? bytes
-      : Buffer.concat([this.#remainder, bytes]);
     // The blank line may begin in the last 3 bytes of the remainder.
     let from = Math.max(0, this.#remainder.length - 3);
+    let buffer = this.#append(bytes);
     const events: ServerSentEvent[] = [];
     for (;;) {
       const end = findEventEnd(buffer, from);
@@ -34,14 +34,38 @@
       buffer = buffer.subarray(end);
       from = 0;
     }
+    if (events.length > 0) this.#memory = buffer;
     this.#remainder = buffer;
     return events;
   }
 
+  /**
+   * Returns the remainder with bytes appended. Its memory grows by doubling, so
+   * that an event in many chunks is copied only a few times.
+   */
+  #append(bytes: Buffer): Buffer {
+    const { length } = this.#remainder;
+    if (length === 0) return this.#memory = bytes;
+    const newLength = length + bytes.length;
+    if (newLength > this.#memory.length) {
+      const memory = Buffer.allocUnsafe(2 * newLength);
+      this.#remainder.copy(memory);
+      this.#memory = memory;
+    }
+    bytes.copy(this.#memory, length);
+    return this.#memory.subarray(0, newLength);
+  }
+
+  /** Number of bytes after the last complete event. */
+  get remainderBytes(): number {
+    return this.#remainder.length;
+  }
+
   /** Returns and clears the bytes after the last complete event. */
   takeRemainder(): Buffer {
     const remainder = this.#remainder;
     this.#remainder = Buffer.alloc(0);
+    this.#memory = this.#remainder;
     return remainder;
   }
 }
--- a/packages/gateway/entry/event_splitter_test.ts
+++ b/packages/gateway/entry/event_splitter_test.ts
@@ -30,3 +30,13 @@
     { seed: 11, numRuns: 200 },
   );
 });
+
+test("an event in many tiny chunks is not copied for each chunk", (t) => {
+  const splitter = new EventSplitter();
+  const chunk = Buffer.from("data: x\n");
+  const startedAt = performance.now();
+  for (let number = 0; number < 120_000; number++) splitter.push(chunk);
+  const [event] = splitter.push(Buffer.from("\n"));
+  t.is(event?.bytes.length, 120_000 * chunk.length + 1);
+  t.true(performance.now() - startedAt < 3_000);
+});
--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -1,7 +1,7 @@
 /** One attempt at a target: sends a request and reads the answer. */
 import type { IncomingMessage } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
-import type { Millis } from "../../core/mod.ts";
+import type { Bytes, Millis } from "../../core/mod.ts";
 import {
   AttemptEnd,
   type ConnectionPools,
@@ -15,11 +15,19 @@
   Dialect,
   ListedTarget,
 } from "../dialect.ts";
+import { AnswerBuffer, type AnswerMemory } from "./answer_buffer.ts";
 import { EventSplitter, type ServerSentEvent } from "./event_splitter.ts";
 
 /** Connect timeout: long enough for some round trips or one retransmission. */
 const CONNECT_TIMEOUT: Millis = 700;
 
+/** Maximum size of one event of a stream. */
+const MAX_EVENT_BYTES: Bytes = 1_048_576;
+
+/** Bounds of a body that is read only to reuse its connection. */
+const MAX_DISCARDED_BYTES: Bytes = 65_536;
+const MAX_DISCARD_TIME: Millis = 1_000;
+
 /** What an attempt sends, and to which target. */
 export interface TargetExchangeInput {
   readonly dialect: Dialect;
@@ -28,6 +36,8 @@
   readonly request: CallerRequest;
   readonly head: Omit<AttemptHead, "target" | "bodyBytes">;
   readonly body: Uint8Array;
+  /** Memory for answers that are read completely before they are sent on. */
+  readonly memory: AnswerMemory;
   readonly signal: AbortSignal;
 }
 
@@ -73,14 +83,25 @@
 ): Promise<Either<AttemptFailure, CompleteAnswer>> {
   const started = await startTargetExchange(input);
   if (started.isLeft()) return Left(started.extract() as AttemptFailure);
-  const { incoming, head } = started.extract() as StartedExchange;
-  const chunks: Buffer[] = [];
+  return await readWholeAnswer(input, started.extract() as StartedExchange);
+}
+
+async function readWholeAnswer(
+  input: TargetExchangeInput,
+  { incoming, head }: StartedExchange,
+): Promise<Either<AttemptFailure, CompleteAnswer>> {
+  const buffer = new AnswerBuffer(input.memory);
   const failure = await readAnswer(incoming, {
     signal: input.signal,
-    handleChunk: (chunk) => void chunks.push(chunk),
+    handleChunk: (chunk) => {
+      const excess = buffer.push(chunk);
+      if (excess !== undefined) incoming.destroy(new Error(excess));
+    },
   });
-  if (failure !== undefined) return Left({ ...failure, head });
-  return Right({ head, body: Buffer.concat(chunks) });
+  const body = buffer.close();
+  return failure === undefined
+    ? Right({ head, body })
+    : Left({ ...failure, head });
 }
 
 /**
@@ -99,31 +120,32 @@
   if (started.isLeft()) return Left(started.extract() as AttemptFailure);
   const { incoming, head } = started.extract() as StartedExchange;
   input.recordProgress();
-  const isStream = isEventStream(head);
-  if (isStream) input.sink.handleHead(head);
+  if (!isEventStream(head)) {
+    return await readWholeAnswer(input, { incoming, head });
+  }
+  input.sink.handleHead(head);
   const splitter = new EventSplitter();
   // A stream may be resumed after its last event.
   let hasEvent = input.head.resumeAfter !== undefined;
-  const chunks: Buffer[] = [];
   const failure = await readAnswer(incoming, {
     signal: input.signal,
     handleChunk: (chunk) => {
       input.recordProgress();
-      if (!isStream) {
-        chunks.push(chunk);
-        return undefined;
-      }
       let backpressure: Promise<void> | undefined;
       for (const event of splitter.push(chunk)) {
         hasEvent = true;
         backpressure = input.sink.handleEvent(event) ?? backpressure;
       }
+      if (splitter.remainderBytes > MAX_EVENT_BYTES) {
+        const bound = `an event is larger than ${MAX_EVENT_BYTES} bytes`;
+        incoming.destroy(new Error(bound));
+      }
       return backpressure;
     },
   });
   if (failure !== undefined) return Left({ ...failure, head });
   const isCut = splitter.takeRemainder().length > 0;
-  if (isStream && (isCut || !hasEvent)) {
+  if (isCut || !hasEvent) {
     return Left({
       end: AttemptEnd.Broken,
       detail: `the stream ended ${
@@ -133,7 +155,7 @@
       head,
     });
   }
-  return Right({ head, body: Buffer.concat(chunks) });
+  return Right({ head, body: Buffer.alloc(0) });
 }
 
 /** Whether an answer is a stream whose events can be forwarded. */
@@ -203,7 +225,7 @@
     });
   }
   if (head.notRun) {
-    incoming.resume();
+    discardBody(incoming);
     return Left({
       end: AttemptEnd.Refused,
       detail: `the target answered ${head.status} and did not run the request`,
@@ -220,6 +242,17 @@
   return Right({ incoming, head });
 }
 
+/** Reads a body that is not needed, so that its connection can be reused. */
+function discardBody(incoming: IncomingMessage): void {
+  let size = 0;
+  const timer = setTimeout(() => incoming.destroy(), MAX_DISCARD_TIME);
+  incoming.on("close", () => clearTimeout(timer));
+  incoming.on("data", (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > MAX_DISCARDED_BYTES) incoming.destroy();
+  });
+}
+
 /** Reads an answer to its end; resolves to a failure if it is incomplete. */
 function readAnswer(
   incoming: IncomingMessage,
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -20,6 +20,9 @@
 /** Maximum size of an answer body, in bytes. */
 export const MAX_ANSWER_BYTES: Bytes = 16 * 1_048_576;
 
+/** Maximum number of heads with status 1xx before an answer. */
+const MAX_INTERIM_HEADS = 16;
+
 /** One request and its limits. */
 export interface HttpRequest {
   readonly method: string;
@@ -129,6 +132,12 @@
       if (answer?.complete === false) answer.destroy(error);
       fail(describeError(error), isRefusedConnection(error));
     });
+    let interimHeads = 0;
+    const countInterimHead = () => {
+      if (++interimHeads <= MAX_INTERIM_HEADS) return;
+      outgoing.destroy(new Error(`over ${MAX_INTERIM_HEADS} interim heads`));
+    };
+    outgoing.on("information", countInterimHead);
     outgoing.on("response", (incoming) => {
       answer = incoming;
       // An error after the reader has stopped must not crash the process.
