--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -86,6 +86,8 @@
   readonly isOtherTarget: boolean;
   /** Whether it carries the header that proves that a target produced it. */
   readonly sealed: boolean;
+  /** Whether the body is a stream of events, or no type of it is stated. */
+  readonly isEventStream: boolean;
   /** Whether the body has a content encoding, which targets never apply. */
   readonly encoded: boolean;
   readonly load?: LoadReport;
@@ -135,6 +137,8 @@
   readonly targets: FeedPort<ListedTarget>;
   /** Feed of the rows `peers/VM`, which the gateways themselves write. */
   readonly peers: FeedPort<JsonValue>;
+  /** Feed of the rows `crashes/VM`, which the gateways themselves write. */
+  readonly crashReports: FeedPort<JsonValue>;
   /** The gateways' own rows; a transaction changes only one row. */
   readonly table: RowPort;
 }
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -26,8 +26,11 @@
   LogEvent,
 } from "../../runtime/mod.ts";
 import type { AnswerHead, ListedTarget } from "../dialect.ts";
+import type { CrashDetector } from "../features/crashes/crash_detector.ts";
+import type { CrashReports } from "../features/crashes/crash_reports.ts";
 import type { TargetRegistry } from "../features/target_registry.ts";
 import type { GatewayContext } from "../gateway_context.ts";
+import { AnswerMemory } from "./answer_buffer.ts";
 import { AttemptWatchdog } from "./attempt_watchdog.ts";
 import {
   CallProgress,
@@ -39,8 +42,10 @@
   type AttemptFailure,
   callTarget,
   type CompleteAnswer,
+  ConnectionState,
   type EventSink,
   forwardEvents,
+  isEventStream,
   type TargetExchangeInput,
 } from "./target_exchange.ts";
 
@@ -82,11 +87,14 @@
   readonly targets: TargetRegistry;
   readonly pools: ConnectionPools;
   readonly retries: RetryBudgets;
+  readonly crashReports: CrashReports;
+  readonly crashDetector: CrashDetector;
 }
 
 /** Runs calls at targets, with retries and resumed streams. */
 export class CallRunner {
   readonly #options: CallRunnerOptions;
+  readonly #memory = new AnswerMemory();
 
   constructor(options: CallRunnerOptions) {
     this.#options = options;
@@ -98,15 +106,26 @@
    * refusal and does not reject the promise.
    */
   async run(call: RoutedCall, progress: CallProgress): Promise<CallEnd> {
-    const { retries, context } = this.#options;
+    const { retries, context, crashReports } = this.#options;
+    const { prompt } = call.request;
     const { ratio } = context.settings.retries;
     retries.recordFirstAttempt(call.service, ratio * EARNED_RATIO_SHARE);
     let failure: AttemptFailure | undefined;
     let errorAnswer: CompleteAnswer | undefined;
+    let lossCheck: Promise<void> | undefined;
     for (let sends = 0;; sends++) {
       if (call.exchange.isDisconnected) return createDisconnectedEnd(progress);
       const isRetry = sends > 0;
       if (isRetry && !this.#mayRetry(call, { progress, failure, sends })) break;
+      await lossCheck;
+      // A suspect that goes on to another target may crash that as well.
+      if (isRetry && crashReports.hasSuspect(prompt)) break;
+      const quarantined = crashReports.findRefusal(prompt);
+      if (quarantined !== undefined) {
+        if (progress.runs > 0) break;
+        const { refusal, detail } = quarantined;
+        return { ...this.#refuse(call, refusal), detail };
+      }
       const chosen = this.#chooseTarget(call, progress);
       if (typeof chosen === "string") {
         if (isRetry) break;
@@ -122,7 +141,10 @@
           end: AttemptEnd.Broken,
           detail: `the target answered ${result.answer.head.status}`,
         };
-      } else failure = result.failure;
+      } else {
+        failure = result.failure;
+        lossCheck = result.lossCheck;
+      }
     }
     if (errorAnswer !== undefined && !call.exchange.hasSentHead) {
       return this.#deliver(call, errorAnswer);
@@ -130,10 +152,14 @@
     return this.#giveUp(call, { progress, failure });
   }
 
-  /** Whether a repeatable call got a server error, which may be retried. */
+  /**
+   * Whether a repeatable call got a server error, which may be retried, or a
+   * stream that has begun got an answer that can't continue it.
+   */
   #isFailedAnswer(call: RoutedCall, answer: CompleteAnswer): boolean {
+    if (call.exchange.hasSentHead) return !isEventStream(answer.head);
     return call.route.repeatability === Repeatability.Repeatable &&
-      answer.head.status >= 500 && !call.exchange.hasSentHead;
+      answer.head.status >= 500;
   }
 
   /**
@@ -226,7 +252,12 @@
     input: { readonly progress: CallProgress; readonly target: TargetConfig },
   ): Promise<
     | { readonly isComplete: true; readonly answer: CompleteAnswer }
-    | { readonly isComplete: false; readonly failure: AttemptFailure }
+    | {
+      readonly isComplete: false;
+      readonly failure: AttemptFailure;
+      /** Resolves when it is known whether the target has crashed. */
+      readonly lossCheck?: Promise<void>;
+    }
   > {
     const { progress, target } = input;
     const { context, targets } = this.#options;
@@ -240,7 +271,8 @@
     }
     progress.triedTargets.push(target.id);
     const startedAt = context.clock.readMonotonic();
-    const promptTokens = call.request.prompt?.tokens ?? 0;
+    const { prompt } = call.request;
+    const promptTokens = prompt?.tokens ?? 0;
     targets.recordStart(target.id, { now: startedAt, promptTokens });
     const watchdog = new AttemptWatchdog(call, {
       now: startedAt,
@@ -264,6 +296,8 @@
     if (result.isRight()) {
       const answer = result.extract() as CompleteAnswer;
       this.#recordOutcome(call, { target, started, head: answer.head });
+      const { status } = answer.head;
+      if (status < 300) this.#options.crashReports.recordBegun(prompt);
       return { isComplete: true, answer };
     }
     const failure = watchdog.explainFailure(result.extract() as AttemptFailure);
@@ -273,7 +307,39 @@
       failure,
       ...(failure.head === undefined ? {} : { head: failure.head }),
     });
-    return { isComplete: false, failure };
+    const hasEvent = progress.events > started.eventsBefore;
+    const lossCheck = this.#recordConnection(call, {
+      listed,
+      failure,
+      hasEvent,
+    });
+    return { isComplete: false, failure, lossCheck };
+  }
+
+  /**
+   * Records what a failed attempt shows about a crash of its target. Resolves
+   * when it is known whether there was one.
+   */
+  #recordConnection(
+    call: RoutedCall,
+    input: {
+      readonly listed: ListedTarget;
+      readonly failure: AttemptFailure;
+      readonly hasEvent: boolean;
+    },
+  ): Promise<void> {
+    const { listed, failure, hasEvent } = input;
+    const { crashDetector } = this.#options;
+    if (failure.connection === ConnectionState.Refused) {
+      crashDetector.recordRefused(listed.id);
+    }
+    if (failure.connection !== ConnectionState.Lost || hasEvent) {
+      return Promise.resolve();
+    }
+    return crashDetector.recordLost(listed, {
+      prompt: call.request.prompt,
+      hasHead: failure.head !== undefined,
+    });
   }
 
   /** Records the end of an attempt: progress, target state, metrics and log. */
@@ -348,6 +414,7 @@
       target: input.listed,
       request,
       body: call.body,
+      memory: this.#memory,
       signal: input.signal,
       head: {
         timeLeft: call.deadline - context.clock.readMonotonic(),
@@ -375,6 +442,7 @@
           isFirst = false;
           targets.recordPrefillEnd(target.id, call.request.prompt?.tokens ?? 0);
           this.#recordFirstByte(call, progress);
+          this.#options.crashReports.recordBegun(call.request.prompt);
         }
         call.exchange.sendHead(head!.status, head!.headers);
         progress.events++;
@@ -397,10 +465,8 @@
   #deliver(call: RoutedCall, answer: CompleteAnswer): CallEnd {
     const { head, body } = answer;
     const { exchange } = call;
-    if (exchange.hasSentHead) {
-      if (body.length > 0) exchange.write(body);
-      exchange.end();
-    } else {
+    if (exchange.hasSentHead) exchange.end();
+    else {
       exchange.sendComplete({
         status: head.status,
         headers: head.headers,
--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -1,7 +1,7 @@
 /** One attempt at a target: sends a request and reads the answer. */
 import type { IncomingMessage } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
-import type { Millis } from "../../core/mod.ts";
+import type { Bytes, Millis } from "../../core/mod.ts";
 import {
   AttemptEnd,
   type ConnectionPools,
@@ -15,11 +15,19 @@
   Dialect,
   ListedTarget,
 } from "../dialect.ts";
+import { AnswerBuffer, type AnswerMemory } from "./answer_buffer.ts";
 import { EventSplitter, type ServerSentEvent } from "./event_splitter.ts";
 
 /** Connect timeout: long enough for some round trips or one retransmission. */
 const CONNECT_TIMEOUT: Millis = 700;
 
+/** Maximum size of one event of a stream. */
+const MAX_EVENT_BYTES: Bytes = 1_048_576;
+
+/** Bounds of a body that is read only to reuse its connection. */
+const MAX_DISCARDED_BYTES: Bytes = 65_536;
+const MAX_DISCARD_TIME: Millis = 1_000;
+
 /** What an attempt sends, and to which target. */
 export interface TargetExchangeInput {
   readonly dialect: Dialect;
@@ -28,21 +36,33 @@
   readonly request: CallerRequest;
   readonly head: Omit<AttemptHead, "target" | "bodyBytes">;
   readonly body: Uint8Array;
+  /** Memory for answers that are read completely before they are sent on. */
+  readonly memory: AnswerMemory;
   readonly signal: AbortSignal;
 }
 
+/** State of a target's connection after a failed attempt. */
+export enum ConnectionState {
+  /** It was established and closed or reset before the answer's end. */
+  Lost = "lost",
+  /** The target's machine answered that no process listens. */
+  Refused = "refused",
+}
+
 /** Why an attempt did not return a complete answer. */
 export interface AttemptFailure {
   readonly end: AttemptEnd;
   /** One line for logs. */
   readonly detail: string;
+  /** What the failure says about the target's connection. */
+  readonly connection?: ConnectionState;
   /** The head of the answer, if one arrived and passed validation. */
   readonly head?: AnswerHead;
 }
 
 /**
  * An answer that was read to its end. If its events were forwarded, the body is
- * what follows the last event.
+ * empty.
  */
 export interface CompleteAnswer {
   readonly head: AnswerHead;
@@ -63,20 +83,31 @@
 ): Promise<Either<AttemptFailure, CompleteAnswer>> {
   const started = await startTargetExchange(input);
   if (started.isLeft()) return Left(started.extract() as AttemptFailure);
-  const { incoming, head } = started.extract() as StartedExchange;
-  const chunks: Buffer[] = [];
+  return await readWholeAnswer(input, started.extract() as StartedExchange);
+}
+
+async function readWholeAnswer(
+  input: TargetExchangeInput,
+  { incoming, head }: StartedExchange,
+): Promise<Either<AttemptFailure, CompleteAnswer>> {
+  const buffer = new AnswerBuffer(input.memory);
   const failure = await readAnswer(incoming, {
     signal: input.signal,
-    handleChunk: (chunk) => void chunks.push(chunk),
+    handleChunk: (chunk) => {
+      const excess = buffer.push(chunk);
+      if (excess !== undefined) incoming.destroy(new Error(excess));
+    },
   });
-  if (failure !== undefined) return Left({ ...failure, head });
-  return Right({ head, body: Buffer.concat(chunks) });
+  const body = buffer.close();
+  return failure === undefined
+    ? Right({ head, body })
+    : Left({ ...failure, head });
 }
 
 /**
- * Sends a request and passes the events of a successful answer to the sink.
- * Resolves to a Right when the answer is complete; its body is then the bytes
- * after the last event or, if the status is not 2xx, the complete body.
+ * Sends a request and passes the events of a successful stream to the sink. A
+ * stream is complete if it ends after an event. The body of any other answer is
+ * returned.
  */
 export async function forwardEvents(
   input: TargetExchangeInput & {
@@ -89,28 +120,47 @@
   if (started.isLeft()) return Left(started.extract() as AttemptFailure);
   const { incoming, head } = started.extract() as StartedExchange;
   input.recordProgress();
-  const isSuccess = head.status >= 200 && head.status < 300;
-  if (isSuccess) input.sink.handleHead(head);
+  if (!isEventStream(head)) {
+    return await readWholeAnswer(input, { incoming, head });
+  }
+  input.sink.handleHead(head);
   const splitter = new EventSplitter();
-  const chunks: Buffer[] = [];
+  // A stream may be resumed after its last event.
+  let hasEvent = input.head.resumeAfter !== undefined;
   const failure = await readAnswer(incoming, {
     signal: input.signal,
     handleChunk: (chunk) => {
       input.recordProgress();
-      if (!isSuccess) {
-        chunks.push(chunk);
-        return undefined;
-      }
       let backpressure: Promise<void> | undefined;
       for (const event of splitter.push(chunk)) {
+        hasEvent = true;
         backpressure = input.sink.handleEvent(event) ?? backpressure;
       }
+      if (splitter.remainderBytes > MAX_EVENT_BYTES) {
+        const bound = `an event is larger than ${MAX_EVENT_BYTES} bytes`;
+        incoming.destroy(new Error(bound));
+      }
       return backpressure;
     },
   });
   if (failure !== undefined) return Left({ ...failure, head });
-  const body = isSuccess ? splitter.takeRemainder() : Buffer.concat(chunks);
-  return Right({ head, body });
+  const isCut = splitter.takeRemainder().length > 0;
+  if (isCut || !hasEvent) {
+    return Left({
+      end: AttemptEnd.Broken,
+      detail: `the stream ended ${
+        isCut ? "inside an" : "before its first"
+      } event`,
+      connection: ConnectionState.Lost,
+      head,
+    });
+  }
+  return Right({ head, body: Buffer.alloc(0) });
+}
+
+/** Whether an answer is a stream whose events can be forwarded. */
+export function isEventStream(head: AnswerHead): boolean {
+  return head.status >= 200 && head.status < 300 && head.isEventStream;
 }
 
 interface StartedExchange {
@@ -139,9 +189,11 @@
     ...(body.length === 0 ? {} : { body }),
   });
   return started
-    .mapLeft(({ sent, cancelled, detail }): AttemptFailure => ({
+    .mapLeft(({ sent, cancelled, refused, detail }): AttemptFailure => ({
       end: classifyFailure({ sent, cancelled }),
       detail,
+      ...(refused ? { connection: ConnectionState.Refused } : {}),
+      ...(sent && !cancelled ? { connection: ConnectionState.Lost } : {}),
     }))
     .chain((incoming) => validateHead(incoming, input));
 }
@@ -173,7 +225,7 @@
     });
   }
   if (head.notRun) {
-    incoming.resume();
+    discardBody(incoming);
     return Left({
       end: AttemptEnd.Refused,
       detail: `the target answered ${head.status} and did not run the request`,
@@ -190,6 +242,17 @@
   return Right({ incoming, head });
 }
 
+/** Reads a body that is not needed, so that its connection can be reused. */
+function discardBody(incoming: IncomingMessage): void {
+  let size = 0;
+  const timer = setTimeout(() => incoming.destroy(), MAX_DISCARD_TIME);
+  incoming.on("close", () => clearTimeout(timer));
+  incoming.on("data", (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > MAX_DISCARDED_BYTES) incoming.destroy();
+  });
+}
+
 /** Reads an answer to its end; resolves to a failure if it is incomplete. */
 function readAnswer(
   incoming: IncomingMessage,
@@ -201,6 +264,14 @@
 ): Promise<AttemptFailure | undefined> {
   return new Promise((resolve) => {
     let detail = "the answer was interrupted";
+    // It may have been closed before this function could listen for that.
+    if (incoming.destroyed) {
+      return resolve({
+        end: AttemptEnd.Broken,
+        detail: describeError(incoming.errored ?? detail),
+        connection: ConnectionState.Lost,
+      });
+    }
     incoming.on("data", (chunk: Buffer) => {
       const backpressure = input.handleChunk(chunk);
       if (backpressure === undefined) return;
@@ -212,11 +283,11 @@
       if (incoming.complete) resolve(undefined);
     });
     incoming.on("close", () => {
-      const cancelled = input.signal.aborted;
-      resolve({
-        end: cancelled ? AttemptEnd.Cancelled : AttemptEnd.Broken,
-        detail,
-      });
+      if (input.signal.aborted) {
+        return resolve({ end: AttemptEnd.Cancelled, detail });
+      }
+      const connection = ConnectionState.Lost;
+      resolve({ end: AttemptEnd.Broken, detail, connection });
     });
   });
 }
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -15,10 +15,14 @@
 import type { Socket } from "node:net";
 import { type Either, Left, Right } from "purify-ts";
 import type { Bytes, Millis } from "../core/mod.ts";
+import { isRefusedConnection } from "./probe_connection.ts";
 
 /** Maximum size of an answer body, in bytes. */
 export const MAX_ANSWER_BYTES: Bytes = 16 * 1_048_576;
 
+/** Maximum number of heads with status 1xx before an answer. */
+const MAX_INTERIM_HEADS = 16;
+
 /** One request and its limits. */
 export interface HttpRequest {
   readonly method: string;
@@ -53,6 +57,8 @@
   readonly cancelled: boolean;
   /** True if the answer timeout elapsed. */
   readonly timedOut?: boolean;
+  /** True if the server's machine answered that no process listens. */
+  readonly refused?: boolean;
   readonly detail: string;
 }
 
@@ -70,10 +76,11 @@
   return new Promise((resolve) => {
     let connected = false;
     let answer: IncomingMessage | undefined;
-    const fail = (detail: string) =>
+    const fail = (detail: string, refused = false) =>
       resolve(Left({
         sent: connected,
         cancelled: input.signal?.aborted ?? false,
+        refused,
         detail,
       }));
     if (input.signal?.aborted) return fail("cancelled before it was sent");
@@ -127,10 +134,17 @@
       );
     }
     outgoing.on("error", (error) => {
-      // Otherwise Node treats a reset answer without a length as complete.
-      answer?.destroy(error);
-      fail(describeError(error));
+      // Otherwise Node treats a reset answer without a length as complete. An
+      // error after the end of an answer is due to bytes that follow it.
+      if (answer?.complete === false) answer.destroy(error);
+      fail(describeError(error), isRefusedConnection(error));
     });
+    let interimHeads = 0;
+    const countInterimHead = () => {
+      if (++interimHeads <= MAX_INTERIM_HEADS) return;
+      outgoing.destroy(new Error(`over ${MAX_INTERIM_HEADS} interim heads`));
+    };
+    outgoing.on("information", countInterimHead);
     outgoing.on("response", (incoming) => {
       answer = incoming;
       // An error after the reader has stopped must not crash the process.
