Model loans that are given back to their lender

The loans model now has reports of spent and unspent loans, which may arrive late, more than once or never, before and after the lender's grant is closed or written off. 42,282 states are explored and no invariant is violated; without the rule that such a loan is never returned to the row as well, one is.

--- a/packages/model/guard.ts
+++ b/packages/model/guard.ts
@@ -21,6 +21,7 @@
   TransferNamesIncarnation = "transfer-names-incarnation",
   LoanCountsAsSpent = "loan-counts-as-spent",
   LoanReturnedOnce = "loan-returned-once",
+  LoanGivenToOne = "loan-given-to-one",
   ClaimBeforeDispatch = "claim-before-dispatch",
   ClaimNeverChangesHolder = "claim-never-changes-holder",
   ClaimNamesAttempt = "claim-names-attempt",
@@ -75,6 +76,8 @@
     "The lender's grant is closed with its loans counted as spent.",
   [Guard.LoanReturnedOnce]:
     "The budget row records which loans were returned and accepts each return only once.",
+  [Guard.LoanGivenToOne]:
+    "A loan that is given back to its lender is never returned to the budget row as well.",
   [Guard.ClaimBeforeDispatch]:
     "A call that may not be repeated is dispatched only under a durable claim.",
   [Guard.ClaimNeverChangesHolder]:
--- a/packages/model/specifications/loans.ts
+++ b/packages/model/specifications/loans.ts
@@ -52,6 +52,11 @@
   readonly requests: readonly boolean[];
   /** By B's and A's incarnation: whether B's answer is on the network. */
   readonly answers: readonly (readonly boolean[])[];
+  /**
+   * By B's and A's incarnation: the unspent tokens that A reports when it gives
+   * its loan back to B, once the report is on the network.
+   */
+  readonly reports: readonly (readonly (number | undefined)[])[];
   /** Number of crashes of both VMs together. */
   readonly crashes: number;
   /** Tokens that both VMs have spent. */
@@ -64,6 +69,10 @@
 
 const NONE: readonly boolean[] = Array<boolean>(INCARNATIONS).fill(false);
 
+const NO_REPORTS: readonly undefined[] = Array<undefined>(INCARNATIONS).fill(
+  undefined,
+);
+
 /** Returns the tokens of the lender's grant that are neither spent nor lent. */
 function computeAvailable(
   lender: Lender,
@@ -178,7 +187,21 @@
       next,
     });
   });
-  return steps;
+  return [...steps, ...listSettlements(state)];
+}
+
+/** Reports that arrive at B, including late and duplicate ones. */
+function listSettlements(state: LoansState): LoansStep[] {
+  const { lender, reports } = state;
+  if (!lender.holdsGrant || lender.closing) return [];
+  return reports[lender.incarnation]!.flatMap((unspent, id) => {
+    if (unspent === undefined || !lender.lent[id]) return [];
+    const next = changeLender(state, {
+      spent: lender.spent + LOAN - unspent,
+      lent: changeAt(lender.lent, id, false),
+    });
+    return [{ label: `B ends the loan to A's incarnation ${id + 1}`, next }];
+  });
 }
 
 function sendLoan(state: LoansState, id: number, isOn: GuardCheck): LoansState {
@@ -216,9 +239,28 @@
     ...steps,
     ...listCredits(state, isOn),
     ...listReturns(state, isOn),
+    ...listGiveBacks(state, isOn),
   ];
 }
 
+function listGiveBacks(state: LoansState, isOn: GuardCheck): LoansStep[] {
+  const { borrower, reports } = state;
+  return borrower.loans.flatMap((loan, index) => {
+    if (loan.returning) return [];
+    const { id, lenderIncarnation, spent } = loan;
+    const own = changeAt(reports[lenderIncarnation]!, id, LOAN - spent);
+    const sent = {
+      ...state,
+      reports: changeAt(reports, lenderIncarnation, own),
+    };
+    const loans = isOn(Guard.LoanGivenToOne)
+      ? borrower.loans.filter((each) => each !== loan)
+      : changeAt(borrower.loans, index, { ...loan, returning: true });
+    const label = `A gives loan ${index + 1} back to B`;
+    return [{ label, next: changeBorrower(sent, { loans }) }];
+  });
+}
+
 /** Answers that arrive at A, including late and duplicate ones. */
 function listCredits(state: LoansState, isOn: GuardCheck): LoansStep[] {
   const { borrower } = state;
@@ -314,6 +356,10 @@
   return flags.map((flag) => flag ? "1" : "0").join("");
 }
 
+function formatReports(reports: readonly (number | undefined)[]): string {
+  return reports.map((unspent) => unspent ?? "-").join("");
+}
+
 function formatState(state: LoansState): string {
   const { row, lender, borrower } = state;
   const entries = row.entries
@@ -335,7 +381,7 @@
   }${loans}`;
   const network = `${formatFlags(state.requests)}${
     state.answers.map(formatFlags)
-  }`;
+  }${state.reports.map(formatReports)}`;
   return `${row.limit}${row.closed},${entries}${outstanding}|${lends}|${borrows}|` +
     `${state.partition}${network}${state.crashes}${state.spent}${state.paid}`;
 }
@@ -351,6 +397,7 @@
     Guard.TransferNamesIncarnation,
     Guard.LoanCountsAsSpent,
     Guard.LoanReturnedOnce,
+    Guard.LoanGivenToOne,
   ],
   invariants: [Invariant.NeverOverspent, Invariant.TokensConserved],
   createInitial: () => ({
@@ -369,6 +416,7 @@
     partition: "0",
     requests: NONE,
     answers: NONE.map(() => NONE),
+    reports: NONE.map(() => NO_REPORTS),
     crashes: 0,
     spent: 0,
     paid: 0,
