Take no tokens in advance before the home VMs are known

The holdings of VMs that are not home VMs were returned later, with more writes.

Once settled, the list stays so. A request that waits for tokens is served at once as before; the first take for it includes a first holding, since a rate of 0 no longer counts as measured before anything was reserved.

With the condition removed, "before home VMs are known a VM takes tokens only for a request that waits" fails.

--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -137,6 +137,7 @@
       computePresenceInterval: () => this.#computePresenceInterval(),
       countVms: () => this.countVms(),
       isHome: (budget) => this.loans.isHome(budget.customer),
+      areHomesKnown: () => this.loans.arePeersSettled,
       readUsualRequest: () => this.#usualRequest,
       readFirstRequestTime: () => this.#firstRequestAt,
       onAnswer: (budget) => this.#handleAnswer(budget),
--- a/packages/gateway/features/budgets/exchange_pace_test.ts
+++ b/packages/gateway/features/budgets/exchange_pace_test.ts
@@ -40,7 +40,14 @@
   readonly #accounts: Accounts;
   readonly #clock: ManualClock;
 
-  constructor(vm: string, shared: { clock: ManualClock; table: MemoryTable }) {
+  constructor(
+    vm: string,
+    shared: {
+      readonly clock: ManualClock;
+      readonly table: MemoryTable;
+      readonly areHomesKnown?: boolean;
+    },
+  ) {
     const { clock, table } = shared;
     this.#clock = clock;
     const kernel = new Kernel();
@@ -73,6 +80,7 @@
       computePresenceInterval: () => 600,
       countVms: () => 1,
       isHome: () => true,
+      areHomesKnown: () => shared.areHomesKnown ?? true,
       readUsualRequest: () => 100,
       readFirstRequestTime: () => 0,
       onAnswer: () => {},
@@ -160,3 +168,25 @@
   t.true(Math.abs(refill - computeRefillInterval(20)) <= CHECK_INTERVAL / 2);
   t.true(find(ExchangePermit.Any) >= refill + CHECK_INTERVAL);
 });
+
+test("before home VMs are known a VM takes tokens only for a request that waits", async (t) => {
+  const clock = createManualClock();
+  const table = new MemoryTable({ now: () => clock.readMonotonic() });
+  const shared = { clock, table, areHomesKnown: false };
+  const { budget, exchanges } = new SpendingVm("v1", shared);
+  const earlier = undefined;
+  budget.isInitialized = false;
+  await exchanges.endEarlierIncarnations(budget, earlier);
+  clock.advance(CHECK_INTERVAL);
+  exchanges.rebalance([budget]);
+  t.false(budget.exchanging);
+  t.is(table.readCounts().transactions, 0);
+  budget.waiters.push({
+    requestId: "r",
+    tokens: 100,
+    deadline: 10_000,
+    resolve: () => {},
+  });
+  exchanges.rebalance([budget]);
+  t.true(budget.exchanging);
+});
--- a/packages/gateway/features/budgets/grant_exchanges.ts
+++ b/packages/gateway/features/budgets/grant_exchanges.ts
@@ -84,6 +84,11 @@
   countVms(): number;
   /** Whether this VM is a home VM, which holds the budget for its region. */
   isHome(budget: BudgetState): boolean;
+  /**
+   * Whether it is known which VMs are home VMs. Before, tokens are only taken
+   * for requests that wait for them.
+   */
+  areHomesKnown(): boolean;
   /**
    * Returns the moving average of the tokens reserved per request, over all
    * customers; 0 before the first.
@@ -150,7 +155,9 @@
     answer.ifRight(({ freed, writtenOff, othersRate }) => {
       budget.othersRate = othersRate;
       budget.isInitialized = true;
-      this.start(budget, planExchange);
+      if (isUrgent(budget) || this.#options.areHomesKnown()) {
+        this.start(budget, planExchange);
+      }
       if (freed + writtenOff === 0) return;
       log.warn(LogEvent.GrantWrittenOff, {
         customer: budget.customer,
@@ -174,8 +181,10 @@
     const vms = this.#options.countVms();
     const now = clock.readMonotonic();
     this.#refillLimiter.accrue(now, { vms, writesPerSecond });
+    const areHomesKnown = this.#options.areHomesKnown();
     const initialized = [...budgets]
       .filter((each) => each.isInitialized)
+      .filter((each) => areHomesKnown || isUrgent(each))
       .sort((left, right) => left.exchangeStartedAt - right.exchangeStartedAt);
     for (const budget of initialized) {
       if (!this.#refillLimiter.hasPermit) return;
@@ -183,7 +192,7 @@
         now,
         startedAt: budget.exchangeStartedAt,
         holders: budget.holders,
-        isUrgent: budget.waiters.length > 0 || budget.borrowerDemand > 0,
+        isUrgent: isUrgent(budget),
       });
       if (permit === ExchangePermit.None) continue;
       const plan = permit === ExchangePermit.Any ? planExchange : planRefill;
@@ -249,7 +258,8 @@
           ...this.#createHoldingInput(budget),
           now,
           need,
-          ...(rate === undefined ? {} : { rate }),
+          // A rate of 0 means that nothing was reserved yet.
+          ...(rate === undefined || rate === 0 ? {} : { rate }),
         }),
     };
   }
@@ -365,6 +375,11 @@
   }
 }
 
+/** Whether a request, or a peer, waits for tokens. */
+function isUrgent(budget: BudgetState): boolean {
+  return budget.waiters.length > 0 || budget.borrowerDemand > 0;
+}
+
 /** Plans an exchange only if it takes active tokens. */
 function planRefill(account: EventAccount, input: ExchangeInput): EventAccount {
   const planned = planExchange(account, input);
--- a/packages/gateway/features/budgets/peer_list.ts
+++ b/packages/gateway/features/budgets/peer_list.ts
@@ -12,6 +12,7 @@
   createCommand,
   type JsonValue,
   type Millis,
+  type MonotonicTime,
   type RowOperation,
   type SliceType,
   type Undo,
@@ -22,6 +23,7 @@
 import { LogEvent } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
 import { FeedFollower, type RowChange } from "../feed_follower.ts";
+import { isPeerListSettled } from "./peer_settling.ts";
 
 const PEER_SCHEMA = z.object({
   /** `host:port` of the peer's server for loan requests. */
@@ -72,12 +74,16 @@
   readonly #context: GatewayContext;
   readonly #follower: FeedFollower<JsonValue>;
   readonly #writer: StoreWriter;
+  readonly #startedAt: MonotonicTime;
+  /** When rows last changed before the list was settled. */
+  #changedAt: MonotonicTime | undefined;
   /** Key that peers must send with requests to this incarnation. */
   readonly key = randomBytes(KEY_BYTES).toString("hex");
 
   constructor(context: GatewayContext) {
     this.#context = context;
     const { dialect, clock, random } = context;
+    this.#startedAt = clock.readMonotonic();
     this.#follower = new FeedFollower(context, {
       name: "peers",
       feed: dialect.peers,
@@ -131,6 +137,15 @@
     );
   }
 
+  /** Whether the list was complete, as far as known, at some time. */
+  get isSettled(): boolean {
+    return isPeerListSettled({
+      now: this.#context.clock.readMonotonic(),
+      startedAt: this.#startedAt,
+      changedAt: this.#changedAt,
+    });
+  }
+
   /** Returns the other VMs; the same array object until they change. */
   listPeers(): readonly PeerWithRegion[] {
     return this.#read().list;
@@ -148,6 +163,9 @@
   }
 
   #apply(changes: readonly RowChange<JsonValue>[]): void {
+    if (!this.isSettled) {
+      this.#changedAt = this.#context.clock.readMonotonic();
+    }
     const parsed = changes.map(({ key, value }) => {
       if (value === undefined) return { key };
       const entry = PEER_SCHEMA.safeParse(value);
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -127,6 +127,11 @@
     return this.#peers.listPeers().length + 1;
   }
 
+  /** Whether enough VMs are known to tell which of them are home VMs. */
+  get arePeersSettled(): boolean {
+    return this.#peers.isSettled;
+  }
+
   /**
    * Whether this VM is a home VM of a customer: one of the VMs that hold its
    * tokens for their region and lend them to the others.
