Count the end of earlier incarnations as an answer of the store

In one run of the whole suite at a load average of 19, a new VM refused its first four requests with 503 ("a budget serves every request that fits, and more after it is raised"), then served. Since no tokens are taken in advance at the start, the answers of exchanges no longer show that the store is available: a VM that is slow to start takes it for unavailable 1.4 s after its creation, unless a presence update was confirmed, and refuses before the answer to its first exchange arrives.

The answer to the end of earlier incarnations, which comes before any exchange of a budget, is recorded too. "a VM that has only ended its earlier incarnations doesn't take the store for unavailable" failed before.

--- a/packages/gateway/features/budgets/exchange_pace_test.ts
+++ b/packages/gateway/features/budgets/exchange_pace_test.ts
@@ -174,9 +174,8 @@
   const table = new MemoryTable({ now: () => clock.readMonotonic() });
   const shared = { clock, table, areHomesKnown: false };
   const { budget, exchanges } = new SpendingVm("v1", shared);
-  const earlier = undefined;
   budget.isInitialized = false;
-  await exchanges.endEarlierIncarnations(budget, earlier);
+  await exchanges.endEarlierIncarnations(budget, undefined);
   clock.advance(CHECK_INTERVAL);
   exchanges.rebalance([budget]);
   t.false(budget.exchanging);
@@ -190,3 +189,14 @@
   exchanges.rebalance([budget]);
   t.true(budget.exchanging);
 });
+
+test("a VM that has only ended its earlier incarnations doesn't take the store for unavailable", async (t) => {
+  const clock = createManualClock();
+  const table = new MemoryTable({ now: () => clock.readMonotonic() });
+  const shared = { clock, table, areHomesKnown: false };
+  const { budget, exchanges } = new SpendingVm("v1", shared);
+  clock.advance(2_000);
+  t.true(exchanges.isStoreDown);
+  await exchanges.endEarlierIncarnations(budget, undefined);
+  t.false(exchanges.isStoreDown);
+});
--- a/packages/gateway/features/budgets/grant_exchanges.ts
+++ b/packages/gateway/features/budgets/grant_exchanges.ts
@@ -153,6 +153,7 @@
     });
     const answer = await budget.writer.run(operation, { giveUpAt: Infinity });
     answer.ifRight(({ freed, writtenOff, othersRate }) => {
+      this.recordAnswer();
       budget.othersRate = othersRate;
       budget.isInitialized = true;
       if (isUrgent(budget) || this.#options.areHomesKnown()) {
