Refuse whole requests that crash targets after three crashes

Callers saw: a request that crashes targets, repeated by its caller, crashed two targets with each attempt of the caller (one retry of the gateway).

Cause: as for prompt parts, nothing of a crash was remembered.

Change: a request's digest (method, host, path, customer, body) is counted like one more part of a prompt. It is refused with 503 as request-quarantined. It is still retried: any target that dies breaks many sound requests.

--- a/packages/core/enums.ts
+++ b/packages/core/enums.ts
@@ -94,6 +94,7 @@
   NoTarget = "no-target",
   Quarantined = "quarantined",
   PartQuarantined = "part-quarantined",
+  RequestQuarantined = "request-quarantined",
   ConfigurationStale = "configuration-stale",
   Draining = "draining",
   TargetFailed = "target-failed",
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -107,7 +107,7 @@
    */
   async run(call: RoutedCall, progress: CallProgress): Promise<CallEnd> {
     const { retries, context, crashReports } = this.#options;
-    const { prompt } = call.request;
+    const { suspectKeys } = call;
     const { ratio } = context.settings.retries;
     retries.recordFirstAttempt(call.service, ratio * EARNED_RATIO_SHARE);
     let failure: AttemptFailure | undefined;
@@ -119,8 +119,8 @@
       if (isRetry && !this.#mayRetry(call, { progress, failure, sends })) break;
       await lossCheck;
       // A suspect that goes on to another target may crash that as well.
-      if (isRetry && crashReports.hasSuspect(prompt)) break;
-      const quarantined = crashReports.findRefusal(prompt);
+      if (isRetry && crashReports.hasSuspectPart(suspectKeys)) break;
+      const quarantined = crashReports.findRefusal(suspectKeys);
       if (quarantined !== undefined) {
         if (progress.runs > 0) break;
         const { refusal, detail } = quarantined;
@@ -271,8 +271,7 @@
     }
     progress.triedTargets.push(target.id);
     const startedAt = context.clock.readMonotonic();
-    const { prompt } = call.request;
-    const promptTokens = prompt?.tokens ?? 0;
+    const promptTokens = call.request.prompt?.tokens ?? 0;
     targets.recordStart(target.id, { now: startedAt, promptTokens });
     const watchdog = new AttemptWatchdog(call, {
       now: startedAt,
@@ -296,8 +295,7 @@
     if (result.isRight()) {
       const answer = result.extract() as CompleteAnswer;
       this.#recordOutcome(call, { target, started, head: answer.head });
-      const { status } = answer.head;
-      if (status < 300) this.#options.crashReports.recordBegun(prompt);
+      this.#options.crashReports.recordBegun(call.suspectKeys);
       return { isComplete: true, answer };
     }
     const failure = watchdog.explainFailure(result.extract() as AttemptFailure);
@@ -337,7 +335,7 @@
       return Promise.resolve();
     }
     return crashDetector.recordLost(listed, {
-      prompt: call.request.prompt,
+      keys: call.suspectKeys,
       hasHead: failure.head !== undefined,
     });
   }
@@ -442,7 +440,7 @@
           isFirst = false;
           targets.recordPrefillEnd(target.id, call.request.prompt?.tokens ?? 0);
           this.#recordFirstByte(call, progress);
-          this.#options.crashReports.recordBegun(call.request.prompt);
+          this.#options.crashReports.recordBegun(call.suspectKeys);
         }
         call.exchange.sendHead(head!.status, head!.headers);
         progress.events++;
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -34,6 +34,7 @@
 import type { ConfigurationFollower } from "../features/configuration_follower.ts";
 import type { CustomerBudgets } from "../features/budgets/customer_budgets.ts";
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
+import { createSuspectKeys } from "../features/crashes/suspect_keys.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallEnd, CallRunner } from "./call_runner.ts";
 import { CallerExchange } from "./caller_exchange.ts";
@@ -258,8 +259,8 @@
       });
       return this.#refuse(exchange, { refusal, request, arrivedAt });
     }
-    const { prompt } = request;
-    const quarantined = this.#options.crashReports.findRefusal(prompt);
+    const { suspectKeys } = call;
+    const quarantined = this.#options.crashReports.findRefusal(suspectKeys);
     if (quarantined !== undefined) {
       return this.#refuse(exchange, { ...quarantined, request, arrivedAt });
     }
@@ -298,6 +299,10 @@
       route,
       service,
       arrivedAt,
+      suspectKeys: createSuspectKeys({
+        ...rest,
+        customer: rest.customer?.id,
+      }),
       deadline: arrivedAt + timeout,
       configurationVersion: configuration.version,
       tokensPerEvent: configuration.services.get(service)?.engine
--- a/packages/gateway/entry/routed_call.ts
+++ b/packages/gateway/entry/routed_call.ts
@@ -8,6 +8,7 @@
 } from "../../core/mod.ts";
 import type { RouteConfig, RoutedCustomer } from "../../routes/mod.ts";
 import type { CallerRequest, PromptFacts } from "../dialect.ts";
+import type { SuspectKeys } from "../features/crashes/suspect_keys.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 
 /** One admitted request, as routed at its arrival. */
@@ -19,6 +20,8 @@
   readonly customer: RoutedCustomer | undefined;
   readonly configurationVersion: number;
   readonly body: Uint8Array;
+  /** What of the request crashes of targets are counted by. */
+  readonly suspectKeys: SuspectKeys;
   readonly arrivedAt: MonotonicTime;
   /** Time by which the final answer must be sent. */
   readonly deadline: MonotonicTime;
--- a/packages/gateway/features/crashes/crash_detector.ts
+++ b/packages/gateway/features/crashes/crash_detector.ts
@@ -3,7 +3,7 @@
  * first event of an answer, it probes whether the target still accepts
  * connections, and reports the parts of the prompts that a crash ended.
  */
-import { type Millis, type TargetId } from "../../../core/mod.ts";
+import type { Millis, TargetId } from "../../../core/mod.ts";
 import { checkConnection, ConnectionProbe } from "../../../ports/mod.ts";
 import {
   CrashWatch,
@@ -11,9 +11,10 @@
   type ObservedCrash,
 } from "../../../routing/mod.ts";
 import { LogEvent } from "../../../runtime/mod.ts";
-import type { ListedTarget, PromptFacts } from "../../dialect.ts";
+import type { ListedTarget } from "../../dialect.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
-import { type CrashReports, listSharedParts } from "./crash_reports.ts";
+import type { CrashReports } from "./crash_reports.ts";
+import type { SuspectKeys } from "./suspect_keys.ts";
 
 /** Time limit of a probe: some round trips between regions. */
 const PROBE_TIMEOUT: Millis = 300;
@@ -47,12 +48,11 @@
   async recordLost(
     target: ListedTarget,
     input: {
-      readonly prompt: PromptFacts | undefined;
+      readonly keys: SuspectKeys;
       readonly hasHead: boolean;
     },
   ): Promise<void> {
-    const parts = listSharedParts(input.prompt);
-    if (parts.length === 0) return;
+    const parts = [...input.keys.sharedParts, input.keys.request];
     const crash = this.#watch.recordLost(target.id, {
       incarnation: target.incarnation,
       attempt: { parts, hasHead: input.hasHead },
--- a/packages/gateway/features/crashes/crash_reports.ts
+++ b/packages/gateway/features/crashes/crash_reports.ts
@@ -1,5 +1,6 @@
 /**
- * Shares what the VMs observe of prompt parts that crash targets. Each VM
+ * Shares what the VMs observe of prompt parts and whole requests that crash
+ * targets; a request is one more part, identified by a digest. Each VM
  * writes its evidence to its own row when it has something new, and follows the
  * rows of all VMs. While the store is unavailable, a VM decides by what it has
  * observed and read so far.
@@ -30,9 +31,9 @@
   LogEvent,
   startOnDemand,
 } from "../../../runtime/mod.ts";
-import type { PromptFacts } from "../../dialect.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
 import { FeedFollower, type RowChange } from "../feed_follower.ts";
+import type { SuspectKeys } from "./suspect_keys.ts";
 
 const REPORT_SCHEMA = z.object({
   crashes: z.array(z.object({
@@ -72,7 +73,7 @@
 const MAX_BACKOFF: Millis = 1_000;
 
 /** Why a request is refused, for the caller and for the log. */
-export interface PartRefusal {
+export interface CrashRefusal {
   readonly refusal: Refusal;
   readonly detail: string;
 }
@@ -127,12 +128,11 @@
     ]);
   }
 
-  /** Records that an answer to a request with this prompt has begun. */
-  recordBegun(prompt: PromptFacts | undefined): void {
+  /** Records that an answer to a request with these keys has begun. */
+  recordBegun(keys: SuspectKeys): void {
     const now = this.#readSharedTime();
-    if (prompt === undefined || now === undefined) return;
-    const parts = prompt.parts.map((part) => part.id);
-    if (!this.#quarantine.recordBegun(parts, now)) return;
+    if (now === undefined) return;
+    if (!this.#quarantine.recordBegun(keys.all, now)) return;
     this.#logChanges(now);
     this.#process?.wake();
   }
@@ -157,24 +157,28 @@
     return suspects;
   }
 
-  /** Whether a prompt holds a part that may have crashed a target. */
-  hasSuspect(prompt: PromptFacts | undefined): boolean {
+  /**
+   * Whether a request holds a part that may have crashed a target. A request
+   * that may have as a whole is no suspect: any target that dies breaks many.
+   */
+  hasSuspectPart(keys: SuspectKeys): boolean {
     const now = this.#readSharedTime();
-    if (prompt === undefined || now === undefined) return false;
-    return this.#quarantine.hasSuspect(listSharedParts(prompt), now);
+    if (now === undefined) return false;
+    return this.#quarantine.hasSuspect(keys.sharedParts, now);
   }
 
-  /** Returns why a request with this prompt must not run, if it must not. */
-  findRefusal(prompt: PromptFacts | undefined): PartRefusal | undefined {
+  /** Returns why a request with these keys must not run, if it must not. */
+  findRefusal(keys: SuspectKeys): CrashRefusal | undefined {
     const now = this.#readSharedTime();
-    if (prompt === undefined || now === undefined) return undefined;
-    const parts = listSharedParts(prompt);
-    const found = this.#quarantine.findQuarantined(parts, now);
+    if (now === undefined) return undefined;
+    const suspects = [...keys.sharedParts, keys.request];
+    const found = this.#quarantine.findQuarantined(suspects, now);
     if (found === undefined) return undefined;
+    const kind = found.parts.includes(keys.request)
+      ? RefusalKind.RequestQuarantined
+      : RefusalKind.PartQuarantined;
     return {
-      refusal: createRefusal(RefusalKind.PartQuarantined, {
-        retryAfter: found.until - now,
-      }),
+      refusal: createRefusal(kind, { retryAfter: found.until - now }),
       detail: `parts ${found.parts.join(",")} crashed targets ${
         found.targets.join(",")
       }`,
@@ -263,14 +267,6 @@
   }
 }
 
-/**
- * Returns the parts of a prompt that may crash targets. The last part belongs
- * to one request or session.
- */
-export function listSharedParts(prompt: PromptFacts | undefined): string[] {
-  return (prompt?.parts ?? []).slice(0, -1).map((part) => part.id);
-}
-
 function formatParts(quarantined: QuarantinedParts): string {
   return quarantined.parts.join(",");
 }
--- a/packages/runtime/refusals.ts
+++ b/packages/runtime/refusals.ts
@@ -28,6 +28,7 @@
   [RefusalKind.NoTarget]: 503,
   [RefusalKind.Quarantined]: 422,
   [RefusalKind.PartQuarantined]: 503,
+  [RefusalKind.RequestQuarantined]: 503,
   [RefusalKind.ConfigurationStale]: 503,
   [RefusalKind.Draining]: 503,
   [RefusalKind.TargetFailed]: 502,
@@ -75,6 +76,8 @@
     "This request has made our services fail more than once, so we are not sending it again. Nothing was done. Please ask the person who looks after the event.",
   [RefusalKind.PartQuarantined]:
     "A part of this prompt has made our services fail several times, so requests with it are not run for some minutes. Nothing was done. Please leave that part out, or try again later.",
+  [RefusalKind.RequestQuarantined]:
+    "This request has made our services fail several times, so it is not run for some minutes. Nothing was done. Please change it, or try again later.",
   [RefusalKind.ConfigurationStale]:
     "We could not check that our settings are up to date. Nothing was done. Please try again in a moment.",
   [RefusalKind.Draining]:
