Name the VMs of a soak that did not become ready, and keep their logs

Seen: a soak that ended with "A VM did not become ready." left nothing that told a process that had ended from a slow start, since its logs were deleted.

Change: the error names each late VM, says whether its process still runs, and where the logs are; they are kept then.

Result: a soak whose gateways can't load a module ended with "VMs did not become ready: v1 (ended), v2 (ended)." and the folder, and v1.log had the error.

--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -160,7 +160,7 @@
     const ready = await Promise.all(
       this.#vms.map((vm) => vm.waitReady(MAX_START_TIME)),
     );
-    if (ready.includes(false)) throw new Error("A VM did not become ready.");
+    this.#checkReady(ready);
     const faults = planFaults({ seed, vms, duration });
     const callers = this.#vms.flatMap((vm) =>
       Array.from(
@@ -190,7 +190,20 @@
     return this.#keepsLogs ? { ...report, logs: this.#folder } : report;
   }
 
-  /** Ends all processes; deletes their logs unless a guarantee was violated. */
+  /** Throws an error that names the VMs that aren't ready; keeps the logs. */
+  #checkReady(ready: readonly boolean[]): void {
+    const late = this.#vms.filter((_, index) => !ready[index]);
+    if (late.length === 0) return;
+    this.#keepsLogs = true;
+    const states = late.map(({ name, isRunning }) =>
+      `${name} (${isRunning ? "running" : "ended"})`
+    );
+    throw new Error(
+      `VMs did not become ready: ${states.join(", ")}. Logs: ${this.#folder}`,
+    );
+  }
+
+  /** Ends all processes; deletes their logs unless they are kept. */
   async stop(): Promise<void> {
     this.#isOver = true;
     await Promise.all(this.#vms.map((vm) => vm.close()));
