Apply an exchange that is decided again once as a whole

Where a shrink and new tokens of the same grant were in one exchange whose answer was lost, the repeated decision shrank the grant a second time: the row counted fewer tokens than the holder had.

The row is left as it is once it shows the exchange's take, since all changes are made in one write. The new test failed before (50 tokens instead of 70).

--- a/packages/budget/rows/budget_rows_test.ts
+++ b/packages/budget/rows/budget_rows_test.ts
@@ -82,6 +82,29 @@
   t.is(row.grants["g1"]?.size, 100);
 });
 
+test("an exchange that shrinks a grant and adds tokens to it takes effect once", (t) => {
+  const rows = new MemoryRows();
+  rows.apply(takeGrant("g1", 60));
+  const exchange = createGrantExchange({
+    eventId: "e",
+    id: "x1",
+    initialLimit: 100,
+    shrinks: [{ grantId: "g1", size: 50 }],
+    take: {
+      grantId: "x1",
+      into: "g1",
+      holder: { vm: "vm-1", incarnation: "1" },
+      wanted: 20,
+      least: 1,
+      wallTime: 0,
+    },
+  });
+  t.is(rows.apply(exchange).size, 20);
+  t.is(rows.apply(exchange).size, 20);
+  const row = parseBudgetRow(rows.peek("budget/e") ?? null).unsafeCoerce();
+  t.is(row.grants["g1"]?.size, 70);
+});
+
 test("tokens for a grant that the row no longer has become a new grant", (t) => {
   const rows = new MemoryRows();
   const { size, grownGrantId } = rows.apply(growGrant("x1", 30));
--- a/packages/budget/rows/exchange_grants.ts
+++ b/packages/budget/rows/exchange_grants.ts
@@ -11,6 +11,7 @@
   VmId,
 } from "../../core/mod.ts";
 import {
+  type BudgetRow,
   computeBudgetLeft,
   countHolders,
   formatBudgetKey,
@@ -96,6 +97,26 @@
   readonly othersRate: number;
 }
 
+/** Whether the row shows the take of an exchange, so that it took effect. */
+function hasTaken(row: BudgetRow, exchange: GrantExchange): boolean {
+  return exchange.take !== undefined &&
+    findTaken(row, exchange.take) !== undefined;
+}
+
+/** Applies all changes of an exchange to a row that doesn't have them. */
+function applyChanges(before: BudgetRow, exchange: GrantExchange): BudgetRow {
+  let row = before;
+  if (exchange.raisesLimit === true) {
+    row = applyLimit(row, exchange.initialLimit);
+  }
+  row = applyStandbyReturn(row, exchange.standby ?? {});
+  for (const close of exchange.closes ?? []) row = closeEntry(row, close);
+  for (const loan of exchange.returns ?? []) row = returnLoan(row, loan);
+  for (const each of exchange.shrinks ?? []) row = shrinkEntry(row, each);
+  if (exchange.take !== undefined) row = addEntry(row, exchange.take);
+  return applyStandbyTake(row, exchange.standby?.take);
+}
+
 /** Returns the row operation that carries out an exchange. */
 export function createGrantExchange(
   exchange: GrantExchange,
@@ -107,16 +128,11 @@
     decide(rows) {
       const vm = exchange.rate?.vm ?? exchange.take?.holder.vm;
       const before = readBudgetRow(rows, exchange);
-      let row = before;
-      if (exchange.raisesLimit === true) {
-        row = applyLimit(row, exchange.initialLimit);
-      }
-      row = applyStandbyReturn(row, exchange.standby ?? {});
-      for (const close of exchange.closes ?? []) row = closeEntry(row, close);
-      for (const loan of exchange.returns ?? []) row = returnLoan(row, loan);
-      for (const each of exchange.shrinks ?? []) row = shrinkEntry(row, each);
-      if (exchange.take !== undefined) row = addEntry(row, exchange.take);
-      row = applyStandbyTake(row, exchange.standby?.take);
+      // All changes are made in one write. A shrink must not be repeated after
+      // tokens were added to the same grant.
+      let row = hasTaken(before, exchange)
+        ? before
+        : applyChanges(before, exchange);
       if (row !== before && exchange.rate !== undefined) {
         row = recordRate(row, exchange.rate);
       }
