Adapt the time limit of calls for the gateway's own rows too

The calls that exchange grants and update presence were given up after 1 s once connected, however long the path took, and decided and sent again: the fixed limit below the real duration that kept VMs of the far region from their configuration, on the path of budgets. They have the limit of the feeds' calls now, which grows to 2.5 s. The tests of outages keep their fixed limit.

--- a/packages/cli/commands/gateway_command.ts
+++ b/packages/cli/commands/gateway_command.ts
@@ -23,11 +23,11 @@
 /** Interval at which the settings file is checked for changes without SIGHUP. */
 const SETTINGS_CHECK_MILLIS = 5_000;
 
-/** Timeout of a store call; the store answers within a few milliseconds. */
-const STORE_TIMEOUT_MILLIS = 1_000;
-
-/** Range of the timeout of a feed's call, in addition to its wait time. */
-const FEED_TIMEOUT_MILLIS = { initial: 1_000, max: 2_500 };
+/**
+ * Range of the timeout of a store call, in addition to the wait time of a
+ * feed's call. The store answers within a few milliseconds.
+ */
+const STORE_TIMEOUT_MILLIS = { initial: 1_000, max: 2_500 };
 
 /**
  * Range of the timeout of connecting to the store: from some round trips within
@@ -69,7 +69,7 @@
     dialect: createPlatformDialect({
       address: settings.store.address,
       timeout: STORE_TIMEOUT_MILLIS,
-      feedTimeout: FEED_TIMEOUT_MILLIS,
+      feedTimeout: STORE_TIMEOUT_MILLIS,
       connectTimeout: STORE_CONNECT_TIMEOUT_MILLIS,
       recordCall: (call) => recordStoreCall(metrics, call),
       random: Math.random,
