Release loans only to lenders that can be told, and keep a request's tokens

A VM moved all idle loans out of its account before it knew whether their lenders answer: with a silent lender the tokens could be used by neither, just when they are needed. It also released all of them when it had a little more than a request needs, and borrowed again at the next one.

Loans whose lender is unlisted or silent stay now, and so does what a usual request needs, until the loans are idle. The new test failed before.

--- a/packages/budget/account.ts
+++ b/packages/budget/account.ts
@@ -25,8 +25,8 @@
 
 /**
  * A loan made from one grant. Its tokens count as lent until the borrower
- * reports the loan as fully spent. Unspent tokens that the borrower returns are
- * recorded in the budget row only.
+ * settles the loan. Unspent tokens that the borrower returns to the budget row
+ * instead are recorded there only.
  */
 export interface OutstandingLoan {
   /**
@@ -224,27 +224,43 @@
 }
 
 /**
- * Returns the account without fully spent loans. Nothing is reported to the
- * store, which counts lent tokens as used until they are returned. The next
- * loan request to a lender reports its fully spent loans, if they are undivided.
+ * Returns the account without fully spent loans. The next report to a lender
+ * lists those that are undivided. Nothing is reported to the store, which counts
+ * lent tokens as used until they are returned.
  */
 export function removeSpentLoans(account: EventAccount): EventAccount {
   return removeLoans(account, isSpentLoan);
 }
 
 /**
- * Returns the account without the loans that are neither reserved from, nor
+ * Returns the account without loans that are neither reserved from, nor
  * divided, nor part of an exchange. Their lenders get the unspent tokens back
  * with the next report, which is sent again until it is answered; these tokens
  * are never returned to the budget row as well.
  */
-export function returnLoans(account: EventAccount): EventAccount {
-  return removeLoans(
-    account,
-    (grant) =>
-      grant.lenderGrantId !== undefined && grant.reserved === 0 &&
-      !grant.closing && isUndividedLoan(grant),
+export function releaseLoans(
+  account: EventAccount,
+  input: {
+    /** Tokens of loans that stay, at least, if there are as many. */
+    readonly keep: Tokens;
+    /** Whether the lender of a grant can be told now. */
+    isReachable(lenderGrantId: string): boolean;
+  },
+): EventAccount {
+  const loans = account.grants.filter((grant) =>
+    grant.lenderGrantId !== undefined && grant.reserved === 0 &&
+    !grant.closing && isUndividedLoan(grant)
   );
+  let left = loans.reduce((sum, loan) => sum + computeGrantRoom(loan), 0);
+  const returned = loans.filter((loan) => {
+    const rest = left - computeGrantRoom(loan);
+    if (rest < input.keep || !input.isReachable(loan.lenderGrantId!)) {
+      return false;
+    }
+    left = rest;
+    return true;
+  });
+  return removeLoans(account, (grant) => returned.includes(grant));
 }
 
 /** Moves undivided loans from the grants to the settled loans. */
--- a/packages/budget/loans/loans_test.ts
+++ b/packages/budget/loans/loans_test.ts
@@ -23,9 +23,9 @@
   receiveGrant,
   receiveLoan,
   recordLoanRequest,
+  releaseLoans,
   removeReportedLoans,
   reserveTokens,
-  returnLoans,
   settleLoans,
   settleReservation,
 } from "../mod.ts";
@@ -37,6 +37,8 @@
   borrower: { vm: "b", incarnation: "1" },
 };
 
+const ALL_LOANS = { keep: 0, isReachable: () => true };
+
 function createLender(rows: MemoryRows): EventAccount {
   const { size } = rows.apply(createTakeGrant({
     eventId: "e",
@@ -361,7 +363,7 @@
     answer: lent.answer,
     deadline: GRANT_TERM,
   });
-  const idle = returnLoans(spend(credited, 10));
+  const idle = releaseLoans(spend(credited, 10), ALL_LOANS);
   t.deepEqual(idle.grants, []);
   const reported = listSettledLoans(idle, "a");
   t.deepEqual(reported.map((loan) => loan.unspent), [20]);
@@ -395,5 +397,20 @@
   });
   const reserved = reserveTokens(credited, { tokens: 10, now: 0 })
     .unsafeCoerce().account;
-  t.is(returnLoans(reserved), reserved);
+  t.is(releaseLoans(reserved, ALL_LOANS), reserved);
+});
+
+test("loans stay with their borrower while their lender is unreachable or they are needed", (t) => {
+  const lent = lendTokens(createLender(new MemoryRows()), {
+    request: REQUEST,
+    now: 0,
+    keep: 0,
+  });
+  const credited = receiveLoan(createBorrower(), {
+    answer: lent.answer,
+    deadline: GRANT_TERM,
+  });
+  const unreachable = { keep: 0, isReachable: () => false };
+  t.is(releaseLoans(credited, unreachable), credited);
+  t.is(releaseLoans(credited, { ...ALL_LOANS, keep: 1 }), credited);
 });
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -22,7 +22,7 @@
   computeReserved,
   createEventAccount,
   isGrantOpen,
-  returnLoans,
+  releaseLoans,
 } from "./account.ts";
 export type { AccountChange } from "./accounts.ts";
 export { Accounts } from "./accounts.ts";
@@ -87,9 +87,9 @@
 } from "./queries/compute_grant_targets.ts";
 export type { GrantReturn } from "./queries/choose_grant_returns.ts";
 export {
-  isLoanReturnDue,
+  chooseLoansKept,
   LOAN_IDLE_TIME,
-} from "./queries/is_loan_return_due.ts";
+} from "./queries/choose_loans_kept.ts";
 export type { GrantPlan, PlanInput } from "./queries/plan_grants.ts";
 export {
   computeNextDue,
--- a/packages/budget/queries/choose_loans_kept.ts
+++ b/packages/budget/queries/choose_loans_kept.ts
@@ -1,5 +1,5 @@
-/** Decides when a VM gives the loans of an account back to their lenders. */
-import type { Millis, MonotonicTime } from "../../core/mod.ts";
+/** Decides when and how far a VM gives the loans of an account back to their lenders. */
+import type { Millis, MonotonicTime, Tokens } from "../../core/mod.ts";
 import { computeAccountRoom, type EventAccount } from "../account.ts";
 
 /** Time without a reservation after which loans go back. */
@@ -9,19 +9,21 @@
 const MAX_REQUESTS_HELD = 1.3;
 
 /**
- * Returns whether loans of the account should go back, or settled ones be
- * reported: they have been idle for {@link LOAN_IDLE_TIME}, or the account has
- * more available than one usual request needs.
+ * Returns how many tokens of loans an account should keep while the others go
+ * back and settled ones are reported: none once they have been idle for
+ * {@link LOAN_IDLE_TIME}, or one usual request if it has more available.
+ * Returns undefined if nothing should go back now.
  */
-export function isLoanReturnDue(
+export function chooseLoansKept(
   account: EventAccount,
   now: MonotonicTime,
-): boolean {
-  const isIdle = now - account.lastDraw > LOAN_IDLE_TIME;
+): Tokens | undefined {
   const hasLoans = account.grants.some((grant) =>
     grant.lenderGrantId !== undefined && grant.reserved === 0
   );
-  if (!hasLoans) return isIdle && account.settledLoans.length > 0;
+  if (!hasLoans && account.settledLoans.length === 0) return undefined;
+  if (now - account.lastDraw > LOAN_IDLE_TIME) return 0;
   const room = computeAccountRoom(account, now);
-  return isIdle || room > MAX_REQUESTS_HELD * account.usualHold;
+  const isExcessive = room > MAX_REQUESTS_HELD * account.usualHold;
+  return hasLoans && isExcessive ? account.usualHold : undefined;
 }
--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -9,11 +9,11 @@
 import {
   type AccountChange,
   Accounts,
+  chooseLoansKept,
   chooseRequestToBorrowFor,
   computeReserved,
   type EventAccount,
   type ExchangeInput,
-  isLoanReturnDue,
   listServable,
   planExchange,
   type Reservation,
@@ -154,7 +154,7 @@
       run: () => {
         this.#countHolders();
         this.#exchanges.rebalance(this.#budgets.values());
-        this.#returnIdleLoans();
+        this.#giveIdleLoansBack();
         return Promise.resolve();
       },
       reportError: createErrorReporter(log, "budgets"),
@@ -353,14 +353,13 @@
    * or exceed what this VM should hold. Their lenders can lend them again at
    * once, while a return to the store would write the budget's row.
    */
-  #returnIdleLoans(): void {
+  #giveIdleLoansBack(): void {
     const now = this.#context.clock.readMonotonic();
     const report = createErrorReporter(this.#context.log, "loans");
     for (const { customer, waiters } of this.#budgets.values()) {
-      const account = this.#accounts.read(customer);
-      const isReturnDue = waiters.length === 0 &&
-        isLoanReturnDue(account, now);
-      if (isReturnDue) this.loans.returnLoans(customer).catch(report);
+      if (waiters.length > 0) continue;
+      const kept = chooseLoansKept(this.#accounts.read(customer), now);
+      if (kept !== undefined) this.loans.giveBack(customer, kept).catch(report);
     }
   }
 
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -176,9 +176,12 @@
     return this.#loans.borrow(customer, need);
   }
 
-  /** Gives a customer's loans that no request uses back to their lenders. */
-  returnLoans(customer: CustomerId): Promise<void> {
-    return this.#loans.returnLoans(customer);
+  /**
+   * Gives a customer's loans that no request uses back to their lenders, except
+   * for `keep` tokens.
+   */
+  giveBack(customer: CustomerId, keep: Tokens): Promise<void> {
+    return this.#loans.giveBack(customer, keep);
   }
 
   #choosePeers(customer: CustomerId): readonly Peer[] {
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -15,8 +15,8 @@
   planLoans,
   receiveLoan,
   recordLoanRequest,
+  releaseLoans,
   removeReportedLoans,
-  returnLoans,
   settleLoans,
   type VmIncarnation,
 } from "../budget/mod.ts";
@@ -252,22 +252,31 @@
   }
 
   /**
-   * Gives the loans of an event that no request uses back to their lenders, and
-   * reports those that were settled before. A report without an answer is sent
-   * again at the next call.
+   * Gives loans of an event that no request uses back to their lenders, except
+   * for `keep` tokens, and reports those that were settled before. A report
+   * without an answer is sent again at the next call.
    */
-  async returnLoans(eventId: EventId): Promise<void> {
+  async giveBack(eventId: EventId, keep: Tokens): Promise<void> {
     if (this.#reporting.has(eventId)) return;
-    const account = this.#accounts.changeAccount(eventId, returnLoans);
-    if (account.settledLoans.length === 0) return;
-    this.#reporting.add(eventId);
     const now = this.#context.clock.readMonotonic();
-    const reports = this.#listPeers(eventId)
-      .filter((peer) => now >= (this.#backoffUntil.get(peer.vm) ?? -Infinity))
+    const lenders = this.#listPeers(eventId)
+      .filter((peer) => now >= (this.#backoffUntil.get(peer.vm) ?? -Infinity));
+    const account = this.#accounts.changeAccount(
+      eventId,
+      (before) =>
+        releaseLoans(before, {
+          keep,
+          isReachable: (grantId) =>
+            lenders.some((peer) => grantId.startsWith(`${peer.vm}/`)),
+        }),
+    );
+    const reports = lenders
       .filter((peer) => listSettledLoans(account, peer.vm).length > 0)
       .map((peer) => this.#reportLoans(eventId, peer));
-    await Promise.all(reports);
-    this.#reporting.delete(eventId);
+    if (reports.length === 0) return;
+    this.#reporting.add(eventId);
+    await Promise.all(reports)
+      .finally(() => this.#reporting.delete(eventId));
   }
 
   /** Sends a loan request for no tokens, which reports the settled loans. */
