Give no 402 while tokens are on their way or the limit may be out of date

A VM answers 402 once all holders have said that they have no tokens. Tokens that one of them is giving back to its lender were in no account then; its answer counts them as returning now, as it does with those that return to the store. A VM whose configuration is stale may not know that the budget was topped up, and answers 503 instead, as for unknown routes and keys.

Found by review; the check of all holders has its tests, this case has none yet.

--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -84,6 +84,7 @@
   RefusalKind.UnknownRoute,
   RefusalKind.BadKey,
   RefusalKind.BodyTooLarge,
+  RefusalKind.BudgetSpent,
 ]);
 
 /** Timeout of callers that state none; the route's timeout applies as well. */
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -120,7 +120,8 @@
         const answer = this.#loans.lend(request);
         this.#accounts.recordLent(eventId, answer.tokens);
         this.#context.metrics.tokensLent.inc(answer.tokens);
-        return { ...answer, returning };
+        const unreported = this.#loans.sumUnreported(eventId);
+        return { ...answer, returning: returning + unreported };
       },
     });
     return createServer(createPeerHandler(router, this.#peers.key));
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -279,6 +279,15 @@
       .finally(() => this.#reporting.delete(eventId));
   }
 
+  /**
+   * Returns the tokens that this VM gives back to lenders that have not
+   * answered yet.
+   */
+  sumUnreported(eventId: EventId): Tokens {
+    return this.#accounts.readAccount(eventId).settledLoans
+      .reduce((sum, loan) => sum + loan.unspent, 0);
+  }
+
   /** Sends a loan request for no tokens, which reports the settled loans. */
   async #reportLoans(eventId: EventId, peer: Peer): Promise<void> {
     const { vmIncarnation: borrower } = this.#context;
