Make no loans during a planned stop while the store is available

Loans that were outstanding when their lender closed its grants stayed counted as used with what their borrowers didn't spend. Borrowers settle most loans within the time that a stop takes if no new ones are made. While the store is unavailable a stopping VM goes on to lend, since its tokens are lost otherwise.

Found by review; not measured.

--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -112,6 +112,7 @@
   #maxHolders = 1;
   #vmCount = 1;
   #vmCountListener: (count: number) => void = () => {};
+  #isDraining = false;
 
   constructor(context: GatewayContext) {
     this.#context = context;
@@ -323,6 +324,19 @@
     return returning;
   }
 
+  /**
+   * Begins a planned stop: lends nothing more while the store is available, so
+   * that most loans are settled when the grants are closed.
+   */
+  startDrain(): void {
+    this.#isDraining = true;
+  }
+
+  /** Whether this VM makes loans now. */
+  mayLend(): boolean {
+    return !this.#isDraining || this.#exchanges.isStoreDown;
+  }
+
   /** Counts lent tokens as spending by this VM. */
   recordLent(customer: CustomerId, tokens: Tokens): void {
     const budget = this.#budgets.get(customer);
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -56,6 +56,8 @@
    * the store instead, where the borrower can take them.
    */
   prepareToLend(customer: CustomerId, tokens: Tokens): Promise<Tokens>;
+  /** Whether this VM makes loans now. */
+  mayLend(): boolean;
   /** Counts lent tokens as spending by this VM. */
   recordLent(customer: CustomerId, tokens: Tokens): void;
   /** Returns the other VMs that hold a customer's tokens, by the budget row. */
@@ -115,7 +117,9 @@
         const { eventId, least } = request;
         // Loans that come back count as spending undone.
         this.#accounts.recordLent(eventId, -this.#loans.settle(request));
-        if (request.wanted === 0) return createEmptyAnswer(request.transferId);
+        if (request.wanted === 0 || !this.#accounts.mayLend()) {
+          return createEmptyAnswer(request.transferId);
+        }
         const returning = await this.#accounts.prepareToLend(eventId, least);
         const answer = this.#loans.lend(request);
         this.#accounts.recordLent(eventId, answer.tokens);
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -219,6 +219,7 @@
     log.info(LogEvent.DrainStarted, { open: this.#callers.openRequests });
     const end = startedAt + settings.stopMillis - SHUTDOWN_RESERVE;
     this.#callers.startDrain({ startedAt, endsAt: end });
+    this.#budgets.startDrain();
     await sleep(MIN_LISTEN_TIME);
     for (;;) {
       const now = clock.readMonotonic();
