--- /dev/null
+++ b/packages/gateway/features/budgets/customer_budgets_test.ts
@@ -0,0 +1,70 @@
+/** Tests of the reservation of tokens, with a store in memory. */
+import test from "ava";
+import { Right } from "purify-ts";
+import {
+  createSystemClock,
+  type JsonValue,
+  Kernel,
+} from "../../../core/mod.ts";
+import type { FeedPort, RowPort } from "../../../ports/mod.ts";
+import { createSilentLog } from "../../../runtime/mod.ts";
+import { GATEWAY_SCHEMA } from "../../../settings/mod.ts";
+import { MemoryTable } from "../../../stand_ins/mod.ts";
+import type { Dialect } from "../../dialect.ts";
+import { createGatewayMetrics } from "../../gateway_metrics.ts";
+import { CustomerBudgets } from "./customer_budgets.ts";
+
+const NO_PEERS: FeedPort<JsonValue> = {
+  load: () => Promise.resolve(Right({ rows: [], version: 1 })),
+  follow: () => new Promise(() => {}),
+};
+
+function createBudgets(table: RowPort): CustomerBudgets {
+  const address = "127.0.0.1:0";
+  return new CustomerBudgets({
+    settings: GATEWAY_SCHEMA.parse({
+      vm: "v1",
+      dataCentre: "here-a",
+      regions: { "here-a": "here" },
+      callers: address,
+      readiness: address,
+      store: { address },
+    }),
+    vm: "v1",
+    region: "here",
+    incarnation: "1",
+    dialect: { table, peers: NO_PEERS } as unknown as Dialect,
+    kernel: new Kernel(),
+    clock: createSystemClock(),
+    random: () => 0.5,
+    log: createSilentLog(),
+    metrics: createGatewayMetrics(),
+  });
+}
+
+test("the first request of a VM without tokens waits for the store's answer and is admitted", async (t) => {
+  const rows = new MemoryTable();
+  let answer = () => {};
+  const answered = new Promise<void>((resolve) => (answer = resolve));
+  let receive = () => {};
+  const received = new Promise<void>((resolve) => (receive = resolve));
+  const budgets = createBudgets({
+    read: (keys) => rows.read(keys),
+    transact: async (transaction) => {
+      receive();
+      await answered;
+      return await rows.transact(transaction);
+    },
+  });
+  t.teardown(budgets.register());
+  t.teardown(() => budgets.close());
+  let isOver = false;
+  const reserved = budgets.reserve(
+    { id: "tours", keys: [], prepaid: 100_000 },
+    { requestId: "r1", tokens: 140, deadline: Infinity },
+  ).finally(() => (isOver = true));
+  await received;
+  t.false(isOver);
+  answer();
+  t.is((await reserved).map((each) => each.tokens).extract(), 140);
+});
