Report proofs that don't fit into one report in the next

A VM that knew more than 64 suspected parts as harmless wrote 64 of them and took all for reported, so that other VMs went on suspecting the rest. Found by review; the new test failed before.

--- a/packages/routing/quarantine/part_quarantine.ts
+++ b/packages/routing/quarantine/part_quarantine.ts
@@ -176,9 +176,11 @@
     return this.#listUnreportedProofs(now).length > 0;
   }
 
-  /** Returns the bounded report of this VM, with all proofs that others lack. */
+  /** Returns the bounded report of this VM, with proofs that others lack. */
   createReport(now: SharedTime): EvidenceReport {
-    const added = this.#listUnreportedProofs(now);
+    // Proofs that don't fit stay unreported until the next report.
+    const added = this.#listUnreportedProofs(now)
+      .slice(0, MAX_REPORTED_PROOFS);
     for (const proof of added) this.#addProof(proof);
     const crashes = this.#report.crashes
       .filter((crash) => !isExpired(crash.at, now));
--- a/packages/routing/quarantine/part_quarantine_test.ts
+++ b/packages/routing/quarantine/part_quarantine_test.ts
@@ -177,3 +177,25 @@
   t.true(crashes.every((crash) => crash.parts.length <= MAX_REPORTED_PARTS));
   t.true(proofs.length <= MAX_REPORTED_PROOFS);
 });
+
+test("proofs that don't fit into one report follow in the next", (t) => {
+  const parts = Array.from(
+    { length: MAX_REPORTED_PROOFS + 10 },
+    (_, index) => `p${index}`,
+  );
+  const prover = new PartQuarantine();
+  prover.recordBegun(parts, 0);
+  for (let start = 0; start < parts.length; start += MAX_REPORTED_PARTS) {
+    const reported = parts.slice(start, start + MAX_REPORTED_PARTS);
+    applyFrom(prover, {
+      crashes: [createCrash(start, reported, SECOND)],
+      proofs: [],
+    }, SECOND);
+  }
+  const written = new Set<string>();
+  while (prover.hasUnreportedProof(SECOND)) {
+    const { proofs } = prover.createReport(SECOND);
+    for (const { part } of proofs) written.add(part);
+  }
+  t.is(written.size, parts.length);
+});
