--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -657,6 +657,7 @@
       const account = this.#accounts.read(each.customer);
       return {
         customer: each.customer,
+        home: this.loans.isHome(each.customer),
         prepaid: each.prepaid,
         rowLimit: each.rowLimit,
         budgetLeft: each.budgetLeft,
