Report what is spent of open grants in the budget row

A VM answers 402 at once if the spent tokens leave too little. The row showed them when a grant was closed; grants that grow stay open, so that callers of a spent budget got 503 and came back in vain.

A holder's exchange now reports what it has spent of its open grants; the numbers only rise and count as closed for the other VMs. The new test of the row failed to compile before.

--- a/packages/budget/commands/plan_exchange.ts
+++ b/packages/budget/commands/plan_exchange.ts
@@ -23,7 +23,11 @@
   GrantExchange,
   GrantExchangeResult,
 } from "../rows/exchange_grants.ts";
-import type { GrantShrink, LoanReturn } from "../rows/row_changes.ts";
+import type {
+  GrantShrink,
+  LoanReturn,
+  SpentReport,
+} from "../rows/row_changes.ts";
 import {
   createStandbyGrantId,
   type StandbyExchange,
@@ -85,6 +89,9 @@
   const exchange = {
     ...createBaseExchange(account.eventId, input, closes),
     shrinks,
+    ...(input.drawRate === undefined
+      ? {}
+      : { spent: listSpent(shrunk, closes) }),
     ...(plan.take === undefined ? {} : { take: createTake(input, plan.take) }),
     ...createStandby(input, plan.standby ?? { drops: [], take: 0 }),
   };
@@ -246,6 +253,18 @@
   };
 }
 
+/** Returns what was spent of the account's own grants that stay open. */
+function listSpent(
+  account: EventAccount,
+  closes: readonly Grant[],
+): SpentReport[] {
+  const closing = new Set(closes.map((grant) => grant.id));
+  return account.grants
+    .filter((grant) => grant.lenderGrantId === undefined && grant.spent > 0)
+    .filter((grant) => !closing.has(grant.id))
+    .map(({ id, spent }) => ({ grantId: id, spent }));
+}
+
 function createReturn(grant: Grant): LoanReturn[] {
   const { id, lenderGrantId, size, spent, parts } = grant;
   if (lenderGrantId === undefined) return [];
--- a/packages/budget/rows/budget_row.ts
+++ b/packages/budget/rows/budget_row.ts
@@ -25,6 +25,8 @@
    * they are unlocked; see `standby/presence_row.ts`.
    */
   standby: z.boolean().optional(),
+  /** Tokens of it that its holder has last reported as spent. */
+  spent: TOKENS_SCHEMA.optional(),
   /**
    * The last exchange that added tokens to the grant, and how many. An exchange
    * that is decided again after a lost answer finds here that it took effect.
@@ -180,6 +182,16 @@
     .reduce((sum, loan) => sum + loan.tokens, 0);
 }
 
+/**
+ * Returns the tokens of open grants that VMs other than the given one have
+ * reported as spent.
+ */
+export function sumSpentByOthers(row: BudgetRow, vm: string | undefined) {
+  return Object.values(row.grants)
+    .filter((grant) => grant.vm !== vm)
+    .reduce<Tokens>((sum, grant) => sum + (grant.spent ?? 0), 0);
+}
+
 /** Returns the tokens left to grant. */
 export function computeBudgetLeft(row: BudgetRow): Tokens {
   return row.limit - row.closed - computeGranted(row);
--- a/packages/budget/rows/budget_rows_test.ts
+++ b/packages/budget/rows/budget_rows_test.ts
@@ -105,6 +105,30 @@
   t.is(row.grants["g1"]?.size, 70);
 });
 
+test("what other VMs have spent of open grants counts as closed, and only rises", (t) => {
+  const rows = new MemoryRows();
+  rows.apply(takeGrant("g1", 60));
+  const report = (vm: string, spent: number) =>
+    rows.apply(createGrantExchange({
+      eventId: "e",
+      id: `x/${vm}/${spent}`,
+      initialLimit: 100,
+      rate: { vm, rate: spent },
+      take: {
+        grantId: `g/${vm}/${spent}`,
+        holder: { vm, incarnation: "1" },
+        wanted: 1,
+        least: 1,
+        wallTime: 0,
+      },
+      spent: [{ grantId: "g1", spent }],
+    }));
+  t.is(report("vm-1", 25).closed, 0);
+  t.is(report("vm-1", 20).closed, 0);
+  t.is(report("vm-2", 0).closed, 25);
+  t.is(readLeft(rows), 37);
+});
+
 test("tokens for a grant that the row no longer has become a new grant", (t) => {
   const rows = new MemoryRows();
   const { size, grownGrantId } = rows.apply(growGrant("x1", 30));
--- a/packages/budget/rows/exchange_grants.ts
+++ b/packages/budget/rows/exchange_grants.ts
@@ -19,6 +19,7 @@
   readBudgetRow,
   sumOtherRates,
   sumOutstandingLoans,
+  sumSpentByOthers,
 } from "./budget_row.ts";
 import {
   applyStandbyReturn,
@@ -37,8 +38,10 @@
   type LoanReturn,
   type RateReport,
   recordRate,
+  recordSpent,
   returnLoan,
   shrinkEntry,
+  type SpentReport,
 } from "./row_changes.ts";
 
 /** The changes that a VM makes to a budget row in one write. */
@@ -67,6 +70,11 @@
    * absent where VMs don't report it.
    */
   readonly rate?: RateReport;
+  /**
+   * What the VM has spent of its open grants, which is stored only if the row
+   * changes otherwise; absent where VMs don't report it.
+   */
+  readonly spent?: readonly SpentReport[];
 }
 
 /** Outcome of an exchange. Closes, returns and shrinks always take effect. */
@@ -82,7 +90,10 @@
   /** Tokens left to grant after this operation. */
   readonly budgetLeft: Tokens;
   readonly limit: Tokens;
-  /** Tokens spent or lost with a VM, without those of outstanding loans. */
+  /**
+   * Tokens spent or lost with a VM, without those of outstanding loans. Includes
+   * what other VMs have reported as spent of their open grants.
+   */
   readonly closed: Tokens;
   /** Number of VMs that hold grants after this operation. */
   readonly holders: number;
@@ -136,6 +147,7 @@
       if (row !== before && exchange.rate !== undefined) {
         row = recordRate(row, exchange.rate);
       }
+      if (row !== before) row = recordSpent(row, exchange.spent ?? []);
       const taken = exchange.take === undefined
         ? undefined
         : findTaken(row, exchange.take);
@@ -151,7 +163,8 @@
             findEntry(row, exchange.standby?.take?.grantId ?? "")?.size ?? 0,
           budgetLeft: computeBudgetLeft(row),
           limit: row.limit,
-          closed: row.closed - sumOutstandingLoans(row),
+          closed: row.closed - sumOutstandingLoans(row) +
+            sumSpentByOthers(row, vm),
           holders: countHolders(row),
           otherHolders: listOtherHolders(row, vm),
           othersRate: sumOtherRates(row, vm),
--- a/packages/budget/rows/row_changes.ts
+++ b/packages/budget/rows/row_changes.ts
@@ -41,6 +41,12 @@
   readonly rate: number;
 }
 
+/** A holder's report of the spent tokens of one of its open grants. */
+export interface SpentReport {
+  readonly grantId: string;
+  readonly spent: Tokens;
+}
+
 /** The close of a grant by its holder, which has no tokens of it reserved. */
 export interface GrantClose {
   readonly grantId: string;
@@ -86,6 +92,20 @@
   return limit > row.limit ? { ...row, limit } : row;
 }
 
+/** Records how many tokens of open grants are spent; the numbers only rise. */
+export function recordSpent(
+  row: BudgetRow,
+  reports: readonly SpentReport[],
+): BudgetRow {
+  const grants = { ...row.grants };
+  for (const { grantId, spent } of reports) {
+    const entry = grants[grantId];
+    if (entry === undefined || spent <= (entry.spent ?? 0)) continue;
+    grants[grantId] = { ...entry, spent };
+  }
+  return { ...row, grants };
+}
+
 /** Records a VM's spending rate; a rate of 0 or less removes the entry. */
 export function recordRate(row: BudgetRow, report: RateReport): BudgetRow {
   const rates = removeKey(row.rates ?? {}, report.vm);
