--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -32,7 +32,6 @@
   type Undo,
   type VmId,
 } from "../../../core/mod.ts";
-import { StoreWriter } from "../../../ports/mod.ts";
 import type {
   GatewayConfiguration,
   RoutedCustomer,
@@ -44,6 +43,7 @@
   startPeriodic,
 } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
+import { createRowWriter } from "../create_row_writer.ts";
 import { REBALANCE_INTERVAL } from "./exchange_pace.ts";
 import { GrantExchanges } from "./grant_exchanges.ts";
 import {
@@ -383,7 +383,7 @@
     const budget = createBudgetState({
       customer: customer.id,
       prepaid: customer.prepaid ?? 0,
-      writer: this.#createWriter(),
+      writer: createRowWriter(this.#context, MAX_BACKOFF),
     });
     this.#budgets.set(customer.id, budget);
     void this.#presence.findEarlierIncarnation()
@@ -404,19 +404,6 @@
     budget.borrowerDemand -= tokens;
   }
 
-  #createWriter(): StoreWriter {
-    const { dialect, clock, random } = this.#context;
-    return new StoreWriter({
-      table: dialect.table,
-      clock,
-      random,
-      groupDelay: 0,
-      maxBackoff: MAX_BACKOFF,
-      // Writes a single row.
-      maxCachedRows: 1,
-    });
-  }
-
   #tryReserve(budget: BudgetState, tokens: Tokens): Reservation | undefined {
     const reserved = this.#accounts.reserve(budget.customer, tokens);
     if (reserved === undefined) return undefined;
--- a/packages/gateway/features/budgets/exchange_pace.ts
+++ b/packages/gateway/features/budgets/exchange_pace.ts
@@ -14,8 +14,9 @@
 export const REBALANCE_INTERVAL: Millis = 400;
 
 /**
- * Optional writes that a row may take per second from all holders together. At
- * 20, one of four attempts from 64 ms away meets no other write.
+ * Optional writes that a row may take per second from all holders together;
+ * more of them leave a writer far from the store few attempts without a
+ * conflict.
  */
 const OPTIONAL_WRITES_PER_SECOND = 20;
 
--- a/packages/gateway/features/budgets/peer_list.ts
+++ b/packages/gateway/features/budgets/peer_list.ts
@@ -19,9 +19,10 @@
   type VmId,
 } from "../../../core/mod.ts";
 import type { PeerWithRegion } from "../../../lending/mod.ts";
-import { StoreWriter } from "../../../ports/mod.ts";
+import type { StoreWriter } from "../../../ports/mod.ts";
 import { LogEvent } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
+import { createRowWriter } from "../create_row_writer.ts";
 import { FeedFollower, type RowChange } from "../feed_follower.ts";
 import { isPeerListSettled } from "./peer_settling.ts";
 
@@ -82,7 +83,7 @@
 
   constructor(context: GatewayContext) {
     this.#context = context;
-    const { dialect, clock, random } = context;
+    const { dialect, clock } = context;
     this.#startedAt = clock.readMonotonic();
     this.#follower = new FeedFollower(context, {
       name: "peers",
@@ -91,15 +92,7 @@
       pause: FEED_PAUSE,
       apply: (changes) => this.#apply(changes),
     });
-    this.#writer = new StoreWriter({
-      table: dialect.table,
-      clock,
-      random,
-      groupDelay: 0,
-      maxBackoff: MAX_BACKOFF,
-      // Writes a single row.
-      maxCachedRows: 1,
-    });
+    this.#writer = createRowWriter(context, MAX_BACKOFF);
   }
 
   /** Registers the command and the dump, and starts to follow the rows. */
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -115,7 +115,8 @@
     const router = createLoanRouter({
       lend: async (request) => {
         const { eventId, least } = request;
-        // Loans that come back count as spending undone.
+        // Before more is taken from the store: what comes back may be enough.
+        // It counts as spending undone.
         this.#accounts.recordLent(eventId, -this.#loans.settle(request));
         if (request.wanted === 0 || !this.#accounts.mayLend()) {
           return createEmptyAnswer(request.transferId);
--- a/packages/gateway/features/crashes/crash_reports.ts
+++ b/packages/gateway/features/crashes/crash_reports.ts
@@ -16,7 +16,7 @@
   type RowOperation,
   type Undo,
 } from "../../../core/mod.ts";
-import { StoreWriter } from "../../../ports/mod.ts";
+import type { StoreWriter } from "../../../ports/mod.ts";
 import {
   type CrashReport,
   type EvidenceReport,
@@ -32,6 +32,7 @@
   startOnDemand,
 } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
+import { createRowWriter } from "../create_row_writer.ts";
 import { FeedFollower, type RowChange } from "../feed_follower.ts";
 import type { SuspectKeys } from "./suspect_keys.ts";
 
@@ -95,7 +96,7 @@
   ) {
     this.#context = context;
     this.#countVms = options.countVms;
-    const { dialect, clock, random } = context;
+    const { dialect } = context;
     this.#follower = new FeedFollower(context, {
       name: "crash reports",
       feed: dialect.crashReports,
@@ -103,15 +104,7 @@
       pause: FEED_PAUSE,
       apply: (changes) => this.#apply(changes),
     });
-    this.#writer = new StoreWriter({
-      table: dialect.table,
-      clock,
-      random,
-      groupDelay: 0,
-      maxBackoff: MAX_BACKOFF,
-      // Writes a single row.
-      maxCachedRows: 1,
-    });
+    this.#writer = createRowWriter(context, MAX_BACKOFF);
   }
 
   /** Starts to follow the reports of all VMs and to write this VM's own. */
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -1,8 +1,8 @@
 /** Schemas of the messages between entry VMs. */
 import { z } from "zod";
 
-/** Maximum number of settled loans that one request lists. */
-const MAX_SETTLED_LOANS = 100;
+/** Maximum number of settled loans that one request reports. */
+const MAX_REPORTED_LOANS = 100;
 
 /** Request for a loan of tokens. */
 export const LOAN_REQUEST_SCHEMA = z.object({
@@ -19,7 +19,7 @@
     transferId: z.string(),
     /** Tokens that the lender gets back. */
     unspent: z.number().int().nonnegative(),
-  })).max(MAX_SETTLED_LOANS).exactOptional(),
+  })).max(MAX_REPORTED_LOANS).exactOptional(),
 });
 
 /** Maximum number of grants that one loan is taken from. */
--- a/packages/ports/store_writer.ts
+++ b/packages/ports/store_writer.ts
@@ -43,8 +43,8 @@
 
 /**
  * Mean pause after the second conflict in a row of an operation. It doubles
- * with each further conflict, up to the maximum, with which a writer 64 ms away
- * from the store still makes five attempts in 800 ms.
+ * with each further conflict, up to the maximum, which leaves a request that
+ * waits for tokens several attempts.
  */
 const INITIAL_CONFLICT_PAUSE: Millis = 5;
 const MAX_CONFLICT_PAUSE: Millis = 160;
