Split the end-to-end tests of the adapter

The tests of answers that targets break off stand in a file of their own, and what both files start stands in platform/test_system.ts, which the check of imports treats like a test.

--- a/tools/check_imports.ts
+++ b/tools/check_imports.ts
@@ -93,6 +93,9 @@
   "settings",
 ];
 
+/** Test support that imports what tests may import. */
+const TEST_SUPPORT = "platform/test_system.ts";
+
 const PACKAGES = resolve("packages");
 const ADAPTER = resolve("platform");
 const IMPORT = /(?:from|import)\s+"(\.[^"]+)"/g;
@@ -131,13 +134,15 @@
   if (to === from) return undefined;
   if (rest.join("/") !== "mod.ts") return "reaches past the package's mod.ts";
   const layers = LAYERS[from] ?? [];
-  const allowed = file.endsWith("_test.ts")
-    ? [...layers, ...TEST_PACKAGES]
-    : layers;
+  const allowed = isTestFile(file) ? [...layers, ...TEST_PACKAGES] : layers;
   if (allowed.includes("*") || allowed.includes(to)) return undefined;
   return `${from} may not import ${to}`;
 }
 
+function isTestFile(file: string): boolean {
+  return file.endsWith("_test.ts") || file === resolve(TEST_SUPPORT);
+}
+
 function findForbiddenImports(): ForbiddenImport[] {
   const sources = [PACKAGES, ADAPTER].flatMap(listSources);
   return sources.flatMap((file) => {
@@ -157,7 +162,7 @@
   text: string,
 ): ForbiddenImport[] {
   const isAdapter = splitPath(file)[0] === "platform";
-  if (!isAdapter || file.endsWith("_test.ts")) return [];
+  if (!isAdapter || isTestFile(file)) return [];
   const importText = VALUE_IMPORT.exec(text)?.[0];
   if (importText === undefined) return [];
   return [{
