Send a stream to a caller of HTTP/1.0 only as a whole

Callers saw: a caller of HTTP/1.0 got a stream that its target had broken off, or whose VM was killed, as if it were complete.

Cause: a stream was sent on as it arrived, framed by chunks in HTTP/1.1. In HTTP/1.0 there are none, so the end of the connection was the regular end of whatever part had been sent.

Change: the events for such a caller are kept, within the memory of buffered answers, and sent with a length when the stream is complete. A stream that fails gets the refusal of any failed call.

--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -30,7 +30,7 @@
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
 import type { TargetRegistry } from "../features/target_registry.ts";
 import type { GatewayContext } from "../gateway_context.ts";
-import { AnswerMemory } from "./answer_buffer.ts";
+import type { AnswerMemory } from "./answer_buffer.ts";
 import { AttemptWatchdog } from "./attempt_watchdog.ts";
 import {
   CallProgress,
@@ -89,12 +89,12 @@
   readonly retries: RetryBudgets;
   readonly crashReports: CrashReports;
   readonly crashDetector: CrashDetector;
+  readonly answerMemory: AnswerMemory;
 }
 
 /** Runs calls at targets, with retries and resumed streams. */
 export class CallRunner {
   readonly #options: CallRunnerOptions;
-  readonly #memory = new AnswerMemory();
 
   constructor(options: CallRunnerOptions) {
     this.#options = options;
@@ -402,7 +402,7 @@
       readonly signal: AbortSignal;
     },
   ): TargetExchangeInput {
-    const { context, pools } = this.#options;
+    const { context, pools, answerMemory } = this.#options;
     const { customer, request, route } = call;
     const rank = customer?.rank ?? route.rank;
     const resumeAfter = input.progress.lastEventId ?? request.resumeAfter;
@@ -412,7 +412,7 @@
       target: input.listed,
       request,
       body: call.body,
-      memory: this.#memory,
+      memory: answerMemory,
       signal: input.signal,
       head: {
         timeLeft: call.deadline - context.clock.readMonotonic(),
--- a/packages/gateway/entry/caller_exchange.ts
+++ b/packages/gateway/entry/caller_exchange.ts
@@ -14,23 +14,43 @@
   readRefusalStatus,
 } from "../../runtime/mod.ts";
 import type { Dialect, HeaderList } from "../dialect.ts";
+import { AnswerBuffer, type AnswerMemory } from "./answer_buffer.ts";
+
+/** An answer of unknown length that is sent once it is complete. */
+interface HeldAnswer {
+  readonly status: number;
+  readonly headers: HeaderList;
+  readonly body: AnswerBuffer;
+}
 
 /** Reads the body of one request and writes one answer. */
 export class CallerExchange {
   readonly #incoming: IncomingMessage;
   readonly #outgoing: ServerResponse;
+  readonly #memory: AnswerMemory;
   readonly #disconnection = new AbortController();
+  /**
+   * Answer to a caller of HTTP/1.0, which has no chunks: the end of the
+   * connection would look like the regular end of any part of an answer.
+   */
+  #held: HeldAnswer | undefined;
   /** Whether the answer was ended or its connection destroyed. */
   #isFinished = false;
 
-  constructor(incoming: IncomingMessage, outgoing: ServerResponse) {
+  constructor(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    memory: AnswerMemory,
+  ) {
     this.#incoming = incoming;
     this.#outgoing = outgoing;
+    this.#memory = memory;
     // Without listeners, an error event of a connection that the caller has
     // reset would end the process.
     outgoing.on("error", () => {});
     incoming.on("error", () => {});
     outgoing.on("close", () => {
+      this.#takeHeld();
       if (!outgoing.writableFinished) this.#disconnection.abort();
     });
   }
@@ -45,9 +65,9 @@
     return this.#disconnection.signal.aborted;
   }
 
-  /** Whether the status and headers of an answer have been sent. */
+  /** Whether an answer has begun: its head was passed to this exchange. */
   get hasSentHead(): boolean {
-    return this.#outgoing.headersSent;
+    return this.#held !== undefined || this.#outgoing.headersSent;
   }
 
   /**
@@ -98,13 +118,14 @@
   }
 
   /**
-   * Sends a refusal. If the head of an answer was already sent, closes the
-   * connection instead.
+   * Sends a refusal, also in place of a held answer. If the head of an answer
+   * was already sent, closes the connection instead.
    */
   refuse(
     refusal: Refusal,
     input: { readonly dialect: Dialect; readonly requestId?: string },
   ): void {
+    this.#takeHeld();
     if (this.#isFinished || this.hasSentHead) return this.destroy();
     this.#isFinished = true;
     const { retryAfter } = refusal;
@@ -147,7 +168,12 @@
 
   /** Sends the head of an answer of unknown length, unless already sent. */
   sendHead(status: number, headers: HeaderList): void {
-    if (this.hasSentHead) return;
+    if (this.hasSentHead || this.isDisconnected) return;
+    if (this.#incoming.httpVersion === "1.0") {
+      const body = new AnswerBuffer(this.#memory);
+      this.#held = { status, headers, body };
+      return;
+    }
     this.#outgoing.writeHead(status, [...headers]);
   }
 
@@ -155,7 +181,11 @@
    * Writes a chunk of the answer. Returns false if the buffer is full and the
    * sender should await {@link waitDrain}.
    */
-  write(bytes: Uint8Array): boolean {
+  write(bytes: Buffer): boolean {
+    if (this.#held !== undefined) {
+      if (this.#held.body.push(bytes) !== undefined) this.destroy();
+      return true;
+    }
     return this.#outgoing.write(bytes);
   }
 
@@ -173,10 +203,22 @@
   /** Ends a complete answer. */
   end(): void {
     if (this.#isFinished) return;
+    const held = this.#takeHeld();
+    if (held !== undefined) return this.sendComplete(held);
     this.#isFinished = true;
     this.#outgoing.end();
   }
 
+  /** Returns the held answer, if there is one, and releases its memory. */
+  #takeHeld():
+    | (Omit<HeldAnswer, "body"> & { readonly body: Buffer })
+    | undefined {
+    const held = this.#held;
+    if (held === undefined) return undefined;
+    this.#held = undefined;
+    return { ...held, body: held.body.close() };
+  }
+
   /**
    * Closes the connection, so that the caller can't mistake a partial answer
    * for a complete one.
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -36,6 +36,7 @@
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
 import { createSuspectKeys } from "../features/crashes/suspect_keys.ts";
 import type { GatewayContext } from "../gateway_context.ts";
+import type { AnswerMemory } from "./answer_buffer.ts";
 import type { CallEnd, CallRunner } from "./call_runner.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import {
@@ -100,6 +101,7 @@
   readonly budgets: CustomerBudgets;
   readonly crashReports: CrashReports;
   readonly runner: CallRunner;
+  readonly answerMemory: AnswerMemory;
 }
 
 /** A request that the gateway refuses, and why. */
@@ -191,9 +193,9 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<void> {
-    const { context } = this.#options;
+    const { context, answerMemory } = this.#options;
     const arrivedAt = context.clock.readMonotonic();
-    const exchange = new CallerExchange(incoming, outgoing);
+    const exchange = new CallerExchange(incoming, outgoing, answerMemory);
     this.#openRequests++;
     context.metrics.openRequests.inc();
     if (this.#drainTimes !== undefined) exchange.disableKeepAlive();
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import { createEventLog, type EventLog, LogEvent } from "../runtime/mod.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
 import type { Dialect } from "./dialect.ts";
+import { AnswerMemory } from "./entry/answer_buffer.ts";
 import { CallRunner } from "./entry/call_runner.ts";
 import { CallerServer } from "./entry/caller_server.ts";
 import {
@@ -102,6 +103,7 @@
       countVms: () => this.#budgets.countVms(),
     });
     const crashDetector = new CrashDetector(context, this.#crashReports);
+    const answerMemory = new AnswerMemory();
     this.#callers = new CallerServer({
       context,
       configuration: this.#configuration,
@@ -114,7 +116,9 @@
         retries: this.#retries,
         crashReports: this.#crashReports,
         crashDetector,
+        answerMemory,
       }),
+      answerMemory,
     });
     this.#configuration.addListener((configuration) => {
       this.#callers.changeLimits(configuration.limits);
