Resume a stream within its answer only at the release that began it

Cause: the release that a target states in its entry was not decoded.

Change: an entry has to state a release, or it names no target. The release of the target that brought the first event is kept for the call, and only targets of that release may continue it. If another process or release was listed under the target's id before the answer's head arrived, the release is not certain: then the stream isn't resumed, and a resumed answer isn't used. Requests without an event go to any release, as before. The choice of a target and a resumed stream are logged with the release.

--- a/packages/core/configuration.ts
+++ b/packages/core/configuration.ts
@@ -9,6 +9,7 @@
   EventId,
   KindId,
   RegionId,
+  ReleaseId,
   ServiceId,
   TargetId,
   TeamId,
@@ -85,6 +86,11 @@
   readonly url: string;
   readonly region: RegionId;
   readonly dataCentre: DataCentreId;
+  /**
+   * Version of the target's software; absent if it states none. Streams of two
+   * releases don't fit together.
+   */
+  readonly release?: ReleaseId;
   /**
    * Number of concurrent requests that the target handles well; the initial
    * estimate for routing.
--- a/packages/core/identifiers.ts
+++ b/packages/core/identifiers.ts
@@ -31,6 +31,12 @@
 /** Identifies a target: one replica of a model engine or a plain service. */
 export type TargetId = string;
 
+/**
+ * Version of the software that a target runs. Versions have no order. Source:
+ * the target's entry.
+ */
+export type ReleaseId = string;
+
 /**
  * Identifies an entry VM. It does not change on a restart. Source: settings.
  */
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -47,6 +47,7 @@
   Incarnation,
   KindId,
   RegionId,
+  ReleaseId,
   RequestKey,
   ServiceId,
   TargetId,
--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -9,6 +9,7 @@
   DataCentreId,
   JsonValue,
   Millis,
+  ReleaseId,
   ServiceId,
   TargetId,
   Tokens,
@@ -110,6 +111,8 @@
   /** Changes when the target restarts under the same id. */
   readonly incarnation: string;
   readonly service: ServiceId;
+  /** Version of its software, which decides what it writes in a stream. */
+  readonly release: ReleaseId;
   readonly host: string;
   readonly port: number;
   readonly dataCentre: DataCentreId;
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -7,6 +7,7 @@
   type MonotonicTime,
   type Refusal,
   RefusalKind,
+  type ReleaseId,
   Repeatability,
   RequestOutcome,
   type TargetConfig,
@@ -183,7 +184,7 @@
     if (call.deadline - now < MIN_TIME_LEFT) return false;
     const mayRepeat = call.route.repeatability === Repeatability.Repeatable;
     if (progress.runs > 0 && !mayRepeat) return false;
-    if (progress.events > 0 && !call.route.resumable) return false;
+    if (progress.events > 0 && !mayResume(call, progress)) return false;
     if (progress.runs >= call.route.maxAttempts) return false;
     if (sends - progress.runs > MAX_NOT_RUN_SENDS) return false;
     return retries.covers(call.service, { extra: ExtraAttempt.Retry, now });
@@ -208,6 +209,7 @@
       reason: failure?.detail,
       events: progress.events,
       last_event: progress.lastEventId,
+      release: progress.release,
     });
   }
 
@@ -219,6 +221,7 @@
     return this.#options.targets.choose({
       service: call.service,
       tried: progress.triedTargets,
+      ...(progress.release === undefined ? {} : { release: progress.release }),
       ...shared,
     }).caseOf<TargetConfig | RefusalKind>({
       Left: (refusal) => refusal.kind,
@@ -239,6 +242,7 @@
       target: target.id,
       service: call.service,
       data_centre: target.dataCentre,
+      release: target.release,
       load: load.toFixed(2),
       load_age_ms: loadAge === undefined ? undefined : Math.round(loadAge),
       holder: isHolder,
@@ -287,7 +291,7 @@
     const result = call.route.form === AnswerForm.Events
       ? await forwardEvents({
         ...exchange,
-        sink: this.#createSink(call, progress, target),
+        sink: this.#createSink(call, progress, listed),
         recordProgress: () => watchdog.recordProgress(),
       })
       : await callTarget(exchange);
@@ -426,18 +430,27 @@
   #createSink(
     call: RoutedCall,
     progress: CallProgress,
-    target: TargetConfig,
+    target: ListedTarget,
   ): EventSink {
     const { targets } = this.#options;
     let head: AnswerHead | undefined;
+    let release: ReleaseId | undefined;
     let isFirst = true;
     return {
       handleHead: (received) => {
         head = received;
+        if (!targets.isReplaced(target)) {
+          release = target.release;
+          return undefined;
+        }
+        return progress.release === undefined
+          ? undefined
+          : "another process answers under the target's id";
       },
       handleEvent: (event) => {
         if (isFirst) {
           isFirst = false;
+          if (progress.events === 0) progress.release ??= release;
           targets.recordPrefillEnd(target.id, call.request.prompt?.tokens ?? 0);
           this.#recordFirstByte(call, progress);
           this.#options.crashReports.recordBegun(call.suspectKeys);
@@ -530,6 +543,11 @@
  */
 const RETRY_LATER = { retryAfter: 1_000 };
 
+/** Whether a stream that has begun may go on at another target. */
+function mayResume(call: RoutedCall, progress: CallProgress): boolean {
+  return call.route.resumable && progress.release !== undefined;
+}
+
 function createDisconnectedEnd(progress: CallProgress): CallEnd {
   return {
     outcome: progress.runs > 0 ? RequestOutcome.Unknown : RequestOutcome.NotRun,
--- a/packages/gateway/entry/routed_call.ts
+++ b/packages/gateway/entry/routed_call.ts
@@ -2,6 +2,7 @@
 import {
   MILLIS_PER_SECOND,
   type MonotonicTime,
+  type ReleaseId,
   type ServiceId,
   type TargetId,
   type Tokens,
@@ -39,6 +40,11 @@
   events = 0;
   /** Id of the last forwarded event that has one; streams resume after it. */
   lastEventId: string | undefined;
+  /**
+   * Release of the targets that the stream's events come from; undefined before
+   * the first event, and if the release is not certain.
+   */
+  release: ReleaseId | undefined;
   /** When a target's first event arrived; undefined for a single answer. */
   firstByteAt: MonotonicTime | undefined;
 }
--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -71,8 +71,11 @@
 
 /** Receives the events of an answer as they arrive. */
 export interface EventSink {
-  /** Called once, before the events, with the head of the answer. */
-  handleHead(head: AnswerHead): void;
+  /**
+   * Called once, before the events, with the head of the answer. Returns why
+   * the answer must not be used, if it must not.
+   */
+  handleHead(head: AnswerHead): string | undefined;
   /** May return a promise; reading pauses until it resolves (backpressure). */
   handleEvent(event: ServerSentEvent): Promise<void> | undefined;
 }
@@ -123,7 +126,11 @@
   if (!isEventStream(head)) {
     return await readWholeAnswer(input, { incoming, head });
   }
-  input.sink.handleHead(head);
+  const objection = input.sink.handleHead(head);
+  if (objection !== undefined) {
+    incoming.destroy();
+    return Left({ end: AttemptEnd.Broken, detail: objection, head });
+  }
   const splitter = new EventSplitter();
   // A stream may be resumed after its last event.
   let hasEvent = input.head.resumeAfter !== undefined;
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -127,6 +127,17 @@
     return this.#listed.get(id);
   }
 
+  /**
+   * Whether a target that was listed by an entry may have been replaced by
+   * another process or another release since.
+   */
+  isReplaced(entry: ListedTarget): boolean {
+    const current = this.#listed.get(entry.id);
+    return current !== undefined &&
+      (current.incarnation !== entry.incarnation ||
+        current.release !== entry.release);
+  }
+
   /** Chooses the target of an attempt; a Left if none is usable. */
   choose(
     input: Omit<PlacementInput, "now" | "dataCentre">,
@@ -204,6 +215,7 @@
       target: entry.id,
       service: entry.service,
       data_centre: entry.dataCentre,
+      release: entry.release,
       life: entry.incarnation,
     };
     if (known !== undefined && known.incarnation !== entry.incarnation) {
@@ -288,6 +300,7 @@
       url: `http://${entry.host}:${entry.port}`,
       region: this.#findRegion(entry.dataCentre),
       dataCentre: entry.dataCentre,
+      release: entry.release,
       capacity: entry.slots,
     };
   }
@@ -329,7 +342,7 @@
  */
 function isSameEntry(left: ListedTarget, right: ListedTarget): boolean {
   return left.incarnation === right.incarnation &&
-    left.service === right.service &&
+    left.service === right.service && left.release === right.release &&
     left.host === right.host && left.port === right.port &&
     left.dataCentre === right.dataCentre && left.slots === right.slots &&
     left.leaving === right.leaving;
--- a/packages/routing/queries/choose_placement.ts
+++ b/packages/routing/queries/choose_placement.ts
@@ -16,6 +16,7 @@
   type MonotonicTime,
   type Refusal,
   type RegionId,
+  type ReleaseId,
   type ServiceId,
   type TargetConfig,
   type TargetId,
@@ -41,6 +42,8 @@
   readonly sharedTokens: Tokens;
   /** Targets already used by attempts of this request; they are excluded. */
   readonly tried: readonly TargetId[];
+  /** The only release that may be chosen; any if absent. */
+  readonly release?: ReleaseId;
   /** This VM's data centre; targets in others cost a little more. */
   readonly dataCentre: string;
   readonly now: MonotonicTime;
@@ -198,7 +201,9 @@
 }
 
 function isUsable(target: TargetState, input: PlacementInput): boolean {
-  if (input.tried.includes(target.config.id)) return false;
+  const { id, release } = target.config;
+  if (input.tried.includes(id)) return false;
+  if (input.release !== undefined && release !== input.release) return false;
   const health = computeHealth(target, input.now);
   if (health === TargetHealth.Probation) return target.inFlight === 0;
   return health === TargetHealth.Healthy;
--- a/packages/routing/queries/choose_placement_test.ts
+++ b/packages/routing/queries/choose_placement_test.ts
@@ -31,6 +31,7 @@
       url: "http://127.0.0.1:1",
       region,
       dataCentre: `${region}-a`,
+      release: `release-of-${region}`,
       capacity: SLOTS,
     }))
   );
@@ -213,3 +214,19 @@
   t.true(placed.sharedPrefilled <= leastLoad.sharedPrefilled / 2);
   t.true(placed.meanWait <= leastLoad.meanWait);
 });
+
+test("only targets of a required release are chosen, also when others cost less", (t) => {
+  const state = createState({ west: 2, east: 1 });
+  const input = {
+    service: "llm",
+    sharedTokens: 0,
+    dataCentre: "west-a",
+    now: 0,
+  };
+  const choose = (release: string, tried: readonly string[] = []) =>
+    choosePlacement(state, { ...input, release, tried })
+      .map((placement) => placement.target.id).toMaybe().extract();
+  t.is(choose("release-of-east"), "east-0");
+  t.is(choose("release-of-east", ["east-0"]), undefined);
+  t.regex(choose("release-of-west")!, /^west/);
+});
