Share the list and the client of peers between the features of a gateway

The list of the other VMs, their client and the server for their calls belonged to the loans of tokens; other features can use them now.

--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -44,6 +44,7 @@
 } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
 import { createRowWriter } from "../create_row_writer.ts";
+import type { PeerAccess } from "../peers/peer_access.ts";
 import { REBALANCE_INTERVAL } from "./exchange_pace.ts";
 import { GrantExchanges } from "./grant_exchanges.ts";
 import {
@@ -114,10 +115,10 @@
   #vmCountListener: (count: number) => void = () => {};
   #isDraining = false;
 
-  constructor(context: GatewayContext) {
+  constructor(context: GatewayContext, peers: PeerAccess) {
     this.#context = context;
     this.#accounts = new Accounts(context);
-    this.loans = new TokenLoans(context, this);
+    this.loans = new TokenLoans(context, { accounts: this, peers });
     this.#presence = new PresenceWriter(context, {
       listInUse: () => [...this.#budgets.values()].flatMap(listInUse),
       onConfirmed: (inUse) => {
@@ -146,7 +147,7 @@
     });
   }
 
-  /** Registers accounts, dump and loans, and starts the periodic tasks. */
+  /** Registers accounts and dump, and starts the periodic tasks. */
   register(): Undo {
     const { kernel, random, log } = this.#context;
     const periodic = startPeriodic({
@@ -164,7 +165,6 @@
       this.#accounts.register(),
       kernel.registerDump("budgets", () => this.#describe()),
       this.#presence.register(),
-      this.loans.register(),
       periodic.stop,
     ]);
   }
--- a/packages/gateway/features/budgets/customer_budgets_test.ts
+++ b/packages/gateway/features/budgets/customer_budgets_test.ts
@@ -1,5 +1,5 @@
 /** Tests of the reservation of tokens, with a store in memory. */
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { Right } from "purify-ts";
 import {
   createSystemClock,
@@ -12,6 +12,7 @@
 import { MemoryTable } from "../../../stand_ins/mod.ts";
 import type { Dialect } from "../../dialect.ts";
 import { createGatewayMetrics } from "../../gateway_metrics.ts";
+import { PeerAccess } from "../peers/peer_access.ts";
 import { CustomerBudgets } from "./customer_budgets.ts";
 
 const NO_PEERS: FeedPort<JsonValue> = {
@@ -19,9 +20,9 @@
   follow: () => new Promise(() => {}),
 };
 
-function createBudgets(table: RowPort): CustomerBudgets {
+function startBudgets(t: ExecutionContext, table: RowPort): CustomerBudgets {
   const address = "127.0.0.1:0";
-  return new CustomerBudgets({
+  const context = {
     settings: GATEWAY_SCHEMA.parse({
       vm: "v1",
       dataCentre: "here-a",
@@ -39,7 +40,12 @@
     random: () => 0.5,
     log: createSilentLog(),
     metrics: createGatewayMetrics(),
-  });
+  };
+  const peers = new PeerAccess(context);
+  t.teardown(peers.register());
+  const budgets = new CustomerBudgets(context, peers);
+  t.teardown(budgets.register());
+  return budgets;
 }
 
 test("the first request of a VM without tokens waits for the store's answer and is admitted", async (t) => {
@@ -48,7 +54,7 @@
   const answered = new Promise<void>((resolve) => (answer = resolve));
   let receive = () => {};
   const received = new Promise<void>((resolve) => (receive = resolve));
-  const budgets = createBudgets({
+  const budgets = startBudgets(t, {
     read: (keys) => rows.read(keys),
     transact: async (transaction) => {
       receive();
@@ -56,7 +62,6 @@
       return await rows.transact(transaction);
     },
   });
-  t.teardown(budgets.register());
   t.teardown(() => budgets.close());
   let isOver = false;
   const reserved = budgets.reserve(
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -3,13 +3,10 @@
  * budget has no tokens left that no VM holds. Other VMs may hold unused tokens,
  * and can often be reached when the store can't.
  */
-import { Agent, createServer, type Server } from "node:http";
 import type {
   CustomerId,
-  Millis,
   MonotonicTime,
   Tokens,
-  Undo,
   VmId,
 } from "../../../core/mod.ts";
 import {
@@ -21,27 +18,10 @@
   type Peer,
   type PeerWithRegion,
 } from "../../../lending/mod.ts";
-import {
-  createLoanRouter,
-  createPeerHandler,
-  PeerClient,
-  type PeerLoanAnswer,
-} from "../../../peer/mod.ts";
+import type { PeerLoanAnswer, PeerLoanRequest } from "../../../peer/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
-import { PeerList } from "./peer_list.ts";
-
-/**
- * Timeout of a call to a peer. It covers a new connection and one call between
- * regions, each with a margin, and is short because a caller's request waits
- * for the answer.
- */
-const PEER_TIMEOUT: Millis = 300;
-
-/**
- * Maximum number of connections to one peer. One is not enough, since a call
- * may wait at the peer for an answer of the store.
- */
-const MAX_SOCKETS_PER_PEER = 4;
+import type { PeerAccess } from "../peers/peer_access.ts";
+import type { PeerList } from "../peers/peer_list.ts";
 
 /** Returns the answer to a request that only reports settled loans. */
 function createEmptyAnswer(transferId: string): PeerLoanAnswer {
@@ -64,27 +44,24 @@
   listHolders(customer: CustomerId): readonly VmId[];
 }
 
-/** Requests loans from other VMs and serves their requests. */
+/** Requests loans from other VMs and answers their requests. */
 export class TokenLoans {
   readonly #context: GatewayContext;
   readonly #accounts: LoanAccounts;
   readonly #peers: PeerList;
-  readonly #client: PeerClient;
   readonly #loans: Loans;
   /** Cache of customers' home VMs, computed from {@link #homesPeers}. */
   readonly #homes = new Map<CustomerId, readonly VmId[]>();
   #homesPeers: readonly PeerWithRegion[] | undefined;
 
-  constructor(context: GatewayContext, accounts: LoanAccounts) {
+  constructor(
+    context: GatewayContext,
+    input: { readonly accounts: LoanAccounts; readonly peers: PeerAccess },
+  ) {
+    const { accounts, peers } = input;
     this.#context = context;
     this.#accounts = accounts;
-    this.#peers = new PeerList(context);
-    this.#client = new PeerClient({
-      findKey: (address) => this.#peers.findKey(address),
-      timeout: PEER_TIMEOUT,
-      tls: false,
-      agent: new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_PEER }),
-    });
+    this.#peers = peers.list;
     const { clock, log, vm, incarnation } = context;
     this.#loans = new Loans(
       {
@@ -95,46 +72,27 @@
       },
       {
         book: accounts,
-        client: this.#client,
+        client: peers.client,
         listPeers: (customer) => this.#choosePeers(customer),
       },
     );
   }
 
-  /** Registers the list of peers; its undo also closes the connections. */
-  register(): Undo {
-    const undo = this.#peers.register();
-    return () => {
-      undo();
-      this.#client.close();
-    };
-  }
-
-  /** Returns a server that handles loan requests of other VMs. */
-  createServer(): Server {
-    const router = createLoanRouter({
-      lend: async (request) => {
-        const { eventId, least } = request;
-        // Before more is taken from the store: what comes back may be enough.
-        // It counts as spending undone.
-        this.#accounts.recordLent(eventId, -this.#loans.settle(request));
-        if (request.wanted === 0 || !this.#accounts.mayLend()) {
-          return createEmptyAnswer(request.transferId);
-        }
-        const returning = await this.#accounts.prepareToLend(eventId, least);
-        const answer = this.#loans.lend(request);
-        this.#accounts.recordLent(eventId, answer.tokens);
-        this.#context.metrics.tokensLent.inc(answer.tokens);
-        const unreported = this.#loans.sumUnreported(eventId);
-        return { ...answer, returning: returning + unreported };
-      },
-    });
-    return createServer(createPeerHandler(router, this.#peers.key));
-  }
-
-  /** Publishes the address of the server to the other VMs. */
-  announce(address: string): Promise<void> {
-    return this.#peers.announce(address);
+  /** Answers the request of another VM for a loan. */
+  async lend(request: PeerLoanRequest): Promise<PeerLoanAnswer> {
+    const { eventId, least } = request;
+    // Before more is taken from the store: what comes back may be enough. It
+    // counts as spending undone.
+    this.#accounts.recordLent(eventId, -this.#loans.settle(request));
+    if (request.wanted === 0 || !this.#accounts.mayLend()) {
+      return createEmptyAnswer(request.transferId);
+    }
+    const returning = await this.#accounts.prepareToLend(eventId, least);
+    const answer = this.#loans.lend(request);
+    this.#accounts.recordLent(eventId, answer.tokens);
+    this.#context.metrics.tokensLent.inc(answer.tokens);
+    const unreported = this.#loans.sumUnreported(eventId);
+    return { ...answer, returning: returning + unreported };
   }
 
   /** Returns the number of known VMs, this one included. */
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -30,6 +30,7 @@
 import { CrashDetector } from "./features/crashes/crash_detector.ts";
 import { CrashReports } from "./features/crashes/crash_reports.ts";
 import { CustomerBudgets } from "./features/budgets/customer_budgets.ts";
+import { PeerAccess } from "./features/peers/peer_access.ts";
 import { TargetRegistry } from "./features/target_registry.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import {
@@ -83,6 +84,7 @@
   readonly #context: GatewayContext;
   readonly #configuration: ConfigurationFollower;
   readonly #targets: TargetRegistry;
+  readonly #peers: PeerAccess;
   readonly #budgets: CustomerBudgets;
   readonly #crashReports: CrashReports;
   readonly #callers: CallerServer;
@@ -98,7 +100,8 @@
     this.#pools = new ConnectionPools(context.clock);
     this.#configuration = new ConfigurationFollower(context);
     this.#targets = new TargetRegistry(context);
-    this.#budgets = new CustomerBudgets(context);
+    this.#peers = new PeerAccess(context);
+    this.#budgets = new CustomerBudgets(context, this.#peers);
     this.#crashReports = new CrashReports(context, {
       countVms: () => this.#budgets.countVms(),
     });
@@ -171,6 +174,7 @@
     this.#undo = combineUndo([
       this.#configuration.register(),
       this.#targets.register(),
+      this.#peers.register(),
       this.#budgets.register(),
       this.#crashReports.register(),
     ]);
@@ -258,8 +262,10 @@
   }
 
   async #listenToPeers(address: string): Promise<void> {
-    const server = this.#budgets.loans.createServer();
-    void this.#budgets.loans.announce(await this.#listen(server, address));
+    const server = this.#peers.createServer({
+      lend: (request) => this.#budgets.loans.lend(request),
+    });
+    void this.#peers.list.announce(await this.#listen(server, address));
   }
 
   /** Starts to listen; returns the address with the port that was bound. */
--- a/packages/peer/mod.ts
+++ b/packages/peer/mod.ts
@@ -1,9 +1,13 @@
 /** tRPC client, router and message schemas for calls between entry VMs. */
 export type { PeerClientOptions } from "./peer_client.ts";
 export { PeerClient } from "./peer_client.ts";
-export type { PeerHandlers, PeerRouter } from "./peer_router.ts";
+export type {
+  GatewayPeerHandlers,
+  PeerHandlers,
+  PeerRouter,
+} from "./peer_router.ts";
 export {
-  createLoanRouter,
+  createGatewayRouter,
   createPeerHandler,
   createPeerRouter,
   isPeerKey,
--- a/packages/peer/peer_router.ts
+++ b/packages/peer/peer_router.ts
@@ -82,17 +82,20 @@
   });
 }
 
-/** Creates the router of a VM that offers only token loans to its peers. */
-export function createLoanRouter(handlers: Pick<PeerHandlers, "lend">) {
+/** Implementations of the procedures of a gateway. */
+export type GatewayPeerHandlers = Pick<PeerHandlers, "lend">;
+
+/** Creates the router of a gateway, with the procedures that it offers. */
+export function createGatewayRouter(handlers: GatewayPeerHandlers) {
   return trpc.router({ lend: createLendProcedure(handlers) });
 }
 
 /** Type of the full router, from which the clients' types are derived. */
 export type PeerRouter = ReturnType<typeof createPeerRouter>;
 
-/** Creates the HTTP handler that serves a full router or a loan router. */
+/** Creates the HTTP handler that serves a router. */
 export function createPeerHandler(
-  router: PeerRouter | ReturnType<typeof createLoanRouter>,
+  router: PeerRouter | ReturnType<typeof createGatewayRouter>,
   peerKey: string,
 ): (request: IncomingMessage, response: ServerResponse) => void {
   return createHTTPHandler({
