Continue a stream that its caller takes up only at the release that began it

Change: the VM that forwards the first event of a stream keeps its release, and tells two VMs of its region while it can't be sure that there is one release only. A VM without a record asks peers, and without an answer refuses the stream at once unless only one release can have begun it.

--- a/packages/core/enums.ts
+++ b/packages/core/enums.ts
@@ -97,6 +97,7 @@
   RequestQuarantined = "request-quarantined",
   ConfigurationStale = "configuration-stale",
   Draining = "draining",
+  StreamUnknown = "stream-unknown",
   TargetFailed = "target-failed",
   OutcomeUnknown = "outcome-unknown",
   TimedOut = "timed-out",
--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -49,6 +49,8 @@
   readonly prompt?: PromptFacts;
   /** Id of the last event that the caller received of an interrupted stream. */
   readonly resumeAfter?: string;
+  /** Id of the caller's request that received the first event of that stream. */
+  readonly resumes?: string;
   /** Headers to forward to a target, which gets those of an attempt as well. */
   readonly headers: HeaderList;
 }
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -29,6 +29,7 @@
 import type { AnswerHead, ListedTarget } from "../dialect.ts";
 import type { CrashDetector } from "../features/crashes/crash_detector.ts";
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
+import type { StreamReleases } from "../features/streams/stream_releases.ts";
 import type { TargetRegistry } from "../features/target_registry.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { AnswerMemory } from "./answer_buffer.ts";
@@ -36,6 +37,7 @@
 import {
   CallProgress,
   computeSeconds,
+  computeStreamPeriod,
   findSharedPrefix,
   type RoutedCall,
 } from "./routed_call.ts";
@@ -90,6 +92,7 @@
   readonly retries: RetryBudgets;
   readonly crashReports: CrashReports;
   readonly crashDetector: CrashDetector;
+  readonly streams: StreamReleases;
   readonly answerMemory: AnswerMemory;
 }
 
@@ -450,7 +453,10 @@
       handleEvent: (event) => {
         if (isFirst) {
           isFirst = false;
-          if (progress.events === 0) progress.release ??= release;
+          if (progress.events === 0) {
+            progress.release ??= release;
+            this.#recordBegun(call, progress);
+          }
           targets.recordPrefillEnd(target.id, call.request.prompt?.tokens ?? 0);
           this.#recordFirstByte(call, progress);
           this.#options.crashReports.recordBegun(call.suspectKeys);
@@ -464,6 +470,17 @@
     };
   }
 
+  /** Records the release of a stream that its caller may take up again. */
+  #recordBegun(call: RoutedCall, { release }: CallProgress): void {
+    if (!call.route.resumable || release === undefined) return;
+    this.#options.streams.recordBegun({
+      id: findStreamId(call),
+      service: call.service,
+      release,
+      period: computeStreamPeriod(call),
+    });
+  }
+
   #recordFirstByte(call: RoutedCall, progress: CallProgress): void {
     if (progress.firstByteAt !== undefined) return;
     const { clock, metrics } = this.#options.context;
@@ -476,8 +493,10 @@
   #deliver(call: RoutedCall, answer: CompleteAnswer): CallEnd {
     const { head, body } = answer;
     const { exchange } = call;
-    if (exchange.hasSentHead) exchange.end();
-    else {
+    if (exchange.hasSentHead) {
+      exchange.end();
+      this.#options.streams.recordComplete(findStreamId(call));
+    } else {
       exchange.sendComplete({
         status: head.status,
         headers: head.headers,
@@ -543,6 +562,13 @@
  */
 const RETRY_LATER = { retryAfter: 1_000 };
 
+/** Returns the id of the request that began the stream of a call. */
+function findStreamId({ request }: RoutedCall): string {
+  return request.resumeAfter === undefined
+    ? request.id
+    : request.resumes ?? request.id;
+}
+
 /** Whether a stream that has begun may go on at another target. */
 function mayResume(call: RoutedCall, progress: CallProgress): boolean {
   return call.route.resumable && progress.release !== undefined;
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -8,6 +8,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Either } from "purify-ts";
 import type { Reservation } from "../../budget/mod.ts";
 import {
   type Bytes,
@@ -15,9 +16,11 @@
   type MonotonicTime,
   type Refusal,
   RefusalKind,
+  type ReleaseId,
   RequestOutcome,
 } from "../../core/mod.ts";
 import {
+  AnswerForm,
   type CallerLimits,
   chooseService,
   type RouteConfig,
@@ -35,6 +38,7 @@
 import type { CustomerBudgets } from "../features/budgets/customer_budgets.ts";
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
 import { createSuspectKeys } from "../features/crashes/suspect_keys.ts";
+import type { StreamReleases } from "../features/streams/stream_releases.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { AnswerMemory } from "./answer_buffer.ts";
 import type { CallEnd, CallRunner } from "./call_runner.ts";
@@ -43,6 +47,7 @@
   CallProgress,
   computeMaxTokens,
   computeSeconds,
+  computeStreamPeriod,
   computeUsedTokens,
   type RoutedCall,
 } from "./routed_call.ts";
@@ -100,6 +105,7 @@
   readonly configuration: ConfigurationFollower;
   readonly budgets: CustomerBudgets;
   readonly crashReports: CrashReports;
+  readonly streams: StreamReleases;
   readonly runner: CallRunner;
   readonly answerMemory: AnswerMemory;
 }
@@ -326,6 +332,15 @@
   async #runCall(call: RoutedCall): Promise<void> {
     const { budgets, runner } = this.#options;
     const progress = new CallProgress();
+    if (isTakenUp(call)) {
+      const release = await this.#resolveRelease(call);
+      if (release.isLeft()) {
+        const refusal = release.extract() as Refusal;
+        const { exchange, request, arrivedAt } = call;
+        return this.#refuse(exchange, { refusal, request, arrivedAt });
+      }
+      progress.release = release.extract() as ReleaseId;
+    }
     const tokens = computeMaxTokens(call.request.prompt);
     const { customer } = call;
     let reservation: Reservation | undefined;
@@ -360,6 +375,17 @@
     this.#logEnd(call, { end, progress });
   }
 
+  /** Returns the release that must continue the stream of a call. */
+  #resolveRelease(call: RoutedCall): Promise<Either<Refusal, ReleaseId>> {
+    const { request, service } = call;
+    return this.#options.streams.resolve({
+      requestId: request.id,
+      stream: request.resumes,
+      service,
+      period: computeStreamPeriod(call),
+    });
+  }
+
   #refuse(
     exchange: CallerExchange,
     input: RefusedRequest & {
@@ -448,6 +474,12 @@
   }
 }
 
+/** Whether a call takes up a stream that an earlier request began. */
+function isTakenUp(call: RoutedCall): boolean {
+  return call.route.form === AnswerForm.Events &&
+    call.request.resumeAfter !== undefined;
+}
+
 /** Returns the route and customer of a request, or the refusal of it. */
 function resolveRoute(
   request: CallerRequest,
--- a/packages/gateway/entry/routed_call.ts
+++ b/packages/gateway/entry/routed_call.ts
@@ -1,5 +1,6 @@
 /** One request with its route, service, customer and deadline. */
 import {
+  type Millis,
   MILLIS_PER_SECOND,
   type MonotonicTime,
   type ReleaseId,
@@ -84,6 +85,18 @@
   };
 }
 
+/** Time between a caller's last resumption of a stream and its own timeout. */
+const STREAM_PERIOD_MARGIN: Millis = 1_000;
+
+/**
+ * Returns how long ago the stream that a call takes up may have begun, or how
+ * long one that it begins may be taken up: a caller has one timeout for all its
+ * requests.
+ */
+export function computeStreamPeriod({ route, request }: RoutedCall): Millis {
+  return Math.max(route.timeout, request.timeout ?? 0) + STREAM_PERIOD_MARGIN;
+}
+
 /** Returns a duration in seconds, for metrics. */
 export function computeSeconds(from: MonotonicTime, to: MonotonicTime): number {
   return (to - from) / MILLIS_PER_SECOND;
--- /dev/null
+++ b/packages/gateway/features/streams/stream_releases.ts
@@ -0,0 +1,330 @@
+/**
+ * Knows which release of the targets' software began each stream, so that a
+ * caller that takes up a stream at any VM gets the rest from the same release.
+ * The VM that forwards the first event of a stream keeps a record of it. A VM
+ * that has none resumes the stream if just one release can have begun it;
+ * otherwise it asks a few peers, to which records are sent once there are two
+ * releases. A stream that nobody has a record of is refused then, so that a
+ * record that is lost with its VMs costs a refusal and never a mixed stream.
+ */
+import { LRUCache } from "lru-cache";
+import { type Either, Left, Right } from "purify-ts";
+import {
+  combineUndo,
+  type Millis,
+  type MonotonicTime,
+  type Refusal,
+  RefusalKind,
+  type ReleaseId,
+  type ServiceId,
+  type Undo,
+  type VmId,
+} from "../../../core/mod.ts";
+import type { PeerWithRegion } from "../../../lending/mod.ts";
+import {
+  MAX_STREAM_RECORDS,
+  type PeerStreamAnswer,
+  type PeerStreamQuery,
+  type PeerStreamRecords,
+} from "../../../peer/mod.ts";
+import {
+  chooseRecordHolders,
+  chooseVmsToAsk,
+  findOnlyRelease,
+} from "../../../routing/mod.ts";
+import {
+  type BackgroundProcess,
+  createErrorReporter,
+  createRefusal,
+  LogEvent,
+  startOnDemand,
+  startPeriodic,
+} from "../../../runtime/mod.ts";
+import type { GatewayContext } from "../../gateway_context.ts";
+import type { PeerAccess } from "../peers/peer_access.ts";
+import type { TargetRegistry } from "../target_registry.ts";
+
+/** Time for which a record is kept: longer than callers resume a stream. */
+const RECORD_TERM: Millis = 120_000;
+
+/** Maximum number of records; the least recently used are dropped. */
+const MAX_RECORDS = 50_000;
+
+/**
+ * Time for which records are collected before they are sent. Streams that end
+ * earlier need none.
+ */
+const SEND_DELAY: Millis = 25;
+
+/**
+ * Interval at which it is checked whether records that were not needed so far
+ * have to be sent, since the list of targets is out of date.
+ */
+const CHECK_INTERVAL: Millis = 500;
+
+/** Time for which a peer that did not answer gets no records. */
+const SILENT_PEER_BACKOFF: Millis = 2_000;
+
+/**
+ * Retry-after if a peer did not answer: it or another VM may know the stream.
+ */
+const SILENT_PEER_RETRY_AFTER: Millis = 1_000;
+
+/** A stream that a caller wants to be resumed. */
+export interface ResumedStream {
+  /** Id of the caller's present request. */
+  readonly requestId: string;
+  /** Id of the request that began the stream, if the caller states it. */
+  readonly stream: string | undefined;
+  readonly service: ServiceId;
+  /** How long ago the stream may have begun. */
+  readonly period: Millis;
+}
+
+/** A stream whose first event was forwarded. */
+export interface BegunStream {
+  readonly id: string;
+  readonly service: ServiceId;
+  readonly release: ReleaseId;
+  /** How long the stream may be of use to its caller. */
+  readonly period: Millis;
+}
+
+/** Where the release of a resumed stream is known from, as logged. */
+enum ReleaseSource {
+  Own = "own-record",
+  Peer = "peer-record",
+  /** Only one release can have begun it. */
+  Only = "only-release",
+}
+
+/** Keeps and exchanges the releases that began streams. */
+export class StreamReleases {
+  readonly #context: GatewayContext;
+  readonly #peers: PeerAccess;
+  readonly #targets: TargetRegistry;
+  readonly #records = new LRUCache<string, ReleaseId>({
+    max: MAX_RECORDS,
+    ttl: RECORD_TERM,
+  });
+  /** Streams of use to their callers whose records have not been sent. */
+  readonly #unsent = new Map<
+    string,
+    BegunStream & { readonly expiresAt: MonotonicTime }
+  >();
+  readonly #silentUntil = new Map<VmId, number>();
+  #process: BackgroundProcess | undefined;
+
+  constructor(
+    context: GatewayContext,
+    input: { readonly peers: PeerAccess; readonly targets: TargetRegistry },
+  ) {
+    this.#context = context;
+    this.#peers = input.peers;
+    this.#targets = input.targets;
+    // The entry may be the first of another release.
+    this.#targets.addListingListener(() => this.#process?.wake());
+  }
+
+  /** Starts to send records to peers when they need them. */
+  register(): Undo {
+    const reportError = createErrorReporter(
+      this.#context.log,
+      "stream records",
+    );
+    this.#process = startOnDemand({
+      computeWait: () => SEND_DELAY,
+      run: () => {
+        this.#sendRecords();
+        return Promise.resolve(false);
+      },
+      reportError,
+    });
+    const check = startPeriodic({
+      interval: CHECK_INTERVAL,
+      random: this.#context.random,
+      run: () => Promise.resolve(this.#sendRecords()),
+      reportError,
+    });
+    return combineUndo([this.#process.stop, check.stop]);
+  }
+
+  /** Records the release of the first event of a stream. */
+  recordBegun(stream: BegunStream): void {
+    const { id, release } = stream;
+    if (this.#records.get(id) === release) return;
+    this.#records.set(id, release);
+    const expiresAt = this.#context.clock.readMonotonic() + stream.period;
+    this.#unsent.set(id, { ...stream, expiresAt });
+    if (!this.#isOnlyRelease(stream)) this.#process?.wake();
+  }
+
+  /** Drops the record of a stream that is complete. */
+  recordComplete(id: string): void {
+    this.#records.delete(id);
+    this.#unsent.delete(id);
+  }
+
+  /** Stores records of a peer. */
+  keep({ streams }: PeerStreamRecords): void {
+    for (const { id, release } of streams) this.#records.set(id, release);
+  }
+
+  /** Answers the question of a peer. */
+  answer({ id, service, period }: PeerStreamQuery): PeerStreamAnswer {
+    const release = this.#records.get(id);
+    return {
+      ...(release === undefined ? {} : { release }),
+      seen: this.#targets.listSeenReleases(service, period),
+    };
+  }
+
+  /** Returns the release that began a stream, or a refusal if none is certain. */
+  async resolve(stream: ResumedStream): Promise<Either<Refusal, ReleaseId>> {
+    const { clock, log, metrics } = this.#context;
+    const startedAt = clock.readMonotonic();
+    const found = await this.#find(stream);
+    const source = found.source ?? "unknown";
+    metrics.streamsTakenUp.inc({ source });
+    log.info(LogEvent.StreamTakenUp, {
+      request: stream.requestId,
+      stream: stream.stream,
+      service: stream.service,
+      release: found.release,
+      source,
+      asked: found.asked,
+      answered: found.answered,
+      ms: Math.round(clock.readMonotonic() - startedAt),
+    });
+    if (found.release !== undefined) return Right(found.release);
+    return Left(createRefusal(RefusalKind.StreamUnknown, {
+      retryAfter: this.#hasSilentPeer()
+        ? SILENT_PEER_RETRY_AFTER
+        : stream.period,
+    }));
+  }
+
+  async #find(stream: ResumedStream): Promise<{
+    readonly release?: ReleaseId;
+    readonly source?: ReleaseSource;
+    readonly asked: number;
+    readonly answered: number;
+  }> {
+    const unasked = { asked: 0, answered: 0 };
+    const own = stream.stream === undefined
+      ? undefined
+      : this.#records.get(stream.stream);
+    if (own !== undefined) {
+      return { release: own, source: ReleaseSource.Own, ...unasked };
+    }
+    const seen = this.#targets.listSeenReleases(stream.service, stream.period);
+    const only = findOnlyRelease([seen]);
+    if (only !== undefined) {
+      return { release: only, source: ReleaseSource.Only, ...unasked };
+    }
+    const peers = this.#choosePeers(stream.stream ?? "", chooseVmsToAsk);
+    const answers = await this.#ask(peers, stream);
+    const counts = { asked: peers.length, answered: answers.length };
+    const recorded = answers.find((each) => each.release !== undefined);
+    if (recorded?.release !== undefined) {
+      const { release } = recorded;
+      return { release, source: ReleaseSource.Peer, ...counts };
+    }
+    const release = findOnlyRelease([
+      seen,
+      ...answers.map((each) => each.seen),
+    ]);
+    return release === undefined
+      ? counts
+      : { release, source: ReleaseSource.Only, ...counts };
+  }
+
+  /**
+   * Asks peers for a stream. Resolves to the answers so far as soon as one has
+   * a record, else to all answers once each peer has answered or timed out.
+   */
+  #ask(
+    peers: readonly PeerWithRegion[],
+    { stream, service, period }: ResumedStream,
+  ): Promise<readonly PeerStreamAnswer[]> {
+    const query = { id: stream ?? "", service, period };
+    const answers: PeerStreamAnswer[] = [];
+    return new Promise((resolve) => {
+      const calls = peers.map(async (peer) => {
+        const result = await this.#peers.client
+          .findStream(peer.address, query);
+        result.ifLeft(() => this.#recordSilent(peer));
+        result.ifRight((answer) => {
+          answers.push(answer);
+          if (answer.release !== undefined) resolve(answers);
+        });
+      });
+      void Promise.all(calls).then(() => resolve(answers));
+    });
+  }
+
+  /** Whether any VM would resume a stream at its release without a record. */
+  #isOnlyRelease({ service, period }: BegunStream): boolean {
+    const seen = this.#targets.listSeenReleases(service, period);
+    return findOnlyRelease([seen]) !== undefined;
+  }
+
+  /**
+   * Sends the records that are needed, in one message to each holder, and keeps
+   * the others as long as their streams are of use.
+   */
+  #sendRecords(): void {
+    const batches = new Map<
+      PeerWithRegion,
+      { readonly id: string; readonly release: ReleaseId }[]
+    >();
+    const now = this.#context.clock.readMonotonic();
+    const needed = new Map<ServiceId, boolean>();
+    for (const stream of this.#unsent.values()) {
+      const { id, service, release, expiresAt } = stream;
+      const isNeeded = needed.get(service) ?? !this.#isOnlyRelease(stream);
+      needed.set(service, isNeeded);
+      if (isNeeded || now >= expiresAt) this.#unsent.delete(id);
+      if (!isNeeded) continue;
+      for (const peer of this.#choosePeers(id, chooseRecordHolders)) {
+        const batch = batches.get(peer) ?? [];
+        batches.set(peer, batch);
+        if (batch.length < MAX_STREAM_RECORDS) batch.push({ id, release });
+      }
+    }
+    for (const [peer, streams] of batches) {
+      void this.#peers.client.keepStreams(peer.address, { streams })
+        .then((result) => result.ifLeft(() => this.#recordSilent(peer)));
+    }
+  }
+
+  /** Returns the peers that a rule chooses for a stream. */
+  #choosePeers(
+    stream: string,
+    choose: typeof chooseRecordHolders,
+  ): PeerWithRegion[] {
+    const { vm, region, clock } = this.#context;
+    const now = clock.readMonotonic();
+    const others = this.#peers.list.listPeers()
+      .filter((peer) => now >= (this.#silentUntil.get(peer.vm) ?? -Infinity));
+    return choose(stream, { self: { vm, region }, others })
+      .flatMap((chosen) => others.find((peer) => peer.vm === chosen) ?? []);
+  }
+
+  #hasSilentPeer(): boolean {
+    const now = this.#context.clock.readMonotonic();
+    return [...this.#silentUntil.values()].some((until) => now < until);
+  }
+
+  #recordSilent(peer: PeerWithRegion): void {
+    const now = this.#context.clock.readMonotonic();
+    const isNew = now >= (this.#silentUntil.get(peer.vm) ?? -Infinity);
+    this.#silentUntil.set(peer.vm, now + SILENT_PEER_BACKOFF);
+    if (isNew) {
+      this.#context.log.warn(LogEvent.PeerSilent, {
+        peer: peer.vm,
+        call: "stream records",
+      });
+    }
+  }
+}
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -33,7 +33,9 @@
   recordAttemptStart,
   recordPrefillEnd,
   recordProbe,
+  ReleaseHistory,
   type RoutingState,
+  type SeenReleases,
   TargetHealth,
 } from "../../routing/mod.ts";
 import { LogEvent } from "../../runtime/mod.ts";
@@ -79,6 +81,7 @@
   readonly #removalListeners: ((target: TargetId) => void)[] = [];
   readonly #listingListeners: ((entry: ListedTarget) => void)[] = [];
   readonly #state: RoutingState;
+  readonly #releases = new ReleaseHistory();
 
   constructor(context: GatewayContext) {
     this.#context = context;
@@ -138,6 +141,16 @@
         current.release !== entry.release);
   }
 
+  /** Returns the releases of a service that were listed in the last `period`. */
+  listSeenReleases(service: ServiceId, period: Millis): SeenReleases {
+    this.#recordReleases();
+    return this.#releases.listSeen(service, {
+      now: this.#context.clock.readMonotonic(),
+      period,
+      currentUntil: this.#follower.currentUntil,
+    });
+  }
+
   /** Chooses the target of an attempt; a Left if none is usable. */
   choose(
     input: Omit<PlacementInput, "now" | "dataCentre">,
@@ -198,6 +211,7 @@
 
   #apply(changes: readonly RowChange<ListedTarget>[]): void {
     let hasChanged = false;
+    this.#recordReleases();
     for (const { key, value } of changes) {
       hasChanged = (value === undefined
         ? this.#applyMissing(key)
@@ -206,6 +220,12 @@
     if (hasChanged) this.#rebuild();
   }
 
+  /** Records the listed releases, before entries change and when asked. */
+  #recordReleases(): void {
+    const now = this.#context.clock.readMonotonic();
+    this.#releases.recordListed(this.#listed.values(), now);
+  }
+
   #applyEntry(entry: ListedTarget): boolean {
     const known = this.#listed.get(entry.id);
     this.#missing.delete(entry.id);
@@ -242,6 +262,7 @@
 
   #dropMissing(): void {
     if (this.#missing.size === 0) return;
+    this.#recordReleases();
     const now = this.#context.clock.readMonotonic();
     let hasChanged = false;
     for (const [id, until] of this.#missing) {
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -31,6 +31,7 @@
 import { CrashReports } from "./features/crashes/crash_reports.ts";
 import { CustomerBudgets } from "./features/budgets/customer_budgets.ts";
 import { PeerAccess } from "./features/peers/peer_access.ts";
+import { StreamReleases } from "./features/streams/stream_releases.ts";
 import { TargetRegistry } from "./features/target_registry.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import {
@@ -87,6 +88,7 @@
   readonly #peers: PeerAccess;
   readonly #budgets: CustomerBudgets;
   readonly #crashReports: CrashReports;
+  readonly #streams: StreamReleases;
   readonly #callers: CallerServer;
   readonly #pools: ConnectionPools;
   readonly #retries = new RetryBudgets();
@@ -107,11 +109,16 @@
     });
     const crashDetector = new CrashDetector(context, this.#crashReports);
     const answerMemory = new AnswerMemory();
+    this.#streams = new StreamReleases(context, {
+      peers: this.#peers,
+      targets: this.#targets,
+    });
     this.#callers = new CallerServer({
       context,
       configuration: this.#configuration,
       budgets: this.#budgets,
       crashReports: this.#crashReports,
+      streams: this.#streams,
       runner: new CallRunner({
         context,
         targets: this.#targets,
@@ -119,6 +126,7 @@
         retries: this.#retries,
         crashReports: this.#crashReports,
         crashDetector,
+        streams: this.#streams,
         answerMemory,
       }),
       answerMemory,
@@ -177,6 +185,7 @@
       this.#peers.register(),
       this.#budgets.register(),
       this.#crashReports.register(),
+      this.#streams.register(),
     ]);
     log.info(LogEvent.Started, {
       vm,
@@ -264,6 +273,8 @@
   async #listenToPeers(address: string): Promise<void> {
     const server = this.#peers.createServer({
       lend: (request) => this.#budgets.loans.lend(request),
+      keepStreams: (records) => this.#streams.keep(records),
+      findStream: (query) => this.#streams.answer(query),
     });
     void this.#peers.list.announce(await this.#listen(server, address));
   }
--- a/packages/gateway/gateway_metrics.ts
+++ b/packages/gateway/gateway_metrics.ts
@@ -53,6 +53,7 @@
   readonly configurationVersion: Gauge;
   readonly configurationAge: Gauge;
   readonly targets: Gauge<"state">;
+  readonly streamsTakenUp: Counter<"source">;
   readonly targetCrashes: Counter;
   readonly quarantinedParts: Gauge;
   readonly droppedLogLines: Counter;
@@ -133,6 +134,13 @@
       labelNames: ["state"],
       registers,
     }),
+    streamsTakenUp: new Counter({
+      name: "anvilrail_gateway_streams_taken_up_total",
+      help:
+        "Streams that callers took up again, by how their release is known.",
+      labelNames: ["source"],
+      registers,
+    }),
     targetCrashes: new Counter({
       name: "anvilrail_gateway_target_crashes_total",
       help: "Crashes of targets that ended attempts of this VM.",
--- a/packages/peer/mod.ts
+++ b/packages/peer/mod.ts
@@ -18,4 +18,8 @@
   PeerLoanAnswer,
   PeerLoanRequest,
   PeerRows,
+  PeerStreamAnswer,
+  PeerStreamQuery,
+  PeerStreamRecords,
 } from "./schemas.ts";
+export { MAX_STREAM_RECORDS } from "./schemas.ts";
--- a/packages/peer/peer_client.ts
+++ b/packages/peer/peer_client.ts
@@ -14,7 +14,7 @@
   describeError,
   sendRequest,
 } from "../ports/mod.ts";
-import type { PeerRouter } from "./peer_router.ts";
+import type { GatewayRouter, PeerRouter } from "./peer_router.ts";
 import {
   GOSSIP_SCHEMA,
   LOAN_ANSWER_SCHEMA,
@@ -23,7 +23,11 @@
   type PeerLoanAnswer,
   type PeerLoanRequest,
   type PeerRows,
+  type PeerStreamAnswer,
+  type PeerStreamQuery,
+  type PeerStreamRecords,
   ROWS_SCHEMA,
+  STREAM_ANSWER_SCHEMA,
 } from "./schemas.ts";
 
 /** Options of the peer client. */
@@ -121,6 +125,24 @@
     return checkAnswer(call, ROWS_SCHEMA);
   }
 
+  /** Sends records of streams to a gateway; `Right` once it keeps them. */
+  keepStreams(
+    address: string,
+    records: PeerStreamRecords,
+  ): Promise<Either<PlatformError, unknown>> {
+    const call = this.#connectGateway(address).keepStreams.mutate(records);
+    return checkAnswer(call, z.unknown());
+  }
+
+  /** Asks a gateway what it knows of a stream. */
+  findStream(
+    address: string,
+    query: PeerStreamQuery,
+  ): Promise<Either<PlatformError, PeerStreamAnswer>> {
+    const call = this.#connectGateway(address).findStream.query(query);
+    return checkAnswer(call, STREAM_ANSWER_SCHEMA);
+  }
+
   /** Closes all connections of the agent, including those in use. */
   close(): void {
     this.#options.agent.destroy();
@@ -135,6 +157,11 @@
     return client;
   }
 
+  /** The same client, with the procedures that only gateways offer. */
+  #connectGateway(address: string): TRPCClient<GatewayRouter> {
+    return this.#connect(address) as unknown as TRPCClient<GatewayRouter>;
+  }
+
   #createClient(address: string): TRPCClient<PeerRouter> {
     const scheme = this.#options.tls ? "https" : "http";
     return createTRPCClient<PeerRouter>({
--- a/packages/peer/peer_router.ts
+++ b/packages/peer/peer_router.ts
@@ -12,9 +12,14 @@
   type PeerLoanAnswer,
   type PeerLoanRequest,
   type PeerRows,
+  type PeerStreamAnswer,
+  type PeerStreamQuery,
+  type PeerStreamRecords,
   PROBE_SCHEMA,
   READ_ROWS_SCHEMA,
   SCAN_ROWS_SCHEMA,
+  STREAM_QUERY_SCHEMA,
+  STREAM_RECORDS_SCHEMA,
 } from "./schemas.ts";
 
 /** Implementations of the procedures. */
@@ -83,19 +88,33 @@
 }
 
 /** Implementations of the procedures of a gateway. */
-export type GatewayPeerHandlers = Pick<PeerHandlers, "lend">;
+export interface GatewayPeerHandlers extends Pick<PeerHandlers, "lend"> {
+  /** Stores records of streams that a peer has begun. */
+  keepStreams(records: PeerStreamRecords): void;
+  /** Returns what this VM knows of a stream that a peer was asked to resume. */
+  findStream(query: PeerStreamQuery): PeerStreamAnswer;
+}
 
 /** Creates the router of a gateway, with the procedures that it offers. */
 export function createGatewayRouter(handlers: GatewayPeerHandlers) {
-  return trpc.router({ lend: createLendProcedure(handlers) });
+  return trpc.router({
+    lend: createLendProcedure(handlers),
+    keepStreams: trustedProcedure.input(STREAM_RECORDS_SCHEMA)
+      .mutation(({ input }) => handlers.keepStreams(input)),
+    findStream: trustedProcedure.input(STREAM_QUERY_SCHEMA)
+      .query(({ input }) => handlers.findStream(input)),
+  });
 }
 
 /** Type of the full router, from which the clients' types are derived. */
 export type PeerRouter = ReturnType<typeof createPeerRouter>;
 
+/** Type of a gateway's router. */
+export type GatewayRouter = ReturnType<typeof createGatewayRouter>;
+
 /** Creates the HTTP handler that serves a router. */
 export function createPeerHandler(
-  router: PeerRouter | ReturnType<typeof createGatewayRouter>,
+  router: PeerRouter | GatewayRouter,
   peerKey: string,
 ): (request: IncomingMessage, response: ServerResponse) => void {
   return createHTTPHandler({
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -100,6 +100,44 @@
   durable: z.array(z.number().int()),
 });
 
+/** Maximum number of stream records in one message. */
+export const MAX_STREAM_RECORDS = 1_000;
+
+/** Streams that a VM has begun, with the releases that began them. */
+export const STREAM_RECORDS_SCHEMA = z.object({
+  streams: z.array(z.object({ id: z.string(), release: z.string() }))
+    .max(MAX_STREAM_RECORDS).readonly(),
+});
+
+/** Question for the release that began a stream. */
+export const STREAM_QUERY_SCHEMA = z.object({
+  id: z.string(),
+  service: z.string(),
+  /** How long ago the stream may have begun, in milliseconds. */
+  period: z.number().nonnegative(),
+});
+
+/** What a VM knows of a stream. */
+export const STREAM_ANSWER_SCHEMA = z.object({
+  /** Absent if the VM has no record of the stream. */
+  release: z.string().exactOptional(),
+  /** Releases of the service that the VM has seen in the period. */
+  seen: z.object({
+    releases: z.array(z.string()).readonly(),
+    /** Whether it can't have missed any. */
+    isComplete: z.boolean(),
+  }),
+});
+
+/** Streams that a VM has begun. */
+export type PeerStreamRecords = z.infer<typeof STREAM_RECORDS_SCHEMA>;
+
+/** Question for the release that began a stream. */
+export type PeerStreamQuery = z.infer<typeof STREAM_QUERY_SCHEMA>;
+
+/** What a VM knows of a stream. */
+export type PeerStreamAnswer = z.infer<typeof STREAM_ANSWER_SCHEMA>;
+
 /** Message with copies of bills. */
 export type PeerBills = z.infer<typeof BILLS_SCHEMA>;
 
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -116,6 +116,14 @@
 export { ExtraAttempt, RetryBudgets } from "./retry/retry_budget.ts";
 export type { RoutedRequest, RoutingState } from "./state.ts";
 export { createRoutingState } from "./state.ts";
+export type { RegionalVm } from "./stream/choose_record_holders.ts";
+export {
+  chooseRecordHolders,
+  chooseVmsToAsk,
+  RECORD_HOLDERS,
+} from "./stream/choose_record_holders.ts";
+export type { ListedRelease, SeenReleases } from "./stream/release_history.ts";
+export { findOnlyRelease, ReleaseHistory } from "./stream/release_history.ts";
 export type { AnswerProgress } from "./stream/answer_assembler.ts";
 export { AnswerAssembler, ChunkAction } from "./stream/answer_assembler.ts";
 export {
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -62,6 +62,8 @@
   TargetChosen = "target_chosen",
   AttemptRetried = "attempt_retried",
   StreamResumed = "stream_resumed",
+  /** A caller takes up a stream that an earlier request of it began. */
+  StreamTakenUp = "stream_taken_up",
   BudgetReserved = "budget_reserved",
   /** Grants of an earlier incarnation were written off or freed. */
   GrantWrittenOff = "grant_written_off",
--- a/packages/runtime/refusals.ts
+++ b/packages/runtime/refusals.ts
@@ -31,6 +31,7 @@
   [RefusalKind.RequestQuarantined]: 503,
   [RefusalKind.ConfigurationStale]: 503,
   [RefusalKind.Draining]: 503,
+  [RefusalKind.StreamUnknown]: 503,
   [RefusalKind.TargetFailed]: 502,
   [RefusalKind.OutcomeUnknown]: 502,
   [RefusalKind.TimedOut]: 504,
@@ -82,6 +83,8 @@
     "We could not check that our settings are up to date. Nothing was done. Please try again in a moment.",
   [RefusalKind.Draining]:
     "This machine is being replaced. Nothing was done. Please send the request again now.",
+  [RefusalKind.StreamUnknown]:
+    "We do not know any more which service began this answer, so we cannot continue it. Nothing was done. Please begin it anew.",
   [RefusalKind.StillRunning]:
     "This request is already being worked on. Please ask again shortly with the same Idempotency-Key to get its answer.",
   [RefusalKind.OutcomeUnknown]:
