Let the soak run a release of targets while streams break off

Targets of another release write other pieces, so that a caller sees a stream that joins two. During the new fault they serve beside the first release and streams break off; callers take up what may be resumed, at any VM. The new guarantee is that the events of a stream, over all calls of its caller, come from one release; a record that violates it is reported.

--- a/packages/soak/fault_plan.ts
+++ b/packages/soak/fault_plan.ts
@@ -36,6 +36,11 @@
   StoreForgets = "store-forgets",
   /** Some requests fail at the targets, each with a random target fault. */
   TargetFaults = "target-faults",
+  /**
+   * Targets of another release replace one of the first, beside the others, and
+   * targets break off streams meanwhile.
+   */
+  Release = "release",
   /** A target is listed as draining and then as ready again. */
   TargetLeaves = "target-leaves",
   /** A new configuration adds prepaid tokens and new customer keys. */
--- a/packages/soak/format_soak_report.ts
+++ b/packages/soak/format_soak_report.ts
@@ -22,6 +22,9 @@
       [...kinds].map(([kind, count]) => `${kind} ${count}`).join(", ")
     }`,
     `answers: ${formatStatuses(calls)}`,
+    `streams taken up: ${
+      formatStatuses(calls.filter((call) => call.isTakenUp))
+    }`,
     ...guarantees.flatMap(({ guarantee, checked, failures }) => [
       `${guarantee}: checked ${checked}, failed ${failures.length}`,
       ...failures.slice(0, 5).map((failure) => `  ${failure}`),
--- a/packages/soak/guarantees.ts
+++ b/packages/soak/guarantees.ts
@@ -31,6 +31,10 @@
   readonly promptTokens: Tokens;
   /** Output tokens that reached the caller. */
   readonly outputTokens: Tokens;
+  /** Whether the call takes up a stream that broke off. */
+  readonly isTakenUp: boolean;
+  /** Releases of the events that reached the caller, over all its calls. */
+  readonly releases: readonly string[];
   /** How many times targets started to run the call. */
   readonly runs: number;
 }
@@ -45,6 +49,8 @@
   RefusedNotRun = "true-refusal",
   /** A complete answer with status 200 is exactly what a target sent. */
   CompleteAnswer = "whole-answer",
+  /** A stream holds events of one release, over all calls of its caller. */
+  OneRelease = "one-release",
   /** A 503 from the gateway has a Retry-After header. */
   RetryAfter = "retry-after",
   /** A planned stop of a VM interrupts none of its open calls. */
@@ -105,6 +111,10 @@
       applies: (call) => call.status === 200 && call.isComplete,
       holds: (call) => call.isSealed && call.isExpectedBody && call.runs > 0,
     }),
+    checkCalls(SoakGuarantee.OneRelease, calls, {
+      applies: (call) => call.releases.length > 0,
+      holds: (call) => call.releases.length === 1,
+    }),
     checkCalls(SoakGuarantee.RetryAfter, calls, {
       applies: (call) => call.status === 503 && !call.isSealed,
       holds: (call) => call.hasRetryAfter,
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -10,8 +10,11 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
+  type BrokenStream,
   callGateway,
   createTrialConfiguration,
+  type GatewayAnswer,
+  OTHER_RELEASE,
   StoreFault,
   StoreServer,
   TargetFault,
@@ -67,6 +70,11 @@
 /** Probability that a request fails during {@link FaultKind.TargetFaults}. */
 const TARGET_FAULT_CHANCE = 0.2;
 
+/** Probability that a stream breaks off during {@link FaultKind.Release}. */
+const CUT_CHANCE = 0.3;
+
+const CUT_FAULTS = [TargetFault.CutEvent, TargetFault.UnframedCutEvent];
+
 /** Delay of bytes to and from the store during {@link FaultKind.DelayStore}. */
 const STORE_DELAY: Millis = 150;
 
@@ -103,6 +111,8 @@
   readonly #options: SoakOptions;
   readonly #store: StoreServer;
   readonly #targets: readonly TargetServer[];
+  /** Targets of another release, listed during {@link FaultKind.Release}. */
+  readonly #replacing: readonly TargetServer[];
   readonly #relays: readonly Relay[];
   readonly #vms: readonly VmProcess[];
   readonly #folder: string;
@@ -119,6 +129,7 @@
     parts: {
       readonly store: StoreServer;
       readonly targets: readonly TargetServer[];
+      readonly replacing: readonly TargetServer[];
       readonly relays: readonly Relay[];
       readonly vms: readonly VmProcess[];
       readonly folder: string;
@@ -127,6 +138,7 @@
     this.#options = options;
     this.#store = parts.store;
     this.#targets = parts.targets;
+    this.#replacing = parts.replacing;
     this.#relays = parts.relays;
     this.#vms = parts.vms;
     this.#folder = parts.folder;
@@ -138,6 +150,9 @@
     const store = await StoreServer.start();
     const ids = ["app-1", "app-2", "app-3", "llm-1", "llm-2", "llm-3"];
     const targets = await Promise.all(ids.map((id) => TargetServer.start(id)));
+    const replacing = await Promise.all(
+      ["llm-4", "llm-5"].map((id) => TargetServer.start(id, OTHER_RELEASE)),
+    );
     const relays: Relay[] = [];
     const vms: VmProcess[] = [];
     for (let number = 1; number <= options.vms; number++) {
@@ -147,7 +162,14 @@
       const storeAddress = relay.address;
       vms.push(new VmProcess({ name, storeAddress, folder }));
     }
-    const soak = new Soak(options, { store, targets, relays, vms, folder });
+    const soak = new Soak(options, {
+      store,
+      targets,
+      replacing,
+      relays,
+      vms,
+      folder,
+    });
     for (const target of targets) soak.#listTarget(target, "ready");
     soak.#storeConfiguration();
     return soak;
@@ -208,7 +230,7 @@
     this.#isOver = true;
     await Promise.all(this.#vms.map((vm) => vm.close()));
     for (const relay of this.#relays) relay.stop();
-    for (const target of this.#targets) target.stop();
+    for (const target of this.#listAllTargets()) target.stop();
     this.#store.stop();
     if (!this.#keepsLogs) rmSync(this.#folder, { recursive: true });
   }
@@ -314,7 +336,13 @@
       case FaultKind.StoreForgets:
         return this.#store.forgetHistory();
       case FaultKind.TargetFaults:
-        return await this.#withTargetFaults(waitDuration);
+        return await this.#withTargetFaults({
+          kinds: Object.values(TargetFault),
+          chance: TARGET_FAULT_CHANCE,
+          waitDuration,
+        });
+      case FaultKind.Release:
+        return await this.#replaceTarget(waitDuration);
       case FaultKind.TargetLeaves: {
         const target = this.#targets[fault.index % this.#targets.length]!;
         this.#listTarget(target, "draining");
@@ -367,17 +395,40 @@
   }
 
   /** Makes some requests fail at the targets for the duration of a fault. */
-  async #withTargetFaults(waitDuration: () => Promise<void>): Promise<void> {
-    const kinds = Object.values(TargetFault);
+  async #withTargetFaults(
+    input: {
+      readonly kinds: readonly TargetFault[];
+      readonly chance: number;
+      readonly waitDuration: () => Promise<void>;
+    },
+  ): Promise<void> {
+    const { kinds, chance, waitDuration } = input;
     const chooseFault = () =>
-      this.#random.drawChance(TARGET_FAULT_CHANCE)
+      this.#random.drawChance(chance)
         ? this.#random.choose(kinds)
         : TargetFault.None;
-    for (const target of this.#targets) target.chooseFault = chooseFault;
+    const targets = this.#listAllTargets();
+    for (const target of targets) target.chooseFault = chooseFault;
     await waitDuration();
-    for (const target of this.#targets) {
-      target.chooseFault = () => TargetFault.None;
-    }
+    for (const target of targets) target.chooseFault = () => TargetFault.None;
+  }
+
+  /** Lists targets of another release in place of one engine, then it again. */
+  async #replaceTarget(waitDuration: () => Promise<void>): Promise<void> {
+    const replaced = this.#targets.find((each) => each.id === "llm-1")!;
+    for (const target of this.#replacing) this.#listTarget(target, "ready");
+    this.#listTarget(replaced, "draining");
+    await this.#withTargetFaults({
+      kinds: CUT_FAULTS,
+      chance: CUT_CHANCE,
+      waitDuration,
+    });
+    for (const target of this.#replacing) this.#listTarget(target, "draining");
+    this.#listTarget(replaced, "ready");
+  }
+
+  #listAllTargets(): readonly TargetServer[] {
+    return [...this.#targets, ...this.#replacing];
   }
 
   /** Sends calls to a VM one after the other until the run is over. */
@@ -391,7 +442,10 @@
     agent.destroy();
   }
 
-  /** Sends one random call and records its answer. */
+  /**
+   * Sends one random call and records its answer. A stream that breaks off and
+   * may be resumed is taken up once, at any VM.
+   */
   async #call(
     vm: VmProcess,
     caller: { readonly random: SeededRandom; readonly agent: Agent },
@@ -401,8 +455,40 @@
     const customer = random.drawChance(0.7) ? "scarce" : "ample";
     const isPrompt = route === "chat" || route === "brief";
     const promptTokens = isPrompt ? random.drawInteger(20, 600) : 0;
+    const call = { route, customer, promptTokens };
+    const id = this.#createId(vm, random);
+    const answer = await this.#send(vm, { ...call, id, agent });
+    const isBroken = answer.events > 0 && !answer.isComplete;
+    if (route !== "chat" || !isBroken) return;
+    const other = random.choose(this.#vms);
+    await this.#send(other, {
+      ...call,
+      id: this.#createId(other, random),
+      takesUp: { id, lastEvent: answer.events },
+      releases: answer.releases,
+    });
+  }
+
+  #createId(vm: VmProcess, random: SeededRandom): string {
+    return `${vm.name}-${this.#calls.length}-${random.drawInteger(0, 1e9)}`;
+  }
+
+  /** Sends a call to a VM and records the answer. */
+  async #send(
+    vm: VmProcess,
+    call: {
+      readonly id: string;
+      readonly route: string;
+      readonly customer: string;
+      readonly promptTokens: number;
+      readonly agent?: Agent;
+      readonly takesUp?: BrokenStream;
+      /** Releases of the events that earlier calls for the stream brought. */
+      readonly releases?: readonly string[];
+    },
+  ): Promise<GatewayAnswer> {
+    const { id, route, customer, promptTokens, agent, takesUp } = call;
     const keyVersion = this.#configurationVersion;
-    const id = `${vm.name}-${this.#calls.length}-${random.drawInteger(0, 1e9)}`;
     const sentAt = this.#now();
     const { incarnation } = vm;
     const answer = await callGateway({
@@ -410,9 +496,10 @@
       ...(vm.callerPort === undefined ? {} : { port: vm.callerPort }),
       route,
       key: `key-${customer}-${keyVersion}`,
-      ...(isPrompt ? { promptTokens } : {}),
+      ...(promptTokens > 0 ? { promptTokens } : {}),
+      ...(takesUp === undefined ? {} : { takesUp }),
       timeoutMillis: CALLER_TIMEOUT,
-      agent,
+      ...(agent === undefined ? {} : { agent }),
     });
     this.#calls.push({
       id,
@@ -431,13 +518,16 @@
       hasRetryAfter: answer.retryAfter !== undefined,
       promptTokens,
       outputTokens: answer.outputTokens,
+      isTakenUp: takesUp !== undefined,
+      releases: [...new Set([...call.releases ?? [], ...answer.releases])],
     });
+    return answer;
   }
 
   /** Returns the recorded calls, each with how often targets ran it. */
   #countRuns(): CallRecord[] {
     const runs = new Map<string, number>();
-    for (const { id } of this.#targets.flatMap((target) => target.seen)) {
+    for (const { id } of this.#listAllTargets().flatMap((each) => each.seen)) {
       runs.set(id, (runs.get(id) ?? 0) + 1);
     }
     return this.#calls.map((call) => ({
--- a/packages/soak/soak_test.ts
+++ b/packages/soak/soak_test.ts
@@ -54,6 +54,8 @@
   promptTokens: 60,
   outputTokens: 40,
   runs: 1,
+  isTakenUp: false,
+  releases: ["v1"],
 };
 
 const RECORDS: SoakRecords = {
@@ -99,6 +101,10 @@
   t.deepEqual(listViolatedByCall({ runs: 0, promptTokens: 0 }), [
     CompleteAnswer,
   ]);
+  t.deepEqual(
+    listViolatedByCall({ releases: ["v1", "v2"] }),
+    [SoakGuarantee.OneRelease],
+  );
   t.deepEqual(
     listViolatedByCall({ isComplete: false }),
     [SoakGuarantee.PlannedStop],
