Tell a caller to come back soon while a peer that may know its stream was not heard

A VM whose list of peers was not complete yet answered a stream that it could not resume with a Retry-After of the whole time that streams are of use, as if all peers had said that they don't know it.

--- a/packages/gateway/features/streams/stream_releases.ts
+++ b/packages/gateway/features/streams/stream_releases.ts
@@ -66,9 +66,10 @@
 const SILENT_PEER_BACKOFF: Millis = 2_000;
 
 /**
- * Retry-after if a peer did not answer: it or another VM may know the stream.
+ * Retry-after if not all peers were asked and have answered: they or another VM
+ * may know the stream.
  */
-const SILENT_PEER_RETRY_AFTER: Millis = 1_000;
+const UNHEARD_PEER_RETRY_AFTER: Millis = 1_000;
 
 /** A stream that a caller wants to be resumed. */
 export interface ResumedStream {
@@ -198,8 +199,8 @@
     });
     if (found.release !== undefined) return Right(found.release);
     return Left(createRefusal(RefusalKind.StreamUnknown, {
-      retryAfter: this.#hasSilentPeer()
-        ? SILENT_PEER_RETRY_AFTER
+      retryAfter: this.#mayPeerKnow()
+        ? UNHEARD_PEER_RETRY_AFTER
         : stream.period,
     }));
   }
@@ -311,7 +312,9 @@
       .flatMap((chosen) => others.find((peer) => peer.vm === chosen) ?? []);
   }
 
-  #hasSilentPeer(): boolean {
+  /** Whether a peer that was not heard may know what this VM doesn't. */
+  #mayPeerKnow(): boolean {
+    if (!this.#peers.list.isSettled) return true;
     const now = this.#context.clock.readMonotonic();
     return [...this.#silentUntil.values()].some((until) => now < until);
   }
