Ask peers before a stream without a record counts as one of the only release

What happens: a VM whose list of targets showed one release resumed a stream without a record there, although its peers knew already that it had begun at a release that was listed a moment before. Found in a reading of the code; the list lags behind by up to 1.5 s, and by 3 s at a VM that has lost the store.

Now peers are asked in any case, and all that they have seen counts. Records are also kept apart by how long their streams are of use, since routes of a service may differ in that.

--- a/packages/gateway/features/streams/stream_releases.ts
+++ b/packages/gateway/features/streams/stream_releases.ts
@@ -1,11 +1,12 @@
 /**
  * Knows which release of the targets' software began each stream, so that a
  * caller that takes up a stream at any VM gets the rest from the same release.
- * The VM that forwards the first event of a stream keeps a record of it. A VM
- * that has none resumes the stream if just one release can have begun it;
- * otherwise it asks a few peers, to which records are sent once there are two
- * releases. A stream that nobody has a record of is refused then, so that a
- * record that is lost with its VMs costs a refusal and never a mixed stream.
+ * The VM that forwards the first event of a stream keeps a record of it, and
+ * sends it to a few peers once there are two releases. A VM that has no record
+ * asks them. A stream that nobody has a record of is resumed only if just one
+ * release can have begun it, by what the VM and its peers have seen; otherwise
+ * it is refused, so that a record that is lost with its VMs costs a refusal and
+ * never a mixed stream.
  */
 import { LRUCache } from "lru-cache";
 import { type Either, Left, Right } from "purify-ts";
@@ -211,17 +212,16 @@
     readonly asked: number;
     readonly answered: number;
   }> {
-    const unasked = { asked: 0, answered: 0 };
     const own = stream.stream === undefined
       ? undefined
       : this.#records.get(stream.stream);
     if (own !== undefined) {
-      return { release: own, source: ReleaseSource.Own, ...unasked };
-    }
-    const seen = this.#targets.listSeenReleases(stream.service, stream.period);
-    const only = findOnlyRelease([seen]);
-    if (only !== undefined) {
-      return { release: only, source: ReleaseSource.Only, ...unasked };
+      return {
+        release: own,
+        source: ReleaseSource.Own,
+        asked: 0,
+        answered: 0,
+      };
     }
     const peers = this.#choosePeers(stream.stream ?? "", chooseVmsToAsk);
     const answers = await this.#ask(peers, stream);
@@ -231,8 +231,9 @@
       const { release } = recorded;
       return { release, source: ReleaseSource.Peer, ...counts };
     }
+    // Peers may have seen a release that this VM's list doesn't show yet.
     const release = findOnlyRelease([
-      seen,
+      this.#targets.listSeenReleases(stream.service, stream.period),
       ...answers.map((each) => each.seen),
     ]);
     return release === undefined
@@ -280,11 +281,12 @@
       { readonly id: string; readonly release: ReleaseId }[]
     >();
     const now = this.#context.clock.readMonotonic();
-    const needed = new Map<ServiceId, boolean>();
+    const needed = new Map<string, boolean>();
     for (const stream of this.#unsent.values()) {
-      const { id, service, release, expiresAt } = stream;
-      const isNeeded = needed.get(service) ?? !this.#isOnlyRelease(stream);
-      needed.set(service, isNeeded);
+      const { id, service, release, period, expiresAt } = stream;
+      const key = `${service} ${period}`;
+      const isNeeded = needed.get(key) ?? !this.#isOnlyRelease(stream);
+      needed.set(key, isNeeded);
       if (isNeeded || now >= expiresAt) this.#unsent.delete(id);
       if (!isNeeded) continue;
       for (const peer of this.#choosePeers(id, chooseRecordHolders)) {
