Continue a stream of a split route at the service that began it

Callers saw, on a route that is split among services: a stream that they took up again was sent to a service drawn anew. It was refused if that service had no target of the release, and could join what two services write otherwise.

Found by looking for it elsewhere; the users' sites have no such route.

Change: the record holds the service as well, and the call moves there if its route still leads there. Records of split routes are always sent to peers, since no VM can tell the service without one.

--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -20,7 +20,7 @@
   type Placement,
   type RetryBudgets,
 } from "../../routing/mod.ts";
-import { AnswerForm } from "../../routes/mod.ts";
+import { AnswerForm, isSplit } from "../../routes/mod.ts";
 import {
   createRefusal,
   createUnknownOutcomeRefusal,
@@ -477,6 +477,7 @@
       id: findStreamId(call),
       service: call.service,
       release,
+      isSplit: isSplit(call.route),
       period: computeStreamPeriod(call),
     });
   }
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -16,13 +16,17 @@
   type MonotonicTime,
   type Refusal,
   RefusalKind,
-  type ReleaseId,
   RequestOutcome,
+  type ServiceId,
+  type Tokens,
 } from "../../core/mod.ts";
 import {
   AnswerForm,
   type CallerLimits,
   chooseService,
+  type GatewayConfiguration,
+  hasService,
+  isSplit,
   type RouteConfig,
   type RoutedCustomer,
   type RouteIndex,
@@ -38,7 +42,10 @@
 import type { CustomerBudgets } from "../features/budgets/customer_budgets.ts";
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
 import { createSuspectKeys } from "../features/crashes/suspect_keys.ts";
-import type { StreamReleases } from "../features/streams/stream_releases.ts";
+import type {
+  StreamOrigin,
+  StreamReleases,
+} from "../features/streams/stream_releases.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { AnswerMemory } from "./answer_buffer.ts";
 import type { CallEnd, CallRunner } from "./call_runner.ts";
@@ -283,7 +290,7 @@
     if (quarantined !== undefined) {
       return this.#refuse(exchange, { ...quarantined, request, arrivedAt });
     }
-    await this.#runCall(call);
+    await this.#runCall(call, routes!.configuration);
   }
 
   #isAdmitted(call: RoutedCall): boolean {
@@ -324,22 +331,28 @@
       }),
       deadline: arrivedAt + timeout,
       configurationVersion: configuration.version,
-      tokensPerEvent: configuration.services.get(service)?.engine
-        ?.tokensPerEvent ?? DEFAULT_TOKENS_PER_EVENT,
+      tokensPerEvent: readTokensPerEvent(configuration, service),
     };
   }
 
-  async #runCall(call: RoutedCall): Promise<void> {
+  async #runCall(
+    routedCall: RoutedCall,
+    configuration: GatewayConfiguration,
+  ): Promise<void> {
     const { budgets, runner } = this.#options;
     const progress = new CallProgress();
+    let call = routedCall;
     if (isTakenUp(call)) {
-      const release = await this.#resolveRelease(call);
-      if (release.isLeft()) {
-        const refusal = release.extract() as Refusal;
+      const found = await this.#findOrigin(call);
+      if (found.isLeft()) {
+        const refusal = found.extract() as Refusal;
         const { exchange, request, arrivedAt } = call;
         return this.#refuse(exchange, { refusal, request, arrivedAt });
       }
-      progress.release = release.extract() as ReleaseId;
+      const { service, release } = found.extract() as StreamOrigin;
+      call = moveToService(call, { service, configuration });
+      // A route that leads to another service now is the operator's decision.
+      if (call.service === service) progress.release = release;
     }
     const tokens = computeMaxTokens(call.request.prompt);
     const { customer } = call;
@@ -375,13 +388,14 @@
     this.#logEnd(call, { end, progress });
   }
 
-  /** Returns the release that must continue the stream of a call. */
-  #resolveRelease(call: RoutedCall): Promise<Either<Refusal, ReleaseId>> {
-    const { request, service } = call;
+  /** Returns what began the stream that a call takes up. */
+  #findOrigin(call: RoutedCall): Promise<Either<Refusal, StreamOrigin>> {
+    const { request, service, route } = call;
     return this.#options.streams.resolve({
       requestId: request.id,
       stream: request.resumes,
       service,
+      isSplit: isSplit(route),
       period: computeStreamPeriod(call),
     });
   }
@@ -474,6 +488,28 @@
   }
 }
 
+function readTokensPerEvent(
+  configuration: GatewayConfiguration,
+  service: ServiceId,
+): Tokens {
+  return configuration.services.get(service)?.engine?.tokensPerEvent ??
+    DEFAULT_TOKENS_PER_EVENT;
+}
+
+/** Returns a call at another service, if its route leads there as well. */
+function moveToService(
+  call: RoutedCall,
+  input: {
+    readonly service: ServiceId;
+    readonly configuration: GatewayConfiguration;
+  },
+): RoutedCall {
+  const { service, configuration } = input;
+  if (service === call.service || !hasService(call.route, service)) return call;
+  const tokensPerEvent = readTokensPerEvent(configuration, service);
+  return { ...call, service, tokensPerEvent };
+}
+
 /** Whether a call takes up a stream that an earlier request began. */
 function isTakenUp(call: RoutedCall): boolean {
   return call.route.form === AnswerForm.Events &&
--- a/packages/gateway/features/streams/stream_releases.ts
+++ b/packages/gateway/features/streams/stream_releases.ts
@@ -1,6 +1,7 @@
 /**
- * Knows which release of the targets' software began each stream, so that a
- * caller that takes up a stream at any VM gets the rest from the same release.
+ * Knows which release of the targets' software began each stream, and of which
+ * service, so that a caller that takes up a stream at any VM gets the rest from
+ * the same.
  * The VM that forwards the first event of a stream keeps a record of it, and
  * sends it to a few peers once there are two releases. A VM that has no record
  * asks them. A stream that nobody has a record of is resumed only if just one
@@ -72,22 +73,31 @@
  */
 const UNHEARD_PEER_RETRY_AFTER: Millis = 1_000;
 
+/** What began a stream, and must continue it. */
+export interface StreamOrigin {
+  readonly service: ServiceId;
+  readonly release: ReleaseId;
+}
+
 /** A stream that a caller wants to be resumed. */
 export interface ResumedStream {
   /** Id of the caller's present request. */
   readonly requestId: string;
   /** Id of the request that began the stream, if the caller states it. */
   readonly stream: string | undefined;
+  /** The service that its route leads to now. */
   readonly service: ServiceId;
+  /** Whether its route is split among services. */
+  readonly isSplit: boolean;
   /** How long ago the stream may have begun. */
   readonly period: Millis;
 }
 
 /** A stream whose first event was forwarded. */
-export interface BegunStream {
+export interface BegunStream extends StreamOrigin {
   readonly id: string;
-  readonly service: ServiceId;
-  readonly release: ReleaseId;
+  /** Whether its route is split among services. */
+  readonly isSplit: boolean;
   /** How long the stream may be of use to its caller. */
   readonly period: Millis;
 }
@@ -105,7 +115,7 @@
   readonly #context: GatewayContext;
   readonly #peers: PeerAccess;
   readonly #targets: TargetRegistry;
-  readonly #records = new LRUCache<string, ReleaseId>({
+  readonly #records = new LRUCache<string, StreamOrigin>({
     max: MAX_RECORDS,
     ttl: RECORD_TERM,
   });
@@ -153,12 +163,12 @@
 
   /** Records the release of the first event of a stream. */
   recordBegun(stream: BegunStream): void {
-    const { id, release } = stream;
-    if (this.#records.get(id) === release) return;
-    this.#records.set(id, release);
+    const { id, service, release } = stream;
+    if (this.#records.has(id)) return;
+    this.#records.set(id, { service, release });
     const expiresAt = this.#context.clock.readMonotonic() + stream.period;
     this.#unsent.set(id, { ...stream, expiresAt });
-    if (!this.#isOnlyRelease(stream)) this.#process?.wake();
+    if (this.#needsRecord(stream)) this.#process?.wake();
   }
 
   /** Drops the record of a stream that is complete. */
@@ -169,20 +179,20 @@
 
   /** Stores records of a peer. */
   keep({ streams }: PeerStreamRecords): void {
-    for (const { id, release } of streams) this.#records.set(id, release);
+    for (const { id, ...origin } of streams) this.#records.set(id, origin);
   }
 
   /** Answers the question of a peer. */
   answer({ id, service, period }: PeerStreamQuery): PeerStreamAnswer {
-    const release = this.#records.get(id);
+    const origin = this.#records.get(id);
     return {
-      ...(release === undefined ? {} : { release }),
+      ...(origin === undefined ? {} : { origin }),
       seen: this.#targets.listSeenReleases(service, period),
     };
   }
 
-  /** Returns the release that began a stream, or a refusal if none is certain. */
-  async resolve(stream: ResumedStream): Promise<Either<Refusal, ReleaseId>> {
+  /** Returns what began a stream, or a refusal if that is not certain. */
+  async resolve(stream: ResumedStream): Promise<Either<Refusal, StreamOrigin>> {
     const { clock, log, metrics } = this.#context;
     const startedAt = clock.readMonotonic();
     const found = await this.#find(stream);
@@ -191,14 +201,14 @@
     log.info(LogEvent.StreamTakenUp, {
       request: stream.requestId,
       stream: stream.stream,
-      service: stream.service,
-      release: found.release,
+      service: found.origin?.service,
+      release: found.origin?.release,
       source,
       asked: found.asked,
       answered: found.answered,
       ms: Math.round(clock.readMonotonic() - startedAt),
     });
-    if (found.release !== undefined) return Right(found.release);
+    if (found.origin !== undefined) return Right(found.origin);
     return Left(createRefusal(RefusalKind.StreamUnknown, {
       retryAfter: this.#mayPeerKnow()
         ? UNHEARD_PEER_RETRY_AFTER
@@ -207,7 +217,7 @@
   }
 
   async #find(stream: ResumedStream): Promise<{
-    readonly release?: ReleaseId;
+    readonly origin?: StreamOrigin;
     readonly source?: ReleaseSource;
     readonly asked: number;
     readonly answered: number;
@@ -217,7 +227,7 @@
       : this.#records.get(stream.stream);
     if (own !== undefined) {
       return {
-        release: own,
+        origin: own,
         source: ReleaseSource.Own,
         asked: 0,
         answered: 0,
@@ -226,19 +236,20 @@
     const peers = this.#choosePeers(stream.stream ?? "", chooseVmsToAsk);
     const answers = await this.#ask(peers, stream);
     const counts = { asked: peers.length, answered: answers.length };
-    const recorded = answers.find((each) => each.release !== undefined);
-    if (recorded?.release !== undefined) {
-      const { release } = recorded;
-      return { release, source: ReleaseSource.Peer, ...counts };
+    const recorded = answers.find((each) => each.origin !== undefined);
+    if (recorded?.origin !== undefined) {
+      const { origin } = recorded;
+      return { origin, source: ReleaseSource.Peer, ...counts };
     }
+    if (stream.isSplit) return counts;
     // Peers may have seen a release that this VM's list doesn't show yet.
     const release = findOnlyRelease([
       this.#targets.listSeenReleases(stream.service, stream.period),
       ...answers.map((each) => each.seen),
     ]);
-    return release === undefined
-      ? counts
-      : { release, source: ReleaseSource.Only, ...counts };
+    if (release === undefined) return counts;
+    const origin = { service: stream.service, release };
+    return { origin, source: ReleaseSource.Only, ...counts };
   }
 
   /**
@@ -258,17 +269,18 @@
         result.ifLeft(() => this.#recordSilent(peer));
         result.ifRight((answer) => {
           answers.push(answer);
-          if (answer.release !== undefined) resolve(answers);
+          if (answer.origin !== undefined) resolve(answers);
         });
       });
       void Promise.all(calls).then(() => resolve(answers));
     });
   }
 
-  /** Whether any VM would resume a stream at its release without a record. */
-  #isOnlyRelease({ service, period }: BegunStream): boolean {
+  /** Whether other VMs would not resume a stream without a record. */
+  #needsRecord({ service, period, isSplit }: BegunStream): boolean {
+    if (isSplit) return true;
     const seen = this.#targets.listSeenReleases(service, period);
-    return findOnlyRelease([seen]) !== undefined;
+    return findOnlyRelease([seen]) === undefined;
   }
 
   /**
@@ -278,21 +290,22 @@
   #sendRecords(): void {
     const batches = new Map<
       PeerWithRegion,
-      { readonly id: string; readonly release: ReleaseId }[]
+      (StreamOrigin & { readonly id: string })[]
     >();
     const now = this.#context.clock.readMonotonic();
     const needed = new Map<string, boolean>();
     for (const stream of this.#unsent.values()) {
-      const { id, service, release, period, expiresAt } = stream;
-      const key = `${service} ${period}`;
-      const isNeeded = needed.get(key) ?? !this.#isOnlyRelease(stream);
+      const { id, service, release, period, isSplit, expiresAt } = stream;
+      const key = `${service} ${period} ${isSplit}`;
+      const isNeeded = needed.get(key) ?? this.#needsRecord(stream);
       needed.set(key, isNeeded);
       if (isNeeded || now >= expiresAt) this.#unsent.delete(id);
       if (!isNeeded) continue;
       for (const peer of this.#choosePeers(id, chooseRecordHolders)) {
         const batch = batches.get(peer) ?? [];
         batches.set(peer, batch);
-        if (batch.length < MAX_STREAM_RECORDS) batch.push({ id, release });
+        if (batch.length >= MAX_STREAM_RECORDS) continue;
+        batch.push({ id, service, release });
       }
     }
     for (const [peer, streams] of batches) {
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -103,13 +103,19 @@
 /** Maximum number of stream records in one message. */
 export const MAX_STREAM_RECORDS = 1_000;
 
-/** Streams that a VM has begun, with the releases that began them. */
+/** The service and the release of the targets that began a stream. */
+const STREAM_ORIGIN_SCHEMA = z.object({
+  service: z.string(),
+  release: z.string(),
+});
+
+/** Streams that a VM has begun. */
 export const STREAM_RECORDS_SCHEMA = z.object({
-  streams: z.array(z.object({ id: z.string(), release: z.string() }))
+  streams: z.array(STREAM_ORIGIN_SCHEMA.extend({ id: z.string() }))
     .max(MAX_STREAM_RECORDS).readonly(),
 });
 
-/** Question for the release that began a stream. */
+/** Question for what began a stream. */
 export const STREAM_QUERY_SCHEMA = z.object({
   id: z.string(),
   service: z.string(),
@@ -120,7 +126,7 @@
 /** What a VM knows of a stream. */
 export const STREAM_ANSWER_SCHEMA = z.object({
   /** Absent if the VM has no record of the stream. */
-  release: z.string().exactOptional(),
+  origin: STREAM_ORIGIN_SCHEMA.exactOptional(),
   /** Releases of the service that the VM has seen in the period. */
   seen: z.object({
     releases: z.array(z.string()).readonly(),
@@ -132,7 +138,7 @@
 /** Streams that a VM has begun. */
 export type PeerStreamRecords = z.infer<typeof STREAM_RECORDS_SCHEMA>;
 
-/** Question for the release that began a stream. */
+/** Question for what began a stream. */
 export type PeerStreamQuery = z.infer<typeof STREAM_QUERY_SCHEMA>;
 
 /** What a VM knows of a stream. */
--- a/packages/routes/mod.ts
+++ b/packages/routes/mod.ts
@@ -9,4 +9,9 @@
   ServiceShare,
 } from "./gateway_configuration.ts";
 export { AnswerForm } from "./gateway_configuration.ts";
-export { chooseService, RouteIndex } from "./route_index.ts";
+export {
+  chooseService,
+  hasService,
+  isSplit,
+  RouteIndex,
+} from "./route_index.ts";
--- a/packages/routes/route_index.ts
+++ b/packages/routes/route_index.ts
@@ -67,6 +67,17 @@
   return route.services.at(-1)!.service;
 }
 
+/** Whether a route sends requests to a service. */
+export function hasService(route: RouteConfig, service: ServiceId): boolean {
+  return route.services
+    .some((each) => each.service === service && each.weight > 0);
+}
+
+/** Whether a route splits its requests among several services. */
+export function isSplit(route: RouteConfig): boolean {
+  return route.services.filter((each) => each.weight > 0).length > 1;
+}
+
 /** Returns a host name in lower case, without its port and trailing dot. */
 function normalizeHost(host: string): string {
   return host.toLowerCase().replace(/:\d*$/, "").replace(/\.$/, "");
