--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -29,7 +29,7 @@
 import type { AnswerHead, ListedTarget } from "../dialect.ts";
 import type { CrashDetector } from "../features/crashes/crash_detector.ts";
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
-import type { StreamReleases } from "../features/streams/stream_releases.ts";
+import type { StreamOrigins } from "../features/streams/stream_origins.ts";
 import type { TargetRegistry } from "../features/target_registry.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { AnswerMemory } from "./answer_buffer.ts";
@@ -92,7 +92,7 @@
   readonly retries: RetryBudgets;
   readonly crashReports: CrashReports;
   readonly crashDetector: CrashDetector;
-  readonly streams: StreamReleases;
+  readonly streams: StreamOrigins;
   readonly answerMemory: AnswerMemory;
 }
 
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -44,8 +44,8 @@
 import { createSuspectKeys } from "../features/crashes/suspect_keys.ts";
 import type {
   StreamOrigin,
-  StreamReleases,
-} from "../features/streams/stream_releases.ts";
+  StreamOrigins,
+} from "../features/streams/stream_origins.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { AnswerMemory } from "./answer_buffer.ts";
 import type { CallEnd, CallRunner } from "./call_runner.ts";
@@ -112,7 +112,7 @@
   readonly configuration: ConfigurationFollower;
   readonly budgets: CustomerBudgets;
   readonly crashReports: CrashReports;
-  readonly streams: StreamReleases;
+  readonly streams: StreamOrigins;
   readonly runner: CallRunner;
   readonly answerMemory: AnswerMemory;
 }
--- a/packages/gateway/features/streams/stream_releases.ts
+++ b/packages/gateway/features/streams/stream_origins.ts
@@ -1,7 +1,8 @@
 /**
- * Knows which release of the targets' software began each stream, and of which
- * service, so that a caller that takes up a stream at any VM gets the rest from
- * the same.
+ * Knows the origin of each stream: the service, and the release of its targets'
+ * software, that began it. A caller that takes up a stream at any VM gets the
+ * rest from the same origin.
+ *
  * The VM that forwards the first event of a stream keeps a record of it, and
  * sends it to a few peers once there are two releases. A VM that has no record
  * asks them. A stream that nobody has a record of is resumed only if just one
@@ -102,16 +103,25 @@
   readonly period: Millis;
 }
 
-/** Where the release of a resumed stream is known from, as logged. */
-enum ReleaseSource {
+/** Where the origin of a resumed stream is known from, as logged. */
+enum OriginSource {
   Own = "own-record",
   Peer = "peer-record",
   /** Only one release can have begun it. */
   Only = "only-release",
 }
 
-/** Keeps and exchanges the releases that began streams. */
-export class StreamReleases {
+/** The origin of a stream, if it is certain, and who was asked for it. */
+interface FoundOrigin {
+  readonly origin?: StreamOrigin;
+  readonly source?: OriginSource;
+  /** Number of peers that were asked, and that have answered so far. */
+  readonly asked: number;
+  readonly answered: number;
+}
+
+/** Keeps and exchanges the origins of streams. */
+export class StreamOrigins {
   readonly #context: GatewayContext;
   readonly #peers: PeerAccess;
   readonly #targets: TargetRegistry;
@@ -216,19 +226,14 @@
     }));
   }
 
-  async #find(stream: ResumedStream): Promise<{
-    readonly origin?: StreamOrigin;
-    readonly source?: ReleaseSource;
-    readonly asked: number;
-    readonly answered: number;
-  }> {
+  async #find(stream: ResumedStream): Promise<FoundOrigin> {
     const own = stream.stream === undefined
       ? undefined
       : this.#records.get(stream.stream);
     if (own !== undefined) {
       return {
         origin: own,
-        source: ReleaseSource.Own,
+        source: OriginSource.Own,
         asked: 0,
         answered: 0,
       };
@@ -239,7 +244,7 @@
     const recorded = answers.find((each) => each.origin !== undefined);
     if (recorded?.origin !== undefined) {
       const { origin } = recorded;
-      return { origin, source: ReleaseSource.Peer, ...counts };
+      return { origin, source: OriginSource.Peer, ...counts };
     }
     if (stream.isSplit) return counts;
     // Peers may have seen a release that this VM's list doesn't show yet.
@@ -249,7 +254,7 @@
     ]);
     if (release === undefined) return counts;
     const origin = { service: stream.service, release };
-    return { origin, source: ReleaseSource.Only, ...counts };
+    return { origin, source: OriginSource.Only, ...counts };
   }
 
   /**
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -31,7 +31,7 @@
 import { CrashReports } from "./features/crashes/crash_reports.ts";
 import { CustomerBudgets } from "./features/budgets/customer_budgets.ts";
 import { PeerAccess } from "./features/peers/peer_access.ts";
-import { StreamReleases } from "./features/streams/stream_releases.ts";
+import { StreamOrigins } from "./features/streams/stream_origins.ts";
 import { TargetRegistry } from "./features/target_registry.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import {
@@ -88,7 +88,7 @@
   readonly #peers: PeerAccess;
   readonly #budgets: CustomerBudgets;
   readonly #crashReports: CrashReports;
-  readonly #streams: StreamReleases;
+  readonly #streams: StreamOrigins;
   readonly #callers: CallerServer;
   readonly #pools: ConnectionPools;
   readonly #retries = new RetryBudgets();
@@ -109,7 +109,7 @@
     });
     const crashDetector = new CrashDetector(context, this.#crashReports);
     const answerMemory = new AnswerMemory();
-    this.#streams = new StreamReleases(context, {
+    this.#streams = new StreamOrigins(context, {
       peers: this.#peers,
       targets: this.#targets,
     });
