--- a/packages/core/identifiers.ts
+++ b/packages/core/identifiers.ts
@@ -45,6 +45,12 @@
 /** Identifies a region, such as `addis`. Source: settings and document. */
 export type RegionId = string;
 
+/** A VM and its region. */
+export interface VmWithRegion {
+  readonly vm: VmId;
+  readonly region?: RegionId | undefined;
+}
+
 /** Identifies a data centre within a region. Source: settings and document. */
 export type DataCentreId = string;
 
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -53,6 +53,7 @@
   TargetId,
   TeamId,
   VmId,
+  VmWithRegion,
 } from "./identifiers.ts";
 export type {
   CommandHandler,
--- a/packages/lending/choose_homes.ts
+++ b/packages/lending/choose_homes.ts
@@ -4,7 +4,7 @@
  * that lend to the others, so that the number of writers of a budget row and
  * the number of idle tokens don't grow with the number of VMs.
  */
-import { rankMembers, type RegionId, type VmId } from "../core/mod.ts";
+import { rankMembers, type VmId, type VmWithRegion } from "../core/mod.ts";
 
 /**
  * Maximum number of home VMs of a customer in each region: enough to serve its
@@ -13,12 +13,6 @@
  */
 export const HOMES_PER_REGION = 5;
 
-/** A VM and its region. */
-export interface VmWithRegion {
-  readonly vm: VmId;
-  readonly region?: RegionId | undefined;
-}
-
 /**
  * Returns the home VMs of a customer in the order in which one VM asks them for
  * loans. Those of its own region come first. Those of other regions follow,
--- a/packages/lending/choose_homes_test.ts
+++ b/packages/lending/choose_homes_test.ts
@@ -1,6 +1,7 @@
 /** Tests of the choice of home VMs. */
 import test from "ava";
-import { chooseHomes, HOMES_PER_REGION, type VmWithRegion } from "./mod.ts";
+import type { VmWithRegion } from "../core/mod.ts";
+import { chooseHomes, HOMES_PER_REGION } from "./mod.ts";
 
 const VMS = Array.from({ length: 40 }, (_, index) => `v${index}`);
 
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -116,7 +116,6 @@
 export { ExtraAttempt, RetryBudgets } from "./retry/retry_budget.ts";
 export type { RoutedRequest, RoutingState } from "./state.ts";
 export { createRoutingState } from "./state.ts";
-export type { RegionalVm } from "./stream/choose_record_holders.ts";
 export {
   chooseRecordHolders,
   chooseVmsToAsk,
--- a/packages/routing/stream/choose_record_holders.ts
+++ b/packages/routing/stream/choose_record_holders.ts
@@ -4,13 +4,12 @@
  * takes the stream up again knows whom to ask, and the number of messages for a
  * stream doesn't grow with the number of VMs.
  */
-import { rankMembers, type RegionId, type VmId } from "../../core/mod.ts";
-
-/** A VM and its region. */
-export interface RegionalVm {
-  readonly vm: VmId;
-  readonly region?: RegionId | undefined;
-}
+import {
+  rankMembers,
+  type RegionId,
+  type VmId,
+  type VmWithRegion,
+} from "../../core/mod.ts";
 
 /** Number of VMs that keep a record besides the one that made it. */
 export const RECORD_HOLDERS = 2;
@@ -28,7 +27,10 @@
  */
 export function chooseRecordHolders(
   stream: string,
-  input: { readonly self: RegionalVm; readonly others: readonly RegionalVm[] },
+  input: {
+    readonly self: VmWithRegion;
+    readonly others: readonly VmWithRegion[];
+  },
 ): VmId[] {
   return rankRegion(stream, { ...input, region: input.self.region })
     .slice(0, RECORD_HOLDERS);
@@ -41,7 +43,10 @@
  */
 export function chooseVmsToAsk(
   stream: string,
-  input: { readonly self: RegionalVm; readonly others: readonly RegionalVm[] },
+  input: {
+    readonly self: VmWithRegion;
+    readonly others: readonly VmWithRegion[];
+  },
 ): VmId[] {
   const { self, others } = input;
   const regions = new Set(others.map((each) => each.region));
@@ -55,7 +60,7 @@
 function rankRegion(
   stream: string,
   input: {
-    readonly others: readonly RegionalVm[];
+    readonly others: readonly VmWithRegion[];
     readonly region: RegionId | undefined;
   },
 ): VmId[] {
--- a/packages/routing/stream/choose_record_holders_test.ts
+++ b/packages/routing/stream/choose_record_holders_test.ts
@@ -1,16 +1,12 @@
 /** Tests of the choice of VMs that keep and are asked for records of streams. */
 import test from "ava";
 import { SeededRandom } from "../../bench/mod.ts";
-import {
-  chooseRecordHolders,
-  chooseVmsToAsk,
-  RECORD_HOLDERS,
-  type RegionalVm,
-} from "../mod.ts";
+import type { VmWithRegion } from "../../core/mod.ts";
+import { chooseRecordHolders, chooseVmsToAsk, RECORD_HOLDERS } from "../mod.ts";
 
 const REGIONS = ["west", "east"];
 
-function createVms(count: number): RegionalVm[] {
+function createVms(count: number): VmWithRegion[] {
   return Array.from({ length: count }, (_, index) => ({
     vm: `v${index}`,
     region: REGIONS[index % REGIONS.length]!,
@@ -20,8 +16,8 @@
 function choose(
   rule: typeof chooseRecordHolders,
   input: {
-    readonly vms: readonly RegionalVm[];
-    readonly self: RegionalVm;
+    readonly vms: readonly VmWithRegion[];
+    readonly self: VmWithRegion;
     readonly stream: string;
   },
 ): string[] {
