Test that a request which turns deadly is refused, whatever was answered before

Its key is created beside the quarantine now, so that the quarantine can tell requests from parts; nothing reads the difference yet.

--- a/packages/gateway/features/crashes/suspect_keys.ts
+++ b/packages/gateway/features/crashes/suspect_keys.ts
@@ -1,11 +1,9 @@
 /** What a request holds that may crash each target which begins to answer it. */
 import { createHash } from "node:crypto";
 import type { CustomerId } from "../../../core/mod.ts";
+import { createRequestKey } from "../../../routing/mod.ts";
 import type { CallerRequest } from "../../dialect.ts";
 
-/** Beginning of the key of a whole request; ids of parts have no colon. */
-const REQUEST_PREFIX = "request:";
-
 /** Number of characters of a digest, of 6 bits each. */
 const DIGEST_CHARACTERS = 22;
 
@@ -36,7 +34,7 @@
     .update(JSON.stringify([method, host, path, customer]))
     .update(body)
     .digest("base64url");
-  const key = `${REQUEST_PREFIX}${digest.slice(0, DIGEST_CHARACTERS)}`;
+  const key = createRequestKey(digest.slice(0, DIGEST_CHARACTERS));
   const parts = (request.prompt?.parts ?? []).map((part) => part.id);
   return {
     sharedParts: parts.slice(0, -1),
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -90,6 +90,7 @@
 } from "./quarantine/part_quarantine.ts";
 export {
   CRASHES_TO_REFUSE_PART,
+  createRequestKey,
   MAX_REPORTED_CRASHES,
   MAX_REPORTED_PARTS,
   MAX_REPORTED_PROOFS,
--- a/packages/routing/quarantine/part_quarantine.ts
+++ b/packages/routing/quarantine/part_quarantine.ts
@@ -33,6 +33,9 @@
  */
 const PROOF_TTL: Millis = MILLIS_PER_MINUTE;
 
+/** Beginning of the key of a whole request; ids of parts have no colon. */
+const REQUEST_KEY_PREFIX = "request:";
+
 /** Maximum number of parts remembered with the time of the last answer. */
 const MAX_BEGUN_PARTS = 20_000;
 
@@ -89,6 +92,11 @@
 
 const NO_REPORT: EvidenceReport = { crashes: [], proofs: [] };
 
+/** Returns the key by which crashes of a whole request are counted. */
+export function createRequestKey(digest: string): string {
+  return REQUEST_KEY_PREFIX + digest;
+}
+
 /** Evidence about crashes and prompt parts, as known to one VM. */
 export class PartQuarantine {
   /** When an answer to a request with a part last began at this VM. */
--- a/packages/routing/quarantine/part_quarantine_test.ts
+++ b/packages/routing/quarantine/part_quarantine_test.ts
@@ -3,6 +3,7 @@
 import {
   CRASHES_TO_REFUSE_PART,
   type CrashReport,
+  createRequestKey,
   type EvidenceReport,
   MAX_REPORTED_CRASHES,
   MAX_REPORTED_PARTS,
@@ -164,6 +165,29 @@
   t.truthy(quarantine.findQuarantined(["d"], 2 * MINUTE));
 });
 
+test("a request that was answered just before its first crash is refused after three crashes", (t) => {
+  const key = createRequestKey("digest");
+  const quarantine = new PartQuarantine();
+  quarantine.recordBegun([key, "common"], 0);
+  for (const number of [10, 11, 12]) {
+    quarantine.recordCrash(createCrash(number, [key, "common"]));
+  }
+  const now = 15 * SECOND;
+  t.deepEqual(quarantine.findQuarantined([key], now)?.parts, [key]);
+  t.is(quarantine.findQuarantined(["common"], now), undefined);
+});
+
+test("an answer to the same request after its crashes proves it sound", (t) => {
+  const key = createRequestKey("digest");
+  const [v1, v2] = [new PartQuarantine(), new PartQuarantine()];
+  for (const number of [0, 1, 2]) v1.recordCrash(createCrash(number, [key]));
+  v2.recordBegun([key], 2 * SECOND + 1);
+  applyFrom(v2, v1.createReport(3 * SECOND), 3 * SECOND);
+  t.true(v2.hasUnreportedProof(3 * SECOND));
+  applyFrom(v1, v2.createReport(3 * SECOND), 3 * SECOND);
+  t.is(v1.findQuarantined([key], 3 * SECOND), undefined);
+});
+
 test("a report stays bounded and keeps the newest crashes", (t) => {
   const quarantine = new PartQuarantine();
   const many = Array.from({ length: 400 }, (_, index) => `p${index}`);
