Refuse a request that turned deadly although it was answered before

Callers of a service lost its targets again and again: a request that had been answered and then began to crash each target was sent on to all VMs for up to a minute (BUDGET).

Cause: an answer that began in the minute before a crash counted as a proof that the crash had another cause. That fits a part of prompts, which sound requests share all the time, and not a whole request: nothing but its own repeats answers for it, and they are the ones that crash.

Evidence: the listed unit test failed; end to end, with one answer before, the request crashed 8 targets in four calls instead of 3.

Now only an answer that began after a crash proves a request sound; the rule for parts is as before.

--- a/packages/routing/quarantine/part_quarantine.ts
+++ b/packages/routing/quarantine/part_quarantine.ts
@@ -1,6 +1,7 @@
 /**
  * Quarantine of prompt parts that crash each target that begins to answer a
- * request with them, whatever else the request holds.
+ * request with them, whatever else the request holds. A whole request is one
+ * more part, with a key of its own.
  *
  * Each VM reports the crashes that it observed with the parts of the requests
  * that had no event yet, and the parts under suspicion with which an answer has
@@ -28,8 +29,8 @@
 const CRASH_TTL: Millis = 5 * MILLIS_PER_MINUTE;
 
 /**
- * Time for which an answer that began proves its parts harmless. After a change
- * at the targets, a part that was harmless may crash them.
+ * Time for which an answer that began proves the parts of its prompt harmless.
+ * After a change at the targets, a part that was harmless may crash them.
  */
 const PROOF_TTL: Millis = MILLIS_PER_MINUTE;
 
@@ -210,8 +211,11 @@
       if (isExpired(crash.at, now)) continue;
       for (const part of crash.parts) {
         const at = this.#begun.peek(part);
-        if (at === undefined || !provesHarmless(at, crash.at)) continue;
-        if (provesHarmless(this.#proofs.peek(part), crash.at)) continue;
+        if (at === undefined) continue;
+        const crashAt = crash.at;
+        if (!provesHarmless(part, { begunAt: at, crashAt })) continue;
+        const begunAt = this.#proofs.peek(part);
+        if (provesHarmless(part, { begunAt, crashAt })) continue;
         found.set(part, at);
       }
     }
@@ -246,8 +250,8 @@
   }
 
   #isProven(part: string, crashAt: SharedTime): boolean {
-    return provesHarmless(this.#begun.peek(part), crashAt) ||
-      provesHarmless(this.#proofs.peek(part), crashAt);
+    return [this.#begun.peek(part), this.#proofs.peek(part)]
+      .some((begunAt) => provesHarmless(part, { begunAt, crashAt }));
   }
 
   /** Derives the suspects and the quarantined parts from the evidence. */
@@ -310,11 +314,22 @@
   return now >= at + CRASH_TTL;
 }
 
+/**
+ * Whether an answer that began at a time shows that a crash had another cause.
+ * Sound requests with a shared part are answered all the time, so an answer
+ * shortly before the crash counts. The same request may be sent only to try
+ * again, so only an answer after the crash does.
+ */
 function provesHarmless(
-  begunAt: SharedTime | undefined,
-  crashAt: SharedTime,
+  key: string,
+  times: {
+    readonly begunAt: SharedTime | undefined;
+    readonly crashAt: SharedTime;
+  },
 ): boolean {
-  return begunAt !== undefined && begunAt >= crashAt - PROOF_TTL;
+  const { begunAt, crashAt } = times;
+  const validBefore = key.startsWith(REQUEST_KEY_PREFIX) ? 0 : PROOF_TTL;
+  return begunAt !== undefined && begunAt >= crashAt - validBefore;
 }
 
 /** Whether all crashes are also crashes of a part that has more of them. */
