--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -143,7 +143,6 @@
   EarlierIncarnation,
   IncarnationEnd,
   Presence,
-  StoreTime,
 } from "./standby/presence_row.ts";
 export {
   computeUnlockedFraction,
--- a/packages/budget/standby/presence_row.ts
+++ b/packages/budget/standby/presence_row.ts
@@ -15,6 +15,7 @@
   JsonValue,
   Millis,
   RowWrite,
+  StoreTime,
   VmId,
 } from "../../core/mod.ts";
 
@@ -54,12 +55,6 @@
   return UNLOCK_DELAY + Math.sqrt(fraction) * UNLOCK_TIME;
 }
 
-/**
- * Time by the monotonic clock of the store, in milliseconds. Readings by
- * different VMs and incarnations are comparable.
- */
-export type StoreTime = number;
-
 const PRESENCE_SCHEMA = z.object({
   incarnation: z.string(),
   /** Address of the VM; the same name at another address is another machine. */
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -78,6 +78,7 @@
   Bytes,
   Millis,
   MonotonicTime,
+  StoreTime,
   Tokens,
   WallTime,
 } from "./units.ts";
--- a/packages/core/units.ts
+++ b/packages/core/units.ts
@@ -19,6 +19,12 @@
  */
 export type WallTime = number;
 
+/**
+ * Time by the monotonic clock of the store, in milliseconds. Readings by
+ * different VMs and incarnations are comparable.
+ */
+export type StoreTime = number;
+
 /** A whole number of model tokens. */
 export type Tokens = number;
 
--- a/packages/gateway/features/budgets/presence_writer.ts
+++ b/packages/gateway/features/budgets/presence_writer.ts
@@ -18,7 +18,6 @@
   findEarlierIncarnation,
   formatPresenceKey,
   parsePresence,
-  type StoreTime,
 } from "../../../budget/mod.ts";
 import type { TransactionAnswer } from "../../../ports/mod.ts";
 import {
@@ -27,6 +26,7 @@
   startPeriodic,
 } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
+import { readStoreTime } from "../read_store_time.ts";
 
 /**
  * Minimum interval between two presence updates. The end of an incarnation is
@@ -152,7 +152,7 @@
 
   async #writePresence(): Promise<void> {
     const { dialect, vm, incarnation, clock, settings } = this.#context;
-    const presentAt = this.#computePresentAt();
+    const presentAt = readStoreTime(this.#context);
     if (presentAt === undefined || this.#version === undefined) return;
     const key = formatPresenceKey(vm);
     const address = settings.callers;
@@ -173,14 +173,6 @@
     });
     if (this.#version !== undefined) this.#options.onConfirmed(inUse);
   }
-
-  /** Returns a lower bound of the current time by the store's clock. */
-  #computePresentAt(): StoreTime | undefined {
-    const reading = this.#context.dialect.table.readTime?.();
-    if (reading === undefined) return undefined;
-    const elapsed = this.#context.clock.readMonotonic() - reading.receivedAt;
-    return reading.time + Math.max(0, elapsed);
-  }
 }
 
 /** Returns the new version, or undefined when the row must be read again. */
--- a/packages/gateway/features/crashes/crash_reports.ts
+++ b/packages/gateway/features/crashes/crash_reports.ts
@@ -14,6 +14,7 @@
   type Refusal,
   RefusalKind,
   type RowOperation,
+  type StoreTime,
   type Undo,
 } from "../../../core/mod.ts";
 import type { StoreWriter } from "../../../ports/mod.ts";
@@ -22,7 +23,6 @@
   type EvidenceReport,
   PartQuarantine,
   type QuarantinedParts,
-  type SharedTime,
 } from "../../../routing/mod.ts";
 import {
   type BackgroundProcess,
@@ -34,6 +34,7 @@
 import type { GatewayContext } from "../../gateway_context.ts";
 import { createRowWriter } from "../create_row_writer.ts";
 import { FeedFollower, type RowChange } from "../feed_follower.ts";
+import { readStoreTime } from "../read_store_time.ts";
 import type { SuspectKeys } from "./suspect_keys.ts";
 
 const REPORT_SCHEMA = z.object({
@@ -125,7 +126,7 @@
 
   /** Records that an answer to a request with these keys has begun. */
   recordBegun(keys: SuspectKeys): void {
-    const now = this.#readSharedTime();
+    const now = readStoreTime(this.#context);
     if (now === undefined) return;
     if (!this.#quarantine.recordBegun(keys.all, now)) return;
     this.#logChanges(now);
@@ -139,7 +140,7 @@
   recordCrash(
     crash: Omit<CrashReport, "at"> & { readonly age: Millis },
   ): readonly string[] {
-    const now = this.#readSharedTime();
+    const now = readStoreTime(this.#context);
     if (now === undefined) return [];
     const { target, incarnation, parts } = crash;
     const at = now - crash.age;
@@ -157,14 +158,14 @@
    * that may have as a whole is no suspect: any target that dies breaks many.
    */
   hasSuspectPart(keys: SuspectKeys): boolean {
-    const now = this.#readSharedTime();
+    const now = readStoreTime(this.#context);
     if (now === undefined) return false;
     return this.#quarantine.hasSuspect(keys.sharedParts, now);
   }
 
   /** Returns why a request with these keys must not run, if it must not. */
   findRefusal(keys: SuspectKeys): CrashRefusal | undefined {
-    const now = this.#readSharedTime();
+    const now = readStoreTime(this.#context);
     if (now === undefined) return undefined;
     const suspects = [...keys.sharedParts, keys.request];
     const found = this.#quarantine.findQuarantined(suspects, now);
@@ -181,7 +182,7 @@
   }
 
   #apply(changes: readonly RowChange<JsonValue>[]): void {
-    const now = this.#readSharedTime();
+    const now = readStoreTime(this.#context);
     if (now === undefined) return;
     for (const { key, value } of changes) {
       // A removed row takes back nothing; evidence expires by its time.
@@ -209,7 +210,7 @@
   }
 
   async #write(): Promise<boolean> {
-    const now = this.#readSharedTime();
+    const now = readStoreTime(this.#context);
     if (now === undefined) return false;
     if (!this.#hasNewCrash && !this.#quarantine.hasUnreportedProof(now)) {
       return false;
@@ -232,7 +233,7 @@
     return this.#hasNewCrash;
   }
 
-  #logChanges(now: SharedTime): void {
+  #logChanges(now: StoreTime): void {
     const current = this.#quarantine.listQuarantined(now);
     if (current === this.#logged) return;
     const { log, metrics } = this.#context;
@@ -252,14 +253,6 @@
     metrics.quarantinedParts.set(current.length);
     this.#logged = current;
   }
-
-  /** Returns the time by the store's clock; undefined before the first call. */
-  #readSharedTime(): SharedTime | undefined {
-    const reading = this.#context.dialect.table.readTime?.();
-    if (reading === undefined) return undefined;
-    const elapsed = this.#context.clock.readMonotonic() - reading.receivedAt;
-    return reading.time + Math.max(0, elapsed);
-  }
 }
 
 function formatParts(quarantined: QuarantinedParts): string {
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -86,7 +86,6 @@
   EvidenceReport,
   PartProof,
   QuarantinedParts,
-  SharedTime,
 } from "./quarantine/part_quarantine.ts";
 export {
   CRASHES_TO_REFUSE_PART,
--- a/packages/routing/quarantine/part_quarantine.ts
+++ b/packages/routing/quarantine/part_quarantine.ts
@@ -19,6 +19,7 @@
 import {
   type Millis,
   MILLIS_PER_MINUTE,
+  type StoreTime,
   type TargetId,
 } from "../../core/mod.ts";
 
@@ -54,21 +55,18 @@
 export const MAX_REPORTED_PARTS = 32;
 export const MAX_REPORTED_PROOFS = 64;
 
-/** Milliseconds by the clock that all VMs share. */
-export type SharedTime = number;
-
 /** One crash of a target and the parts that may have caused it. */
 export interface CrashReport {
   readonly target: TargetId;
   readonly incarnation: string;
-  readonly at: SharedTime;
+  readonly at: StoreTime;
   readonly parts: readonly string[];
 }
 
 /** An answer to a request with the part began. */
 export interface PartProof {
   readonly part: string;
-  readonly at: SharedTime;
+  readonly at: StoreTime;
 }
 
 /** The evidence of one VM. */
@@ -82,12 +80,12 @@
   readonly parts: readonly string[];
   /** Crashed targets, the earliest crash first. */
   readonly targets: readonly TargetId[];
-  readonly until: SharedTime;
+  readonly until: StoreTime;
 }
 
 interface Crash {
   readonly target: TargetId;
-  at: SharedTime;
+  at: StoreTime;
   readonly parts: Set<string>;
 }
 
@@ -101,22 +99,22 @@
 /** Evidence about crashes and prompt parts, as known to one VM. */
 export class PartQuarantine {
   /** When an answer to a request with a part last began at this VM. */
-  readonly #begun = new LRUCache<string, SharedTime>({ max: MAX_BEGUN_PARTS });
+  readonly #begun = new LRUCache<string, StoreTime>({ max: MAX_BEGUN_PARTS });
   /** The newest proof of each part in any report. */
-  readonly #proofs = new LRUCache<string, SharedTime>({ max: MAX_PROOFS });
+  readonly #proofs = new LRUCache<string, StoreTime>({ max: MAX_PROOFS });
   /** Crashes seen by any VM, by target and incarnation. */
   readonly #crashes = new Map<string, Crash>();
   #report = NO_REPORT;
   #suspects: ReadonlyMap<string, readonly string[]> = new Map();
   #quarantined: readonly QuarantinedParts[] = [];
   #isStale = false;
-  #expiresAt: SharedTime = Infinity;
+  #expiresAt: StoreTime = Infinity;
 
   /**
    * Records that an answer to a request with these parts has begun here.
    * Returns whether one of them was a suspect.
    */
-  recordBegun(parts: readonly string[], now: SharedTime): boolean {
+  recordBegun(parts: readonly string[], now: StoreTime): boolean {
     for (const part of parts) this.#begun.set(part, now);
     const clearsSuspect = parts.some((part) => this.#suspects.has(part));
     if (clearsSuspect) this.#isStale = true;
@@ -142,7 +140,7 @@
    */
   applyReport(
     report: EvidenceReport,
-    input: { readonly isOwn: boolean; readonly now: SharedTime },
+    input: { readonly isOwn: boolean; readonly now: StoreTime },
   ): void {
     const { isOwn, now } = input;
     for (const received of report.crashes) {
@@ -158,7 +156,7 @@
   }
 
   /** Whether a request holds a part that may have crashed a target. */
-  hasSuspect(parts: readonly string[], now: SharedTime): boolean {
+  hasSuspect(parts: readonly string[], now: StoreTime): boolean {
     this.#refresh(now);
     return parts.some((part) => this.#suspects.has(part));
   }
@@ -166,7 +164,7 @@
   /** Finds why a request with these parts is refused, if it is. */
   findQuarantined(
     parts: readonly string[],
-    now: SharedTime,
+    now: StoreTime,
   ): QuarantinedParts | undefined {
     this.#refresh(now);
     return this.#quarantined.find((each) =>
@@ -175,18 +173,18 @@
   }
 
   /** Returns all quarantined parts; the same array until they change. */
-  listQuarantined(now: SharedTime): readonly QuarantinedParts[] {
+  listQuarantined(now: StoreTime): readonly QuarantinedParts[] {
     this.#refresh(now);
     return this.#quarantined;
   }
 
   /** Whether other VMs lack a proof that this VM has for a reported part. */
-  hasUnreportedProof(now: SharedTime): boolean {
+  hasUnreportedProof(now: StoreTime): boolean {
     return this.#listUnreportedProofs(now).length > 0;
   }
 
   /** Returns the bounded report of this VM, with proofs that others lack. */
-  createReport(now: SharedTime): EvidenceReport {
+  createReport(now: StoreTime): EvidenceReport {
     // Proofs that don't fit stay unreported until the next report.
     const added = this.#listUnreportedProofs(now)
       .slice(0, MAX_REPORTED_PROOFS);
@@ -205,8 +203,8 @@
   }
 
   /** Lists suspects of reported crashes that only this VM knows as harmless. */
-  #listUnreportedProofs(now: SharedTime): PartProof[] {
-    const found = new Map<string, SharedTime>();
+  #listUnreportedProofs(now: StoreTime): PartProof[] {
+    const found = new Map<string, StoreTime>();
     for (const crash of this.#crashes.values()) {
       if (isExpired(crash.at, now)) continue;
       for (const part of crash.parts) {
@@ -249,13 +247,13 @@
     this.#isStale = true;
   }
 
-  #isProven(part: string, crashAt: SharedTime): boolean {
+  #isProven(part: string, crashAt: StoreTime): boolean {
     return [this.#begun.peek(part), this.#proofs.peek(part)]
       .some((begunAt) => provesHarmless(part, { begunAt, crashAt }));
   }
 
   /** Derives the suspects and the quarantined parts from the evidence. */
-  #refresh(now: SharedTime): void {
+  #refresh(now: StoreTime): void {
     if (!this.#isStale && now < this.#expiresAt) return;
     this.#isStale = false;
     const suspects = new Map<string, string[]>();
@@ -310,7 +308,7 @@
   }
 }
 
-function isExpired(at: SharedTime, now: SharedTime): boolean {
+function isExpired(at: StoreTime, now: StoreTime): boolean {
   return now >= at + CRASH_TTL;
 }
 
@@ -323,8 +321,8 @@
 function provesHarmless(
   key: string,
   times: {
-    readonly begunAt: SharedTime | undefined;
-    readonly crashAt: SharedTime;
+    readonly begunAt: StoreTime | undefined;
+    readonly crashAt: StoreTime;
   },
 ): boolean {
   const { begunAt, crashAt } = times;
