Send a target no more requests than the limit that it names

Targets in need got far more requests than they had said they take (LIMIT): 13 and 14 in 4 s at a limit of 1 a second, where 11 are allowed.

Cause: the limit in their answers was read nowhere, and each VM sent by the load that it saw. The class of fault: a bound on what all VMs do together that no VM can keep by itself.

Now a VM sends to such a target only in its turns on the store's clock, which come at the target's limit and go round the VMs; whatever the VMs' demand, they send at most limit x (T + 1.5) + 3 requests in T seconds. Every attempt takes a turn before it is sent. While all targets of a service are limited, what has no turn is refused at once as targets-limited. An answer without a limit, to a request that was sent after the limit was named, ends it.

Ruled out: a bucket with a share of the limit at each VM, since one request from each of 8 VMs is too much already at a limit of 1.

--- a/packages/core/enums.ts
+++ b/packages/core/enums.ts
@@ -92,6 +92,7 @@
   Overloaded = "overloaded",
   DeadlineTooSoon = "deadline-too-soon",
   NoTarget = "no-target",
+  TargetsLimited = "targets-limited",
   Quarantined = "quarantined",
   PartQuarantined = "part-quarantined",
   RequestQuarantined = "request-quarantined",
--- a/packages/explain/explain_test.ts
+++ b/packages/explain/explain_test.ts
@@ -51,3 +51,21 @@
     "file",
   );
 });
+
+test("the timeline of a request shows the limits of its targets, or of all if they refused it", (t) => {
+  const lines = parse(`
+  1.0 v1 ts=2026-01-01T00:00:01.000Z level=info event=target_limited target=t1 per_second=3 vms=8
+  1.1 v1 ts=2026-01-01T00:00:01.100Z level=info event=target_limited target=t1 per_second=1 vms=8
+  1.2 v1 ts=2026-01-01T00:00:01.200Z level=info event=target_limited target=t2 per_second=2 vms=8
+  2.0 v1 ts=2026-01-01T00:00:02.000Z level=info event=target_chosen request=q1 target=t2 limited=true
+  2.1 v1 ts=2026-01-01T00:00:02.100Z level=info event=request_refused request=q2 reason=targets-limited
+`);
+  const listState = (id: string) =>
+    findRequestTimeline(lines, id).stateEntries.map((entry) => entry.text);
+  const [first, second] = [
+    "target_limited target=t1 per_second=1 vms=8",
+    "target_limited target=t2 per_second=2 vms=8",
+  ];
+  t.deepEqual(listState("q1"), [second]);
+  t.deepEqual(listState("q2"), [first, second]);
+});
--- a/packages/explain/request_timeline.ts
+++ b/packages/explain/request_timeline.ts
@@ -2,7 +2,7 @@
  * Builds the timeline of one request from the log lines of any number of VMs: the
  * events of the request, and events that show the state of its VMs meanwhile.
  */
-import type { Millis } from "../core/mod.ts";
+import { type Millis, RefusalKind } from "../core/mod.ts";
 import type { LogLine } from "./parse_line.ts";
 
 /** Log lines about a request, in order of time. */
@@ -31,6 +31,7 @@
   "target_gone",
   "target_ejected",
   "target_back",
+  "target_limited",
   "dependency_lost",
   "dependency_back",
   "grant_written_off",
@@ -49,8 +50,12 @@
   "dependency_lost",
   "dependency_back",
   "drain_started",
+  "target_limited",
 ]);
 
+/** Reason of a refusal that the limits of all targets of a VM explain. */
+const TARGETS_LIMITED: string = RefusalKind.TargetsLimited;
+
 /** How long before a request's first line a loan may have been made for it. */
 const LOAN_WINDOW: Millis = 1_000;
 
@@ -71,9 +76,10 @@
   const sources = new Set(requestLines.map((line) => line.source));
   const customers = collectValues(requestLines, "customer");
   const targets = collectValues(requestLines, "target");
+  const isLimited = collectValues(requestLines, "reason").has(TARGETS_LIMITED);
   const related = lines.filter((line) => sources.has(line.source))
     .filter((line) => line.time <= last.time)
-    .filter((line) => isRelatedState(line, { customers, targets }));
+    .filter((line) => isRelatedState(line, { customers, targets, isLimited }));
   const during = [
     ...related.filter((line) => line.time >= first.time),
     ...lines.filter((line) => isLoanToSource(line, { sources, customers }))
@@ -109,6 +115,7 @@
   input: {
     readonly customers: ReadonlySet<string>;
     readonly targets: ReadonlySet<string>;
+    readonly isLimited: boolean;
   },
 ): boolean {
   const customer = line.fields.get("customer");
@@ -117,6 +124,7 @@
     return customer !== undefined && input.customers.has(customer);
   }
   if (!VM_STATE_EVENTS.has(line.event)) return false;
+  if (input.isLimited && line.event === "target_limited") return true;
   if (target !== undefined) return input.targets.has(target);
   return customer === undefined || input.customers.has(customer);
 }
@@ -136,7 +144,7 @@
 
 /**
  * Returns the latest lasting events and grant exchanges before a time: for each
- * source, one per dependency, customer or, if it has neither, event name.
+ * source, one per dependency, customer, target or, if it has none, event name.
  */
 function findLatestState(lines: readonly LogLine[], before: number): LogLine[] {
   const latest = new Map<string, LogLine>();
@@ -145,7 +153,7 @@
     const isGrant = line.event === "grant_exchanged";
     if (!isGrant && !LASTING_EVENTS.has(line.event)) continue;
     const subject = line.fields.get("dependency") ??
-      line.fields.get("customer") ?? line.event;
+      line.fields.get("customer") ?? line.fields.get("target") ?? line.event;
     latest.set(`${line.source} ${subject}`, line);
   }
   return [...latest.values()];
--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -78,6 +78,15 @@
   readonly slots: number;
 }
 
+/** A limit on requests that a target names in an answer. */
+export interface AnswerLimit {
+  /**
+   * Requests per second that the target accepts from all VMs together; absent
+   * if it can't be read, so that what was named before holds.
+   */
+  readonly perSecond?: number;
+}
+
 /** The head of a target's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -94,6 +103,8 @@
   /** Whether the body has a content encoding, which targets never apply. */
   readonly encoded: boolean;
   readonly load?: LoadReport;
+  /** Absent if the target names no limit. */
+  readonly limit?: AnswerLimit;
   /** Length of the body, if the target states it. */
   readonly bodyBytes?: number;
   /** Headers that are forwarded to the caller. */
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -2,6 +2,7 @@
  * Runs one request: sends it to targets until one returns a complete answer or
  * no further attempt is allowed.
  */
+import type { Either } from "purify-ts";
 import {
   type Millis,
   type MonotonicTime,
@@ -130,11 +131,12 @@
         const { refusal, detail } = quarantined;
         return { ...this.#refuse(call, refusal), detail };
       }
-      const chosen = this.#chooseTarget(call, progress);
-      if (typeof chosen === "string") {
+      const choice = this.#chooseTarget(call, progress);
+      if (choice.isLeft()) {
         if (isRetry) break;
-        return this.#refuse(call, createRefusal(chosen, RETRY_LATER));
+        return this.#refuse(call, choice.extract());
       }
+      const chosen = choice.extract() as TargetConfig;
       if (isRetry) this.#recordRetry(call, { progress, failure });
       const result = await this.#runAttempt(call, { progress, target: chosen });
       if (result.isComplete) {
@@ -219,27 +221,28 @@
   #chooseTarget(
     call: RoutedCall,
     progress: CallProgress,
-  ): TargetConfig | RefusalKind {
+  ): Either<Refusal, TargetConfig> {
     const shared = findSharedPrefix(call.request.prompt);
     return this.#options.targets.choose({
       service: call.service,
       tried: progress.triedTargets,
       ...(progress.release === undefined ? {} : { release: progress.release }),
       ...shared,
-    }).caseOf<TargetConfig | RefusalKind>({
-      Left: (refusal) => refusal.kind,
-      Right: (placement) => {
-        this.#logChoice(call, { placement, sharedTokens: shared.sharedTokens });
-        return placement.target;
-      },
-    });
+    }).map((placement) => {
+      this.#logChoice(call, { placement, sharedTokens: shared.sharedTokens });
+      return placement.target;
+    }).mapLeft((refusal) =>
+      refusal.kind === RefusalKind.TargetsLimited
+        ? refusal
+        : createRefusal(refusal.kind, RETRY_LATER)
+    );
   }
 
   #logChoice(
     call: RoutedCall,
     input: { readonly placement: Placement; readonly sharedTokens: Tokens },
   ): void {
-    const { target, load, loadAge, isHolder, usable } = input.placement;
+    const { target, load, loadAge, isHolder, usable, turn } = input.placement;
     this.#options.context.log.info(LogEvent.TargetChosen, {
       request: call.request.id,
       target: target.id,
@@ -251,6 +254,7 @@
       holder: isHolder,
       shared_tokens: input.sharedTokens,
       usable,
+      limited: turn === undefined ? undefined : true,
     });
   }
 
@@ -413,6 +417,7 @@
     const { customer, request, route } = call;
     const rank = customer?.rank ?? route.rank;
     const resumeAfter = input.progress.lastEventId ?? request.resumeAfter;
+    const sentAt = context.clock.readMonotonic();
     return {
       dialect: context.dialect,
       pools,
@@ -421,6 +426,10 @@
       body: call.body,
       memory: answerMemory,
       signal: input.signal,
+      recordHead: (head) => {
+        const age = context.clock.readMonotonic() - sentAt;
+        this.#options.targets.recordLimit(input.listed, { head, age });
+      },
       head: {
         timeLeft: call.deadline - context.clock.readMonotonic(),
         ...(customer === undefined ? {} : { customer: customer.id }),
--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -39,6 +39,8 @@
   /** Memory for answers that are read completely before they are sent on. */
   readonly memory: AnswerMemory;
   readonly signal: AbortSignal;
+  /** Called with the head of an answer to this request as it arrives. */
+  readonly recordHead: (head: AnswerHead) => void;
 }
 
 /** State of a target's connection after a failed attempt. */
@@ -231,6 +233,7 @@
       detail: "the answer has the id of another request",
     });
   }
+  input.recordHead(head);
   if (head.notRun) {
     discardBody(incoming);
     return Left({
--- a/packages/gateway/features/peers/peer_list.ts
+++ b/packages/gateway/features/peers/peer_list.ts
@@ -19,6 +19,7 @@
   type VmId,
 } from "../../../core/mod.ts";
 import type { PeerWithRegion } from "../../../lending/mod.ts";
+import type { VmOrder } from "../../../routing/mod.ts";
 import type { StoreWriter } from "../../../ports/mod.ts";
 import { LogEvent } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
@@ -146,6 +147,18 @@
     return this.#read().list;
   }
 
+  /**
+   * Returns the place of this VM among all that it knows, which know the same
+   * order; undefined until the list is settled.
+   */
+  findOrder(): VmOrder | undefined {
+    if (!this.isSettled) return undefined;
+    const { vm } = this.#context;
+    const peers = this.listPeers();
+    const index = peers.filter((peer) => peer.vm < vm).length;
+    return { index, count: peers.length + 1 };
+  }
+
   /** Returns the key of the peer at an address; empty for an unknown one. */
   findKey(address: string): string {
     const peer = [...this.#read().entries.values()]
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -31,17 +31,22 @@
   type PlacementInput,
   recordAttemptEnd,
   recordAttemptStart,
+  recordLimit,
   recordPrefillEnd,
   recordProbe,
+  recordTurn,
   ReleaseHistory,
   type RoutingState,
   type SeenReleases,
   TargetHealth,
+  type TurnClock,
+  type VmOrder,
 } from "../../routing/mod.ts";
 import { LogEvent } from "../../runtime/mod.ts";
-import type { ListedTarget, LoadReport } from "../dialect.ts";
+import type { AnswerHead, ListedTarget, LoadReport } from "../dialect.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import { FeedFollower, type RowChange } from "./feed_follower.ts";
+import { readStoreTime } from "./read_store_time.ts";
 
 /** Maximum time that one call waits for changes. */
 const MAX_FEED_WAIT: Millis = 1_000;
@@ -73,6 +78,7 @@
 /** Follows the registered targets and chooses a target for each attempt. */
 export class TargetRegistry {
   readonly #context: GatewayContext;
+  readonly #findVmOrder: () => VmOrder | undefined;
   readonly #follower: FeedFollower<ListedTarget>;
   readonly #listed = new Map<TargetId, ListedTarget>();
   /** When to remove each target whose entry has disappeared. */
@@ -82,9 +88,18 @@
   readonly #listingListeners: ((entry: ListedTarget) => void)[] = [];
   readonly #state: RoutingState;
   readonly #releases = new ReleaseHistory();
-
-  constructor(context: GatewayContext) {
+  /** Number of targets that limit their requests. */
+  #limitedTargets = 0;
+
+  constructor(
+    context: GatewayContext,
+    options: {
+      /** Returns this VM's place among all; undefined if not known yet. */
+      readonly findVmOrder: () => VmOrder | undefined;
+    },
+  ) {
     this.#context = context;
+    this.#findVmOrder = options.findVmOrder;
     this.#state = createRoutingState(
       context.region === undefined ? {} : { region: context.region },
     );
@@ -151,14 +166,25 @@
     });
   }
 
-  /** Chooses the target of an attempt; a Left if none is usable. */
+  /**
+   * Chooses the target of an attempt that starts now; a Left if none is usable.
+   * At a target that limits its requests this uses a turn of this VM.
+   */
   choose(
-    input: Omit<PlacementInput, "now" | "dataCentre">,
+    input: Omit<PlacementInput, "now" | "dataCentre" | "turns">,
   ): Either<Refusal, Placement> {
     this.#dropMissing();
     const now = this.#context.clock.readMonotonic();
     const { dataCentre } = this.#context.settings;
-    return choosePlacement(this.#state, { ...input, now, dataCentre });
+    const turns = this.#readTurnClock();
+    return choosePlacement(this.#state, {
+      ...input,
+      now,
+      dataCentre,
+      ...(turns === undefined ? {} : { turns }),
+    }).ifRight(({ target, turn }) => {
+      if (turn !== undefined) recordTurn(this.#state, target.id, turn);
+    });
   }
 
   /** Records the start of an attempt at a target. */
@@ -190,6 +216,35 @@
     });
   }
 
+  /**
+   * Records what an answer to a request says of its target's limit. The request
+   * was sent `age` ago. An answer without a limit counts as of then, since it
+   * may have been made before the limit was named, and not at all if it was not
+   * run, since it may come from another process.
+   */
+  recordLimit(
+    target: ListedTarget,
+    input: { readonly head: AnswerHead; readonly age: Millis },
+  ): void {
+    const { limit, notRun } = input.head;
+    const now = readStoreTime(this.#context);
+    const isUnknown = limit === undefined
+      ? notRun
+      : limit.perSecond === undefined;
+    if (now === undefined || isUnknown || this.isReplaced(target)) return;
+    const notice = limit === undefined
+      ? { at: now - input.age }
+      : { ...limit, at: now };
+    if (!recordLimit(this.#state, target.id, notice)) return;
+    this.#context.log.info(LogEvent.TargetLimited, {
+      target: target.id,
+      service: target.service,
+      per_second: limit?.perSecond ?? "none",
+      vms: this.#findVmOrder()?.count,
+    });
+    this.#countLimited();
+  }
+
   /**
    * Records that a target did not run an attempt: it is full, or another target
    * has answered at its address. A full target that reports no load is assumed
@@ -209,6 +264,21 @@
     this.recordLoad(target, refusal.load ?? full);
   }
 
+  #readTurnClock(): TurnClock | undefined {
+    if (this.#limitedTargets === 0) return undefined;
+    const order = this.#findVmOrder();
+    const now = readStoreTime(this.#context);
+    return order === undefined || now === undefined
+      ? undefined
+      : { order, now };
+  }
+
+  #countLimited(): void {
+    this.#limitedTargets = [...this.#state.targets.values()]
+      .filter((target) => target.limit?.perSecond !== undefined).length;
+    this.#context.metrics.limitedTargets.set(this.#limitedTargets);
+  }
+
   #apply(changes: readonly RowChange<ListedTarget>[]): void {
     let hasChanged = false;
     this.#recordReleases();
@@ -312,6 +382,7 @@
       { state: "ready" },
       this.#listed.size - leaving.length,
     );
+    this.#countLimited();
   }
 
   #createTarget(entry: ListedTarget): TargetConfig {
@@ -353,6 +424,7 @@
       inFlight: each.inFlight,
       unreadTokens: each.unreadTokens,
       failures: each.failures,
+      limit: each.limit?.perSecond,
     }));
   }
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -101,8 +101,10 @@
     const context = this.#context;
     this.#pools = new ConnectionPools(context.clock);
     this.#configuration = new ConfigurationFollower(context);
-    this.#targets = new TargetRegistry(context);
     this.#peers = new PeerAccess(context);
+    this.#targets = new TargetRegistry(context, {
+      findVmOrder: () => this.#peers.list.findOrder(),
+    });
     this.#budgets = new CustomerBudgets(context, this.#peers);
     this.#crashReports = new CrashReports(context, {
       countVms: () => this.#budgets.countVms(),
--- a/packages/gateway/gateway_metrics.ts
+++ b/packages/gateway/gateway_metrics.ts
@@ -53,6 +53,7 @@
   readonly configurationVersion: Gauge;
   readonly configurationAge: Gauge;
   readonly targets: Gauge<"state">;
+  readonly limitedTargets: Gauge;
   readonly streamsTakenUp: Counter<"source">;
   readonly targetCrashes: Counter;
   readonly quarantinedParts: Gauge;
@@ -134,6 +135,11 @@
       labelNames: ["state"],
       registers,
     }),
+    limitedTargets: new Gauge({
+      name: "anvilrail_gateway_limited_targets",
+      help: "Targets whose answers name a limit on requests.",
+      registers,
+    }),
     streamsTakenUp: new Counter({
       name: "anvilrail_gateway_streams_taken_up_total",
       help:
--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -1,6 +1,7 @@
 /** The gateway of one entry VM, and the interface of its protocol adapter. */
 export type {
   AnswerHead,
+  AnswerLimit,
   AttemptHead,
   CallerRequest,
   Dialect,
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -36,6 +36,8 @@
 } from "./commands/record_attempt.ts";
 export type { PeerReport } from "./commands/exchange_reports.ts";
 export { applyReports, listReports } from "./commands/exchange_reports.ts";
+export type { LimitNotice } from "./commands/record_limit.ts";
+export { recordLimit, recordTurn } from "./commands/record_limit.ts";
 export { recordProbe } from "./commands/record_probe.ts";
 export type { PooledConnection } from "./connection/decide_reuse.ts";
 export { isReusable } from "./connection/decide_reuse.ts";
@@ -97,7 +99,11 @@
 } from "./quarantine/part_quarantine.ts";
 export type { ChooseInput } from "./queries/choose_target.ts";
 export { chooseTarget } from "./queries/choose_target.ts";
-export type { Placement, PlacementInput } from "./queries/choose_placement.ts";
+export type {
+  Placement,
+  PlacementInput,
+  TurnClock,
+} from "./queries/choose_placement.ts";
 export { choosePlacement } from "./queries/choose_placement.ts";
 export { computeLoad, computeOthersInFlight } from "./queries/compute_load.ts";
 export { computeMaxLoad } from "./queries/compute_max_load.ts";
@@ -129,5 +135,7 @@
   BackpressureAction,
   decideBackpressure,
 } from "./stream/decide_backpressure.ts";
-export type { TargetState } from "./target_state.ts";
+export type { TurnInput, VmOrder } from "./target_limit/find_turn.ts";
+export { computeNextTurn, findTurn } from "./target_limit/find_turn.ts";
+export type { TargetLimit, TargetState } from "./target_state.ts";
 export { computeHealth, TargetHealth } from "./target_state.ts";
--- a/packages/routing/queries/choose_placement.ts
+++ b/packages/routing/queries/choose_placement.ts
@@ -18,6 +18,7 @@
   type RegionId,
   type ReleaseId,
   type ServiceId,
+  type StoreTime,
   type TargetConfig,
   type TargetId,
   type Tokens,
@@ -29,7 +30,16 @@
   type TargetState,
 } from "../target_state.ts";
 import { computeOthersInFlight } from "./compute_load.ts";
-import { createNoTarget, createOverloaded } from "./create_refusals.ts";
+import {
+  computeNextTurn,
+  findTurn,
+  type VmOrder,
+} from "../target_limit/find_turn.ts";
+import {
+  createNoTarget,
+  createOverloaded,
+  createTargetsLimited,
+} from "./create_refusals.ts";
 
 /** Input of `choosePlacement`. */
 export interface PlacementInput {
@@ -46,9 +56,20 @@
   readonly release?: ReleaseId;
   /** This VM's data centre; targets in others cost a little more. */
   readonly dataCentre: string;
+  /**
+   * The turns of this VM at targets that limit their requests; if absent, they
+   * are not used.
+   */
+  readonly turns?: TurnClock;
   readonly now: MonotonicTime;
 }
 
+/** The place of this VM among all VMs, and the time by their common clock. */
+export interface TurnClock {
+  readonly order: VmOrder;
+  readonly now: StoreTime;
+}
+
 /** A chosen target, and the figures on which the choice is based. */
 export interface Placement {
   readonly target: TargetConfig;
@@ -65,6 +86,8 @@
   readonly isHolder: boolean;
   /** Number of usable targets, including full ones. */
   readonly usable: number;
+  /** The turn that the attempt uses, at a target that limits its requests. */
+  readonly turn?: StoreTime;
 }
 
 /** Unread prompt tokens that delay a request as much as a full batch does. */
@@ -109,15 +132,19 @@
 
 /**
  * Returns the target with the least cost of waiting, prefill and network, or a
- * refusal if no target is usable or all usable ones are full.
+ * refusal if no target is usable or all usable ones are full or limited.
  */
 export function choosePlacement(
   state: RoutingState,
   input: PlacementInput,
 ): Either<Refusal, Placement> {
-  const usable = state.targets.listService(input.service)
+  const listed = state.targets.listService(input.service)
     .filter((target) => isUsable(target, input));
-  if (usable.length === 0) return Left(createNoTarget());
+  if (listed.length === 0) return Left(createNoTarget());
+  const usable = listed.filter((target) => mayUse(target, input.turns));
+  if (usable.length === 0) {
+    return Left(createTargetsLimited(computeNextSend(listed, input.turns)));
+  }
   const holders = findHolders(usable, input);
   let best: Candidate | undefined;
   for (const target of usable) {
@@ -127,12 +154,14 @@
   }
   if (best === undefined) return Left(createOverloaded());
   const { target, load } = best;
+  const turn = findUsableTurn(target, input.turns);
   const report = target.report;
   return Right({
     target: target.config,
     load,
     isHolder: holders.has(target.config.id),
     usable: usable.length,
+    ...(turn === undefined ? {} : { turn }),
     ...(report === undefined ? {} : { loadAge: input.now - report.measuredAt }),
   });
 }
@@ -209,6 +238,40 @@
   return health === TargetHealth.Healthy;
 }
 
+/** Whether a target sets no limit, or this VM has a turn there. */
+function mayUse(target: TargetState, turns: TurnClock | undefined): boolean {
+  return target.limit?.perSecond === undefined ||
+    findUsableTurn(target, turns) !== undefined;
+}
+
+function findUsableTurn(
+  { limit, config }: TargetState,
+  turns: TurnClock | undefined,
+): StoreTime | undefined {
+  if (limit?.perSecond === undefined || turns === undefined) return undefined;
+  return findTurn({
+    perSecond: limit.perSecond,
+    targetHash: computeHash(config.id),
+    ...turns,
+    ...(limit.usedTurn === undefined ? {} : { used: limit.usedTurn }),
+  });
+}
+
+/** Returns the time until any VM has its next turn at one of the targets. */
+function computeNextSend(
+  targets: readonly TargetState[],
+  turns: TurnClock | undefined,
+): Millis {
+  if (turns === undefined) return 0;
+  return Math.min(
+    ...targets.map(({ limit }) =>
+      limit?.perSecond === undefined
+        ? 0
+        : computeNextTurn(limit.perSecond, turns.now)
+    ),
+  );
+}
+
 function isInRegion(
   target: TargetState,
   region: RegionId | undefined,
--- a/packages/routing/queries/create_refusals.ts
+++ b/packages/routing/queries/create_refusals.ts
@@ -20,6 +20,12 @@
  */
 const OVERLOADED_RETRY_AFTER: Millis = 1_000;
 
+/**
+ * Minimum retry delay when all usable targets limit their requests: they are in
+ * need, and callers that come back sooner would only be refused again.
+ */
+const MIN_LIMITED_RETRY_AFTER: Millis = 1_000;
+
 /** Returns the refusal of a request for which no target is usable. */
 export function createNoTarget(): Refusal {
   return createNotRunRefusal(
@@ -37,3 +43,15 @@
     { retryAfter: OVERLOADED_RETRY_AFTER },
   );
 }
+
+/**
+ * Returns the refusal of a request for which this VM may use no target, because
+ * they limit their requests. Any VM may use one again after `nextTurn`.
+ */
+export function createTargetsLimited(nextTurn: Millis): Refusal {
+  return createNotRunRefusal(
+    RefusalKind.TargetsLimited,
+    "Our services accept only some requests at the moment. Nothing was done. Please try again shortly.",
+    { retryAfter: Math.max(MIN_LIMITED_RETRY_AFTER, nextTurn) },
+  );
+}
--- a/packages/routing/target_state.ts
+++ b/packages/routing/target_state.ts
@@ -5,6 +5,7 @@
 import type {
   Millis,
   MonotonicTime,
+  StoreTime,
   TargetConfig,
   Tokens,
 } from "../core/mod.ts";
@@ -49,6 +50,19 @@
   readonly at: MonotonicTime;
 }
 
+/** A limit on requests that a target has named, and that all VMs share. */
+export interface TargetLimit {
+  /**
+   * Requests per second that the target accepts from all VMs together; absent
+   * if it names no limit any more.
+   */
+  readonly perSecond?: number;
+  /** The latest time at which this was true, as far as known. */
+  readonly at: StoreTime;
+  /** The last turn of this VM that it used; absent if it used none. */
+  readonly usedTurn?: StoreTime;
+}
+
 /** What one VM knows of a target. */
 export interface TargetState {
   readonly config: TargetConfig;
@@ -61,6 +75,8 @@
   /** Start of the last slow start; absent if the target never had one. */
   readonly slowStartFrom?: MonotonicTime;
   readonly report?: KnownReport;
+  /** Absent if the target has never named a limit. */
+  readonly limit?: TargetLimit;
   /** The latest samples of `inFlight`, one per report, oldest first. */
   readonly ownSamples: readonly OwnSample[];
   /** Whether the VM list shows it as leaving or no longer contains it. */
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -53,6 +53,7 @@
   TargetLeaving = "target_leaving",
   TargetGone = "target_gone",
   TargetEjected = "target_ejected",
+  TargetLimited = "target_limited",
   TargetBack = "target_back",
   /** Lost connections were found to be a crash of their target. */
   TargetCrashed = "target_crashed",
