Let the soak check the limits that targets name

A fault lets a target name a limit of 0.5, 1 or 3 requests a second; the check counts what reaches it in each 4 s from VMs that had such an answer half a second before and were not interrupted. Its test shows that records with one request too many fail.

--- a/packages/soak/fault_plan.ts
+++ b/packages/soak/fault_plan.ts
@@ -43,6 +43,8 @@
   Release = "release",
   /** A target is listed as draining and then as ready again. */
   TargetLeaves = "target-leaves",
+  /** A target limits its requests, and names that in its answers. */
+  TargetLimit = "target-limit",
   /** A new configuration adds prepaid tokens and new customer keys. */
   Configuration = "configuration",
 }
--- a/packages/soak/guarantees.ts
+++ b/packages/soak/guarantees.ts
@@ -3,7 +3,7 @@
  * callers received and what targets ran. The checks are pure functions, so that
  * tests can feed each one records that violate it.
  */
-import type { Millis, Tokens } from "../core/mod.ts";
+import { type Millis, MILLIS_PER_SECOND, type Tokens } from "../core/mod.ts";
 
 /** One call as its caller saw it, and how often targets ran it. */
 export interface CallRecord {
@@ -59,6 +59,8 @@
   NoConfigurationRollback = "configuration-stays",
   /** Every VM serves again after the last fault. */
   Recovery = "recovery",
+  /** A target gets no more requests than the limit that it names. */
+  TargetLimit = "target-limit",
 }
 
 /** Result of checking one guarantee. */
@@ -70,6 +72,22 @@
   readonly failures: readonly string[];
 }
 
+/** A period in which a target named a limit. */
+export interface LimitedPeriod {
+  readonly target: string;
+  /** Requests per second that it accepts from all VMs together. */
+  readonly perSecond: number;
+  /** Requests that reached it, in order of time. */
+  readonly arrivals: readonly {
+    readonly vm: string;
+    readonly at: Millis;
+    /** When the answer named the limit, if it did. */
+    readonly toldAt?: Millis;
+  }[];
+  /** VMs that were killed, stopped or suspended meanwhile. */
+  readonly interruptedVms: ReadonlySet<string>;
+}
+
 /** Records of one soak run. */
 export interface SoakRecords {
   readonly calls: readonly CallRecord[];
@@ -81,6 +99,7 @@
     readonly from: Millis;
     readonly to: Millis;
   }[];
+  readonly limitedPeriods: readonly LimitedPeriod[];
   /** When the last fault had ended and every VM had been started. */
   readonly faultsEndedAt: Millis;
 }
@@ -94,6 +113,16 @@
 /** Time after the last fault within which every VM must serve again. */
 const RECOVERY_TIME: Millis = 8_000;
 
+/** Span in which requests to a target that names a limit are counted. */
+const LIMIT_WINDOW: Millis = 4_000;
+
+/** What a target may get in a span: a multiple of its limit, and some more. */
+const LIMIT_FACTOR = 1.5;
+const LIMIT_SLACK = 5;
+
+/** Time from the answer that names a limit until it binds a VM. */
+const LIMIT_KNOWN_AFTER: Millis = 500;
+
 /** Checks every guarantee on the records of a run. */
 export function checkGuarantees(records: SoakRecords): GuaranteeResult[] {
   const { calls } = records;
@@ -122,6 +151,7 @@
     checkPlannedStops(records),
     checkConfigurations(calls),
     checkRecovery(records),
+    checkLimits(records.limitedPeriods),
   ];
 }
 
@@ -230,6 +260,41 @@
   return { guarantee: SoakGuarantee.Recovery, checked: vms.size, failures };
 }
 
+/**
+ * Checks how many requests each target got in each span, from VMs that had an
+ * answer with the limit before.
+ */
+function checkLimits(periods: readonly LimitedPeriod[]): GuaranteeResult {
+  const failures = periods.flatMap((period) => {
+    const { target, perSecond, arrivals, interruptedVms } = period;
+    const told = new Map<string, Millis>();
+    for (const { vm, toldAt } of arrivals) {
+      if (toldAt === undefined) continue;
+      told.set(vm, Math.min(toldAt, told.get(vm) ?? Infinity));
+    }
+    const counted = arrivals.filter(({ vm, at }) =>
+      !interruptedVms.has(vm) &&
+      at >= (told.get(vm) ?? Infinity) + LIMIT_KNOWN_AFTER
+    ).map(({ at }) => at);
+    const most = Math.max(
+      0,
+      ...counted.map((from) =>
+        counted.filter((at) => at >= from && at < from + LIMIT_WINDOW).length
+      ),
+    );
+    const allowed = LIMIT_FACTOR * perSecond * LIMIT_WINDOW /
+        MILLIS_PER_SECOND + LIMIT_SLACK;
+    return most <= allowed
+      ? []
+      : [`${target}: ${most} requests at ${perSecond} a second`];
+  });
+  return {
+    guarantee: SoakGuarantee.TargetLimit,
+    checked: periods.length,
+    failures,
+  };
+}
+
 function describeCall(call: CallRecord): string {
   return `${call.id} (${call.route}) at ${call.vm}/${call.incarnation}, ` +
     `${Math.round(call.sentAt)} to ${Math.round(call.endedAt)} ms: ` +
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -27,6 +27,7 @@
   type CallRecord,
   checkGuarantees,
   type GuaranteeResult,
+  type LimitedPeriod,
 } from "./guarantees.ts";
 import { Relay, RelayMode } from "./relay.ts";
 import { VmProcess } from "./vm_process.ts";
@@ -75,6 +76,19 @@
 
 const CUT_FAULTS = [TargetFault.CutEvent, TargetFault.UnframedCutEvent];
 
+/** Limits of targets during {@link FaultKind.TargetLimit}, per second. */
+const TARGET_LIMITS = [0.5, 1, 3];
+
+/** Time for which a target names a limit, besides that of the fault. */
+const LIMIT_TIME: Millis = 6_000;
+
+/** Faults that interrupt one VM, or all. */
+const VM_INTERRUPTIONS = [
+  FaultKind.KillVm,
+  FaultKind.StopVm,
+  FaultKind.PauseVm,
+];
+
 /** Delay of bytes to and from the store during {@link FaultKind.DelayStore}. */
 const STORE_DELAY: Millis = 150;
 
@@ -119,6 +133,9 @@
   readonly #random: SeededRandom;
   readonly #calls: Omit<CallRecord, "runs">[] = [];
   readonly #startedAt = performance.now();
+  readonly #limitedPeriods: LimitedPeriod[] = [];
+  /** When VMs were killed, stopped or suspended. */
+  readonly #interruptions: { readonly vm: string; readonly at: Millis }[] = [];
   /** Version of the newest configuration. */
   #configurationVersion = 0;
   #keepsLogs = false;
@@ -205,6 +222,7 @@
         ["ample", AMPLE_PREPAID],
       ]),
       undisturbedStops: this.#listUndisturbedStops(faults, planStart),
+      limitedPeriods: this.#limitedPeriods,
       faultsEndedAt,
     });
     this.#keepsLogs = guarantees.some((each) => each.failures.length > 0);
@@ -282,6 +300,7 @@
     const vm = this.#vms[fault.index % this.#vms.length]!;
     const relay = this.#relays[fault.index % this.#relays.length]!;
     const waitDuration = () => sleep(fault.duration);
+    this.#recordInterruption(fault, vm);
     switch (fault.kind) {
       case FaultKind.KillVm:
         return await this.#restartVms([vm], {
@@ -349,11 +368,49 @@
         await waitDuration();
         return this.#listTarget(target, "ready");
       }
+      case FaultKind.TargetLimit:
+        return await this.#limitTarget(fault);
       case FaultKind.Configuration:
         return this.#storeConfiguration();
     }
   }
 
+  /** Lets a target name a limit, and records the requests that it gets. */
+  async #limitTarget(fault: PlannedFault): Promise<void> {
+    const target = this.#targets[fault.index % this.#targets.length]!;
+    if (target.limit !== undefined) return;
+    const perSecond = TARGET_LIMITS[fault.duration % TARGET_LIMITS.length]!;
+    const from = this.#now();
+    const before = target.arrivals.length;
+    target.limit = String(perSecond);
+    await sleep(LIMIT_TIME + fault.duration);
+    target.limit = undefined;
+    const interruptedVms = new Set(
+      this.#interruptions.filter(({ at }) => at >= from).map(({ vm }) => vm),
+    );
+    // The ids of calls begin with their VM.
+    const arrivals = target.arrivals.slice(before)
+      .map((each) => ({ ...each, vm: each.id.split("-")[0]! }));
+    this.#limitedPeriods.push({
+      target: target.id,
+      perSecond,
+      arrivals,
+      interruptedVms,
+    });
+  }
+
+  #recordInterruption({ kind }: PlannedFault, vm: VmProcess): void {
+    const interrupted = kind === FaultKind.KillAll
+      ? this.#vms
+      : VM_INTERRUPTIONS.includes(kind)
+      ? [vm]
+      : [];
+    const at = this.#now();
+    for (const { name } of interrupted) {
+      this.#interruptions.push({ vm: name, at });
+    }
+  }
+
   /** Signals VMs, waits until the fault is over, and restarts them. */
   async #restartVms(
     vms: readonly VmProcess[],
--- a/packages/soak/soak_test.ts
+++ b/packages/soak/soak_test.ts
@@ -62,6 +62,7 @@
   calls: [CALL],
   prepaid: new Map([["scarce", 100]]),
   undisturbedStops: [{ vm: "v1", from: 50, to: 5_000 }],
+  limitedPeriods: [],
   faultsEndedAt: -10_000,
 };
 
@@ -79,6 +80,30 @@
   t.deepEqual(listViolated({}), []);
 });
 
+test("more requests than a limit allows are reported, but not of VMs that were not told", (t) => {
+  const arrivals = Array.from({ length: 13 }, (_, index) => ({
+    vm: "v1",
+    at: index * 300,
+    ...(index === 0 ? { toldAt: 10 } : {}),
+  }));
+  const period = {
+    target: "llm-1",
+    perSecond: 1,
+    arrivals,
+    interruptedVms: new Set<string>(),
+  };
+  const { TargetLimit } = SoakGuarantee;
+  const listFor = (change: Partial<typeof period>) =>
+    listViolated({ limitedPeriods: [{ ...period, ...change }] });
+  t.deepEqual(listFor({}), []);
+  const one = { vm: "v1", at: 3_700 };
+  t.deepEqual(listFor({ arrivals: [...arrivals, one] }), [TargetLimit]);
+  const other = { vm: "v2", at: 3_700 };
+  t.deepEqual(listFor({ arrivals: [...arrivals, other] }), []);
+  const interruptedVms = new Set(["v1"]);
+  t.deepEqual(listFor({ arrivals: [...arrivals, one], interruptedVms }), []);
+});
+
 test("records that violate a guarantee are reported for it", (t) => {
   const {
     Budget,
