Exchange reports of VMs over rows in one place

The reports of crashes had their feed, their writer and the pace of writes in the feature itself; the limits that targets name need the same.

--- a/packages/gateway/features/crashes/crash_reports.ts
+++ b/packages/gateway/features/crashes/crash_reports.ts
@@ -1,40 +1,26 @@
 /**
  * Shares what the VMs observe of prompt parts and whole requests that crash
- * targets; a request is one more part, identified by a digest. Each VM
- * writes its evidence to its own row when it has something new, and follows the
- * rows of all VMs. While the store is unavailable, a VM decides by what it has
- * observed and read so far.
+ * targets; a request is one more part, identified by a digest.
  */
-import { setTimeout as sleep } from "node:timers/promises";
 import { z } from "zod";
 import {
   combineUndo,
-  type JsonValue,
   type Millis,
   type Refusal,
   RefusalKind,
-  type RowOperation,
   type StoreTime,
   type Undo,
 } from "../../../core/mod.ts";
-import type { StoreWriter } from "../../../ports/mod.ts";
 import {
   type CrashReport,
   type EvidenceReport,
   PartQuarantine,
   type QuarantinedParts,
 } from "../../../routing/mod.ts";
-import {
-  type BackgroundProcess,
-  createErrorReporter,
-  createRefusal,
-  LogEvent,
-  startOnDemand,
-} from "../../../runtime/mod.ts";
+import { createRefusal, LogEvent } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
-import { createRowWriter } from "../create_row_writer.ts";
-import { FeedFollower, type RowChange } from "../feed_follower.ts";
 import { readStoreTime } from "../read_store_time.ts";
+import { ReportExchange, type VmReport } from "../report_exchange.ts";
 import type { SuspectKeys } from "./suspect_keys.ts";
 
 const REPORT_SCHEMA = z.object({
@@ -48,12 +34,6 @@
   proofs: z.array(z.object({ part: z.string(), at: z.number() })),
 });
 
-/** Maximum time that one call waits for changes. */
-const FEED_WAIT: Millis = 3_000;
-
-/** Pause between two calls, which batches rows that change together. */
-const FEED_PAUSE: Millis = 100;
-
 /** Time to collect the attempts that one crash ends before they are written. */
 const CRASH_DELAY: Millis = 50;
 
@@ -64,16 +44,6 @@
 const MIN_PROOF_DELAY: Millis = 50;
 const MAX_PROOF_DELAY_PER_VM: Millis = 10;
 
-/**
- * Minimum time between two writes of a VM, and what each VM adds to it, so that
- * many crashes don't exhaust the writes of the rows' common partition.
- */
-const MIN_WRITE_PAUSE: Millis = 200;
-const WRITE_PAUSE_PER_VM: Millis = 5;
-
-/** Maximum pause between two attempts to write the row. */
-const MAX_BACKOFF: Millis = 1_000;
-
 /** Why a request is refused, for the caller and for the log. */
 export interface CrashRefusal {
   readonly refusal: Refusal;
@@ -85,9 +55,7 @@
   readonly #context: GatewayContext;
   readonly #countVms: () => number;
   readonly #quarantine = new PartQuarantine();
-  readonly #follower: FeedFollower<JsonValue>;
-  readonly #writer: StoreWriter;
-  #process: BackgroundProcess | undefined;
+  readonly #exchange: ReportExchange<EvidenceReport>;
   #hasNewCrash = false;
   #logged: readonly QuarantinedParts[] = [];
 
@@ -97,30 +65,24 @@
   ) {
     this.#context = context;
     this.#countVms = options.countVms;
-    const { dialect } = context;
-    this.#follower = new FeedFollower(context, {
+    this.#exchange = new ReportExchange(context, {
       name: "crash reports",
-      feed: dialect.crashReports,
-      wait: FEED_WAIT,
-      pause: FEED_PAUSE,
-      apply: (changes) => this.#apply(changes),
+      table: "crashes",
+      feed: context.dialect.crashReports,
+      schema: REPORT_SCHEMA,
+      apply: (reports) => this.#apply(reports),
+      createReport: () => this.#createReport(),
+      computeWait: () => this.#computeWait(),
+      countVms: options.countVms,
     });
-    this.#writer = createRowWriter(context, MAX_BACKOFF);
   }
 
   /** Starts to follow the reports of all VMs and to write this VM's own. */
   register(): Undo {
-    const { kernel, log } = this.#context;
-    this.#process = startOnDemand({
-      computeWait: () => this.#computeWait(),
-      run: () => this.#write(),
-      reportError: createErrorReporter(log, "crash reports"),
-    });
+    const { kernel } = this.#context;
     return combineUndo([
       kernel.registerDump("quarantinedParts", () => this.#logged),
-      this.#follower.register(),
-      this.#process.stop,
-      () => this.#writer.close(),
+      this.#exchange.register(),
     ]);
   }
 
@@ -130,7 +92,7 @@
     if (now === undefined) return;
     if (!this.#quarantine.recordBegun(keys.all, now)) return;
     this.#logChanges(now);
-    this.#process?.wake();
+    this.#exchange.wake();
   }
 
   /**
@@ -149,7 +111,7 @@
     if (suspects.length === 0) return suspects;
     this.#logChanges(now);
     this.#hasNewCrash = true;
-    this.#process?.wake();
+    this.#exchange.wake();
     return suspects;
   }
 
@@ -181,26 +143,15 @@
     };
   }
 
-  #apply(changes: readonly RowChange<JsonValue>[]): void {
+  #apply(reports: readonly VmReport<EvidenceReport>[]): void {
     const now = readStoreTime(this.#context);
     if (now === undefined) return;
-    for (const { key, value } of changes) {
-      // A removed row takes back nothing; evidence expires by its time.
-      if (value === undefined) continue;
-      const parsed = REPORT_SCHEMA.safeParse(value);
-      if (parsed.success) {
-        const isOwn = key === this.#context.vm;
-        this.#quarantine.applyReport(parsed.data, { isOwn, now });
-        continue;
-      }
-      this.#context.log.warn(LogEvent.RowDamaged, {
-        table: "crash reports",
-        key,
-        reason: z.prettifyError(parsed.error),
-      });
+    for (const { vm, report } of reports) {
+      const isOwn = vm === this.#context.vm;
+      this.#quarantine.applyReport(report, { isOwn, now });
     }
     this.#logChanges(now);
-    if (this.#quarantine.hasUnreportedProof(now)) this.#process?.wake();
+    if (this.#quarantine.hasUnreportedProof(now)) this.#exchange.wake();
   }
 
   #computeWait(): Millis {
@@ -209,28 +160,14 @@
     return MIN_PROOF_DELAY + this.#context.random() * spread;
   }
 
-  async #write(): Promise<boolean> {
+  #createReport(): EvidenceReport | undefined {
     const now = readStoreTime(this.#context);
-    if (now === undefined) return false;
+    if (now === undefined) return undefined;
     if (!this.#hasNewCrash && !this.#quarantine.hasUnreportedProof(now)) {
-      return false;
+      return undefined;
     }
     this.#hasNewCrash = false;
-    const report = this.#quarantine.createReport(now);
-    const written = await this.#writer.run(
-      createReportWrite(this.#context.vm, report),
-      { giveUpAt: Infinity },
-    );
-    written.ifLeft((error) =>
-      this.#context.log.error(LogEvent.StoreFailed, {
-        dependency: "crash reports",
-        reason: error.message,
-      })
-    );
-    await sleep(
-      Math.max(MIN_WRITE_PAUSE, this.#countVms() * WRITE_PAUSE_PER_VM),
-    );
-    return this.#hasNewCrash;
+    return this.#quarantine.createReport(now);
   }
 
   #logChanges(now: StoreTime): void {
@@ -258,19 +195,3 @@
 function formatParts(quarantined: QuarantinedParts): string {
   return quarantined.parts.join(",");
 }
-
-function createReportWrite(
-  vm: string,
-  report: EvidenceReport,
-): RowOperation<void> {
-  const key = `crashes/${vm}`;
-  const value: JsonValue = {
-    crashes: report.crashes.map((crash) => ({ ...crash })),
-    proofs: report.proofs.map((proof) => ({ ...proof })),
-  };
-  return {
-    id: `report-crashes/${vm}`,
-    keys: [key],
-    decide: () => ({ writes: [{ key, value }], result: undefined }),
-  };
-}
