Share the limits of targets between the VMs

A VM learned a target's limit, and that it had gone, only from its own answers. At a limit of 1 a second its turns come every n seconds for n VMs: after the target's need, 59 VMs would have kept away from it for up to a minute, and a VM that had not been told yet sent as if there were no limit.

The newest word counts; an answer without a limit counts as of when its request was sent, so that an old answer doesn't end a limit that was named meanwhile.

Entries of targets are announced after the routing state has them, so that a known limit applies to them as well.

--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -155,6 +155,8 @@
   readonly peers: FeedPort<JsonValue>;
   /** Feed of the rows `crashes/VM`, which the gateways themselves write. */
   readonly crashReports: FeedPort<JsonValue>;
+  /** Feed of the rows `limits/VM`, which the gateways themselves write. */
+  readonly limitReports: FeedPort<JsonValue>;
   /** The gateways' own rows; a transaction changes only one row. */
   readonly table: RowPort;
 }
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -27,6 +27,7 @@
   choosePlacement,
   computeHealth,
   createRoutingState,
+  type LimitNotice,
   type Placement,
   type PlacementInput,
   recordAttemptEnd,
@@ -86,6 +87,8 @@
   readonly #ejected = new Set<TargetId>();
   readonly #removalListeners: ((target: TargetId) => void)[] = [];
   readonly #listingListeners: ((entry: ListedTarget) => void)[] = [];
+  readonly #limitListeners:
+    ((target: ListedTarget, notice: LimitNotice) => void)[] = [];
   readonly #state: RoutingState;
   readonly #releases = new ReleaseHistory();
   /** Number of targets that limit their requests. */
@@ -140,6 +143,16 @@
     this.#listingListeners.push(listener);
   }
 
+  /**
+   * Adds a function that is called when an answer of a target changes what is
+   * known of its limit.
+   */
+  addLimitListener(
+    listener: (target: ListedTarget, notice: LimitNotice) => void,
+  ): void {
+    this.#limitListeners.push(listener);
+  }
+
   /** Returns a target's entry; undefined for an unknown target. */
   find(id: TargetId): ListedTarget | undefined {
     return this.#listed.get(id);
@@ -235,14 +248,24 @@
     const notice = limit === undefined
       ? { at: now - input.age }
       : { ...limit, at: now };
-    if (!recordLimit(this.#state, target.id, notice)) return;
+    if (!this.applyLimit(target, notice)) return;
+    for (const listener of this.#limitListeners) listener(target, notice);
+  }
+
+  /**
+   * Applies what a target has said of its limit, unless something newer is
+   * known. Returns whether the limit has changed.
+   */
+  applyLimit(target: ListedTarget, notice: LimitNotice): boolean {
+    if (!recordLimit(this.#state, target.id, notice)) return false;
     this.#context.log.info(LogEvent.TargetLimited, {
       target: target.id,
       service: target.service,
-      per_second: limit?.perSecond ?? "none",
+      per_second: notice.perSecond ?? "none",
       vms: this.#findVmOrder()?.count,
     });
     this.#countLimited();
+    return true;
   }
 
   /**
@@ -280,14 +303,18 @@
   }
 
   #apply(changes: readonly RowChange<ListedTarget>[]): void {
-    let hasChanged = false;
+    let hasRemoved = false;
+    const changed: ListedTarget[] = [];
     this.#recordReleases();
     for (const { key, value } of changes) {
-      hasChanged = (value === undefined
-        ? this.#applyMissing(key)
-        : this.#applyEntry(value)) || hasChanged;
+      if (value === undefined) {
+        hasRemoved = this.#applyMissing(key) || hasRemoved;
+      } else if (this.#applyEntry(value)) changed.push(value);
+    }
+    if (hasRemoved || changed.length > 0) this.#rebuild();
+    for (const entry of changed) {
+      for (const listener of this.#listingListeners) listener(entry);
     }
-    if (hasChanged) this.#rebuild();
   }
 
   /** Records the listed releases, before entries change and when asked. */
@@ -313,7 +340,6 @@
       this.#state.targets.remove(entry.id);
     }
     this.#listed.set(entry.id, entry);
-    for (const listener of this.#listingListeners) listener(entry);
     if (entry.leaving) log.info(LogEvent.TargetLeaving, fields);
     else log.info(LogEvent.TargetListed, fields);
     return true;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -31,6 +31,7 @@
 import { CrashReports } from "./features/crashes/crash_reports.ts";
 import { CustomerBudgets } from "./features/budgets/customer_budgets.ts";
 import { PeerAccess } from "./features/peers/peer_access.ts";
+import { LimitReports } from "./features/limit_reports.ts";
 import { StreamOrigins } from "./features/streams/stream_origins.ts";
 import { TargetRegistry } from "./features/target_registry.ts";
 import type { GatewayContext } from "./gateway_context.ts";
@@ -88,6 +89,7 @@
   readonly #peers: PeerAccess;
   readonly #budgets: CustomerBudgets;
   readonly #crashReports: CrashReports;
+  readonly #limitReports: LimitReports;
   readonly #streams: StreamOrigins;
   readonly #callers: CallerServer;
   readonly #pools: ConnectionPools;
@@ -109,6 +111,10 @@
     this.#crashReports = new CrashReports(context, {
       countVms: () => this.#budgets.countVms(),
     });
+    this.#limitReports = new LimitReports(context, {
+      targets: this.#targets,
+      countVms: () => this.#budgets.countVms(),
+    });
     const crashDetector = new CrashDetector(context, this.#crashReports);
     const answerMemory = new AnswerMemory();
     this.#streams = new StreamOrigins(context, {
@@ -141,6 +147,9 @@
     this.#targets.addListingListener((entry) =>
       crashDetector.recordListed(entry)
     );
+    this.#targets.addLimitListener((target, notice) =>
+      this.#limitReports.recordTold(target, notice)
+    );
     this.#budgets.setVmCountListener((count) => this.#changeVmCount(count));
     this.#changeVmCount(MIN_VM_COUNT);
   }
@@ -187,6 +196,7 @@
       this.#peers.register(),
       this.#budgets.register(),
       this.#crashReports.register(),
+      this.#limitReports.register(),
       this.#streams.register(),
     ]);
     log.info(LogEvent.Started, {
