Log how many of the tokens written off were known to be spent

The log line has the part that the incarnation had reported as spent; the rest is what may be lost. 116 tests of budgets and of the gateway's parts pass, with the new field in each expectation.

--- a/packages/budget/standby/end_earlier_incarnations.ts
+++ b/packages/budget/standby/end_earlier_incarnations.ts
@@ -27,6 +27,8 @@
   readonly freed: Tokens;
   /** Tokens that count as spent. */
   readonly writtenOff: Tokens;
+  /** Those of them that the incarnations had reported as spent. */
+  readonly reportedSpent: Tokens;
   /**
    * Total spending rate that the other VMs last reported, in tokens per second.
    */
@@ -69,6 +71,7 @@
         result: {
           freed: freed.tokens,
           writtenOff: (row.writtenOff ?? 0) - (before.writtenOff ?? 0),
+          reportedSpent: sumReportedSpent(freed.row) - sumReportedSpent(row),
           othersRate: sumOtherRates(row, vm),
         },
       };
@@ -76,6 +79,12 @@
   };
 }
 
+/** Returns the tokens of open grants that their holders reported as spent. */
+function sumReportedSpent({ grants }: BudgetRow): Tokens {
+  return Object.values(grants)
+    .reduce<Tokens>((sum, grant) => sum + (grant.spent ?? 0), 0);
+}
+
 function freeStandby(
   row: BudgetRow,
   input: {
--- a/packages/budget/standby/standby_test.ts
+++ b/packages/budget/standby/standby_test.ts
@@ -83,16 +83,38 @@
   t.deepEqual(endIncarnations(store, "1"), {
     freed: 400,
     writtenOff: 300,
+    reportedSpent: 0,
     othersRate: 0,
   });
   t.is(computeBudgetLeft(store.read()), 700);
   t.deepEqual(endIncarnations(store, "1"), {
     freed: 0,
     writtenOff: 0,
+    reportedSpent: 0,
     othersRate: 0,
   });
 });
 
+test("what an incarnation had reported as spent is told from what may be lost", (t) => {
+  const store = new SingleRowStore();
+  takeGrantAndStandby(store, "1");
+  store.apply(createGrantExchange({
+    id: "report",
+    eventId: "c",
+    initialLimit: 1_000,
+    // What is spent is stored only with another change.
+    take: {
+      grantId: "1/2",
+      holder: { vm: "v", incarnation: "1" },
+      wanted: 50,
+      least: 1,
+      wallTime: 0,
+    },
+    spent: [{ grantId: "1/1", spent: 120 }],
+  }));
+  t.like(endIncarnations(store, "1"), { writtenOff: 350, reportedSpent: 120 });
+});
+
 test("without evidence, or with that of another incarnation, all tokens count as spent", (t) => {
   for (const evidence of [undefined, "0"]) {
     const store = new SingleRowStore();
@@ -100,6 +122,7 @@
     t.deepEqual(endIncarnations(store, evidence), {
       freed: 0,
       writtenOff: 700,
+      reportedSpent: 0,
       othersRate: 0,
     });
   }
@@ -111,6 +134,7 @@
   t.deepEqual(endIncarnations(store, "1", 0.2501), {
     freed: 299,
     writtenOff: 401,
+    reportedSpent: 0,
     othersRate: 0,
   });
   t.is(computeBudgetLeft(store.read()), 599);
@@ -143,6 +167,7 @@
   t.deepEqual(endIncarnations(store, "1", 0.5), {
     freed: 200,
     writtenOff: 400,
+    reportedSpent: 0,
     othersRate: 0,
   });
 });
@@ -159,6 +184,7 @@
   t.deepEqual(endIncarnations(store, "1"), {
     freed: 0,
     writtenOff: 700,
+    reportedSpent: 0,
     othersRate: 0,
   });
 });
@@ -178,6 +204,7 @@
   t.deepEqual(endIncarnations(store, "1"), {
     freed: 0,
     writtenOff: 300,
+    reportedSpent: 0,
     othersRate: 0,
   });
 });
--- a/packages/gateway/features/budgets/grant_exchanges.ts
+++ b/packages/gateway/features/budgets/grant_exchanges.ts
@@ -152,7 +152,7 @@
       wallTime: clock.readWall(),
     });
     const answer = await budget.writer.run(operation, { giveUpAt: Infinity });
-    answer.ifRight(({ freed, writtenOff, othersRate }) => {
+    answer.ifRight(({ freed, writtenOff, reportedSpent, othersRate }) => {
       this.recordAnswer();
       budget.othersRate = othersRate;
       budget.isInitialized = true;
@@ -163,6 +163,7 @@
       log.warn(LogEvent.GrantWrittenOff, {
         customer: budget.customer,
         written_off: writtenOff,
+        spent: reportedSpent,
         freed,
         life: earlier?.incarnation,
       });
