Count requests of VMs that were interrupted earlier in the soak's check of limits

Now a VM is left out from such a fault until 4 s after it, and counts again from its next answer with the limit on.

--- a/packages/soak/guarantees.ts
+++ b/packages/soak/guarantees.ts
@@ -84,8 +84,15 @@
     /** When the answer named the limit, if it did. */
     readonly toldAt?: Millis;
   }[];
-  /** VMs that were killed, stopped or suspended meanwhile. */
-  readonly interruptedVms: ReadonlySet<string>;
+  /** Times from which VMs were killed, stopped or suspended, and until which. */
+  readonly interruptions: readonly VmInterruption[];
+}
+
+/** A time in which a VM was killed, stopped or suspended. */
+export interface VmInterruption {
+  readonly vm: string;
+  readonly from: Millis;
+  readonly to: Millis;
 }
 
 /** Records of one soak run. */
@@ -123,6 +130,9 @@
 /** Time from the answer that names a limit until it binds a VM. */
 const LIMIT_KNOWN_AFTER: Millis = 500;
 
+/** Time after an interruption in which a VM is not bound. */
+const INTERRUPTION_MARGIN: Millis = 4_000;
+
 /** Checks every guarantee on the records of a run. */
 export function checkGuarantees(records: SoakRecords): GuaranteeResult[] {
   const { calls } = records;
@@ -266,16 +276,9 @@
  */
 function checkLimits(periods: readonly LimitedPeriod[]): GuaranteeResult {
   const failures = periods.flatMap((period) => {
-    const { target, perSecond, arrivals, interruptedVms } = period;
-    const told = new Map<string, Millis>();
-    for (const { vm, toldAt } of arrivals) {
-      if (toldAt === undefined) continue;
-      told.set(vm, Math.min(toldAt, told.get(vm) ?? Infinity));
-    }
-    const counted = arrivals.filter(({ vm, at }) =>
-      !interruptedVms.has(vm) &&
-      at >= (told.get(vm) ?? Infinity) + LIMIT_KNOWN_AFTER
-    ).map(({ at }) => at);
+    const { target, perSecond, arrivals } = period;
+    const counted = arrivals.filter((arrival) => isBound(arrival, period))
+      .map(({ at }) => at);
     const most = Math.max(
       0,
       ...counted.map((from) =>
@@ -295,6 +298,25 @@
   };
 }
 
+/** Whether the VM that sent a request knew of the limit and was not excused. */
+function isBound(
+  { vm, at }: { readonly vm: string; readonly at: Millis },
+  { arrivals, interruptions }: LimitedPeriod,
+): boolean {
+  const earlier = interruptions.filter((each) =>
+    each.vm === vm && each.from <= at
+  );
+  const boundFrom = Math.max(
+    -Infinity,
+    ...earlier.map(({ to }) => to + INTERRUPTION_MARGIN),
+  );
+  return at >= boundFrom &&
+    arrivals.some(({ vm: told, toldAt = Infinity }) =>
+      told === vm && toldAt >= boundFrom - INTERRUPTION_MARGIN &&
+      toldAt + LIMIT_KNOWN_AFTER <= at
+    );
+}
+
 function describeCall(call: CallRecord): string {
   return `${call.id} (${call.route}) at ${call.vm}/${call.incarnation}, ` +
     `${Math.round(call.sentAt)} to ${Math.round(call.endedAt)} ms: ` +
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -28,6 +28,7 @@
   checkGuarantees,
   type GuaranteeResult,
   type LimitedPeriod,
+  type VmInterruption,
 } from "./guarantees.ts";
 import { Relay, RelayMode } from "./relay.ts";
 import { VmProcess } from "./vm_process.ts";
@@ -134,8 +135,7 @@
   readonly #calls: Omit<CallRecord, "runs">[] = [];
   readonly #startedAt = performance.now();
   readonly #limitedPeriods: LimitedPeriod[] = [];
-  /** When VMs were killed, stopped or suspended. */
-  readonly #interruptions: { readonly vm: string; readonly at: Millis }[] = [];
+  readonly #interruptions: VmInterruption[] = [];
   /** Version of the newest configuration. */
   #configurationVersion = 0;
   #keepsLogs = false;
@@ -380,34 +380,35 @@
     const target = this.#targets[fault.index % this.#targets.length]!;
     if (target.limit !== undefined) return;
     const perSecond = TARGET_LIMITS[fault.duration % TARGET_LIMITS.length]!;
-    const from = this.#now();
     const before = target.arrivals.length;
     target.limit = String(perSecond);
     await sleep(LIMIT_TIME + fault.duration);
     target.limit = undefined;
-    const interruptedVms = new Set(
-      this.#interruptions.filter(({ at }) => at >= from).map(({ vm }) => vm),
-    );
-    // The ids of calls begin with their VM.
-    const arrivals = target.arrivals.slice(before)
-      .map((each) => ({ ...each, vm: each.id.split("-")[0]! }));
+    const arrivals = target.arrivals.slice(before).map((
+      { id, at, toldAt },
+    ) => ({
+      // The ids of calls begin with their VM.
+      vm: id.split("-")[0]!,
+      at: at - this.#startedAt,
+      ...(toldAt === undefined ? {} : { toldAt: toldAt - this.#startedAt }),
+    }));
     this.#limitedPeriods.push({
       target: target.id,
       perSecond,
       arrivals,
-      interruptedVms,
+      interruptions: [...this.#interruptions],
     });
   }
 
-  #recordInterruption({ kind }: PlannedFault, vm: VmProcess): void {
+  #recordInterruption({ kind, duration }: PlannedFault, vm: VmProcess): void {
     const interrupted = kind === FaultKind.KillAll
       ? this.#vms
       : VM_INTERRUPTIONS.includes(kind)
       ? [vm]
       : [];
-    const at = this.#now();
+    const from = this.#now();
     for (const { name } of interrupted) {
-      this.#interruptions.push({ vm: name, at });
+      this.#interruptions.push({ vm: name, from, to: from + duration });
     }
   }
 
--- a/packages/soak/soak_test.ts
+++ b/packages/soak/soak_test.ts
@@ -5,6 +5,7 @@
 import {
   type CallRecord,
   checkGuarantees,
+  type LimitedPeriod,
   SoakGuarantee,
   type SoakRecords,
 } from "./guarantees.ts";
@@ -86,22 +87,22 @@
     at: index * 300,
     ...(index === 0 ? { toldAt: 10 } : {}),
   }));
-  const period = {
+  const period: LimitedPeriod = {
     target: "llm-1",
     perSecond: 1,
     arrivals,
-    interruptedVms: new Set<string>(),
+    interruptions: [],
   };
   const { TargetLimit } = SoakGuarantee;
-  const listFor = (change: Partial<typeof period>) =>
+  const listFor = (change: Partial<LimitedPeriod>) =>
     listViolated({ limitedPeriods: [{ ...period, ...change }] });
   t.deepEqual(listFor({}), []);
   const one = { vm: "v1", at: 3_700 };
   t.deepEqual(listFor({ arrivals: [...arrivals, one] }), [TargetLimit]);
   const other = { vm: "v2", at: 3_700 };
   t.deepEqual(listFor({ arrivals: [...arrivals, other] }), []);
-  const interruptedVms = new Set(["v1"]);
-  t.deepEqual(listFor({ arrivals: [...arrivals, one], interruptedVms }), []);
+  const interruptions = [{ vm: "v1", from: 600, to: 700 }];
+  t.deepEqual(listFor({ arrivals: [...arrivals, one], interruptions }), []);
 });
 
 test("records that violate a guarantee are reported for it", (t) => {
