--- a/packages/gateway/features/budgets/grant_exchanges.ts
+++ b/packages/gateway/features/budgets/grant_exchanges.ts
@@ -372,6 +372,8 @@
       holders: result.holders,
       ms: Math.round(now - sentAt),
       conflicts: facts?.conflicts,
+      failures: facts?.failures,
+      failure: facts?.failureReason,
       row_bytes: facts?.rowBytes,
     });
   }
--- a/packages/ports/store_writer.ts
+++ b/packages/ports/store_writer.ts
@@ -89,6 +89,10 @@
 export interface OperationFacts {
   /** Transactions that wrote nothing, since a row had changed meanwhile. */
   readonly conflicts: number;
+  /** Calls that failed: refused by the store, or without an answer. */
+  readonly failures: number;
+  /** Why the last of these calls failed. */
+  readonly failureReason?: string;
   /** Size of the operation's rows as JSON, as they are after it. */
   readonly rowBytes: Bytes;
 }
@@ -104,6 +108,8 @@
 interface Job extends RunOptions {
   readonly operation: RowOperation<unknown>;
   conflicts: number;
+  failures: number;
+  failureReason?: string;
   /** True once a commit was sent and its answer lost: it may have committed. */
   uncertain: boolean;
   finish(result: Either<PlatformError, unknown>): void;
@@ -179,6 +185,7 @@
         ...options,
         operation,
         conflicts: 0,
+        failures: 0,
         uncertain: false,
         finish: (result) => resolve(result as Either<PlatformError, Result>),
       });
@@ -362,6 +369,10 @@
     error: PlatformError | unknown,
   ): PlatformError {
     this.#counts.refusals++;
+    for (const job of group) {
+      job.failures++;
+      job.failureReason = (error as PlatformError).message;
+    }
     this.#waiting.unshift(...group);
     if (this.#closed) this.close();
     this.#abandonExpired();
@@ -438,6 +449,10 @@
   for (const [job, result] of decision.results) {
     job.onCompleted?.({
       conflicts: job.conflicts,
+      failures: job.failures,
+      ...(job.failureReason === undefined
+        ? {}
+        : { failureReason: job.failureReason }),
       rowBytes: measureRows(job.operation.keys, decision.rows),
     });
     job.finish(Right(result));
--- a/packages/ports/store_writer_test.ts
+++ b/packages/ports/store_writer_test.ts
@@ -8,7 +8,7 @@
   type RowOperation,
 } from "../core/mod.ts";
 import { SeededRandom, VirtualClock } from "../bench/mod.ts";
-import { MemoryTable } from "../stand_ins/mod.ts";
+import { CallFault, MemoryTable } from "../stand_ins/mod.ts";
 import { type OperationFacts, type RowPort, StoreWriter } from "./mod.ts";
 
 const KEY = "budget/tours";
@@ -51,12 +51,26 @@
   await second.run(createIncrement("b"), options);
   await first.run(createIncrement("c"), options);
   t.deepEqual(facts, [
-    { conflicts: 0, rowBytes: 1 },
-    { conflicts: 0, rowBytes: 1 },
-    { conflicts: 1, rowBytes: 1 },
+    { conflicts: 0, failures: 0, rowBytes: 1 },
+    { conflicts: 0, failures: 0, rowBytes: 1 },
+    { conflicts: 1, failures: 0, rowBytes: 1 },
   ]);
 });
 
+test("an operation whose calls failed says how many, and why the last did", async (t) => {
+  let calls = 0;
+  const table = new MemoryTable({
+    chooseFault: () => ++calls < 3 ? CallFault.Down : CallFault.None,
+  });
+  const facts: OperationFacts[] = [];
+  await createWriter(table).run(createIncrement("a"), {
+    giveUpAt: Infinity,
+    onCompleted: (each) => facts.push(each),
+  });
+  t.is(facts[0]?.failures, 2);
+  t.regex(facts[0]?.failureReason ?? "", /\w/);
+});
+
 /** Round trips to the store from its own region and from another one. */
 const NEAR: Millis = 4;
 const FAR: Millis = 64;
