--- a/packages/routing/quarantine/part_quarantine.ts
+++ b/packages/routing/quarantine/part_quarantine.ts
@@ -314,9 +314,9 @@
 
 /**
  * Whether an answer that began at a time shows that a crash had another cause.
- * Sound requests with a shared part are answered all the time, so an answer
- * shortly before the crash counts. The same request may be sent only to try
- * again, so only an answer after the crash does.
+ * For a part an answer shortly before the crash counts as well, since other
+ * requests share it. A whole request is answered only by its own repeats and
+ * may have turned deadly since, so only an answer after the crash counts.
  */
 function provesHarmless(
   key: string,
