Send nothing to a target that says in an answer that it is leaving

Callers' requests went on to targets that were leaving, until the target's entry in the store said so, and for as long as the store could not be read. Some targets never write it.

Cause: the header Server-Leaving was read nowhere.

Change: an answer's head says whether its target is leaving. The registry keeps that for the process that said so: longer than its entry, which may disappear for a while, and not for the next process under its id. Every VM hears it with its own first answer, so nothing is sent to other VMs.

--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -96,6 +96,8 @@
   readonly notRun: boolean;
   /** Whether it comes from another target than the requested one. */
   readonly isOtherTarget: boolean;
+  /** Whether the target says that it is leaving and must get no new requests. */
+  readonly leaving: boolean;
   /** Whether it carries the header that proves that a target produced it. */
   readonly sealed: boolean;
   /** Whether the body is a stream of events, or no type of it is stated. */
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -428,7 +428,11 @@
       signal: input.signal,
       recordHead: (head) => {
         const age = context.clock.readMonotonic() - sentAt;
-        this.#options.targets.recordLimit(input.listed, { head, age });
+        const { targets } = this.#options;
+        targets.recordLimit(input.listed, { head, age });
+        if (head.leaving && !head.isOtherTarget) {
+          targets.recordLeaving(input.listed);
+        }
       },
       head: {
         timeLeft: call.deadline - context.clock.readMonotonic(),
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -3,6 +3,7 @@
  * that routing needs: attempts in progress, failures and load, as seen by this
  * VM.
  */
+import { LRUCache } from "lru-cache";
 import type { Either } from "purify-ts";
 import {
   combineUndo,
@@ -43,7 +44,7 @@
   type TurnClock,
   type VmOrder,
 } from "../../routing/mod.ts";
-import { LogEvent } from "../../runtime/mod.ts";
+import { LogEvent, type LogFields } from "../../runtime/mod.ts";
 import type { AnswerHead, ListedTarget, LoadReport } from "../dialect.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import { FeedFollower, type RowChange } from "./feed_follower.ts";
@@ -62,6 +63,9 @@
  */
 const MISSING_GRACE_PERIOD: Millis = 2_200;
 
+/** Maximum number of targets that are remembered to have said they leave. */
+const MAX_LEAVING_TARGETS = 4_096;
+
 /**
  * Placeholders for required fields of a service that are not used here. The
  * gateway takes the limits of retries and progress from its settings and from
@@ -84,6 +88,10 @@
   readonly #listed = new Map<TargetId, ListedTarget>();
   /** When to remove each target whose entry has disappeared. */
   readonly #missing = new Map<TargetId, MonotonicTime>();
+  /** Entries of the targets whose answers said that they are leaving. */
+  readonly #saidLeaving = new LRUCache<TargetId, ListedTarget>({
+    max: MAX_LEAVING_TARGETS,
+  });
   readonly #ejected = new Set<TargetId>();
   readonly #removalListeners: ((target: TargetId) => void)[] = [];
   readonly #listingListeners: ((entry: ListedTarget) => void)[] = [];
@@ -229,6 +237,21 @@
     });
   }
 
+  /**
+   * Records that an answer of a target said that it is leaving. Its entry may
+   * say so later or never. It holds for that process only, and longer than its
+   * entry, which may disappear for a while.
+   */
+  recordLeaving(target: ListedTarget): void {
+    if (this.isReplaced(target) || this.#isLeaving(target)) return;
+    this.#saidLeaving.set(target.id, target);
+    this.#context.log.info(LogEvent.TargetLeaving, {
+      ...describeEntry(target),
+      source: "answer",
+    });
+    this.#applyLeaving();
+  }
+
   /**
    * Records what an answer to a request says of its target's limit. The request
    * was sent `age` ago. An answer without a limit counts as of then, since it
@@ -328,13 +351,7 @@
     this.#missing.delete(entry.id);
     if (known !== undefined && isSameEntry(known, entry)) return false;
     const { log } = this.#context;
-    const fields = {
-      target: entry.id,
-      service: entry.service,
-      data_centre: entry.dataCentre,
-      release: entry.release,
-      life: entry.incarnation,
-    };
+    const fields = describeEntry(entry);
     if (known !== undefined && known.incarnation !== entry.incarnation) {
       // The state of the previous process doesn't apply to the new one.
       this.#state.targets.remove(entry.id);
@@ -374,6 +391,8 @@
     if (known === undefined) return false;
     this.#listed.delete(id);
     this.#ejected.delete(id);
+    // Without an incarnation, the next process under the id looks the same.
+    if (known.incarnation === "") this.#saidLeaving.delete(id);
     for (const listener of this.#removalListeners) listener(id);
     this.#context.log.info(LogEvent.TargetGone, {
       target: id,
@@ -400,7 +419,14 @@
       now: this.#context.clock.readMonotonic(),
       vms: this.#state.vms.count,
     });
-    const leaving = [...this.#listed.values()].filter((each) => each.leaving);
+    this.#applyLeaving();
+    this.#countLimited();
+  }
+
+  /** Applies which of the listed targets are leaving. */
+  #applyLeaving(): void {
+    const leaving = [...this.#listed.values()]
+      .filter((each) => this.#isLeaving(each));
     applyListedTargets(this.#state, new Set(leaving.map((each) => each.id)));
     const { metrics } = this.#context;
     metrics.targets.set({ state: "leaving" }, leaving.length);
@@ -408,7 +434,11 @@
       { state: "ready" },
       this.#listed.size - leaving.length,
     );
-    this.#countLimited();
+  }
+
+  #isLeaving(entry: ListedTarget): boolean {
+    const said = this.#saidLeaving.get(entry.id);
+    return entry.leaving || (said !== undefined && isSameProcess(said, entry));
   }
 
   #createTarget(entry: ListedTarget): TargetConfig {
@@ -455,14 +485,29 @@
   }
 }
 
+function describeEntry(entry: ListedTarget): LogFields {
+  return {
+    target: entry.id,
+    service: entry.service,
+    data_centre: entry.dataCentre,
+    release: entry.release,
+    life: entry.incarnation,
+  };
+}
+
+/** Whether two entries with the same id are of the same process. */
+function isSameProcess(left: ListedTarget, right: ListedTarget): boolean {
+  return left.incarnation === right.incarnation &&
+    left.release === right.release &&
+    left.host === right.host && left.port === right.port;
+}
+
 /**
  * Whether two entries agree in the fields that matter here. Entries are
  * rewritten often, mostly without a change of these.
  */
 function isSameEntry(left: ListedTarget, right: ListedTarget): boolean {
-  return left.incarnation === right.incarnation &&
-    left.service === right.service && left.release === right.release &&
-    left.host === right.host && left.port === right.port &&
+  return isSameProcess(left, right) && left.service === right.service &&
     left.dataCentre === right.dataCentre && left.slots === right.slots &&
     left.leaving === right.leaving;
 }
