Keep the pause that a target asks for, and tell callers when it ends

Callers' requests were sent again and again to targets that had asked for a pause, and those for which no other target was left were told to come back after a second, in vain.

Cause: Retry-After of a target's 503 was read nowhere.

A target in a pause is not chosen by this VM. While all targets of a service are in one, a request is refused at once as targets-paused, with the end of the first pause; a request that the last target turned away as well.

--- a/packages/core/enums.ts
+++ b/packages/core/enums.ts
@@ -93,6 +93,7 @@
   DeadlineTooSoon = "deadline-too-soon",
   NoTarget = "no-target",
   TargetsLimited = "targets-limited",
+  TargetsPaused = "targets-paused",
   Quarantined = "quarantined",
   PartQuarantined = "part-quarantined",
   RequestQuarantined = "request-quarantined",
--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -98,6 +98,11 @@
   readonly isOtherTarget: boolean;
   /** Whether the target says that it is leaving and must get no new requests. */
   readonly leaving: boolean;
+  /**
+   * How long the target wants no requests from this VM; absent if it asks for
+   * no pause.
+   */
+  readonly pause?: Millis;
   /** Whether it carries the header that proves that a target produced it. */
   readonly sealed: boolean;
   /** Whether the body is a stream of events, or no type of it is stated. */
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -232,12 +232,22 @@
       this.#logChoice(call, { placement, sharedTokens: shared.sharedTokens });
       return placement.target;
     }).mapLeft((refusal) =>
-      refusal.kind === RefusalKind.TargetsLimited
+      TIMED_REFUSALS.has(refusal.kind)
         ? refusal
         : createRefusal(refusal.kind, RETRY_LATER)
     );
   }
 
+  #findPausedRefusal(
+    { service }: RoutedCall,
+    { release }: CallProgress,
+  ): Refusal | undefined {
+    return this.#options.targets.findPausedRefusal({
+      service,
+      ...(release === undefined ? {} : { release }),
+    });
+  }
+
   #logChoice(
     call: RoutedCall,
     input: { readonly placement: Placement; readonly sharedTokens: Tokens },
@@ -430,8 +440,10 @@
         const age = context.clock.readMonotonic() - sentAt;
         const { targets } = this.#options;
         targets.recordLimit(input.listed, { head, age });
-        if (head.leaving && !head.isOtherTarget) {
-          targets.recordLeaving(input.listed);
+        if (head.isOtherTarget) return;
+        if (head.leaving) targets.recordLeaving(input.listed);
+        if (head.pause !== undefined) {
+          targets.recordPause(input.listed, head.pause);
         }
       },
       head: {
@@ -545,7 +557,10 @@
       const kind = isTimeUp
         ? RefusalKind.DeadlineTooSoon
         : RefusalKind.NoTarget;
-      return refuseWithDetail(createRefusal(kind, RETRY_LATER));
+      return refuseWithDetail(
+        this.#findPausedRefusal(call, progress) ??
+          createRefusal(kind, RETRY_LATER),
+      );
     }
     return refuseWithDetail(createUnknownOutcomeRefusal(
       isTimeUp ? RefusalKind.TimedOut : RefusalKind.TargetFailed,
@@ -576,6 +591,12 @@
  */
 const RETRY_LATER = { retryAfter: 1_000 };
 
+/** Refusals whose time is known from the targets. */
+const TIMED_REFUSALS: ReadonlySet<RefusalKind> = new Set([
+  RefusalKind.TargetsLimited,
+  RefusalKind.TargetsPaused,
+]);
+
 /** Returns the id of the request that began the stream of a call. */
 function findStreamId({ request }: RoutedCall): string {
   return request.resumeAfter === undefined
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -12,6 +12,7 @@
   type MonotonicTime,
   type Refusal,
   type RegionId,
+  type ReleaseId,
   type ServiceConfig,
   type ServiceId,
   ServiceType,
@@ -28,12 +29,14 @@
   choosePlacement,
   computeHealth,
   createRoutingState,
+  findPausedRefusal,
   type LimitNotice,
   type Placement,
   type PlacementInput,
   recordAttemptEnd,
   recordAttemptStart,
   recordLimit,
+  recordPause,
   recordPrefillEnd,
   recordProbe,
   recordTurn,
@@ -252,6 +255,29 @@
     this.#applyLeaving();
   }
 
+  /** Records that an answer of a target asked this VM for a pause. */
+  recordPause(target: ListedTarget, pause: Millis): void {
+    if (this.isReplaced(target)) return;
+    const until = this.#context.clock.readMonotonic() + pause;
+    if (!recordPause(this.#state, target.id, until)) return;
+    this.#context.log.info(LogEvent.TargetPaused, {
+      target: target.id,
+      service: target.service,
+      for_ms: Math.round(pause),
+    });
+  }
+
+  /**
+   * Returns the refusal of a request while all targets that could run it have
+   * asked this VM for a pause; undefined otherwise.
+   */
+  findPausedRefusal(
+    input: { readonly service: ServiceId; readonly release?: ReleaseId },
+  ): Refusal | undefined {
+    const now = this.#context.clock.readMonotonic();
+    return findPausedRefusal(this.#state, { ...input, now });
+  }
+
   /**
    * Records what an answer to a request says of its target's limit. The request
    * was sent `age` ago. An answer without a limit counts as of then, since it
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -38,6 +38,7 @@
 export { applyReports, listReports } from "./commands/exchange_reports.ts";
 export type { LimitNotice } from "./commands/record_limit.ts";
 export { recordLimit, recordTurn } from "./commands/record_limit.ts";
+export { recordPause } from "./commands/record_pause.ts";
 export { recordProbe } from "./commands/record_probe.ts";
 export type { PooledConnection } from "./connection/decide_reuse.ts";
 export { isReusable } from "./connection/decide_reuse.ts";
@@ -104,7 +105,10 @@
   PlacementInput,
   TurnClock,
 } from "./queries/choose_placement.ts";
-export { choosePlacement } from "./queries/choose_placement.ts";
+export {
+  choosePlacement,
+  findPausedRefusal,
+} from "./queries/choose_placement.ts";
 export { computeLoad, computeOthersInFlight } from "./queries/compute_load.ts";
 export { computeMaxLoad } from "./queries/compute_max_load.ts";
 export { describeRouting } from "./queries/describe_routing.ts";
--- a/packages/routing/queries/choose_placement.ts
+++ b/packages/routing/queries/choose_placement.ts
@@ -39,6 +39,7 @@
   createNoTarget,
   createOverloaded,
   createTargetsLimited,
+  createTargetsPaused,
 } from "./create_refusals.ts";
 
 /** Input of `choosePlacement`. */
@@ -132,14 +133,18 @@
 
 /**
  * Returns the target with the least cost of waiting, prefill and network, or a
- * refusal if no target is usable or all usable ones are full or limited.
+ * refusal if no target is usable or all usable ones are full, limited or paused.
  */
 export function choosePlacement(
   state: RoutingState,
   input: PlacementInput,
 ): Either<Refusal, Placement> {
+  const paused = findPausedRefusal(state, input);
+  if (paused !== undefined) return Left(paused);
   const listed = state.targets.listService(input.service)
-    .filter((target) => isUsable(target, input));
+    .filter((target) => isUsable(target, input))
+    .filter((target) => !input.tried.includes(target.config.id))
+    .filter((target) => computePause(target, input.now) === 0);
   if (listed.length === 0) return Left(createNoTarget());
   const usable = listed.filter((target) => mayUse(target, input.turns));
   if (usable.length === 0) {
@@ -166,6 +171,27 @@
   });
 }
 
+/**
+ * Returns the refusal of a request while all targets that could run it have
+ * asked this VM for a pause; undefined if one has not, or if there are none.
+ */
+export function findPausedRefusal(
+  state: RoutingState,
+  input: Pick<PlacementInput, "service" | "release" | "now">,
+): Refusal | undefined {
+  const pauses = state.targets.listService(input.service)
+    .filter((target) => isUsable(target, input))
+    .map((target) => computePause(target, input.now));
+  if (pauses.length === 0) return undefined;
+  const shortest = Math.min(...pauses);
+  return shortest > 0 ? createTargetsPaused(shortest) : undefined;
+}
+
+/** Returns the rest of the pause that a target asked for; 0 if none is left. */
+function computePause(target: TargetState, now: MonotonicTime): Millis {
+  return Math.max(0, (target.pausedUntil ?? -Infinity) - now);
+}
+
 /**
  * Returns the targets at which a shared prefix is expected in cache, by
  * rendezvous hashing, so that all VMs rank them alike. A long prefix has one
@@ -229,9 +255,11 @@
   return (inFlight + report.latestOthersInFlight) / config.capacity >= MAX_LOAD;
 }
 
-function isUsable(target: TargetState, input: PlacementInput): boolean {
-  const { id, release } = target.config;
-  if (input.tried.includes(id)) return false;
+function isUsable(
+  target: TargetState,
+  input: Pick<PlacementInput, "release" | "now">,
+): boolean {
+  const { release } = target.config;
   if (input.release !== undefined && release !== input.release) return false;
   const health = computeHealth(target, input.now);
   if (health === TargetHealth.Probation) return target.inFlight === 0;
--- a/packages/routing/queries/create_refusals.ts
+++ b/packages/routing/queries/create_refusals.ts
@@ -44,6 +44,18 @@
   );
 }
 
+/**
+ * Returns the refusal of a request for which all usable targets have asked this
+ * VM for a pause. The first pause ends after `pause`.
+ */
+export function createTargetsPaused(pause: Millis): Refusal {
+  return createNotRunRefusal(
+    RefusalKind.TargetsPaused,
+    "Our services asked us to wait for a moment. Nothing was done. Please try again then.",
+    { retryAfter: pause },
+  );
+}
+
 /**
  * Returns the refusal of a request for which this VM may use no target, because
  * they limit their requests. Any VM may use one again after `nextTurn`.
--- a/packages/routing/target_state.ts
+++ b/packages/routing/target_state.ts
@@ -75,6 +75,8 @@
   /** Start of the last slow start; absent if the target never had one. */
   readonly slowStartFrom?: MonotonicTime;
   readonly report?: KnownReport;
+  /** Until when the target has asked this VM for a pause; absent if never. */
+  readonly pausedUntil?: MonotonicTime;
   /** Absent if the target has never named a limit. */
   readonly limit?: TargetLimit;
   /** The latest samples of `inFlight`, one per report, oldest first. */
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -54,6 +54,8 @@
   TargetGone = "target_gone",
   TargetEjected = "target_ejected",
   TargetLimited = "target_limited",
+  /** A target has asked this VM to send it nothing for a while. */
+  TargetPaused = "target_paused",
   TargetBack = "target_back",
   /** Lost connections were found to be a crash of their target. */
   TargetCrashed = "target_crashed",
--- a/packages/runtime/refusals.ts
+++ b/packages/runtime/refusals.ts
@@ -27,6 +27,7 @@
   [RefusalKind.DeadlineTooSoon]: 503,
   [RefusalKind.NoTarget]: 503,
   [RefusalKind.TargetsLimited]: 503,
+  [RefusalKind.TargetsPaused]: 503,
   [RefusalKind.Quarantined]: 422,
   [RefusalKind.PartQuarantined]: 503,
   [RefusalKind.RequestQuarantined]: 503,
