Put changed settings into effect everywhere, and name those that need a restart

Operators who changed the regions saw targets and loans chosen by the old ones, and could not tell which VMs followed a change. An empty file was refused without a reason, and a change between the start and the first check was never noticed.

Cause: the gateway replaced its settings, but regions had been copied into the targets' records, the routing state, the VM's row and its context; the wait of the configuration feed and the log's level were copied as well. Addresses that a process has bound were reported as reloaded.

Change: regions, the feed's wait and the log's level follow the settings. What needs a restart keeps its value and is refused by name. The text with which the process was started is compared, each fault is logged once, and the file is read once a second instead of every five. A digest of the settings that VMs have in common is a metric, with the time they were applied, and stands in the log.

--- a/packages/cli/commands/gateway_command.ts
+++ b/packages/cli/commands/gateway_command.ts
@@ -1,5 +1,4 @@
 /** The command `anvilrail gateway`. */
-import { readFileSync } from "node:fs";
 import process from "node:process";
 import type { CommandModule } from "yargs";
 import { createPlatformDialect } from "../../../platform/mod.ts";
@@ -8,20 +7,20 @@
   Gateway,
   recordStoreCall,
 } from "../../gateway/mod.ts";
-import { LogEvent } from "../../runtime/mod.ts";
 import {
   type GatewaySettings,
   parseGatewaySettings,
 } from "../../settings/mod.ts";
 import { ExitCode } from "../exit_code.ts";
 import { formatInputErrors, readTextFile } from "../read_settings.ts";
+import { SettingsReloader } from "../settings_reloader.ts";
 
 interface GatewayArguments {
   readonly settings: string;
 }
 
 /** Interval at which the settings file is checked for changes without SIGHUP. */
-const SETTINGS_CHECK_MILLIS = 5_000;
+const SETTINGS_CHECK_MILLIS = 1_000;
 
 /**
  * Range of the timeout of a store call, in addition to the wait time of a
@@ -46,21 +45,23 @@
       describe: "settings file, JSON with comments",
     }),
   handler: async ({ settings: path }) => {
-    const settings = readTextFile(path).chain((text) =>
-      parseGatewaySettings(text, path)
-    );
+    const read = readTextFile(path);
+    const settings = read.chain((text) => parseGatewaySettings(text, path));
     if (settings.isLeft()) {
       console.error(formatInputErrors(settings.swap().unsafeCoerce()));
       process.exitCode = ExitCode.BadInput;
       return;
     }
-    await runGateway(path, settings.unsafeCoerce());
+    await runGateway(settings.unsafeCoerce(), {
+      path,
+      text: read.unsafeCoerce(),
+    });
   },
 };
 
 async function runGateway(
-  path: string,
   settings: GatewaySettings,
+  file: { readonly path: string; readonly text: string },
 ): Promise<void> {
   const metrics = createGatewayMetrics();
   const gateway = new Gateway({
@@ -76,8 +77,15 @@
     }),
   });
   await gateway.start();
-  const reloader = new SettingsReloader(path, gateway);
+  const reloader = new SettingsReloader({
+    text: file.text,
+    log: gateway.log,
+    readText: () => readTextFile(file.path),
+    parse: (text) => parseGatewaySettings(text, file.path),
+    apply: (changed: GatewaySettings) => gateway.changeSettings(changed),
+  });
   process.on("SIGHUP", () => reloader.reload());
+  reloader.reload();
   const timer = setInterval(() => reloader.reload(), SETTINGS_CHECK_MILLIS);
   await new Promise<void>((resolve) => {
     const stop = () => void gateway.stop().then(resolve);
@@ -88,33 +96,3 @@
   // Requests still running after the stop timeout would keep the process alive.
   process.exit(ExitCode.Ok);
 }
-
-/**
- * Applies a settings file when its text has changed. Invalid settings are logged
- * and not applied.
- */
-class SettingsReloader {
-  readonly #path: string;
-  readonly #gateway: Gateway;
-  #text: string;
-
-  constructor(path: string, gateway: Gateway) {
-    this.#path = path;
-    this.#gateway = gateway;
-    this.#text = readFileSync(path, "utf8");
-  }
-
-  reload(): void {
-    const read = readTextFile(this.#path);
-    const text = read.orDefault(this.#text);
-    if (text === this.#text) return;
-    this.#text = text;
-    parseGatewaySettings(text, this.#path).caseOf({
-      Left: (errors) =>
-        this.#gateway.log.error(LogEvent.SettingsRefused, {
-          reason: formatInputErrors(errors),
-        }),
-      Right: (settings) => this.#gateway.changeSettings(settings),
-    });
-  }
-}
--- a/packages/gateway/features/configuration_follower.ts
+++ b/packages/gateway/features/configuration_follower.ts
@@ -55,7 +55,9 @@
     this.#follower = new FeedFollower(context, {
       name: "configuration",
       feed: context.dialect.configurations,
-      wait: context.settings.configurationMillis / WAITS_PER_DEADLINE,
+      get wait() {
+        return context.settings.configurationMillis / WAITS_PER_DEADLINE;
+      },
       pause: FEED_PAUSE,
       apply: (changes) => this.#apply(changes),
     });
--- a/packages/gateway/features/peers/peer_list.ts
+++ b/packages/gateway/features/peers/peer_list.ts
@@ -13,6 +13,7 @@
   type JsonValue,
   type Millis,
   type MonotonicTime,
+  type RegionId,
   type RowOperation,
   type SliceType,
   type Undo,
@@ -79,6 +80,9 @@
   readonly #startedAt: MonotonicTime;
   /** When rows last changed before the list was settled. */
   #changedAt: MonotonicTime | undefined;
+  /** What this VM's row says; undefined before it is written. */
+  #address: string | undefined;
+  #announcedRegion: RegionId | undefined;
   /** Key that peers must send with requests to this incarnation. */
   readonly key = randomBytes(KEY_BYTES).toString("hex");
 
@@ -116,7 +120,9 @@
 
   /** Writes this VM's row; retried until the store answers. */
   async announce(address: string): Promise<void> {
+    this.#address = address;
     const { vm, region, log } = this.#context;
+    this.#announcedRegion = region;
     const entry: PeerEntry = {
       address,
       key: this.key,
@@ -133,6 +139,13 @@
     );
   }
 
+  /** Writes this VM's row again if its region has changed. */
+  announceAgain(): void {
+    if (this.#address === undefined) return;
+    if (this.#announcedRegion === this.#context.region) return;
+    void this.announce(this.#address);
+  }
+
   /** Whether the list was complete, as far as known, at some time. */
   get isSettled(): boolean {
     return isPeerListSettled({
@@ -203,7 +216,7 @@
   const key = `peers/${vm}`;
   const value: JsonValue = { ...entry };
   return {
-    id: `announce/${vm}/${entry.key}`,
+    id: `announce/${vm}/${entry.key}/${entry.region ?? ""}`,
     keys: [key],
     decide: () => ({ writes: [{ key, value }], result: undefined }),
   };
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -26,6 +26,7 @@
   applyTargets,
   type AttemptFinish,
   type AttemptStart,
+  changeRegion,
   choosePlacement,
   computeHealth,
   createRoutingState,
@@ -144,6 +145,12 @@
     this.#state.vms.count = Math.max(1, count);
   }
 
+  /** Applies the regions of changed settings to this VM and all targets. */
+  applyRegions(): void {
+    changeRegion(this.#state, this.#context.region);
+    this.#rebuild();
+  }
+
   /** Adds a function that is called with the id of each removed target. */
   addRemovalListener(listener: (target: TargetId) => void): void {
     this.#removalListeners.push(listener);
@@ -502,6 +509,7 @@
       id: each.config.id,
       service: each.config.service,
       dataCentre: each.config.dataCentre,
+      region: each.config.region,
       health: computeHealth(each, now),
       inFlight: each.inFlight,
       unreadTokens: each.unreadTokens,
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -11,13 +11,18 @@
   createSystemClock,
   Kernel,
   type Millis,
+  type MonotonicTime,
   type Undo,
 } from "../core/mod.ts";
 import { computeIncarnation } from "../membership/mod.ts";
 import { ConnectionPools } from "../ports/mod.ts";
 import { RetryBudgets } from "../routing/mod.ts";
 import { createEventLog, type EventLog, LogEvent } from "../runtime/mod.ts";
-import type { GatewaySettings } from "../settings/mod.ts";
+import {
+  computeSettingsDigest,
+  type GatewaySettings,
+  mergeRunningSettings,
+} from "../settings/mod.ts";
 import type { Dialect } from "./dialect.ts";
 import { AnswerMemory } from "./entry/answer_buffer.ts";
 import { CallRunner } from "./entry/call_runner.ts";
@@ -95,6 +100,7 @@
   readonly #pools: ConnectionPools;
   readonly #retries = new RetryBudgets();
   readonly #servers: Server[] = [];
+  #settingsAppliedAt: MonotonicTime = 0;
   #undo: Undo = () => {};
   #stopping: Promise<void> | undefined;
 
@@ -152,6 +158,7 @@
     );
     this.#budgets.setVmCountListener((count) => this.#changeVmCount(count));
     this.#changeVmCount(MIN_VM_COUNT);
+    this.#recordSettings();
   }
 
   /** Port of the caller server; chosen by the system if the settings say 0. */
@@ -205,6 +212,7 @@
       data_centre: settings.dataCentre,
       callers: `${callers.host}:${this.callerPort}`,
       readiness,
+      settings: computeSettingsDigest(settings),
     });
   }
 
@@ -232,14 +240,42 @@
     return this.#context.kernel.readDump();
   }
 
-  /** Applies settings that may change while the gateway runs. */
-  changeSettings(settings: GatewaySettings): void {
-    this.#context.settings = settings;
+  /**
+   * Applies changed settings while the gateway runs. Those that need a restart
+   * keep their values and are named in the log.
+   */
+  changeSettings(changed: GatewaySettings): void {
+    const context = this.#context;
+    const merged = mergeRunningSettings(context.settings, changed);
+    const { settings } = merged;
+    const digestBefore = computeSettingsDigest(context.settings);
+    const appliedAt = this.#settingsAppliedAt;
+    context.settings = settings;
+    context.region = settings.regions[settings.dataCentre];
+    context.log.changeLevel?.(settings.logLevel);
+    this.#targets.applyRegions();
+    this.#peers.list.announceAgain();
     this.#changeVmCount(this.#budgets.countVms());
-    this.#context.log.info(LogEvent.SettingsReloaded, {
-      log_level: settings.logLevel,
-      offline_ms: settings.budgets.offlineMillis,
+    this.#recordSettings();
+    context.log.info(LogEvent.SettingsReloaded, {
+      digest: computeSettingsDigest(settings),
+      before: digestBefore,
+      before_ms: Math.round(context.clock.readMonotonic() - appliedAt),
+      changed: merged.changed.join(","),
     });
+    if (merged.refused.length === 0) return;
+    context.log.error(LogEvent.SettingsRefused, {
+      reason: "these settings need a restart",
+      settings: merged.refused.join(","),
+    });
+  }
+
+  #recordSettings(): void {
+    const { clock, metrics, settings } = this.#context;
+    this.#settingsAppliedAt = clock.readMonotonic();
+    metrics.settingsInfo.reset();
+    metrics.settingsInfo.set({ digest: computeSettingsDigest(settings) }, 1);
+    metrics.settingsAppliedAt.setToCurrentTime();
   }
 
   async #drain(): Promise<void> {
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -17,8 +17,11 @@
   /** Replaced when the settings file has changed. */
   settings: GatewaySettings;
   readonly vm: VmId;
-  /** Region of the VM's data centre; undefined if the settings name none. */
-  readonly region: RegionId | undefined;
+  /**
+   * Region of the VM's data centre; undefined if the settings name none. It is
+   * replaced with the settings.
+   */
+  region: RegionId | undefined;
   readonly incarnation: Incarnation;
   readonly dialect: Dialect;
   readonly kernel: Kernel;
--- a/packages/gateway/gateway_metrics.ts
+++ b/packages/gateway/gateway_metrics.ts
@@ -52,6 +52,8 @@
   readonly grantsTaken: Counter;
   readonly configurationVersion: Gauge;
   readonly configurationAge: Gauge;
+  readonly settingsInfo: Gauge<"digest">;
+  readonly settingsAppliedAt: Gauge;
   readonly targets: Gauge<"state">;
   readonly limitedTargets: Gauge;
   readonly streamsTakenUp: Counter<"source">;
@@ -129,6 +131,17 @@
       help: "Time since the configuration was last known to be the newest.",
       registers,
     }),
+    settingsInfo: new Gauge({
+      name: "anvilrail_gateway_settings_info",
+      help: "1 for the digest of the settings that all VMs have in common.",
+      labelNames: ["digest"],
+      registers,
+    }),
+    settingsAppliedAt: new Gauge({
+      name: "anvilrail_gateway_settings_applied_timestamp_seconds",
+      help: "Unix time at which the settings in effect were applied.",
+      registers,
+    }),
     targets: new Gauge({
       name: "anvilrail_gateway_targets",
       help: "Targets known, by state.",
--- a/packages/routing/state.ts
+++ b/packages/routing/state.ts
@@ -24,7 +24,7 @@
 /** The targets, prefixes, links and services known to one VM. */
 export interface RoutingState {
   /** This VM's region; if absent, all regions are treated alike. */
-  readonly region?: RegionId;
+  region?: RegionId;
   readonly targets: TargetTable;
   readonly prefixes: PrefixTable;
   readonly links: LinkTable;
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -98,6 +98,8 @@
   info(event: LogEvent, fields?: LogFields): void;
   warn(event: LogEvent, fields?: LogFields): void;
   error(event: LogEvent, fields?: LogFields): void;
+  /** Sets the lowest level that is logged; absent if the log has no levels. */
+  changeLevel?(level: string): void;
   /** Resolves when all lines logged so far were written or dropped. */
   flush(): Promise<void>;
 }
@@ -191,6 +193,7 @@
     info: (event, fields) => write("info", event, fields),
     warn: (event, fields) => write("warn", event, fields),
     error: (event, fields) => write("error", event, fields),
+    changeLevel: (level) => void (logger.level = level),
     flush: async () => {
       // winston may hand lines to the sink in a later turn of the event loop.
       await new Promise((done) => setImmediate(done));
--- a/packages/settings/parse_settings.ts
+++ b/packages/settings/parse_settings.ts
@@ -80,6 +80,7 @@
   if (root !== undefined && errors.length === 0) {
     return Right({ text, source, root, schema });
   }
+  if (errors.length === 0) return Left([createEmptyError(source)]);
   return Left(errors.map((error) => ({
     kind: InputErrorKind.Syntax,
     message: `The text is not JSON: ${printParseErrorCode(error.error)}`,
@@ -88,6 +89,15 @@
   })));
 }
 
+function createEmptyError(source: string): InputError {
+  return {
+    kind: InputErrorKind.Syntax,
+    message: "The text is empty",
+    remedy: "Write the settings; the example settings show their format.",
+    place: { source, line: 1, column: 1 },
+  };
+}
+
 function describeIssue(
   issue: z.core.$ZodIssue,
   parsed: ParsedText,
