Survive SIGHUP while the gateway's program is being loaded

A machine that got SIGHUP shortly after its start lost its gateway, and callers their connections, until it was started again.

Cause: the signal was handled only after all modules were loaded and the servers had been started; until then it ends a process.

What remains is the start of Node itself: SIGHUP after 0.05 s still ends it.

--- a/packages/cli/gateway_main.ts
+++ b/packages/cli/gateway_main.ts
@@ -1,15 +1,11 @@
 /**
- * Entry point with only the `gateway` command: loading the modules of the other
- * commands would delay the start.
+ * Entry point of the gateway's program. SIGHUP would end a process that doesn't
+ * listen to it, so it is handled before all other modules are loaded, which
+ * takes a while.
  */
 import process from "node:process";
-import yargs from "yargs";
-import { gatewayCommand } from "./commands/gateway_command.ts";
 
-void yargs(process.argv.slice(2))
-  .scriptName("anvilrail")
-  .command(gatewayCommand)
-  .demandCommand(1)
-  .strict()
-  .help()
-  .parseAsync();
+process.on("SIGHUP", () => {});
+
+void import("./gateway_program.ts")
+  .then(({ runGatewayProgram }) => runGatewayProgram());
