--- a/packages/soak/fault_plan.ts
+++ b/packages/soak/fault_plan.ts
@@ -41,10 +41,14 @@
    * targets break off streams meanwhile.
    */
   Release = "release",
+  /** The same, and the processes of all VMs are killed meanwhile. */
+  KillInRelease = "kill-in-release",
   /** A target is listed as draining and then as ready again. */
   TargetLeaves = "target-leaves",
   /** A target limits its requests, and names that in its answers. */
   TargetLimit = "target-limit",
+  /** Settings of a third of the VMs change, with a signal or without one. */
+  ReloadSettings = "reload-settings",
   /** A new configuration adds prepaid tokens and new customer keys. */
   Configuration = "configuration",
 }
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -90,9 +90,18 @@
   FaultKind.PauseVm,
 ];
 
+/** Faults in which the processes of all VMs are killed. */
+const KILLS_OF_ALL = [FaultKind.KillAll, FaultKind.KillInRelease];
+
 /** Delay of bytes to and from the store during {@link FaultKind.DelayStore}. */
 const STORE_DELAY: Millis = 150;
 
+/** Time for which all VMs are down during {@link FaultKind.KillInRelease}. */
+const RESTART_DELAY: Millis = 300;
+
+/** Time for which a settings file is half written. */
+const RELOAD_DELAY: Millis = 50;
+
 /** Number of versions that stale reads lag behind. */
 const STALE_READ_VERSIONS = 20;
 
@@ -362,6 +371,14 @@
         });
       case FaultKind.Release:
         return await this.#replaceTarget(waitDuration);
+      case FaultKind.KillInRelease:
+        await Promise.all([
+          this.#replaceTarget(waitDuration),
+          this.#killAllMidway(fault),
+        ]);
+        return;
+      case FaultKind.ReloadSettings:
+        return await this.#reloadSettings(fault);
       case FaultKind.TargetLeaves: {
         const target = this.#targets[fault.index % this.#targets.length]!;
         this.#listTarget(target, "draining");
@@ -375,6 +392,36 @@
     }
   }
 
+  /** Kills and restarts all VMs in the middle of a fault. */
+  async #killAllMidway({ duration }: PlannedFault): Promise<void> {
+    await sleep(duration / 2);
+    await this.#restartVms(this.#vms, {
+      signal: "SIGKILL",
+      waitDuration: () => sleep(RESTART_DELAY),
+    });
+  }
+
+  /**
+   * Changes the settings of a third of the VMs. Some get a signal while their
+   * file is half written, the others none.
+   */
+  async #reloadSettings({ index, duration }: PlannedFault): Promise<void> {
+    const count = Math.ceil(this.#vms.length / 3);
+    const region = duration % 2 === 0 ? "here" : "there";
+    const changed = {
+      regions: { "here-a": region },
+      retries: { slack: 50 + duration % 10 },
+    };
+    for (let number = 0; number < count; number++) {
+      const vm = this.#vms[(index + number) % this.#vms.length]!;
+      vm.writeSettings(changed, { isHalf: true });
+      vm.signal("SIGHUP");
+      await sleep(RELOAD_DELAY);
+      vm.writeSettings(changed);
+      if (duration % 3 > 0) vm.signal("SIGHUP");
+    }
+  }
+
   /** Lets a target name a limit, and records the requests that it gets. */
   async #limitTarget(fault: PlannedFault): Promise<void> {
     const target = this.#targets[fault.index % this.#targets.length]!;
@@ -401,7 +448,7 @@
   }
 
   #recordInterruption({ kind, duration }: PlannedFault, vm: VmProcess): void {
-    const interrupted = kind === FaultKind.KillAll
+    const interrupted = KILLS_OF_ALL.includes(kind)
       ? this.#vms
       : VM_INTERRUPTIONS.includes(kind)
       ? [vm]
@@ -601,9 +648,13 @@
    */
   #listUndisturbedStops(faults: readonly PlannedFault[], offset: Millis) {
     const stops = faults.filter((fault) => fault.kind === FaultKind.StopVm);
+    // Changed settings must not interrupt calls either.
+    const disturbing = faults.filter((fault) =>
+      fault.kind !== FaultKind.ReloadSettings
+    );
     return stops
       .filter((stop) =>
-        faults.every((other) =>
+        disturbing.every((other) =>
           other === stop ||
           other.at > stop.at + UNDISTURBED_MARGIN ||
           other.at + other.duration < stop.at - UNDISTURBED_MARGIN
--- a/packages/soak/vm_process.ts
+++ b/packages/soak/vm_process.ts
@@ -45,6 +45,7 @@
   readonly name: string;
   /** Number of times that the process has been started. */
   incarnation = 0;
+  readonly #options: VmOptions;
   readonly #settingsPath: string;
   readonly #log: WriteStream;
   readonly #killOnExit = () => this.#child?.kill("SIGKILL");
@@ -56,10 +57,11 @@
   /** Writes the VM's settings file; doesn't start it yet. */
   constructor(options: VmOptions) {
     this.name = options.name;
+    this.#options = options;
     this.#settingsPath = join(options.folder, `${options.name}.jsonc`);
     const logPath = join(options.folder, `${options.name}.log`);
     this.#log = createWriteStream(logPath, { flags: "a" });
-    writeFileSync(this.#settingsPath, formatSettings(options));
+    this.writeSettings();
     process.on("exit", this.#killOnExit);
   }
 
@@ -101,6 +103,19 @@
     });
   }
 
+  /**
+   * Writes the settings file, with some settings changed; only half of it if it
+   * is to be found while it is being written.
+   */
+  writeSettings(
+    changed: object = {},
+    options: { readonly isHalf?: boolean } = {},
+  ): void {
+    const text = formatSettings(this.#options, changed);
+    const length = options.isHalf === true ? text.length / 2 : text.length;
+    writeFileSync(this.#settingsPath, text.slice(0, length));
+  }
+
   /** Sends a signal to the process if it is running. */
   signal(signal: NodeJS.Signals): void {
     this.#child?.kill(signal);
@@ -148,7 +163,7 @@
   }
 }
 
-function formatSettings(options: VmOptions): string {
+function formatSettings(options: VmOptions, changed: object): string {
   return JSON.stringify({
     vm: options.name,
     dataCentre: "here-a",
@@ -158,6 +173,7 @@
     peers: ANY_PORT,
     store: { address: options.storeAddress },
     stopMillis: MAX_STOP_TIME,
+    ...changed,
   });
 }
 
