Let streams go on at their release after a kill of all VMs

Callers whose streams had broken off when all VMs were killed were refused for as long as a stream may be old, 5 to 16 s, also while only one release served and while targets of their release were there.

Cause: what began a stream was known to the VM that began it and to two others, in memory; a VM that had just started could not know which releases had served.

Change: while two releases serve, a VM writes its streams in progress to a row of its own, in batches and beside the first events. A row of each service says which releases served since when. A VM that learns nothing from its peers reads both. Without a record a stream goes on only if one release can have begun it.

Weighed: a write before each first event, a row for each stream, records in the store alone; see docs/design/platform.md.

--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -164,6 +164,8 @@
   readonly crashReports: FeedPort<JsonValue>;
   /** Feed of the rows `limits/VM`, which the gateways themselves write. */
   readonly limitReports: FeedPort<JsonValue>;
+  /** The rows `streams/VM`, which the gateways themselves write. */
+  readonly streamRows: Pick<FeedPort<JsonValue>, "load">;
   /** The gateways' own rows; a transaction changes only one row. */
   readonly table: RowPort;
 }
--- a/packages/gateway/features/configuration_follower.ts
+++ b/packages/gateway/features/configuration_follower.ts
@@ -6,6 +6,7 @@
   type Millis,
   MILLIS_PER_SECOND,
   type MonotonicTime,
+  type ServiceId,
   type SliceType,
   type Undo,
 } from "../../core/mod.ts";
@@ -107,6 +108,17 @@
     return this.#context.kernel.read(ROUTES);
   }
 
+  /** Returns the services of the routes whose streams may be resumed. */
+  listResumableServices(): ReadonlySet<ServiceId> {
+    const routes = this.read()?.configuration.routes ?? [];
+    const resumable = routes.filter((route) => route.resumable);
+    return new Set(
+      resumable.flatMap(({ services }) =>
+        services.map(({ service }) => service)
+      ),
+    );
+  }
+
   /** Adds a function that is called with each newly applied configuration. */
   addListener(listener: (configuration: GatewayConfiguration) => void): void {
     this.#listeners.push(listener);
--- a/packages/gateway/features/streams/stream_origins.ts
+++ b/packages/gateway/features/streams/stream_origins.ts
@@ -3,13 +3,14 @@
  * software, that began it. A caller that takes up a stream at any VM gets the
  * rest from the same origin.
  *
- * The VM that forwards the first event of a stream keeps a record of it, and
- * sends it to a few peers once there are two releases. A VM that has no record
- * asks them. A stream that nobody has a record of is resumed only if just one
- * release can have begun it, by what the VM and its peers have seen; otherwise
- * it is refused, so that a record that is lost with its VMs costs a refusal and
- * never a mixed stream.
+ * The VM that forwards the first event of a stream keeps a record of it. Once
+ * there are two releases, it sends it to a few peers and writes it to the store.
+ * A VM that has no record asks the peers, then the store. A stream that nobody
+ * has a record of is resumed only if just one release can have begun it, by what
+ * VMs have seen and recorded; otherwise it is refused, so that a record that is
+ * lost with its VMs costs a refusal and never a mixed stream.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import { LRUCache } from "lru-cache";
 import { type Either, Left, Right } from "purify-ts";
 import {
@@ -34,6 +35,7 @@
   chooseRecordHolders,
   chooseVmsToAsk,
   findOnlyRelease,
+  type SeenReleases,
 } from "../../../routing/mod.ts";
 import {
   type BackgroundProcess,
@@ -46,6 +48,8 @@
 import type { GatewayContext } from "../../gateway_context.ts";
 import type { PeerAccess } from "../peers/peer_access.ts";
 import type { TargetRegistry } from "../target_registry.ts";
+import type { ReleaseRows } from "./release_rows.ts";
+import type { StreamRows } from "./stream_rows.ts";
 
 /** Time for which a record is kept: longer than callers resume a stream. */
 const RECORD_TERM: Millis = 120_000;
@@ -74,6 +78,9 @@
  */
 const UNHEARD_PEER_RETRY_AFTER: Millis = 1_000;
 
+/** Maximum time for which a caller's request waits for rows of the store. */
+const MAX_ROWS_WAIT: Millis = 600;
+
 /** What began a stream, and must continue it. */
 export interface StreamOrigin {
   readonly service: ServiceId;
@@ -107,6 +114,7 @@
 enum OriginSource {
   Own = "own-record",
   Peer = "peer-record",
+  Stored = "stored-record",
   /** Only one release can have begun it. */
   Only = "only-release",
 }
@@ -120,11 +128,19 @@
   readonly answered: number;
 }
 
+/** What the store's rows tell of a stream. */
+interface StoredFacts {
+  readonly origin?: StreamOrigin;
+  readonly releases: SeenReleases;
+}
+
 /** Keeps and exchanges the origins of streams. */
 export class StreamOrigins {
   readonly #context: GatewayContext;
   readonly #peers: PeerAccess;
   readonly #targets: TargetRegistry;
+  readonly #rows: StreamRows;
+  readonly #releases: ReleaseRows;
   readonly #records = new LRUCache<string, StreamOrigin>({
     max: MAX_RECORDS,
     ttl: RECORD_TERM,
@@ -139,9 +155,16 @@
 
   constructor(
     context: GatewayContext,
-    input: { readonly peers: PeerAccess; readonly targets: TargetRegistry },
+    input: {
+      readonly peers: PeerAccess;
+      readonly targets: TargetRegistry;
+      readonly rows: StreamRows;
+      readonly releases: ReleaseRows;
+    },
   ) {
     this.#context = context;
+    this.#rows = input.rows;
+    this.#releases = input.releases;
     this.#peers = input.peers;
     this.#targets = input.targets;
     // The entry may be the first of another release.
@@ -168,7 +191,12 @@
       run: () => Promise.resolve(this.#sendRecords()),
       reportError,
     });
-    return combineUndo([this.#process.stop, check.stop]);
+    return combineUndo([
+      this.#process.stop,
+      check.stop,
+      this.#rows.register(),
+      this.#releases.register(),
+    ]);
   }
 
   /** Records the release of the first event of a stream. */
@@ -185,6 +213,7 @@
   recordComplete(id: string): void {
     this.#records.delete(id);
     this.#unsent.delete(id);
+    this.#rows.remove(id);
   }
 
   /** Stores records of a peer. */
@@ -239,6 +268,10 @@
       };
     }
     const peers = this.#choosePeers(stream.stream ?? "", chooseVmsToAsk);
+    const { service, period } = stream;
+    const seen = this.#targets.listSeenReleases(service, period);
+    // The records of VMs that have just started are probably in the store only.
+    const early = seen.isComplete ? undefined : this.#readRows(stream);
     const answers = await this.#ask(peers, stream);
     const counts = { asked: peers.length, answered: answers.length };
     const recorded = answers.find((each) => each.origin !== undefined);
@@ -246,15 +279,48 @@
       const { origin } = recorded;
       return { origin, source: OriginSource.Peer, ...counts };
     }
-    if (stream.isSplit) return counts;
     // Peers may have seen a release that this VM's list doesn't show yet.
-    const release = findOnlyRelease([
-      this.#targets.listSeenReleases(stream.service, stream.period),
-      ...answers.map((each) => each.seen),
-    ]);
-    if (release === undefined) return counts;
-    const origin = { service: stream.service, release };
-    return { origin, source: OriginSource.Only, ...counts };
+    const seenByVms = [seen, ...answers.map((each) => each.seen)];
+    const only = this.#findOnly(stream, seenByVms);
+    if (only !== undefined) {
+      return { origin: only, source: OriginSource.Only, ...counts };
+    }
+    const rows = await (early ?? this.#readRows(stream));
+    if (rows.origin !== undefined) {
+      return { origin: rows.origin, source: OriginSource.Stored, ...counts };
+    }
+    const recordedOnly = this.#findOnly(stream, [...seenByVms, rows.releases]);
+    return recordedOnly === undefined
+      ? counts
+      : { origin: recordedOnly, source: OriginSource.Only, ...counts };
+  }
+
+  /** Returns the only origin that a stream can have, if it is certain. */
+  #findOnly(
+    { service, isSplit }: ResumedStream,
+    seen: readonly SeenReleases[],
+  ): StreamOrigin | undefined {
+    const release = isSplit ? undefined : findOnlyRelease(seen);
+    return release === undefined ? undefined : { service, release };
+  }
+
+  /** Reads what the store's rows tell of a stream; nothing if it is away. */
+  async #readRows(
+    { stream, service, period }: ResumedStream,
+  ): Promise<StoredFacts> {
+    const nothing: StoredFacts = {
+      releases: { releases: [], isComplete: false },
+    };
+    const read = async (): Promise<StoredFacts> => {
+      const [streams, releases] = await Promise.all([
+        stream === undefined ? undefined : this.#rows.load(),
+        this.#releases.read(service, period),
+      ]);
+      const origin = streams?.get(stream ?? "");
+      return { releases, ...(origin === undefined ? {} : { origin }) };
+    };
+    const timeout = sleep(MAX_ROWS_WAIT, nothing, { ref: false });
+    return await Promise.race([read(), timeout]);
   }
 
   /**
@@ -285,7 +351,8 @@
   #needsRecord({ service, period, isSplit }: BegunStream): boolean {
     if (isSplit) return true;
     const seen = this.#targets.listSeenReleases(service, period);
-    return findOnlyRelease([seen]) === undefined;
+    const recorded = this.#releases.listKnown(service, period);
+    return findOnlyRelease([seen, recorded]) === undefined;
   }
 
   /**
@@ -306,6 +373,7 @@
       needed.set(key, isNeeded);
       if (isNeeded || now >= expiresAt) this.#unsent.delete(id);
       if (!isNeeded) continue;
+      this.#rows.add(stream);
       for (const peer of this.#choosePeers(id, chooseRecordHolders)) {
         const batch = batches.get(peer) ?? [];
         batches.set(peer, batch);
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -32,6 +32,7 @@
   createRoutingState,
   findPausedRefusal,
   type LimitNotice,
+  MAX_LIST_AGE,
   type Placement,
   type PlacementInput,
   recordAttemptEnd,
@@ -187,6 +188,19 @@
         current.release !== entry.release);
   }
 
+  /** Whether the list shows all targets but the newest. */
+  get isListCurrent(): boolean {
+    const now = this.#context.clock.readMonotonic();
+    return now - (this.#follower.currentUntil ?? -Infinity) <= MAX_LIST_AGE;
+  }
+
+  /** Returns the releases of a service that are listed now. */
+  listReleases(service: ServiceId): ReleaseId[] {
+    const listed = [...this.#listed.values()]
+      .filter((entry) => entry.service === service);
+    return [...new Set(listed.map((entry) => entry.release))];
+  }
+
   /** Returns the releases of a service that were listed in the last `period`. */
   listSeenReleases(service: ServiceId, period: Millis): SeenReleases {
     this.#recordReleases();
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -37,7 +37,9 @@
 import { CustomerBudgets } from "./features/budgets/customer_budgets.ts";
 import { PeerAccess } from "./features/peers/peer_access.ts";
 import { LimitReports } from "./features/limit_reports.ts";
+import { ReleaseRows } from "./features/streams/release_rows.ts";
 import { StreamOrigins } from "./features/streams/stream_origins.ts";
+import { StreamRows } from "./features/streams/stream_rows.ts";
 import { TargetRegistry } from "./features/target_registry.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import {
@@ -123,9 +125,16 @@
     });
     const crashDetector = new CrashDetector(context, this.#crashReports);
     const answerMemory = new AnswerMemory();
+    const countVms = () => this.#budgets.countVms();
     this.#streams = new StreamOrigins(context, {
       peers: this.#peers,
       targets: this.#targets,
+      rows: new StreamRows(context, { countVms }),
+      releases: new ReleaseRows(context, {
+        targets: this.#targets,
+        listServices: () => this.#configuration.listResumableServices(),
+        countVms,
+      }),
     });
     this.#callers = new CallerServer({
       context,
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -133,7 +133,20 @@
   RECORD_HOLDERS,
 } from "./stream/choose_record_holders.ts";
 export type { ListedRelease, SeenReleases } from "./stream/release_history.ts";
-export { findOnlyRelease, ReleaseHistory } from "./stream/release_history.ts";
+export {
+  findOnlyRelease,
+  MAX_LIST_AGE,
+  ReleaseHistory,
+} from "./stream/release_history.ts";
+export type {
+  RecordedRelease,
+  ReleaseRecord,
+  ReleaseSight,
+} from "./stream/release_record.ts";
+export {
+  listRecordedReleases,
+  planReleaseRecord,
+} from "./stream/release_record.ts";
 export type { AnswerProgress } from "./stream/answer_assembler.ts";
 export { AnswerAssembler, ChunkAction } from "./stream/answer_assembler.ts";
 export {
--- a/packages/routing/stream/release_history.ts
+++ b/packages/routing/stream/release_history.ts
@@ -28,7 +28,7 @@
  * Maximum age of a list of targets that shows all releases. It covers the usual
  * delay of the list, but not a lost connection to the store.
  */
-const MAX_LIST_AGE: Millis = 3_000;
+export const MAX_LIST_AGE: Millis = 3_000;
 
 /** Remembers when each release of each service was last listed. */
 export class ReleaseHistory {
