Let VMs with much of a customer's spending hold its tokens ahead of need

Cause: in regions of more than five VMs two home VMs, chosen by a hash, hold a customer's tokens, and the others borrow for each request.

Ruled out: more home VMs, which leave far writers behind (docs/design/platform.md).

Change: a VM that does a tenth of a customer's spending becomes a holder, until it does less than a twentieth. Lenders tell the spending of all VMs with their loans.

--- a/packages/budget/holding/holding_test.ts
+++ b/packages/budget/holding/holding_test.ts
@@ -23,7 +23,7 @@
   activeCoverage: 4_500,
   usualRequest: 1_000,
   standby: [],
-  isHome: true,
+  isHolder: true,
 };
 
 function createAccount(room: number): EventAccount {
@@ -133,7 +133,7 @@
 });
 
 test("a VM that is not a home VM keeps tokens for about one request and takes only what is missing", (t) => {
-  const input = { ...INPUT, isHome: false };
+  const input = { ...INPUT, isHolder: false };
   const idle = planHolding(createAccount(0), input);
   t.is(idle.take, undefined);
   t.is(idle.standby, undefined);
--- a/packages/budget/holding/plan_holding.ts
+++ b/packages/budget/holding/plan_holding.ts
@@ -58,10 +58,10 @@
   /** Standby grants that this VM holds. */
   readonly standby: readonly StandbyHolding[];
   /**
-   * Whether this VM is a home VM of the customer, which holds tokens for its
-   * region. Other VMs hold about one request's tokens and borrow the rest.
+   * Whether this VM holds the customer's tokens ahead of need. Other VMs hold
+   * about one request's tokens and borrow the rest.
    */
-  readonly isHome: boolean;
+  readonly isHolder: boolean;
 }
 
 /** A standby grant of a VM, as recorded in the budget row. */
@@ -135,7 +135,7 @@
   account: EventAccount,
   input: HoldingInput,
 ): HoldingTargets {
-  if (!input.isHome) {
+  if (!input.isHolder) {
     const usual = account.usualHold || input.usualRequest;
     return { active: Math.floor(usual), standby: 0 };
   }
@@ -183,7 +183,7 @@
   const unreserved = account.grants.filter((grant) => grant.reserved === 0);
   const expired = unreserved.filter((grant) => !isGrantOpen(grant, now));
   const isShort = need > room;
-  const isLow = input.isHome && input.budgetLeft !== 0 &&
+  const isLow = input.isHolder && input.budgetLeft !== 0 &&
     room < REFILL_THRESHOLD * targets.active;
   if (isShort || isLow) {
     const grown = chooseGrownGrant(account, now);
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -41,6 +41,8 @@
 export { reserveTokens } from "./commands/reserve_tokens.ts";
 export { settleReservation } from "./commands/settle_reservation.ts";
 export { SpendingMeter } from "./holding/spending_meter.ts";
+export type { HolderInput } from "./holding/decide_holder.ts";
+export { decideHolder, MAX_HOLDERS_BY_SHARE } from "./holding/decide_holder.ts";
 export type {
   HoldingInput,
   HoldingTargets,
--- a/packages/gateway/features/budgets/budget_state.ts
+++ b/packages/gateway/features/budgets/budget_state.ts
@@ -57,6 +57,10 @@
   otherHolders: readonly VmId[];
   /** Spending by other VMs in tokens per second, by the row. */
   othersRate: number;
+  /** Spending rate of all VMs as a lender last told it; undefined before. */
+  lendersRate: number | undefined;
+  /** Whether this VM holds tokens ahead of need, as last decided. */
+  isHolder: boolean;
   /** Grants kept in reserve for an outage of the store, not unlocked yet. */
   standby: readonly StandbyHolding[];
   /** Standby grants that are in use while the row still has them on standby. */
@@ -102,6 +106,8 @@
     holders: 0,
     otherHolders: [],
     othersRate: 0,
+    lendersRate: undefined,
+    isHolder: false,
     standby: [],
     unlockedGrants: [],
     frozenGrantIds: [],
--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -12,6 +12,7 @@
   chooseLoansKept,
   chooseRequestToBorrowFor,
   computeReserved,
+  decideHolder,
   type EventAccount,
   type ExchangeInput,
   listServable,
@@ -46,7 +47,7 @@
 import { createRowWriter } from "../create_row_writer.ts";
 import type { PeerAccess } from "../peers/peer_access.ts";
 import { REBALANCE_INTERVAL } from "./exchange_pace.ts";
-import { GrantExchanges } from "./grant_exchanges.ts";
+import { GrantExchanges, TRAFFIC_WARMUP } from "./grant_exchanges.ts";
 import {
   type BudgetState,
   computeOutage,
@@ -139,7 +140,7 @@
       standby: this.#standby,
       computePresenceInterval: () => this.#computePresenceInterval(),
       countVms: () => this.countVms(),
-      isHome: (budget) => this.loans.isHome(budget.customer),
+      isHolder: (budget) => this.#updateHolder(budget),
       areHomesKnown: () => this.loans.arePeersSettled,
       readUsualRequest: () => this.#usualRequest,
       readFirstRequestTime: () => this.#firstRequestAt,
@@ -287,6 +288,59 @@
     return this.#budgets.get(customer)?.otherHolders ?? [];
   }
 
+  /** Whether this VM holds a customer's tokens ahead of need. */
+  isHolder(customer: CustomerId): boolean {
+    return this.#budgets.get(customer)?.isHolder ??
+      this.loans.isHome(customer);
+  }
+
+  /** Returns the spending rate of all VMs, as far as known. */
+  computeTotalRate(customer: CustomerId): number {
+    const budget = this.#budgets.get(customer);
+    if (budget === undefined) return 0;
+    const now = this.#context.clock.readMonotonic();
+    const rate = budget.meter?.computeRate(now) ?? 0;
+    return Math.round(rate + budget.othersRate);
+  }
+
+  /** Decides again whether this VM holds tokens ahead of need. */
+  #updateHolder(budget: BudgetState): boolean {
+    const { clock, settings, log } = this.#context;
+    const { customer, lendersRate, othersRate } = budget;
+    const now = clock.readMonotonic();
+    const rate = budget.meter?.computeRate(now) ?? 0;
+    const isHome = this.loans.isHome(customer);
+    // What a holder lends counts as its spending, so the higher figure is nearer
+    // to the truth.
+    const rowRate = budget.budgetLeft === undefined
+      ? undefined
+      : rate + othersRate;
+    const totalRate = rowRate === undefined && lendersRate === undefined
+      ? undefined
+      : Math.max(rowRate ?? 0, lendersRate ?? 0);
+    const isHolder = decideHolder({
+      isHome,
+      isHolder: budget.isHolder,
+      rate,
+      totalRate,
+      hasTraffic: now - (this.#firstRequestAt ?? now) > TRAFFIC_WARMUP,
+      outageCoverage: settings.budgets.offlineMillis,
+      usualRequest: this.#usualRequest,
+    });
+    if (isHolder !== budget.isHolder && !isHome) {
+      log.info(LogEvent.HolderChanged, {
+        customer,
+        holder: isHolder,
+        rate: Math.round(rate),
+        total_rate: Math.round(totalRate ?? 0),
+      });
+    }
+    budget.isHolder = isHolder;
+    // A holder that borrows no more reads the rates in the row.
+    if (isHolder && rowRate !== undefined) budget.lendersRate = undefined;
+    return isHolder;
+  }
+
   /**
    * Returns the shortfall of the smallest waiting request, which is 0 or less
    * if the account covers it. Returns undefined if no request waits or no round
@@ -502,7 +556,7 @@
       Math.max(0, wait),
     );
     budget.waiters.push(waiting);
-    if (!this.loans.isHome(budget.customer)) return this.#borrow(budget);
+    if (!this.#updateHolder(budget)) return this.#borrow(budget);
     this.#exchanges.start(budget, planExchange);
     if (!this.#mayStoreCover(budget, waiting.tokens)) {
       return this.#borrow(budget);
@@ -552,11 +606,12 @@
         since,
       });
       returning += step.returning;
+      budget.lendersRate = step.totalRate ?? budget.lendersRate;
       if (step.eligiblePeers > 0) {
         await sleep(LOAN_INTERVAL);
         continue;
       }
-      // A VM that is not a home VM asks the store only after all peers.
+      // A VM that is not a holder asks the store only after all peers.
       const isCoverable = (waiter: Waiter) =>
         this.#mayStoreCover(budget, waiter.tokens);
       if (budget.waiters.some(isCoverable)) {
@@ -645,6 +700,7 @@
       return {
         customer: each.customer,
         home: this.loans.isHome(each.customer),
+        holder: each.isHolder,
         prepaid: each.prepaid,
         rowLimit: each.rowLimit,
         budgetLeft: each.budgetLeft,
--- a/packages/gateway/features/budgets/exchange_pace_test.ts
+++ b/packages/gateway/features/budgets/exchange_pace_test.ts
@@ -79,7 +79,7 @@
       }),
       computePresenceInterval: () => 600,
       countVms: () => 1,
-      isHome: () => true,
+      isHolder: () => true,
       areHomesKnown: () => shared.areHomesKnown ?? true,
       readUsualRequest: () => 100,
       readFirstRequestTime: () => 0,
--- a/packages/gateway/features/budgets/grant_exchanges.ts
+++ b/packages/gateway/features/budgets/grant_exchanges.ts
@@ -63,7 +63,7 @@
  * Time from this VM's first request until a customer without requests counts as
  * having no traffic here.
  */
-const TRAFFIC_WARMUP: Millis = 3_000;
+export const TRAFFIC_WARMUP: Millis = 3_000;
 
 /**
  * Plans an exchange and returns the account with the exchange in it; an account
@@ -82,8 +82,8 @@
   computePresenceInterval(): Millis;
   /** Returns the number of VMs that share the store. */
   countVms(): number;
-  /** Whether this VM is a home VM, which holds the budget for its region. */
-  isHome(budget: BudgetState): boolean;
+  /** Whether this VM holds the customer's tokens ahead of need. */
+  isHolder(budget: BudgetState): boolean;
   /**
    * Whether it is known which VMs are home VMs. Before, tokens are only taken
    * for requests that wait for them.
@@ -282,7 +282,7 @@
         computeRefillInterval(budget.holders) - REBALANCE_INTERVAL,
       usualRequest: options.readUsualRequest(),
       standby: budget.standby,
-      isHome: options.isHome(budget),
+      isHolder: options.isHolder(budget),
     };
   }
 
--- a/packages/gateway/features/budgets/standby_tokens_test.ts
+++ b/packages/gateway/features/budgets/standby_tokens_test.ts
@@ -136,7 +136,7 @@
           activeCoverage: 3_000,
           usualRequest: 100,
           standby: budget.standby,
-          isHome: true,
+          isHolder: true,
         }),
     };
   }
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -42,6 +42,10 @@
   recordLent(customer: CustomerId, tokens: Tokens): void;
   /** Returns the other VMs that hold a customer's tokens, by the budget row. */
   listHolders(customer: CustomerId): readonly VmId[];
+  /** Whether this VM holds a customer's tokens ahead of need. */
+  isHolder(customer: CustomerId): boolean;
+  /** Returns the spending rate of all VMs, as far as known. */
+  computeTotalRate(customer: CustomerId): number;
 }
 
 /** Requests loans from other VMs and answers their requests. */
@@ -92,7 +96,11 @@
     this.#accounts.recordLent(eventId, answer.tokens);
     this.#context.metrics.tokensLent.inc(answer.tokens);
     const unreported = this.#loans.sumUnreported(eventId);
-    return { ...answer, returning: returning + unreported };
+    return {
+      ...answer,
+      returning: returning + unreported,
+      totalRate: this.#accounts.computeTotalRate(eventId),
+    };
   }
 
   /** Returns the number of known VMs, this one included. */
@@ -132,9 +140,9 @@
     customer: CustomerId,
     input: { readonly missing: Tokens; readonly since: MonotonicTime },
   ): Promise<BorrowRound> {
-    // A VM that is not a home VM borrows only the shortfall of one request,
-    // from one peer at a time.
-    const need = this.isHome(customer)
+    // A VM that is not a holder borrows only the shortfall of one request, from
+    // one peer at a time.
+    const need = this.#accounts.isHolder(customer)
       ? input
       : { ...input, target: input.missing, fanout: 1 };
     return this.#loans.borrow(customer, need);
@@ -150,7 +158,9 @@
 
   #choosePeers(customer: CustomerId): readonly Peer[] {
     const holders = this.#accounts.listHolders(customer);
-    const homes = this.isHome(customer) ? [] : this.#findHomes(customer);
+    const homes = this.#accounts.isHolder(customer)
+      ? []
+      : this.#findHomes(customer);
     return choosePeers(this.#peers.listPeers(), {
       region: this.#context.region,
       holders: [...homes, ...holders.filter((vm) => !homes.includes(vm))],
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -126,6 +126,8 @@
    * Tokens that peers report to be returning to the budget for these requests.
    */
   readonly returning: Tokens;
+  /** Spending rate of all VMs, the highest that a peer knows. */
+  readonly totalRate?: number;
 }
 
 /** Answers loan requests from peers and requests loans for this VM. */
@@ -239,7 +241,9 @@
         ? undefined
         : this.#requestLoan(eventId, { loan, peer, least: missing });
     }));
+    const rates = answers.flatMap((each) => each?.totalRate ?? []);
     return {
+      ...(rates.length === 0 ? {} : { totalRate: Math.max(...rates) }),
       eligiblePeers: eligible.length,
       reservedAtPeer: Math.max(
         0,
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -38,6 +38,8 @@
   reserved: z.number().int().nonnegative(),
   /** Tokens that cannot be lent and that the lender returns to the store. */
   returning: z.number().int().nonnegative().exactOptional(),
+  /** Spending rate of all VMs in tokens per second, as the lender knows it. */
+  totalRate: z.number().nonnegative().exactOptional(),
 });
 
 /** Maximum number of rows per read of a peer's document. */
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -76,6 +76,8 @@
   LifeJudged = "life_judged",
   /** Standby tokens were unlocked because the store is unavailable. */
   StandbyUsed = "standby_used",
+  /** This VM holds a customer's tokens ahead of need from now on, or not. */
+  HolderChanged = "holder_changed",
   /** A request was refused because its budget does not cover it. */
   BudgetShort = "budget_short",
   DependencyLost = "dependency_lost",
