--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -42,10 +42,8 @@
 import type { CustomerBudgets } from "../features/budgets/customer_budgets.ts";
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
 import { createSuspectKeys } from "../features/crashes/suspect_keys.ts";
-import type {
-  StreamOrigin,
-  StreamOrigins,
-} from "../features/streams/stream_origins.ts";
+import type { StreamOrigins } from "../features/streams/stream_origins.ts";
+import type { StreamOrigin } from "../features/streams/stream_record.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { AnswerMemory } from "./answer_buffer.ts";
 import type { CallEnd, CallRunner } from "./call_runner.ts";
--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -12,7 +12,6 @@
   chooseLoansKept,
   chooseRequestToBorrowFor,
   computeReserved,
-  decideHolder,
   type EventAccount,
   type ExchangeInput,
   listServable,
@@ -47,7 +46,7 @@
 import { createRowWriter } from "../create_row_writer.ts";
 import type { PeerAccess } from "../peers/peer_access.ts";
 import { REBALANCE_INTERVAL } from "./exchange_pace.ts";
-import { GrantExchanges, TRAFFIC_WARMUP } from "./grant_exchanges.ts";
+import { GrantExchanges } from "./grant_exchanges.ts";
 import {
   type BudgetState,
   computeOutage,
@@ -57,6 +56,7 @@
   sumWaitingTokens,
   type Waiter,
 } from "./budget_state.ts";
+import { HolderDecisions } from "./holder_decisions.ts";
 import { computePresenceInterval, PresenceWriter } from "./presence_writer.ts";
 import { listInUse, StandbyTokens } from "./standby_tokens.ts";
 import { type LoanAccounts, TokenLoans } from "./token_loans.ts";
@@ -104,6 +104,7 @@
   readonly #presence: PresenceWriter;
   readonly #standby: StandbyTokens;
   readonly #exchanges: GrantExchanges;
+  readonly #holders: HolderDecisions;
   /** Loans from and to other VMs. */
   readonly loans: TokenLoans;
   readonly #budgets = new Map<CustomerId, BudgetState>();
@@ -135,12 +136,17 @@
       computePresenceAge: () => this.#presence.computePresenceAge(),
       isStoreDown: () => this.#exchanges.isStoreDown,
     });
+    this.#holders = new HolderDecisions(context, {
+      isHome: (customer) => this.loans.isHome(customer),
+      readUsualRequest: () => this.#usualRequest,
+      readFirstRequestTime: () => this.#firstRequestAt,
+    });
     this.#exchanges = new GrantExchanges(context, {
       accounts: this.#accounts,
       standby: this.#standby,
       computePresenceInterval: () => this.#computePresenceInterval(),
       countVms: () => this.countVms(),
-      isHolder: (budget) => this.#updateHolder(budget),
+      isHolder: (budget) => this.#holders.update(budget),
       areHomesKnown: () => this.loans.arePeersSettled,
       readUsualRequest: () => this.#usualRequest,
       readFirstRequestTime: () => this.#firstRequestAt,
@@ -297,48 +303,7 @@
   /** Returns the spending rate of all VMs, as far as known. */
   computeTotalRate(customer: CustomerId): number {
     const budget = this.#budgets.get(customer);
-    if (budget === undefined) return 0;
-    const now = this.#context.clock.readMonotonic();
-    const rate = budget.meter?.computeRate(now) ?? 0;
-    return Math.round(rate + budget.othersRate);
-  }
-
-  /** Decides again whether this VM holds tokens ahead of need. */
-  #updateHolder(budget: BudgetState): boolean {
-    const { clock, settings, log } = this.#context;
-    const { customer, lendersRate, othersRate } = budget;
-    const now = clock.readMonotonic();
-    const rate = budget.meter?.computeRate(now) ?? 0;
-    const isHome = this.loans.isHome(customer);
-    // What a holder lends counts as its spending, so the higher figure is nearer
-    // to the truth.
-    const rowRate = budget.budgetLeft === undefined
-      ? undefined
-      : rate + othersRate;
-    const totalRate = rowRate === undefined && lendersRate === undefined
-      ? undefined
-      : Math.max(rowRate ?? 0, lendersRate ?? 0);
-    const isHolder = decideHolder({
-      isHome,
-      isHolder: budget.isHolder,
-      rate,
-      totalRate,
-      hasTraffic: now - (this.#firstRequestAt ?? now) > TRAFFIC_WARMUP,
-      outageCoverage: settings.budgets.offlineMillis,
-      usualRequest: this.#usualRequest,
-    });
-    if (isHolder !== budget.isHolder && !isHome) {
-      log.info(LogEvent.HolderChanged, {
-        customer,
-        holder: isHolder,
-        rate: Math.round(rate),
-        total_rate: Math.round(totalRate ?? 0),
-      });
-    }
-    budget.isHolder = isHolder;
-    // A holder that borrows no more reads the rates in the row.
-    if (isHolder && rowRate !== undefined) budget.lendersRate = undefined;
-    return isHolder;
+    return budget === undefined ? 0 : this.#holders.computeTotalRate(budget);
   }
 
   /**
@@ -556,7 +521,7 @@
       Math.max(0, wait),
     );
     budget.waiters.push(waiting);
-    if (!this.#updateHolder(budget)) return this.#borrow(budget);
+    if (!this.#holders.update(budget)) return this.#borrow(budget);
     this.#exchanges.start(budget, planExchange);
     if (!this.#mayStoreCover(budget, waiting.tokens)) {
       return this.#borrow(budget);
--- a/packages/gateway/features/streams/stream_origins.ts
+++ b/packages/gateway/features/streams/stream_origins.ts
@@ -19,7 +19,6 @@
   type MonotonicTime,
   type Refusal,
   RefusalKind,
-  type ReleaseId,
   type ServiceId,
   type Undo,
   type VmId,
@@ -49,6 +48,7 @@
 import type { PeerAccess } from "../peers/peer_access.ts";
 import type { TargetRegistry } from "../target_registry.ts";
 import type { ReleaseRows } from "./release_rows.ts";
+import type { BegunStream, StreamOrigin } from "./stream_record.ts";
 import type { StreamRows } from "./stream_rows.ts";
 
 /** Time for which a record is kept: longer than callers resume a stream. */
@@ -81,12 +81,6 @@
 /** Maximum time for which a caller's request waits for rows of the store. */
 const MAX_ROWS_WAIT: Millis = 600;
 
-/** What began a stream, and must continue it. */
-export interface StreamOrigin {
-  readonly service: ServiceId;
-  readonly release: ReleaseId;
-}
-
 /** A stream that a caller wants to be resumed. */
 export interface ResumedStream {
   /** Id of the caller's present request. */
@@ -101,15 +95,6 @@
   readonly period: Millis;
 }
 
-/** A stream whose first event was forwarded. */
-export interface BegunStream extends StreamOrigin {
-  readonly id: string;
-  /** Whether its route is split among services. */
-  readonly isSplit: boolean;
-  /** How long the stream may be of use to its caller. */
-  readonly period: Millis;
-}
-
 /** Where the origin of a resumed stream is known from, as logged. */
 enum OriginSource {
   Own = "own-record",
--- a/packages/gateway/features/streams/stream_rows.ts
+++ b/packages/gateway/features/streams/stream_rows.ts
@@ -25,7 +25,7 @@
 import type { GatewayContext } from "../../gateway_context.ts";
 import { createRowWriter } from "../create_row_writer.ts";
 import { readStoreTime } from "../read_store_time.ts";
-import type { BegunStream, StreamOrigin } from "./stream_origins.ts";
+import type { BegunStream, StreamOrigin } from "./stream_record.ts";
 
 const ORIGIN_SCHEMA = z.object({
   service: z.string(),
