Look up streams in the store before peers on a VM that has just started

Change: such a VM reads the rows first, in one read for all that come within 300 ms, and asks peers only for what is not there.

--- a/packages/gateway/features/streams/release_rows.ts
+++ b/packages/gateway/features/streams/release_rows.ts
@@ -7,6 +7,7 @@
   combineUndo,
   type JsonValue,
   type Millis,
+  type MonotonicTime,
   type RowOperation,
   type ServiceId,
   type Undo,
@@ -58,6 +59,9 @@
 /** Maximum pause between two attempts to write. */
 const MAX_BACKOFF: Millis = 500;
 
+/** Maximum age of a read row that answers another question. */
+const MAX_READ_AGE: Millis = 300;
+
 const NOTHING_RECORDED: SeenReleases = { releases: [], isComplete: false };
 
 /** Records the releases of services in the store and reads them. */
@@ -69,6 +73,11 @@
   readonly #writer: StoreWriter;
   /** The records as last read or written. */
   readonly #known = new Map<ServiceId, ReleaseRecord>();
+  /** The last read of each service's row, which later questions share. */
+  readonly #reads = new Map<ServiceId, {
+    readonly startedAt: MonotonicTime;
+    readonly record: Promise<ReleaseRecord | undefined>;
+  }>();
   #process: BackgroundProcess | undefined;
 
   constructor(
@@ -124,14 +133,25 @@
 
   /** Reads which releases served in a period; nothing if the store is away. */
   async read(service: ServiceId, period: Millis): Promise<SeenReleases> {
+    const startedAt = this.#context.clock.readMonotonic();
+    let last = this.#reads.get(service);
+    if (last === undefined || startedAt - last.startedAt > MAX_READ_AGE) {
+      last = { startedAt, record: this.#readRow(service) };
+      this.#reads.set(service, last);
+    }
+    const record = await last.record;
+    const now = readStoreTime(this.#context);
+    if (record === undefined || now === undefined) return NOTHING_RECORDED;
+    return listRecordedReleases(record, { now, period });
+  }
+
+  async #readRow(service: ServiceId): Promise<ReleaseRecord | undefined> {
     const key = formatKey(service);
     const answer = await this.#context.dialect.table.read([key]);
-    const now = readStoreTime(this.#context);
-    if (answer.isLeft() || now === undefined) return NOTHING_RECORDED;
     const [row] = answer.orDefault([]);
     const record = this.#parse(key, row?.value);
     if (record !== undefined) this.#known.set(service, record);
-    return listRecordedReleases(record, { now, period });
+    return record;
   }
 
   #check(): void {
--- a/packages/gateway/features/streams/stream_origins.ts
+++ b/packages/gateway/features/streams/stream_origins.ts
@@ -252,11 +252,16 @@
         answered: 0,
       };
     }
-    const peers = this.#choosePeers(stream.stream ?? "", chooseVmsToAsk);
     const { service, period } = stream;
     const seen = this.#targets.listSeenReleases(service, period);
-    // The records of VMs that have just started are probably in the store only.
-    const early = seen.isComplete ? undefined : this.#readRows(stream);
+    // This VM has just started, and probably the others as well. Many streams
+    // are then taken up at once, and one read of the rows answers for all.
+    const early = seen.isComplete ? undefined : await this.#readRows(stream);
+    if (early?.origin !== undefined) {
+      const { origin } = early;
+      return { origin, source: OriginSource.Stored, asked: 0, answered: 0 };
+    }
+    const peers = this.#choosePeers(stream.stream ?? "", chooseVmsToAsk);
     const answers = await this.#ask(peers, stream);
     const counts = { asked: peers.length, answered: answers.length };
     const recorded = answers.find((each) => each.origin !== undefined);
@@ -270,7 +275,7 @@
     if (only !== undefined) {
       return { origin: only, source: OriginSource.Only, ...counts };
     }
-    const rows = await (early ?? this.#readRows(stream));
+    const rows = early ?? await this.#readRows(stream);
     if (rows.origin !== undefined) {
       return { origin: rows.origin, source: OriginSource.Stored, ...counts };
     }
