--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -17,7 +17,13 @@
 import { computeIncarnation } from "../membership/mod.ts";
 import { ConnectionPools } from "../ports/mod.ts";
 import { RetryBudgets } from "../routing/mod.ts";
-import { createEventLog, type EventLog, LogEvent } from "../runtime/mod.ts";
+import {
+  createErrorReporter,
+  createEventLog,
+  type EventLog,
+  LogEvent,
+  startPeriodic,
+} from "../runtime/mod.ts";
 import {
   computeSettingsDigest,
   type GatewaySettings,
@@ -88,6 +94,9 @@
  */
 const MIN_VM_COUNT = 6;
 
+/** Interval between two log lines of the calls to the store. */
+const TRAFFIC_LOG_INTERVAL: Millis = 2_000;
+
 /** A gateway that can be started and stopped once. */
 export class Gateway {
   readonly #context: GatewayContext;
@@ -214,6 +223,7 @@
       this.#crashReports.register(),
       this.#limitReports.register(),
       this.#streams.register(),
+      this.#startTrafficLog(),
     ]);
     log.info(LogEvent.Started, {
       vm,
@@ -279,6 +289,20 @@
     });
   }
 
+  #startTrafficLog(): Undo {
+    const { log, metrics, random } = this.#context;
+    return startPeriodic({
+      interval: TRAFFIC_LOG_INTERVAL,
+      random,
+      run: () => {
+        const fields = metrics.storeTraffic.take();
+        if (fields !== undefined) log.info(LogEvent.StoreTraffic, fields);
+        return Promise.resolve();
+      },
+      reportError: createErrorReporter(log, "traffic of the store"),
+    }).stop;
+  }
+
   #recordSettings(): void {
     const { clock, metrics, settings } = this.#context;
     this.#settingsAppliedAt = clock.readMonotonic();
--- a/packages/gateway/gateway_metrics.ts
+++ b/packages/gateway/gateway_metrics.ts
@@ -2,6 +2,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { MILLIS_PER_SECOND } from "../core/mod.ts";
 import type { StoreCall } from "../ports/mod.ts";
+import { StoreTraffic } from "./store_traffic.ts";
 
 /** Latency buckets; finer around typical latency goals of 0.2 to 1.2 s. */
 const LATENCY_BUCKETS_SECONDS = [
@@ -63,6 +64,8 @@
   readonly storeCallDuration: Histogram<"kind" | "outcome">;
   readonly storeSentBytes: Counter<"kind" | "outcome">;
   readonly storeReceivedBytes: Counter<"kind" | "outcome">;
+  /** Calls to the store by table, for the log. */
+  readonly storeTraffic: StoreTraffic;
 }
 
 /** Creates the metrics in a registry of their own, one for each gateway. */
@@ -194,10 +197,11 @@
       labelNames: ["kind", "outcome"],
       registers,
     }),
+    storeTraffic: new StoreTraffic(),
   };
 }
 
-/** Adds one call to the store to the metrics. */
+/** Adds one call to the store to the metrics and to the sums for the log. */
 export function recordStoreCall(
   metrics: GatewayMetrics,
   call: StoreCall,
@@ -206,4 +210,5 @@
   metrics.storeCallDuration.observe(labels, call.duration / MILLIS_PER_SECOND);
   metrics.storeSentBytes.inc(labels, call.sentBytes);
   metrics.storeReceivedBytes.inc(labels, call.receivedBytes);
+  metrics.storeTraffic.record(call);
 }
--- a/packages/ports/store_calls.ts
+++ b/packages/ports/store_calls.ts
@@ -26,6 +26,8 @@
 
 /** One call to the store that has ended. */
 export interface StoreCall {
+  /** Name of the rows that it reads, follows or writes, as in logs. */
+  readonly table: string;
   readonly kind: StoreCallKind;
   readonly outcome: StoreCallOutcome;
   /** Size of the request's body. */
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -80,6 +80,8 @@
   HolderChanged = "holder_changed",
   /** A request was refused because its budget does not cover it. */
   BudgetShort = "budget_short",
+  /** Calls to the store since the last such line, by table and kind. */
+  StoreTraffic = "store_traffic",
   DependencyLost = "dependency_lost",
   DependencyBack = "dependency_back",
   /** A row of the store could not be decoded. */
