End a loan request whose answer brings no tokens

Callers at a VM that is no home VM were refused with budget-unreachable after two peers had been asked, although others had tokens. A request for a loan stayed pending after an answer of 0 tokens until it was due to be sent again, 500 ms later, and a VM that asks one peer at a time asked nobody meanwhile; a request waits 800 ms in all.

An answer now ends its request whatever it brings.

--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -420,17 +420,18 @@
     const { loanAnswer, peer, history } = input;
     const { clock, log } = this.#context;
     const now = clock.readMonotonic();
+    const deadline = now + GRANT_TERM;
+    // An answer without tokens ends its request as well.
+    this.#accounts.changeAccount(
+      eventId,
+      (account) => receiveLoan(account, { answer: loanAnswer, deadline }),
+    );
     if (loanAnswer.tokens === 0) {
       history.askAgainAt.set(peer.vm, now + REFUSAL_BACKOFF);
       if (loanAnswer.reserved === 0) history.lenders.delete(peer.vm);
       return;
     }
     history.lenders.add(peer.vm);
-    const deadline = now + GRANT_TERM;
-    this.#accounts.changeAccount(
-      eventId,
-      (account) => receiveLoan(account, { answer: loanAnswer, deadline }),
-    );
     log.info(LogEvent.LoanTaken, {
       [this.#context.budgetField]: eventId,
       lender: peer.vm,
