Leave a budget's row to its holders while they take tokens for borrowers

After an outage of the store the callers of the region far from it were refused with budget-unreachable for ten seconds and more, and its VMs got new configurations late. A VM that is no home VM asked the store itself as soon as no peer lent at once. In an outage no peer has tokens left, so that all VMs did, for all customers; home VMs of the far region lost nearly every conflict and had nothing to lend, which kept all others at the store. The rows of these attempts filled the link between the regions.

A lender that takes tokens for a borrower says so, keeps its demand until it is served or can't wait any more, and goes on with another exchange if one didn't cover all. The borrower asks again instead of writing the row. A VM that is not a holder takes nothing for others, and its periodic check leaves the row alone while it asks for loans. If lenders are silent, stopping or without the store themselves, a VM asks the store as before.

--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -3,6 +3,7 @@
  * store, reserve and settle tokens for requests, lend tokens to each other, and
  * return what is unused. Also covers write-offs and changes of limits.
  */
+export { BorrowerDemand } from "./loans/borrower_demand.ts";
 export type {
   EventAccount,
   Grant,
--- a/packages/gateway/features/budgets/budget_state.ts
+++ b/packages/gateway/features/budgets/budget_state.ts
@@ -3,10 +3,11 @@
  * latest known contents of the budget row, standby grants and waiting requests.
  */
 import type { Either } from "purify-ts";
-import type {
-  Reservation,
-  SpendingMeter,
-  StandbyHolding,
+import {
+  BorrowerDemand,
+  type Reservation,
+  type SpendingMeter,
+  type StandbyHolding,
 } from "../../../budget/mod.ts";
 import type {
   CustomerId,
@@ -18,6 +19,12 @@
 } from "../../../core/mod.ts";
 import type { StoreWriter } from "../../../ports/mod.ts";
 
+/**
+ * Maximum time that a request waits for tokens. It covers an exchange that is
+ * repeated after a conflict.
+ */
+export const MAX_TOKEN_WAIT: Millis = 800;
+
 /** Maximum time that an exchange takes while the store is available. */
 export const MAX_EXCHANGE_TIME: Millis = 800;
 
@@ -87,7 +94,7 @@
   loanRound: Promise<void> | undefined;
   waiters: Waiter[];
   /** Tokens that other VMs are waiting to borrow from this one. */
-  borrowerDemand: Tokens;
+  readonly borrowerDemand: BorrowerDemand;
   /** Called once each at the store's next answer about this budget. */
   answerListeners: (() => void)[];
 }
@@ -118,7 +125,7 @@
     wasTakeDenied: false,
     loanRound: undefined,
     waiters: [],
-    borrowerDemand: 0,
+    borrowerDemand: new BorrowerDemand(MAX_TOKEN_WAIT),
     answerListeners: [],
   };
 }
--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -52,6 +52,7 @@
   computeOutage,
   createBudgetState,
   isLimitRaised,
+  MAX_TOKEN_WAIT,
   sumUnlockedTokens,
   sumWaitingTokens,
   type Waiter,
@@ -59,13 +60,12 @@
 import { HolderDecisions } from "./holder_decisions.ts";
 import { computePresenceInterval, PresenceWriter } from "./presence_writer.ts";
 import { listInUse, StandbyTokens } from "./standby_tokens.ts";
-import { type LoanAccounts, TokenLoans } from "./token_loans.ts";
-
-/**
- * Maximum time that a request waits for tokens. It covers an exchange that is
- * repeated after a conflict.
- */
-const MAX_TOKEN_WAIT: Millis = 800;
+import {
+  type LendPreparation,
+  type LoanAccounts,
+  NOTHING_PREPARED,
+  TokenLoans,
+} from "./token_loans.ts";
 
 /**
  * Time for which a request waits for the store's answer before peers are asked
@@ -79,6 +79,12 @@
 /** Pause between two calls of {@link TokenLoans.borrow} in a round of loans. */
 const LOAN_INTERVAL: Millis = 10;
 
+/**
+ * Pause before peers are asked again, one of which is taking tokens from the
+ * store for this VM.
+ */
+const REFILL_POLL_INTERVAL: Millis = 80;
+
 /** Weight of the newest request in the moving average of request sizes. */
 const REQUEST_SIZE_WEIGHT = 1 / 32;
 
@@ -323,24 +329,36 @@
    * Tries to make tokens available for a loan. In an outage of the store it
    * unlocks standby tokens. Otherwise it takes tokens from the store or, if
    * too few are left there, returns the standby tokens to it: a borrower can be
-   * expected to reach the store if this VM does. Resolves to the number of
-   * standby tokens that are being returned.
+   * expected to reach the store if this VM does.
    */
-  async prepareToLend(customer: CustomerId, tokens: Tokens): Promise<Tokens> {
+  async prepareToLend(
+    customer: CustomerId,
+    request: { readonly borrower: VmId; readonly tokens: Tokens },
+  ): Promise<LendPreparation> {
+    const { borrower, tokens } = request;
     const budget = this.#budgets.get(customer);
-    if (budget === undefined) return 0;
-    if (this.#accounts.computeRoom(customer) >= tokens) return 0;
+    if (budget === undefined) return NOTHING_PREPARED;
+    const hasEnough = () => this.#accounts.computeRoom(customer) >= tokens;
+    if (hasEnough()) {
+      budget.borrowerDemand.remove(borrower);
+      return NOTHING_PREPARED;
+    }
     if (this.#exchanges.isStoreDown) {
       this.#standby.unlock(budget);
-      return 0;
+      return NOTHING_PREPARED;
     }
-    if (this.#mayStoreCover(budget, tokens)) {
-      await this.#refillForBorrower(budget, tokens);
-      return 0;
+    // The row has few writers: a VM that isn't a holder leaves it to them.
+    if (!this.#holders.update(budget)) return NOTHING_PREPARED;
+    if (this.#mayRowCover(budget, tokens)) {
+      const now = this.#context.clock.readMonotonic();
+      budget.borrowerDemand.record(borrower, { tokens, now });
+      await this.#refillForBorrowers(budget);
+      if (hasEnough()) budget.borrowerDemand.remove(borrower);
+      return { returning: 0, isRefilling: budget.exchanging };
     }
     const returning = sumStandbySizes(budget.standby);
     if (returning > 0) this.#exchanges.start(budget, planStandbyReturn);
-    return returning;
+    return { returning, isRefilling: false };
   }
 
   /**
@@ -412,15 +430,13 @@
     return budget;
   }
 
-  /** Takes tokens from the store for a borrower; waits a limited time. */
-  async #refillForBorrower(budget: BudgetState, tokens: Tokens): Promise<void> {
-    budget.borrowerDemand += tokens;
+  /** Takes tokens from the store for borrowers; waits a limited time. */
+  async #refillForBorrowers(budget: BudgetState): Promise<void> {
     const answered = new Promise<void>((resolve) => {
       budget.answerListeners.push(resolve);
     });
     this.#exchanges.start(budget, planExchange);
     await Promise.race([answered, sleep(LEND_WAIT)]);
-    budget.borrowerDemand -= tokens;
   }
 
   #tryReserve(budget: BudgetState, tokens: Tokens): Reservation | undefined {
@@ -533,7 +549,12 @@
 
   /** Whether the store answers and may have enough tokens for a request. */
   #mayStoreCover(budget: BudgetState, tokens: Tokens): boolean {
-    if (this.#isStoreUnresponsive(budget)) return false;
+    return !this.#isStoreUnresponsive(budget) &&
+      this.#mayRowCover(budget, tokens);
+  }
+
+  /** Whether the budget may have enough tokens, by its row as last read. */
+  #mayRowCover(budget: BudgetState, tokens: Tokens): boolean {
     if (isLimitRaised(budget)) return true;
     if (budget.budgetLeft === undefined) return true;
     const available = this.#accounts.computeRoom(budget.customer);
@@ -560,8 +581,9 @@
     await Promise.resolve();
     // Each peer is asked once per round, so that no request waits for the same
     // peer to refuse twice.
-    const since = this.#context.clock.readMonotonic();
+    let since = this.#context.clock.readMonotonic();
     let returning = 0;
+    let isRefilling = false;
     for (;;) {
       this.#serveWaiters(budget);
       const missing = this.readShortfall(budget.customer);
@@ -571,11 +593,19 @@
         since,
       });
       returning += step.returning;
+      isRefilling ||= step.isRefilling;
       budget.lendersRate = step.totalRate ?? budget.lendersRate;
       if (step.eligiblePeers > 0) {
         await sleep(LOAN_INTERVAL);
         continue;
       }
+      if (isRefilling && !budget.isHolder) {
+        // Its tokens are on their way, and the row keeps few writers.
+        await sleep(REFILL_POLL_INTERVAL);
+        since = this.#context.clock.readMonotonic();
+        isRefilling = false;
+        continue;
+      }
       // A VM that is not a holder asks the store only after all peers.
       const isCoverable = (waiter: Waiter) =>
         this.#mayStoreCover(budget, waiter.tokens);
@@ -650,6 +680,7 @@
       this.#vmCountListener(count);
     }
     this.#serveWaiters(budget);
+    this.#refillAgain(budget);
     const isCoverable = (waiter: Waiter) =>
       this.#mayStoreCover(budget, waiter.tokens);
     if (!budget.waiters.every(isCoverable)) this.#borrow(budget);
@@ -658,6 +689,15 @@
     }
   }
 
+  /** Takes tokens for the borrowers that asked during the last exchange. */
+  #refillAgain(budget: BudgetState): void {
+    const now = this.#context.clock.readMonotonic();
+    const demand = budget.borrowerDemand.sum(now);
+    const missing = demand - this.#accounts.computeRoom(budget.customer);
+    if (missing <= 0 || budget.wasTakeDenied) return;
+    this.#exchanges.start(budget, planExchange);
+  }
+
   #describe(): unknown {
     const now = this.#context.clock.readMonotonic();
     return [...this.#budgets.values()].map((each) => {
--- a/packages/gateway/features/budgets/grant_exchanges.ts
+++ b/packages/gateway/features/budgets/grant_exchanges.ts
@@ -156,7 +156,9 @@
       this.recordAnswer();
       budget.othersRate = othersRate;
       budget.isInitialized = true;
-      if (isUrgent(budget) || this.#options.areHomesKnown()) {
+      if (
+        isUrgent(budget, clock.readMonotonic()) || this.#options.areHomesKnown()
+      ) {
         this.start(budget, planExchange);
       }
       if (freed + writtenOff === 0) return;
@@ -186,7 +188,8 @@
     const areHomesKnown = this.#options.areHomesKnown();
     const initialized = [...budgets]
       .filter((each) => each.isInitialized)
-      .filter((each) => areHomesKnown || isUrgent(each))
+      .filter((each) => !isBorrowing(each))
+      .filter((each) => areHomesKnown || isUrgent(each, now))
       .sort((left, right) => left.exchangeStartedAt - right.exchangeStartedAt);
     for (const budget of initialized) {
       if (!this.#refillLimiter.hasPermit) return;
@@ -194,7 +197,7 @@
         now,
         startedAt: budget.exchangeStartedAt,
         holders: budget.holders,
-        isUrgent: isUrgent(budget),
+        isUrgent: isUrgent(budget, now),
       });
       if (permit === ExchangePermit.None) continue;
       const plan = permit === ExchangePermit.Any ? planExchange : planRefill;
@@ -241,7 +244,7 @@
     const now = clock.readMonotonic();
     const need = budget.wasTakeDenied
       ? chooseRequestToBorrowFor(budget.waiters)?.tokens ?? 0
-      : sumWaitingTokens(budget) + budget.borrowerDemand;
+      : sumWaitingTokens(budget) + budget.borrowerDemand.sum(now);
     const rate = budget.meter?.computeRate(now);
     return {
       now,
@@ -380,8 +383,16 @@
 }
 
 /** Whether a request, or a peer, waits for tokens. */
-function isUrgent(budget: BudgetState): boolean {
-  return budget.waiters.length > 0 || budget.borrowerDemand > 0;
+function isUrgent(budget: BudgetState, now: MonotonicTime): boolean {
+  return budget.waiters.length > 0 || budget.borrowerDemand.sum(now) > 0;
+}
+
+/**
+ * Whether requests wait for loans at a VM that is not a holder. It leaves the
+ * row to the holders until no peer is left to ask.
+ */
+function isBorrowing(budget: BudgetState): boolean {
+  return !budget.isHolder && budget.loanRound !== undefined;
 }
 
 /** Plans an exchange only if it takes active tokens. */
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -28,14 +28,30 @@
   return { transferId, tokens: 0, parts: [], reserved: 0 };
 }
 
+/** What a lender with too few tokens does for its borrower. */
+export interface LendPreparation {
+  /** Standby tokens that go back to the store, where the borrower takes them. */
+  readonly returning: Tokens;
+  /** Whether an exchange that takes tokens for borrowers is in progress. */
+  readonly isRefilling: boolean;
+}
+
+/** The preparation of a lender that has tokens, or can't get any. */
+export const NOTHING_PREPARED: LendPreparation = {
+  returning: 0,
+  isRefilling: false,
+};
+
 /** The accounts that loans are made from and credited to. */
 export interface LoanAccounts extends LoanAccountAccess {
   /**
    * Tries to make tokens available for a loan, from the store or from standby
-   * grants. Resolves to the number of standby tokens that are being returned to
-   * the store instead, where the borrower can take them.
+   * grants.
    */
-  prepareToLend(customer: CustomerId, tokens: Tokens): Promise<Tokens>;
+  prepareToLend(
+    customer: CustomerId,
+    request: { readonly borrower: VmId; readonly tokens: Tokens },
+  ): Promise<LendPreparation>;
   /** Whether this VM makes loans now. */
   mayLend(): boolean;
   /** Counts lent tokens as spending by this VM. */
@@ -91,7 +107,10 @@
     if (request.wanted === 0 || !this.#accounts.mayLend()) {
       return createEmptyAnswer(request.transferId);
     }
-    const returning = await this.#accounts.prepareToLend(eventId, least);
+    const { returning, isRefilling } = await this.#accounts.prepareToLend(
+      eventId,
+      { borrower: request.borrower.vm, tokens: least },
+    );
     const answer = this.#loans.lend(request);
     this.#accounts.recordLent(eventId, answer.tokens);
     this.#context.metrics.tokensLent.inc(answer.tokens);
@@ -99,6 +118,7 @@
     return {
       ...answer,
       returning: returning + unreported,
+      ...(isRefilling && answer.tokens < least ? { refilling: true } : {}),
       totalRate: this.#accounts.computeTotalRate(eventId),
     };
   }
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -81,6 +81,9 @@
 /** Time for which a peer that refused is not asked again for the same event. */
 const REFUSAL_BACKOFF: Millis = 500;
 
+/** The same for a peer that is taking tokens from the store. */
+const REFILL_BACKOFF: Millis = 60;
+
 /** Time for which a peer that did not answer is not asked for any event. */
 const UNANSWERED_BACKOFF: Millis = 2_000;
 
@@ -126,6 +129,8 @@
    * Tokens that peers report to be returning to the budget for these requests.
    */
   readonly returning: Tokens;
+  /** Whether a peer is taking tokens from the store for these requests. */
+  readonly isRefilling: boolean;
   /** Spending rate of all VMs, the highest that a peer knows. */
   readonly totalRate?: number;
 }
@@ -252,6 +257,7 @@
       unresponsivePeers: peers.filter(isBackedOff).length,
       returning: answers
         .reduce((sum, each) => sum + (each?.returning ?? 0), 0),
+      isRefilling: answers.some((each) => each?.refilling === true),
     };
   }
 
@@ -427,7 +433,9 @@
       (account) => receiveLoan(account, { answer: loanAnswer, deadline }),
     );
     if (loanAnswer.tokens === 0) {
-      history.askAgainAt.set(peer.vm, now + REFUSAL_BACKOFF);
+      const isRefilling = loanAnswer.refilling === true;
+      const backoff = isRefilling ? REFILL_BACKOFF : REFUSAL_BACKOFF;
+      history.askAgainAt.set(peer.vm, now + backoff);
       if (loanAnswer.reserved === 0) history.lenders.delete(peer.vm);
       return;
     }
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -38,6 +38,11 @@
   reserved: z.number().int().nonnegative(),
   /** Tokens that cannot be lent and that the lender returns to the store. */
   returning: z.number().int().nonnegative().exactOptional(),
+  /**
+   * Whether the lender is taking tokens from the store for this request, so that
+   * the borrower should ask again shortly.
+   */
+  refilling: z.boolean().exactOptional(),
   /** Spending rate of all VMs in tokens per second, as the lender knows it. */
   totalRate: z.number().nonnegative().exactOptional(),
 });
