Connect to targets over a peer where a VM has lost its own path

A VM had no way to a target but its own, and each request waited 700 ms for up to three connections that could not come.

A connection that isn't there after 250 ms, or is refused, is attempted over peers as well, which relay its bytes to listed targets. A lost path is remembered for each target and probed, so that only the first requests wait. The VM with the caller stays responsible: deadline, events, the caller's leaving, billing and retries work as before, and nothing is handed over that might run twice. A refusal proves a crash only if no peer is accepted; an answer without a length that was relayed counts as broken off.

--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -436,6 +436,7 @@
       body: call.body,
       memory: answerMemory,
       signal: input.signal,
+      recordConnected: (relay) => (input.progress.relay = relay),
       recordHead: (head) => {
         const age = context.clock.readMonotonic() - sentAt;
         const { targets } = this.#options;
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -472,6 +472,7 @@
       customer: call.customer?.id,
       version: call.configurationVersion,
       targets: progress.triedTargets.join(","),
+      relay: progress.relay,
       runs: progress.runs,
       tokens: computeUsedTokens(call, progress),
       events: progress.events,
--- a/packages/gateway/entry/routed_call.ts
+++ b/packages/gateway/entry/routed_call.ts
@@ -7,6 +7,7 @@
   type ServiceId,
   type TargetId,
   type Tokens,
+  type VmId,
 } from "../../core/mod.ts";
 import type { RouteConfig, RoutedCustomer } from "../../routes/mod.ts";
 import type { CallerRequest, PromptFacts } from "../dialect.ts";
@@ -35,6 +36,8 @@
 export class CallProgress {
   /** Targets of all attempts, in order. */
   readonly triedTargets: TargetId[] = [];
+  /** The peer that relayed the last attempt; undefined for a direct one. */
+  relay: VmId | undefined;
   /** Number of attempts that a target may have run. */
   runs = 0;
   /** Number of events forwarded to the caller. */
--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -1,11 +1,12 @@
 /** One attempt at a target: sends a request and reads the answer. */
 import type { IncomingMessage } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
-import type { Bytes, Millis } from "../../core/mod.ts";
+import type { Bytes, Millis, VmId } from "../../core/mod.ts";
 import {
   AttemptEnd,
   type ConnectionPools,
   describeError,
+  findRelay,
   startExchange,
 } from "../../ports/mod.ts";
 import type {
@@ -18,8 +19,11 @@
 import { AnswerBuffer, type AnswerMemory } from "./answer_buffer.ts";
 import { EventSplitter, type ServerSentEvent } from "./event_splitter.ts";
 
-/** Connect timeout: long enough for some round trips or one retransmission. */
-const CONNECT_TIMEOUT: Millis = 700;
+/**
+ * Connect timeout: long enough for some round trips or one retransmission, and
+ * longer than the limit of the paths to a target.
+ */
+const CONNECT_TIMEOUT: Millis = 800;
 
 /** Maximum size of one event of a stream. */
 const MAX_EVENT_BYTES: Bytes = 1_048_576;
@@ -39,6 +43,8 @@
   /** Memory for answers that are read completely before they are sent on. */
   readonly memory: AnswerMemory;
   readonly signal: AbortSignal;
+  /** Called with the peer that relays the connection, if one does. */
+  readonly recordConnected: (relay: VmId | undefined) => void;
   /** Called with the head of an answer to this request as it arrives. */
   readonly recordHead: (head: AnswerHead) => void;
 }
@@ -197,6 +203,7 @@
     connectTimeout: CONNECT_TIMEOUT,
     agent: input.pools.getAgent(target.id),
     signal: input.signal,
+    onConnected: (socket) => input.recordConnected(findRelay(socket)),
     ...(body.length === 0 ? {} : { body }),
   });
   return started
@@ -276,6 +283,8 @@
 ): Promise<AttemptFailure | undefined> {
   return new Promise((resolve) => {
     let detail = "the answer was interrupted";
+    const isEndUncertain = isUnframed(incoming) &&
+      findRelay(incoming.socket) !== undefined;
     // It may have been closed before this function could listen for that.
     if (incoming.destroyed) {
       return resolve({
@@ -292,7 +301,8 @@
     });
     incoming.on("error", (error) => (detail = describeError(error)));
     incoming.on("end", () => {
-      if (incoming.complete) resolve(undefined);
+      if (isEndUncertain) detail = "the answer has no length and was relayed";
+      else if (incoming.complete) resolve(undefined);
     });
     incoming.on("close", () => {
       if (input.signal.aborted) {
@@ -303,3 +313,12 @@
     });
   });
 }
+
+/**
+ * Whether only the end of the connection ends an answer. If a peer relays it and
+ * is killed, that end looks the same.
+ */
+function isUnframed({ headers }: IncomingMessage): boolean {
+  return headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
--- a/packages/gateway/features/crashes/crash_detector.ts
+++ b/packages/gateway/features/crashes/crash_detector.ts
@@ -4,7 +4,7 @@
  * connections, and reports the parts of the prompts that a crash ended.
  */
 import type { Millis, TargetId } from "../../../core/mod.ts";
-import { checkConnection, ConnectionProbe } from "../../../ports/mod.ts";
+import { ConnectionProbe } from "../../../ports/mod.ts";
 import {
   CrashWatch,
   type LostAttempt,
@@ -13,6 +13,7 @@
 import { LogEvent } from "../../../runtime/mod.ts";
 import type { ListedTarget } from "../../dialect.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
+import type { TargetPaths } from "../paths/target_paths.ts";
 import type { CrashReports } from "./crash_reports.ts";
 import type { SuspectKeys } from "./suspect_keys.ts";
 
@@ -33,12 +34,17 @@
 export class CrashDetector {
   readonly #context: GatewayContext;
   readonly #reports: CrashReports;
+  readonly #paths: TargetPaths;
   readonly #watch = new CrashWatch();
   readonly #probes = new Map<TargetId, Promise<void>>();
 
-  constructor(context: GatewayContext, reports: CrashReports) {
+  constructor(
+    context: GatewayContext,
+    options: { readonly reports: CrashReports; readonly paths: TargetPaths },
+  ) {
     this.#context = context;
-    this.#reports = reports;
+    this.#reports = options.reports;
+    this.#paths = options.paths;
   }
 
   /**
@@ -79,7 +85,7 @@
 
   async #probe({ id, host, port }: ListedTarget): Promise<void> {
     const timeout = PROBE_TIMEOUT;
-    const result = await checkConnection({ host, port, timeout });
+    const result = await this.#paths.check({ host, port, timeout });
     this.#probes.delete(id);
     if (result === ConnectionProbe.Refused) this.recordRefused(id);
   }
--- /dev/null
+++ b/packages/gateway/features/paths/connection_relay.ts
@@ -0,0 +1,118 @@
+/**
+ * Relays connections of peers to targets that this VM reaches and they don't. It
+ * relays over its own path only, so that a connection has one peer at most.
+ */
+import type { IncomingMessage, Server } from "node:http";
+import { connect, type Socket } from "node:net";
+import type { Millis, TargetId } from "../../../core/mod.ts";
+import { isPeerKey } from "../../../peer/mod.ts";
+import {
+  findConnectOutcome,
+  forwardConnections,
+  RELAY_STATUS,
+  RelayOutcome,
+} from "../../../ports/mod.ts";
+import type { GatewayContext } from "../../gateway_context.ts";
+
+/**
+ * Maximum number of connections relayed at once, so that peers leave room for
+ * this VM's own callers.
+ */
+const MAX_RELAYED = 256;
+
+/** Time limit of a connection to a target: some round trips between regions. */
+const CONNECT_TIMEOUT: Millis = 400;
+
+/** What a relay needs to know of this VM. */
+export interface ConnectionRelayOptions {
+  /** Key that peers must send. */
+  readonly key: string;
+  /** Returns the listed target at `host:port`; undefined if there is none. */
+  readonly findTargetAt: (address: string) => TargetId | undefined;
+  /** Whether this VM's own path to a target is lost. */
+  readonly isPathLost: (target: TargetId) => boolean;
+}
+
+/** Serves the method `CONNECT` on the server for peers. */
+export class ConnectionRelay {
+  readonly #context: GatewayContext;
+  readonly #options: ConnectionRelayOptions;
+  readonly #sockets = new Set<Socket>();
+  #isStopping = false;
+
+  constructor(context: GatewayContext, options: ConnectionRelayOptions) {
+    this.#context = context;
+    this.#options = options;
+  }
+
+  /** Begins to serve on a server for peers. */
+  attach(server: Server): void {
+    server.on(
+      "connect",
+      (request: IncomingMessage, socket: Socket) =>
+        this.#serve(request, socket),
+    );
+  }
+
+  /** Accepts no more connections, for a planned stop. */
+  startDrain(): void {
+    this.#isStopping = true;
+  }
+
+  /** Closes all relayed connections. */
+  close(): void {
+    this.#isStopping = true;
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  #serve(request: IncomingMessage, socket: Socket): void {
+    socket.on("error", () => socket.destroy());
+    const decline = () => finish(socket, RelayOutcome.Declined);
+    const authorization = request.headers["proxy-authorization"];
+    if (!isPeerKey(authorization, this.#options.key)) return decline();
+    if (this.#isStopping || this.#sockets.size >= MAX_RELAYED) return decline();
+    const address = request.url ?? "";
+    const target = this.#options.findTargetAt(address);
+    if (target === undefined || this.#options.isPathLost(target)) {
+      return decline();
+    }
+    this.#connect(socket, address);
+  }
+
+  #connect(socket: Socket, address: string): void {
+    const { metrics } = this.#context;
+    const end = address.lastIndexOf(":");
+    const targetSocket = connect({
+      host: address.slice(0, end),
+      port: Number(address.slice(end + 1)),
+    });
+    this.#sockets.add(socket);
+    socket.once("close", () => {
+      this.#sockets.delete(socket);
+      targetSocket.destroy();
+      metrics.relayedForPeers.set(this.#sockets.size);
+    });
+    metrics.relayedForPeers.set(this.#sockets.size);
+    const timer = setTimeout(
+      () => targetSocket.destroy(new Error("no connection in time")),
+      CONNECT_TIMEOUT,
+    );
+    const fail = (error: Error) => finish(socket, findConnectOutcome(error));
+    targetSocket.once("error", fail);
+    targetSocket.once("close", () => clearTimeout(timer));
+    targetSocket.once("connect", () => {
+      clearTimeout(timer);
+      targetSocket.removeListener("error", fail);
+      forwardConnections(socket, targetSocket);
+      socket.write(formatAnswer(RelayOutcome.Connected));
+    });
+  }
+}
+
+function finish(socket: Socket, outcome: RelayOutcome): void {
+  if (!socket.writableEnded) socket.end(formatAnswer(outcome));
+}
+
+function formatAnswer(outcome: RelayOutcome): string {
+  return `HTTP/1.1 ${RELAY_STATUS[outcome]} ${outcome}\r\n\r\n`;
+}
--- /dev/null
+++ b/packages/gateway/features/paths/target_paths.ts
@@ -0,0 +1,388 @@
+/**
+ * Connects to targets, over a peer where this VM's own path is lost. One VM
+ * remains responsible for a request: it reserves, bills and retries, and a peer
+ * forwards bytes.
+ */
+import { createConnection, type Socket } from "node:net";
+import type {
+  Millis,
+  MonotonicTime,
+  TargetId,
+  Undo,
+  VmId,
+} from "../../../core/mod.ts";
+import {
+  checkConnection,
+  type ConnectCallback,
+  type ConnectionPools,
+  ConnectionProbe,
+  isRefusedConnection,
+  RelayOutcome,
+  type StartConnection,
+  startRelayedConnection,
+} from "../../../ports/mod.ts";
+import {
+  chooseRelays,
+  type PathPlan,
+  PathTable,
+  TargetPath,
+} from "../../../routing/mod.ts";
+import {
+  createErrorReporter,
+  LogEvent,
+  startPeriodic,
+} from "../../../runtime/mod.ts";
+import type { GatewayContext } from "../../gateway_context.ts";
+import type { PeerList } from "../peers/peer_list.ts";
+
+/** Maximum time to connect, over any path: one retransmission and more. */
+const CONNECT_LIMIT: Millis = 700;
+
+/** Time limit of one peer's answer. */
+const RELAY_TIMEOUT: Millis = 500;
+
+/** Time after which the next peer is asked while the one before is silent. */
+const RELAY_INTERVAL: Millis = 150;
+
+/** Time for which a peer that relays nothing is asked after all others. */
+const DECLINED_PERIOD: Millis = 2_000;
+
+/** Time after which a direct connection that isn't established shows a loss. */
+const DIRECT_PATIENCE: Millis = 250;
+
+/** Pause between two probes of lost paths. */
+const PROBE_INTERVAL: Millis = 400;
+
+/** Where a target listens. */
+interface TargetAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Connects to targets and keeps what is known of the paths to them. */
+export class TargetPaths {
+  readonly #context: GatewayContext;
+  readonly #peers: PeerList;
+  readonly #connect: StartConnection;
+  readonly #findAddress: (target: TargetId) => TargetAddress | undefined;
+  readonly #table = new PathTable();
+  readonly #avoidedUntil = new Map<VmId, MonotonicTime>();
+  #pools: ConnectionPools | undefined;
+
+  constructor(
+    context: GatewayContext,
+    options: {
+      readonly peers: PeerList;
+      /** Starts a direct connection; over TCP if absent. */
+      readonly connect: StartConnection | undefined;
+      /** Returns where a listed target listens. */
+      readonly findAddress: (target: TargetId) => TargetAddress | undefined;
+    },
+  ) {
+    this.#context = context;
+    this.#peers = options.peers;
+    this.#connect = options.connect ?? createConnection;
+    this.#findAddress = options.findAddress;
+  }
+
+  /** Starts to probe lost paths. */
+  register(): Undo {
+    const { log, random } = this.#context;
+    return startPeriodic({
+      interval: PROBE_INTERVAL,
+      random,
+      run: () => this.#probeNext(),
+      reportError: createErrorReporter(log, "paths to targets"),
+    }).stop;
+  }
+
+  /** Sets the pools whose idle connections end with the path that they use. */
+  setPools(pools: ConnectionPools): void {
+    this.#pools = pools;
+  }
+
+  /** Whether this VM's own path to a target is lost. */
+  isLost(target: TargetId): boolean {
+    return this.#table.isLost(target);
+  }
+
+  /** Forgets a target that is gone. */
+  remove(target: TargetId): void {
+    this.#table.remove(target);
+    this.#recordCount();
+  }
+
+  /** Connects to a target; the callback is called once. */
+  connect(
+    target: TargetId,
+    input: { readonly address: TargetAddress; readonly done: ConnectCallback },
+  ): void {
+    const now = this.#context.clock.readMonotonic();
+    const plan = this.#table.plan(target, now);
+    new Connecting({
+      plan,
+      connect: () => this.#connect({ ...input.address, noDelay: true }),
+      done: input.done,
+      askPeers: (onSocket) => this.#askPeers(input.address, onSocket),
+      recordDirect: () => this.#recordDirect(target),
+      recordRelayed: (isHanging) => this.#recordRelayed(target, isHanging),
+      recordUnreached: () =>
+        this.#table.recordUnreached(
+          target,
+          this.#context.clock.readMonotonic(),
+        ),
+    }).start();
+  }
+
+  /**
+   * Checks whether a target's machine accepts connections. A refusal counts only
+   * if no peer is accepted, since a lost path may refuse as well.
+   */
+  async check(
+    input: TargetAddress & { readonly timeout: Millis },
+  ): Promise<ConnectionProbe> {
+    const connect = this.#connect;
+    const result = await checkConnection({ ...input, connect });
+    if (result !== ConnectionProbe.Refused) return result;
+    let isAccepted = false;
+    await this.#askPeers(input, (socket) => {
+      isAccepted = true;
+      socket.destroy();
+    });
+    return isAccepted ? ConnectionProbe.Accepted : result;
+  }
+
+  /** Probes one lost path, and all others once that one is back. */
+  async #probeNext(): Promise<void> {
+    const next = this.#table.takeProbe();
+    if (next === undefined || !await this.#probe(next)) return;
+    await Promise.all(
+      this.#table.listLost().map((target) => this.#probe(target)),
+    );
+  }
+
+  /** Probes a lost path; returns whether it is back. */
+  async #probe(target: TargetId): Promise<boolean> {
+    const address = this.#findAddress(target);
+    if (address === undefined) return false;
+    const result = await checkConnection({
+      ...address,
+      timeout: CONNECT_LIMIT,
+      connect: this.#connect,
+    });
+    const isBack = result === ConnectionProbe.Accepted;
+    if (isBack) this.#recordDirect(target);
+    return isBack;
+  }
+
+  /**
+   * Asks peers in turn, the next one when the one before fails or is silent.
+   * Passes on the first connection and resolves to the outcomes of all asked.
+   */
+  async #askPeers(
+    address: TargetAddress,
+    onSocket: (socket: Socket) => void,
+  ): Promise<RelayOutcome[]> {
+    const { vm, region, clock } = this.#context;
+    const peers = chooseRelays(this.#peers.listPeers(), {
+      self: vm,
+      region,
+      avoidedUntil: this.#avoidedUntil,
+      now: clock.readMonotonic(),
+    });
+    const outcomes: RelayOutcome[] = [];
+    const running: Promise<void>[] = [];
+    let isConnected = false;
+    for (const peer of peers) {
+      if (isConnected) break;
+      const asking = startRelayedConnection({
+        peer,
+        key: this.#peers.findKey(peer.address),
+        target: `${address.host}:${address.port}`,
+        timeout: RELAY_TIMEOUT,
+      }).then((answer) => {
+        outcomes.push(answer.outcome);
+        if (answer.outcome === RelayOutcome.Declined) this.#avoid(peer.vm);
+        if (answer.outcome !== RelayOutcome.Connected) return;
+        if (isConnected) return void answer.socket.destroy();
+        isConnected = true;
+        this.#avoidedUntil.delete(peer.vm);
+        onSocket(answer.socket);
+      });
+      running.push(asking);
+      await Promise.race([asking, wait(RELAY_INTERVAL)]);
+    }
+    await Promise.all(running);
+    return outcomes;
+  }
+
+  #avoid(vm: VmId): void {
+    const now = this.#context.clock.readMonotonic();
+    this.#avoidedUntil.set(vm, now + DECLINED_PERIOD);
+  }
+
+  #recordDirect(target: TargetId): void {
+    const now = this.#context.clock.readMonotonic();
+    const lostFor = this.#table.recordDirect(target, now);
+    if (lostFor === undefined) return;
+    this.#pools?.dropPool(target);
+    this.#recordCount();
+    this.#context.log.info(LogEvent.PathBack, {
+      target,
+      away_ms: Math.round(lostFor),
+      lost: this.#table.lostPaths,
+    });
+  }
+
+  #recordRelayed(target: TargetId, isHanging: boolean): void {
+    const wasSuspect = this.#table.isSuspect;
+    const now = this.#context.clock.readMonotonic();
+    if (!this.#table.recordRelayed(target, now)) return;
+    this.#recordCount();
+    const { isSuspect, lostPaths: lost } = this.#table;
+    this.#context.log.warn(LogEvent.PathLost, {
+      target,
+      hanging: isHanging,
+      lost,
+      suspect: isSuspect,
+    });
+    // Where new connections hang, kept ones do; where they are refused, kept
+    // ones may still work.
+    if (!isHanging) return;
+    this.#pools?.dropPool(target);
+    if (isSuspect && !wasSuspect) this.#pools?.dropAll();
+  }
+
+  #recordCount(): void {
+    this.#context.metrics.lostPaths.set(this.#table.lostPaths);
+  }
+}
+
+/** Inputs of one connection, and the listeners of what it shows. */
+interface ConnectingOptions {
+  readonly plan: PathPlan;
+  /** Starts a direct connection. */
+  readonly connect: () => Socket;
+  readonly done: ConnectCallback;
+  readonly askPeers: (
+    onSocket: (socket: Socket) => void,
+  ) => Promise<RelayOutcome[]>;
+  readonly recordDirect: () => void;
+  readonly recordRelayed: (isHanging: boolean) => void;
+  readonly recordUnreached: () => void;
+}
+
+/** One connection: a direct attempt and one over peers, the first wins. */
+class Connecting {
+  readonly #options: ConnectingOptions;
+  #direct: Socket | undefined;
+  #directError: Error | undefined;
+  #relay: "none" | "asked" | "failed" | "connected" = "none";
+  #outcomes: readonly RelayOutcome[] = [];
+  #isDone = false;
+  #limitTimer: NodeJS.Timeout | undefined;
+  #relayTimer: NodeJS.Timeout | undefined;
+
+  constructor(options: ConnectingOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    const { first, relayDelay } = this.#options.plan;
+    this.#limitTimer = setTimeout(
+      () =>
+        this.#finish(new Error(`could not connect within ${CONNECT_LIMIT} ms`)),
+      CONNECT_LIMIT,
+    );
+    if (first === TargetPath.Relayed) return this.#startRelay();
+    this.#startDirect();
+    if (relayDelay === undefined) return;
+    this.#relayTimer = setTimeout(() => this.#startRelay(), relayDelay);
+  }
+
+  #startDirect(): void {
+    if (this.#direct !== undefined || this.#isDone) return;
+    const socket = this.#options.connect();
+    this.#direct = socket;
+    socket.on("error", (error) => this.#handleDirectError(error));
+    socket.once("connect", () => {
+      this.#options.recordDirect();
+      if (this.#isDone) return void socket.destroy();
+      this.#finish(undefined, socket);
+    });
+  }
+
+  #handleDirectError(error: Error): void {
+    if (this.#directError !== undefined) return;
+    this.#directError = error;
+    if (this.#relay === "connected") return this.#options.recordRelayed(false);
+    if (this.#isDone) return;
+    if (this.#relay === "none" && this.#options.plan.relayDelay !== undefined) {
+      return this.#startRelay();
+    }
+    if (this.#relay !== "asked") this.#finish(error);
+  }
+
+  #startRelay(): void {
+    clearTimeout(this.#relayTimer);
+    if (this.#relay !== "none" || this.#isDone) return;
+    this.#relay = "asked";
+    void this.#options.askPeers((socket) => this.#handleRelayed(socket))
+      .then((outcomes) => this.#handleRelayEnd(outcomes));
+  }
+
+  #handleRelayed(socket: Socket): void {
+    this.#relay = "connected";
+    if (this.#isDone) return void socket.destroy();
+    if (this.#directError !== undefined) this.#options.recordRelayed(false);
+    else if (this.#direct !== undefined) this.#watchDirect();
+    this.#finish(undefined, socket);
+  }
+
+  /** Lets the direct attempt show for a moment whether its path works. */
+  #watchDirect(): void {
+    const direct = this.#direct!;
+    const timer = setTimeout(() => {
+      if (this.#directError === undefined) this.#options.recordRelayed(true);
+      direct.destroy();
+    }, DIRECT_PATIENCE);
+    direct.once("connect", () => clearTimeout(timer));
+    direct.once("error", () => clearTimeout(timer));
+  }
+
+  #handleRelayEnd(outcomes: readonly RelayOutcome[]): void {
+    this.#outcomes = outcomes;
+    if (this.#relay === "connected") return;
+    this.#relay = "failed";
+    if (this.#isDone) return;
+    if (this.#direct === undefined) return this.#startDirect();
+    if (this.#directError !== undefined) this.#finish(this.#directError);
+  }
+
+  #finish(error: Error | undefined, socket?: Socket): void {
+    if (this.#isDone) return;
+    this.#isDone = true;
+    clearTimeout(this.#limitTimer);
+    clearTimeout(this.#relayTimer);
+    if (socket !== undefined) return this.#options.done(null, socket);
+    this.#direct?.destroy();
+    this.#options.recordUnreached();
+    this.#options.done(this.#checkRefusal(error!), undefined as never);
+  }
+
+  /**
+   * Returns the error to report. A refusal is the target's only if no peer has
+   * said otherwise.
+   */
+  #checkRefusal(error: Error): Error {
+    if (!isRefusedConnection(error)) return error;
+    const isDisputed = this.#outcomes.length > 0 &&
+      !this.#outcomes.includes(RelayOutcome.Refused) &&
+      this.#outcomes.includes(RelayOutcome.Unreachable);
+    return isDisputed ? new Error("the path refused the connection") : error;
+  }
+}
+
+function wait(duration: Millis): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -177,6 +177,14 @@
     return this.#listed.get(id);
   }
 
+  /** Returns the target that is listed at `host:port`, if there is one. */
+  findAt(address: string): TargetId | undefined {
+    for (const { id, host, port } of this.#listed.values()) {
+      if (`${host}:${port}` === address) return id;
+    }
+    return undefined;
+  }
+
   /**
    * Whether a target that was listed by an entry may have been replaced by
    * another process or another release since.
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -15,7 +15,7 @@
   type Undo,
 } from "../core/mod.ts";
 import { computeIncarnation } from "../membership/mod.ts";
-import { ConnectionPools } from "../ports/mod.ts";
+import { ConnectionPools, type StartConnection } from "../ports/mod.ts";
 import { RetryBudgets } from "../routing/mod.ts";
 import {
   createErrorReporter,
@@ -41,6 +41,8 @@
 import { CrashDetector } from "./features/crashes/crash_detector.ts";
 import { CrashReports } from "./features/crashes/crash_reports.ts";
 import { CustomerBudgets } from "./features/budgets/customer_budgets.ts";
+import { ConnectionRelay } from "./features/paths/connection_relay.ts";
+import { TargetPaths } from "./features/paths/target_paths.ts";
 import { PeerAccess } from "./features/peers/peer_access.ts";
 import { LimitReports } from "./features/limit_reports.ts";
 import { ReleaseRows } from "./features/streams/release_rows.ts";
@@ -61,6 +63,8 @@
   readonly log?: EventLog;
   /** Created by default; the dialect may record its calls in them. */
   readonly metrics?: GatewayMetrics;
+  /** Starts direct connections to targets; over TCP by default. */
+  readonly connect?: StartConnection;
 }
 
 /** Number of random bytes in the identifier of an incarnation. */
@@ -109,6 +113,8 @@
   readonly #streams: StreamOrigins;
   readonly #callers: CallerServer;
   readonly #pools: ConnectionPools;
+  readonly #paths: TargetPaths;
+  readonly #relay: ConnectionRelay;
   readonly #retries = new RetryBudgets();
   readonly #servers: Server[] = [];
   #settingsAppliedAt: MonotonicTime = 0;
@@ -118,12 +124,26 @@
   constructor(options: GatewayOptions) {
     this.#context = createGatewayContext(options);
     const context = this.#context;
-    this.#pools = new ConnectionPools(context.clock);
     this.#configuration = new ConfigurationFollower(context);
     this.#peers = new PeerAccess(context);
+    this.#paths = new TargetPaths(context, {
+      peers: this.#peers.list,
+      connect: options.connect,
+      findAddress: (target) => this.#targets.find(target),
+    });
+    this.#pools = new ConnectionPools(
+      context.clock,
+      (target, input) => this.#paths.connect(target, input),
+    );
+    this.#paths.setPools(this.#pools);
     this.#targets = new TargetRegistry(context, {
       findVmOrder: () => this.#peers.list.findOrder(),
     });
+    this.#relay = new ConnectionRelay(context, {
+      key: this.#peers.list.key,
+      findTargetAt: (address) => this.#targets.findAt(address),
+      isPathLost: (target) => this.#paths.isLost(target),
+    });
     this.#budgets = new CustomerBudgets(context, this.#peers);
     this.#crashReports = new CrashReports(context, {
       countVms: () => this.#budgets.countVms(),
@@ -132,7 +152,10 @@
       targets: this.#targets,
       countVms: () => this.#budgets.countVms(),
     });
-    const crashDetector = new CrashDetector(context, this.#crashReports);
+    const crashDetector = new CrashDetector(context, {
+      reports: this.#crashReports,
+      paths: this.#paths,
+    });
     const answerMemory = new AnswerMemory();
     const countVms = () => this.#budgets.countVms();
     this.#streams = new StreamOrigins(context, {
@@ -167,7 +190,10 @@
       this.#callers.changeLimits(configuration.limits);
       this.#budgets.applyConfiguration(configuration);
     });
-    this.#targets.addRemovalListener((target) => this.#pools.dropPool(target));
+    this.#targets.addRemovalListener((target) => {
+      this.#pools.dropPool(target);
+      this.#paths.remove(target);
+    });
     this.#targets.addListingListener((entry) =>
       crashDetector.recordListed(entry)
     );
@@ -218,6 +244,7 @@
     this.#undo = combineUndo([
       this.#configuration.register(),
       this.#targets.register(),
+      this.#paths.register(),
       this.#peers.register(),
       this.#budgets.register(),
       this.#crashReports.register(),
@@ -250,6 +277,7 @@
     this.#context.kernel.close();
     this.#undo();
     this.#budgets.close();
+    this.#relay.close();
     this.#callers.destroy();
     for (const server of this.#servers) server.close();
   }
@@ -318,6 +346,7 @@
     const end = startedAt + settings.stopMillis - SHUTDOWN_RESERVE;
     this.#callers.startDrain({ startedAt, endsAt: end });
     this.#budgets.startDrain();
+    this.#relay.startDrain();
     await sleep(MIN_LISTEN_TIME);
     for (;;) {
       const now = clock.readMonotonic();
@@ -335,6 +364,7 @@
     this.#context.kernel.close();
     this.#undo();
     this.#budgets.close();
+    this.#relay.close();
     for (const server of this.#servers) server.close();
     log.info(LogEvent.Stopped, {
       open: this.#callers.openRequests,
@@ -357,6 +387,7 @@
       keepStreams: (records) => this.#streams.keep(records),
       findStream: (query) => this.#streams.answer(query),
     });
+    this.#relay.attach(server);
     void this.#peers.list.announce(await this.#listen(server, address));
   }
 
--- a/packages/gateway/gateway_metrics.ts
+++ b/packages/gateway/gateway_metrics.ts
@@ -57,6 +57,8 @@
   readonly settingsAppliedAt: Gauge;
   readonly targets: Gauge<"state">;
   readonly limitedTargets: Gauge;
+  readonly lostPaths: Gauge;
+  readonly relayedForPeers: Gauge;
   readonly streamsTakenUp: Counter<"source">;
   readonly targetCrashes: Counter;
   readonly quarantinedParts: Gauge;
@@ -156,6 +158,16 @@
       help: "Targets whose answers name a limit on requests.",
       registers,
     }),
+    lostPaths: new Gauge({
+      name: "anvilrail_gateway_lost_paths",
+      help: "Targets that this VM reaches over peers only.",
+      registers,
+    }),
+    relayedForPeers: new Gauge({
+      name: "anvilrail_gateway_relayed_connections",
+      help: "Connections to targets that this VM relays for peers.",
+      registers,
+    }),
     streamsTakenUp: new Counter({
       name: "anvilrail_gateway_streams_taken_up_total",
       help:
--- a/packages/ports/connection_pools.ts
+++ b/packages/ports/connection_pools.ts
@@ -3,7 +3,7 @@
  * reaches its maximum age or when the network path to its target has failed:
  * requests in progress keep their connections, and new calls open new ones.
  */
-import { Agent, type ClientRequest } from "node:http";
+import { Agent, type ClientRequest, type ClientRequestArgs } from "node:http";
 import type { Duplex } from "node:stream";
 import type { Clock, Millis, MonotonicTime, TargetId } from "../core/mod.ts";
 
@@ -12,11 +12,52 @@
 
 const MAX_IDLE_SOCKETS = 1_024;
 
+/** Receives a connection or an error; called once. */
+export type ConnectCallback = (error: Error | null, stream: Duplex) => void;
+
+/** Starts to connect to an address. */
+type StartConnecting = (
+  address: { readonly host: string; readonly port: number },
+  callback: ConnectCallback,
+) => void;
+
+/** Starts to connect to a target. */
+export type ConnectToTarget = (
+  target: TargetId,
+  input: {
+    readonly address: { readonly host: string; readonly port: number };
+    readonly done: ConnectCallback;
+  },
+) => void;
+
 /**
  * Agent that closes an idle connection on which bytes arrive: they answer no
  * request, and would be read as the answer to the next one.
  */
 class TargetAgent extends Agent {
+  readonly #connect: StartConnecting | undefined;
+
+  constructor(connect: StartConnecting | undefined) {
+    super({
+      keepAlive: true,
+      maxFreeSockets: MAX_IDLE_SOCKETS,
+      scheduling: "lifo",
+    });
+    this.#connect = connect;
+  }
+
+  override createConnection(
+    options: ClientRequestArgs,
+    callback?: ConnectCallback,
+  ): Duplex | null | undefined {
+    if (this.#connect === undefined || callback === undefined) {
+      return super.createConnection(options, callback);
+    }
+    const address = { host: String(options.host), port: Number(options.port) };
+    this.#connect(address, callback);
+    return undefined;
+  }
+
   override keepSocketAlive(socket: Duplex): boolean {
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
     if (isKept) socket.on("data", closeSocket);
@@ -43,8 +84,12 @@
   readonly #clock: Clock;
   readonly #pools = new Map<TargetId, Pool>();
 
-  constructor(clock: Clock) {
+  readonly #connect: ConnectToTarget | undefined;
+
+  /** @param connect How to connect to a target; over TCP if absent. */
+  constructor(clock: Clock, connect?: ConnectToTarget) {
     this.#clock = clock;
+    this.#connect = connect;
   }
 
   /** Returns the HTTP agent for calls to a target, creating it if needed. */
@@ -55,11 +100,12 @@
       return known.agent;
     }
     this.dropPool(target);
-    const agent = new TargetAgent({
-      keepAlive: true,
-      maxFreeSockets: MAX_IDLE_SOCKETS,
-      scheduling: "lifo",
-    });
+    const connect = this.#connect;
+    const agent = new TargetAgent(
+      connect === undefined
+        ? undefined
+        : (address, done) => connect(target, { address, done }),
+    );
     this.#pools.set(target, { agent, createdAt: now });
     return agent;
   }
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -59,5 +59,15 @@
   StartConnection,
 } from "./adaptive_agent.ts";
 export { AdaptiveAgent } from "./adaptive_agent.ts";
+export type { ConnectCallback, ConnectToTarget } from "./connection_pools.ts";
+export type { RelayAnswer } from "./relayed_connection.ts";
+export {
+  findConnectOutcome,
+  findRelay,
+  forwardConnections,
+  RELAY_STATUS,
+  RelayOutcome,
+  startRelayedConnection,
+} from "./relayed_connection.ts";
 export { ConnectionPools, MAX_POOL_AGE } from "./connection_pools.ts";
 export { HttpTargets, STREAM_END } from "./http_targets.ts";
--- a/packages/ports/probe_connection.ts
+++ b/packages/ports/probe_connection.ts
@@ -1,5 +1,5 @@
 /** Probes whether a process listens at an address, over a TCP connection. */
-import { connect } from "node:net";
+import { createConnection, type NetConnectOpts, type Socket } from "node:net";
 import type { Millis } from "../core/mod.ts";
 
 /** What became of a connection to an address. */
@@ -17,9 +17,11 @@
     readonly host: string;
     readonly port: number;
     readonly timeout: Millis;
+    /** Connects over TCP by default. */
+    readonly connect?: (options: NetConnectOpts) => Socket;
   },
 ): Promise<ConnectionProbe> {
-  const { host, port, timeout } = input;
+  const { host, port, timeout, connect = createConnection } = input;
   return new Promise((resolve) => {
     const socket = connect({ host, port });
     const finish = (result: ConnectionProbe) => {
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -37,6 +37,10 @@
 export { changeRegion } from "./commands/change_region.ts";
 export type { PeerReport } from "./commands/exchange_reports.ts";
 export { applyReports, listReports } from "./commands/exchange_reports.ts";
+export type { RelayCandidate } from "./path/choose_relays.ts";
+export { chooseRelays } from "./path/choose_relays.ts";
+export type { PathPlan } from "./path/path_table.ts";
+export { PathTable, TargetPath } from "./path/path_table.ts";
 export type { LimitNotice } from "./commands/record_limit.ts";
 export { recordLimit, recordTurn } from "./commands/record_limit.ts";
 export { recordPause } from "./commands/record_pause.ts";
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -57,6 +57,9 @@
   /** A target has asked this VM to send it nothing for a while. */
   TargetPaused = "target_paused",
   TargetBack = "target_back",
+  /** A peer reaches a target that this VM does not; it relays from now on. */
+  PathLost = "path_lost",
+  PathBack = "path_back",
   /** Lost connections were found to be a crash of their target. */
   TargetCrashed = "target_crashed",
   /** Requests that hold all of these prompt parts are refused from now on. */
