Lend nothing that is borrowed while the store is available

npm test failed in nearly every run, so that the README's second command failed for a newcomer: tokens stayed at VMs that no request used them at. A VM lent on what it had borrowed. A loan that was divided in this way can't be given back to its lender, and stays until its term ends; a dump after the test's 60 s showed only such loans and their parts.

A unit test shows that a borrower may refuse to lend on and gives its loan back. While the store is away, tokens are still lent on.

--- a/packages/budget/loans/lend_tokens.ts
+++ b/packages/budget/loans/lend_tokens.ts
@@ -100,6 +100,9 @@
  * of them. When both VMs have a shortfall, the tokens go to the one whose
  * shortfall the other can cover. If each can cover the other's, they go to the
  * one with the smaller shortfall.
+ *
+ * A loan that was lent on in part can't be given back to its lender any more
+ * and stays until its term ends.
  */
 export function lendTokens(
   account: EventAccount,
@@ -108,6 +111,8 @@
     readonly now: MonotonicTime;
     readonly keep: Tokens;
     readonly shortBy?: Tokens;
+    /** Whether borrowed tokens may be lent on; true if absent. */
+    readonly mayRelend?: boolean;
   },
 ): LendResult {
   const { request, now } = input;
@@ -128,10 +133,13 @@
     tokens: computeLoanSize(request, lendable),
   });
   const remaining = lendable - sumTokens(ownParts);
-  const relentParts = chooseRelentParts(account, {
-    now,
-    tokens: Math.min(remaining, request.least - sumTokens(ownParts)),
-  });
+  const relentParts = input.mayRelend === false ? [] : chooseRelentParts(
+    account,
+    {
+      now,
+      tokens: Math.min(remaining, request.least - sumTokens(ownParts)),
+    },
+  );
   const parts = [...ownParts, ...relentParts];
   const { transferId } = request;
   const answer = {
--- a/packages/budget/loans/loans_test.ts
+++ b/packages/budget/loans/loans_test.ts
@@ -414,3 +414,32 @@
   t.is(releaseLoans(credited, unreachable), credited);
   t.is(releaseLoans(credited, { ...ALL_LOANS, keep: 1 }), credited);
 });
+
+test("a VM that may not lend on what it has borrowed lends nothing and can give it back", (t) => {
+  const lender = createLender(new MemoryRows());
+  const lent = lendTokens(lender, { request: REQUEST, now: 0, keep: 0 });
+  const pending = recordLoanRequest(createEventAccount("e"), {
+    transferId: REQUEST.transferId,
+    lender: "a",
+    wanted: 30,
+    askedAt: 0,
+  });
+  const borrower = receiveLoan(pending, {
+    answer: lent.answer,
+    deadline: GRANT_TERM,
+  });
+  const asked = lendTokens(borrower, {
+    request: {
+      ...REQUEST,
+      transferId: "c/1/1",
+      borrower: { vm: "c", incarnation: "1" },
+    },
+    now: 0,
+    keep: 0,
+    mayRelend: false,
+  });
+  t.is(asked.answer.tokens, 0);
+  const returned = releaseLoans(asked.account, ALL_LOANS);
+  t.deepEqual(returned.grants, []);
+  t.is(listSettledLoans(returned, "a").length, 1);
+});
--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -374,6 +374,14 @@
     return !this.#isDraining || this.#exchanges.isStoreDown;
   }
 
+  /**
+   * Whether borrowed tokens may be lent on. While the store is available they go
+   * back to their lender instead, where the next borrower finds them.
+   */
+  mayRelend(): boolean {
+    return this.#exchanges.isStoreDown;
+  }
+
   /** Counts lent tokens as spending by this VM. */
   recordLent(customer: CustomerId, tokens: Tokens): void {
     const budget = this.#budgets.get(customer);
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -62,6 +62,8 @@
    * serve it; undefined if no request waits for a loan.
    */
   readShortfall(eventId: EventId): Tokens | undefined;
+  /** Whether borrowed tokens may be lent on; they may if absent. */
+  mayRelend?(): boolean;
 }
 
 /** Dependencies of {@link Loans} other than accounts and peers. */
@@ -192,6 +194,7 @@
         request,
         now,
         keep,
+        mayRelend: this.#accounts.mayRelend?.() ?? true,
         ...(shortBy === undefined ? {} : { shortBy }),
       });
       answer = lent.answer;
