Believe a refusal on a kept connection only if it names its request

Reported by operators of similar systems: a target wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which a target was running. Here a refusal with another request's id was not believed, but one without an id was. The test without an id failed before (503 for a request that the target had received); the outcome is now unknown (502). On a new connection a refusal without an id still counts.

--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -194,6 +194,7 @@
     target: target.id,
     bodyBytes: body.length,
   });
+  let isReused = false;
   const started = await startExchange({
     method: request.method,
     url: `http://${target.host}:${target.port}`,
@@ -203,7 +204,10 @@
     connectTimeout: CONNECT_TIMEOUT,
     agent: input.pools.getAgent(target.id),
     signal: input.signal,
-    onConnected: (socket) => input.recordConnected(findRelay(socket)),
+    onConnected: (socket, wasUsed) => {
+      isReused = wasUsed;
+      input.recordConnected(findRelay(socket));
+    },
     ...(body.length === 0 ? {} : { body }),
   });
   return started
@@ -213,7 +217,7 @@
       ...(refused ? { connection: ConnectionState.Refused } : {}),
       ...(sent && !cancelled ? { connection: ConnectionState.Lost } : {}),
     }))
-    .chain((incoming) => validateHead(incoming, input));
+    .chain((incoming) => validateHead(incoming, { ...input, isReused }));
 }
 
 function classifyFailure(
@@ -229,7 +233,10 @@
  */
 function validateHead(
   incoming: IncomingMessage,
-  input: TargetExchangeInput,
+  input: TargetExchangeInput & {
+    /** Whether the connection has carried an earlier request. */
+    readonly isReused: boolean;
+  },
 ): Either<AttemptFailure, StartedExchange> {
   const head = input.dialect.parseAnswer(
     incoming.statusCode ?? 0,
@@ -242,6 +249,14 @@
       detail: "the answer has the id of another request",
     });
   }
+  if (head.notRun && head.requestId === undefined && input.isReused) {
+    // It may repeat the refusal of an earlier request of the connection.
+    incoming.destroy();
+    return Left({
+      end: AttemptEnd.Broken,
+      detail: "a refusal on a kept connection doesn't say which request",
+    });
+  }
   input.recordHead(head);
   if (head.notRun) {
     discardBody(incoming);
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -44,7 +44,7 @@
    */
   readonly answerTimeout?: Millis;
   /** Called when a connection is established, or a pooled one is reused. */
-  readonly onConnected?: (socket: Socket) => void;
+  readonly onConnected?: (socket: Socket, isReused: boolean) => void;
   readonly agent?: Agent;
   readonly signal?: AbortSignal;
 }
@@ -116,7 +116,7 @@
     const markConnected = () => {
       connected = true;
       clearTimeout(connectTimer);
-      input.onConnected?.(socket!);
+      input.onConnected?.(socket!, outgoing.reusedSocket);
     };
     outgoing.on("socket", (assigned) => {
       socket = assigned;
@@ -189,8 +189,8 @@
   const answer = await sendAndReadAnswer({
     ...input,
     signal: controller.signal,
-    onConnected: (socket) => {
-      input.onConnected?.(socket);
+    onConnected: (socket, isReused) => {
+      input.onConnected?.(socket, isReused);
       timer = setTimeout(() => {
         timedOut = true;
         abort();
