Prove a target's crash by refusals at peers, and survive peers' bad rows

A peer that has lost its paths as well is refused too, and the own refusal was believed when no peer had been asked. Three such proofs would have refused sound requests at all VMs. Which of the two it was is not traced.

A refusal now counts only if two peers were asked, as far as there are two, and all were refused too or don't list the target. Unit tests show both, and the test of a request that crashes targets holds.

A row of a peer whose address or key can't be used rejected a promise that nobody awaits, which ends the process. Such a peer is passed over; three of the four new tests of ports fail without it. A relayed connection has a listener for errors from the start.

--- a/packages/gateway/features/paths/connection_relay.ts
+++ b/packages/gateway/features/paths/connection_relay.ts
@@ -73,9 +73,8 @@
     if (this.#isStopping || this.#sockets.size >= MAX_RELAYED) return decline();
     const address = request.url ?? "";
     const target = this.#options.findTargetAt(address);
-    if (target === undefined || this.#options.isPathLost(target)) {
-      return decline();
-    }
+    if (target === undefined) return finish(socket, RelayOutcome.Unlisted);
+    if (this.#options.isPathLost(target)) return decline();
     this.#connect(socket, address);
   }
 
--- a/packages/gateway/features/paths/target_paths.ts
+++ b/packages/gateway/features/paths/target_paths.ts
@@ -23,6 +23,7 @@
 } from "../../../ports/mod.ts";
 import {
   chooseRelays,
+  isRefusalProven,
   type PathPlan,
   PathTable,
   TargetPath,
@@ -131,12 +132,13 @@
           target,
           this.#context.clock.readMonotonic(),
         ),
+      isRefusalProven: (outcomes) => this.#isRefusalProven(outcomes),
     }).start();
   }
 
   /**
    * Checks whether a target's machine accepts connections. A refusal counts only
-   * if no peer is accepted, since a lost path may refuse as well.
+   * if peers are refused as well, since a lost path may refuse.
    */
   async check(
     input: TargetAddress & { readonly timeout: Millis },
@@ -145,11 +147,16 @@
     const result = await checkConnection({ ...input, connect });
     if (result !== ConnectionProbe.Refused) return result;
     let isAccepted = false;
-    await this.#askPeers(input, (socket) => {
+    const outcomes = await this.#askPeers(input, (socket) => {
       isAccepted = true;
       socket.destroy();
     });
-    return isAccepted ? ConnectionProbe.Accepted : result;
+    if (isAccepted) return ConnectionProbe.Accepted;
+    return this.#isRefusalProven(outcomes) ? result : ConnectionProbe.NoAnswer;
+  }
+
+  #isRefusalProven(outcomes: readonly RelayOutcome[]): boolean {
+    return isRefusalProven({ outcomes, peers: this.#peers.listPeers().length });
   }
 
   /** Probes one lost path, and all others once that one is back. */
@@ -270,6 +277,8 @@
   readonly recordDirect: () => void;
   readonly recordRelayed: (isHanging: boolean) => void;
   readonly recordUnreached: () => void;
+  /** Whether a refusal is the target's own, by what peers have found. */
+  readonly isRefusalProven: (outcomes: readonly RelayOutcome[]) => boolean;
 }
 
 /** One connection: a direct attempt and one over peers, the first wins. */
@@ -370,16 +379,11 @@
     this.#options.done(this.#checkRefusal(error!), undefined as never);
   }
 
-  /**
-   * Returns the error to report. A refusal is the target's only if no peer has
-   * said otherwise.
-   */
+  /** Returns the error to report; a refusal is reported only if it is proven. */
   #checkRefusal(error: Error): Error {
-    if (!isRefusedConnection(error)) return error;
-    const isDisputed = this.#outcomes.length > 0 &&
-      !this.#outcomes.includes(RelayOutcome.Refused) &&
-      this.#outcomes.includes(RelayOutcome.Unreachable);
-    return isDisputed ? new Error("the path refused the connection") : error;
+    const isDoubtful = isRefusedConnection(error) &&
+      !this.#options.isRefusalProven(this.#outcomes);
+    return isDoubtful ? new Error("the connection was refused here") : error;
   }
 }
 
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -60,7 +60,7 @@
 } from "./adaptive_agent.ts";
 export { AdaptiveAgent } from "./adaptive_agent.ts";
 export type { ConnectCallback, ConnectToTarget } from "./connection_pools.ts";
-export type { RelayAnswer } from "./relayed_connection.ts";
+export type { RelayAnswer, RelayRequest } from "./relayed_connection.ts";
 export {
   findConnectOutcome,
   findRelay,
--- a/packages/ports/relayed_connection.ts
+++ b/packages/ports/relayed_connection.ts
@@ -15,6 +15,8 @@
   Refused = "refused",
   /** The peer could not connect to the target either. */
   Unreachable = "unreachable",
+  /** The peer doesn't list the target, or not any more. */
+  Unlisted = "unlisted",
   /** The peer relays nothing now, or doesn't answer. */
   Declined = "declined",
 }
@@ -24,6 +26,7 @@
   [RelayOutcome.Connected]: 200,
   [RelayOutcome.Refused]: 502,
   [RelayOutcome.Unreachable]: 504,
+  [RelayOutcome.Unlisted]: 404,
   [RelayOutcome.Declined]: 503,
 };
 
@@ -39,49 +42,65 @@
   return socket === null ? undefined : RELAYS.get(socket);
 }
 
+/** What to ask of which peer. */
+export interface RelayRequest {
+  readonly peer: { readonly vm: VmId; readonly address: string };
+  /** Key of the peer's server. */
+  readonly key: string;
+  /** `host:port` of the target. */
+  readonly target: string;
+  readonly timeout: Millis;
+}
+
 /** Asks a peer for a connection to a target. Resolves and never rejects. */
 export function startRelayedConnection(
-  input: {
-    readonly peer: { readonly vm: VmId; readonly address: string };
-    /** Key of the peer's server. */
-    readonly key: string;
-    /** `host:port` of the target. */
-    readonly target: string;
-    readonly timeout: Millis;
-  },
+  input: RelayRequest,
 ): Promise<RelayAnswer> {
-  const { peer, key, target, timeout } = input;
   return new Promise((resolve) => {
-    const decline = () => resolve({ outcome: RelayOutcome.Declined });
-    const outgoing = startHttp(`http://${peer.address}`, {
-      method: "CONNECT",
-      path: target,
-      headers: { host: target, "proxy-authorization": `Bearer ${key}` },
-      agent: false,
-    });
-    const timer = setTimeout(() => {
-      decline();
-      outgoing.destroy();
-    }, timeout);
-    outgoing.on("close", () => clearTimeout(timer));
-    outgoing.on("error", decline);
-    outgoing.on("response", (incoming) => {
-      incoming.destroy();
-      decline();
-    });
-    outgoing.on("connect", (answer, socket: Socket, head: Buffer) => {
-      clearTimeout(timer);
-      const outcome = findOutcome(answer.statusCode ?? 0);
-      if (outcome !== RelayOutcome.Connected) {
-        socket.destroy();
-        return resolve({ outcome });
-      }
-      if (head.length > 0) socket.unshift(head);
-      RELAYS.set(socket, peer.vm);
-      resolve({ outcome, socket });
-    });
-    outgoing.end();
+    try {
+      sendConnect(input, resolve);
+    } catch {
+      // The address or the key of the peer's row can't be used.
+      resolve({ outcome: RelayOutcome.Declined });
+    }
+  });
+}
+
+function sendConnect(
+  { peer, key, target, timeout }: RelayRequest,
+  resolve: (answer: RelayAnswer) => void,
+): void {
+  const decline = () => resolve({ outcome: RelayOutcome.Declined });
+  const outgoing = startHttp(`http://${peer.address}`, {
+    method: "CONNECT",
+    path: target,
+    headers: { host: target, "proxy-authorization": `Bearer ${key}` },
+    agent: false,
+  });
+  const timer = setTimeout(() => {
+    decline();
+    outgoing.destroy();
+  }, timeout);
+  outgoing.on("close", () => clearTimeout(timer));
+  outgoing.on("error", decline);
+  outgoing.on("response", (incoming) => {
+    incoming.destroy();
+    decline();
+  });
+  outgoing.on("connect", (answer, socket: Socket, head: Buffer) => {
+    clearTimeout(timer);
+    // Without a listener, a reset before its first request ends the process.
+    socket.on("error", () => {});
+    const outcome = findOutcome(answer.statusCode ?? 0);
+    if (outcome !== RelayOutcome.Connected) {
+      socket.destroy();
+      return resolve({ outcome });
+    }
+    if (head.length > 0) socket.unshift(head);
+    RELAYS.set(socket, peer.vm);
+    resolve({ outcome, socket });
   });
+  outgoing.end();
 }
 
 function findOutcome(status: number): RelayOutcome {
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -39,6 +39,7 @@
 export { applyReports, listReports } from "./commands/exchange_reports.ts";
 export type { RelayCandidate } from "./path/choose_relays.ts";
 export { chooseRelays } from "./path/choose_relays.ts";
+export { isRefusalProven } from "./path/is_refusal_proven.ts";
 export type { PathPlan } from "./path/path_table.ts";
 export { PathTable, TargetPath } from "./path/path_table.ts";
 export type { LimitNotice } from "./commands/record_limit.ts";
