Take no reset of an established connection for a lost path

When a peer's answer came just after the direct connection, a later reset of that connection, as by a target that crashes, counted as a lost path, and new connections went over peers until a probe found the path.

--- a/packages/gateway/features/paths/target_paths.ts
+++ b/packages/gateway/features/paths/target_paths.ts
@@ -16,7 +16,6 @@
   type ConnectCallback,
   type ConnectionPools,
   ConnectionProbe,
-  isRefusedConnection,
   RelayOutcome,
   type StartConnection,
   startRelayedConnection,
@@ -24,9 +23,7 @@
 import {
   chooseRelays,
   isRefusalProven,
-  type PathPlan,
   PathTable,
-  TargetPath,
 } from "../../../routing/mod.ts";
 import {
   createErrorReporter,
@@ -35,6 +32,7 @@
 } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
 import type { PeerList } from "../peers/peer_list.ts";
+import { PathRace } from "./path_race.ts";
 
 /** Maximum time to connect, over any path: one retransmission and more. */
 const CONNECT_LIMIT: Millis = 700;
@@ -48,9 +46,6 @@
 /** Time for which a peer that relays nothing is asked after all others. */
 const DECLINED_PERIOD: Millis = 2_000;
 
-/** Time after which a direct connection that isn't established shows a loss. */
-const DIRECT_PATIENCE: Millis = 250;
-
 /** Pause between two probes of lost paths. */
 const PROBE_INTERVAL: Millis = 400;
 
@@ -120,8 +115,9 @@
   ): void {
     const now = this.#context.clock.readMonotonic();
     const plan = this.#table.plan(target, now);
-    new Connecting({
+    new PathRace({
       plan,
+      limit: CONNECT_LIMIT,
       connect: () => this.#connect({ ...input.address, noDelay: true }),
       done: input.done,
       askPeers: (onSocket) => this.#askPeers(input.address, onSocket),
@@ -265,128 +261,6 @@
   }
 }
 
-/** Inputs of one connection, and the listeners of what it shows. */
-interface ConnectingOptions {
-  readonly plan: PathPlan;
-  /** Starts a direct connection. */
-  readonly connect: () => Socket;
-  readonly done: ConnectCallback;
-  readonly askPeers: (
-    onSocket: (socket: Socket) => void,
-  ) => Promise<RelayOutcome[]>;
-  readonly recordDirect: () => void;
-  readonly recordRelayed: (isHanging: boolean) => void;
-  readonly recordUnreached: () => void;
-  /** Whether a refusal is the target's own, by what peers have found. */
-  readonly isRefusalProven: (outcomes: readonly RelayOutcome[]) => boolean;
-}
-
-/** One connection: a direct attempt and one over peers, the first wins. */
-class Connecting {
-  readonly #options: ConnectingOptions;
-  #direct: Socket | undefined;
-  #directError: Error | undefined;
-  #relay: "none" | "asked" | "failed" | "connected" = "none";
-  #outcomes: readonly RelayOutcome[] = [];
-  #isDone = false;
-  #limitTimer: NodeJS.Timeout | undefined;
-  #relayTimer: NodeJS.Timeout | undefined;
-
-  constructor(options: ConnectingOptions) {
-    this.#options = options;
-  }
-
-  start(): void {
-    const { first, relayDelay } = this.#options.plan;
-    this.#limitTimer = setTimeout(
-      () =>
-        this.#finish(new Error(`could not connect within ${CONNECT_LIMIT} ms`)),
-      CONNECT_LIMIT,
-    );
-    if (first === TargetPath.Relayed) return this.#startRelay();
-    this.#startDirect();
-    if (relayDelay === undefined) return;
-    this.#relayTimer = setTimeout(() => this.#startRelay(), relayDelay);
-  }
-
-  #startDirect(): void {
-    if (this.#direct !== undefined || this.#isDone) return;
-    const socket = this.#options.connect();
-    this.#direct = socket;
-    socket.on("error", (error) => this.#handleDirectError(error));
-    socket.once("connect", () => {
-      this.#options.recordDirect();
-      if (this.#isDone) return void socket.destroy();
-      this.#finish(undefined, socket);
-    });
-  }
-
-  #handleDirectError(error: Error): void {
-    if (this.#directError !== undefined) return;
-    this.#directError = error;
-    if (this.#relay === "connected") return this.#options.recordRelayed(false);
-    if (this.#isDone) return;
-    if (this.#relay === "none" && this.#options.plan.relayDelay !== undefined) {
-      return this.#startRelay();
-    }
-    if (this.#relay !== "asked") this.#finish(error);
-  }
-
-  #startRelay(): void {
-    clearTimeout(this.#relayTimer);
-    if (this.#relay !== "none" || this.#isDone) return;
-    this.#relay = "asked";
-    void this.#options.askPeers((socket) => this.#handleRelayed(socket))
-      .then((outcomes) => this.#handleRelayEnd(outcomes));
-  }
-
-  #handleRelayed(socket: Socket): void {
-    this.#relay = "connected";
-    if (this.#isDone) return void socket.destroy();
-    if (this.#directError !== undefined) this.#options.recordRelayed(false);
-    else if (this.#direct !== undefined) this.#watchDirect();
-    this.#finish(undefined, socket);
-  }
-
-  /** Lets the direct attempt show for a moment whether its path works. */
-  #watchDirect(): void {
-    const direct = this.#direct!;
-    const timer = setTimeout(() => {
-      if (this.#directError === undefined) this.#options.recordRelayed(true);
-      direct.destroy();
-    }, DIRECT_PATIENCE);
-    direct.once("connect", () => clearTimeout(timer));
-    direct.once("error", () => clearTimeout(timer));
-  }
-
-  #handleRelayEnd(outcomes: readonly RelayOutcome[]): void {
-    this.#outcomes = outcomes;
-    if (this.#relay === "connected") return;
-    this.#relay = "failed";
-    if (this.#isDone) return;
-    if (this.#direct === undefined) return this.#startDirect();
-    if (this.#directError !== undefined) this.#finish(this.#directError);
-  }
-
-  #finish(error: Error | undefined, socket?: Socket): void {
-    if (this.#isDone) return;
-    this.#isDone = true;
-    clearTimeout(this.#limitTimer);
-    clearTimeout(this.#relayTimer);
-    if (socket !== undefined) return this.#options.done(null, socket);
-    this.#direct?.destroy();
-    this.#options.recordUnreached();
-    this.#options.done(this.#checkRefusal(error!), undefined as never);
-  }
-
-  /** Returns the error to report; a refusal is reported only if it is proven. */
-  #checkRefusal(error: Error): Error {
-    const isDoubtful = isRefusedConnection(error) &&
-      !this.#options.isRefusalProven(this.#outcomes);
-    return isDoubtful ? new Error("the connection was refused here") : error;
-  }
-}
-
 function wait(duration: Millis): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, duration));
 }
