Lend borrowed tokens on where the budget's row has too few

Suspected: a VM that held the last tokens as a loan did not lend them on since, and its answer of no tokens counted as proof that the budget was spent.

--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -375,11 +375,14 @@
   }
 
   /**
-   * Whether borrowed tokens may be lent on. While the store is available they go
-   * back to their lender instead, where the next borrower finds them.
+   * Whether borrowed tokens may be lent on. While the budget's row has enough
+   * they go back to their lender instead, where the next borrower finds them;
+   * the last tokens of a budget must not wait for that.
    */
-  mayRelend(): boolean {
-    return this.#exchanges.isStoreDown;
+  mayRelend(customer: CustomerId, tokens: Tokens): boolean {
+    const budget = this.#budgets.get(customer);
+    return budget === undefined || this.#exchanges.isStoreDown ||
+      !this.#mayRowCover(budget, tokens);
   }
 
   /** Counts lent tokens as spending by this VM. */
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -62,8 +62,11 @@
    * serve it; undefined if no request waits for a loan.
    */
   readShortfall(eventId: EventId): Tokens | undefined;
-  /** Whether borrowed tokens may be lent on; they may if absent. */
-  mayRelend?(): boolean;
+  /**
+   * Whether borrowed tokens may be lent on to a borrower that is short of
+   * `tokens`; they may if absent.
+   */
+  mayRelend?(eventId: EventId, tokens: Tokens): boolean;
 }
 
 /** Dependencies of {@link Loans} other than accounts and peers. */
@@ -194,7 +197,7 @@
         request,
         now,
         keep,
-        mayRelend: this.#accounts.mayRelend?.() ?? true,
+        mayRelend: this.#accounts.mayRelend?.(eventId, request.least) ?? true,
         ...(shortBy === undefined ? {} : { shortBy }),
       });
       answer = lent.answer;
