--- a/packages/gateway/features/paths/path_race.ts
+++ b/packages/gateway/features/paths/path_race.ts
@@ -10,10 +10,11 @@
   isRefusedConnection,
   type RelayOutcome,
 } from "../../../ports/mod.ts";
-import { type PathPlan, TargetPath } from "../../../routing/mod.ts";
-
-/** Time after which a direct connection that isn't established shows a loss. */
-const DIRECT_PATIENCE: Millis = 250;
+import {
+  type PathPlan,
+  RELAY_DELAY,
+  TargetPath,
+} from "../../../routing/mod.ts";
 
 /** What became of the attempt over peers. */
 enum RelayState {
@@ -120,7 +121,7 @@
     const timer = setTimeout(() => {
       if (this.#directError === undefined) this.#options.recordRelayed(true);
       direct.destroy();
-    }, DIRECT_PATIENCE);
+    }, RELAY_DELAY);
     direct.once("connect", () => clearTimeout(timer));
     direct.once("error", () => clearTimeout(timer));
   }
--- a/packages/gateway/features/paths/target_paths.ts
+++ b/packages/gateway/features/paths/target_paths.ts
@@ -4,6 +4,7 @@
  * forwards bytes.
  */
 import { createConnection, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import type {
   Millis,
   MonotonicTime,
@@ -213,7 +214,7 @@
         onSocket(answer.socket);
       });
       running.push(asking);
-      await Promise.race([asking, wait(RELAY_INTERVAL)]);
+      await Promise.race([asking, sleep(RELAY_INTERVAL)]);
     }
     await Promise.all(running);
     return outcomes;
@@ -260,7 +261,3 @@
     this.#context.metrics.lostPaths.set(this.#table.lostPaths);
   }
 }
-
-function wait(duration: Millis): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -41,7 +41,7 @@
 export { chooseRelays } from "./path/choose_relays.ts";
 export { isRefusalProven } from "./path/is_refusal_proven.ts";
 export type { PathPlan } from "./path/path_table.ts";
-export { PathTable, TargetPath } from "./path/path_table.ts";
+export { PathTable, RELAY_DELAY, TargetPath } from "./path/path_table.ts";
 export type { LimitNotice } from "./commands/record_limit.ts";
 export { recordLimit, recordTurn } from "./commands/record_limit.ts";
 export { recordPause } from "./commands/record_pause.ts";
--- a/packages/routing/path/path_table.ts
+++ b/packages/routing/path/path_table.ts
@@ -28,10 +28,10 @@
 }
 
 /**
- * Time for which a direct connection is awaited alone: some round trips between
- * regions.
+ * Time for which a direct connection is awaited alone, and after which it shows a
+ * lost path: some round trips between regions.
  */
-const RELAY_DELAY: Millis = 250;
+export const RELAY_DELAY: Millis = 250;
 
 /** Time for which no peer is asked for a target that none has reached. */
 const UNREACHED_PERIOD: Millis = 2_000;
