Lend the last tokens of a budget on, whatever the lender holds itself

A caller whose request still fitted a budget got 402.

The row alone is compared now. The new test fails before.

--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -381,8 +381,10 @@
    */
   mayRelend(customer: CustomerId, tokens: Tokens): boolean {
     const budget = this.#budgets.get(customer);
-    return budget === undefined || this.#exchanges.isStoreDown ||
-      !this.#mayRowCover(budget, tokens);
+    if (budget === undefined || this.#exchanges.isStoreDown) return true;
+    // Not what this VM holds as well, of which the borrowed tokens are a part.
+    const { budgetLeft = Infinity } = budget;
+    return !isLimitRaised(budget) && budgetLeft < tokens;
   }
 
   /** Counts lent tokens as spending by this VM. */
--- a/packages/gateway/features/budgets/customer_budgets_test.ts
+++ b/packages/gateway/features/budgets/customer_budgets_test.ts
@@ -1,6 +1,7 @@
 /** Tests of the reservation of tokens, with a store in memory. */
 import test, { type ExecutionContext } from "ava";
 import { Right } from "purify-ts";
+import { receiveGrant } from "../../../budget/mod.ts";
 import {
   createSystemClock,
   type JsonValue,
@@ -73,3 +74,25 @@
   answer();
   t.is((await reserved).map((each) => each.tokens).extract(), 140);
 });
+
+test("a VM lends on what it has borrowed once the budget's row has too few tokens for the borrower", async (t) => {
+  const budgets = startBudgets(t, new MemoryTable());
+  t.teardown(() => budgets.close());
+  const reserve = (id: string, prepaid: number) =>
+    budgets.reserve(
+      { id, keys: [], prepaid },
+      { requestId: id, tokens: 140, deadline: Infinity },
+    );
+  t.true((await reserve("short", 200)).isRight());
+  t.true((await reserve("ample", 100_000)).isRight());
+  // Whatever this VM holds itself, of which borrowed tokens are a part.
+  budgets.changeAccount("short", (account) =>
+    receiveGrant(account, {
+      grantId: "loan",
+      size: 60,
+      deadline: Infinity,
+      lenderGrantId: "v2/1/1",
+    }));
+  t.true(budgets.mayRelend("short", 60));
+  t.false(budgets.mayRelend("ample", 60));
+});
