Take a relayed target's address from its entry, and name addresses once

The relay parsed an address that the registry had just found, and the shape of an address was written four times. Behaviour is unchanged; the tests of paths, pools and relays pass.

--- a/packages/gateway/features/paths/connection_relay.ts
+++ b/packages/gateway/features/paths/connection_relay.ts
@@ -12,6 +12,7 @@
   RELAY_STATUS,
   RelayOutcome,
 } from "../../../ports/mod.ts";
+import type { ListedTarget } from "../../dialect.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
 
 /**
@@ -28,7 +29,7 @@
   /** Key that peers must send. */
   readonly key: string;
   /** Returns the listed target at `host:port`; undefined if there is none. */
-  readonly findTargetAt: (address: string) => TargetId | undefined;
+  readonly findTargetAt: (address: string) => ListedTarget | undefined;
   /** Whether this VM's own path to a target is lost. */
   readonly isPathLost: (target: TargetId) => boolean;
 }
@@ -71,20 +72,15 @@
     const authorization = request.headers["proxy-authorization"];
     if (!isPeerKey(authorization, this.#options.key)) return decline();
     if (this.#isStopping || this.#sockets.size >= MAX_RELAYED) return decline();
-    const address = request.url ?? "";
-    const target = this.#options.findTargetAt(address);
+    const target = this.#options.findTargetAt(request.url ?? "");
     if (target === undefined) return finish(socket, RelayOutcome.Unlisted);
-    if (this.#options.isPathLost(target)) return decline();
-    this.#connect(socket, address);
+    if (this.#options.isPathLost(target.id)) return decline();
+    this.#connect(socket, target);
   }
 
-  #connect(socket: Socket, address: string): void {
+  #connect(socket: Socket, { host, port }: ListedTarget): void {
     const { metrics } = this.#context;
-    const end = address.lastIndexOf(":");
-    const targetSocket = connect({
-      host: address.slice(0, end),
-      port: Number(address.slice(end + 1)),
-    });
+    const targetSocket = connect({ host, port });
     this.#sockets.add(socket);
     socket.once("close", () => {
       this.#sockets.delete(socket);
--- a/packages/gateway/features/paths/target_paths.ts
+++ b/packages/gateway/features/paths/target_paths.ts
@@ -20,6 +20,7 @@
   RelayOutcome,
   type StartConnection,
   startRelayedConnection,
+  type TargetAddress,
 } from "../../../ports/mod.ts";
 import {
   chooseRelays,
@@ -50,12 +51,6 @@
 /** Pause between two probes of lost paths. */
 const PROBE_INTERVAL: Millis = 400;
 
-/** Where a target listens. */
-interface TargetAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** Connects to targets and keeps what is known of the paths to them. */
 export class TargetPaths {
   readonly #context: GatewayContext;
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -178,11 +178,9 @@
   }
 
   /** Returns the target that is listed at `host:port`, if there is one. */
-  findAt(address: string): TargetId | undefined {
-    for (const { id, host, port } of this.#listed.values()) {
-      if (`${host}:${port}` === address) return id;
-    }
-    return undefined;
+  findAt(address: string): ListedTarget | undefined {
+    return [...this.#listed.values()]
+      .find(({ host, port }) => `${host}:${port}` === address);
   }
 
   /**
--- a/packages/ports/connection_pools.ts
+++ b/packages/ports/connection_pools.ts
@@ -15,9 +15,15 @@
 /** Receives a connection or an error; called once. */
 export type ConnectCallback = (error: Error | null, stream: Duplex) => void;
 
+/** Where a target listens. */
+export interface TargetAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
 /** Starts to connect to an address. */
-type StartConnecting = (
-  address: { readonly host: string; readonly port: number },
+type ConnectToAddress = (
+  address: TargetAddress,
   callback: ConnectCallback,
 ) => void;
 
@@ -25,7 +31,7 @@
 export type ConnectToTarget = (
   target: TargetId,
   input: {
-    readonly address: { readonly host: string; readonly port: number };
+    readonly address: TargetAddress;
     readonly done: ConnectCallback;
   },
 ) => void;
@@ -35,9 +41,9 @@
  * request, and would be read as the answer to the next one.
  */
 class TargetAgent extends Agent {
-  readonly #connect: StartConnecting | undefined;
+  readonly #connect: ConnectToAddress | undefined;
 
-  constructor(connect: StartConnecting | undefined) {
+  constructor(connect: ConnectToAddress | undefined) {
     super({
       keepAlive: true,
       maxFreeSockets: MAX_IDLE_SOCKETS,
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -59,7 +59,11 @@
   StartConnection,
 } from "./adaptive_agent.ts";
 export { AdaptiveAgent } from "./adaptive_agent.ts";
-export type { ConnectCallback, ConnectToTarget } from "./connection_pools.ts";
+export type {
+  ConnectCallback,
+  ConnectToTarget,
+  TargetAddress,
+} from "./connection_pools.ts";
 export type { RelayAnswer, RelayRequest } from "./relayed_connection.ts";
 export {
   findConnectOutcome,
