Log the age of the configuration that serves a request, and bytes of failed calls

A record of requests that an old configuration served showed its version and not whether the VM could know that it was old; and calls of the configuration feed that ended at their time limit counted no bytes, so that a dead connection and a transfer that was thrown away looked the same in store_traffic.

request_ended has configuration_age_ms; a failed call counts the bytes of its answer that arrived, in logs and metrics.

--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -329,6 +329,7 @@
       }),
       deadline: arrivedAt + timeout,
       configurationVersion: configuration.version,
+      configurationAge: this.#options.configuration.computeAge(),
       tokensPerEvent: readTokensPerEvent(configuration, service),
     };
   }
@@ -471,6 +472,7 @@
       route: call.route.id,
       customer: call.customer?.id,
       version: call.configurationVersion,
+      configuration_age_ms: Math.round(call.configurationAge),
       targets: progress.triedTargets.join(","),
       relay: progress.relay,
       runs: progress.runs,
--- a/packages/gateway/entry/routed_call.ts
+++ b/packages/gateway/entry/routed_call.ts
@@ -22,6 +22,8 @@
   readonly service: ServiceId;
   readonly customer: RoutedCustomer | undefined;
   readonly configurationVersion: number;
+  /** Time since that version was last known to be the newest. */
+  readonly configurationAge: Millis;
   readonly body: Uint8Array;
   /** What of the request crashes of targets are counted by. */
   readonly suspectKeys: SuspectKeys;
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -59,6 +59,8 @@
   readonly timedOut?: boolean;
   /** True if the server's machine answered that no process listens. */
   readonly refused?: boolean;
+  /** Bytes of the body that arrived before the failure; absent if none. */
+  readonly receivedBytes?: Bytes;
   readonly detail: string;
 }
 
@@ -210,8 +212,12 @@
   const started = await startExchange(input);
   const incoming = started.extract();
   if (!("statusCode" in incoming)) return Left(incoming as HttpFailure);
+  let receivedBytes: Bytes = 0;
   try {
-    const body = await readBody(incoming, input.signal);
+    const body = await readBody(incoming, {
+      signal: input.signal,
+      onData: (bytes) => (receivedBytes += bytes),
+    });
     return Right({
       status: incoming.statusCode ?? 0,
       headers: incoming.headers,
@@ -221,6 +227,7 @@
     return Left({
       sent: true,
       cancelled: input.signal?.aborted ?? false,
+      receivedBytes,
       detail: describeError(error),
     });
   }
@@ -257,17 +264,21 @@
 
 async function readBody(
   incoming: IncomingMessage,
-  signal: AbortSignal | undefined,
+  input: {
+    readonly signal: AbortSignal | undefined;
+    readonly onData: (bytes: Bytes) => void;
+  },
 ): Promise<Uint8Array> {
   const parts: Buffer[] = [];
   let size = 0;
-  signal?.addEventListener(
+  input.signal?.addEventListener(
     "abort",
     () => void incoming.destroy(new Error("cancelled")),
     { once: true },
   );
   for await (const part of incoming) {
     size += (part as Buffer).length;
+    input.onData((part as Buffer).length);
     if (size > MAX_ANSWER_BYTES) {
       incoming.destroy();
       throw new Error(`answer is larger than ${MAX_ANSWER_BYTES} bytes`);
--- a/packages/ports/http_client_test.ts
+++ b/packages/ports/http_client_test.ts
@@ -85,3 +85,15 @@
   t.deepEqual(paths, ["/a/../b//c?d=%2e"]);
   server.close();
 });
+
+test("a failed call tells how much of its answer has arrived", async (t) => {
+  const server = await startRawServer(() => {});
+  const answer = await sendRequest({
+    method: "GET",
+    url: server.url,
+    idleTimeout: 0,
+    answerTimeout: 50,
+  });
+  t.is((answer.extract() as HttpFailure).receivedBytes, "a part".length);
+  server.close();
+});
--- a/packages/ports/store_calls.ts
+++ b/packages/ports/store_calls.ts
@@ -32,7 +32,7 @@
   readonly outcome: StoreCallOutcome;
   /** Size of the request's body. */
   readonly sentBytes: Bytes;
-  /** Size of the answer's body. */
+  /** Size of the answer's body, as far as it arrived. */
   readonly receivedBytes: Bytes;
   /** From the call to its end; includes the time for which a feed waits. */
   readonly duration: Millis;
