Let an answer of the store that keeps arriving take its time

A call of a feed had one limit for its whole answer, 1 to 2.5 s. 29 copies of 373 KB need 1.8 s of the link if each is sent once; each was thrown away at its limit and begun anew, so that the link stayed full long after the outage: a metastable failure.

Once an answer's body has begun, only silence ends the call, and at most 15 s of transfer. The limit before it, which finds dead connections, is unchanged.

--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -20,6 +20,9 @@
 /** Maximum size of an answer body, in bytes. */
 export const MAX_ANSWER_BYTES: Bytes = 16 * 1_048_576;
 
+/** Maximum time from the beginning of an answer's body to its end. */
+export const MAX_TRANSFER_TIME: Millis = 15_000;
+
 /** Maximum number of heads with status 1xx before an answer. */
 const MAX_INTERIM_HEADS = 16;
 
@@ -40,9 +43,15 @@
   /** Maximum time to establish a connection, which Node does not limit. */
   readonly connectTimeout?: Millis;
   /**
-   * Maximum time from the connection until the complete answer has arrived.
+   * Maximum time from the connection until the complete answer has arrived, or
+   * until its body begins if `progressTimeout` is set.
    */
   readonly answerTimeout?: Millis;
+  /**
+   * Maximum time without data once the answer's body has begun. An answer that
+   * keeps arriving may take up to {@link MAX_TRANSFER_TIME}.
+   */
+  readonly progressTimeout?: Millis;
   /** Called when a connection is established, or a pooled one is reused. */
   readonly onConnected?: (socket: Socket, isReused: boolean) => void;
   readonly agent?: Agent;
@@ -181,33 +190,92 @@
 export async function sendRequest(
   input: HttpRequest,
 ): Promise<Either<HttpFailure, HttpAnswer>> {
-  const { answerTimeout } = input;
+  const { answerTimeout, progressTimeout } = input;
   if (answerTimeout === undefined) return await sendAndReadAnswer(input);
   const controller = new AbortController();
   const abort = () => controller.abort();
-  let timer: NodeJS.Timeout | undefined;
-  let timedOut = false;
+  const limit = new AnswerLimit({ answerTimeout, progressTimeout, abort });
   input.signal?.addEventListener("abort", abort, { once: true });
   const answer = await sendAndReadAnswer({
     ...input,
     signal: controller.signal,
     onConnected: (socket, isReused) => {
       input.onConnected?.(socket, isReused);
-      timer = setTimeout(() => {
-        timedOut = true;
-        abort();
-      }, answerTimeout);
+      limit.start();
     },
-  });
-  clearTimeout(timer);
+  }, () => limit.recordData());
+  limit.stop();
   input.signal?.removeEventListener("abort", abort);
-  if (!timedOut) return answer;
-  const detail = `no complete answer within ${Math.round(answerTimeout)} ms`;
-  return answer.mapLeft((failure) => ({ ...failure, timedOut, detail }));
+  const { exceeded } = limit;
+  if (exceeded === undefined) return answer;
+  return answer.mapLeft((failure) => ({
+    ...failure,
+    timedOut: true,
+    detail: exceeded,
+  }));
+}
+
+/** Aborts a request that exceeds its time limits. */
+class AnswerLimit {
+  readonly #options: {
+    readonly answerTimeout: Millis;
+    readonly progressTimeout: Millis | undefined;
+    readonly abort: () => void;
+  };
+  #timer: NodeJS.Timeout | undefined;
+  #transferTimer: NodeJS.Timeout | undefined;
+  #exceeded: string | undefined;
+
+  constructor(options: {
+    readonly answerTimeout: Millis;
+    readonly progressTimeout: Millis | undefined;
+    readonly abort: () => void;
+  }) {
+    this.#options = options;
+  }
+
+  /** Which limit was exceeded, as a sentence; undefined if none was. */
+  get exceeded(): string | undefined {
+    return this.#exceeded;
+  }
+
+  /** Starts with the connection. */
+  start(): void {
+    const { answerTimeout } = this.#options;
+    const detail = `no complete answer within ${Math.round(answerTimeout)} ms`;
+    this.#timer = this.#schedule(answerTimeout, detail);
+  }
+
+  /** Records that a part of the answer's body has arrived. */
+  recordData(): void {
+    const { progressTimeout } = this.#options;
+    if (progressTimeout === undefined || this.#exceeded !== undefined) return;
+    clearTimeout(this.#timer);
+    const detail = `no data for ${Math.round(progressTimeout)} ms`;
+    this.#timer = this.#schedule(progressTimeout, detail);
+    this.#transferTimer ??= this.#schedule(
+      MAX_TRANSFER_TIME,
+      `no complete answer within ${MAX_TRANSFER_TIME} ms of its beginning`,
+    );
+  }
+
+  /** Ends with the answer. */
+  stop(): void {
+    clearTimeout(this.#timer);
+    clearTimeout(this.#transferTimer);
+  }
+
+  #schedule(duration: Millis, detail: string): NodeJS.Timeout {
+    return setTimeout(() => {
+      this.#exceeded ??= detail;
+      this.#options.abort();
+    }, duration);
+  }
 }
 
 async function sendAndReadAnswer(
   input: HttpRequest,
+  onData: () => void = () => {},
 ): Promise<Either<HttpFailure, HttpAnswer>> {
   const started = await startExchange(input);
   const incoming = started.extract();
@@ -216,7 +284,10 @@
   try {
     const body = await readBody(incoming, {
       signal: input.signal,
-      onData: (bytes) => (receivedBytes += bytes),
+      onData: (bytes) => {
+        receivedBytes += bytes;
+        onData();
+      },
     });
     return Right({
       status: incoming.statusCode ?? 0,
--- a/packages/ports/http_client_test.ts
+++ b/packages/ports/http_client_test.ts
@@ -97,3 +97,30 @@
   t.is((answer.extract() as HttpFailure).receivedBytes, "a part".length);
   server.close();
 });
+
+test("an answer that keeps arriving is not cut off, and one that stops is", async (t) => {
+  for (const pieces of [8, 4]) {
+    const server = await startRawServer((socket) => {
+      let sent = 0;
+      const timer = setInterval(() => {
+        if (++sent <= pieces) socket.write("x");
+        else if (pieces === 8) socket.end();
+        else clearInterval(timer);
+      }, 40);
+      socket.once("close", () => clearInterval(timer));
+    });
+    const answer = await sendRequest({
+      method: "GET",
+      url: server.url,
+      idleTimeout: 0,
+      answerTimeout: 150,
+      progressTimeout: 150,
+    });
+    t.is(answer.isRight(), pieces === 8);
+    answer.ifLeft((failure) => {
+      t.true(failure.timedOut);
+      t.is(failure.receivedBytes, "a part".length + pieces);
+    });
+    server.close();
+  }
+});
