Take the configuration from other VMs, and read it at the store a few times a region

Callers of VMs far from the store were served by a version that had been replaced 7 s before, while VMs beside these had the new one. Each VM learned of versions only from the store, and each read every version whole: 29 copies of 373 KB over the link that a region shares, again at each version.

In a region of more than five VMs two follow the store and the others follow these; a VM whose configuration is not confirmed in time asks other VMs, whatever the reason. The age that a VM tells is that of the store's last confirmation, so that two VMs without the store become stale together.

--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -142,6 +142,12 @@
   readonly leaving: boolean;
 }
 
+/** A configuration, and its text in the store, which VMs give to each other. */
+export interface StoredConfiguration {
+  readonly configuration: GatewayConfiguration;
+  readonly text: string;
+}
+
 /** Protocol adapter: codec of requests and answers, and access to the store. */
 export interface Dialect {
   /** Decodes a caller's request; a Left explains the error in one sentence. */
@@ -155,7 +161,9 @@
     input: { readonly requestId?: string; readonly retryAfter?: Millis },
   ): HeaderList;
   /** Feed of the versions of the route configuration. */
-  readonly configurations: FeedPort<GatewayConfiguration>;
+  readonly configurations: FeedPort<StoredConfiguration>;
+  /** Decodes the text of a stored configuration, as another VM received it. */
+  parseConfiguration(text: string): Either<string, StoredConfiguration>;
   /** Feed of the registered targets. */
   readonly targets: FeedPort<ListedTarget>;
   /** Feed of the rows `peers/VM`, which the gateways themselves write. */
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -38,7 +38,7 @@
   readRefusalStatus,
 } from "../../runtime/mod.ts";
 import type { CallerRequest } from "../dialect.ts";
-import type { ConfigurationFollower } from "../features/configuration_follower.ts";
+import type { ConfigurationFollower } from "../features/configuration/configuration_follower.ts";
 import type { CustomerBudgets } from "../features/budgets/customer_budgets.ts";
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
 import { createSuspectKeys } from "../features/crashes/suspect_keys.ts";
--- /dev/null
+++ b/packages/gateway/features/configuration/choose_configuration_peer_test.ts
@@ -0,0 +1,71 @@
+/** Tests who reads the configuration from the store, and whom the others ask. */
+import test from "ava";
+import type { VmWithRegion } from "../../../core/mod.ts";
+import {
+  chooseConfigurationPeer,
+  isConfigurationReader,
+  isDrawnAsReader,
+  type KnownVms,
+} from "./choose_configuration_peer.ts";
+
+function createVms(count: number, region: string): VmWithRegion[] {
+  return Array.from({ length: count }, (_, index) => ({
+    vm: `${region}-${index}`,
+    region,
+  }));
+}
+
+function listViews(vms: readonly VmWithRegion[]): KnownVms[] {
+  return vms.map((self) => ({
+    self,
+    others: vms.filter((each) => each !== self),
+  }));
+}
+
+const FAR = createVms(29, "far");
+const ALL = [...FAR, ...createVms(30, "near")];
+
+test("two VMs of a large region read from the store, and all of a small one", (t) => {
+  t.is(listViews(ALL).filter(isConfigurationReader).length, 4);
+  const small = createVms(5, "far");
+  t.true(listViews(small).every(isConfigurationReader));
+  const [alone] = small;
+  t.true(isConfigurationReader({ self: alone!, others: [] }));
+});
+
+test("a VM asks a reader of its region first, then any VM, then the next reader", (t) => {
+  const views = listViews(ALL);
+  const readers = views.filter(isConfigurationReader).map(({ self }) => self);
+  const local = readers.filter(({ region }) => region === "far")
+    .map(({ vm }) => vm);
+  const view = views.find(({ self }) =>
+    self.region === "far" && !local.includes(self.vm)
+  )!;
+  const choose = (attempt: number) =>
+    chooseConfigurationPeer(view, { attempt, random: 0.5 });
+  t.deepEqual([choose(0)!, choose(2)!].toSorted(), local.toSorted());
+  t.is(choose(1), view.others[29]!.vm);
+  t.false(local.includes(choose(4)!));
+  t.true(readers.some(({ vm }) => vm === choose(4)));
+});
+
+test("if a region's readers are gone, as many VMs take their place", (t) => {
+  const readers = listViews(FAR).filter(isConfigurationReader)
+    .map(({ self }) => self);
+  const left = FAR.filter((each) => !readers.includes(each));
+  t.is(listViews(left).filter(isConfigurationReader).length, 2);
+});
+
+test("about as many VMs of a region turn to the store at a time as it has readers", (t) => {
+  const [view] = listViews(ALL);
+  const draws = Array.from({ length: 1_000 }, (_, index) => index / 1_000);
+  const drawn = draws.filter((random) => isDrawnAsReader(view!, random));
+  t.true(Math.abs(drawn.length - 1_000 * 2 / FAR.length) <= 1);
+});
+
+test("a VM that knows no other has nobody to ask", (t) => {
+  const view = { self: FAR[0]!, others: [] };
+  for (const attempt of [0, 1, 2]) {
+    t.is(chooseConfigurationPeer(view, { attempt, random: 0 }), undefined);
+  }
+});
--- a/packages/gateway/features/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -1,4 +1,7 @@
-/** Keeps the current configuration, which is never replaced by an older one. */
+/**
+ * Keeps the current configuration, which is never replaced by an older one. It
+ * comes from the store or from another VM.
+ */
 import {
   combineUndo,
   type CommandType,
@@ -9,15 +12,23 @@
   type ServiceId,
   type SliceType,
   type Undo,
-} from "../../core/mod.ts";
-import { type GatewayConfiguration, RouteIndex } from "../../routes/mod.ts";
+  type VmId,
+} from "../../../core/mod.ts";
+import { type GatewayConfiguration, RouteIndex } from "../../../routes/mod.ts";
 import {
   createErrorReporter,
   LogEvent,
   startPeriodic,
-} from "../../runtime/mod.ts";
-import type { GatewayContext } from "../gateway_context.ts";
-import { FeedFollower, type RowChange } from "./feed_follower.ts";
+} from "../../../runtime/mod.ts";
+import type { GatewayContext } from "../../gateway_context.ts";
+import type { StoredConfiguration } from "../../dialect.ts";
+import { FeedFollower, type RowChange } from "../feed_follower.ts";
+import type { PeerAccess } from "../peers/peer_access.ts";
+import {
+  type ConfigurationPage,
+  ConfigurationPeers,
+  type ConfigurationRow,
+} from "./configuration_peers.ts";
 
 const ROUTES: SliceType<RouteIndex | undefined> = {
   name: "routes",
@@ -33,6 +44,9 @@
  */
 const WAITS_PER_DEADLINE = 2;
 
+/** The same where other VMs follow this one, so that theirs is younger. */
+const SHARED_WAITS_PER_DEADLINE = 4;
+
 /** Pause between two calls, which batches a burst of versions. */
 const FEED_PAUSE: Millis = 60;
 
@@ -42,28 +56,46 @@
 /** Follows the configuration feed and applies each new version. */
 export class ConfigurationFollower {
   readonly #context: GatewayContext;
-  readonly #follower: FeedFollower<GatewayConfiguration>;
+  readonly #follower: FeedFollower<StoredConfiguration>;
+  readonly #peers: ConfigurationPeers;
   readonly #listeners: ((configuration: GatewayConfiguration) => void)[] = [];
-  /** Key of the row of the configuration in effect. */
-  #key: string | undefined;
+  /** Row of the configuration in effect. */
+  #row: ConfigurationRow | undefined;
+  /** The VM whose answer is being applied; undefined for the store. */
+  #applyingFrom: VmId | undefined;
   /** Whether the newest version of that row could not be decoded. */
   #isDamaged = false;
   /** When the configuration became stale; undefined while it is current. */
   #staleSince: MonotonicTime | undefined;
 
-  constructor(context: GatewayContext) {
+  constructor(context: GatewayContext, peers: PeerAccess) {
     this.#context = context;
+    const exchange = new ConfigurationPeers(context, {
+      peers,
+      access: {
+        readPage: () => this.#readPage(),
+        applyPage: (page, peer) => this.#applyPage(page, peer),
+      },
+    });
+    this.#peers = exchange;
     this.#follower = new FeedFollower(context, {
       name: "configuration",
       feed: context.dialect.configurations,
       get wait() {
-        return context.settings.configurationMillis / WAITS_PER_DEADLINE;
+        return context.settings.configurationMillis /
+          (exchange.isShared ? SHARED_WAITS_PER_DEADLINE : WAITS_PER_DEADLINE);
       },
       pause: FEED_PAUSE,
       apply: (changes) => this.#apply(changes),
+      isNeeded: () => exchange.isStoreNeeded,
     });
   }
 
+  /** Answers a VM that follows the configuration of this one. */
+  get peers(): Pick<ConfigurationPeers, "answer"> {
+    return this.#peers;
+  }
+
   /** Registers the command and the dump, and starts to follow the feed. */
   register(): Undo {
     const { kernel, log, random } = this.#context;
@@ -76,6 +108,7 @@
       }),
       kernel.registerDump("configuration", () => this.#describe()),
       this.#follower.register(),
+      this.#peers.register(),
       startPeriodic({
         interval: AGE_CHECK_INTERVAL,
         random,
@@ -124,26 +157,45 @@
     this.#listeners.push(listener);
   }
 
-  #apply(changes: readonly RowChange<GatewayConfiguration>[]): void {
-    for (const { key, value, fault } of changes) {
-      if (key === this.#key) this.#isDamaged = fault !== undefined;
+  #readPage(): ConfigurationPage {
+    const { highestVersion, currentUntil } = this.#follower;
+    return {
+      version: highestVersion,
+      currentUntil: this.#isDamaged ? undefined : currentUntil,
+      row: this.#row,
+    };
+  }
+
+  #applyPage({ version, currentUntil, row }: ConfigurationPage, peer: VmId) {
+    const rows = row === undefined ? [] : [row];
+    this.#applyingFrom = peer;
+    this.#follower.applyPage({ version, rows }, currentUntil);
+    this.#applyingFrom = undefined;
+  }
+
+  #apply(changes: readonly RowChange<StoredConfiguration>[]): void {
+    for (const { key, version, value, fault } of changes) {
+      if (key === this.#row?.key) this.#isDamaged = fault !== undefined;
       // If the row was removed or is damaged, the last configuration stays.
       if (value === undefined) continue;
-      this.#key = key;
+      this.#row = { key, version, value };
+      const { configuration } = value;
       const before = this.read()?.configuration;
       const { kernel, log, metrics } = this.#context;
-      if (!kernel.dispatch(APPLY_CONFIGURATION, value)) continue;
-      metrics.configurationVersion.set(value.version);
+      if (!kernel.dispatch(APPLY_CONFIGURATION, configuration)) continue;
+      metrics.configurationVersion.set(configuration.version);
       log.info(LogEvent.ConfigurationApplied, {
-        version: value.version,
+        version: configuration.version,
         before: before?.version,
-        routes: value.routes.length,
-        services: value.services.size,
-        customers: value.customers.length,
+        routes: configuration.routes.length,
+        services: configuration.services.size,
+        customers: configuration.customers.length,
+        peer: this.#applyingFrom,
       });
-      this.#logRevokedKeys(before, value);
-      for (const listener of this.#listeners) listener(value);
+      this.#logRevokedKeys(before, configuration);
+      for (const listener of this.#listeners) listener(configuration);
     }
+    this.#peers.notifyWaiters();
   }
 
   #checkAge(): void {
--- /dev/null
+++ b/packages/gateway/features/configuration/configuration_peers.ts
@@ -0,0 +1,318 @@
+/**
+ * Exchanges the configuration between VMs. A VM that is no reader follows a
+ * reader of its region; a VM that can't confirm its configuration elsewhere asks
+ * others in turn. A peer gives the row as the store has it, so that a VM of
+ * another release decodes it itself, and says how old its own knowledge is.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { promisify } from "node:util";
+import { gunzip, gzip } from "node:zlib";
+import {
+  type Bytes,
+  type Millis,
+  type MonotonicTime,
+  type Undo,
+  type VmId,
+} from "../../../core/mod.ts";
+import type { PeerWithRegion } from "../../../lending/mod.ts";
+import type {
+  PeerConfigurationAnswer,
+  PeerConfigurationQuery,
+} from "../../../peer/mod.ts";
+import {
+  createErrorReporter,
+  LogEvent,
+  startOnDemand,
+} from "../../../runtime/mod.ts";
+import type { StoredConfiguration } from "../../dialect.ts";
+import type { GatewayContext } from "../../gateway_context.ts";
+import { MAX_PEER_HOLD, type PeerAccess } from "../peers/peer_access.ts";
+import {
+  chooseConfigurationPeer,
+  isConfigurationReader,
+  isDrawnAsReader,
+  isReadingShared,
+  type KnownVms,
+} from "./choose_configuration_peer.ts";
+
+const compress = promisify(gzip);
+const decompress = promisify(gunzip);
+
+/** Maximum size of a configuration's text. */
+const MAX_TEXT_BYTES: Bytes = 16 * 1_048_576;
+
+/**
+ * Fraction of the configuration's deadline for which a peer holds a call until
+ * it has a newer one.
+ */
+const HOLD_SHARE = 0.25;
+
+/**
+ * Fraction of the deadline after which a configuration that was not confirmed is
+ * overdue, so that other VMs are asked for it.
+ */
+const OVERDUE_SHARE = 0.65;
+
+/** Time after which another VM is asked while one has not answered. */
+const TURN_TIME: Millis = 400;
+
+/** Pause between two calls to the VM that is followed. */
+const FOLLOW_PAUSE: Millis = 60;
+
+/** Interval between two checks whether the configuration is overdue. */
+const CHECK_INTERVAL: Millis = 250;
+
+/** Maximum pause between two turns in which no VM knows more. */
+const MAX_PAUSE: Millis = 1_000;
+
+/** Time for which a VM that did not answer is not asked. */
+const SILENT_TIME: Millis = 10_000;
+
+/** A row of the configuration with the version up to which it is the newest. */
+export interface ConfigurationPage {
+  readonly version: number;
+  /** Time up to which the page shows all changes; undefined if not known. */
+  readonly currentUntil: MonotonicTime | undefined;
+  readonly row: ConfigurationRow | undefined;
+}
+
+/** The row of a configuration, decoded. */
+export interface ConfigurationRow {
+  readonly key: string;
+  readonly version: number;
+  readonly value: StoredConfiguration;
+}
+
+/** What the exchange needs of the VM's own configuration. */
+export interface ConfigurationAccess {
+  /** Returns what this VM knows. */
+  readPage(): ConfigurationPage;
+  /** Applies what a peer knows, unless this VM knows better. */
+  applyPage(page: ConfigurationPage, peer: VmId): void;
+}
+
+/** Asks other VMs for the configuration, and answers them. */
+export class ConfigurationPeers {
+  readonly #context: GatewayContext;
+  readonly #peers: PeerAccess;
+  readonly #access: ConfigurationAccess;
+  readonly #silentUntil = new Map<VmId, MonotonicTime>();
+  #waiters: (() => void)[] = [];
+  /** Turns since the configuration was last confirmed. */
+  #attempt = 0;
+  /** Compressed text of the row that peers last asked for. */
+  #compressed:
+    | { readonly version: number; readonly text: Promise<string> }
+    | undefined;
+
+  constructor(
+    context: GatewayContext,
+    input: {
+      readonly peers: PeerAccess;
+      readonly access: ConfigurationAccess;
+    },
+  ) {
+    this.#context = context;
+    this.#peers = input.peers;
+    this.#access = input.access;
+  }
+
+  /** Starts to follow a reader, or to watch for an overdue configuration. */
+  register(): Undo {
+    const process = startOnDemand({
+      computeWait: () => this.#computeWait(),
+      run: async () => {
+        await this.#takeTurn();
+        return true;
+      },
+      reportError: createErrorReporter(
+        this.#context.log,
+        "configuration of peers",
+      ),
+    });
+    process.wake();
+    return process.stop;
+  }
+
+  /** Whether VMs of this region leave the reading to others. */
+  get isShared(): boolean {
+    return isReadingShared(this.#listVms());
+  }
+
+  /** Whether this VM has to ask the store now. */
+  get isStoreNeeded(): boolean {
+    const vms = this.#listVms();
+    if (isConfigurationReader(vms)) return true;
+    return this.#isOverdue && isDrawnAsReader(vms, this.#context.random());
+  }
+
+  /** Answers a peer, at the latest when the time to hold its call is over. */
+  async answer(
+    { after, wait }: PeerConfigurationQuery,
+  ): Promise<PeerConfigurationAnswer> {
+    const { clock } = this.#context;
+    const startedAt = clock.readMonotonic();
+    const until = startedAt + Math.min(wait, MAX_PEER_HOLD);
+    while (!this.#isNewer(after) && !this.#isOverdue) {
+      const left = until - clock.readMonotonic();
+      if (left <= 0) break;
+      await this.#waitForNews(left);
+    }
+    const { version, currentUntil, row } = this.#access.readPage();
+    const now = clock.readMonotonic();
+    return {
+      version,
+      held: now - startedAt,
+      ...(currentUntil === undefined
+        ? {}
+        : { age: Math.max(0, now - currentUntil) }),
+      ...(row === undefined || row.version <= after
+        ? {}
+        : { row: await this.#formatRow(row) }),
+    };
+  }
+
+  /** Answers the calls that wait for a newer configuration. */
+  notifyWaiters(): void {
+    for (const notify of this.#waiters.splice(0)) notify();
+  }
+
+  get #isOverdue(): boolean {
+    return this.#computeAge() > OVERDUE_SHARE * this.#deadline;
+  }
+
+  get #deadline(): Millis {
+    return this.#context.settings.configurationMillis;
+  }
+
+  #computeAge(): Millis {
+    const { currentUntil } = this.#access.readPage();
+    return this.#context.clock.readMonotonic() - (currentUntil ?? 0);
+  }
+
+  #isNewer(after: number): boolean {
+    return (this.#access.readPage().row?.version ?? 0) > after;
+  }
+
+  #listVms(): Pick<KnownVms, "self"> & {
+    readonly others: readonly PeerWithRegion[];
+  } {
+    const { vm, region, clock } = this.#context;
+    const now = clock.readMonotonic();
+    return {
+      self: { vm, region },
+      others: this.#peers.list.listPeers().filter((peer) =>
+        (this.#silentUntil.get(peer.vm) ?? -Infinity) <= now
+      ),
+    };
+  }
+
+  #computeWait(): Millis {
+    if (!this.#isOverdue) {
+      const isFollowing = !isConfigurationReader(this.#listVms());
+      return isFollowing && this.#attempt === 0 ? FOLLOW_PAUSE : CHECK_INTERVAL;
+    }
+    const pause = Math.min(MAX_PAUSE, FOLLOW_PAUSE * 2 ** this.#attempt);
+    return pause * (1 + this.#context.random()) / 2;
+  }
+
+  /** Asks one VM, if this one follows another or its configuration is overdue. */
+  async #takeTurn(): Promise<void> {
+    const vms = this.#listVms();
+    const isOverdue = this.#isOverdue;
+    if (!isOverdue && isConfigurationReader(vms)) {
+      this.#attempt = 0;
+      return;
+    }
+    const attempt = this.#attempt++;
+    const { random } = this.#context;
+    const chosen = chooseConfigurationPeer(vms, { attempt, random: random() });
+    const peer = vms.others.find((each) => each.vm === chosen);
+    if (peer === undefined) return;
+    const wait = isOverdue ? 0 : HOLD_SHARE * this.#deadline;
+    const turn = sleep(wait + TURN_TIME, undefined, { ref: false });
+    await Promise.race([this.#ask(peer, wait), turn]);
+  }
+
+  async #ask(peer: PeerWithRegion, wait: Millis): Promise<void> {
+    const { clock } = this.#context;
+    const sentAt = clock.readMonotonic();
+    const answer = await this.#peers.heldCallClient.followConfiguration(
+      peer.address,
+      { after: this.#access.readPage().version, wait },
+    );
+    if (answer.isLeft()) {
+      this.#silentUntil.set(peer.vm, clock.readMonotonic() + SILENT_TIME);
+      return;
+    }
+    await this.#apply(answer.extract() as PeerConfigurationAnswer, {
+      peer: peer.vm,
+      sentAt,
+    });
+    if (!this.#isOverdue) this.#attempt = 0;
+  }
+
+  async #apply(
+    answer: PeerConfigurationAnswer,
+    input: { readonly peer: VmId; readonly sentAt: MonotonicTime },
+  ): Promise<void> {
+    const { peer, sentAt } = input;
+    const { version, age, held } = answer;
+    const row = answer.row === undefined
+      ? undefined
+      : await this.#parseRow(answer.row, peer);
+    // Without its row, the version of a peer says nothing here.
+    if (answer.row !== undefined && row === undefined) return;
+    const currentUntil = age === undefined ? undefined : sentAt + held - age;
+    this.#access.applyPage({ version, currentUntil, row }, peer);
+  }
+
+  async #parseRow(
+    row: NonNullable<PeerConfigurationAnswer["row"]>,
+    peer: VmId,
+  ): Promise<ConfigurationRow | undefined> {
+    const { dialect, log } = this.#context;
+    const { key, version } = row;
+    try {
+      const text = await decompress(Buffer.from(row.text, "base64"), {
+        maxOutputLength: MAX_TEXT_BYTES,
+      });
+      const value = dialect.parseConfiguration(text.toString("utf8"));
+      if (value.isRight()) {
+        return { key, version, value: value.extract() as StoredConfiguration };
+      }
+      throw new Error(value.extract() as string);
+    } catch (error) {
+      log.warn(LogEvent.RowDamaged, {
+        table: "configuration",
+        key,
+        version,
+        peer,
+        reason: String(error),
+      });
+      return undefined;
+    }
+  }
+
+  async #formatRow(
+    { key, version, value }: ConfigurationRow,
+  ): Promise<NonNullable<PeerConfigurationAnswer["row"]>> {
+    if (this.#compressed?.version !== version) {
+      const text = compress(value.text)
+        .then((compressed) => compressed.toString("base64"));
+      this.#compressed = { version, text };
+    }
+    return { key, version, text: await this.#compressed.text };
+  }
+
+  #waitForNews(maxMillis: Millis): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, maxMillis);
+      timer.unref();
+      this.#waiters.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+}
--- a/packages/gateway/features/feed_follower.ts
+++ b/packages/gateway/features/feed_follower.ts
@@ -21,6 +21,7 @@
 /** A changed row; it has no value when it was removed or is damaged. */
 export interface RowChange<Value> {
   readonly key: string;
+  readonly version: number;
   readonly value?: Value;
   /** Why the row is damaged. */
   readonly fault?: string;
@@ -42,8 +43,16 @@
   /** Pause between two calls, which batches frequent writes. */
   readonly pause: Millis;
   apply(changes: readonly RowChange<Value>[]): void;
+  /**
+   * Whether the store has to be asked, once all rows were loaded; always if
+   * absent. Rows may come from elsewhere, see {@link FeedFollower.applyPage}.
+   */
+  isNeeded?(): boolean;
 }
 
+/** Interval at which it is checked whether the store has to be asked. */
+const CHECK_INTERVAL: Millis = 250;
+
 const INITIAL_BACKOFF: Millis = 100;
 const MAX_BACKOFF: Millis = 300;
 
@@ -94,6 +103,23 @@
     return this.#currentUntil;
   }
 
+  /** Highest version up to which all changes were received at some time. */
+  get highestVersion(): number {
+    return this.#highestVersion;
+  }
+
+  /**
+   * Applies rows that came from elsewhere than the store: all that changed after
+   * a version that this VM had, with the version up to which they are complete.
+   *
+   * @param until Time up to which they show all changes.
+   */
+  applyPage(page: FeedPage<Value>, until: MonotonicTime | undefined): void {
+    if (until !== undefined) this.#recordCurrent(page, until);
+    this.#applyRows(page);
+    this.#isLoaded = true;
+  }
+
   /** Starts to follow the feed. */
   register(): Undo {
     const process = startOnDemand({
@@ -111,7 +137,12 @@
     return process.stop;
   }
 
+  get #isNeeded(): boolean {
+    return !this.#isLoaded || (this.#options.isNeeded?.() ?? true);
+  }
+
   #computeWait(): Millis {
+    if (!this.#isNeeded) return CHECK_INTERVAL;
     if (this.#failingSince !== undefined) {
       // VMs that lost the store at the same moment retry at different times.
       return this.#backoff * (1 + this.#context.random()) / 2;
@@ -120,6 +151,7 @@
   }
 
   async #poll(): Promise<void> {
+    if (!this.#isNeeded) return;
     if (this.#cursor === undefined) return await this.#load();
     const wait = this.#chooseWait();
     const sentAt = this.#context.clock.readMonotonic();
@@ -192,10 +224,9 @@
       if (isRemoved) this.#versions.delete(row.key);
       else this.#versions.set(row.key, row.version);
       if (row.fault !== undefined) this.#logDamagedRow(row);
-      const { version: _, ...change } = row;
-      changes.push(change);
+      changes.push(row);
     }
-    this.#cursor = page.version;
+    this.#cursor = Math.max(this.#cursor ?? 0, page.version);
     this.#highestVersion = Math.max(this.#highestVersion, page.version);
     if (changes.length > 0) this.#options.apply(changes);
   }
--- a/packages/gateway/features/peers/peer_access.ts
+++ b/packages/gateway/features/peers/peer_access.ts
@@ -23,10 +23,15 @@
  */
 const MAX_SOCKETS_PER_PEER = 4;
 
-/** The list of the other VMs and a client for calls to them. */
+/** Maximum time for which a peer holds a call until it has news. */
+export const MAX_PEER_HOLD: Millis = 1_500;
+
+/** The list of the other VMs and clients for calls to them. */
 export class PeerAccess {
   readonly list: PeerList;
   readonly client: PeerClient;
+  /** For calls that peers hold; on connections of their own. */
+  readonly heldCallClient: PeerClient;
 
   constructor(context: GatewayContext) {
     this.list = new PeerList(context);
@@ -36,6 +41,13 @@
       tls: false,
       agent: new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_PEER }),
     });
+    this.heldCallClient = new PeerClient({
+      findKey: (address) => this.list.findKey(address),
+      timeout: MAX_PEER_HOLD + PEER_TIMEOUT,
+      connectTimeout: PEER_TIMEOUT,
+      tls: false,
+      agent: new Agent({ keepAlive: true }),
+    });
   }
 
   /** Registers the list of peers; its undo also closes the connections. */
@@ -44,6 +56,7 @@
     return () => {
       undo();
       this.client.close();
+      this.heldCallClient.close();
     };
   }
 
--- a/packages/gateway/features/peers/peer_list.ts
+++ b/packages/gateway/features/peers/peer_list.ts
@@ -187,16 +187,16 @@
     if (!this.isSettled) {
       this.#changedAt = this.#context.clock.readMonotonic();
     }
-    const parsed = changes.map(({ key, value }) => {
-      if (value === undefined) return { key };
+    const parsed = changes.map(({ key, version, value }) => {
+      if (value === undefined) return { key, version };
       const entry = PEER_SCHEMA.safeParse(value);
-      if (entry.success) return { key, value: entry.data };
+      if (entry.success) return { key, version, value: entry.data };
       this.#context.log.warn(LogEvent.RowDamaged, {
         table: "peers",
         key,
         reason: z.prettifyError(entry.error),
       });
-      return { key };
+      return { key, version };
     });
     this.#context.kernel.dispatch(CHANGE_PEERS, parsed);
   }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -37,7 +37,7 @@
   createOperatorServer,
   createReadinessServer,
 } from "./entry/operator_servers.ts";
-import { ConfigurationFollower } from "./features/configuration_follower.ts";
+import { ConfigurationFollower } from "./features/configuration/configuration_follower.ts";
 import { CrashDetector } from "./features/crashes/crash_detector.ts";
 import { CrashReports } from "./features/crashes/crash_reports.ts";
 import { CustomerBudgets } from "./features/budgets/customer_budgets.ts";
@@ -124,8 +124,8 @@
   constructor(options: GatewayOptions) {
     this.#context = createGatewayContext(options);
     const context = this.#context;
-    this.#configuration = new ConfigurationFollower(context);
     this.#peers = new PeerAccess(context);
+    this.#configuration = new ConfigurationFollower(context, this.#peers);
     this.#paths = new TargetPaths(context, {
       peers: this.#peers.list,
       connect: options.connect,
@@ -386,6 +386,7 @@
       lend: (request) => this.#budgets.loans.lend(request),
       keepStreams: (records) => this.#streams.keep(records),
       findStream: (query) => this.#streams.answer(query),
+      followConfiguration: (query) => this.#configuration.peers.answer(query),
     });
     this.#relay.attach(server);
     void this.#peers.list.announce(await this.#listen(server, address));
--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -11,6 +11,7 @@
   PromptFacts,
   PromptPart,
   RawHead,
+  StoredConfiguration,
 } from "./dialect.ts";
 export type { GatewayOptions } from "./gateway.ts";
 export { Gateway } from "./gateway.ts";
--- a/packages/peer/mod.ts
+++ b/packages/peer/mod.ts
@@ -14,6 +14,8 @@
 } from "./peer_router.ts";
 export type {
   PeerBills,
+  PeerConfigurationAnswer,
+  PeerConfigurationQuery,
   PeerGossip,
   PeerLoanAnswer,
   PeerLoanRequest,
--- a/packages/peer/peer_client.ts
+++ b/packages/peer/peer_client.ts
@@ -16,9 +16,12 @@
 } from "../ports/mod.ts";
 import type { GatewayRouter, PeerRouter } from "./peer_router.ts";
 import {
+  CONFIGURATION_ANSWER_SCHEMA,
   GOSSIP_SCHEMA,
   LOAN_ANSWER_SCHEMA,
   type PeerBills,
+  type PeerConfigurationAnswer,
+  type PeerConfigurationQuery,
   type PeerGossip,
   type PeerLoanAnswer,
   type PeerLoanRequest,
@@ -36,6 +39,8 @@
   findKey(address: string): string;
   /** Maximum time without data from a peer, in milliseconds. */
   readonly timeout: Millis;
+  /** Maximum time to connect; that of TCP if absent. */
+  readonly connectTimeout?: Millis;
   /** Whether the peer servers use TLS. */
   readonly tls: boolean;
   /** HTTP agent for all connections; for TLS it holds the certificates. */
@@ -143,6 +148,16 @@
     return checkAnswer(call, STREAM_ANSWER_SCHEMA);
   }
 
+  /** Asks a gateway for a newer configuration. */
+  followConfiguration(
+    address: string,
+    query: PeerConfigurationQuery,
+  ): Promise<Either<PlatformError, PeerConfigurationAnswer>> {
+    const call = this.#connectGateway(address)
+      .followConfiguration.query(query);
+    return checkAnswer(call, CONFIGURATION_ANSWER_SCHEMA);
+  }
+
   /** Closes all connections of the agent, including those in use. */
   close(): void {
     this.#options.agent.destroy();
@@ -181,12 +196,14 @@
   /** Implements the part of `fetch` that tRPC uses, over Node's `http`. */
   async #fetch(url: string, init: FetchInit) {
     const body = init.body ?? "";
+    const { connectTimeout } = this.#options;
     const answer = await sendRequest({
       method: init.method === "POST" ? "POST" : "GET",
       url,
       headers: init.headers,
       body,
       idleTimeout: this.#options.timeout,
+      ...(connectTimeout === undefined ? {} : { connectTimeout }),
       agent: this.#options.agent,
     });
     return answer.caseOf({
--- a/packages/peer/peer_router.ts
+++ b/packages/peer/peer_router.ts
@@ -5,9 +5,12 @@
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import {
   BILLS_SCHEMA,
+  CONFIGURATION_QUERY_SCHEMA,
   GOSSIP_SCHEMA,
   LOAN_REQUEST_SCHEMA,
   type PeerBills,
+  type PeerConfigurationAnswer,
+  type PeerConfigurationQuery,
   type PeerGossip,
   type PeerLoanAnswer,
   type PeerLoanRequest,
@@ -93,6 +96,10 @@
   keepStreams(records: PeerStreamRecords): void;
   /** Returns what this VM knows of a stream that a peer was asked to resume. */
   findStream(query: PeerStreamQuery): PeerStreamAnswer;
+  /** Returns the configuration, as soon as it is newer than the caller's. */
+  followConfiguration(
+    query: PeerConfigurationQuery,
+  ): Promise<PeerConfigurationAnswer>;
 }
 
 /** Creates the router of a gateway, with the procedures that it offers. */
@@ -103,6 +110,8 @@
       .mutation(({ input }) => handlers.keepStreams(input)),
     findStream: trustedProcedure.input(STREAM_QUERY_SCHEMA)
       .query(({ input }) => handlers.findStream(input)),
+    followConfiguration: trustedProcedure.input(CONFIGURATION_QUERY_SCHEMA)
+      .query(({ input }) => handlers.followConfiguration(input)),
   });
 }
 
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -142,6 +142,42 @@
   }),
 });
 
+/** Request for the configuration, if the peer has a newer one. */
+export const CONFIGURATION_QUERY_SCHEMA = z.object({
+  /** Version of the store up to which the calling VM knows all changes. */
+  after: z.number().nonnegative(),
+  /** Maximum time to wait for a newer configuration, in milliseconds. */
+  wait: z.number().nonnegative(),
+});
+
+/** What a VM knows of the configuration. */
+export const CONFIGURATION_ANSWER_SCHEMA = z.object({
+  /** Version of the store up to which the VM knows all changes. */
+  version: z.number().nonnegative(),
+  /**
+   * Milliseconds since that version was known to be the newest; absent if it
+   * never was.
+   */
+  age: z.number().nonnegative().exactOptional(),
+  /** Milliseconds for which the VM has waited for a newer configuration. */
+  held: z.number().nonnegative(),
+  /** The configuration's row, if it has changed since. */
+  row: z.object({
+    key: z.string(),
+    version: z.number().nonnegative(),
+    /** The row's text, compressed with gzip, as base64. */
+    text: z.base64(),
+  }).exactOptional(),
+});
+
+/** Request for a newer configuration. */
+export type PeerConfigurationQuery = z.infer<typeof CONFIGURATION_QUERY_SCHEMA>;
+
+/** What a VM knows of the configuration. */
+export type PeerConfigurationAnswer = z.infer<
+  typeof CONFIGURATION_ANSWER_SCHEMA
+>;
+
 /** Streams that a VM has begun. */
 export type PeerStreamRecords = z.infer<typeof STREAM_RECORDS_SCHEMA>;
 
