Serve nobody by a configuration that could have been confirmed and was not

A VM whose configuration calls failed for 7 s served requests on known routes by a version that had been replaced, whatever its age: a stale configuration only withheld refusals of what it doesn't know.

If the store answers other calls of a stale VM for the time within which a configuration has to be in use, newer versions could be had; requests are then refused as not run, with a short Retry-After, and the VM is not ready. A store that is away leaves VMs in service, as a test shows that passed before as well.

--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -250,10 +250,12 @@
     }
     const request = parsed.extract() as CallerRequest;
     const routes = configuration.read();
-    const resolved = routes === undefined
+    const resolved = routes === undefined || configuration.isOutdated
       ? {
         refusal: createRefusal(RefusalKind.ConfigurationStale, {
-          retryAfter: NO_CONFIGURATION_RETRY_AFTER,
+          retryAfter: routes === undefined
+            ? NO_CONFIGURATION_RETRY_AFTER
+            : OTHER_VM_RETRY_AFTER,
         }),
       }
       : resolveRoute(request, routes);
--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -24,6 +24,11 @@
 import type { StoredConfiguration } from "../../dialect.ts";
 import { FeedFollower, type RowChange } from "../feed_follower.ts";
 import type { PeerAccess } from "../peers/peer_access.ts";
+import {
+  ConfigurationUse,
+  decideConfigurationUse,
+  findContactStart,
+} from "./decide_configuration_use.ts";
 import {
   type ConfigurationPage,
   ConfigurationPeers,
@@ -67,6 +72,9 @@
   #isDamaged = false;
   /** When the configuration became stale; undefined while it is current. */
   #staleSince: MonotonicTime | undefined;
+  /** Since when the store answers although the configuration is stale. */
+  #contactSince: MonotonicTime | undefined;
+  #isOutdated = false;
 
   constructor(context: GatewayContext, peers: PeerAccess) {
     this.#context = context;
@@ -132,8 +140,13 @@
    * route or key that is not found may exist.
    */
   get isStale(): boolean {
-    const { configurationMillis } = this.#context.settings;
-    return this.#isDamaged || this.computeAge() > configurationMillis;
+    return this.#isDamaged ||
+      this.#decideUse() !== ConfigurationUse.Current;
+  }
+
+  /** Whether requests have to be left to VMs with a newer configuration. */
+  get isOutdated(): boolean {
+    return this.#decideUse() === ConfigurationUse.Outdated;
   }
 
   /** Returns the current routes; undefined before the first configuration. */
@@ -198,7 +211,41 @@
     this.#peers.notifyWaiters();
   }
 
+  #decideUse(): ConfigurationUse {
+    const { clock, settings } = this.#context;
+    return decideConfigurationUse({
+      now: clock.readMonotonic(),
+      currentUntil: this.#follower.currentUntil ?? 0,
+      deadline: settings.configurationMillis,
+      contactSince: this.#contactSince,
+    });
+  }
+
+  #checkContact(): void {
+    const { clock, dialect, settings, log } = this.#context;
+    const { configurationMillis: deadline } = settings;
+    const now = clock.readMonotonic();
+    const staleSince = (this.#follower.currentUntil ?? 0) + deadline;
+    this.#contactSince = staleSince > now ? undefined : findContactStart(
+      this.#contactSince,
+      {
+        now,
+        answeredAt: dialect.table.readTime?.()?.receivedAt,
+        staleSince,
+        deadline,
+      },
+    );
+    if (this.isOutdated === this.#isOutdated) return;
+    this.#isOutdated = !this.#isOutdated;
+    if (!this.#isOutdated) return;
+    log.error(LogEvent.ConfigurationOutdated, {
+      version: this.read()?.configuration.version,
+      age_ms: Math.round(this.computeAge()),
+    });
+  }
+
   #checkAge(): void {
+    this.#checkContact();
     const { clock, log, metrics } = this.#context;
     const age = this.computeAge();
     metrics.configurationAge.set(age / MILLIS_PER_SECOND);
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -217,11 +217,12 @@
 
   /**
    * Whether this VM should get new connections: it has loaded the configuration
-   * and the targets, and is not stopping.
+   * and the targets, knows of no newer configuration, and is not stopping.
    */
   get isReady(): boolean {
     return this.#stopping === undefined &&
-      this.#configuration.read() !== undefined && this.#targets.isLoaded;
+      this.#configuration.read() !== undefined &&
+      !this.#configuration.isOutdated && this.#targets.isLoaded;
   }
 
   /**
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -47,6 +47,8 @@
   ConfigurationApplied = "configuration_applied",
   /** Versions that must be in use by now may be missing. */
   ConfigurationStale = "configuration_stale",
+  /** The store answers, but nothing confirms the configuration. */
+  ConfigurationOutdated = "configuration_outdated",
   ConfigurationCurrent = "configuration_current",
   KeyRevoked = "key_revoked",
   TargetListed = "target_listed",
