--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -64,6 +64,7 @@
   UpdateContext,
 } from "./kernel.ts";
 export { combineUndo, createCommand, Kernel } from "./kernel.ts";
+export { isReachableAddress } from "./is_reachable_address.ts";
 export { computeHash, computeScore, rankMembers } from "./rendezvous.ts";
 export { TrieMap } from "./trie_map.ts";
 export type {
--- a/packages/gateway/features/peers/peer_list.ts
+++ b/packages/gateway/features/peers/peer_list.ts
@@ -10,6 +10,7 @@
   combineUndo,
   type CommandType,
   createCommand,
+  isReachableAddress,
   type JsonValue,
   type Millis,
   type MonotonicTime,
@@ -30,7 +31,7 @@
 
 const PEER_SCHEMA = z.object({
   /** `host:port` of the peer's server for loan requests. */
-  address: z.string(),
+  address: z.string().refine(isReachableAddress),
   region: z.string().optional(),
   /**
    * Requests to the peer carry this key, which proves that their sender has
