Answer the requests that a planned stop has no time for, instead of cutting them

Callers whose requests were open at the end of a planned stop got a closed connection, among them calls that may not be repeated. Everything is taken for 3 s after the signal, since the balancer can't know of it before, whatever time a request has; and the drain ended with these requests open and answered none.

At the end each gets an answer: 503 if no target can have run it, and none is sent after that, else 504.

--- a/packages/gateway/entry/attempt_watchdog.ts
+++ b/packages/gateway/entry/attempt_watchdog.ts
@@ -1,6 +1,6 @@
 /**
- * Cancels one attempt when its caller disconnects, when its deadline passes
- * and, if another target may resume the stream, when its target stops sending.
+ * Cancels one attempt when its caller disconnects, when its deadline or the time
+ * of a planned stop passes and, if another target may resume the stream, when its target stops sending.
  */
 import {
   type Millis,
@@ -34,6 +34,7 @@
   readonly #call: RoutedCall;
   readonly #hasIdleTimeout: boolean;
   readonly #handleDisconnect = () => this.#abort("the caller disconnected");
+  readonly #handleStop = () => this.#abort("the VM stops");
   #idleTimer: NodeJS.Timeout | undefined;
   #reason: string | undefined;
   #isIdle = false;
@@ -59,6 +60,7 @@
         { once: true },
       );
     }
+    call.stopSignal.addEventListener("abort", this.#handleStop, { once: true });
     this.#restartIdleTimer(
       Math.max(
         MIN_IDLE_TIMEOUT,
@@ -88,6 +90,7 @@
       "abort",
       this.#handleDisconnect,
     );
+    this.#call.stopSignal.removeEventListener("abort", this.#handleStop);
   }
 
   /** Adds the reason of the cancellation to a failure, if there is one. */
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -40,6 +40,7 @@
   computeSeconds,
   computeStreamPeriod,
   findSharedPrefix,
+  OTHER_VM_RETRY_AFTER,
   type RoutedCall,
 } from "./routed_call.ts";
 import {
@@ -123,6 +124,7 @@
       const isRetry = sends > 0;
       if (isRetry && !this.#mayRetry(call, { progress, failure, sends })) break;
       await lossCheck;
+      if (call.stopSignal.aborted) break;
       // A suspect that goes on to another target may crash that as well.
       if (isRetry && crashReports.hasSuspectPart(suspectKeys)) break;
       const quarantined = crashReports.findRefusal(suspectKeys);
@@ -555,6 +557,13 @@
       const refused = this.#refuse(call, refusal);
       return detail === undefined ? refused : { ...refused, detail };
     };
+    if (progress.runs === 0 && call.stopSignal.aborted) {
+      return refuseWithDetail(
+        createRefusal(RefusalKind.Draining, {
+          retryAfter: OTHER_VM_RETRY_AFTER,
+        }),
+      );
+    }
     if (progress.runs === 0) {
       const kind = isTimeUp
         ? RefusalKind.DeadlineTooSoon
@@ -565,7 +574,9 @@
       );
     }
     return refuseWithDetail(createUnknownOutcomeRefusal(
-      isTimeUp ? RefusalKind.TimedOut : RefusalKind.TargetFailed,
+      isTimeUp || call.stopSignal.aborted
+        ? RefusalKind.TimedOut
+        : RefusalKind.TargetFailed,
     ));
   }
 
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -2,6 +2,7 @@
  * The HTTP server for callers: parses a request, finds its route and customer,
  * reserves prepaid tokens, runs it at targets, settles and logs it.
  */
+import { setMaxListeners } from "node:events";
 import {
   createServer,
   type IncomingMessage,
@@ -54,6 +55,7 @@
   computeSeconds,
   computeStreamPeriod,
   computeUsedTokens,
+  OTHER_VM_RETRY_AFTER,
   type RoutedCall,
 } from "./routed_call.ts";
 import {
@@ -84,12 +86,6 @@
  */
 const NO_CONFIGURATION_RETRY_AFTER: Millis = 500;
 
-/**
- * Retry-after of a draining VM and of one whose configuration is stale; another
- * VM can admit the request at once.
- */
-const OTHER_VM_RETRY_AFTER: Millis = 100;
-
 /** Refusals that a newer configuration may revoke. */
 const CONFIGURED_REFUSALS: ReadonlySet<RefusalKind> = new Set([
   RefusalKind.UnknownRoute,
@@ -131,9 +127,12 @@
   #lastConnectionAt: MonotonicTime = -Infinity;
   /** Defined once a planned stop has begun. */
   #drainTimes: DrainTimes | undefined;
+  readonly #stop = new AbortController();
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
+    // One listener for each request in progress.
+    setMaxListeners(0, this.#stop.signal);
     this.#server = createServer({
       maxHeaderSize: PARSER_MAX_HEADER_BYTES,
       // Disabled: CallerExchange bounds the time between the chunks of a body
@@ -188,6 +187,15 @@
     this.#drainTimes = times;
   }
 
+  /**
+   * Ends the requests in progress at the end of a planned stop: each gets an
+   * answer that says whether it may have run, and none is sent to a target any
+   * more.
+   */
+  endRequests(): void {
+    this.#stop.abort();
+  }
+
   /** Stops accepting connections and closes idle ones. */
   stopListening(): void {
     this.#server.close();
@@ -330,6 +338,7 @@
         customer: rest.customer?.id,
       }),
       deadline: arrivedAt + timeout,
+      stopSignal: this.#stop.signal,
       configurationVersion: configuration.version,
       configurationAge: this.#options.configuration.computeAge(),
       tokensPerEvent: readTokensPerEvent(configuration, service),
@@ -362,7 +371,7 @@
       const reserved = await budgets.reserve(customer, {
         requestId: call.request.id,
         tokens,
-        deadline: call.deadline,
+        deadline: Math.min(call.deadline, this.#drainTimes?.endsAt ?? Infinity),
       });
       if (reserved.isLeft()) {
         const refusal = reserved.extract() as Refusal;
--- a/packages/gateway/entry/routed_call.ts
+++ b/packages/gateway/entry/routed_call.ts
@@ -14,6 +14,12 @@
 import type { SuspectKeys } from "../features/crashes/suspect_keys.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 
+/**
+ * Retry-after of a draining VM and of one whose configuration is stale; another
+ * VM can admit the request at once.
+ */
+export const OTHER_VM_RETRY_AFTER: Millis = 100;
+
 /** One admitted request, as routed at its arrival. */
 export interface RoutedCall {
   readonly exchange: CallerExchange;
@@ -30,6 +36,8 @@
   readonly arrivedAt: MonotonicTime;
   /** Time by which the final answer must be sent. */
   readonly deadline: MonotonicTime;
+  /** Aborted when the time of a planned stop is over. */
+  readonly stopSignal: AbortSignal;
   /** Tokens counted for each event that is forwarded to the caller. */
   readonly tokensPerEvent: Tokens;
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -83,15 +83,22 @@
  */
 const QUIET_PERIOD: Millis = 1_000;
 
-/**
- * Part of the stop timeout that is reserved for returning tokens and flushing
- * the log.
- */
-const SHUTDOWN_RESERVE: Millis = 700;
+/** Maximum time for the answers of the requests that a stop has ended. */
+const END_REQUESTS_TIME: Millis = 100;
+
+/** Maximum time for returning tokens, and for flushing the log, at a stop. */
+const RETURN_TIME: Millis = 350;
+const FLUSH_TIME: Millis = 350;
+
+/** Part of the stop timeout that is reserved for these. */
+const SHUTDOWN_RESERVE = END_REQUESTS_TIME + RETURN_TIME + FLUSH_TIME;
 
 /** Interval between two checks whether all requests have ended. */
 const DRAIN_POLL_INTERVAL: Millis = 100;
 
+/** Interval between two checks whether these answers were sent. */
+const END_POLL_INTERVAL: Millis = 10;
+
 /**
  * Minimum number of VMs that are assumed to share the targets and the retry
  * budget, also while the number is not yet known.
@@ -357,10 +364,11 @@
       if ((isQuiet && this.#callers.openRequests === 0) || now >= end) break;
       await sleep(DRAIN_POLL_INTERVAL);
     }
+    await this.#endRequests();
     this.#callers.stopListening();
     await Promise.race([
       this.#budgets.returnAll(),
-      sleep(SHUTDOWN_RESERVE / 2),
+      sleep(RETURN_TIME),
     ]);
     this.#context.kernel.close();
     this.#undo();
@@ -371,7 +379,17 @@
       open: this.#callers.openRequests,
       ms: Math.round(clock.readMonotonic() - startedAt),
     });
-    await Promise.race([log.flush(), sleep(SHUTDOWN_RESERVE / 2)]);
+    await Promise.race([log.flush(), sleep(FLUSH_TIME)]);
+  }
+
+  /** Ends the requests for which the time of a planned stop is too short. */
+  async #endRequests(): Promise<void> {
+    const { clock } = this.#context;
+    const giveUpAt = clock.readMonotonic() + END_REQUESTS_TIME;
+    this.#callers.endRequests();
+    while (
+      this.#callers.openRequests > 0 && clock.readMonotonic() < giveUpAt
+    ) await sleep(END_POLL_INTERVAL);
   }
 
   #changeVmCount(count: number): void {
