Resume no stream by a list of targets that nobody else confirms

A VM resumes a stream without a record if its list of targets, up to 3 s old, shows one release; it did so too if no peer answered, which is just when its list may be wrong.

All peers that hold records of the stream have to be heard, or the store has to tell which releases served.

--- a/packages/gateway/features/streams/stream_origins.ts
+++ b/packages/gateway/features/streams/stream_origins.ts
@@ -7,8 +7,9 @@
  * there are two releases, it sends it to a few peers and writes it to the store.
  * A VM that has no record asks the peers, then the store. A stream that nobody
  * has a record of is resumed only if just one release can have begun it, by what
- * VMs have seen and recorded; otherwise it is refused, so that a record that is
- * lost with its VMs costs a refusal and never a mixed stream.
+ * VMs have seen and recorded, and if all peers that were asked or the store have
+ * answered; otherwise it is refused, so that a record that is lost with its VMs
+ * costs a refusal and never a mixed stream.
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { LRUCache } from "lru-cache";
@@ -271,7 +272,9 @@
     }
     // Peers may have seen a release that this VM's list doesn't show yet.
     const seenByVms = [seen, ...answers.map((each) => each.seen)];
-    const only = this.#findOnly(stream, seenByVms);
+    const areHeard = answers.length === peers.length &&
+      this.#listSilent(stream.stream ?? "").length === 0;
+    const only = areHeard ? this.#findOnly(stream, seenByVms) : undefined;
     if (only !== undefined) {
       return { origin: only, source: OriginSource.Only, ...counts };
     }
@@ -279,7 +282,11 @@
     if (rows.origin !== undefined) {
       return { origin: rows.origin, source: OriginSource.Stored, ...counts };
     }
-    const recordedOnly = this.#findOnly(stream, [...seenByVms, rows.releases]);
+    // A VM that hears neither its peers nor the store may be the one that is
+    // cut off, and a release may have joined since its list was current.
+    const recordedOnly = areHeard || rows.releases.isComplete
+      ? this.#findOnly(stream, [...seenByVms, rows.releases])
+      : undefined;
     return recordedOnly === undefined
       ? counts
       : { origin: recordedOnly, source: OriginSource.Only, ...counts };
@@ -377,15 +384,27 @@
     }
   }
 
+  /** Returns the peers to ask for a stream that lately did not answer. */
+  #listSilent(stream: string): VmId[] {
+    const { vm, region } = this.#context;
+    const others = this.#peers.list.listPeers();
+    return chooseVmsToAsk(stream, { self: { vm, region }, others })
+      .filter((chosen) => this.#isSilent(chosen));
+  }
+
+  #isSilent(peer: VmId): boolean {
+    const now = this.#context.clock.readMonotonic();
+    return now < (this.#silentUntil.get(peer) ?? -Infinity);
+  }
+
   /** Returns the peers that a rule chooses for a stream. */
   #choosePeers(
     stream: string,
     choose: typeof chooseRecordHolders,
   ): PeerWithRegion[] {
-    const { vm, region, clock } = this.#context;
-    const now = clock.readMonotonic();
+    const { vm, region } = this.#context;
     const others = this.#peers.list.listPeers()
-      .filter((peer) => now >= (this.#silentUntil.get(peer.vm) ?? -Infinity));
+      .filter((peer) => !this.#isSilent(peer.vm));
     return choose(stream, { self: { vm, region }, others })
       .flatMap((chosen) => others.find((peer) => peer.vm === chosen) ?? []);
   }
@@ -398,8 +417,8 @@
   }
 
   #recordSilent(peer: PeerWithRegion): void {
+    const isNew = !this.#isSilent(peer.vm);
     const now = this.#context.clock.readMonotonic();
-    const isNew = now >= (this.#silentUntil.get(peer.vm) ?? -Infinity);
     this.#silentUntil.set(peer.vm, now + SILENT_PEER_BACKOFF);
     if (isNew) {
       this.#context.log.warn(LogEvent.PeerSilent, {
