Refuse callers that wait too long to be accepted, instead of reading them late

libuv accepts one connection in each turn of the event loop. Long turns of a busy VM let connections wait in the kernel, and working for callers that had given up kept the turns long: a metastable failure. A queue that has not been empty for half a second is refused now, as not run and with a short Retry-After, and after 1.5 s every request, so that turns get short again.

--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -9,6 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import type { Either } from "purify-ts";
 import type { Reservation } from "../../budget/mod.ts";
 import {
@@ -46,6 +47,11 @@
 import type { StreamOrigins } from "../features/streams/stream_origins.ts";
 import type { StreamOrigin } from "../features/streams/stream_record.ts";
 import type { GatewayContext } from "../gateway_context.ts";
+import {
+  AcceptQueue,
+  BacklogAction,
+  decideBacklogAction,
+} from "./accept_queue.ts";
 import type { AnswerMemory } from "./answer_buffer.ts";
 import type { CallEnd, CallRunner } from "./call_runner.ts";
 import { CallerExchange } from "./caller_exchange.ts";
@@ -128,6 +134,9 @@
   /** Defined once a planned stop has begun. */
   #drainTimes: DrainTimes | undefined;
   readonly #stop = new AbortController();
+  readonly #acceptQueue: AcceptQueue;
+  /** Connections that were accepted from a backlog. */
+  readonly #waited = new WeakSet<Socket>();
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -141,8 +150,15 @@
       keepAliveTimeout: INITIAL_LIMITS.idleTimeout,
       headersTimeout: INITIAL_LIMITS.headerTimeout,
     }, (incoming, outgoing) => void this.#serve(incoming, outgoing));
-    this.#server.on("connection", () => {
+    this.#acceptQueue = new AcceptQueue({
+      readTime: () => options.context.clock.readMonotonic(),
+      scheduleTurn: setImmediate,
+    });
+    this.#server.on("connection", (socket) => {
       this.#lastConnectionAt = options.context.clock.readMonotonic();
+      this.#acceptQueue.recordAccepted();
+      const action = decideBacklogAction(this.#acceptQueue.standing);
+      if (action !== BacklogAction.Admit) this.#waited.add(socket);
     });
   }
 
@@ -257,6 +273,13 @@
       return this.#refuse(exchange, { refusal, arrivedAt });
     }
     const request = parsed.extract() as CallerRequest;
+    if (this.#isBacklogged(incoming.socket)) {
+      exchange.disableKeepAlive();
+      const refusal = createRefusal(RefusalKind.Overloaded, {
+        retryAfter: OTHER_VM_RETRY_AFTER,
+      });
+      return this.#refuse(exchange, { refusal, request, arrivedAt });
+    }
     const routes = configuration.read();
     const resolved = routes === undefined || configuration.isOutdated
       ? {
@@ -302,6 +325,12 @@
     await this.#runCall(call, routes!.configuration);
   }
 
+  /** Whether a connection has waited too long, or too many are waiting. */
+  #isBacklogged(socket: Socket): boolean {
+    const action = decideBacklogAction(this.#acceptQueue.standing);
+    return action === BacklogAction.RefuseAll || this.#waited.has(socket);
+  }
+
   #isAdmitted(call: RoutedCall): boolean {
     if (this.#drainTimes === undefined) return true;
     const now = this.#options.context.clock.readMonotonic();
