--- a/packages/gateway/entry/accept_queue.ts
+++ b/packages/gateway/entry/accept_queue.ts
@@ -12,7 +12,7 @@
 /** What a backlog asks of new requests. */
 export enum BacklogAction {
   Admit = "admit",
-  /** Refuse requests of connections that were accepted from the backlog. */
+  /** Refuse the first request of connections accepted from the backlog. */
   RefuseAccepted = "refuse-accepted",
   /** Refuse all requests, so that the turns get short. */
   RefuseAll = "refuse-all",
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -135,7 +135,7 @@
   #drainTimes: DrainTimes | undefined;
   readonly #stop = new AbortController();
   readonly #acceptQueue: AcceptQueue;
-  /** Connections that were accepted from a backlog. */
+  /** Connections from a backlog that have not brought their first request. */
   readonly #waited = new WeakSet<Socket>();
 
   constructor(options: CallerServerOptions) {
@@ -274,7 +274,6 @@
     }
     const request = parsed.extract() as CallerRequest;
     if (this.#isBacklogged(incoming.socket)) {
-      exchange.disableKeepAlive();
       const refusal = createRefusal(RefusalKind.Overloaded, {
         retryAfter: OTHER_VM_RETRY_AFTER,
       });
@@ -325,10 +324,14 @@
     await this.#runCall(call, routes!.configuration);
   }
 
-  /** Whether a connection has waited too long, or too many are waiting. */
+  /**
+   * Whether a request comes from a backlog or has to make way for it. Its
+   * connection stays open, so that the caller's next one need not wait again.
+   */
   #isBacklogged(socket: Socket): boolean {
+    const hasWaited = this.#waited.delete(socket);
     const action = decideBacklogAction(this.#acceptQueue.standing);
-    return action === BacklogAction.RefuseAll || this.#waited.has(socket);
+    return hasWaited || action === BacklogAction.RefuseAll;
   }
 
   #isAdmitted(call: RoutedCall): boolean {
