--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -74,6 +74,7 @@
   #staleSince: MonotonicTime | undefined;
   /** Since when the store answers although the configuration is stale. */
   #contactSince: MonotonicTime | undefined;
+  /** Whether the configuration was outdated at the last check. */
   #isOutdated = false;
 
   constructor(context: GatewayContext, peers: PeerAccess) {
@@ -222,7 +223,7 @@
   }
 
   #checkContact(): void {
-    const { clock, dialect, settings, log } = this.#context;
+    const { clock, dialect, settings } = this.#context;
     const { configurationMillis: deadline } = settings;
     const now = clock.readMonotonic();
     const staleSince = (this.#follower.currentUntil ?? 0) + deadline;
@@ -235,10 +236,13 @@
         deadline,
       },
     );
-    if (this.isOutdated === this.#isOutdated) return;
-    this.#isOutdated = !this.#isOutdated;
-    if (!this.#isOutdated) return;
-    log.error(LogEvent.ConfigurationOutdated, {
+  }
+
+  #logOutdated(): void {
+    const wasOutdated = this.#isOutdated;
+    this.#isOutdated = this.isOutdated;
+    if (wasOutdated || !this.#isOutdated) return;
+    this.#context.log.error(LogEvent.ConfigurationOutdated, {
       version: this.read()?.configuration.version,
       age_ms: Math.round(this.computeAge()),
     });
@@ -246,6 +250,7 @@
 
   #checkAge(): void {
     this.#checkContact();
+    this.#logOutdated();
     const { clock, log, metrics } = this.#context;
     const age = this.computeAge();
     metrics.configurationAge.set(age / MILLIS_PER_SECOND);
