Name the timer of an answer, and the peers that the exchange knows

A timer in the HTTP client bore the name of the limit that targets state in their answers. Behaviour is unchanged; the tests of both files pass.

--- a/packages/gateway/features/configuration/configuration_peers.ts
+++ b/packages/gateway/features/configuration/configuration_peers.ts
@@ -83,6 +83,11 @@
   readonly value: StoredConfiguration;
 }
 
+/** The VMs that a VM knows, with their addresses. */
+interface KnownPeers extends KnownVms {
+  readonly others: readonly PeerWithRegion[];
+}
+
 /** What the exchange needs of the VM's own configuration. */
 export interface ConfigurationAccess {
   /** Returns what this VM knows. */
@@ -194,9 +199,7 @@
     return (this.#access.readPage().row?.version ?? 0) > after;
   }
 
-  #listVms(): Pick<KnownVms, "self"> & {
-    readonly others: readonly PeerWithRegion[];
-  } {
+  #listVms(): KnownPeers {
     const { vm, region, clock } = this.#context;
     const now = clock.readMonotonic();
     return {
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -194,19 +194,19 @@
   if (answerTimeout === undefined) return await sendAndReadAnswer(input);
   const controller = new AbortController();
   const abort = () => controller.abort();
-  const limit = new AnswerLimit({ answerTimeout, progressTimeout, abort });
+  const timer = new AnswerTimer({ answerTimeout, progressTimeout, abort });
   input.signal?.addEventListener("abort", abort, { once: true });
   const answer = await sendAndReadAnswer({
     ...input,
     signal: controller.signal,
     onConnected: (socket, isReused) => {
       input.onConnected?.(socket, isReused);
-      limit.start();
+      timer.start();
     },
-  }, () => limit.recordData());
-  limit.stop();
+  }, () => timer.recordData());
+  timer.stop();
   input.signal?.removeEventListener("abort", abort);
-  const { exceeded } = limit;
+  const { exceeded } = timer;
   if (exceeded === undefined) return answer;
   return answer.mapLeft((failure) => ({
     ...failure,
@@ -216,7 +216,7 @@
 }
 
 /** Aborts a request that exceeds its time limits. */
-class AnswerLimit {
+class AnswerTimer {
   readonly #options: {
     readonly answerTimeout: Millis;
     readonly progressTimeout: Millis | undefined;
