Take no peer that has loaded nothing for one that knows of no configuration

Found in reading: a VM that starts could take the empty answer of a peer, which had not loaded the configuration either, for the whole of it, and would leave the store to others before it had any. Callers would have waited for its readers. The new test failed without the check.

--- a/packages/gateway/features/feed_follower.ts
+++ b/packages/gateway/features/feed_follower.ts
@@ -115,6 +115,8 @@
    * @param until Time up to which they show all changes.
    */
   applyPage(page: FeedPage<Value>, until: MonotonicTime | undefined): void {
+    // Who has loaded nothing itself knows of no rows, not that there are none.
+    if (!this.#isLoaded && page.rows.length === 0) return;
     if (until !== undefined) this.#recordCurrent(page, until);
     this.#applyRows(page);
     this.#isLoaded = true;
--- a/packages/gateway/features/feed_follower_test.ts
+++ b/packages/gateway/features/feed_follower_test.ts
@@ -144,3 +144,15 @@
   t.is(feed.waits[0], 60_000);
   t.true(feed.waits[1]! <= 300);
 });
+
+test("rows from elsewhere load a feed, and their absence does not", async (t) => {
+  const feed = new FakeFeed();
+  feed.answerLoad = () => new Promise(() => {});
+  const follower = startFollower(t, feed);
+  await waitFor(() => feed.loads === 1);
+  follower.applyPage({ version: 0, rows: [] }, undefined);
+  t.false(follower.isLoaded);
+  follower.applyPage(createPage(5, 1), undefined);
+  t.true(follower.isLoaded);
+  t.is(follower.highestVersion, 5);
+});
