--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -297,6 +297,7 @@
       version: configuration.version,
       age: Math.round(this.computeAge()),
       stale: this.isStale,
+      heldCalls: this.#peers.heldCalls,
       routes: configuration.routes.length,
       services: [...configuration.services.keys()],
       customers: configuration.customers.map((each) => each.id),
--- a/packages/gateway/features/configuration/configuration_peers.ts
+++ b/packages/gateway/features/configuration/configuration_peers.ts
@@ -102,7 +102,8 @@
   readonly #peers: PeerAccess;
   readonly #access: ConfigurationAccess;
   readonly #silentUntil = new Map<VmId, MonotonicTime>();
-  #waiters: (() => void)[] = [];
+  /** Ends the wait of each held call. */
+  readonly #waiters = new Set<() => void>();
   /** Turns since the configuration was last confirmed. */
   #attempt = 0;
   /** Compressed text of the row that peers last asked for. */
@@ -177,9 +178,14 @@
     };
   }
 
+  /** Number of calls that wait for a newer configuration. */
+  get heldCalls(): number {
+    return this.#waiters.size;
+  }
+
   /** Answers the calls that wait for a newer configuration. */
   notifyWaiters(): void {
-    for (const notify of this.#waiters.splice(0)) notify();
+    for (const notify of [...this.#waiters]) notify();
   }
 
   get #isOverdue(): boolean {
@@ -310,12 +316,14 @@
 
   #waitForNews(maxMillis: Millis): Promise<void> {
     return new Promise((resolve) => {
-      const timer = setTimeout(resolve, maxMillis);
-      timer.unref();
-      this.#waiters.push(() => {
+      const finish = () => {
         clearTimeout(timer);
+        this.#waiters.delete(finish);
         resolve();
-      });
+      };
+      const timer = setTimeout(finish, maxMillis);
+      timer.unref();
+      this.#waiters.add(finish);
     });
   }
 }
