Learn no version from a peer that can't read the newest configuration

While machines are replaced, a VM of one release may not be able to read a configuration that one of another can. Its answer to others named the version of the store that it had seen, without the row: they took all changes up to there for known, asked the store only for later ones, and would have served callers by the old configuration as current (CONFIG). Found in reading.

A peer that has no configuration, or can't read the newest, tells no age; its answer is not applied, and it is passed over like one that doesn't answer.

--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -173,9 +173,10 @@
 
   #readPage(): ConfigurationPage {
     const { highestVersion, currentUntil } = this.#follower;
+    const isReadable = this.#row !== undefined && !this.#isDamaged;
     return {
       version: highestVersion,
-      currentUntil: this.#isDamaged ? undefined : currentUntil,
+      currentUntil: isReadable ? currentUntil : undefined,
       row: this.#row,
     };
   }
--- a/packages/gateway/features/configuration/configuration_peers.ts
+++ b/packages/gateway/features/configuration/configuration_peers.ts
@@ -65,7 +65,7 @@
 /** Maximum pause between two turns in which no VM knows more. */
 const MAX_PAUSE: Millis = 1_000;
 
-/** Time for which a VM that did not answer is not asked. */
+/** Time for which a VM that gave no answer of use is not asked. */
 const SILENT_TIME: Millis = 10_000;
 
 /** A row of the configuration with the version up to which it is the newest. */
@@ -250,30 +250,23 @@
       peer.address,
       { after: this.#access.readPage().version, wait },
     );
-    if (answer.isLeft()) {
+    const known = answer.toMaybe().extract();
+    const age = known?.age;
+    // Without an age it has no configuration, or can't read the newest one,
+    // which this VM may be able to read.
+    if (known === undefined || age === undefined) {
       this.#silentUntil.set(peer.vm, clock.readMonotonic() + SILENT_TIME);
       return;
     }
-    await this.#apply(answer.extract() as PeerConfigurationAnswer, {
-      peer: peer.vm,
-      sentAt,
-    });
-    if (!this.#isOverdue) this.#attempt = 0;
-  }
-
-  async #apply(
-    answer: PeerConfigurationAnswer,
-    input: { readonly peer: VmId; readonly sentAt: MonotonicTime },
-  ): Promise<void> {
-    const { peer, sentAt } = input;
-    const { version, age, held } = answer;
-    const row = answer.row === undefined
+    const row = known.row === undefined
       ? undefined
-      : await this.#parseRow(answer.row, peer);
+      : await this.#parseRow(known.row, peer.vm);
     // Without its row, the version of a peer says nothing here.
-    if (answer.row !== undefined && row === undefined) return;
-    const currentUntil = age === undefined ? undefined : sentAt + held - age;
-    this.#access.applyPage({ version, currentUntil, row }, peer);
+    if (known.row !== undefined && row === undefined) return;
+    const { version, held } = known;
+    const currentUntil = sentAt + held - age;
+    this.#access.applyPage({ version, currentUntil, row }, peer.vm);
+    if (!this.#isOverdue) this.#attempt = 0;
   }
 
   async #parseRow(
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -156,7 +156,7 @@
   version: z.number().nonnegative(),
   /**
    * Milliseconds since that version was known to be the newest; absent if it
-   * never was.
+   * never was, or if the newest configuration can't be read.
    */
   age: z.number().nonnegative().exactOptional(),
   /** Milliseconds for which the VM has waited for a newer configuration. */
