--- a/packages/gateway/entry/attempt_watchdog.ts
+++ b/packages/gateway/entry/attempt_watchdog.ts
@@ -1,6 +1,7 @@
 /**
  * Cancels one attempt when its caller disconnects, when its deadline or the time
- * of a planned stop passes and, if another target may resume the stream, when its target stops sending.
+ * of a planned stop passes and, if another target may resume the stream, when
+ * its target stops sending.
  */
 import {
   type Millis,
