--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -94,36 +94,35 @@
   async start(
     { manifest, vms = 3, apps = 2, engines = 3, spares = 0, bounds },
   ) {
-    const system = this;
-    system.folder = mkdtempSync(join(tmpdir(), "review-"));
-    system.store = await Store.start();
-    system.note(`store at ${system.store.address}`);
+    this.folder = mkdtempSync(join(tmpdir(), "review-"));
+    this.store = await Store.start();
+    this.note(`store at ${this.store.address}`);
     const services = [
       ...Array(apps).fill("ledger-app"),
       ...Array(spares).fill("spare-app"),
       ...Array(engines).fill("model-pool"),
     ];
     for (const [index, service] of services.entries()) {
-      system.replicas.push(
+      this.replicas.push(
         await Replica.start({
           id: `i-${service}-${index}`,
           service,
-          store: system.store,
+          store: this.store,
         }),
       );
     }
-    system.store.put("op", "config", manifest);
+    this.store.put("op", "config", manifest);
     for (let index = 1; index <= vms; index++) {
       const gateway = await GatewayProcess.create({
         name: `front-${index}`,
-        folder: system.folder,
-        store: system.store,
+        folder: this.folder,
+        store: this.store,
         ...(bounds === undefined ? {} : { bounds }),
       });
-      system.gateways.push(gateway);
+      this.gateways.push(gateway);
       gateway.start();
     }
-    await system.waitReady();
+    await this.waitReady();
   }
 
   async waitReady() {
