Fail an attempt whose answer has an invalid head, instead of the process

Cause: Node's parser accepts names of headers with a space or without any character, its writers throw on them (ERR_INVALID_HTTP_TOKEN), and the head of a stream is written in a listener of the answer's data, where nothing catches an exception. The stack of the ended process shows it.

Change: the head of an answer is checked before anything of it is used; one that is not valid in HTTP fails the attempt, as bytes that are no answer do. What the handler of a chunk throws ends that answer only.

--- /dev/null
+++ b/packages/gateway/entry/find_invalid_head.ts
@@ -0,0 +1,34 @@
+/**
+ * Finds what of a received head can't be sent on. Node's parser accepts more
+ * than HTTP allows, and its writers throw on it.
+ */
+import { validateHeaderName, validateHeaderValue } from "node:http";
+import type { HeaderList } from "../dialect.ts";
+
+/** Lowest status of a final answer; those below announce another one. */
+const MIN_FINAL_STATUS = 200;
+
+/** Returns why headers aren't valid in HTTP, or undefined if they are. */
+export function findInvalidHeader(headers: HeaderList): string | undefined {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index]!;
+    try {
+      validateHeaderName(name);
+      validateHeaderValue(name, headers[index + 1]!);
+    } catch {
+      return `the header ${JSON.stringify(name)} is not valid in HTTP`;
+    }
+  }
+  return undefined;
+}
+
+/** Returns why a head can't be that of a final answer, or undefined if it can. */
+export function findInvalidHead(
+  status: number,
+  headers: HeaderList,
+): string | undefined {
+  if (status < MIN_FINAL_STATUS) {
+    return `the status ${status} is not that of a final answer`;
+  }
+  return findInvalidHeader(headers);
+}
--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -18,6 +18,7 @@
 } from "../dialect.ts";
 import { AnswerBuffer, type AnswerMemory } from "./answer_buffer.ts";
 import { EventSplitter, type ServerSentEvent } from "./event_splitter.ts";
+import { findInvalidHead } from "./find_invalid_head.ts";
 
 /**
  * Connect timeout: long enough for some round trips or one retransmission, and
@@ -228,8 +229,8 @@
 }
 
 /**
- * Rejects an answer to another request, one that says that the request was not
- * run, and one that was not produced by the target.
+ * Rejects an answer that can't be sent on, one to another request, one that says
+ * that the request was not run, and one that was not produced by the target.
  */
 function validateHead(
   incoming: IncomingMessage,
@@ -238,10 +239,13 @@
     readonly isReused: boolean;
   },
 ): Either<AttemptFailure, StartedExchange> {
-  const head = input.dialect.parseAnswer(
-    incoming.statusCode ?? 0,
-    incoming.rawHeaders,
-  );
+  const { statusCode = 0, rawHeaders } = incoming;
+  const invalid = findInvalidHead(statusCode, rawHeaders);
+  if (invalid !== undefined) {
+    incoming.destroy();
+    return Left({ end: AttemptEnd.Broken, detail: invalid });
+  }
+  const head = input.dialect.parseAnswer(statusCode, rawHeaders);
   if (head.requestId !== undefined && head.requestId !== input.request.id) {
     incoming.destroy();
     return Left({
@@ -309,7 +313,13 @@
       });
     }
     incoming.on("data", (chunk: Buffer) => {
-      const backpressure = input.handleChunk(chunk);
+      let backpressure: Promise<void> | undefined | void;
+      try {
+        backpressure = input.handleChunk(chunk);
+      } catch (error) {
+        // Nothing else catches what a listener throws; it would end the process.
+        return void incoming.destroy(error as Error);
+      }
       if (backpressure === undefined) return;
       incoming.pause();
       void backpressure.then(() => incoming.resume());
