Answer every request whose target sends no final answer

Callers of review/4 (CONFIG) never got an answer, past their route's time-out and until they left, if their target sent a status of 000, an invalid header, or a switch to another protocol; the target kept a request in progress.

Cause: an exchange was marked as finished before its head was written, so that after the writer's exception the refusal did nothing any more. And the client was settled by "response" and "error" only; a switch of protocol closes the connection with neither.

Change: finished is what has a head; a request of the client ends when its connection closes at the latest.

--- a/packages/gateway/entry/caller_exchange.ts
+++ b/packages/gateway/entry/caller_exchange.ts
@@ -144,11 +144,13 @@
    */
   refuse(
     refusal: Refusal,
-    input: { readonly dialect: Dialect; readonly requestId?: string },
+    input: {
+      readonly dialect: Pick<Dialect, "formatOwnAnswer">;
+      readonly requestId?: string;
+    },
   ): void {
     this.#takeHeld();
     if (this.#isFinished || this.hasSentHead) return this.destroy();
-    this.#isFinished = true;
     const { retryAfter } = refusal;
     const ownHeaders = input.dialect.formatOwnAnswer({
       ...(input.requestId === undefined ? {} : { requestId: input.requestId }),
@@ -166,10 +168,14 @@
       "content-length",
       String(Buffer.byteLength(body)),
     ]);
+    this.#isFinished = true;
     this.#outgoing.end(body);
   }
 
-  /** Sends a complete answer of a target. */
+  /**
+   * Sends a complete answer of a target. Throws on a head that is not valid in
+   * HTTP; a refusal may be sent in its place then.
+   */
   sendComplete(
     answer: {
       readonly status: number;
@@ -178,12 +184,12 @@
     },
   ): void {
     if (this.#isFinished || this.hasSentHead) return;
-    this.#isFinished = true;
     this.#outgoing.writeHead(answer.status, [
       ...answer.headers,
       "content-length",
       String(answer.body.length),
     ]);
+    this.#isFinished = true;
     this.#outgoing.end(answer.body);
   }
 
--- /dev/null
+++ b/packages/gateway/entry/caller_exchange_test.ts
@@ -0,0 +1,45 @@
+/** Tests of answers to one caller, over a socket. */
+import { createServer, get } from "node:http";
+import type { AddressInfo } from "node:net";
+import test from "ava";
+import { RefusalKind } from "../../core/mod.ts";
+import { createRefusal } from "../../runtime/mod.ts";
+import { AnswerMemory } from "./answer_buffer.ts";
+import { CallerExchange } from "./caller_exchange.ts";
+
+const INVALID_ANSWERS = {
+  "status": { status: 0, headers: [] },
+  "header": { status: 200, headers: ["cache control", "no-store"] },
+};
+
+// Guards against a caller that is never answered after its answer was rejected.
+for (const [what, answer] of Object.entries(INVALID_ANSWERS)) {
+  test(`a refusal can be sent in place of an answer with an invalid ${what}`, async (t) => {
+    const server = createServer((incoming, outgoing) => {
+      const exchange = new CallerExchange(
+        incoming,
+        outgoing,
+        new AnswerMemory(),
+      );
+      t.throws(() =>
+        exchange.sendComplete({ ...answer, body: Buffer.from("ok") })
+      );
+      exchange.refuse(createRefusal(RefusalKind.Internal), {
+        dialect: { formatOwnAnswer: () => [] },
+      });
+    });
+    await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+    const { port } = server.address() as AddressInfo;
+    const status = await new Promise((resolve) => {
+      const request = get({ port, agent: false, timeout: 2_000 }, (answer) => {
+        answer.resume();
+        resolve(answer.statusCode);
+      });
+      request.on("timeout", () => request.destroy());
+      request.on("error", () => resolve("no answer"));
+    });
+    t.is(status, 500);
+    server.closeAllConnections();
+    server.close();
+  });
+}
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -123,6 +123,8 @@
       clearTimeout(connectTimer);
       socket?.removeListener("end", detectReset);
       input.signal?.removeEventListener("abort", cancel);
+      // Node reports no error when the server switches to another protocol.
+      fail("the connection was closed without a final answer");
     });
     const markConnected = () => {
       connected = true;
