Refuse callers' requests with an invalid header before a place is taken

Callers that send a header with a space in its name, or without one, got 500 with an unknown outcome, and each such request kept a place at a target for good, since the client threw while it was being prepared.

Change: such a request is malformed (400), and what can't be sent is a failure of the client that sent nothing, not an exception.

Failing before: the four tests of invalid_requests_test (500, one request in progress); the new test of http_client_test rejected.

--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -9,7 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Either } from "purify-ts";
+import { type Either, Left } from "purify-ts";
 import type { Reservation } from "../../budget/mod.ts";
 import {
   type Bytes,
@@ -58,6 +58,7 @@
   OTHER_VM_RETRY_AFTER,
   type RoutedCall,
 } from "./routed_call.ts";
+import { findInvalidHeader } from "./find_invalid_head.ts";
 import {
   type DrainTimes,
   isAdmittedDuringDrain,
@@ -247,11 +248,15 @@
   ): Promise<void> {
     const { incoming, exchange, arrivedAt } = input;
     const { context, configuration } = this.#options;
-    const parsed = context.dialect.parseCallerRequest({
-      method: incoming.method ?? "GET",
-      path: incoming.url ?? "/",
-      headers: incoming.rawHeaders,
-    });
+    const { method = "GET", url: path = "/", rawHeaders } = incoming;
+    const invalid = findInvalidHeader(rawHeaders);
+    const parsed = invalid === undefined
+      ? context.dialect.parseCallerRequest({
+        method,
+        path,
+        headers: rawHeaders,
+      })
+      : Left(invalid);
     if (parsed.isLeft()) {
       const refusal = createBadRequest(String(parsed.extract()));
       return this.#refuse(exchange, { refusal, arrivedAt });
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -8,6 +8,7 @@
  */
 import {
   type Agent,
+  type ClientRequest,
   type IncomingMessage,
   request as startHttp,
 } from "node:http";
@@ -95,13 +96,13 @@
         detail,
       }));
     if (input.signal?.aborted) return fail("cancelled before it was sent");
-    const start = input.url.startsWith("https:") ? startHttps : startHttp;
-    const outgoing = start(input.url, {
-      method: input.method,
-      headers: createHeaders(input),
-      ...(input.path === undefined ? {} : { path: input.path }),
-      ...(input.agent === undefined ? {} : { agent: input.agent }),
-    });
+    let outgoing: ClientRequest;
+    try {
+      outgoing = createClientRequest(input);
+    } catch (error) {
+      // An address, a path or a header that can't be sent.
+      return fail(describeError(error));
+    }
     const { connectTimeout } = input;
     const connectTimer = connectTimeout === undefined ? undefined : setTimeout(
       () =>
@@ -168,6 +169,16 @@
   });
 }
 
+function createClientRequest(input: HttpRequest): ClientRequest {
+  const start = input.url.startsWith("https:") ? startHttps : startHttp;
+  return start(input.url, {
+    method: input.method,
+    headers: createHeaders(input),
+    ...(input.path === undefined ? {} : { path: input.path }),
+    ...(input.agent === undefined ? {} : { agent: input.agent }),
+  });
+}
+
 /**
  * Returns whether a socket that emitted "end" was reset by the peer. When a
  * reset immediately follows data, libuv reports end-of-stream without an error,
--- a/packages/ports/http_client_test.ts
+++ b/packages/ports/http_client_test.ts
@@ -124,3 +124,21 @@
     server.close();
   }
 });
+
+// Guards against promises that reject where a failure is expected.
+test("a request that can't be sent fails without being sent", async (t) => {
+  for (
+    const input of [
+      { url: "http://127.0.0.1:99999/" },
+      { url: "http://127.0.0.1:1/", path: "/a b" },
+      { url: "http://127.0.0.1:1/", headers: { "a b": "1" } },
+    ]
+  ) {
+    const answer = await sendRequest({
+      method: "GET",
+      idleTimeout: 0,
+      ...input,
+    });
+    t.false((answer.swap().unsafeCoerce() as HttpFailure).sent);
+  }
+});
