Follow a store that came back from a copy

Cause: a store that comes back from a copy gives versions out again. Loads below the highest known version were ignored, and a row was passed over whose version was not above the one applied before.

Change: the adapter reads the store's era and makes it the high digits of each version, so that every comparison takes it in. An older configuration doesn't replace a newer one as the row for peers.

--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -91,3 +91,9 @@
   MILLIS_PER_MINUTE,
   MILLIS_PER_SECOND,
 } from "./units.ts";
+export {
+  createStoreVersion,
+  MAX_ERA,
+  readEra,
+  readStoreNumber,
+} from "./store_version.ts";
--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -193,9 +193,11 @@
       if (key === this.#row?.key) this.#isDamaged = fault !== undefined;
       // If the row was removed or is damaged, the last configuration stays.
       if (value === undefined) continue;
-      this.#row = { key, version, value };
       const { configuration } = value;
       const before = this.read()?.configuration;
+      // A restored store may have an older one until it is written again.
+      if (configuration.version < (before?.version ?? -Infinity)) continue;
+      this.#row = { key, version, value };
       const { kernel, log, metrics } = this.#context;
       if (!kernel.dispatch(APPLY_CONFIGURATION, configuration)) continue;
       metrics.configurationVersion.set(configuration.version);
--- a/packages/gateway/features/feed_follower.ts
+++ b/packages/gateway/features/feed_follower.ts
@@ -4,11 +4,12 @@
  * the last poll. A known row is never replaced by an older version, even if
  * answers arrive out of order.
  */
-import type {
-  Millis,
-  MonotonicTime,
-  PlatformError,
-  Undo,
+import {
+  type Millis,
+  type MonotonicTime,
+  type PlatformError,
+  readEra,
+  type Undo,
 } from "../../core/mod.ts";
 import type { FeedPage, FeedPort, FeedRow } from "../../ports/mod.ts";
 import {
@@ -204,6 +205,7 @@
         this.#recordSuccess();
         // An answer from before the known version would restore old rows.
         if (page.version < this.#highestVersion) return;
+        this.#logRestore(page.version);
         this.#recordCurrent(page, sentAt);
         const present = new Set(page.rows.map((row) => row.key));
         const missing = [...this.#versions]
@@ -233,6 +235,16 @@
     if (changes.length > 0) this.#options.apply(changes);
   }
 
+  #logRestore(version: number): void {
+    const before = readEra(this.#highestVersion);
+    if (!this.#isLoaded || readEra(version) === before) return;
+    this.#context.log.warn(LogEvent.StoreRestored, {
+      table: this.#options.name,
+      before,
+      era: readEra(version),
+    });
+  }
+
   #logDamagedRow(row: FeedRow<Value>): void {
     this.#context.log.warn(LogEvent.RowDamaged, {
       table: this.#options.name,
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -317,12 +317,16 @@
   }
 }
 
+/** A complete answer whose body is JSON, or empty. */
+export interface JsonAnswer extends Omit<HttpAnswer, "body"> {
+  readonly body: unknown;
+  readonly bodyBytes: Bytes;
+}
+
 /** Sends a JSON request and parses the answer's body as JSON. */
 export async function sendJsonRequest(
   input: HttpRequest,
-): Promise<
-  Either<HttpFailure, { status: number; body: unknown; bodyBytes: Bytes }>
-> {
+): Promise<Either<HttpFailure, JsonAnswer>> {
   const headers = {
     "content-type": "application/json",
     ...input.headers as Record<string, string>,
@@ -333,6 +337,7 @@
       const text = Buffer.from(received.body).toString("utf8");
       return Right({
         status: received.status,
+        headers: received.headers,
         body: text === "" ? undefined : JSON.parse(text),
         bodyBytes: received.body.byteLength,
       });
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -31,7 +31,12 @@
   ConnectionProbe,
   isRefusedConnection,
 } from "./probe_connection.ts";
-export type { HttpAnswer, HttpFailure, HttpRequest } from "./http_client.ts";
+export type {
+  HttpAnswer,
+  HttpFailure,
+  HttpRequest,
+  JsonAnswer,
+} from "./http_client.ts";
 export {
   describeError,
   MAX_ANSWER_BYTES,
--- a/packages/ports/table_port.ts
+++ b/packages/ports/table_port.ts
@@ -61,7 +61,10 @@
 }
 
 /** The part of the table port that a store writer uses. */
-export type RowPort = Pick<TablePort, "read" | "transact" | "readTime">;
+export type RowPort = Pick<
+  TablePort,
+  "read" | "transact" | "readTime" | "readEra"
+>;
 
 /** Reads and changes rows. Calls return platform errors and never throw. */
 export interface TablePort {
@@ -78,4 +81,9 @@
   ): Promise<Either<PlatformError, TransactionAnswer>>;
   /** Returns the latest reading of the store's clock, if it reports one. */
   readTime?(): ServiceTime | undefined;
+  /**
+   * Returns the store's era by its latest answer, if it counts its restores from
+   * a copy; see `readEra` in core.
+   */
+  readEra?(): number | undefined;
 }
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -89,6 +89,8 @@
   StoreTraffic = "store_traffic",
   DependencyLost = "dependency_lost",
   DependencyBack = "dependency_back",
+  /** The store came back from a copy and has lost its newest writes. */
+  StoreRestored = "store_restored",
   /** A row of the store could not be decoded. */
   RowDamaged = "row_damaged",
   SettingsReloaded = "settings_reloaded",
