Merge what VMs know of a budget into the row of a restored store

Cause: the row of the copy lacks what was taken since, and takes were decided on it alone.

Change: each VM keeps the latest value of the row that it knows, and merges it before anything else is done with a row of a later era. Values were decided on one another, so the newest one replaces the copy's; later ones are added and lower nothing. Tokens are taken again two seconds after the first write since the restore. A store that counts no restores costs nothing more.

--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -114,10 +114,19 @@
   MAX_OUTSTANDING_LOANS,
   MAX_WRITE_OFFS,
   parseBudgetRow,
+  readBudgetRow,
 } from "./rows/budget_row.ts";
+export type { KnownRow } from "./restore/merge_known_row.ts";
+export {
+  isRestoring,
+  isRowMerged,
+  mergeKnownRow,
+  RESTORE_PAUSE,
+} from "./restore/merge_known_row.ts";
 export type { CloseGrantResult } from "./rows/close_grant.ts";
 export { createCloseGrant } from "./rows/close_grant.ts";
 export type {
+  ExchangeLimits,
   GrantExchange,
   GrantExchangeResult,
 } from "./rows/exchange_grants.ts";
--- /dev/null
+++ b/packages/budget/restore/merge_known_row.ts
@@ -0,0 +1,154 @@
+/**
+ * Merges what a VM knows of a budget row into the row of a store that came back
+ * from an older copy.
+ *
+ * Until the restore each value of the row was decided on the one before, so that
+ * of two values the one with the higher version includes the other. The newest
+ * one that any VM knows therefore replaces the row of the copy. VMs that come
+ * later with a newer value add what the row lacks by then. An entry that was
+ * changed in both eras is never lowered: its holder may have used its tokens.
+ */
+import {
+  createStoreVersion,
+  type JsonValue,
+  type Millis,
+  readEra,
+  readStoreNumber,
+  type Row,
+  type StoreTime,
+  type Tokens,
+} from "../../core/mod.ts";
+import {
+  type BudgetRow,
+  type GrantEntry,
+  parseBudgetRow,
+} from "../rows/budget_row.ts";
+
+/**
+ * Time from the first write after a restore until tokens are taken from the row
+ * again. The VMs that know of newer values write them in that time.
+ */
+export const RESTORE_PAUSE: Millis = 2_000;
+
+/** A row's value at a version, as a VM has read or written it. */
+export type KnownRow = Pick<Row, "version" | "value">;
+
+/** What a merge depends on besides the row. */
+export interface MergeInput {
+  /** Version of the row as read. */
+  readonly version: number;
+  /** The latest value that this VM knows, if any. */
+  readonly known: KnownRow | undefined;
+  readonly now: StoreTime;
+}
+
+/** Whether a restore is so recent that no tokens may be taken from a row. */
+export function isRestoring(row: BudgetRow, now: StoreTime): boolean {
+  return now < (row.restored?.at ?? -Infinity) + RESTORE_PAUSE;
+}
+
+/**
+ * Whether a row has everything that this VM knows, so that it need not be
+ * parsed to merge it.
+ */
+export function isRowMerged(
+  value: JsonValue | undefined,
+  input: Pick<MergeInput, "version" | "known">,
+): boolean {
+  const era = readEra(input.version);
+  if (era === 0) return true;
+  if (input.known !== undefined && readEra(input.known.version) < era) {
+    return false;
+  }
+  return (value as { era?: JsonValue } | undefined)?.era === era;
+}
+
+/**
+ * Returns the row with the store's era and all that the VM knows; the row itself
+ * if it has both.
+ */
+export function mergeKnownRow(row: BudgetRow, input: MergeInput): BudgetRow {
+  const { version, known } = input;
+  if (isRowMerged({ era: row.era ?? 0 }, input)) return row;
+  const era = readEra(version);
+  const isFirst = row.era !== era;
+  const marked = isFirst ? markRow(row, { ...input, era }) : row;
+  if (known === undefined) return marked;
+  if (known.version <= (marked.restored?.version ?? 0)) return marked;
+  const merged = parseBudgetRow(known.value).map((value) =>
+    isFirst ? replaceRow(marked, value) : addMissing(marked, value)
+  ).orDefault(marked);
+  const restored = {
+    ...merged.restored,
+    version: known.version,
+    closed: Math.max(marked.restored?.closed ?? 0, merged.restored!.closed),
+  };
+  return { ...merged, restored };
+}
+
+/** Records the era in a row that was not written in it yet. */
+function markRow(
+  row: BudgetRow,
+  input: MergeInput & { readonly era: number },
+): BudgetRow {
+  const { version, known, now, era } = input;
+  const isRestored = row.era !== undefined ||
+    (known !== undefined && readEra(known.version) < era);
+  const restored = {
+    version: createStoreVersion(era - 1, readStoreNumber(version)),
+    closed: row.closed,
+    ...(isRestored ? { at: now } : {}),
+  };
+  return { ...row, era, restored };
+}
+
+/** Returns the later value of a row that has not been changed since. */
+function replaceRow(row: BudgetRow, known: BudgetRow): BudgetRow {
+  return {
+    ...known,
+    era: row.era,
+    limit: Math.max(row.limit, known.limit),
+    restored: { ...row.restored!, closed: known.closed },
+  };
+}
+
+/** Adds what a later value has to a row that was changed since the restore. */
+function addMissing(row: BudgetRow, known: BudgetRow): BudgetRow {
+  const base = row.restored?.closed ?? 0;
+  let closed = row.closed + Math.max(0, known.closed - base);
+  let writtenOff = row.writtenOff ?? 0;
+  const grants = { ...row.grants };
+  const writeOffs = { ...row.writeOffs };
+  for (const [id, entry] of Object.entries(known.grants)) {
+    const ended = writeOffs[id];
+    if (ended === undefined) {
+      grants[id] = chooseLarger(grants[id], entry);
+      continue;
+    }
+    const lacking: Tokens = Math.max(0, entry.size - ended.size);
+    closed += lacking;
+    writtenOff += lacking;
+    writeOffs[id] = { ...ended, size: ended.size + lacking };
+  }
+  return {
+    ...row,
+    limit: Math.max(row.limit, known.limit),
+    closed,
+    grants,
+    ...(known.loans === undefined && row.loans === undefined
+      ? {}
+      : { loans: { ...known.loans, ...row.loans } }),
+    ...(writtenOff === 0 ? {} : { writtenOff, writeOffs }),
+    restored: { ...row.restored!, closed: known.closed },
+  };
+}
+
+function chooseLarger(
+  entry: GrantEntry | undefined,
+  known: GrantEntry,
+): GrantEntry {
+  if (entry === undefined) return known;
+  const larger = known.size > entry.size ? known : entry;
+  const spent = Math.max(entry.spent ?? 0, known.spent ?? 0);
+  return spent === 0 ? larger : { ...larger, spent };
+}
--- a/packages/budget/rows/budget_row.ts
+++ b/packages/budget/rows/budget_row.ts
@@ -70,6 +70,17 @@
   writtenOff: TOKENS_SCHEMA.optional(),
   /** Grants that were written off most recently, by grant id. */
   writeOffs: z.record(z.string(), WRITE_OFF_SCHEMA).optional(),
+  /** Era of the store in which the row was last written, if it counts them. */
+  era: z.number().int().nonnegative().optional(),
+  /** What was merged since the era began; see `restore/merge_known_row.ts`. */
+  restored: z.object({
+    /** Version of the earlier eras that the row includes. */
+    version: z.number(),
+    /** Closed tokens at that version. */
+    closed: TOKENS_SCHEMA,
+    /** When the row was first written after a restore; a {@link StoreTime}. */
+    at: z.number().optional(),
+  }).optional(),
 });
 
 /**
--- a/packages/gateway/features/budgets/budget_state.ts
+++ b/packages/gateway/features/budgets/budget_state.ts
@@ -5,6 +5,7 @@
 import type { Either } from "purify-ts";
 import {
   BorrowerDemand,
+  type KnownRow,
   type Reservation,
   type SpendingMeter,
   type StandbyHolding,
@@ -58,6 +59,12 @@
   budgetLeft: Tokens | undefined;
   /** Tokens that the row counts in closed and written-off grants. */
   closed: Tokens;
+  /** The row as of the store's last answer; undefined before it. */
+  known: KnownRow | undefined;
+  /** Whether {@link known} is being merged into the row of a restored store. */
+  isMerging: boolean;
+  /** Until when no exchange is started, since no tokens may be taken. */
+  takesPausedUntil: MonotonicTime;
   /** Number of VMs that hold tokens of the budget, by the row. */
   holders: number;
   /** The other holders, in descending order of their spending rate. */
@@ -110,6 +117,9 @@
     rowLimit: 0,
     budgetLeft: undefined,
     closed: 0,
+    known: undefined,
+    isMerging: false,
+    takesPausedUntil: -Infinity,
     holders: 0,
     otherHolders: [],
     othersRate: 0,
--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -168,6 +168,7 @@
       random,
       run: () => {
         this.#countHolders();
+        this.#exchanges.mergeRestored(this.#budgets.values());
         this.#exchanges.rebalance(this.#budgets.values());
         this.#giveIdleLoansBack();
         return Promise.resolve();
--- a/packages/gateway/features/budgets/grant_exchanges.ts
+++ b/packages/gateway/features/budgets/grant_exchanges.ts
@@ -17,6 +17,7 @@
   GRANT_TERM,
   type GrantExchange,
   type GrantExchangeResult,
+  isRestoring,
   planExchange,
   planHolding,
   planLastExchange,
@@ -27,11 +28,13 @@
   BudgetPreference,
   type Millis,
   type MonotonicTime,
+  readEra,
   type Tokens,
 } from "../../../core/mod.ts";
 import type { OperationFacts } from "../../../ports/mod.ts";
-import { LogEvent } from "../../../runtime/mod.ts";
+import { createErrorReporter, LogEvent } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
+import { readStoreTime } from "../read_store_time.ts";
 import {
   type BudgetState,
   isLimitRaised,
@@ -44,6 +47,10 @@
   ExchangePermit,
   REBALANCE_INTERVAL,
 } from "./exchange_pace.ts";
+import {
+  createBudgetMerge,
+  runBudgetOperation,
+} from "./run_budget_operation.ts";
 import type { StandbyTokens } from "./standby_tokens.ts";
 import { RefillLimiter } from "./refill_limiter.ts";
 
@@ -59,6 +66,12 @@
  */
 const MAX_REFILL_TIME: Millis = 700;
 
+/** Number of budgets that are merged into a restored store at once. */
+const MAX_MERGES_AT_ONCE = 8;
+
+/** Time after which a row is read again from which no tokens may be taken. */
+const PAUSE_CHECK_INTERVAL: Millis = 250;
+
 /**
  * Time from this VM's first request until a customer without requests counts as
  * having no traffic here.
@@ -151,7 +164,11 @@
       initialLimit: budget.prepaid,
       wallTime: clock.readWall(),
     });
-    const answer = await budget.writer.run(operation, { giveUpAt: Infinity });
+    const answer = await runBudgetOperation(this.#context, {
+      budget,
+      operation,
+      options: { giveUpAt: Infinity },
+    });
     answer.ifRight(({ freed, writtenOff, reportedSpent, othersRate }) => {
       this.recordAnswer();
       budget.othersRate = othersRate;
@@ -210,7 +227,7 @@
    * whether it did.
    */
   start(budget: BudgetState, plan: ExchangePlan): boolean {
-    if (budget.exchanging) return false;
+    if (budget.exchanging || this.#isPaused(budget, plan)) return false;
     const input = this.#createInput(budget);
     const account = this.#options.accounts.change(
       budget.customer,
@@ -226,6 +243,33 @@
     return true;
   }
 
+  /**
+   * Merges what this VM knows of some budgets into the rows of a store that has
+   * come back from a copy, those that it knows best first.
+   */
+  mergeRestored(budgets: Iterable<BudgetState>): void {
+    const era = this.#context.dialect.table.readEra?.() ?? 0;
+    if (era === 0) return;
+    const readVersion = ({ known }: BudgetState) => known?.version ?? Infinity;
+    const behind = [...budgets]
+      .filter((each) => !each.isMerging && readEra(readVersion(each)) < era)
+      .sort((left, right) => readVersion(right) - readVersion(left));
+    for (const budget of behind.slice(0, MAX_MERGES_AT_ONCE)) {
+      budget.isMerging = true;
+      const merging = runBudgetOperation(this.#context, {
+        budget,
+        operation: createBudgetMerge(budget),
+        options: { giveUpAt: Infinity },
+      }).finally(() => (budget.isMerging = false));
+      void merging.catch(createErrorReporter(this.#context.log, "merge"));
+    }
+  }
+
+  #isPaused(budget: BudgetState, plan: ExchangePlan): boolean {
+    return plan !== planLastExchange &&
+      this.#context.clock.readMonotonic() < budget.takesPausedUntil;
+  }
+
   /** Returns every unreserved token to the store, for a planned stop. */
   async returnAll(budgets: Iterable<BudgetState>): Promise<void> {
     this.stop();
@@ -295,9 +339,16 @@
     // The store may still apply the exchange at any later time, so it is
     // retried until its outcome is known.
     let facts: OperationFacts | undefined;
-    const answer = await budget.writer.run(createGrantExchange(exchange), {
-      giveUpAt: Infinity,
-      onCompleted: (completed) => (facts = completed),
+    const answer = await runBudgetOperation(this.#context, {
+      budget,
+      operation: createGrantExchange(exchange, {
+        mayTake: (row) =>
+          !isRestoring(row, readStoreTime(this.#context) ?? -Infinity),
+      }),
+      options: {
+        giveUpAt: Infinity,
+        onCompleted: (completed) => (facts = completed),
+      },
     });
     budget.exchanging = false;
     answer.caseOf({
@@ -331,7 +382,12 @@
     budget.holders = result.holders;
     budget.otherHolders = result.otherHolders;
     budget.othersRate = result.othersRate;
-    budget.wasTakeDenied = exchange.take !== undefined && result.size === 0;
+    budget.wasTakeDenied = exchange.take !== undefined && result.size === 0 &&
+      result.isTakePaused !== true;
+    if (result.isTakePaused === true) {
+      budget.takesPausedUntil = this.#context.clock.readMonotonic() +
+        PAUSE_CHECK_INTERVAL;
+    }
     standby.receiveExchange(budget, input);
     accounts.change(
       budget.customer,
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -53,6 +53,7 @@
 } from "./http_platform.ts";
 export type {
   OperationFacts,
+  RunOptions,
   StoreWriterCounts,
   StoreWriterOptions,
 } from "./store_writer.ts";
--- a/packages/ports/store_writer.ts
+++ b/packages/ports/store_writer.ts
@@ -95,6 +95,11 @@
   readonly failureReason?: string;
   /** Size of the operation's rows as JSON, as they are after it. */
   readonly rowBytes: Bytes;
+  /**
+   * The rows as they are after the operation and others of its transaction. A
+   * row that was written has the lowest version that it can have.
+   */
+  readonly rows: RowView;
 }
 
 /** Deadline of an operation, and the listener of what it took. */
@@ -454,6 +459,7 @@
         ? {}
         : { failureReason: job.failureReason }),
       rowBytes: measureRows(job.operation.keys, decision.rows),
+      rows: decision.rows,
     });
     job.finish(Right(result));
   }
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -91,6 +91,8 @@
   DependencyBack = "dependency_back",
   /** The store came back from a copy and has lost its newest writes. */
   StoreRestored = "store_restored",
+  /** What this VM knew of a budget is in the row of a restored store again. */
+  BudgetRestored = "budget_restored",
   /** A row of the store could not be decoded. */
   RowDamaged = "row_damaged",
   SettingsReloaded = "settings_reloaded",
