Tell operations the version that their write got

A VM that had created a budget's row refused its next requests for 2 s, as if the store had been restored: the version passed to the operation was computed from the missing row, and looked like one of an earlier era.

Change: the version is the one that the store reports, where it does.

--- a/packages/ports/store_writer.ts
+++ b/packages/ports/store_writer.ts
@@ -102,8 +102,7 @@
   readonly giveUpAt: MonotonicTime;
   /**
    * Called before the operation's result is returned, unless it fails, with the
-   * rows as they are after its transaction. A row that was written has the lowest
-   * version that it can have.
+   * rows as they are after its transaction.
    */
   readonly onCompleted?: (facts: OperationFacts, rows: RowView) => void;
 }
@@ -327,8 +326,13 @@
     }
     this.#counts.transactions++;
     this.#counts.rowsWritten += writes.length;
-    this.#cacheWrites(writes, { checks, version: outcome.version });
-    finishGroup(decision);
+    const { version } = outcome;
+    this.#cacheWrites(writes, { checks, version });
+    finishGroup(
+      version === undefined
+        ? decision
+        : { ...decision, rows: setVersion(decision, version) },
+    );
     return undefined;
   }
 
@@ -449,6 +453,16 @@
   });
 }
 
+/** Returns the rows of a group with the version that its writes got. */
+function setVersion(
+  { rows, writes }: GroupDecision,
+  version: number,
+): RowView {
+  const written = [...rows.values()].filter(({ key }) => writes.has(key))
+    .map((row) => [row.key, { ...row, version }] as const);
+  return new Map([...rows, ...written]);
+}
+
 function finishGroup(decision: GroupDecision): void {
   for (const [job, result] of decision.results) {
     job.onCompleted?.({
