Read a refused request to its end before its connection closes

Cause: the refusal was sent and the connection closed with unread bytes, which the kernel resets.

Change: the refusal is sent at once; the rest is discarded, up to 8 MiB and 3 s, before the connection closes, and a request that follows on it isn't run.

--- a/packages/gateway/entry/caller_exchange.ts
+++ b/packages/gateway/entry/caller_exchange.ts
@@ -1,5 +1,6 @@
 /** One HTTP request of a caller and the answer to it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { type Either, Left, Right } from "purify-ts";
 import {
   type Bytes,
@@ -22,6 +23,18 @@
  */
 const TURNS_TO_READ_END = 2;
 
+/** Bounds of the rest of a refused request, which is read and discarded. */
+const MAX_DISCARDED_BYTES: Bytes = 8 * 1_048_576;
+const MAX_DISCARD_TIME: Millis = 3_000;
+
+/** Connections that close after a refusal; what else arrives there is not run. */
+const CLOSING_SOCKETS = new WeakSet<Socket>();
+
+/** Whether a connection closes after a refusal that was already sent. */
+export function isClosing(socket: Socket): boolean {
+  return CLOSING_SOCKETS.has(socket);
+}
+
 /** An answer of unknown length that is sent once it is complete. */
 interface HeldAnswer {
   readonly status: number;
@@ -160,8 +173,9 @@
       refusal,
     );
     const body = formatRefusalBody(refusal);
+    const isRead = this.#incoming.complete;
     // The rest of an unread body must not be parsed as the next request.
-    if (!this.#incoming.complete) this.#outgoing.shouldKeepAlive = false;
+    if (!isRead) this.#outgoing.shouldKeepAlive = false;
     this.#outgoing.writeHead(readRefusalStatus(refusal), [
       ...Object.entries(refusalHeaders).flat(),
       ...ownHeaders,
@@ -169,7 +183,33 @@
       String(Buffer.byteLength(body)),
     ]);
     this.#isFinished = true;
-    this.#outgoing.end(body);
+    if (isRead) return void this.#outgoing.end(body);
+    this.#outgoing.write(body);
+    this.#discardRest();
+  }
+
+  /**
+   * Reads the rest of the request, within bounds, before the connection closes.
+   * The kernel resets one that is closed with unread bytes, and a caller that is
+   * still sending would lose the refusal.
+   */
+  #discardRest(): void {
+    const incoming = this.#incoming;
+    CLOSING_SOCKETS.add(incoming.socket);
+    const finish = () => {
+      clearTimeout(timer);
+      incoming.removeListener("data", count);
+      this.#outgoing.end();
+    };
+    let size = 0;
+    const count = (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > MAX_DISCARDED_BYTES) finish();
+    };
+    const timer = setTimeout(finish, MAX_DISCARD_TIME);
+    incoming.on("data", count);
+    incoming.once("end", finish);
+    incoming.once("close", finish);
   }
 
   /**
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -48,7 +48,7 @@
 import type { GatewayContext } from "../gateway_context.ts";
 import type { AnswerMemory } from "./answer_buffer.ts";
 import type { CallEnd, CallRunner } from "./call_runner.ts";
-import { CallerExchange } from "./caller_exchange.ts";
+import { CallerExchange, isClosing } from "./caller_exchange.ts";
 import {
   CallProgress,
   computeMaxTokens,
@@ -213,6 +213,7 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<void> {
+    if (isClosing(incoming.socket)) return;
     const { context, answerMemory } = this.#options;
     const arrivedAt = context.clock.readMonotonic();
     const exchange = new CallerExchange(incoming, outgoing, answerMemory);
