Keep streams at sound targets that fall silent for a second

Cause: the watchdog ended an attempt after a fixed time without an event, before it was known whether another run was allowed. If all targets pause at once, all streams ask for a second run at the same moment, and the retry budget refuses most of them.

Change: a decision of its own, with what is known of the target and of the others. Streams that can't move on stay; those at a target that refuses or doesn't answer a connection move on at once; those at one that accepts it wait for three times the pause goal, at least 1.8 s; none moves on while half of the other targets are silent as well. The retry is charged before the attempt ends.

Failing before: two tests of silent_targets_test.

--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -30,11 +30,13 @@
 import type { AnswerHead, ListedTarget } from "../dialect.ts";
 import type { CrashDetector } from "../features/crashes/crash_detector.ts";
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
+import type { TargetProbes } from "../features/paths/target_probes.ts";
+import { StreamActivity } from "../features/streams/stream_activity.ts";
 import type { StreamOrigins } from "../features/streams/stream_origins.ts";
 import type { TargetRegistry } from "../features/target_registry.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { AnswerMemory } from "./answer_buffer.ts";
-import { AttemptWatchdog } from "./attempt_watchdog.ts";
+import { AttemptWatchdog, type StallSupport } from "./attempt_watchdog.ts";
 import {
   CallProgress,
   computeSeconds,
@@ -96,11 +98,13 @@
   readonly crashDetector: CrashDetector;
   readonly streams: StreamOrigins;
   readonly answerMemory: AnswerMemory;
+  readonly probes: TargetProbes;
 }
 
 /** Runs calls at targets, with retries and resumed streams. */
 export class CallRunner {
   readonly #options: CallRunnerOptions;
+  readonly #activity = new StreamActivity();
 
   constructor(options: CallRunnerOptions) {
     this.#options = options;
@@ -194,6 +198,7 @@
     if (progress.events > 0 && !mayResume(call, progress)) return false;
     if (progress.runs >= call.route.maxAttempts) return false;
     if (sends - progress.runs > MAX_NOT_RUN_SENDS) return false;
+    if (progress.isRetryReserved) return true;
     return retries.covers(call.service, { extra: ExtraAttempt.Retry, now });
   }
 
@@ -205,8 +210,11 @@
     },
   ): void {
     const { context, retries } = this.#options;
-    retries.recordExtraAttempt(call.service, ExtraAttempt.Retry);
     const { progress, failure } = input;
+    if (!progress.isRetryReserved) {
+      retries.recordExtraAttempt(call.service, ExtraAttempt.Retry);
+    }
+    progress.isRetryReserved = false;
     const event = progress.events > 0
       ? LogEvent.StreamResumed
       : LogEvent.AttemptRetried;
@@ -297,9 +305,8 @@
     const promptTokens = call.request.prompt?.tokens ?? 0;
     targets.recordStart(target.id, { now: startedAt, promptTokens });
     const watchdog = new AttemptWatchdog(call, {
-      now: startedAt,
-      resumable: call.route.resumable &&
-        progress.runs + 1 < call.route.maxAttempts,
+      clock: context.clock,
+      stall: this.#createStallSupport(call, { progress, listed }),
     });
     const started = { progress, startedAt, eventsBefore: progress.events };
     const exchange = this.#createExchange(call, {
@@ -308,7 +315,7 @@
       signal: watchdog.signal,
     });
     const result = call.route.form === AnswerForm.Events
-      ? await forwardEvents({
+      ? await this.#forwardStream(call, {
         ...exchange,
         sink: this.#createSink(call, progress, listed),
         recordProgress: () => watchdog.recordProgress(),
@@ -337,6 +344,89 @@
     return { isComplete: false, failure, lossCheck };
   }
 
+  /** Forwards the events of a stream and records when they arrive. */
+  async #forwardStream(
+    call: RoutedCall,
+    input: Parameters<typeof forwardEvents>[0],
+  ): ReturnType<typeof forwardEvents> {
+    const { id } = input.target;
+    const { clock } = this.#options.context;
+    const now = clock.readMonotonic();
+    this.#activity.recordStart(id, { service: call.service, now });
+    try {
+      return await forwardEvents({
+        ...input,
+        recordProgress: () => {
+          this.#activity.recordEvent(id, clock.readMonotonic());
+          input.recordProgress();
+        },
+      });
+    } finally {
+      this.#activity.recordEnd(id);
+    }
+  }
+
+  /**
+   * Returns what decides about an attempt whose target falls silent; undefined
+   * if no other target may resume the stream.
+   */
+  #createStallSupport(
+    call: RoutedCall,
+    input: {
+      readonly progress: CallProgress;
+      readonly listed: ListedTarget;
+    },
+  ): StallSupport | undefined {
+    const { progress, listed } = input;
+    const { context, probes, retries, targets } = this.#options;
+    const { service, route } = call;
+    const mayRepeat = route.resumable && progress.runs + 1 < route.maxAttempts;
+    if (!mayRepeat) return undefined;
+    return {
+      assess: () => {
+        const now = context.clock.readMonotonic();
+        return {
+          mayMoveOn: this.#mayMoveOn(call, { progress, now }),
+          isListed: targets.find(listed.id) !== undefined,
+          areOthersStalled: this.#activity.areOthersStalled(listed.id, {
+            service,
+            now,
+          }),
+        };
+      },
+      // A relayed connection doesn't show whether this VM's own path works.
+      probe: () =>
+        progress.relay === undefined
+          ? probes.check(listed)
+          : Promise.resolve(true),
+      reserveMove: () => {
+        retries.recordExtraAttempt(service, ExtraAttempt.Retry);
+        progress.isRetryReserved = true;
+      },
+    };
+  }
+
+  /** Whether a stream could go on at another target if its attempt ended now. */
+  #mayMoveOn(
+    call: RoutedCall,
+    input: { readonly progress: CallProgress; readonly now: MonotonicTime },
+  ): boolean {
+    const { progress, now } = input;
+    const { retries, targets } = this.#options;
+    const { service } = call;
+    if (call.deadline - now < MIN_TIME_LEFT) return false;
+    if (progress.events > 0 && !mayResume(call, progress)) return false;
+    if (!retries.covers(service, { extra: ExtraAttempt.Retry, now })) {
+      return false;
+    }
+    return targets.hasChoice({
+      service,
+      tried: progress.triedTargets,
+      ...(progress.release === undefined ? {} : { release: progress.release }),
+      ...findSharedPrefix(call.request.prompt),
+    });
+  }
+
   /**
    * Records what a failed attempt shows about a crash of its target. Resolves
    * when it is known whether there was one.
--- a/packages/gateway/entry/routed_call.ts
+++ b/packages/gateway/entry/routed_call.ts
@@ -50,6 +50,8 @@
   relay: VmId | undefined;
   /** Number of attempts that a target may have run. */
   runs = 0;
+  /** Whether the retry budget was charged for the next attempt already. */
+  isRetryReserved = false;
   /** Number of events forwarded to the caller. */
   events = 0;
   /** Id of the last forwarded event that has one; streams resume after it. */
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -85,6 +85,9 @@
   progressTimeout: 0,
 };
 
+/** What a choice depends on besides the targets, the VM and the time. */
+type ChoiceInput = Omit<PlacementInput, "now" | "dataCentre" | "turns">;
+
 /** Follows the registered targets and chooses a target for each attempt. */
 export class TargetRegistry {
   readonly #context: GatewayContext;
@@ -221,9 +224,18 @@
    * Chooses the target of an attempt that starts now; a Left if none is usable.
    * At a target that limits its requests this uses a turn of this VM.
    */
-  choose(
-    input: Omit<PlacementInput, "now" | "dataCentre" | "turns">,
-  ): Either<Refusal, Placement> {
+  choose(input: ChoiceInput): Either<Refusal, Placement> {
+    return this.#place(input).ifRight(({ target, turn }) => {
+      if (turn !== undefined) recordTurn(this.#state, target.id, turn);
+    });
+  }
+
+  /** Whether an attempt that started now would have a target. */
+  hasChoice(input: ChoiceInput): boolean {
+    return this.#place(input).isRight();
+  }
+
+  #place(input: ChoiceInput): Either<Refusal, Placement> {
     this.#dropMissing();
     const now = this.#context.clock.readMonotonic();
     const { dataCentre } = this.#context.settings;
@@ -233,8 +245,6 @@
       now,
       dataCentre,
       ...(turns === undefined ? {} : { turns }),
-    }).ifRight(({ target, turn }) => {
-      if (turn !== undefined) recordTurn(this.#state, target.id, turn);
     });
   }
 
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -42,6 +42,7 @@
 import { CrashReports } from "./features/crashes/crash_reports.ts";
 import { CustomerBudgets } from "./features/budgets/customer_budgets.ts";
 import { ConnectionRelay } from "./features/paths/connection_relay.ts";
+import { TargetProbes } from "./features/paths/target_probes.ts";
 import { TargetPaths } from "./features/paths/target_paths.ts";
 import { PeerAccess } from "./features/peers/peer_access.ts";
 import { LimitReports } from "./features/limit_reports.ts";
@@ -190,6 +191,7 @@
         crashDetector,
         streams: this.#streams,
         answerMemory,
+        probes: new TargetProbes(this.#paths),
       }),
       answerMemory,
     });
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -52,6 +52,12 @@
   ProbeResult,
   SilentAttempt,
 } from "./connection/decide_silence.ts";
+export type { StalledStream } from "./stream/decide_stalled_stream.ts";
+export {
+  computeStallTime,
+  decideStalledStream,
+  StallAction,
+} from "./stream/decide_stalled_stream.ts";
 export { decideSilence, SilenceAction } from "./connection/decide_silence.ts";
 export type {
   DutyHolder,
