Bound what targets that send without end make a VM hold and do

Cause: comments and events were forwarded without a bound, one write each, which kept the process busy; incomplete events, bodies that were being sent, and the copy of a body that was thrown away counted towards no common bound.

Change: a stream ends after 16 KiB of comments in a row, or more events than its output can have tokens; incomplete events and bodies that are being sent count in the bound for all answers, which is 32 MiB now; a failed answer is not copied.

Failing before: both tests of endless_answers_test.

--- a/packages/gateway/entry/answer_buffer.ts
+++ b/packages/gateway/entry/answer_buffer.ts
@@ -1,12 +1,13 @@
 /**
- * Buffers of answers that are delivered as a whole. Targets may send bytes
+ * Memory for what targets send: answers that are delivered as a whole, until
+ * they have been sent, and events that are not complete. Targets may send bytes
  * without end, so that each answer is bounded, and so are all together.
  */
 import type { Bytes } from "../../core/mod.ts";
 import { MAX_ANSWER_BYTES } from "../../ports/mod.ts";
 
-/** Maximum size of all answers that are buffered at the same time. */
-export const MAX_BUFFERED_BYTES: Bytes = 64 * 1_048_576;
+/** Maximum size of all that is buffered at the same time. */
+export const MAX_BUFFERED_BYTES: Bytes = 32 * 1_048_576;
 
 /** Memory that a chunk takes besides its bytes; chunks may be tiny. */
 const CHUNK_OVERHEAD: Bytes = 128;
@@ -22,7 +23,12 @@
     return true;
   }
 
-  /** Returns reserved memory. */
+  /** Counts memory that is used already, whether or not it is left. */
+  hold(bytes: Bytes): void {
+    this.#used += bytes;
+  }
+
+  /** Returns reserved or held memory. */
   release(bytes: Bytes): void {
     this.#used -= bytes;
   }
@@ -54,7 +60,40 @@
 
   /** Returns the body and the memory that it takes. Call it once. */
   close(): Buffer {
+    const body = Buffer.concat(this.#chunks);
+    this.discard();
+    return body;
+  }
+
+  /** Returns the memory of a body that is not needed. */
+  discard(): void {
+    this.#memory.release(this.#size);
+    this.#size = 0;
+    this.#chunks.length = 0;
+  }
+}
+
+/** The part of the shared memory that one stream uses. */
+export class StreamMemory {
+  readonly #memory: AnswerMemory;
+  #size: Bytes = 0;
+
+  constructor(memory: AnswerMemory) {
+    this.#memory = memory;
+  }
+
+  /** Changes the size of what is buffered; returns false if it can't grow. */
+  resize(size: Bytes): boolean {
+    const added = size - this.#size;
+    if (added > 0 && !this.#memory.reserve(added)) return false;
+    if (added < 0) this.#memory.release(-added);
+    this.#size = size;
+    return true;
+  }
+
+  /** Returns all of it. */
+  release(): void {
     this.#memory.release(this.#size);
-    return Buffer.concat(this.#chunks.splice(0));
+    this.#size = 0;
   }
 }
--- a/packages/gateway/entry/caller_exchange.ts
+++ b/packages/gateway/entry/caller_exchange.ts
@@ -230,6 +230,10 @@
       String(answer.body.length),
     ]);
     this.#isFinished = true;
+    // A caller that reads slowly keeps the body in memory until it is sent.
+    const { length } = answer.body;
+    this.#memory.hold(length);
+    this.#outgoing.once("close", () => this.#memory.release(length));
     this.#outgoing.end(answer.body);
   }
 
--- a/packages/gateway/entry/event_splitter.ts
+++ b/packages/gateway/entry/event_splitter.ts
@@ -59,6 +59,11 @@
     return this.#memory.subarray(0, newLength);
   }
 
+  /** Memory that the splitter uses, in bytes. */
+  get memoryBytes(): number {
+    return this.#memory.length;
+  }
+
   /** Number of bytes after the last complete event. */
   get remainderBytes(): number {
     return this.#remainder.length;
--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -1,7 +1,7 @@
 /** One attempt at a target: sends a request and reads the answer. */
 import type { IncomingMessage } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
-import type { Bytes, Millis, VmId } from "../../core/mod.ts";
+import type { Bytes, Millis, Tokens, VmId } from "../../core/mod.ts";
 import {
   AttemptEnd,
   type ConnectionPools,
@@ -16,7 +16,11 @@
   Dialect,
   ListedTarget,
 } from "../dialect.ts";
-import { AnswerBuffer, type AnswerMemory } from "./answer_buffer.ts";
+import {
+  AnswerBuffer,
+  type AnswerMemory,
+  StreamMemory,
+} from "./answer_buffer.ts";
 import { EventSplitter, type ServerSentEvent } from "./event_splitter.ts";
 import { findInvalidHead } from "./find_invalid_head.ts";
 
@@ -29,6 +33,12 @@
 /** Maximum size of one event of a stream. */
 const MAX_EVENT_BYTES: Bytes = 1_048_576;
 
+/** Maximum size of comments between two events that have content. */
+const MAX_COMMENT_BYTES: Bytes = 16_384;
+
+/** Number of events that a stream may have besides those of its output. */
+const MAX_EXTRA_EVENTS = 16;
+
 /** Bounds of a body that is read only to reuse its connection. */
 const MAX_DISCARDED_BYTES: Bytes = 65_536;
 const MAX_DISCARD_TIME: Millis = 1_000;
@@ -110,10 +120,9 @@
       if (excess !== undefined) incoming.destroy(new Error(excess));
     },
   });
-  const body = buffer.close();
-  return failure === undefined
-    ? Right({ head, body })
-    : Left({ ...failure, head });
+  if (failure === undefined) return Right({ head, body: buffer.close() });
+  buffer.discard();
+  return Left({ ...failure, head });
 }
 
 /**
@@ -143,6 +152,8 @@
     return Left({ end: AttemptEnd.Broken, detail: objection, head });
   }
   const splitter = new EventSplitter();
+  const bounds = new StreamBounds(input.request.prompt?.maxOutputTokens);
+  const memory = new StreamMemory(input.memory);
   // A stream may be resumed after its last event.
   let hasEvent = input.head.resumeAfter !== undefined;
   const failure = await readAnswer(incoming, {
@@ -150,6 +161,8 @@
     handleChunk: (chunk) => {
       let backpressure: Promise<void> | undefined;
       for (const event of splitter.push(chunk)) {
+        const excess = bounds.recordEvent(event);
+        if (excess !== undefined) return void incoming.destroy(Error(excess));
         hasEvent = true;
         if (event.hasContent) input.recordProgress();
         backpressure = input.sink.handleEvent(event) ?? backpressure;
@@ -157,10 +170,13 @@
       if (splitter.remainderBytes > MAX_EVENT_BYTES) {
         const bound = `an event is larger than ${MAX_EVENT_BYTES} bytes`;
         incoming.destroy(new Error(bound));
+      } else if (!memory.resize(splitter.memoryBytes)) {
+        incoming.destroy(new Error("there is no memory left for an event"));
       }
       return backpressure;
     },
   });
+  memory.release();
   if (failure !== undefined) return Left({ ...failure, head });
   const isCut = splitter.takeRemainder().length > 0;
   if (isCut || !hasEvent) {
@@ -176,6 +192,32 @@
   return Right({ head, body: Buffer.alloc(0) });
 }
 
+/** Bounds of a stream's events, which a target may send without end. */
+class StreamBounds {
+  readonly #maxEvents: number;
+  #events = 0;
+  #commentBytes: Bytes = 0;
+
+  /** An event has a token of the output, at least; without a limit any number. */
+  constructor(maxOutputTokens: Tokens | undefined) {
+    this.#maxEvents = (maxOutputTokens ?? Infinity) + MAX_EXTRA_EVENTS;
+  }
+
+  /** Records an event; returns which bound it exceeds, if it does. */
+  recordEvent({ hasContent, bytes }: ServerSentEvent): string | undefined {
+    if (!hasContent) {
+      this.#commentBytes += bytes.length;
+      return this.#commentBytes > MAX_COMMENT_BYTES
+        ? `more than ${MAX_COMMENT_BYTES} bytes of comments in a row`
+        : undefined;
+    }
+    this.#commentBytes = 0;
+    return ++this.#events > this.#maxEvents
+      ? `more than ${this.#maxEvents} events`
+      : undefined;
+  }
+}
+
 /** Whether an answer is a stream whose events can be forwarded. */
 export function isEventStream(head: AnswerHead): boolean {
   return head.status >= 200 && head.status < 300 && head.isEventStream;
--- a/packages/soak/vm_process.ts
+++ b/packages/soak/vm_process.ts
@@ -32,6 +32,8 @@
   readonly storeAddress: string;
   /** Directory for its settings file and its log. */
   readonly folder: string;
+  /** Options of Node.js for the process; none if absent. */
+  readonly nodeOptions?: readonly string[];
 }
 
 /** Ports on which a VM's process listens. */
@@ -73,6 +75,11 @@
     return this.#ports?.callers;
   }
 
+  /** Id of the process; undefined while none is running. */
+  get processId(): number | undefined {
+    return this.#child?.pid;
+  }
+
   get isRunning(): boolean {
     return this.#child !== undefined;
   }
@@ -83,7 +90,13 @@
     this.incarnation++;
     const child = spawn(
       process.execPath,
-      [PROGRAM, "gateway", "--settings", this.#settingsPath],
+      [
+        ...this.#options.nodeOptions ?? [],
+        PROGRAM,
+        "gateway",
+        "--settings",
+        this.#settingsPath,
+      ],
       { stdio: ["ignore", "pipe", "pipe"] },
     );
     child.stdout.pipe(this.#log, { end: false });
