Forward a limited number of events of a stream in a turn

Sound requests waited past their 3 s beside streams without end whose requests state no size (four of 30 in endless_answers_test, its new case), since a chunk of 64 KiB has thousands of events and each is a write.

Change: after 64 events of one stream the others get a turn. The test uses the soak's process and the stand-in of callers.

--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -39,6 +39,9 @@
 /** Number of events that a stream may have besides those of its output. */
 const MAX_EXTRA_EVENTS = 16;
 
+/** Number of events of one stream that are forwarded in one turn. */
+const MAX_EVENTS_PER_TURN = 64;
+
 /** Bounds of a body that is read only to reuse its connection. */
 const MAX_DISCARDED_BYTES: Bytes = 65_536;
 const MAX_DISCARD_TIME: Millis = 1_000;
@@ -159,21 +162,24 @@
   const failure = await readAnswer(incoming, {
     signal: input.signal,
     handleChunk: (chunk) => {
-      let backpressure: Promise<void> | undefined;
-      for (const event of splitter.push(chunk)) {
-        const excess = bounds.recordEvent(event);
-        if (excess !== undefined) return void incoming.destroy(Error(excess));
-        hasEvent = true;
-        if (event.hasContent) input.recordProgress();
-        backpressure = input.sink.handleEvent(event) ?? backpressure;
-      }
+      const events = splitter.push(chunk);
+      const forwarding = forwardInTurns(events, {
+        isEnded: () => incoming.destroyed,
+        forward: (event) => {
+          const excess = bounds.recordEvent(event);
+          if (excess !== undefined) return void incoming.destroy(Error(excess));
+          hasEvent = true;
+          if (event.hasContent) input.recordProgress();
+          return input.sink.handleEvent(event);
+        },
+      });
       if (splitter.remainderBytes > MAX_EVENT_BYTES) {
         const bound = `an event is larger than ${MAX_EVENT_BYTES} bytes`;
         incoming.destroy(new Error(bound));
       } else if (!memory.resize(splitter.memoryBytes)) {
         incoming.destroy(new Error("there is no memory left for an event"));
       }
-      return backpressure;
+      return forwarding;
     },
   });
   memory.release();
@@ -218,6 +224,30 @@
   }
 }
 
+/**
+ * Forwards events, a limited number in each turn of the event loop, so that a
+ * target that sends very many doesn't hold up other requests. Returns a promise
+ * if reading should pause.
+ */
+function forwardInTurns(
+  events: readonly ServerSentEvent[],
+  input: {
+    /** Whether the answer has ended, after which nothing is forwarded. */
+    isEnded(): boolean;
+    forward(event: ServerSentEvent): Promise<void> | undefined;
+  },
+): Promise<void> | undefined {
+  let backpressure: Promise<void> | undefined;
+  for (const event of events.slice(0, MAX_EVENTS_PER_TURN)) {
+    if (input.isEnded()) return undefined;
+    backpressure = input.forward(event) ?? backpressure;
+  }
+  if (events.length <= MAX_EVENTS_PER_TURN) return backpressure;
+  const rest = events.slice(MAX_EVENTS_PER_TURN);
+  const pause = backpressure ?? new Promise<void>((done) => setImmediate(done));
+  return pause.then(() => forwardInTurns(rest, input));
+}
+
 /** Whether an answer is a stream whose events can be forwarded. */
 export function isEventStream(head: AnswerHead): boolean {
   return head.status >= 200 && head.status < 300 && head.isEventStream;
@@ -364,7 +394,10 @@
       }
       if (backpressure === undefined) return;
       incoming.pause();
-      void backpressure.then(() => incoming.resume());
+      backpressure.then(
+        () => incoming.resume(),
+        (error) => incoming.destroy(error),
+      );
     });
     incoming.on("error", (error) => (detail = describeError(error)));
     incoming.on("end", () => {
--- a/packages/soak/endless_answers_test.ts
+++ b/packages/soak/endless_answers_test.ts
@@ -8,10 +8,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
 import {
-  CALLER_HOST,
+  callGateway,
   createTrialConfiguration,
+  formatRawHead,
+  type GatewayAnswer,
   RawTarget,
-  sendCall,
   StoreServer,
   TargetServer,
 } from "../../platform/stand_ins/mod.ts";
@@ -41,10 +42,14 @@
 ] as const;
 const ENDLESS_BODIES = [["\r\n", "no answer "]] as const;
 
+/** A VM and calls of it. */
 interface System {
   readonly vm: VmProcess;
-  /** Targets of a sound service, by the path that leads to it. */
-  call(path: string, id: string): Promise<{ readonly status: number }>;
+  /** Sends a call; one without prompt tokens states no size. */
+  call(
+    id: string,
+    input: { readonly route: string; readonly promptTokens?: number },
+  ): Promise<GatewayAnswer>;
 }
 
 /** Starts a VM, with endless targets for one service and sound ones for another. */
@@ -62,10 +67,7 @@
   let number = 0;
   const target = await RawTarget.start((socket, id, raw) => {
     const [head, text] = answers[number++ % answers.length]!;
-    socket.write(
-      `HTTP/1.1 200 OK\r\nAnvilrail-Request-Id: ${id}\r\n` +
-        `Anvilrail-Replica-Seal: raw.${id}\r\n${head}`,
-    );
+    socket.write(`${formatRawHead(id)}${head}`);
     raw.writeWithoutEnd(socket, text);
   });
   const soundTarget = await TargetServer.start(`${sound}-1`);
@@ -98,26 +100,14 @@
   await sleep(1_000);
   return {
     vm,
-    call: (path, id) =>
-      sendCall({
+    call: (id, input) =>
+      callGateway({
+        ...input,
+        id,
         port: vm.callerPort!,
-        path,
-        method: "POST",
-        body: "prompt",
+        key: KEY,
         timeoutMillis: TIMEOUT_MILLIS,
-        headers: {
-          Host: CALLER_HOST,
-          "Anvilrail-Request-Id": id,
-          "Anvilrail-Deadline-Ms": String(TIMEOUT_MILLIS),
-          Authorization: `Bearer ${KEY}`,
-          ...(path === "/chat/" || path === "/brief/"
-            ? {
-              "Anvilrail-Token-Usage": "100,40",
-              "Anvilrail-Prompt-Prefix": "a1:60,b2:40",
-            }
-            : {}),
-        },
-      }).catch(() => ({ status: 0 })),
+      }),
   };
 }
 
@@ -130,34 +120,36 @@
 const CASES = [
   {
     what: "streams",
-    endless: "llm",
-    sound: "app",
-    answers: ENDLESS_STREAMS,
-    endlessPath: "/chat/",
-    soundPath: "/book/",
+    services: { endless: "llm", sound: "app", answers: ENDLESS_STREAMS },
+    endlessCall: { route: "chat", promptTokens: 100 },
+    soundCall: { route: "book" },
+  },
+  {
+    what: "streams of requests that state no size",
+    services: { endless: "llm", sound: "app", answers: ENDLESS_STREAMS },
+    endlessCall: { route: "chat" },
+    soundCall: { route: "book" },
   },
   {
     what: "bodies",
-    endless: "app",
-    sound: "llm",
-    answers: ENDLESS_BODIES,
-    endlessPath: "/book/",
-    soundPath: "/brief/",
+    services: { endless: "app", sound: "llm", answers: ENDLESS_BODIES },
+    endlessCall: { route: "book" },
+    soundCall: { route: "brief", promptTokens: 100 },
   },
 ];
 
 // Guards against a process that runs out of memory, or is kept busy, by what a
 // faulty target sends, so that requests at sound targets end with it.
-for (const { what, endlessPath, soundPath, ...services } of CASES) {
+for (const { what, services, endlessCall, soundCall } of CASES) {
   test.serial(`${what} without end leave the memory of the VM and the requests of others alone`, async (t) => {
     const { vm, call } = await startSystem(t, services);
     const endless = Array.from(
       { length: ENDLESS_REQUESTS },
-      (_, index) => call(endlessPath, `endless-${index}`),
+      (_, index) => call(`endless-${index}`, endlessCall),
     );
-    const sound: Promise<{ readonly status: number }>[] = [];
+    const sound: Promise<GatewayAnswer>[] = [];
     for (let index = 0; index < SOUND_REQUESTS; index++) {
-      sound.push(call(soundPath, `sound-${index}`));
+      sound.push(call(`sound-${index}`, soundCall));
       await sleep(SOUND_INTERVAL_MILLIS);
     }
     const statuses = (await Promise.all(sound)).map(({ status }) => status);
