--- a/packages/ports/http_targets.ts
+++ b/packages/ports/http_targets.ts
@@ -258,13 +258,19 @@
   }
 }
 
+/** Lowest status of a final answer; those below announce another one. */
+const MIN_FINAL_STATUS = 200;
+
 /**
  * Classifies an HTTP status. With 429 or 503 the target states that it did not
- * run the request. After any other status from 500 up, it may have run.
+ * run the request. After any other status from 500 up, or one that no final
+ * answer has, it may have run.
  */
 function classifyStatus(status: number): AttemptEnd {
   if (status === 429 || status === 503) return AttemptEnd.Refused;
-  return status >= 500 ? AttemptEnd.Broken : AttemptEnd.Complete;
+  return status >= 500 || status < MIN_FINAL_STATUS
+    ? AttemptEnd.Broken
+    : AttemptEnd.Complete;
 }
 
 async function readError(
