--- a/packages/gateway/features/budgets/run_budget_operation.ts
+++ b/packages/gateway/features/budgets/run_budget_operation.ts
@@ -27,6 +27,14 @@
 import { readStoreTime } from "../read_store_time.ts";
 import type { BudgetState } from "./budget_state.ts";
 
+/** A budget and the rows of one transaction, its own among them. */
+interface BudgetRows {
+  readonly budget: BudgetState;
+  /** Key of the budget's row. */
+  readonly key: string;
+  readonly rows: RowView;
+}
+
 /**
  * Queues an operation on a budget's row and resolves with its result, as the
  * row's writer does. Records the row as it is after the operation.
@@ -71,14 +79,8 @@
   };
 }
 
-function mergeRows(
-  context: GatewayContext,
-  input: {
-    readonly budget: BudgetState;
-    readonly key: string;
-    readonly rows: RowView;
-  },
-): RowView {
+/** Returns the rows with what this VM knows merged into the budget's row. */
+function mergeRows(context: GatewayContext, input: BudgetRows): RowView {
   const { budget, key, rows } = input;
   const { known } = budget;
   const row = rows.get(key);
@@ -107,14 +109,8 @@
   return { key, value: changed as unknown as JsonValue };
 }
 
-function recordRow(
-  context: GatewayContext,
-  input: {
-    readonly budget: BudgetState;
-    readonly key: string;
-    readonly rows: RowView;
-  },
-): void {
+/** Records what this VM knows of the budget's row after an operation. */
+function recordRow(context: GatewayContext, input: BudgetRows): void {
   const { budget, key, rows } = input;
   const { known } = budget;
   const row = rows.get(key);
