Record what a merge of a budget row includes in one place

Both ways of merging set the fields of the restore, and the caller set them again. The behaviour stays; the tests of merges and restores pass.

--- a/packages/budget/restore/merge_known_row.ts
+++ b/packages/budget/restore/merge_known_row.ts
@@ -75,17 +75,19 @@
   const marked = row.era === era ? row : markRow(row, { ...input, era });
   if (known === undefined) return marked;
   if (known.version <= (marked.restored?.version ?? 0)) return marked;
-  const merged = parseBudgetRow(known.value).map((value) =>
-    marked.restored?.isOnlyMerged === true
-      ? replaceRow(marked, value)
-      : addMissing(marked, value)
-  ).orDefault(marked);
-  const restored = {
-    ...merged.restored,
-    version: known.version,
-    closed: Math.max(marked.restored?.closed ?? 0, merged.restored!.closed),
+  const later = parseBudgetRow(known.value).toMaybe().extract();
+  if (later === undefined) return marked;
+  const isOnlyMerged = marked.restored?.isOnlyMerged === true;
+  return {
+    ...(isOnlyMerged ? later : addMissing(marked, later)),
+    limit: Math.max(marked.limit, later.limit),
+    era,
+    restored: {
+      ...marked.restored,
+      version: known.version,
+      closed: Math.max(marked.restored?.closed ?? 0, later.closed),
+    },
   };
-  return { ...merged, restored };
 }
 
 /** Records that a row was changed otherwise than by merges, if it is recorded. */
@@ -111,16 +113,6 @@
   return { ...row, era, restored };
 }
 
-/** Returns a later value of a row that was not changed since the restore. */
-function replaceRow(row: BudgetRow, known: BudgetRow): BudgetRow {
-  return {
-    ...known,
-    era: row.era,
-    limit: Math.max(row.limit, known.limit),
-    restored: { ...row.restored!, closed: known.closed },
-  };
-}
-
 /** Adds what a later value has to a row that was changed since the restore. */
 function addMissing(row: BudgetRow, known: BudgetRow): BudgetRow {
   const base = row.restored?.closed ?? 0;
@@ -141,14 +133,12 @@
   }
   return {
     ...row,
-    limit: Math.max(row.limit, known.limit),
     closed,
     grants,
     ...(known.loans === undefined && row.loans === undefined
       ? {}
       : { loans: { ...known.loans, ...row.loans } }),
     ...(writtenOff === 0 ? {} : { writtenOff, writeOffs }),
-    restored: { ...row.restored!, closed: known.closed },
   };
 }
 
