--- a/packages/gateway/entry/find_invalid_head.ts
+++ b/packages/gateway/entry/find_invalid_head.ts
@@ -3,11 +3,9 @@
  * than HTTP allows, and its writers throw on it.
  */
 import { validateHeaderName, validateHeaderValue } from "node:http";
+import { MIN_FINAL_STATUS } from "../../ports/mod.ts";
 import type { HeaderList } from "../dialect.ts";
 
-/** Lowest status of a final answer; those below announce another one. */
-const MIN_FINAL_STATUS = 200;
-
 /** Returns why headers aren't valid in HTTP, or undefined if they are. */
 export function findInvalidHeader(headers: HeaderList): string | undefined {
   for (let index = 0; index + 1 < headers.length; index += 2) {
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -27,6 +27,9 @@
 /** Maximum number of heads with status 1xx before an answer. */
 const MAX_INTERIM_HEADS = 16;
 
+/** Lowest status of a final answer; those below announce another one. */
+export const MIN_FINAL_STATUS = 200;
+
 /** One request and its limits. */
 export interface HttpRequest {
   readonly method: string;
--- a/packages/ports/http_targets.ts
+++ b/packages/ports/http_targets.ts
@@ -15,6 +15,7 @@
   describeError,
   type HttpFailure,
   MAX_ANSWER_BYTES,
+  MIN_FINAL_STATUS,
   sendJsonRequest,
   sendRequest,
   startExchange,
@@ -258,9 +259,6 @@
   }
 }
 
-/** Lowest status of a final answer; those below announce another one. */
-const MIN_FINAL_STATUS = 200;
-
 /**
  * Classifies an HTTP status. With 429 or 503 the target states that it did not
  * run the request. After any other status from 500 up, or one that no final
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -40,6 +40,7 @@
 export {
   describeError,
   MAX_ANSWER_BYTES,
+  MIN_FINAL_STATUS,
   sendJsonRequest,
   sendRequest,
   startExchange,
