--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -1,7 +1,7 @@
 /** One attempt at a target: sends a request and reads the answer. */
 import type { IncomingMessage } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
-import type { Bytes, Millis, Tokens, VmId } from "../../core/mod.ts";
+import type { Bytes, Millis, VmId } from "../../core/mod.ts";
 import {
   AttemptEnd,
   type ConnectionPools,
@@ -23,6 +23,7 @@
 } from "./answer_buffer.ts";
 import { EventSplitter, type ServerSentEvent } from "./event_splitter.ts";
 import { findInvalidHead } from "./find_invalid_head.ts";
+import { forwardInTurns, StreamBounds } from "./stream_bounds.ts";
 
 /**
  * Connect timeout: long enough for some round trips or one retransmission, and
@@ -33,15 +34,6 @@
 /** Maximum size of one event of a stream. */
 const MAX_EVENT_BYTES: Bytes = 1_048_576;
 
-/** Maximum size of comments between two events that have content. */
-const MAX_COMMENT_BYTES: Bytes = 16_384;
-
-/** Number of events that a stream may have besides those of its output. */
-const MAX_EXTRA_EVENTS = 16;
-
-/** Number of events of one stream that are forwarded in one turn. */
-const MAX_EVENTS_PER_TURN = 64;
-
 /** Bounds of a body that is read only to reuse its connection. */
 const MAX_DISCARDED_BYTES: Bytes = 65_536;
 const MAX_DISCARD_TIME: Millis = 1_000;
@@ -198,56 +190,6 @@
   return Right({ head, body: Buffer.alloc(0) });
 }
 
-/** Bounds of a stream's events, which a target may send without end. */
-class StreamBounds {
-  readonly #maxEvents: number;
-  #events = 0;
-  #commentBytes: Bytes = 0;
-
-  /** An event has a token of the output, at least; without a limit any number. */
-  constructor(maxOutputTokens: Tokens | undefined) {
-    this.#maxEvents = (maxOutputTokens ?? Infinity) + MAX_EXTRA_EVENTS;
-  }
-
-  /** Records an event; returns which bound it exceeds, if it does. */
-  recordEvent({ hasContent, bytes }: ServerSentEvent): string | undefined {
-    if (!hasContent) {
-      this.#commentBytes += bytes.length;
-      return this.#commentBytes > MAX_COMMENT_BYTES
-        ? `more than ${MAX_COMMENT_BYTES} bytes of comments in a row`
-        : undefined;
-    }
-    this.#commentBytes = 0;
-    return ++this.#events > this.#maxEvents
-      ? `more than ${this.#maxEvents} events`
-      : undefined;
-  }
-}
-
-/**
- * Forwards events, a limited number in each turn of the event loop, so that a
- * target that sends very many doesn't hold up other requests. Returns a promise
- * if reading should pause.
- */
-function forwardInTurns(
-  events: readonly ServerSentEvent[],
-  input: {
-    /** Whether the answer has ended, after which nothing is forwarded. */
-    isEnded(): boolean;
-    forward(event: ServerSentEvent): Promise<void> | undefined;
-  },
-): Promise<void> | undefined {
-  let backpressure: Promise<void> | undefined;
-  for (const event of events.slice(0, MAX_EVENTS_PER_TURN)) {
-    if (input.isEnded()) return undefined;
-    backpressure = input.forward(event) ?? backpressure;
-  }
-  if (events.length <= MAX_EVENTS_PER_TURN) return backpressure;
-  const rest = events.slice(MAX_EVENTS_PER_TURN);
-  const pause = backpressure ?? new Promise<void>((done) => setImmediate(done));
-  return pause.then(() => forwardInTurns(rest, input));
-}
-
 /** Whether an answer is a stream whose events can be forwarded. */
 export function isEventStream(head: AnswerHead): boolean {
   return head.status >= 200 && head.status < 300 && head.isEventStream;
