Share the probes of targets between crashes and stalled streams

Both kept one running probe for each target with the same time limit. A crash is still recorded once: the watch of crashes reports it to the first who asks.

--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -14,7 +14,11 @@
   type TargetConfig,
   type Tokens,
 } from "../../core/mod.ts";
-import { AttemptEnd, type ConnectionPools } from "../../ports/mod.ts";
+import {
+  AttemptEnd,
+  type ConnectionPools,
+  ConnectionProbe,
+} from "../../ports/mod.ts";
 import {
   ExtraAttempt,
   hasReachedTarget,
@@ -395,10 +399,9 @@
         };
       },
       // A relayed connection doesn't show whether this VM's own path works.
-      probe: () =>
-        progress.relay === undefined
-          ? probes.check(listed)
-          : Promise.resolve(true),
+      probe: async () =>
+        progress.relay !== undefined ||
+        await probes.check(listed) === ConnectionProbe.Accepted,
       reserveMove: () => {
         retries.recordExtraAttempt(service, ExtraAttempt.Retry);
         progress.isRetryReserved = true;
--- a/packages/gateway/features/crashes/crash_detector.ts
+++ b/packages/gateway/features/crashes/crash_detector.ts
@@ -3,7 +3,7 @@
  * first event of an answer, it probes whether the target still accepts
  * connections, and reports the parts of the prompts that a crash ended.
  */
-import type { Millis, TargetId } from "../../../core/mod.ts";
+import type { TargetId } from "../../../core/mod.ts";
 import { ConnectionProbe } from "../../../ports/mod.ts";
 import {
   CrashWatch,
@@ -13,13 +13,10 @@
 import { LogEvent } from "../../../runtime/mod.ts";
 import type { ListedTarget } from "../../dialect.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
-import type { TargetPaths } from "../paths/target_paths.ts";
+import type { TargetProbes } from "../paths/target_probes.ts";
 import type { CrashReports } from "./crash_reports.ts";
 import type { SuspectKeys } from "./suspect_keys.ts";
 
-/** Time limit of a probe: some round trips between regions. */
-const PROBE_TIMEOUT: Millis = 300;
-
 /** What shows that a lost connection was a crash, as logged. */
 enum CrashProof {
   /** The target's machine refused a connection. */
@@ -34,17 +31,16 @@
 export class CrashDetector {
   readonly #context: GatewayContext;
   readonly #reports: CrashReports;
-  readonly #paths: TargetPaths;
+  readonly #probes: TargetProbes;
   readonly #watch = new CrashWatch();
-  readonly #probes = new Map<TargetId, Promise<void>>();
 
   constructor(
     context: GatewayContext,
-    options: { readonly reports: CrashReports; readonly paths: TargetPaths },
+    options: { readonly reports: CrashReports; readonly probes: TargetProbes },
   ) {
     this.#context = context;
     this.#reports = options.reports;
-    this.#paths = options.paths;
+    this.#probes = options.probes;
   }
 
   /**
@@ -65,9 +61,8 @@
       now: this.#context.clock.readMonotonic(),
     });
     if (crash !== undefined) return this.#report(crash, CrashProof.Earlier);
-    const probe = this.#probes.get(target.id) ?? this.#probe(target);
-    this.#probes.set(target.id, probe);
-    await probe;
+    const result = await this.#probes.check(target);
+    if (result === ConnectionProbe.Refused) this.recordRefused(target.id);
   }
 
   /** Records that a target's machine refused the connection of an attempt. */
@@ -83,13 +78,6 @@
     this.#report(crash, CrashProof.Restarted);
   }
 
-  async #probe({ id, host, port }: ListedTarget): Promise<void> {
-    const timeout = PROBE_TIMEOUT;
-    const result = await this.#paths.check({ host, port, timeout });
-    this.#probes.delete(id);
-    if (result === ConnectionProbe.Refused) this.recordRefused(id);
-  }
-
   #report(crash: ObservedCrash | undefined, proof: CrashProof): void {
     if (crash === undefined) return;
     const { target, incarnation, at, attempts } = crash;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -160,9 +160,10 @@
       targets: this.#targets,
       countVms: () => this.#budgets.countVms(),
     });
+    const probes = new TargetProbes(this.#paths);
     const crashDetector = new CrashDetector(context, {
       reports: this.#crashReports,
-      paths: this.#paths,
+      probes,
     });
     const answerMemory = new AnswerMemory();
     const countVms = () => this.#budgets.countVms();
@@ -191,7 +192,7 @@
         crashDetector,
         streams: this.#streams,
         answerMemory,
-        probes: new TargetProbes(this.#paths),
+        probes,
       }),
       answerMemory,
     });
