Back off and log while a table is only read in old versions

What was seen: in a drill in which a feed's history is dropped and reads lag by seconds, a VM reads each table whole again after the pause between two calls of the feed, without a line in its log.

Cause: an answer that is older than what is known was ignored and then counted as a success, so that neither the backoff nor the log line of a failure applied.

Change: such an answer is a failure of the feed with its own reason.

--- a/packages/gateway/features/feed_follower.ts
+++ b/packages/gateway/features/feed_follower.ts
@@ -8,10 +8,16 @@
   type Millis,
   type MonotonicTime,
   type PlatformError,
+  PlatformErrorKind,
   readEra,
   type Undo,
 } from "../../core/mod.ts";
-import type { FeedPage, FeedPort, FeedRow } from "../../ports/mod.ts";
+import {
+  createPlatformError,
+  type FeedPage,
+  type FeedPort,
+  type FeedRow,
+} from "../../ports/mod.ts";
 import {
   createErrorReporter,
   LogEvent,
@@ -202,9 +208,11 @@
     answer.caseOf({
       Left: (error) => this.#recordFailure(error),
       Right: (page) => {
-        this.#recordSuccess();
         // An answer from before the known version would restore old rows.
-        if (page.version < this.#highestVersion) return;
+        if (page.version < this.#highestVersion) {
+          return this.#recordFailure(createLaggingError());
+        }
+        this.#recordSuccess();
         this.#logRestore(page.version);
         this.#recordCurrent(page, sentAt);
         const present = new Set(page.rows.map((row) => row.key));
@@ -280,3 +288,10 @@
     this.#failingSince = undefined;
   }
 }
+
+function createLaggingError(): PlatformError {
+  return createPlatformError(
+    PlatformErrorKind.BadAnswer,
+    "the table was read at a version from before the feed's history",
+  );
+}
--- a/packages/gateway/features/feed_follower_test.ts
+++ b/packages/gateway/features/feed_follower_test.ts
@@ -132,6 +132,18 @@
   }
 });
 
+test("a table that is only read in old versions is read less and less often", async (t) => {
+  const feed = new FakeFeed();
+  startFollower(t, feed);
+  await waitFor(() => feed.waits.length >= 1);
+  feed.answerFollow = () => Promise.resolve(Right({ historyLost: true }));
+  feed.answerLoad = () => Promise.resolve(Right(createPage(4, 1)));
+  await waitFor(() => feed.loads >= 2);
+  feed.loads = 0;
+  await sleep(3 * WAIT);
+  t.true(feed.loads <= 6, `${feed.loads} loads`);
+});
+
 test("a call after a failure is held only briefly", async (t) => {
   const feed = new FakeFeed();
   const follower = new FeedFollower(
