Wait for the holders of a budget before tokens are taken from a restored row

What callers saw: more tokens than were prepaid.

Cause: takes from a restored row waited for a fixed time of 2 s. A VM that the store did not reach, or that was late, in that time merged what it had taken after others had taken the same tokens again.

Class: a time limit in place of the knowledge that it was set for.

Change: the restored row names the VMs that held grants, by the copy and by what others know, and which of them have merged. Tokens are taken once all have, at least 2 s and at most 10 s after the first write; a holder that is missing then is taken for lost. A VM that has restarted knows nothing more and counts as merged. Only holders write, once for each row, so a calm store pays nothing.

--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -119,6 +119,7 @@
 export {
   isRestoring,
   isRowMerged,
+  MAX_RESTORE_PAUSE,
   mergeKnownRow,
   recordChange,
   RESTORE_PAUSE,
--- a/packages/budget/restore/merge_known_row.ts
+++ b/packages/budget/restore/merge_known_row.ts
@@ -18,6 +18,7 @@
   type Row,
   type StoreTime,
   type Tokens,
+  type VmId,
 } from "../../core/mod.ts";
 import {
   type BudgetRow,
@@ -26,16 +27,24 @@
 } from "../rows/budget_row.ts";
 
 /**
- * Time from the first write after a restore until tokens are taken from the row
- * again. The VMs that know of newer values write them in that time.
+ * Minimum time from the first write after a restore until tokens are taken from
+ * the row again. The VMs that know of newer values write them in that time.
  */
 export const RESTORE_PAUSE: Millis = 2_000;
 
+/**
+ * Time after which holders that have not merged what they know are taken for
+ * lost, and tokens are taken without them.
+ */
+export const MAX_RESTORE_PAUSE: Millis = 10_000;
+
 /** A row's value at a version, as a VM has read or written it. */
 export type KnownRow = Pick<Row, "version" | "value">;
 
 /** What a merge depends on besides the row. */
 export interface MergeInput {
+  /** The VM that merges. */
+  readonly vm: VmId;
   /** Version of the row as read. */
   readonly version: number;
   /** The latest value that this VM knows, if any. */
@@ -45,7 +54,9 @@
 
 /** Whether a restore is so recent that no tokens may be taken from a row. */
 export function isRestoring(row: BudgetRow, now: StoreTime): boolean {
-  return now < (row.restored?.at ?? -Infinity) + RESTORE_PAUSE;
+  const { at = -Infinity, holders = {} } = row.restored ?? {};
+  const isComplete = Object.values(holders).every((hasMerged) => hasMerged);
+  return now < at + (isComplete ? RESTORE_PAUSE : MAX_RESTORE_PAUSE);
 }
 
 /**
@@ -54,14 +65,15 @@
  */
 export function isRowMerged(
   value: JsonValue | undefined,
-  input: Pick<MergeInput, "version" | "known">,
+  input: Pick<MergeInput, "vm" | "version" | "known">,
 ): boolean {
   const era = readEra(input.version);
   if (era === 0) return true;
   if (input.known !== undefined && readEra(input.known.version) < era) {
     return false;
   }
-  return (value as { era?: JsonValue } | undefined)?.era === era;
+  const row = value as Pick<BudgetRow, "era" | "restored"> | undefined;
+  return row?.era === era && row.restored?.holders?.[input.vm] !== false;
 }
 
 /**
@@ -70,26 +82,65 @@
  */
 export function mergeKnownRow(row: BudgetRow, input: MergeInput): BudgetRow {
   const { version, known } = input;
-  if (isRowMerged({ era: row.era ?? 0 }, input)) return row;
+  if (isRowMerged({ ...row, era: row.era ?? 0 }, input)) return row;
   const era = readEra(version);
   const marked = row.era === era ? row : markRow(row, { ...input, era });
-  if (known === undefined) return marked;
-  if (known.version <= (marked.restored?.version ?? 0)) return marked;
-  const later = parseBudgetRow(known.value).toMaybe().extract();
-  if (later === undefined) return marked;
-  const isOnlyMerged = marked.restored?.isOnlyMerged === true;
+  const later = known === undefined
+    ? undefined
+    : parseBudgetRow(known.value).toMaybe().extract();
+  const merged = known === undefined || later === undefined ||
+      known.version <= (marked.restored?.version ?? 0)
+    ? marked
+    : addLater(marked, { later, version: known.version, era });
+  return recordMerge(merged, { vm: input.vm, later });
+}
+
+/** Adds a later value of the eras before a restore to a row. */
+function addLater(
+  row: BudgetRow,
+  input: {
+    readonly later: BudgetRow;
+    readonly version: number;
+    readonly era: number;
+  },
+): BudgetRow {
+  const { later, version, era } = input;
+  const isOnlyMerged = row.restored?.isOnlyMerged === true;
   return {
-    ...(isOnlyMerged ? later : addMissing(marked, later)),
-    limit: Math.max(marked.limit, later.limit),
+    ...(isOnlyMerged ? later : addMissing(row, later)),
+    limit: Math.max(row.limit, later.limit),
     era,
     restored: {
-      ...marked.restored,
-      version: known.version,
-      closed: Math.max(marked.restored?.closed ?? 0, later.closed),
+      ...row.restored,
+      version,
+      closed: Math.max(row.restored?.closed ?? 0, later.closed),
     },
   };
 }
 
+/**
+ * Records that a VM has merged what it knows, which is nothing if it has
+ * restarted, and who else held grants. Only holders can know of tokens that no
+ * other VM knows to be taken.
+ */
+function recordMerge(
+  row: BudgetRow,
+  input: { readonly vm: VmId; readonly later: BudgetRow | undefined },
+): BudgetRow {
+  const { restored } = row;
+  if (restored?.at === undefined) return row;
+  const { vm, later } = input;
+  const holders = { ...listHolders(later), ...restored.holders };
+  if (holders[vm] === false) holders[vm] = true;
+  return { ...row, restored: { ...restored, holders } };
+}
+
+/** Returns the VMs that hold grants in a row, none of which has merged. */
+function listHolders(row: BudgetRow | undefined): Record<VmId, boolean> {
+  const vms = Object.values(row?.grants ?? {}).map((grant) => grant.vm);
+  return Object.fromEntries(vms.map((vm) => [vm, false]));
+}
+
 /** Records that a row was changed otherwise than by merges, if it is recorded. */
 export function recordChange(row: BudgetRow): BudgetRow {
   if (row.restored?.isOnlyMerged !== true) return row;
@@ -108,7 +159,9 @@
   const restored = {
     version: createStoreVersion(era - 1, readStoreNumber(version)),
     closed: row.closed,
-    ...(isRestored ? { at: now, isOnlyMerged: true } : {}),
+    ...(isRestored
+      ? { at: now, isOnlyMerged: true, holders: listHolders(row) }
+      : {}),
   };
   return { ...row, era, restored };
 }
--- a/packages/budget/restore/merge_known_row_test.ts
+++ b/packages/budget/restore/merge_known_row_test.ts
@@ -15,6 +15,7 @@
   createGrantExchange,
   isRestoring,
   type KnownRow,
+  MAX_RESTORE_PAUSE,
   mergeKnownRow,
   parseBudgetRow,
   recordChange,
@@ -73,6 +74,7 @@
   run<Result>(vm: Vm, operation?: RowOperation<Result>): Result | undefined {
     const { version } = this.#row;
     const merged = mergeKnownRow(this.read(), {
+      vm: vm.name,
       version,
       known: vm.known,
       now: 0,
@@ -217,22 +219,54 @@
 test("tokens are taken again some time after the first write since a restore", (t) => {
   const row = { ...createBudgetRow(LIMIT), era: 1 };
   const version = createStoreVersion(2, 7);
-  const merged = mergeKnownRow(row, { version, known: undefined, now: 5_000 });
+  const merged = mergeKnownRow(row, {
+    vm: "v0",
+    version,
+    known: undefined,
+    now: 5_000,
+  });
   t.is(merged.era, 2);
   t.true(isRestoring(merged, 5_000 + RESTORE_PAUSE - 1));
   t.false(isRestoring(merged, 5_000 + RESTORE_PAUSE));
 });
 
+test("tokens are taken again once all holders have merged, or are taken for lost", (t) => {
+  const budget = new RestorableBudget();
+  const [first, second, third] = budget.vms;
+  budget.take(first!, 100);
+  budget.copy();
+  budget.take(second!, 200);
+  budget.restore();
+  budget.run(third!);
+  const isOver = (now: number) => !isRestoring(budget.read(), now);
+  t.false(isOver(RESTORE_PAUSE));
+  t.true(isOver(MAX_RESTORE_PAUSE));
+  budget.run(second!);
+  t.false(isOver(RESTORE_PAUSE));
+  // A VM that has restarted knows of no earlier value.
+  delete first!.known;
+  budget.run(first!);
+  t.true(isOver(RESTORE_PAUSE));
+  t.false(isOver(RESTORE_PAUSE - 1));
+  budget.take(third!, 50);
+  t.true(isOver(RESTORE_PAUSE));
+});
+
 test("a row of a store that counts no restores stays as it is", (t) => {
   const row = createBudgetRow(LIMIT);
   const known = { version: 3, value: { ...row, closed: 7 } };
-  t.is(mergeKnownRow(row, { version: 9, known, now: 0 }), row);
+  t.is(mergeKnownRow(row, { vm: "v0", version: 9, known, now: 0 }), row);
 });
 
 test("a row is not in restore because a store begins to count", (t) => {
   const row = createBudgetRow(LIMIT);
   const version = createStoreVersion(1, 9);
-  const merged = mergeKnownRow(row, { version, known: undefined, now: 0 });
+  const merged = mergeKnownRow(row, {
+    vm: "v0",
+    version,
+    known: undefined,
+    now: 0,
+  });
   t.is(merged.era, 1);
   t.false(isRestoring(merged, 0));
 });
--- a/packages/budget/rows/budget_row.ts
+++ b/packages/budget/rows/budget_row.ts
@@ -82,6 +82,8 @@
     at: z.number().optional(),
     /** True until the row is changed otherwise than by merges. */
     isOnlyMerged: z.boolean().optional(),
+    /** VMs that held grants before the restore, and whether they have merged. */
+    holders: z.record(z.string(), z.boolean()).optional(),
   }).optional(),
 });
 
--- a/packages/gateway/features/budgets/run_budget_operation.ts
+++ b/packages/gateway/features/budgets/run_budget_operation.ts
@@ -83,13 +83,14 @@
 function mergeRows(context: GatewayContext, input: BudgetRows): RowView {
   const { budget, key, rows } = input;
   const { known } = budget;
+  const { vm } = context;
   const row = rows.get(key);
   // A row that the copy didn't have yet.
   const isMissing = row === undefined && known !== undefined;
   const version = isMissing
     ? createStoreVersion(context.dialect.table.readEra?.() ?? 0, 0)
     : row?.version ?? 0;
-  if (isRowMerged(row?.value, { version, known })) return rows;
+  if (isRowMerged(row?.value, { vm, version, known })) return rows;
   const before = row === undefined
     ? createBudgetRow(budget.prepaid)
     : parseBudgetRow(row.value).toMaybe().extract();
@@ -97,7 +98,7 @@
   if (before === undefined) return rows;
   // The answer with the row had the store's time.
   const now = readStoreTime(context) ?? 0;
-  const merged = mergeKnownRow(before, { version, known, now });
+  const merged = mergeKnownRow(before, { vm, version, known, now });
   if (merged === before) return rows;
   const value = merged as unknown as JsonValue;
   return new Map([...rows, [key, { key, version, value }]]);
