Model loans that are given back by their parts

This is the protocol by which its parts come back: each VM reports the size of what it has of the loan, without what it lent on, and the lender counts each report once, in any order.

--- a/packages/model/guard.ts
+++ b/packages/model/guard.ts
@@ -22,6 +22,8 @@
   LoanCountsAsSpent = "loan-counts-as-spent",
   LoanReturnedOnce = "loan-returned-once",
   LoanGivenToOne = "loan-given-to-one",
+  LoanPartCountedOnce = "loan-part-counted-once",
+  LoanPartLeavesLoan = "loan-part-leaves-loan",
   ClaimBeforeDispatch = "claim-before-dispatch",
   ClaimNeverChangesHolder = "claim-never-changes-holder",
   ClaimNamesAttempt = "claim-names-attempt",
@@ -78,6 +80,10 @@
     "The budget row records which loans were returned and accepts each return only once.",
   [Guard.LoanGivenToOne]:
     "A loan that is given back to its lender is never returned to the budget row as well.",
+  [Guard.LoanPartCountedOnce]:
+    "The lender counts the report of each part of a loan only once.",
+  [Guard.LoanPartLeavesLoan]:
+    "Tokens that are lent on are no longer a part of the loan that they were lent on from.",
   [Guard.ClaimBeforeDispatch]:
     "A call that may not be repeated is dispatched only under a durable claim.",
   [Guard.ClaimNeverChangesHolder]:
--- a/packages/model/run_model_check.ts
+++ b/packages/model/run_model_check.ts
@@ -8,6 +8,7 @@
 import { DOCUMENTS } from "./specifications/documents.ts";
 import { GRANTS, TOP_UPS } from "./specifications/grants.ts";
 import { LEASES } from "./specifications/leases.ts";
+import { LOAN_PARTS } from "./specifications/loan_parts.ts";
 import { LOANS } from "./specifications/loans.ts";
 import { STANDBY } from "./specifications/standby.ts";
 
@@ -32,6 +33,7 @@
   createModel(GRANTS),
   createModel(TOP_UPS),
   createModel(LOANS),
+  createModel(LOAN_PARTS),
   createModel(CLAIMS),
   createModel(BILLS),
   createModel(ANSWERS),
