Give loans that were lent on back by their parts

Cause: the lender ended a loan whole by the first report for its id, so only loans of which one VM had everything could be reported.

Change: a borrower reports the size of what it has, without what it lent on, and whoever has a part reports that to the lender of the whole loan, under the part's id. The lender ends that many tokens and records the ids that it has counted, so reports may come in any order and more than once. A report without a size, as VMs of earlier versions send it, ends what is left of the loan. Borrowed tokens are still lent on where the row has too few.

--- a/packages/budget/account.ts
+++ b/packages/budget/account.ts
@@ -24,9 +24,9 @@
 }
 
 /**
- * A loan made from one grant. Its tokens count as lent until the borrower
- * settles the loan. Unspent tokens that the borrower returns to the budget row
- * instead are recorded there only.
+ * A loan made from one grant. Its tokens count as lent until the borrower, and
+ * the VMs that it has lent parts on to, settle what they have of it. Unspent
+ * tokens that they return to the budget row instead are recorded there only.
  */
 export interface OutstandingLoan {
   /**
@@ -34,8 +34,11 @@
    * incarnations.
    */
   readonly transferId: string;
+  /** Tokens that are not settled yet. */
   readonly tokens: Tokens;
   readonly borrower: VmIncarnation;
+  /** Ids of the settled parts; absent while there are none. */
+  readonly settledParts?: readonly string[];
 }
 
 /** Tokens moved from an event's budget to one VM, or lent by another VM. */
@@ -104,12 +107,14 @@
 }
 
 /**
- * A loan that its borrower has fully spent or given up, without re-lending a
- * part of it.
+ * A loan, or a re-lent part of one, that its borrower has fully spent or given
+ * up.
  */
 export interface SettledLoan {
   readonly transferId: string;
   readonly lenderGrantId: string;
+  /** Tokens that the borrower had of it, without those that it re-lent. */
+  readonly size: Tokens;
   /** Tokens that the lender gets back. */
   readonly unspent: Tokens;
 }
@@ -225,18 +230,19 @@
 
 /**
  * Returns the account without fully spent loans. The next report to a lender
- * lists those that are undivided. Nothing is reported to the store, which counts
- * lent tokens as used until they are returned.
+ * lists them. Nothing is reported to the store, which counts lent tokens as used
+ * until they are returned.
  */
 export function removeSpentLoans(account: EventAccount): EventAccount {
   return removeLoans(account, isSpentLoan);
 }
 
 /**
- * Returns the account without loans that are neither reserved from, nor
- * divided, nor part of an exchange. Their lenders get the unspent tokens back
- * with the next report, which is sent again until it is answered; these tokens
- * are never returned to the budget row as well.
+ * Returns the account without loans that are neither reserved from nor part of
+ * an exchange. Their lenders get the unspent tokens back with the next report,
+ * which is sent again until it is answered; these tokens are never returned to
+ * the budget row as well. Of a loan that was lent on in part, that is what is
+ * left; whoever has the part gives it back itself.
  */
 export function releaseLoans(
   account: EventAccount,
@@ -249,7 +255,7 @@
 ): EventAccount {
   const loans = account.grants.filter((grant) =>
     grant.lenderGrantId !== undefined && grant.reserved === 0 &&
-    !grant.closing && isUndividedLoan(grant)
+    !grant.closing
   );
   let left = loans.reduce((sum, loan) => sum + computeGrantRoom(loan), 0);
   const returned = loans.filter((loan) => {
@@ -263,7 +269,7 @@
   return removeLoans(account, (grant) => returned.includes(grant));
 }
 
-/** Moves undivided loans from the grants to the settled loans. */
+/** Moves loans from the grants to the settled loans. */
 function removeLoans(
   account: EventAccount,
   isRemoved: (grant: Grant) => boolean,
@@ -271,10 +277,11 @@
   const grants = account.grants.filter((grant) => !isRemoved(grant));
   if (grants.length === account.grants.length) return account;
   const settled = account.grants
-    .filter((grant) => isRemoved(grant) && isUndividedLoan(grant))
+    .filter((grant) => isRemoved(grant) && grant.size > 0)
     .map(({ id, lenderGrantId, size, spent }) => ({
       transferId: id,
       lenderGrantId: lenderGrantId!,
+      size,
       unspent: size - spent,
     }));
   const settledLoans = [...account.settledLoans, ...settled]
@@ -283,12 +290,11 @@
 }
 
 /**
- * Returns whether a loan is undivided: it is no re-lent part of another loan,
- * and no part of it was re-lent. Several VMs hold tokens of a divided loan, so
- * none of them can determine that it is fully spent.
+ * Returns the id of the loan that a re-lent part belongs to; a loan's own id is
+ * unchanged.
  */
-function isUndividedLoan(grant: Grant): boolean {
-  return grant.parts === 0 && !grant.id.includes(PART_SEPARATOR);
+export function readRootLoanId(transferId: string): string {
+  return transferId.split(PART_SEPARATOR, 1)[0] ?? transferId;
 }
 
 function isSpentLoan(grant: Grant): boolean {
--- a/packages/budget/budget_specification_test.ts
+++ b/packages/budget/budget_specification_test.ts
@@ -29,6 +29,7 @@
   type GrantExchange,
   lendTokens,
   type LoanAnswer,
+  type LoanReport,
   type LoanRequest,
   LossEvidenceKind,
   parseBudgetRow,
@@ -38,8 +39,10 @@
   receiveGrant,
   receiveLoan,
   recordLoanRequest,
+  releaseLoans,
   type Reservation,
   reserveTokens,
+  settleLoans,
   settleReservation,
 } from "./mod.ts";
 
@@ -65,6 +68,7 @@
   planLastExchange,
   receiveLoan,
   reserveTokens,
+  settleLoans,
   settleReservation,
 };
 
@@ -81,6 +85,7 @@
   DecideAgain = "decide-again",
   AskLoan = "ask-loan",
   Borrow = "borrow",
+  GiveBack = "give-back",
   Deliver = "deliver",
   DeliverTwice = "deliver-twice",
   LoseMessage = "lose",
@@ -111,6 +116,7 @@
   & (
     | { readonly request: LoanRequest }
     | { readonly answer: LoanAnswer }
+    | { readonly report: LoanReport }
   );
 
 /** Simulates the VMs, the store and the network, and keeps the reference. */
@@ -205,6 +211,8 @@
         this.#askLoan(vm, step);
         this.#deliver(this.#messages.length - 1, false);
         return this.#deliver(this.#messages.length - 1, true);
+      case StepKind.GiveBack:
+        return this.#giveBack(vm);
       case StepKind.Deliver:
         return this.#deliver(choice, false);
       case StepKind.DeliverTwice:
@@ -313,6 +321,16 @@
     this.#messages.push({ to: lender, request });
   }
 
+  /** Gives idle loans back, and repeats the reports of those settled before. */
+  #giveBack(vm: Vm): void {
+    vm.account = releaseLoans(vm.account, { keep: 0, isReachable: () => true });
+    for (const report of vm.account.settledLoans) {
+      // One that arrives after its lender's close changes nothing.
+      this.#isLossy = true;
+      this.#messages.push({ to: report.lenderGrantId.split("/")[0]!, report });
+    }
+  }
+
   #deliver(choice: number, isDuplicated: boolean): void {
     const message = this.#takeMessage(choice);
     if (message === undefined) return;
@@ -327,6 +345,10 @@
       });
       return;
     }
+    if ("report" in message) {
+      vm.account = this.#functions.settleLoans(vm.account, [message.report]);
+      return;
+    }
     const { request } = message;
     const { account, answer } = this.#functions.lendTokens(vm.account, {
       request,
@@ -448,11 +470,14 @@
   ...Object.values(StepKind),
   ...[StepKind.Request, StepKind.Plan, StepKind.Exchange, StepKind.Deliver],
   ...[StepKind.Request, StepKind.Plan, StepKind.Exchange, StepKind.Settle],
+  ...[StepKind.Borrow, StepKind.Request, StepKind.Settle, StepKind.GiveBack],
+  ...[StepKind.Borrow, StepKind.GiveBack, StepKind.DeliverTwice],
 ];
 
 /** Steps that lose no memory and no messages, so no tokens may be lost. */
 const LOSSLESS_STEP_KINDS = STEP_KINDS.filter((kind) =>
-  kind !== StepKind.Crash && kind !== StepKind.LoseMessage
+  kind !== StepKind.Crash && kind !== StepKind.LoseMessage &&
+  kind !== StepKind.GiveBack
 );
 
 function checkRuns(
@@ -564,6 +589,23 @@
       return { ...result, account: { ...result.account, grants } };
     },
   },
+  "a report of a loan is counted again": {
+    settleLoans: (account, reports) =>
+      settleLoans({
+        ...account,
+        grants: account.grants.map((grant) => ({
+          ...grant,
+          loans: grant.loans.map((loan) => ({ ...loan, settledParts: [] })),
+        })),
+      }, reports),
+  },
+  "a borrower gives back what it has spent": {
+    settleLoans: (account, reports) =>
+      settleLoans(
+        account,
+        reports.map((each) => ({ ...each, unspent: each.size ?? 0 })),
+      ),
+  },
   "a lender closes a grant as if its loans were returned": {
     createGrantExchange: (exchange) =>
       createGrantExchange({
--- a/packages/budget/loans/lend_tokens.ts
+++ b/packages/budget/loans/lend_tokens.ts
@@ -11,6 +11,7 @@
   computeReserved,
   isGrantOpen,
   PART_SEPARATOR,
+  readRootLoanId,
   removeSpentLoans,
 } from "../account.ts";
 import type {
@@ -18,7 +19,6 @@
   Grant,
   LoanAnswer,
   LoanPart,
-  OutstandingLoan,
   SettledLoan,
   VmIncarnation,
 } from "../account.ts";
@@ -62,35 +62,52 @@
   readonly answer: LoanAnswer;
 }
 
+/**
+ * A borrower's report of a settled loan. Without a size, it has settled all that
+ * is left of the loan.
+ */
+export type LoanReport =
+  & Pick<SettledLoan, "transferId" | "unspent">
+  & Partial<Pick<SettledLoan, "size">>;
+
 /**
  * Ends loans that their borrowers have settled: what they have spent counts as
  * spent by the lender and the rest is available again, so that the budget row
- * does not have to keep the loans. A report that comes again changes nothing.
+ * does not have to keep the loans. Of a divided loan each part is settled by the
+ * VM that has it, in any order. A report that comes again changes nothing.
  */
 export function settleLoans(
   account: EventAccount,
-  settled: readonly Pick<SettledLoan, "transferId" | "unspent">[],
+  reports: readonly LoanReport[],
 ): EventAccount {
-  if (settled.length === 0) return account;
-  const unspent = new Map(
-    settled.map((loan) => [loan.transferId, loan.unspent]),
-  );
-  const isSettled = (loan: OutstandingLoan) => unspent.has(loan.transferId);
-  const grants = account.grants.map((grant) => {
+  if (reports.length === 0) return account;
+  const grants = account.grants.map((grant) =>
     // The loans of a closing grant are already part of its close in the planned
     // exchange.
-    if (grant.closing || !grant.loans.some(isSettled)) return grant;
-    const spent = grant.loans.filter(isSettled).reduce(
-      (sum, { transferId, tokens }) =>
-        sum + Math.max(0, tokens - unspent.get(transferId)!),
-      grant.spent,
-    );
-    const loans = grant.loans.filter((loan) => !isSettled(loan));
-    return { ...grant, loans, spent };
-  });
+    grant.closing || grant.loans.length === 0
+      ? grant
+      : reports.reduce(settleLoan, grant)
+  );
   return { ...account, grants };
 }
 
+function settleLoan(grant: Grant, report: LoanReport): Grant {
+  const { transferId, unspent } = report;
+  const rootId = readRootLoanId(transferId);
+  const loan = grant.loans.find((each) => each.transferId === rootId);
+  const settledParts = loan?.settledParts ?? [];
+  if (loan === undefined || settledParts.includes(transferId)) return grant;
+  const size = Math.min(loan.tokens, report.size ?? loan.tokens);
+  const left = {
+    ...loan,
+    tokens: loan.tokens - size,
+    settledParts: [...settledParts, transferId],
+  };
+  const loans = grant.loans.map((each) => each === loan ? left : each)
+    .filter((each) => each.tokens > 0);
+  return { ...grant, loans, spent: grant.spent + Math.max(0, size - unspent) };
+}
+
 /**
  * Debits a loan from the account. A transfer id that was answered before gets
  * the same answer and no further loan.
@@ -100,9 +117,6 @@
  * of them. When both VMs have a shortfall, the tokens go to the one whose
  * shortfall the other can cover. If each can cover the other's, they go to the
  * one with the smaller shortfall.
- *
- * A loan that was lent on in part can't be given back to its lender any more
- * and stays until its term ends.
  */
 export function lendTokens(
   account: EventAccount,
--- a/packages/budget/loans/loans_test.ts
+++ b/packages/budget/loans/loans_test.ts
@@ -384,6 +384,45 @@
   t.deepEqual(readRow(rows).loans ?? {}, {});
 });
 
+for (const order of ["bc", "cb"]) {
+  test(`a loan that was lent on in part is given back by its parts, in the order ${order}`, (t) => {
+    const lent = lend(createLender(new MemoryRows()));
+    const borrower = receiveLoan(createBorrower(), {
+      answer: lent.answer,
+      deadline: GRANT_TERM,
+    });
+    const relent = lend(borrower, {
+      transferId: "c/1/1",
+      wanted: 12,
+      least: 12,
+      borrower: { vm: "c", incarnation: "1" },
+    });
+    const asked = recordLoanRequest(createEventAccount("e"), {
+      transferId: "c/1/1",
+      lender: "b",
+      wanted: 12,
+      askedAt: 0,
+    });
+    const last = receiveLoan(asked, {
+      answer: relent.answer,
+      deadline: GRANT_TERM,
+    });
+    const holders: Record<string, EventAccount> = {
+      b: spend(relent.account, 10),
+      c: spend(last, 5),
+    };
+    let lender = lent.account;
+    for (const vm of order) {
+      const idle = releaseLoans(holders[vm]!, ALL_LOANS);
+      t.deepEqual(idle.grants, []);
+      const reported = listSettledLoans(idle, "a");
+      lender = settleLoans(lender, [...reported, ...reported]);
+    }
+    t.is(computeAccountRoom(lender, 0), 85);
+    t.like(lender.grants[0], { spent: 15, loans: [] });
+  });
+}
+
 test("a loan with a request in progress is not given back", (t) => {
   const rows = new MemoryRows();
   const lent = lendTokens(createLender(rows), {
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -65,7 +65,11 @@
   recordLoanRequest,
   removeReportedLoans,
 } from "./loans/borrow_tokens.ts";
-export type { LendResult, LoanRequest } from "./loans/lend_tokens.ts";
+export type {
+  LendResult,
+  LoanReport,
+  LoanRequest,
+} from "./loans/lend_tokens.ts";
 export {
   lendTokens,
   MAX_LOANS_PER_GRANT,
--- a/packages/budget/rows/row_changes.ts
+++ b/packages/budget/rows/row_changes.ts
@@ -6,7 +6,7 @@
 import type { Tokens, VmId, WallTime } from "../../core/mod.ts";
 import {
   type OutstandingLoan,
-  PART_SEPARATOR,
+  readRootLoanId,
   type VmIncarnation,
 } from "../account.ts";
 import {
@@ -242,7 +242,7 @@
 function returnToLoan(row: BudgetRow, loan: LoanReturn): BudgetRow {
   const key = formatLoanKey(
     loan.lenderGrantId,
-    extractRootLoanId(loan.transferId),
+    readRootLoanId(loan.transferId),
   );
   const loanEntry = row.loans?.[key];
   if (
@@ -293,7 +293,7 @@
   const added = closed.loans.flatMap((loan) => {
     const returned = Object.fromEntries(
       Object.entries(closed.returned)
-        .filter(([id]) => extractRootLoanId(id) === loan.transferId),
+        .filter(([id]) => readRootLoanId(id) === loan.transferId),
     );
     const tokens = loan.tokens - sumTokens(returned);
     if (tokens === 0) return [];
@@ -305,14 +305,6 @@
   return { ...row, loans: filterNewest(loans, MAX_OUTSTANDING_LOANS) };
 }
 
-/**
- * Returns the id of the loan that a re-lent part belongs to; a loan's own id is
- * unchanged.
- */
-function extractRootLoanId(transferId: string): string {
-  return transferId.split(PART_SEPARATOR, 1)[0] ?? transferId;
-}
-
 function sumTokens(tokens: Readonly<Record<string, Tokens>>): Tokens {
   return Object.values(tokens).reduce((sum, each) => sum + each, 0);
 }
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -11,6 +11,7 @@
   GRANT_TERM,
   lendTokens,
   listSettledLoans,
+  type LoanReport,
   type PendingLoan,
   planLoans,
   receiveLoan,
@@ -326,9 +327,9 @@
   #listReported(
     eventId: EventId,
     lender: VmId,
-  ): { transferId: string; unspent: Tokens }[] {
+  ): Required<LoanReport>[] {
     return listSettledLoans(this.#accounts.readAccount(eventId), lender)
-      .map(({ transferId, unspent }) => ({ transferId, unspent }));
+      .map(({ transferId, size, unspent }) => ({ transferId, size, unspent }));
   }
 
   #removeReported(
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -17,6 +17,11 @@
   /** Loans from this lender that the borrower has spent or gives back. */
   settled: z.array(z.object({
     transferId: z.string(),
+    /**
+     * Tokens that the borrower had of the loan, without those that it lent on;
+     * all that is left of the loan if absent.
+     */
+    size: z.number().int().nonnegative().exactOptional(),
     /** Tokens that the lender gets back. */
     unspent: z.number().int().nonnegative(),
   })).max(MAX_REPORTED_LOANS).exactOptional(),
