Give parts of loans back to lenders that a VM does not ask

Cause: a part's lender is the VM whose grant it came from, which need not be one that this VM asks for loans. It may be this VM itself, if a borrower lends a part back to the lender, or, with more than 13 VMs, one that is not among the 12 that are asked. Such parts counted as those of an unreachable lender.

Change: loans go back to all known peers, and what this VM got back of its own loans is settled at once.

Failing before: the new test, in which the VM reported nothing.

--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -281,6 +281,7 @@
       book: this.#escrow,
       client: this.#client,
       listPeers: () => membership.listPeers(),
+      listLenders: () => membership.listPeers(),
     });
     this.#escrow.setLoanSource((event, missing) =>
       loans.borrow(event.id, { missing })
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -94,6 +94,7 @@
         book: accounts,
         client: peers.client,
         listPeers: (customer) => this.#choosePeers(customer),
+        listLenders: () => this.#peers.listPeers(),
       },
     );
   }
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -147,6 +147,7 @@
   readonly #accounts: LoanAccountAccess;
   readonly #client: PeerClient;
   readonly #listPeers: (eventId: EventId) => readonly Peer[];
+  readonly #listLenders: () => readonly Peer[];
   readonly #histories = new Map<EventId, PeerHistory>();
   /** Time from which a peer that did not answer may be asked again. */
   readonly #backoffUntil = new Map<VmId, MonotonicTime>();
@@ -160,12 +161,18 @@
       readonly client: PeerClient;
       /** Returns the reachable peers, most likely lenders first. */
       readonly listPeers: (eventId: EventId) => readonly Peer[];
+      /**
+       * Returns all reachable peers. A part of a loan may come from a VM that
+       * this one doesn't ask.
+       */
+      readonly listLenders: () => readonly Peer[];
     },
   ) {
     this.#context = context;
     this.#accounts = input.book;
     this.#client = input.client;
     this.#listPeers = input.listPeers;
+    this.#listLenders = input.listLenders;
   }
 
   /**
@@ -276,16 +283,21 @@
   async giveBack(eventId: EventId, keep: Tokens): Promise<void> {
     if (this.#reporting.has(eventId)) return;
     const now = this.#context.clock.readMonotonic();
-    const lenders = this.#listPeers(eventId)
+    const lenders = this.#listLenders()
       .filter((peer) => now >= (this.#backoffUntil.get(peer.vm) ?? -Infinity));
+    const { vm: self } = this.#context.vmIncarnation;
+    const reachable = [self, ...lenders.map((peer) => peer.vm)];
     const account = this.#accounts.changeAccount(
       eventId,
       (before) =>
-        releaseLoans(before, {
-          keep,
-          isReachable: (grantId) =>
-            lenders.some((peer) => grantId.startsWith(`${peer.vm}/`)),
-        }),
+        settleOwnLoans(
+          releaseLoans(before, {
+            keep,
+            isReachable: (grantId) =>
+              reachable.some((vm) => grantId.startsWith(`${vm}/`)),
+          }),
+          self,
+        ),
     );
     const reports = lenders
       .filter((peer) => listSettledLoans(account, peer.vm).length > 0)
@@ -454,3 +466,15 @@
     });
   }
 }
+
+/**
+ * Ends the loans that this VM has made and got back as parts of its borrowers'
+ * loans.
+ */
+function settleOwnLoans(account: EventAccount, vm: VmId): EventAccount {
+  const settled = listSettledLoans(account, vm);
+  return removeReportedLoans(
+    settleLoans(account, settled),
+    settled.map((loan) => loan.transferId),
+  );
+}
--- a/packages/lending/loans_test.ts
+++ b/packages/lending/loans_test.ts
@@ -1,7 +1,12 @@
 /** Tests of loan requests to peers. */
 import test from "ava";
 import { Right } from "purify-ts";
-import { createEventAccount, type EventAccount } from "../budget/mod.ts";
+import {
+  createEventAccount,
+  type EventAccount,
+  lendTokens,
+  receiveGrant,
+} from "../budget/mod.ts";
 import { createSystemClock } from "../core/mod.ts";
 import type {
   PeerClient,
@@ -11,12 +16,19 @@
 import { createSilentLog } from "../runtime/mod.ts";
 import { Loans } from "./mod.ts";
 
-/** Creates the loans of one VM whose peers answer at once. */
+/** Creates the loans of one VM, v1, whose peers answer at once. */
 function createLoans(
   peers: readonly string[],
   respond: (vm: string, request: PeerLoanRequest) => Partial<PeerLoanAnswer>,
+  options: {
+    readonly account?: EventAccount;
+    /** Peers that are known but not asked. */
+    readonly others?: readonly string[];
+  } = {},
 ) {
-  let account: EventAccount = createEventAccount("tours");
+  let { account = createEventAccount("tours") } = options;
+  const createPeers = (vms: readonly string[]) =>
+    vms.map((vm) => ({ vm, address: vm }));
   const client = {
     lend: (vm: string, request: PeerLoanRequest) =>
       Promise.resolve(Right({
@@ -40,7 +52,8 @@
       readShortfall: () => undefined,
     },
     client: client as unknown as PeerClient,
-    listPeers: () => peers.map((vm) => ({ vm, address: vm })),
+    listPeers: () => createPeers(peers),
+    listLenders: () => createPeers([...peers, ...options.others ?? []]),
   });
 }
 
@@ -55,3 +68,49 @@
   }
   t.deepEqual(asked, ["v2", "v3", "v4"]);
 });
+
+test("a part of a loan goes back to its lender, whether that is this VM or one that it doesn't ask", async (t) => {
+  const own = lendTokens(
+    receiveGrant(createEventAccount("tours"), {
+      grantId: "v1/1/1",
+      size: 100,
+      deadline: Infinity,
+    }),
+    {
+      request: {
+        transferId: "t1",
+        wanted: 30,
+        least: 30,
+        borrower: { vm: "v2", incarnation: "1" },
+      },
+      now: 0,
+      keep: 0,
+    },
+  );
+  const parts = [
+    { grantId: "t1/0+1", lenderGrantId: "v1/1/1" },
+    { grantId: "t2/0+1", lenderGrantId: "v3/1/1" },
+  ];
+  const account = parts.reduce(
+    (held, part) =>
+      receiveGrant(held, { ...part, size: 30, deadline: Infinity }),
+    own.account,
+  );
+  const reported: unknown[] = [];
+  const book = createLoans(["v2"], (vm, { settled }) => {
+    reported.push([vm, settled]);
+    return {};
+  }, { account, others: ["v3"] });
+  await book.giveBack("tours", 0);
+  const settled = [{ transferId: "t2/0+1", size: 30, unspent: 30 }];
+  t.deepEqual(reported, [["v3", settled]]);
+  t.is(book.sumUnreported("tours"), 0);
+  const { tokens } = book.lend({
+    eventId: "tours",
+    transferId: "t3",
+    wanted: 100,
+    least: 100,
+    borrower: { vm: "v2", incarnation: "1" },
+  });
+  t.is(tokens, 100);
+});
