Ask again for a loan whose answer was lost when it is not needed any more

Cause: the answer to the request for the loan was lost, as when it takes longer than the 300 ms that a call of a peer may. A request was repeated only while requests waited for tokens.

Change: a VM that gives idle loans back also repeats requests without an answer. It gets the same answer, credits it and gives it back. Where the lender had never got the request, the VM gives the new loan back. The dump of a budget counts requests without an answer as loans.

Failing before: the new test, in which the request was not repeated.

--- a/packages/budget/loans/borrow_tokens.ts
+++ b/packages/budget/loans/borrow_tokens.ts
@@ -80,6 +80,15 @@
   );
 }
 
+/** Returns the pending loan requests that are due to be sent again. */
+export function listUnansweredLoans(
+  account: EventAccount,
+  now: MonotonicTime,
+): PendingLoan[] {
+  return account.pendingLoans
+    .filter((loan) => now - loan.askedAt >= LOAN_RETRY_TIME);
+}
+
 /** Loan requests to send now. */
 export interface LoanPlan {
   /** Pending requests to send again under their transfer ids. */
@@ -110,9 +119,8 @@
   const { missing, target, peers, now, fanout = LOAN_FANOUT } = input;
   if (missing <= 0) return { resend: [], ask: [] };
   const pendingLenders = account.pendingLoans.map((loan) => loan.lender);
-  const resend = account.pendingLoans
-    .filter((loan) => peers.includes(loan.lender))
-    .filter((loan) => now - loan.askedAt >= LOAN_RETRY_TIME);
+  const resend = listUnansweredLoans(account, now)
+    .filter((loan) => peers.includes(loan.lender));
   const unanswered = account.pendingLoans
     .filter((loan) => now - loan.askedAt < LOAN_RETRY_TIME);
   const wanted = Math.ceil(Math.max(missing, target));
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -58,6 +58,7 @@
 export type { LoanPlan } from "./loans/borrow_tokens.ts";
 export {
   listSettledLoans,
+  listUnansweredLoans,
   LOAN_RETRY_TIME,
   MAX_PENDING_LOANS,
   planLoans,
--- a/packages/budget/queries/choose_loans_kept.ts
+++ b/packages/budget/queries/choose_loans_kept.ts
@@ -10,9 +10,9 @@
 
 /**
  * Returns how many tokens of loans an account should keep while the others go
- * back and settled ones are reported: none once they have been idle for
- * {@link LOAN_IDLE_TIME}, or one usual request if it has more available.
- * Returns undefined if nothing should go back now.
+ * back, settled ones are reported and unanswered requests are sent again: none
+ * once they have been idle for {@link LOAN_IDLE_TIME}, or one usual request if
+ * it has more available. Returns undefined if nothing should go back now.
  */
 export function chooseLoansKept(
   account: EventAccount,
@@ -21,7 +21,8 @@
   const hasLoans = account.grants.some((grant) =>
     grant.lenderGrantId !== undefined && grant.reserved === 0
   );
-  if (!hasLoans && account.settledLoans.length === 0) return undefined;
+  const others = account.settledLoans.length + account.pendingLoans.length;
+  if (!hasLoans && others === 0) return undefined;
   if (now - account.lastDraw > LOAN_IDLE_TIME) return 0;
   const room = computeAccountRoom(account, now);
   const isExcessive = room > MAX_REQUESTS_HELD * account.usualHold;
--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -737,7 +737,7 @@
         reserved: computeReserved(account),
         loans: account.grants.filter((grant) =>
           grant.lenderGrantId !== undefined
-        ).length + account.settledLoans.length,
+        ).length + account.settledLoans.length + account.pendingLoans.length,
         standby: sumStandbySizes(each.standby),
         opening: sumUnlockedTokens(each.unlockedGrants),
         waiting: each.waiters.length,
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -11,6 +11,7 @@
   GRANT_TERM,
   lendTokens,
   listSettledLoans,
+  listUnansweredLoans,
   type LoanReport,
   type PendingLoan,
   planLoans,
@@ -278,7 +279,8 @@
   /**
    * Gives loans of an event that no request uses back to their lenders, except
    * for `keep` tokens, and reports those that were settled before. A report
-   * without an answer is sent again at the next call.
+   * without an answer is sent again at the next call, and so is a request for a
+   * loan, whose tokens would stay with nobody if its answer was lost.
    */
   async giveBack(eventId: EventId, keep: Tokens): Promise<void> {
     if (this.#reporting.has(eventId)) return;
@@ -302,9 +304,13 @@
     const reports = lenders
       .filter((peer) => listSettledLoans(account, peer.vm).length > 0)
       .map((peer) => this.#reportLoans(eventId, peer));
-    if (reports.length === 0) return;
+    const requests = listUnansweredLoans(account, now).flatMap((loan) =>
+      lenders.filter((peer) => peer.vm === loan.lender)
+        .map((peer) => this.#requestLoan(eventId, { loan, peer, least: 0 }))
+    );
+    if (reports.length + requests.length === 0) return;
     this.#reporting.add(eventId);
-    await Promise.all(reports)
+    await Promise.all([...reports, ...requests])
       .finally(() => this.#reporting.delete(eventId));
   }
 
--- a/packages/lending/loans_test.ts
+++ b/packages/lending/loans_test.ts
@@ -6,6 +6,7 @@
   type EventAccount,
   lendTokens,
   receiveGrant,
+  recordLoanRequest,
 } from "../budget/mod.ts";
 import { createSystemClock } from "../core/mod.ts";
 import type {
@@ -114,3 +115,24 @@
   });
   t.is(tokens, 100);
 });
+
+test("a loan whose answer was lost goes back to its lender although nothing needs it any more", async (t) => {
+  const account = recordLoanRequest(createEventAccount("tours"), {
+    transferId: "t1",
+    lender: "v2",
+    wanted: 30,
+    askedAt: -1_000,
+  });
+  const parts = [{ transferId: "t1/0", lenderGrantId: "v2/1/1", tokens: 30 }];
+  const received: PeerLoanRequest[] = [];
+  const book = createLoans(["v2"], (_, request) => {
+    received.push(request);
+    return request.transferId === "t1" ? { tokens: 30, parts } : {};
+  }, { account });
+  await book.giveBack("tours", 0);
+  await book.giveBack("tours", 0);
+  await book.giveBack("tours", 0);
+  t.deepEqual(received.map(({ wanted }) => wanted), [30, 0]);
+  const settled = [{ transferId: "t1/0", size: 30, unspent: 30 }];
+  t.deepEqual(received[1]!.settled, settled);
+});
