--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -58,6 +58,7 @@
 export type { LoanPlan } from "./loans/borrow_tokens.ts";
 export {
   listSettledLoans,
+  listUnansweredLoans,
   LOAN_RETRY_TIME,
   MAX_PENDING_LOANS,
   planLoans,
@@ -65,7 +66,11 @@
   recordLoanRequest,
   removeReportedLoans,
 } from "./loans/borrow_tokens.ts";
-export type { LendResult, LoanRequest } from "./loans/lend_tokens.ts";
+export type {
+  LendResult,
+  LoanReport,
+  LoanRequest,
+} from "./loans/lend_tokens.ts";
 export {
   lendTokens,
   MAX_LOANS_PER_GRANT,
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -11,6 +11,8 @@
   GRANT_TERM,
   lendTokens,
   listSettledLoans,
+  listUnansweredLoans,
+  type LoanReport,
   type PendingLoan,
   planLoans,
   receiveLoan,
@@ -146,6 +148,7 @@
   readonly #accounts: LoanAccountAccess;
   readonly #client: PeerClient;
   readonly #listPeers: (eventId: EventId) => readonly Peer[];
+  readonly #listLenders: () => readonly Peer[];
   readonly #histories = new Map<EventId, PeerHistory>();
   /** Time from which a peer that did not answer may be asked again. */
   readonly #backoffUntil = new Map<VmId, MonotonicTime>();
@@ -159,12 +162,18 @@
       readonly client: PeerClient;
       /** Returns the reachable peers, most likely lenders first. */
       readonly listPeers: (eventId: EventId) => readonly Peer[];
+      /**
+       * Returns all reachable peers. A part of a loan may come from a VM that
+       * this one doesn't ask.
+       */
+      readonly listLenders: () => readonly Peer[];
     },
   ) {
     this.#context = context;
     this.#accounts = input.book;
     this.#client = input.client;
     this.#listPeers = input.listPeers;
+    this.#listLenders = input.listLenders;
   }
 
   /**
@@ -270,28 +279,38 @@
   /**
    * Gives loans of an event that no request uses back to their lenders, except
    * for `keep` tokens, and reports those that were settled before. A report
-   * without an answer is sent again at the next call.
+   * without an answer is sent again at the next call, and so is a request for a
+   * loan, whose tokens would stay with nobody if its answer was lost.
    */
   async giveBack(eventId: EventId, keep: Tokens): Promise<void> {
     if (this.#reporting.has(eventId)) return;
     const now = this.#context.clock.readMonotonic();
-    const lenders = this.#listPeers(eventId)
+    const lenders = this.#listLenders()
       .filter((peer) => now >= (this.#backoffUntil.get(peer.vm) ?? -Infinity));
+    const { vm: self } = this.#context.vmIncarnation;
+    const reachable = [self, ...lenders.map((peer) => peer.vm)];
     const account = this.#accounts.changeAccount(
       eventId,
       (before) =>
-        releaseLoans(before, {
-          keep,
-          isReachable: (grantId) =>
-            lenders.some((peer) => grantId.startsWith(`${peer.vm}/`)),
-        }),
+        settleOwnLoans(
+          releaseLoans(before, {
+            keep,
+            isReachable: (grantId) =>
+              reachable.some((vm) => grantId.startsWith(`${vm}/`)),
+          }),
+          self,
+        ),
     );
     const reports = lenders
       .filter((peer) => listSettledLoans(account, peer.vm).length > 0)
       .map((peer) => this.#reportLoans(eventId, peer));
-    if (reports.length === 0) return;
+    const requests = listUnansweredLoans(account, now).flatMap((loan) =>
+      lenders.filter((peer) => peer.vm === loan.lender)
+        .map((peer) => this.#requestLoan(eventId, { loan, peer, least: 0 }))
+    );
+    if (reports.length + requests.length === 0) return;
     this.#reporting.add(eventId);
-    await Promise.all(reports)
+    await Promise.all([...reports, ...requests])
       .finally(() => this.#reporting.delete(eventId));
   }
 
@@ -326,9 +345,9 @@
   #listReported(
     eventId: EventId,
     lender: VmId,
-  ): { transferId: string; unspent: Tokens }[] {
+  ): Required<LoanReport>[] {
     return listSettledLoans(this.#accounts.readAccount(eventId), lender)
-      .map(({ transferId, unspent }) => ({ transferId, unspent }));
+      .map(({ transferId, size, unspent }) => ({ transferId, size, unspent }));
   }
 
   #removeReported(
@@ -453,3 +472,15 @@
     });
   }
 }
+
+/**
+ * Ends the loans that this VM has made and got back as parts of its borrowers'
+ * loans.
+ */
+function settleOwnLoans(account: EventAccount, vm: VmId): EventAccount {
+  const settled = listSettledLoans(account, vm);
+  return removeReportedLoans(
+    settleLoans(account, settled),
+    settled.map((loan) => loan.transferId),
+  );
+}
