Let a planned stop wait until answers are sent

Cause, of the class "handed over is taken for done", in two places. A request counted as ended when its answer was handed to the socket. And Node counts a connection as idle once its answer was handed over: close() and closeIdleConnections() of an HTTP server destroy it with what the socket has not taken. The second alone cuts answers, also in a stop that waits for others.

UnsentAnswers follows the answers of a server until they are sent, and closes idle connections only when none is left. The gateway's stop waits for them within its time; so do the daemon's servers for callers, operators and peers, within the drain's time. Streams waited already, in a test that passed before, except for what fits in the write buffer (by reading, not shown). The gateway's server for peers still closes as before.

--- a/packages/daemon/http_server.ts
+++ b/packages/daemon/http_server.ts
@@ -9,6 +9,7 @@
 import { Agent as TlsAgent, createServer as createTlsServer } from "node:https";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { UnsentAnswers } from "../runtime/mod.ts";
 import type { ServerSettings, Settings } from "../settings/mod.ts";
 
 /** Handles the requests of one server. */
@@ -22,7 +23,10 @@
   /** The `host:port` at which others reach the server. */
   readonly address: string;
   readonly server: Server;
-  /** Stops listening; resolves when every connection is closed. */
+  /**
+   * Stops listening; resolves when all answers are sent and every connection is
+   * closed.
+   */
   close(): Promise<void>;
   /** Closes every connection at once. */
   destroy(): void;
@@ -40,6 +44,7 @@
   },
 ): Promise<RunningServer> {
   const server = createHttpServer(settings, input);
+  const unsentAnswers = new UnsentAnswers(server);
   server.maxConnections = input.limits.maxConnections;
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
@@ -49,7 +54,11 @@
   return {
     address: settings.advertise ?? `${settings.host}:${port}`,
     server,
-    close: () => closeServer(server),
+    close: () =>
+      new Promise((resolve) => {
+        server.once("close", resolve);
+        unsentAnswers.stopListening();
+      }),
     destroy: () => server.closeAllConnections(),
   };
 }
@@ -114,10 +123,3 @@
   if (settings.tls === undefined) return new Agent(agentOptions);
   return new TlsAgent({ ...agentOptions, ...readTlsFiles(settings.tls) });
 }
-
-function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
-  });
-}
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -37,6 +37,7 @@
   createRefusal,
   LogEvent,
   readRefusalStatus,
+  UnsentAnswers,
 } from "../../runtime/mod.ts";
 import type { CallerRequest } from "../dialect.ts";
 import type { ConfigurationFollower } from "../features/configuration/configuration_follower.ts";
@@ -123,6 +124,7 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
+  readonly #unsentAnswers: UnsentAnswers;
   #limits = INITIAL_LIMITS;
   #openRequests = 0;
   #lastConnectionAt: MonotonicTime = -Infinity;
@@ -142,6 +144,7 @@
       keepAliveTimeout: INITIAL_LIMITS.idleTimeout,
       headersTimeout: INITIAL_LIMITS.headerTimeout,
     }, (incoming, outgoing) => void this.#serve(incoming, outgoing));
+    this.#unsentAnswers = new UnsentAnswers(this.#server);
     this.#server.on("connection", () => {
       this.#lastConnectionAt = options.context.clock.readMonotonic();
     });
@@ -157,6 +160,11 @@
     return this.#openRequests;
   }
 
+  /** Number of answers that have begun and are not completely sent. */
+  get unsentAnswers(): number {
+    return this.#unsentAnswers.count();
+  }
+
   /** Starts to listen; rejects if the address can't be bound. */
   listen(
     input: { readonly host: string; readonly port: number },
@@ -197,10 +205,9 @@
     this.#stop.abort();
   }
 
-  /** Stops accepting connections and closes idle ones. */
+  /** Stops accepting connections; idle ones close once all answers are sent. */
   stopListening(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    this.#unsentAnswers.stopListening();
   }
 
   /** Stops accepting connections and closes all open ones at once. */
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -274,8 +274,8 @@
   }
 
   /**
-   * Stops gracefully: reports not ready, waits for open requests within the
-   * stop timeout, returns unspent tokens and closes the servers. Resolves when
+   * Stops gracefully: reports not ready, waits within the stop timeout until
+   * open requests have ended and their answers are sent, returns unspent tokens and closes the servers. Resolves when
    * the process may exit.
    */
   stop(): Promise<void> {
@@ -364,7 +364,9 @@
       const isQuiet = now - this.#callers.lastConnectionAt > QUIET_PERIOD;
       // Repeated, since it also closes connections that have become idle.
       if (isQuiet) this.#callers.stopListening();
-      if ((isQuiet && this.#callers.openRequests === 0) || now >= end) break;
+      const isIdle = this.#callers.openRequests === 0 &&
+        this.#callers.unsentAnswers === 0;
+      if ((isQuiet && isIdle) || now >= end) break;
       await sleep(DRAIN_POLL_INTERVAL);
     }
     await this.#endRequests();
@@ -380,6 +382,7 @@
     for (const server of this.#servers) server.close();
     log.info(LogEvent.Stopped, {
       open: this.#callers.openRequests,
+      unsent: this.#callers.unsentAnswers,
       ms: Math.round(clock.readMonotonic() - startedAt),
     });
     await Promise.race([log.flush(), sleep(FLUSH_TIME)]);
--- a/packages/runtime/mod.ts
+++ b/packages/runtime/mod.ts
@@ -25,3 +25,4 @@
   formatRefusalBody,
   readRefusalStatus,
 } from "./refusals.ts";
+export { UnsentAnswers } from "./unsent_answers.ts";
