Don't run requests on connections that a planned stop closes

During a planned stop each answer closes its connection. A caller that had sent two requests in one go got an answer to the first; the second was run at a target and its answer was lost with the connection.

Cause: the connection was marked as closing only after a refusal with an unread body. Failing before: planned_stop_test, two requests at the targets and one answer. Now whatever closes a connection after an answer marks it in one place, and later requests there are not run; their caller sees a close without an answer and without a run, which it may repeat elsewhere.

--- a/packages/gateway/entry/caller_exchange.ts
+++ b/packages/gateway/entry/caller_exchange.ts
@@ -27,10 +27,10 @@
 const MAX_DISCARDED_BYTES: Bytes = 8 * 1_048_576;
 const MAX_DISCARD_TIME: Millis = 3_000;
 
-/** Connections that close after a refusal; what else arrives there is not run. */
+/** Connections that close after an answer; what else arrives there is not run. */
 const CLOSING_SOCKETS = new WeakSet<Socket>();
 
-/** Whether a connection closes after a refusal that was already sent. */
+/** Whether a connection closes after the answer to an earlier request. */
 export function isClosing(socket: Socket): boolean {
   return CLOSING_SOCKETS.has(socket);
 }
@@ -146,9 +146,13 @@
     }
   }
 
-  /** Asks the caller to close the connection after this answer. */
+  /**
+   * Closes the connection after this answer: further requests that arrive on it
+   * would be run without an answer, and are ignored.
+   */
   disableKeepAlive(): void {
     this.#outgoing.shouldKeepAlive = false;
+    CLOSING_SOCKETS.add(this.#incoming.socket);
   }
 
   /**
@@ -175,7 +179,7 @@
     const body = formatRefusalBody(refusal);
     const isRead = this.#incoming.complete;
     // The rest of an unread body must not be parsed as the next request.
-    if (!isRead) this.#outgoing.shouldKeepAlive = false;
+    if (!isRead) this.disableKeepAlive();
     this.#outgoing.writeHead(readRefusalStatus(refusal), [
       ...Object.entries(refusalHeaders).flat(),
       ...ownHeaders,
@@ -195,7 +199,6 @@
    */
   #discardRest(): void {
     const incoming = this.#incoming;
-    CLOSING_SOCKETS.add(incoming.socket);
     const finish = () => {
       clearTimeout(timer);
       incoming.removeListener("data", count);
