Read what has arrived before an idle connection is closed

A caller reused a kept connection within its idle time, while the VM stood still; the VM went on, closed the connection and answered nothing (ECONNRESET).

Cause: in a turn of the event loop, Node's timers run before sockets are read. A process that was late for longer than the idle time closes connections whose next request lies in the socket.

The close waits until the event loop has read what has arrived, and is left out if something has. The same holds for the close of idle connections at a planned stop, and for all HTTP servers of gateway and daemon; those are not shown by a test of their own.

--- a/packages/daemon/http_server.ts
+++ b/packages/daemon/http_server.ts
@@ -9,7 +9,7 @@
 import { Agent as TlsAgent, createServer as createTlsServer } from "node:https";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { UnsentAnswers } from "../runtime/mod.ts";
+import { registerIdleClose, UnsentAnswers } from "../runtime/mod.ts";
 import type { ServerSettings, Settings } from "../settings/mod.ts";
 
 /** Handles the requests of one server. */
@@ -44,6 +44,7 @@
   },
 ): Promise<RunningServer> {
   const server = createHttpServer(settings, input);
+  registerIdleClose(server);
   const unsentAnswers = new UnsentAnswers(server);
   server.maxConnections = input.limits.maxConnections;
   await new Promise<void>((resolve, reject) => {
--- a/packages/gateway/entry/caller_exchange.ts
+++ b/packages/gateway/entry/caller_exchange.ts
@@ -17,12 +17,6 @@
 import type { Dialect, HeaderList } from "../dialect.ts";
 import { AnswerBuffer, type AnswerMemory } from "./answer_buffer.ts";
 
-/**
- * Turns of the event loop until the end of a connection is read that arrived
- * with the request: the current one and a whole one.
- */
-const TURNS_TO_READ_END = 2;
-
 /** Bounds of the rest of a refused request, which is read and discarded. */
 const MAX_DISCARDED_BYTES: Bytes = 8 * 1_048_576;
 const MAX_DISCARD_TIME: Millis = 3_000;
@@ -136,16 +130,6 @@
     });
   }
 
-  /**
-   * Resolves once the event loop has read what else had arrived: a caller that
-   * left while its request waited to be read is disconnected then.
-   */
-  async waitForPendingEnd(): Promise<void> {
-    for (let turn = 0; turn < TURNS_TO_READ_END; turn++) {
-      await new Promise((resolve) => setImmediate(resolve));
-    }
-  }
-
   /**
    * Closes the connection after this answer: further requests that arrive on it
    * would be run without an answer, and are ignored.
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -37,7 +37,9 @@
   createRefusal,
   LogEvent,
   readRefusalStatus,
+  registerIdleClose,
   UnsentAnswers,
+  waitForPendingReads,
 } from "../../runtime/mod.ts";
 import type { CallerRequest } from "../dialect.ts";
 import type { ConfigurationFollower } from "../features/configuration/configuration_follower.ts";
@@ -144,6 +146,7 @@
       keepAliveTimeout: INITIAL_LIMITS.idleTimeout,
       headersTimeout: INITIAL_LIMITS.headerTimeout,
     }, (incoming, outgoing) => void this.#serve(incoming, outgoing));
+    registerIdleClose(this.#server);
     this.#unsentAnswers = new UnsentAnswers(this.#server);
     this.#server.on("connection", () => {
       this.#lastConnectionAt = options.context.clock.readMonotonic();
@@ -287,7 +290,8 @@
       maxBytes: this.#limits.maxBodyBytes,
       idle: this.#limits.idleTimeout,
     });
-    await exchange.waitForPendingEnd();
+    // A caller that left while its request waited to be read is disconnected.
+    await waitForPendingReads();
     if (exchange.isDisconnected) return this.#logDisconnect(request, arrivedAt);
     if (bodyResult.isLeft()) {
       const refusal = bodyResult.extract() as Refusal;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -22,6 +22,7 @@
   createEventLog,
   type EventLog,
   LogEvent,
+  registerIdleClose,
   startPeriodic,
 } from "../runtime/mod.ts";
 import {
@@ -420,6 +421,7 @@
   /** Starts to listen; returns the address with the port that was bound. */
   async #listen(server: Server, address: string): Promise<string> {
     const { host, port } = parseAddress(address);
+    registerIdleClose(server);
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
       server.listen(port, host, resolve);
--- a/packages/runtime/mod.ts
+++ b/packages/runtime/mod.ts
@@ -11,6 +11,7 @@
 export { LineCategory, LineRateLimiter } from "./line_rate_limiter.ts";
 export type { WriteBytes } from "./line_sink.ts";
 export { createDescriptorSink, LineSink } from "./line_sink.ts";
+export { registerIdleClose, waitForPendingReads } from "./pending_reads.ts";
 export type {
   BackgroundProcess,
   OnDemandOptions,
--- a/packages/runtime/unsent_answers.ts
+++ b/packages/runtime/unsent_answers.ts
@@ -5,6 +5,7 @@
  */
 import type { Server, ServerResponse } from "node:http";
 import { Server as SocketServer } from "node:net";
+import { waitForPendingReads } from "./pending_reads.ts";
 
 /** The answers of one server that have begun and are not completely sent. */
 export class UnsentAnswers {
@@ -20,7 +21,7 @@
       const remove = () => {
         socket.removeListener("close", remove);
         this.#open.delete(outgoing);
-        if (this.#isStopped) this.#closeIdle();
+        if (this.#isStopped) void this.#closeIdle();
       };
       this.#open.add(outgoing);
       socket.once("close", remove);
@@ -40,10 +41,11 @@
     this.#isStopped = true;
     // The method of an HTTP server would close idle connections as well.
     SocketServer.prototype.close.call(this.#server);
-    this.#closeIdle();
+    void this.#closeIdle();
   }
 
-  #closeIdle(): void {
+  async #closeIdle(): Promise<void> {
+    await waitForPendingReads();
     if (this.count() > 0) return;
     this.#server.close();
     this.#server.closeIdleConnections();
