Let a planned stop wait for calls that it relays for peers

A VM that had lost its paths sent a call over a peer, and the peer was stopped as planned: 3 s after the signal the peer had no requests of its own, closed the relayed connections and exited. The caller got 502; a stream would be cut.

Cause: as for answers that were not sent, a stop took "no open request of mine" for "nothing in progress".

A relayed connection is in use while the peer sent last, or the target less than 2 s ago, since sound targets fall silent for a second or so. The stop waits for those within its time. Peers still use kept connections over a VM that is stopping; what runs over it at the end of its time is cut as before.

--- a/packages/gateway/features/paths/connection_relay.ts
+++ b/packages/gateway/features/paths/connection_relay.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage, Server } from "node:http";
 import { connect, type Socket } from "node:net";
-import type { Millis, TargetId } from "../../../core/mod.ts";
+import type { Millis, MonotonicTime, TargetId } from "../../../core/mod.ts";
 import { isPeerKey } from "../../../peer/mod.ts";
 import {
   findConnectOutcome,
@@ -24,6 +24,20 @@
 /** Time limit of a connection to a target: some round trips between regions. */
 const CONNECT_TIMEOUT: Millis = 400;
 
+/**
+ * Time without bytes after which an answer that has begun counts as ended. Sound
+ * targets fall silent for a second or so.
+ */
+const MAX_ANSWER_SILENCE: Millis = 2_000;
+
+/** What passes on a relayed connection. */
+interface RelayUse {
+  /** Whether the peer has sent bytes since the target did. */
+  isAwaitingAnswer: boolean;
+  /** Time of the newest bytes of the target. */
+  answeredAt: MonotonicTime;
+}
+
 /** What a relay needs to know of this VM. */
 export interface ConnectionRelayOptions {
   /** Key that peers must send. */
@@ -38,7 +52,7 @@
 export class ConnectionRelay {
   readonly #context: GatewayContext;
   readonly #options: ConnectionRelayOptions;
-  readonly #sockets = new Set<Socket>();
+  readonly #sockets = new Map<Socket, RelayUse>();
   #isStopping = false;
 
   constructor(context: GatewayContext, options: ConnectionRelayOptions) {
@@ -60,10 +74,20 @@
     this.#isStopping = true;
   }
 
+  /** Returns the number of connections with a request in progress. */
+  countInUse(): number {
+    const now = this.#context.clock.readMonotonic();
+    let count = 0;
+    for (const { isAwaitingAnswer, answeredAt } of this.#sockets.values()) {
+      if (isAwaitingAnswer || now - answeredAt < MAX_ANSWER_SILENCE) count++;
+    }
+    return count;
+  }
+
   /** Closes all relayed connections. */
   close(): void {
     this.#isStopping = true;
-    for (const socket of this.#sockets) socket.destroy();
+    for (const socket of this.#sockets.keys()) socket.destroy();
   }
 
   #serve(request: IncomingMessage, socket: Socket): void {
@@ -79,9 +103,10 @@
   }
 
   #connect(socket: Socket, { host, port }: ListedTarget): void {
-    const { metrics } = this.#context;
+    const { clock, metrics } = this.#context;
     const targetSocket = connect({ host, port });
-    this.#sockets.add(socket);
+    const use: RelayUse = { isAwaitingAnswer: false, answeredAt: -Infinity };
+    this.#sockets.set(socket, use);
     socket.once("close", () => {
       this.#sockets.delete(socket);
       targetSocket.destroy();
@@ -99,6 +124,11 @@
       clearTimeout(timer);
       targetSocket.removeListener("error", fail);
       forwardConnections(socket, targetSocket);
+      socket.on("data", () => (use.isAwaitingAnswer = true));
+      targetSocket.on("data", () => {
+        use.isAwaitingAnswer = false;
+        use.answeredAt = clock.readMonotonic();
+      });
       socket.write(formatAnswer(RelayOutcome.Connected));
     });
   }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -276,8 +276,9 @@
 
   /**
    * Stops gracefully: reports not ready, waits within the stop timeout until
-   * open requests have ended and their answers are sent, returns unspent tokens and closes the servers. Resolves when
-   * the process may exit.
+   * open requests, also those relayed for peers, have ended and answers are
+   * sent, returns unspent tokens and closes the servers. Resolves when the
+   * process may exit.
    */
   stop(): Promise<void> {
     this.#stopping ??= this.#drain();
@@ -366,7 +367,7 @@
       // Repeated, since it also closes connections that have become idle.
       if (isQuiet) this.#callers.stopListening();
       const isIdle = this.#callers.openRequests === 0 &&
-        this.#callers.unsentAnswers === 0;
+        this.#callers.unsentAnswers === 0 && this.#relay.countInUse() === 0;
       if ((isQuiet && isIdle) || now >= end) break;
       await sleep(DRAIN_POLL_INTERVAL);
     }
