Remove the listeners of a wait for a slow caller

A stream to a caller that reads slowly added a listener to its disconnect signal each time it waited, and kept it until the request ended. Callers saw nothing; the VM's memory grew with the stream, and Node warned of 11 listeners in planned_stop_test.

Failing before: caller_exchange_test. Whatever ends the wait now removes both listeners.

--- a/packages/gateway/entry/caller_exchange.ts
+++ b/packages/gateway/entry/caller_exchange.ts
@@ -251,10 +251,14 @@
   waitDrain(): Promise<void> {
     return new Promise((resolve) => {
       if (this.isDisconnected) return resolve();
-      this.#outgoing.once("drain", resolve);
-      this.#disconnection.signal.addEventListener("abort", () => resolve(), {
-        once: true,
-      });
+      const { signal } = this.#disconnection;
+      const finish = () => {
+        this.#outgoing.removeListener("drain", finish);
+        signal.removeEventListener("abort", finish);
+        resolve();
+      };
+      this.#outgoing.once("drain", finish);
+      signal.addEventListener("abort", finish);
     });
   }
 
--- a/packages/gateway/entry/caller_exchange_test.ts
+++ b/packages/gateway/entry/caller_exchange_test.ts
@@ -1,4 +1,5 @@
 /** Tests of answers to one caller, over a socket. */
+import { getEventListeners } from "node:events";
 import { createServer, get } from "node:http";
 import type { AddressInfo } from "node:net";
 import test from "ava";
@@ -43,3 +44,30 @@
     server.close();
   });
 }
+
+// Guards against memory that grows with each event of a stream to a slow caller.
+test("waiting for a caller again and again leaves no listeners behind", async (t) => {
+  const server = createServer();
+  const counted = new Promise<number>((resolve) => {
+    server.on("request", async (incoming, outgoing) => {
+      const exchange = new CallerExchange(
+        incoming,
+        outgoing,
+        new AnswerMemory(),
+      );
+      exchange.sendHead(200, []);
+      for (let round = 0; round < 5; round++) {
+        if (!exchange.write(Buffer.alloc(1_048_576))) {
+          await exchange.waitDrain();
+        }
+      }
+      resolve(getEventListeners(exchange.disconnectSignal, "abort").length);
+      exchange.end();
+    });
+  });
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  get({ port, agent: false }, (answer) => answer.resume());
+  t.is(await counted, 0);
+  server.close();
+});
