--- a/packages/gateway/entry/caller_exchange.ts
+++ b/packages/gateway/entry/caller_exchange.ts
@@ -17,20 +17,14 @@
 import type { Dialect, HeaderList } from "../dialect.ts";
 import { AnswerBuffer, type AnswerMemory } from "./answer_buffer.ts";
 
-/**
- * Turns of the event loop until the end of a connection is read that arrived
- * with the request: the current one and a whole one.
- */
-const TURNS_TO_READ_END = 2;
-
 /** Bounds of the rest of a refused request, which is read and discarded. */
 const MAX_DISCARDED_BYTES: Bytes = 8 * 1_048_576;
 const MAX_DISCARD_TIME: Millis = 3_000;
 
-/** Connections that close after a refusal; what else arrives there is not run. */
+/** Connections that close after an answer; what else arrives there is not run. */
 const CLOSING_SOCKETS = new WeakSet<Socket>();
 
-/** Whether a connection closes after a refusal that was already sent. */
+/** Whether a connection closes after the answer to an earlier request. */
 export function isClosing(socket: Socket): boolean {
   return CLOSING_SOCKETS.has(socket);
 }
@@ -137,18 +131,12 @@
   }
 
   /**
-   * Resolves once the event loop has read what else had arrived: a caller that
-   * left while its request waited to be read is disconnected then.
+   * Closes the connection after this answer: further requests that arrive on it
+   * would be run without an answer, and are ignored.
    */
-  async waitForPendingEnd(): Promise<void> {
-    for (let turn = 0; turn < TURNS_TO_READ_END; turn++) {
-      await new Promise((resolve) => setImmediate(resolve));
-    }
-  }
-
-  /** Asks the caller to close the connection after this answer. */
   disableKeepAlive(): void {
     this.#outgoing.shouldKeepAlive = false;
+    CLOSING_SOCKETS.add(this.#incoming.socket);
   }
 
   /**
@@ -175,7 +163,7 @@
     const body = formatRefusalBody(refusal);
     const isRead = this.#incoming.complete;
     // The rest of an unread body must not be parsed as the next request.
-    if (!isRead) this.#outgoing.shouldKeepAlive = false;
+    if (!isRead) this.disableKeepAlive();
     this.#outgoing.writeHead(readRefusalStatus(refusal), [
       ...Object.entries(refusalHeaders).flat(),
       ...ownHeaders,
@@ -195,7 +183,6 @@
    */
   #discardRest(): void {
     const incoming = this.#incoming;
-    CLOSING_SOCKETS.add(incoming.socket);
     const finish = () => {
       clearTimeout(timer);
       incoming.removeListener("data", count);
@@ -264,10 +251,14 @@
   waitDrain(): Promise<void> {
     return new Promise((resolve) => {
       if (this.isDisconnected) return resolve();
-      this.#outgoing.once("drain", resolve);
-      this.#disconnection.signal.addEventListener("abort", () => resolve(), {
-        once: true,
-      });
+      const { signal } = this.#disconnection;
+      const finish = () => {
+        this.#outgoing.removeListener("drain", finish);
+        signal.removeEventListener("abort", finish);
+        resolve();
+      };
+      this.#outgoing.once("drain", finish);
+      signal.addEventListener("abort", finish);
     });
   }
 
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -37,6 +37,9 @@
   createRefusal,
   LogEvent,
   readRefusalStatus,
+  registerIdleClose,
+  UnsentAnswers,
+  waitForPendingReads,
 } from "../../runtime/mod.ts";
 import type { CallerRequest } from "../dialect.ts";
 import type { ConfigurationFollower } from "../features/configuration/configuration_follower.ts";
@@ -123,6 +126,7 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
+  readonly #unsentAnswers: UnsentAnswers;
   #limits = INITIAL_LIMITS;
   #openRequests = 0;
   #lastConnectionAt: MonotonicTime = -Infinity;
@@ -142,6 +146,8 @@
       keepAliveTimeout: INITIAL_LIMITS.idleTimeout,
       headersTimeout: INITIAL_LIMITS.headerTimeout,
     }, (incoming, outgoing) => void this.#serve(incoming, outgoing));
+    registerIdleClose(this.#server);
+    this.#unsentAnswers = new UnsentAnswers(this.#server);
     this.#server.on("connection", () => {
       this.#lastConnectionAt = options.context.clock.readMonotonic();
     });
@@ -157,6 +163,11 @@
     return this.#openRequests;
   }
 
+  /** Number of answers that have begun and are not completely sent. */
+  get unsentAnswers(): number {
+    return this.#unsentAnswers.count();
+  }
+
   /** Starts to listen; rejects if the address can't be bound. */
   listen(
     input: { readonly host: string; readonly port: number },
@@ -197,10 +208,9 @@
     this.#stop.abort();
   }
 
-  /** Stops accepting connections and closes idle ones. */
+  /** Stops accepting connections; idle ones close once all answers are sent. */
   stopListening(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    this.#unsentAnswers.stopListening();
   }
 
   /** Stops accepting connections and closes all open ones at once. */
@@ -280,7 +290,8 @@
       maxBytes: this.#limits.maxBodyBytes,
       idle: this.#limits.idleTimeout,
     });
-    await exchange.waitForPendingEnd();
+    // A caller that left while its request waited to be read is disconnected.
+    await waitForPendingReads();
     if (exchange.isDisconnected) return this.#logDisconnect(request, arrivedAt);
     if (bodyResult.isLeft()) {
       const refusal = bodyResult.extract() as Refusal;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -22,6 +22,7 @@
   createEventLog,
   type EventLog,
   LogEvent,
+  registerIdleClose,
   startPeriodic,
 } from "../runtime/mod.ts";
 import {
@@ -283,9 +284,10 @@
   }
 
   /**
-   * Stops gracefully: reports not ready, waits for open requests within the
-   * stop timeout, returns unspent tokens and closes the servers. Resolves when
-   * the process may exit.
+   * Stops gracefully: reports not ready, waits within the stop timeout until
+   * open requests, also those relayed for peers, have ended and answers are
+   * sent, returns unspent tokens and closes the servers. Resolves when the
+   * process may exit.
    */
   stop(): Promise<void> {
     this.#stopping ??= this.#drain();
@@ -373,7 +375,9 @@
       const isQuiet = now - this.#callers.lastConnectionAt > QUIET_PERIOD;
       // Repeated, since it also closes connections that have become idle.
       if (isQuiet) this.#callers.stopListening();
-      if ((isQuiet && this.#callers.openRequests === 0) || now >= end) break;
+      const isIdle = this.#callers.openRequests === 0 &&
+        this.#callers.unsentAnswers === 0 && this.#relay.countInUse() === 0;
+      if ((isQuiet && isIdle) || now >= end) break;
       await sleep(DRAIN_POLL_INTERVAL);
     }
     await this.#endRequests();
@@ -390,6 +394,7 @@
     for (const server of this.#servers) server.close();
     log.info(LogEvent.Stopped, {
       open: this.#callers.openRequests,
+      unsent: this.#callers.unsentAnswers,
       ms: Math.round(clock.readMonotonic() - startedAt),
     });
     await Promise.race([log.flush(), sleep(FLUSH_TIME)]);
@@ -427,6 +432,7 @@
   /** Starts to listen; returns the address with the port that was bound. */
   async #listen(server: Server, address: string): Promise<string> {
     const { host, port } = parseAddress(address);
+    registerIdleClose(server);
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
       server.listen(port, host, resolve);
