Bound the queue of new connections and refuse those that waited too long

Turns may be so long that the wait is long, too: while each turn finds a connection, the VM connects to its own listener now and then, and what is accepted before such a probe waited longer than the probe. The first request of a connection that waited 500 ms is refused as not run, its Retry-After spread over that time.

--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -9,6 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
 import { type Either, Left } from "purify-ts";
 import type { Reservation } from "../../budget/mod.ts";
 import {
@@ -46,6 +47,12 @@
 import type { StreamOrigins } from "../features/streams/stream_origins.ts";
 import type { StreamOrigin } from "../features/streams/stream_record.ts";
 import type { GatewayContext } from "../gateway_context.ts";
+import { AcceptProbes } from "./accept_probes.ts";
+import {
+  AcceptQueue,
+  computeRetryAfter,
+  MAX_WAITING_CONNECTIONS,
+} from "./accept_queue.ts";
 import type { AnswerMemory } from "./answer_buffer.ts";
 import type { CallEnd, CallRunner } from "./call_runner.ts";
 import { CallerExchange, isClosing } from "./caller_exchange.ts";
@@ -129,6 +136,13 @@
   /** Defined once a planned stop has begun. */
   #drainTimes: DrainTimes | undefined;
   readonly #stop = new AbortController();
+  readonly #probes = new AcceptProbes();
+  readonly #acceptQueue: AcceptQueue;
+  /**
+   * Least wait of the accepted connections whose first request is refused for
+   * it.
+   */
+  readonly #overdue = new WeakMap<Socket, Millis>();
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -142,9 +156,13 @@
       keepAliveTimeout: INITIAL_LIMITS.idleTimeout,
       headersTimeout: INITIAL_LIMITS.headerTimeout,
     }, (incoming, outgoing) => void this.#serve(incoming, outgoing));
-    this.#server.on("connection", () => {
-      this.#lastConnectionAt = options.context.clock.readMonotonic();
+    this.#acceptQueue = new AcceptQueue({
+      readTime: () => options.context.clock.readMonotonic(),
+      scheduleTurn: setImmediate,
+      startProbe: (observer) =>
+        this.#probes.start(this.#server.address() as AddressInfo, observer),
     });
+    this.#server.on("connection", (socket) => this.#recordConnection(socket));
   }
 
   /** Time of the newest connection; -Infinity before the first. */
@@ -163,7 +181,8 @@
   ): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
-      this.#server.listen(input.port, input.host, 1_024, resolve);
+      const backlog = MAX_WAITING_CONNECTIONS;
+      this.#server.listen(input.port, input.host, backlog, resolve);
     });
   }
 
@@ -199,16 +218,29 @@
 
   /** Stops accepting connections and closes idle ones. */
   stopListening(): void {
+    this.#acceptQueue.close();
     this.#server.close();
     this.#server.closeIdleConnections();
   }
 
   /** Stops accepting connections and closes all open ones at once. */
   destroy(): void {
+    this.#acceptQueue.close();
     this.#server.close();
     this.#server.closeAllConnections();
   }
 
+  #recordConnection(socket: Socket): void {
+    const probe = this.#probes.find(socket);
+    if (probe !== undefined) {
+      socket.destroy();
+      return this.#acceptQueue.recordProbe(probe);
+    }
+    this.#lastConnectionAt = this.#options.context.clock.readMonotonic();
+    const wait = this.#acceptQueue.recordCaller();
+    if (wait !== undefined) this.#overdue.set(socket, wait);
+  }
+
   async #serve(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
@@ -263,6 +295,10 @@
       return this.#refuse(exchange, { refusal, arrivedAt });
     }
     const request = parsed.extract() as CallerRequest;
+    const overdue = this.#findOverdue(incoming.socket, request);
+    if (overdue !== undefined) {
+      return this.#refuse(exchange, { ...overdue, request, arrivedAt });
+    }
     const routes = configuration.read();
     const resolved = routes === undefined || configuration.isOutdated
       ? {
@@ -308,6 +344,28 @@
     await this.#runCall(call, routes!.configuration);
   }
 
+  /**
+   * Returns the refusal of a request whose connection waited too long to be
+   * accepted. The connection stays open: the next request on it has not waited.
+   */
+  #findOverdue(
+    socket: Socket,
+    request: CallerRequest,
+  ): RefusedRequest | undefined {
+    const wait = this.#overdue.get(socket);
+    if (wait === undefined) return undefined;
+    this.#overdue.delete(socket);
+    const timeout = request.timeout ?? DEFAULT_CALLER_TIMEOUT;
+    const retryAfter = computeRetryAfter(
+      { wait, least: OTHER_VM_RETRY_AFTER, timeout },
+      this.#options.context.random,
+    );
+    return {
+      refusal: createRefusal(RefusalKind.Overloaded, { retryAfter }),
+      detail: `the connection waited over ${Math.round(wait)} ms`,
+    };
+  }
+
   #isAdmitted(call: RoutedCall): boolean {
     if (this.#drainTimes === undefined) return true;
     const now = this.#options.context.clock.readMonotonic();
