Limit the calls to a store that is too slow for all of them

All VMs together sent some 65 calls a second, each on a new connection.

Cause: each call that exceeds its time limit (1 to 2.5 s) is sent again 0.1 to 0.3 s later, and the store still works on the first one. Once the queue at the store is longer than the limit, it works for nobody. The queue remains while the repeated calls exceed the store's capacity. Their rate is that of all loops that repeat a call, one for each budget among them, divided by the limit and the pause; it has nothing to do with the rate in health. It is a metastable overload: what starts it may be gone.

Evidence: a stand-in of the store that works on one call after the other. Eight VMs with 40 customers send some 30 calls a second in health.

Change: the client of the store limits how many of its calls are in progress. The limit starts at 16, falls to one when the store accepts a new connection and gives no answer in time, and grows with each answer, faster while answers are quick. Tables take turns. The feeds of the configuration and the targets and calls that the store holds are exempt. A timeout on an old connection doesn't lower the limit, so a dead connection is detected and replaced as before.

--- a/packages/ports/adaptive_timeout.ts
+++ b/packages/ports/adaptive_timeout.ts
@@ -35,6 +35,11 @@
     this.#value = range.initial;
   }
 
+  /** Limit while calls end well within it. */
+  get initial(): Millis {
+    return this.#range.initial;
+  }
+
   /** Limit of a call that starts now. */
   get value(): Millis {
     return this.#value;
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -66,6 +66,7 @@
   StartConnection,
 } from "./adaptive_agent.ts";
 export { AdaptiveAgent } from "./adaptive_agent.ts";
+export { ConcurrencyLimit } from "./concurrency_limit.ts";
 export type {
   ConnectCallback,
   ConnectToTarget,
