Let the soak see configurations that are not in force in time

It never restored the store from a copy, changed the configuration in one fault of twenty, and checked one direction of one key.

Change: two faults restore the store from a copy of 0.4 to 10 s before, one of them with a kill of all VMs while it is away; one keeps reads stale and the history lost for seconds. The operator stores a configuration every 2.5 s that adds a key and a route, drops a key and moves a route to another service. configuration-in-time compares each run and each 401, 403 and 404 at a VM in touch with the configurations that may be in force, by the stated bounds of the smallest deployment (3 s, 6 s more while the store is unstable, in touch after 4 s). not-denied allows no 4xx that no such configuration explains, and 402 only where a customer's calls may have used its prepaid tokens. configuration-stays now covers routes, runs and dropped keys too; what it reported before it still reports. Its test expects the two new guarantees besides, as a refusal of a valid key at a VM in touch violates them as well. An interruption is recorded when it begins, also in a release, so that the limits of targets are excused for less time than before.

Evidence: records that violate each check (soak_test), each also excused and not excused by disruptions.

--- a/packages/soak/fault_plan.ts
+++ b/packages/soak/fault_plan.ts
@@ -32,8 +32,14 @@
   StoreAnswersLost = "store-answers-lost",
   /** The store answers reads with an older version of its rows. */
   StoreStale = "store-stale",
+  /** The store goes away at the end and comes back from a copy of the start. */
+  StoreRestored = "store-restored",
+  /** The same, and the processes of all VMs are killed while it is away. */
+  KillInRestore = "kill-in-restore",
   /** The store drops its change history. */
   StoreForgets = "store-forgets",
+  /** The same again and again, while reads are answered from older rows. */
+  StoreForgetsStale = "store-forgets-stale",
   /** Some requests fail at the targets, each with a random target fault. */
   TargetFaults = "target-faults",
   /**
@@ -75,11 +81,14 @@
 const MAX_PAUSE: Millis = 1_500;
 
 /**
- * Maximum duration of a fault. It is long enough that a VM which is partitioned
+ * Maximum duration of most faults. It is long enough that a VM which is partitioned
  * from the store can run out of tokens.
  */
 const MAX_FAULT_DURATION: Millis = 5_000;
 
+/** Faults that last twice as long: their copy is older than most deadlines. */
+const LONG_FAULTS = [FaultKind.StoreRestored, FaultKind.KillInRestore];
+
 /** Probability that a fault is the first of a quick series of the same kind. */
 const SERIES_CHANCE = 0.3;
 
@@ -106,10 +115,11 @@
   input: PlanInput & { readonly at: Millis; readonly random: () => number },
 ): PlannedFault {
   const { at, random, vms } = input;
+  const duration = 200 + random() * (MAX_FAULT_DURATION - 200);
   return {
     kind,
     at: Math.round(at),
-    duration: Math.round(200 + random() * (MAX_FAULT_DURATION - 200)),
+    duration: Math.round(LONG_FAULTS.includes(kind) ? 2 * duration : duration),
     index: Math.floor(random() * vms),
   };
 }
--- a/packages/soak/guarantees.ts
+++ b/packages/soak/guarantees.ts
@@ -4,6 +4,13 @@
  * tests can feed each one records that violate it.
  */
 import { type Millis, MILLIS_PER_SECOND, type Tokens } from "../core/mod.ts";
+import {
+  checkDenied,
+  type CheckedCalls,
+  checkInForce,
+  checkNoRollback,
+  type ConfigurationRecords,
+} from "./configuration_effects.ts";
 
 /** One call as its caller saw it, and how often targets ran it. */
 export interface CallRecord {
@@ -13,8 +20,13 @@
   readonly incarnation: number;
   readonly route: string;
   readonly customer: string;
-  /** Version of the configuration that introduced the caller's key. */
-  readonly keyVersion: number;
+  /**
+   * Version of the configuration that introduced the caller's key; absent for a
+   * key that all configurations hold.
+   */
+  readonly keyVersion?: number;
+  /** Version that added the route; absent for a route of all configurations. */
+  readonly routeVersion?: number;
   /** Version of the newest configuration when the call ended. */
   readonly newestVersion: number;
   readonly sentAt: Millis;
@@ -37,6 +49,8 @@
   readonly releases: readonly string[];
   /** How many times targets started to run the call. */
   readonly runs: number;
+  /** Services of the targets that ran it. */
+  readonly services: readonly string[];
 }
 
 /** A property that every run must have. */
@@ -57,6 +71,10 @@
   PlannedStop = "planned-stop",
   /** A process doesn't go back to an older configuration. */
   NoConfigurationRollback = "configuration-stays",
+  /** A configuration is in force in time. */
+  ConfigurationInForce = "configuration-in-time",
+  /** A call that the configurations allow isn't refused as wrong. */
+  NotDenied = "not-denied",
   /** Every VM serves again after the last fault. */
   Recovery = "recovery",
   /** A target gets no more requests than the limit that it names. */
@@ -96,7 +114,7 @@
 }
 
 /** Records of one soak run. */
-export interface SoakRecords {
+export interface SoakRecords extends ConfigurationRecords {
   readonly calls: readonly CallRecord[];
   /** Prepaid tokens of each customer at the end of the run. */
   readonly prepaid: ReadonlyMap<string, Tokens>;
@@ -117,6 +135,12 @@
 /** Statuses of the gateway that state that a call has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
+/** Tokens of a stand-in's complete stream. */
+const MAX_OUTPUT_TOKENS: Tokens = 40;
+
+/** Part of the prepaid tokens into which a call that is owed must fit. */
+const OWED_SHARE = 0.97;
+
 /** Time after the last fault within which every VM must serve again. */
 const RECOVERY_TIME: Millis = 8_000;
 
@@ -159,7 +183,12 @@
       holds: (call) => call.hasRetryAfter,
     }),
     checkPlannedStops(records),
-    checkConfigurations(calls),
+    describeChecked(
+      SoakGuarantee.NoConfigurationRollback,
+      checkNoRollback(calls),
+    ),
+    describeChecked(SoakGuarantee.ConfigurationInForce, checkInForce(records)),
+    checkNotDenied(records),
     checkRecovery(records),
     checkLimits(records.limitedPeriods),
   ];
@@ -202,6 +231,25 @@
   };
 }
 
+/**
+ * Checks that no call is refused as wrong, with 402 only if the calls of its
+ * customer don't fit, at their most, into the owed part of its prepaid tokens.
+ */
+function checkNotDenied(records: SoakRecords): GuaranteeResult {
+  const most = new Map<string, Tokens>();
+  for (const { customer, promptTokens } of records.calls) {
+    const tokens = promptTokens > 0 ? promptTokens + MAX_OUTPUT_TOKENS : 0;
+    most.set(customer, (most.get(customer) ?? 0) + tokens);
+  }
+  const isSpent = ({ customer, status, promptTokens }: CallRecord) =>
+    status === 402 && promptTokens > 0 &&
+    most.get(customer)! > OWED_SHARE * (records.prepaid.get(customer) ?? 0);
+  return describeChecked(
+    SoakGuarantee.NotDenied,
+    checkDenied(records, isSpent),
+  );
+}
+
 /** Checks that calls open at a planned stop end with a complete answer. */
 function checkPlannedStops(records: SoakRecords): GuaranteeResult {
   const wasOpenAtStop = (call: CallRecord) =>
@@ -215,41 +263,11 @@
   });
 }
 
-/**
- * Checks that a process which has accepted a key doesn't reject it while it is
- * valid. A key is introduced by the configuration of its version and removed by
- * the second configuration after that one.
- */
-function checkConfigurations(calls: readonly CallRecord[]): GuaranteeResult {
-  const accepted = new Map<string, { version: number; acceptedAt: Millis }>();
-  const failures: string[] = [];
-  let checked = 0;
-  for (const call of calls.toSorted((a, b) => a.endedAt - b.endedAt)) {
-    const process = `${call.vm}/${call.incarnation}`;
-    const lastAccepted = accepted.get(process);
-    const isSentLater = lastAccepted !== undefined &&
-      call.sentAt > lastAccepted.acceptedAt;
-    if (call.status === 401) {
-      checked++;
-      const wasAccepted = isSentLater &&
-        call.keyVersion === lastAccepted.version;
-      if (wasAccepted && call.newestVersion < call.keyVersion + 2) {
-        failures.push(describeCall(call));
-      }
-    } else if (
-      call.status === 200 && call.keyVersion > (lastAccepted?.version ?? -1)
-    ) {
-      accepted.set(process, {
-        version: call.keyVersion,
-        acceptedAt: call.endedAt,
-      });
-    }
-  }
-  return {
-    guarantee: SoakGuarantee.NoConfigurationRollback,
-    checked,
-    failures,
-  };
+function describeChecked(
+  guarantee: SoakGuarantee,
+  { checked, failed }: CheckedCalls,
+): GuaranteeResult {
+  return { guarantee, checked, failures: failed.map(describeCall) };
 }
 
 /**
@@ -318,7 +336,10 @@
 }
 
 function describeCall(call: CallRecord): string {
+  const { keyVersion = "that stays", services } = call;
   return `${call.id} (${call.route}) at ${call.vm}/${call.incarnation}, ` +
     `${Math.round(call.sentAt)} to ${Math.round(call.endedAt)} ms: ` +
-    `status ${call.status}, runs ${call.runs}, complete ${call.isComplete}`;
+    `status ${call.status}, runs ${call.runs} (${services.join()}), ` +
+    `complete ${call.isComplete}, key ${keyVersion}, ` +
+    `newest configuration ${call.newestVersion}`;
 }
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -22,6 +22,13 @@
 } from "../../platform/stand_ins/mod.ts";
 import { SeededRandom } from "../bench/mod.ts";
 import type { Millis } from "../core/mod.ts";
+import {
+  type AcknowledgedVersion,
+  type Disruption,
+  DisruptionEffect,
+  findService,
+  listKeyVersions,
+} from "./configuration_effects.ts";
 import { FaultKind, planFaults, type PlannedFault } from "./fault_plan.ts";
 import {
   type CallRecord,
@@ -66,6 +73,12 @@
 /** Number of concurrent callers of each VM. */
 const CALLERS_PER_VM = 3;
 
+/** Probability that a call has a key that all configurations hold. */
+const STAYING_KEY_CHANCE = 0.2;
+
+/** Probability that another call has a key of the newest configuration. */
+const NEWEST_KEY_CHANCE = 0.6;
+
 /** Time that a caller allows for its call, sent as the call's deadline. */
 const CALLER_TIMEOUT: Millis = 3_000;
 
@@ -87,16 +100,6 @@
 /** Time for which a target names a limit, besides that of the fault. */
 const LIMIT_TIME: Millis = 6_000;
 
-/** Faults that interrupt one VM, or all. */
-const VM_INTERRUPTIONS = [
-  FaultKind.KillVm,
-  FaultKind.StopVm,
-  FaultKind.PauseVm,
-];
-
-/** Faults in which the processes of all VMs are killed. */
-const KILLS_OF_ALL = [FaultKind.KillAll, FaultKind.KillInRelease];
-
 /** Delay of bytes to and from the store during {@link FaultKind.DelayStore}. */
 const STORE_DELAY: Millis = 150;
 
@@ -109,6 +112,21 @@
 /** Number of versions that stale reads lag behind. */
 const STALE_READ_VERSIONS = 20;
 
+/** Pause after each loss of the store's history, if it is lost repeatedly. */
+const FORGET_INTERVAL: Millis = 200;
+
+/** Time for which a store that is restored is away. */
+const AWAY_TIME: Millis = 700;
+
+/** Pause after each change of the configuration. */
+const CONFIGURATION_INTERVAL: Millis = 2_500;
+
+/** Interval at which the operator tries again while the store is away. */
+const AWAY_POLL_INTERVAL: Millis = 50;
+
+/** How many versions ago the keys and routes of calls were added, at most. */
+const MAX_VERSION_AGE = 4;
+
 /**
  * A planned stop is checked only if no other fault is active within this time
  * before it, and none starts within this time after it.
@@ -145,12 +163,16 @@
   readonly #vms: readonly VmProcess[];
   readonly #folder: string;
   readonly #random: SeededRandom;
-  readonly #calls: Omit<CallRecord, "runs">[] = [];
+  readonly #calls: Omit<CallRecord, "runs" | "services">[] = [];
   readonly #startedAt = performance.now();
   readonly #limitedPeriods: LimitedPeriod[] = [];
   readonly #interruptions: VmInterruption[] = [];
+  readonly #acknowledged: AcknowledgedVersion[] = [];
+  readonly #disruptions: Disruption[] = [];
   /** Version of the newest configuration. */
   #configurationVersion = 0;
+  /** Number of times that prepaid tokens were added. */
+  #topUps = 1;
   #keepsLogs = false;
   #isOver = false;
 
@@ -178,7 +200,10 @@
   static async start(options: SoakOptions): Promise<Soak> {
     const folder = mkdtempSync(join(tmpdir(), `anvilrail-soak-`));
     const store = await StoreServer.start();
-    const ids = ["app-1", "app-2", "app-3", "llm-1", "llm-2", "llm-3"];
+    const ids = [
+      ...["app-1", "app-2", "app-3", "spare-1", "spare-2"],
+      ...["llm-1", "llm-2", "llm-3"],
+    ];
     const targets = await Promise.all(ids.map((id) => TargetServer.start(id)));
     const replacing = await Promise.all(
       ["llm-4", "llm-5"].map((id) => TargetServer.start(id, OTHER_RELEASE)),
@@ -201,7 +226,7 @@
       folder,
     });
     for (const target of targets) soak.#listTarget(target, "ready");
-    soak.#storeConfiguration();
+    await soak.#storeConfiguration();
     return soak;
   }
 
@@ -220,13 +245,17 @@
         (_, number) => this.#runCaller(vm, number),
       )
     );
+    const operator = this.#runOperator();
     const planStart = this.#now();
     await Promise.all(faults.map((fault) => this.#runFault(fault)));
-    for (const vm of this.#vms) vm.start();
+    const ended = this.#vms.filter((vm) => !vm.isRunning);
+    await this.#recordDisruption(ended, {
+      duringDisruption: () => ended.forEach((vm) => vm.start()),
+    });
     const faultsEndedAt = this.#now();
     await sleep(FAULT_FREE_TIME);
     this.#isOver = true;
-    await Promise.all(callers);
+    await Promise.all([...callers, operator]);
     const calls = this.#countRuns();
     const guarantees = checkGuarantees({
       calls,
@@ -236,6 +265,8 @@
       ]),
       undisturbedStops: this.#listUndisturbedStops(faults, planStart),
       limitedPeriods: this.#limitedPeriods,
+      acknowledged: this.#acknowledged,
+      disruptions: this.#disruptions,
       faultsEndedAt,
     });
     this.#keepsLogs = guarantees.some((each) => each.failures.length > 0);
@@ -271,19 +302,33 @@
   }
 
   #computeScarcePrepaid(): number {
-    return SCARCE_PREPAID + this.#configurationVersion * PREPAID_TOP_UP;
+    return SCARCE_PREPAID + this.#topUps * PREPAID_TOP_UP;
+  }
+
+  /** Changes the configuration again and again until the run is over. */
+  async #runOperator(): Promise<void> {
+    while (!this.#isOver) {
+      await this.#storeConfiguration();
+      await sleep(CONFIGURATION_INTERVAL);
+    }
   }
 
   /**
-   * Stores the next configuration. Each one adds a key for every customer and
-   * keeps the key that the previous configuration added.
+   * Stores the next configuration as soon as the store is there. Each one adds a
+   * key for every customer and drops the oldest, adds a route, and moves the one
+   * that was added before to another service.
    */
-  #storeConfiguration(): void {
+  async #storeConfiguration(): Promise<void> {
+    while (this.#store.isAway) await sleep(AWAY_POLL_INTERVAL);
     const version = ++this.#configurationVersion;
     const createKeys = (name: string) => [
-      `key-${name}-${version}`,
-      `key-${name}-${version - 1}`,
+      `key-${name}`,
+      ...listKeyVersions(version).map((each) => `key-${name}-${each}`),
     ];
+    const safeRoutes = Array.from({ length: version }, (_, index) => ({
+      name: `added-${index + 1}`,
+      service: findService(version, index + 1)!,
+    }));
     this.#store.put(
       "op",
       "config",
@@ -297,63 +342,68 @@
           },
           { name: "ample", keys: createKeys("ample"), prepaid: AMPLE_PREPAID },
         ],
+        safeRoutes,
       }),
     );
+    this.#acknowledged.push({ version, at: this.#now() });
   }
 
   /** Writes the entry of a target with a state to the store's server list. */
   #listTarget(target: TargetServer, state: string): void {
-    const service = target.id.split("-")[0]!;
-    this.#store.put("servers", target.id, target.createEntry(service, state));
+    const entry = target.createEntry(findTargetService(target), state);
+    this.#store.put("servers", target.id, entry);
   }
 
   /** Waits for the start of a fault, injects it and ends it. */
   async #runFault(fault: PlannedFault): Promise<void> {
     await sleep(fault.at);
     const vm = this.#vms[fault.index % this.#vms.length]!;
-    const relay = this.#relays[fault.index % this.#relays.length]!;
     const waitDuration = () => sleep(fault.duration);
-    this.#recordInterruption(fault, vm);
     switch (fault.kind) {
       case FaultKind.KillVm:
         return await this.#restartVms([vm], {
           signal: "SIGKILL",
-          waitDuration,
+          duration: fault.duration,
         });
       case FaultKind.KillAll:
         return await this.#restartVms(this.#vms, {
           signal: "SIGKILL",
-          waitDuration,
+          duration: fault.duration,
         });
       case FaultKind.StopVm:
         return await this.#restartVms([vm], {
           signal: "SIGTERM",
-          waitDuration,
+          duration: fault.duration,
         });
       case FaultKind.PauseVm:
         vm.signal("SIGSTOP");
-        await waitDuration();
+        this.#recordInterruption([vm], fault.duration);
+        await this.#recordDisruption([vm], { duringDisruption: waitDuration });
         return vm.signal("SIGCONT");
       case FaultKind.CutStore:
-        return await this.#withRelayMode([relay], {
+        return await this.#withRelayMode([vm], {
           mode: RelayMode.Cut,
           waitDuration,
         });
       case FaultKind.CutAll:
-        return await this.#withRelayMode(this.#relays, {
+        return await this.#withRelayMode(this.#vms, {
           mode: RelayMode.Cut,
           waitDuration,
         });
       case FaultKind.CutAnswers:
-        return await this.#withRelayMode([relay], {
+        return await this.#withRelayMode([vm], {
           mode: RelayMode.CutAnswers,
           waitDuration,
         });
       case FaultKind.ResetStore:
-        return relay.resetAll();
+        return await this.#recordDisruption([vm], {
+          duringDisruption: () => this.#findRelay(vm).resetAll(),
+        });
       case FaultKind.DelayStore:
         for (const each of this.#relays) each.delay = STORE_DELAY;
-        await waitDuration();
+        await this.#recordDisruption(this.#vms, {
+          duringDisruption: waitDuration,
+        });
         for (const each of this.#relays) each.delay = 0;
         return;
       case FaultKind.StoreBusy:
@@ -361,12 +411,25 @@
       case FaultKind.StoreAnswersLost:
         return await this.#withStoreFault(StoreFault.AnswersLost, waitDuration);
       case FaultKind.StoreStale:
-        this.#store.staleBy = STALE_READ_VERSIONS;
-        await waitDuration();
-        this.#store.staleBy = 0;
-        return;
+        return await this.#withStaleReads(waitDuration);
       case FaultKind.StoreForgets:
-        return this.#store.forgetHistory();
+        return await this.#recordDisruption(this.#vms, {
+          effect: DisruptionEffect.Unstable,
+          duringDisruption: () => this.#store.forgetHistory(),
+        });
+      case FaultKind.StoreForgetsStale:
+        return await this.#withStaleReads(() => this.#forgetRepeatedly(fault));
+      case FaultKind.StoreRestored:
+        return await this.#restoreStore(fault, () => sleep(AWAY_TIME));
+      case FaultKind.KillInRestore:
+        return await this.#restoreStore(
+          fault,
+          () =>
+            this.#restartVms(this.#vms, {
+              signal: "SIGKILL",
+              duration: AWAY_TIME,
+            }),
+        );
       case FaultKind.TargetFaults:
         return await this.#withTargetFaults({
           kinds: SOAK_TARGET_FAULTS,
@@ -392,16 +455,67 @@
       case FaultKind.TargetLimit:
         return await this.#limitTarget(fault);
       case FaultKind.Configuration:
-        return this.#storeConfiguration();
+        this.#topUps++;
+        return await this.#storeConfiguration();
+    }
+  }
+
+  /** Records that VMs are disrupted, out of touch by default, meanwhile. */
+  async #recordDisruption(
+    vms: readonly VmProcess[],
+    input: {
+      readonly effect?: DisruptionEffect;
+      readonly duringDisruption: () => void | Promise<void>;
+    },
+  ): Promise<void> {
+    const { effect = DisruptionEffect.OutOfTouch, duringDisruption } = input;
+    const from = this.#now();
+    await duringDisruption();
+    const names = vms.map(({ name }) => name);
+    this.#disruptions.push({ effect, vms: names, from, to: this.#now() });
+  }
+
+  /** Copies the store; later lets it go away and come back from the copy. */
+  async #restoreStore(
+    { duration }: PlannedFault,
+    waitAway: () => Promise<void>,
+  ): Promise<void> {
+    this.#store.copy();
+    await sleep(duration);
+    this.#store.goAway();
+    await this.#recordDisruption(this.#vms, { duringDisruption: waitAway });
+    this.#store.restore();
+  }
+
+  /** Answers reads from older rows until the wait is over. */
+  async #withStaleReads(waitEnd: () => Promise<void>): Promise<void> {
+    this.#store.staleBy = STALE_READ_VERSIONS;
+    await this.#recordDisruption(this.#vms, {
+      effect: DisruptionEffect.Unstable,
+      duringDisruption: waitEnd,
+    });
+    this.#store.staleBy = 0;
+  }
+
+  /** Drops the store's history at intervals for the duration of a fault. */
+  async #forgetRepeatedly({ duration }: PlannedFault): Promise<void> {
+    const end = this.#now() + duration;
+    while (this.#now() < end) {
+      this.#store.forgetHistory();
+      await sleep(FORGET_INTERVAL);
     }
   }
 
+  #findRelay(vm: VmProcess): Relay {
+    return this.#relays[this.#vms.indexOf(vm)]!;
+  }
+
   /** Kills and restarts all VMs in the middle of a fault. */
   async #killAllMidway({ duration }: PlannedFault): Promise<void> {
     await sleep(duration / 2);
     await this.#restartVms(this.#vms, {
       signal: "SIGKILL",
-      waitDuration: () => sleep(RESTART_DELAY),
+      duration: RESTART_DELAY,
     });
   }
 
@@ -451,14 +565,10 @@
     });
   }
 
-  #recordInterruption({ kind, duration }: PlannedFault, vm: VmProcess): void {
-    const interrupted = KILLS_OF_ALL.includes(kind)
-      ? this.#vms
-      : VM_INTERRUPTIONS.includes(kind)
-      ? [vm]
-      : [];
+  /** Records that VMs are interrupted from now on. */
+  #recordInterruption(vms: readonly VmProcess[], duration: Millis): void {
     const from = this.#now();
-    for (const { name } of interrupted) {
+    for (const { name } of vms) {
       this.#interruptions.push({ vm: name, from, to: from + duration });
     }
   }
@@ -468,28 +578,34 @@
     vms: readonly VmProcess[],
     input: {
       readonly signal: NodeJS.Signals;
-      readonly waitDuration: () => Promise<void>;
+      readonly duration: Millis;
     },
   ): Promise<void> {
+    this.#recordInterruption(vms, input.duration);
     for (const vm of vms) vm.signal(input.signal);
     // Another fault may restart a VM during the wait below, so the exits of the
     // signalled processes are recorded here.
     const exits = vms.map((vm) => vm.waitExit());
-    await input.waitDuration();
-    await Promise.all(exits);
-    for (const vm of vms) vm.start();
+    await this.#recordDisruption(vms, {
+      duringDisruption: async () => {
+        await sleep(input.duration);
+        await Promise.all(exits);
+        for (const vm of vms) vm.start();
+      },
+    });
   }
 
-  /** Switches relays to a mode for the duration of a fault. */
+  /** Switches the relays of VMs to a mode for the duration of a fault. */
   async #withRelayMode(
-    relays: readonly Relay[],
+    vms: readonly VmProcess[],
     input: {
       readonly mode: RelayMode;
       readonly waitDuration: () => Promise<void>;
     },
   ): Promise<void> {
+    const relays = vms.map((vm) => this.#findRelay(vm));
     for (const relay of relays) relay.mode = input.mode;
-    await input.waitDuration();
+    await this.#recordDisruption(vms, { duringDisruption: input.waitDuration });
     for (const relay of relays) relay.mode = RelayMode.Pass;
   }
 
@@ -499,7 +615,7 @@
     waitDuration: () => Promise<void>,
   ): Promise<void> {
     this.#store.fault = fault;
-    await waitDuration();
+    await this.#recordDisruption(this.#vms, { duringDisruption: waitDuration });
     this.#store.fault = StoreFault.None;
   }
 
@@ -560,11 +676,29 @@
     caller: { readonly random: SeededRandom; readonly agent: Agent },
   ): Promise<void> {
     const { random, agent } = caller;
-    const route = random.choose(["read", "book", "chat", "chat", "brief"]);
+    const kind = random.choose([
+      ...["read", "book", "chat", "chat", "brief"],
+      ...["added", "added"],
+    ]);
+    const routeVersion = kind === "added"
+      ? Math.max(1, this.#drawVersion(random))
+      : undefined;
+    const route = routeVersion === undefined ? kind : `added-${routeVersion}`;
+    const keyVersion = random.drawChance(STAYING_KEY_CHANCE)
+      ? undefined
+      : random.drawChance(NEWEST_KEY_CHANCE)
+      ? this.#configurationVersion
+      : this.#drawVersion(random);
     const customer = random.drawChance(0.7) ? "scarce" : "ample";
     const isPrompt = route === "chat" || route === "brief";
     const promptTokens = isPrompt ? random.drawInteger(20, 600) : 0;
-    const call = { route, customer, promptTokens };
+    const call = {
+      route,
+      customer,
+      promptTokens,
+      ...(routeVersion === undefined ? {} : { routeVersion }),
+      ...(keyVersion === undefined ? {} : { keyVersion }),
+    };
     const id = this.#createId(vm, random);
     const answer = await this.#send(vm, { ...call, id, agent });
     const isBroken = answer.events > 0 && !answer.isComplete;
@@ -578,6 +712,11 @@
     });
   }
 
+  /** Draws a version of late, or the newest one. */
+  #drawVersion(random: SeededRandom): number {
+    return this.#configurationVersion - random.drawInteger(0, MAX_VERSION_AGE);
+  }
+
   #createId(vm: VmProcess, random: SeededRandom): string {
     return `${vm.name}-${this.#calls.length}-${random.drawInteger(0, 1e9)}`;
   }
@@ -588,7 +727,9 @@
     call: {
       readonly id: string;
       readonly route: string;
+      readonly routeVersion?: number;
       readonly customer: string;
+      readonly keyVersion?: number;
       readonly promptTokens: number;
       readonly agent?: Agent;
       readonly takesUp?: BrokenStream;
@@ -597,14 +738,16 @@
     },
   ): Promise<GatewayAnswer> {
     const { id, route, customer, promptTokens, agent, takesUp } = call;
-    const keyVersion = this.#configurationVersion;
+    const { routeVersion, keyVersion } = call;
     const sentAt = this.#now();
     const { incarnation } = vm;
     const answer = await callGateway({
       id,
       ...(vm.callerPort === undefined ? {} : { port: vm.callerPort }),
       route,
-      key: `key-${customer}-${keyVersion}`,
+      key: keyVersion === undefined
+        ? `key-${customer}`
+        : `key-${customer}-${keyVersion}`,
       ...(promptTokens > 0 ? { promptTokens } : {}),
       ...(takesUp === undefined ? {} : { takesUp }),
       timeoutMillis: CALLER_TIMEOUT,
@@ -615,8 +758,9 @@
       vm: vm.name,
       incarnation,
       route,
+      ...(routeVersion === undefined ? {} : { routeVersion }),
       customer,
-      keyVersion,
+      ...(keyVersion === undefined ? {} : { keyVersion }),
       newestVersion: this.#configurationVersion,
       sentAt,
       endedAt: this.#now(),
@@ -635,14 +779,20 @@
 
   /** Returns the recorded calls, each with how often targets ran it. */
   #countRuns(): CallRecord[] {
-    const runs = new Map<string, number>();
-    for (const { id } of this.#listAllTargets().flatMap((each) => each.seen)) {
-      runs.set(id, (runs.get(id) ?? 0) + 1);
+    const runs = new Map<string, string[]>();
+    for (const target of this.#listAllTargets()) {
+      for (const { id } of target.seen) {
+        runs.set(id, [...runs.get(id) ?? [], findTargetService(target)]);
+      }
     }
-    return this.#calls.map((call) => ({
-      ...call,
-      runs: runs.get(call.id) ?? 0,
-    }));
+    return this.#calls.map((call) => {
+      const services = runs.get(call.id) ?? [];
+      return {
+        ...call,
+        runs: services.length,
+        services: [...new Set(services)],
+      };
+    });
   }
 
   /**
@@ -671,3 +821,8 @@
       }));
   }
 }
+
+/** Returns the service of a target, with which its id begins. */
+function findTargetService({ id }: TargetServer): string {
+  return id.split("-")[0]!;
+}
--- a/packages/soak/soak_test.ts
+++ b/packages/soak/soak_test.ts
@@ -1,5 +1,6 @@
 /** Tests of the fault plan and the guarantee checks, and one short soak run. */
 import test from "ava";
+import { DisruptionEffect } from "./configuration_effects.ts";
 import { FaultKind, planFaults } from "./fault_plan.ts";
 import { formatSoakReport, runSoak } from "./mod.ts";
 import {
@@ -55,6 +56,7 @@
   promptTokens: 60,
   outputTokens: 40,
   runs: 1,
+  services: ["llm"],
   isTakenUp: false,
   releases: ["v1"],
 };
@@ -64,6 +66,8 @@
   prepaid: new Map([["scarce", 100]]),
   undisturbedStops: [{ vm: "v1", from: 50, to: 5_000 }],
   limitedPeriods: [],
+  acknowledged: [{ version: 1, at: -10_000 }],
+  disruptions: [],
   faultsEndedAt: -10_000,
 };
 
@@ -140,14 +144,77 @@
 test("a process that rejects a valid key after accepting it is reported", (t) => {
   const later = { ...CALL, id: "c2", sentAt: 200, endedAt: 210, status: 401 };
   const calls = [{ ...CALL, outputTokens: 0 }, { ...later, runs: 0 }];
-  t.deepEqual(listViolated({ calls }), [SoakGuarantee.NoConfigurationRollback]);
+  t.deepEqual(listViolated({ calls }), [
+    SoakGuarantee.NoConfigurationRollback,
+    SoakGuarantee.ConfigurationInForce,
+    SoakGuarantee.NotDenied,
+  ]);
   const expiredKey = calls.map((call) => ({ ...call, newestVersion: 3 }));
   t.deepEqual(listViolated({ calls: expiredKey }), []);
   const otherIncarnation = calls.map((call, index) => ({
     ...call,
     incarnation: index,
   }));
-  t.deepEqual(listViolated({ calls: otherIncarnation }), []);
+  t.deepEqual(listViolated({ calls: otherIncarnation }), [
+    SoakGuarantee.ConfigurationInForce,
+    SoakGuarantee.NotDenied,
+  ]);
+});
+
+test("calls that are handled as only replaced configurations allow are reported, from VMs in touch", (t) => {
+  const { ConfigurationInForce, NotDenied } = SoakGuarantee;
+  const acknowledged = [-10_000, 0, 1_000].map((at, index) => ({
+    version: index + 1,
+    at,
+  }));
+  const { OutOfTouch, Unstable } = DisruptionEffect;
+  const disrupt = (effect: DisruptionEffect, vm = "v1") => [
+    { effect, vms: [vm], from: 0, to: 6_000 },
+  ];
+  const listFor = (
+    call: Partial<CallRecord>,
+    sentAt: number,
+    disruptions: SoakRecords["disruptions"] = [],
+  ) => {
+    const plain = { ...CALL, newestVersion: 3, promptTokens: 0 };
+    const { runs = 1, services = ["app"] } = call;
+    const changed = { ...plain, outputTokens: 0, ...call, runs, services };
+    return listViolated({
+      calls: [{ ...changed, sentAt, endedAt: sentAt + 10 }],
+      acknowledged,
+      disruptions,
+      faultsEndedAt: Infinity,
+    });
+  };
+  const refusal = { runs: 0, services: [] };
+  const cases: readonly (readonly [Partial<CallRecord>, SoakGuarantee[]])[] = [
+    [{ keyVersion: 1 }, [ConfigurationInForce]],
+    [{ keyVersion: 2, routeVersion: 2 }, [ConfigurationInForce]],
+    [{ ...refusal, keyVersion: 3, status: 401 }, [
+      ConfigurationInForce,
+      NotDenied,
+    ]],
+    [{ ...refusal, keyVersion: 3, routeVersion: 3, status: 404 }, [
+      ConfigurationInForce,
+      NotDenied,
+    ]],
+  ];
+  for (const [call, violated] of cases) {
+    const withDisruption = (...input: Parameters<typeof disrupt>) =>
+      listFor(call, 9_000, disrupt(...input));
+    t.deepEqual(listFor(call, 4_001), violated);
+    t.deepEqual(withDisruption(OutOfTouch, "v2"), violated);
+    t.deepEqual(withDisruption(OutOfTouch), []);
+    t.deepEqual(withDisruption(Unstable), []);
+    t.deepEqual(listFor(call, 10_001, disrupt(Unstable)), violated);
+    t.deepEqual(listFor(call, 10_001, disrupt(OutOfTouch)), violated);
+  }
+  t.deepEqual(listFor({ keyVersion: 1 }, 3_999), []);
+  const spent = { ...refusal, status: 402 };
+  t.deepEqual(listFor({ ...spent, promptTokens: 60 }, 0), []);
+  for (const denied of [{ ...spent, promptTokens: 50 }, spent]) {
+    t.deepEqual(listFor(denied, 0, disrupt(OutOfTouch)), [NotDenied]);
+  }
 });
 
 test("gateway processes satisfy the guarantees under the faults of a seed", async (t) => {
@@ -159,4 +226,5 @@
   t.true(count(SoakGuarantee.CompleteAnswer) > 0);
   t.true(count(SoakGuarantee.AtMostOnce) > 0);
   t.true(count(SoakGuarantee.Recovery) > 0);
+  t.true(count(SoakGuarantee.ConfigurationInForce) > 0);
 });
