Write lost rows again later than a restore in the soak

A restored store may lack the operator's and the targets' rows for a while before they are written again. The stand-in wrote them in the moment of the restore, so that no VM, not even one that started meanwhile, could read the older configuration. The soak now writes them again 2 s later in every other restore, and counts the VMs as out of touch until then.

--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -118,6 +118,9 @@
 /** Time for which a store that is restored is away. */
 const AWAY_TIME: Millis = 700;
 
+/** Time after which lost rows are written again, if not at once. */
+const REWRITE_DELAY: Millis = 2_000;
+
 /** Pause after each change of the configuration. */
 const CONFIGURATION_INTERVAL: Millis = 2_500;
 
@@ -475,7 +478,10 @@
     this.#disruptions.push({ effect, vms: names, from, to: this.#now() });
   }
 
-  /** Copies the store; later lets it go away and come back from the copy. */
+  /**
+   * Copies the store; later lets it go away and come back from the copy. What
+   * the operator and the targets wrote is written again, at times later.
+   */
   async #restoreStore(
     { duration }: PlannedFault,
     waitAway: () => Promise<void>,
@@ -483,8 +489,14 @@
     this.#store.copy();
     await sleep(duration);
     this.#store.goAway();
-    await this.#recordDisruption(this.#vms, { duringDisruption: waitAway });
-    this.#store.restore();
+    await this.#recordDisruption(this.#vms, {
+      duringDisruption: async () => {
+        await waitAway();
+        this.#store.restoreCopy();
+        if (duration % 2 > 0) await sleep(REWRITE_DELAY);
+        this.#store.writeLostRows();
+      },
+    });
   }
 
   /** Answers reads from older rows until the wait is over. */
