Check in the soak that added routes are served

The rule on configurations also breaks if VMs in touch serve the routes that were added later less than a quarter as often as the first ones, from 20 requests on. The soak counted only how such calls were refused as wrong, so a VM that answers 503 on them passed. added-routes compares the shares of calls that all configurations in question allow, on plain services.

--- a/packages/soak/configuration_effects.ts
+++ b/packages/soak/configuration_effects.ts
@@ -142,6 +142,21 @@
   });
 }
 
+/**
+ * Returns the calls of VMs in touch whose route and key all configurations have
+ * that may be in force.
+ */
+export function listProperCalls(records: ConfigurationRecords): CallRecord[] {
+  return records.calls.filter((call) => {
+    const due = computeDueVersion(call, records);
+    if (due === undefined) return false;
+    for (let version = due; version <= call.newestVersion; version++) {
+      if (!hasKey(call, version) || !hasRoute(call, version)) return false;
+    }
+    return true;
+  });
+}
+
 /** Checks that versions from the chosen one on allow how each call was handled. */
 function checkHandlings(
   { calls }: ConfigurationRecords,
@@ -192,22 +207,28 @@
 }
 
 function isAllowed(
-  { keyVersion, routeVersion }: CallRecord,
+  call: CallRecord,
   input: { readonly handling: Handling; readonly version: number },
 ): boolean {
   const { handling, version } = input;
-  const hasKey = keyVersion === undefined ||
-    listKeyVersions(version).includes(keyVersion);
-  const service = routeVersion === undefined
-    ? undefined
-    : findService(version, routeVersion);
-  const hasRoute = routeVersion === undefined || service !== undefined;
+  const { routeVersion } = call;
   if ("service" in handling) {
-    return hasKey && hasRoute &&
-      (service === undefined || service === handling.service);
+    return hasKey(call, version) && hasRoute(call, version) &&
+      (routeVersion === undefined ||
+        findService(version, routeVersion) === handling.service);
   }
-  return handling.status === 401 && !hasKey ||
-    handling.status === 404 && !hasRoute;
+  return handling.status === 401 && !hasKey(call, version) ||
+    handling.status === 404 && !hasRoute(call, version);
+}
+
+function hasKey({ keyVersion }: CallRecord, version: number): boolean {
+  return keyVersion === undefined ||
+    listKeyVersions(version).includes(keyVersion);
+}
+
+function hasRoute({ routeVersion }: CallRecord, version: number): boolean {
+  return routeVersion === undefined ||
+    findService(version, routeVersion) !== undefined;
 }
 
 function listRuns({ services }: CallRecord): { service: string }[] {
--- a/packages/soak/guarantees.ts
+++ b/packages/soak/guarantees.ts
@@ -10,6 +10,7 @@
   checkInForce,
   checkNoRollback,
   type ConfigurationRecords,
+  listProperCalls,
 } from "./configuration_effects.ts";
 
 /** One call as its caller saw it, and how often targets ran it. */
@@ -75,6 +76,8 @@
   ConfigurationInForce = "configuration-in-time",
   /** A call that the configurations allow isn't refused as wrong. */
   NotDenied = "not-denied",
+  /** Routes that were added are served about as often as the first ones. */
+  AddedRoutes = "added-routes",
   /** Every VM serves again after the last fault. */
   Recovery = "recovery",
   /** A target gets no more requests than the limit that it names. */
@@ -141,6 +144,12 @@
 /** Part of the prepaid tokens into which a call that is owed must fit. */
 const OWED_SHARE = 0.97;
 
+/** Calls of routes that were added from which on it counts how many are served. */
+const MIN_ADDED_CALLS = 20;
+
+/** Share of the first routes' rate of service that is required of added ones. */
+const ADDED_ROUTES_SHARE = 0.25;
+
 /** Time after the last fault within which every VM must serve again. */
 const RECOVERY_TIME: Millis = 8_000;
 
@@ -189,6 +198,7 @@
     ),
     describeChecked(SoakGuarantee.ConfigurationInForce, checkInForce(records)),
     checkNotDenied(records),
+    checkAddedRoutes(records),
     checkRecovery(records),
     checkLimits(records.limitedPeriods),
   ];
@@ -250,6 +260,32 @@
   );
 }
 
+/**
+ * Checks that VMs in touch serve calls of plain services on routes that were
+ * added later not much less often than those on routes of all configurations.
+ */
+function checkAddedRoutes(records: SoakRecords): GuaranteeResult {
+  const calls = listProperCalls(records)
+    .filter(({ promptTokens }) => promptTokens === 0);
+  const added = calls.filter(({ routeVersion = 0 }) => routeVersion > 1);
+  const first = calls.filter((call) => call.routeVersion === undefined);
+  const required = ADDED_ROUTES_SHARE * computeServedShare(first);
+  const served = computeServedShare(added);
+  const holds = added.length < MIN_ADDED_CALLS || served >= required;
+  return {
+    guarantee: SoakGuarantee.AddedRoutes,
+    checked: added.length,
+    failures: holds ? [] : [
+      `${served.toFixed(2)} of the calls served, not ${required.toFixed(2)}`,
+    ],
+  };
+}
+
+function computeServedShare(calls: readonly CallRecord[]): number {
+  const served = calls.filter(({ status }) => status === 200);
+  return served.length / Math.max(1, calls.length);
+}
+
 /** Checks that calls open at a planned stop end with a complete answer. */
 function checkPlannedStops(records: SoakRecords): GuaranteeResult {
   const wasOpenAtStop = (call: CallRecord) =>
--- a/packages/soak/soak_test.ts
+++ b/packages/soak/soak_test.ts
@@ -217,6 +217,37 @@
   }
 });
 
+test("added routes that are hardly served are reported", (t) => {
+  const createCalls = (change: Partial<CallRecord>, count: number) =>
+    Array.from({ length: count }, (): CallRecord => ({
+      ...CALL,
+      ...change,
+      promptTokens: 0,
+      outputTokens: 0,
+      newestVersion: 2,
+      sentAt: 4_000,
+      endedAt: 4_010,
+    }));
+  const listFor = (served: number, refused: number) =>
+    listViolated({
+      calls: [
+        ...createCalls({ keyVersion: 2 }, 20),
+        ...createCalls(
+          { routeVersion: 2, keyVersion: 2, services: ["app"] },
+          served,
+        ),
+        ...createCalls({
+          ...{ routeVersion: 2, keyVersion: 2, services: [], runs: 0 },
+          ...{ status: 503, isSealed: false, hasRetryAfter: true },
+        }, refused),
+      ],
+      acknowledged: [1, 2].map((version) => ({ version, at: 0 })),
+    });
+  t.deepEqual(listFor(4, 16), [SoakGuarantee.AddedRoutes]);
+  t.deepEqual(listFor(4, 15), []);
+  t.deepEqual(listFor(5, 15), []);
+});
+
 test("gateway processes satisfy the guarantees under the faults of a seed", async (t) => {
   const report = await runSoak({ seed: 3, vms: 2, duration: 4_000 });
   const violated = report.guarantees.filter((each) => each.failures.length > 0);
@@ -227,4 +258,5 @@
   t.true(count(SoakGuarantee.AtMostOnce) > 0);
   t.true(count(SoakGuarantee.Recovery) > 0);
   t.true(count(SoakGuarantee.ConfigurationInForce) > 0);
+  t.true(count(SoakGuarantee.AddedRoutes) > 0);
 });
