Merge only values of earlier eras into a restored row

A restored row is replaced by a value that its own VM wrote since, without the grants that others have merged meanwhile, so that their tokens are taken again; once the row was changed otherwise, tokens count as closed twice and requests get 402.

Cause: a VM that another one lists as a holder after its own merge counts as not merged, and then merged the value that it knew, which is of the present era.

Evidence, before: merge_known_row_test, 'a VM that is listed as a holder later merges nothing of the present era again': 1,000 tokens free in place of 600.

Change: of a value of the present era only the merge is recorded.

--- a/packages/budget/restore/merge_known_row.ts
+++ b/packages/budget/restore/merge_known_row.ts
@@ -88,8 +88,12 @@
   const later = known === undefined
     ? undefined
     : parseBudgetRow(known.value).toMaybe().extract();
-  const merged = known === undefined || later === undefined ||
-      known.version <= (marked.restored?.version ?? 0)
+  if (
+    known === undefined || later === undefined || readEra(known.version) >= era
+  ) {
+    return recordMerge(marked, { vm: input.vm, later: undefined });
+  }
+  const merged = known.version <= (marked.restored?.version ?? 0)
     ? marked
     : addLater(marked, { later, version: known.version, era });
   return recordMerge(merged, { vm: input.vm, later });
--- a/packages/budget/restore/merge_known_row_test.ts
+++ b/packages/budget/restore/merge_known_row_test.ts
@@ -252,6 +252,27 @@
   t.true(isOver(RESTORE_PAUSE));
 });
 
+test("a VM that is listed as a holder later merges nothing of the present era again", (t) => {
+  for (const hasChanged of [false, true]) {
+    const budget = new RestorableBudget();
+    const [first, second, third] = budget.vms;
+    budget.copy();
+    budget.take(first!, 100);
+    budget.close(first!, 1);
+    budget.take(first!, 100);
+    budget.take(second!, 200);
+    budget.restore();
+    delete first!.known;
+    budget.run(first!);
+    if (hasChanged) budget.take(third!, 50);
+    budget.run(second!);
+    const left = computeBudgetLeft(budget.read());
+    t.is(left, LIMIT - 400 - (hasChanged ? 50 : 0));
+    budget.run(first!);
+    t.is(computeBudgetLeft(budget.read()), left);
+  }
+});
+
 test("a row of a store that counts no restores stays as it is", (t) => {
   const row = createBudgetRow(LIMIT);
   const known = { version: 3, value: { ...row, closed: 7 } };
