--- a/packages/soak/guarantees.ts
+++ b/packages/soak/guarantees.ts
@@ -30,6 +30,8 @@
   readonly routeVersion?: number;
   /** Version of the newest configuration when the call ended. */
   readonly newestVersion: number;
+  /** Whether the VM's process was listening, so that the call could be sent. */
+  readonly isSent: boolean;
   readonly sentAt: Millis;
   readonly endedAt: Millis;
   /** HTTP status; 0 when there was no answer. */
@@ -266,7 +268,7 @@
  */
 function checkAddedRoutes(records: SoakRecords): GuaranteeResult {
   const calls = listProperCalls(records)
-    .filter(({ promptTokens }) => promptTokens === 0);
+    .filter(({ isSent, promptTokens }) => isSent && promptTokens === 0);
   const added = calls.filter(({ routeVersion = 0 }) => routeVersion > 1);
   const first = calls.filter((call) => call.routeVersion === undefined);
   const required = ADDED_ROUTES_SHARE * computeServedShare(first);
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -752,10 +752,10 @@
     const { id, route, customer, promptTokens, agent, takesUp } = call;
     const { routeVersion, keyVersion } = call;
     const sentAt = this.#now();
-    const { incarnation } = vm;
+    const { callerPort, incarnation } = vm;
     const answer = await callGateway({
       id,
-      ...(vm.callerPort === undefined ? {} : { port: vm.callerPort }),
+      ...(callerPort === undefined ? {} : { port: callerPort }),
       route,
       key: keyVersion === undefined
         ? `key-${customer}`
@@ -774,6 +774,7 @@
       customer,
       ...(keyVersion === undefined ? {} : { keyVersion }),
       newestVersion: this.#configurationVersion,
+      isSent: callerPort !== undefined,
       sentAt,
       endedAt: this.#now(),
       status: answer.status,
