Refuse callers for their wait only in a long queue

Cause: the wait alone decided, which a long turn makes as well as a long queue.

Change: a probe's wait counts once half as many connections as may wait at all were accepted before it.

--- a/packages/gateway/entry/accept_queue.ts
+++ b/packages/gateway/entry/accept_queue.ts
@@ -29,6 +29,12 @@
  */
 const MAX_WAIT: Millis = 500;
 
+/**
+ * Connections that have to be accepted before a probe for its wait to count. A
+ * few that waited through long turns can all be served after them.
+ */
+const MIN_QUEUE_LENGTH = MAX_WAITING_CONNECTIONS / 2;
+
 /** Time without an empty queue after which a probe is of use. */
 const MIN_STANDING_TIME: Millis = 50;
 
@@ -83,11 +89,20 @@
   readonly startProbe: (observer: ProbeObserver) => AcceptProbe;
 }
 
+/** When a probe began to wait. */
+interface WaitingSince {
+  readonly at: MonotonicTime;
+  /** Number of callers' connections that were accepted before. */
+  readonly accepted: number;
+}
+
 /** Observes the queue of new connections of one server. */
 export class AcceptQueue {
   readonly #options: AcceptQueueOptions;
-  /** Probes by age, with the time since when each waits for certain. */
-  readonly #probes = new Map<AcceptProbe, MonotonicTime | undefined>();
+  /** Probes by age; those that don't wait for certain yet have no value. */
+  readonly #probes = new Map<AcceptProbe, WaitingSince | undefined>();
+  /** Number of callers' connections that were accepted. */
+  #accepted = 0;
   /** Since when each turn of the event loop has accepted a connection. */
   #standingSince: MonotonicTime | undefined;
   #hasAccepted = false;
@@ -104,6 +119,7 @@
    */
   recordCaller(): Millis | undefined {
     const now = this.#options.readTime();
+    this.#accepted++;
     this.#acceptedSinceProbe++;
     this.#recordAccepted(now);
     const wait = this.#computeWait(now);
@@ -123,12 +139,16 @@
     this.#probes.clear();
   }
 
-  /** Returns how long a connection that is accepted now has waited at least. */
+  /**
+   * Returns how long a connection that is accepted now has waited in a long queue
+   * at least.
+   */
   #computeWait(now: MonotonicTime): Millis {
-    for (const since of this.#probes.values()) {
-      if (since !== undefined) return now - since;
-    }
-    return 0;
+    const oldest = [...this.#probes.values()]
+      .find((since) => since !== undefined);
+    const isLong = oldest !== undefined &&
+      this.#accepted - oldest.accepted >= MIN_QUEUE_LENGTH;
+    return isLong ? now - oldest.at : 0;
   }
 
   #recordAccepted(now: MonotonicTime): void {
@@ -153,7 +173,10 @@
     const probe = this.#options.startProbe({
       recordEstablished: () => {
         if (!this.#probes.has(probe)) return;
-        this.#probes.set(probe, this.#options.readTime());
+        this.#probes.set(probe, {
+          at: this.#options.readTime(),
+          accepted: this.#accepted,
+        });
       },
       recordEnd: () => void this.#probes.delete(probe),
     });
