Don't log the first configuration of a VM as stale

What operators saw: since a VM that starts may log configuration_stale and configuration_current, when the check of the age falls between the load and the call that confirms it.

Change: in the time in which a configuration must be in use, counted from the start, only a damaged one is logged as stale. What is refused doesn't change.

--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -74,6 +74,7 @@
   #staleSince: MonotonicTime | undefined;
   /** Since when the store answers although the configuration is stale. */
   #contactSince: MonotonicTime | undefined;
+  #startedAt: MonotonicTime = Infinity;
   /** Whether the configuration was outdated at the last check. */
   #isOutdated = false;
 
@@ -107,7 +108,8 @@
 
   /** Registers the command and the dump, and starts to follow the feed. */
   register(): Undo {
-    const { kernel, log, random } = this.#context;
+    const { clock, kernel, log, random } = this.#context;
+    this.#startedAt = clock.readMonotonic();
     return combineUndo([
       kernel.registerCommand(APPLY_CONFIGURATION, (configuration, update) => {
         const known = update.read(ROUTES)?.configuration.version ?? -Infinity;
@@ -255,20 +257,24 @@
   #checkAge(): void {
     this.#checkContact();
     this.#logOutdated();
-    const { clock, log, metrics } = this.#context;
+    const { clock, log, metrics, settings } = this.#context;
     const age = this.computeAge();
     metrics.configurationAge.set(age / MILLIS_PER_SECOND);
     const version = this.read()?.configuration.version;
     if (version === undefined) return;
     const now = clock.readMonotonic();
-    if (this.isStale && this.#staleSince === undefined) {
+    // The first configuration is stale until the feed has gone on from it.
+    const hasJustStarted = now - this.#startedAt <=
+      settings.configurationMillis;
+    const isStale = this.isStale && (this.#isDamaged || !hasJustStarted);
+    if (isStale && this.#staleSince === undefined) {
       this.#staleSince = now;
       log.warn(LogEvent.ConfigurationStale, {
         version,
         age_ms: Math.round(age),
         damaged: this.#isDamaged,
       });
-    } else if (!this.isStale && this.#staleSince !== undefined) {
+    } else if (!isStale && this.#staleSince !== undefined) {
       log.info(LogEvent.ConfigurationCurrent, {
         version,
         stale_ms: Math.round(now - this.#staleSince),
