Send no waiting calls to the store once a gateway has closed

A closed row writer abandons what is queued in it, but a call that has left the writer and waits for its turn was sent when the call before it ended, which takes up to its time limit.

The client of the store is closed with the gateway: what waits is abandoned as not done, and nothing else is sent.

--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -176,4 +176,6 @@
   readonly streamRows: Pick<FeedPort<JsonValue>, "load">;
   /** The gateways' own rows; a transaction changes only one row. */
   readonly table: RowPort;
+  /** Ends all calls of the ports that were not sent yet, and sends no others. */
+  close(): void;
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -299,6 +299,7 @@
     this.#context.kernel.close();
     this.#undo();
     this.#budgets.close();
+    this.#context.dialect.close();
     this.#relay.close();
     this.#callers.destroy();
     for (const server of this.#servers) server.close();
@@ -390,6 +391,7 @@
     this.#context.kernel.close();
     this.#undo();
     this.#budgets.close();
+    this.#context.dialect.close();
     this.#relay.close();
     for (const server of this.#servers) server.close();
     log.info(LogEvent.Stopped, {
--- a/packages/ports/concurrency_limit.ts
+++ b/packages/ports/concurrency_limit.ts
@@ -25,21 +25,34 @@
   #running = 0;
   #period: LimitPeriod = 0;
   /** Waiting calls by group; the group whose turn is next comes first. */
-  readonly #waiting = new Map<string, (() => void)[]>();
+  readonly #waiting = new Map<
+    string,
+    ((period: LimitPeriod | undefined) => void)[]
+  >();
+  #isClosed = false;
 
   /**
    * Resolves when a call of a group may start. Its end has to be recorded with
-   * the period that this returns.
+   * the period that this returns. Resolves to undefined if the call must not
+   * start any more.
    */
-  waitTurn(group: string): Promise<LimitPeriod> {
+  waitTurn(group: string): Promise<LimitPeriod | undefined> {
+    if (this.#isClosed) return Promise.resolve(undefined);
     return new Promise((resolve) => {
       const calls = this.#waiting.get(group) ?? [];
       this.#waiting.set(group, calls);
-      calls.push(() => resolve(this.#period));
+      calls.push(resolve);
       this.#startWaiting();
     });
   }
 
+  /** Abandons the calls that wait, and lets no other start. */
+  close(): void {
+    this.#isClosed = true;
+    for (const start of [...this.#waiting.values()].flat()) start(undefined);
+    this.#waiting.clear();
+  }
+
   /**
    * Records that a call was answered. Quick answers raise the limit by one each,
    * and slow ones by one for as many calls as may be in progress.
@@ -75,7 +88,7 @@
     for (const [group, calls] of this.#waiting) {
       if (this.#running + 1 > this.#limit) return;
       this.#running++;
-      calls.shift()!();
+      calls.shift()!(this.#period);
       this.#waiting.delete(group);
       if (calls.length > 0) this.#waiting.set(group, calls);
     }
--- a/packages/ports/concurrency_limit_test.ts
+++ b/packages/ports/concurrency_limit_test.ts
@@ -5,7 +5,7 @@
 function startCalls(limit: ConcurrencyLimit, group: string): number[] {
   const started: number[] = [];
   for (let call = 0; call < 100; call++) {
-    void limit.waitTurn(group).then((period) => started.push(period));
+    void limit.waitTurn(group).then((period) => started.push(period!));
   }
   return started;
 }
