Keep what a VM knows of a budget's row when a lagging copy shows it older

After a restore of the store, tokens that a VM took could be taken again by others, so that a customer's budget is overspent.

Cause: an operation that writes nothing, as an exchange that is granted no tokens, isn't checked by the store, and the row that it read replaced the known one whatever its version. A VM that has read an older row merges that one after a restore, and its grant is missing in the row. By reading, what it derives from it (tokens left and closed, other holders) is of the older row as well, and so may be the refusal of the requests that wait; the cached row of its own last write mostly prevents that.

Evidence, before: in the new test of customer_budgets_test a VM takes tokens at version 11 of a row, a read shows version 10, in which another VM holds all of them, and the store is restored from version 10. What it merged is that row, with no grant of its own (load average 8).

Change: a row replaces the known one only if it is at least as new. A row of the same era that is older than the known one decides nothing: the operation is decided on the known one, and if it writes, the check at the version that was read is a conflict, whose answer has the newest row. Without eras an older row may be that of a restored store, and it is used as before.

--- a/packages/gateway/features/budgets/customer_budgets_test.ts
+++ b/packages/gateway/features/budgets/customer_budgets_test.ts
@@ -2,11 +2,17 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
 import { Right } from "purify-ts";
-import { receiveGrant } from "../../../budget/mod.ts";
 import {
+  type BudgetRow,
+  createBudgetRow,
+  receiveGrant,
+} from "../../../budget/mod.ts";
+import {
+  createStoreVersion,
   createSystemClock,
   type JsonValue,
   Kernel,
+  type Row,
 } from "../../../core/mod.ts";
 import type { FeedPort, RowPort } from "../../../ports/mod.ts";
 import { createSilentLog } from "../../../runtime/mod.ts";
@@ -16,6 +22,7 @@
 import { createGatewayMetrics } from "../../gateway_metrics.ts";
 import { PeerAccess } from "../peers/peer_access.ts";
 import { CustomerBudgets } from "./customer_budgets.ts";
+import { REBALANCE_INTERVAL } from "./exchange_pace.ts";
 
 /** Within the time limit of a call to the store. */
 const SLOW_ANSWER_MILLIS = 950;
@@ -124,3 +131,43 @@
   t.true(budgets.mayRelend("short", 60));
   t.false(budgets.mayRelend("ample", 60));
 });
+
+// Guards against tokens that are taken twice, since the VM that took them reads
+// an older row before the store is restored from it.
+test("what a VM knows of a row outlasts a read of an older one, and is merged after a restore", async (t) => {
+  const key = "budget/tours";
+  const createRow = (era: number, number: number, size: number) => {
+    const other = { vm: "v2", incarnation: "1", size, takenAt: 0 };
+    const value: BudgetRow = {
+      ...createBudgetRow(1_000),
+      grants: { other },
+      era: 1,
+    };
+    return { key, version: createStoreVersion(era, number), value };
+  };
+  let era = 1;
+  let row: Row = createRow(1, 11, 500);
+  let shown: Row | undefined;
+  const budgets = startBudgets(t, {
+    readEra: () => era,
+    read: () => Promise.resolve(Right([shown ?? row])),
+    transact: ({ checks, writes }) => {
+      t.is(checks[0]!.version, row.version);
+      row = { key, version: row.version + 1, value: writes[0]!.value! };
+      return Promise.resolve(Right({ committed: true, version: row.version }));
+    },
+  });
+  t.teardown(() => budgets.close());
+  const reserve = (tokens: number) =>
+    budgets.reserve(
+      { id: "tours", keys: [], prepaid: 1_000 },
+      { requestId: "r", tokens, deadline: Infinity },
+    );
+  t.true((await reserve(140)).isRight());
+  shown = createRow(1, 10, 1_000);
+  t.true((await reserve(600)).isLeft());
+  shown = undefined;
+  row = createRow(++era, 10, 1_000);
+  await sleep(2 * REBALANCE_INTERVAL);
+  t.regex(JSON.stringify(row.value), /"vm":"v1"/);
+});
--- a/packages/gateway/features/budgets/run_budget_operation.ts
+++ b/packages/gateway/features/budgets/run_budget_operation.ts
@@ -1,6 +1,7 @@
 /**
  * Runs operations on budgets' rows. Each one first merges into the row what this
- * VM knows of it, if the store has come back from an older copy.
+ * VM knows of it, if the store has come back from an older copy. A row that a
+ * lagging copy shows older than this VM knows it decides nothing.
  */
 import type { Either } from "purify-ts";
 import {
@@ -51,7 +52,8 @@
   const key = formatBudgetKey(budget.customer);
   return await budget.writer.run({
     ...operation,
-    decide: (rows) => {
+    decide: (read) => {
+      const rows = chooseNewerRow(context, { budget, key, rows: read });
       const merged = mergeRows(context, { budget, key, rows });
       const decision = operation.decide(merged);
       const writes = decision.writes.map(createChange);
@@ -79,17 +81,40 @@
   };
 }
 
+/**
+ * Returns the rows with the known row in place of an older one of the same era.
+ * Without eras an older one may be that of a restored store. What is written is
+ * checked at the version that was read, so that a conflict shows the newest row.
+ */
+function chooseNewerRow(context: GatewayContext, input: BudgetRows): RowView {
+  const { key, rows } = input;
+  const { known } = input.budget;
+  if (known === undefined) return rows;
+  const version = findVersion(context, input);
+  const era = readEra(known.version);
+  return era > 0 && era === readEra(version) && version < known.version
+    ? new Map([...rows, [key, { ...known, key }]])
+    : rows;
+}
+
+/** Returns the version of a row; one that is missing has the era's lowest. */
+function findVersion(context: GatewayContext, input: BudgetRows): number {
+  const { budget, key, rows } = input;
+  const row = rows.get(key);
+  if (row !== undefined) return row.version;
+  // A row that the copy didn't have yet.
+  return budget.known === undefined
+    ? 0
+    : createStoreVersion(context.dialect.table.readEra?.() ?? 0, 0);
+}
+
 /** Returns the rows with what this VM knows merged into the budget's row. */
 function mergeRows(context: GatewayContext, input: BudgetRows): RowView {
   const { budget, key, rows } = input;
   const { known } = budget;
   const { vm } = context;
   const row = rows.get(key);
-  // A row that the copy didn't have yet.
-  const isMissing = row === undefined && known !== undefined;
-  const version = isMissing
-    ? createStoreVersion(context.dialect.table.readEra?.() ?? 0, 0)
-    : row?.version ?? 0;
+  const version = findVersion(context, input);
   if (isRowMerged(row?.value, { vm, version, known })) return rows;
   const before = row === undefined
     ? createBudgetRow(budget.prepaid)
@@ -110,12 +135,15 @@
   return { key, value: changed as unknown as JsonValue };
 }
 
-/** Records what this VM knows of the budget's row after an operation. */
+/**
+ * Records what this VM knows of the budget's row after an operation, unless it
+ * knew it newer.
+ */
 function recordRow(context: GatewayContext, input: BudgetRows): void {
   const { budget, key, rows } = input;
   const { known } = budget;
   const row = rows.get(key);
-  if (row === undefined) return;
+  if (row === undefined || row.version < (known?.version ?? 0)) return;
   budget.known = row;
   if (known === undefined || readEra(known.version) === readEra(row.version)) {
     return;
