Show how many calls to the store wait for their turn

They are in no metric before they have been sent and ended, so that a VM whose calls wait looks like one that sends few.

Cause: the client reports a call when it has ended, with its time from the moment it was sent.

Evidence, before: there was no such figure.

Change: the gauge anvilrail_gateway_store_waiting_calls, from the client of the store.

--- a/packages/cli/commands/gateway_command.ts
+++ b/packages/cli/commands/gateway_command.ts
@@ -73,6 +73,7 @@
       feedTimeout: STORE_TIMEOUT_MILLIS,
       connectTimeout: STORE_CONNECT_TIMEOUT_MILLIS,
       recordCall: (call) => recordStoreCall(metrics, call),
+      recordWaiting: (calls) => metrics.storeWaitingCalls.set(calls),
       random: Math.random,
     }),
   });
--- a/packages/gateway/gateway_metrics.ts
+++ b/packages/gateway/gateway_metrics.ts
@@ -64,6 +64,7 @@
   readonly quarantinedParts: Gauge;
   readonly droppedLogLines: Counter;
   readonly storeCallDuration: Histogram<"kind" | "outcome">;
+  readonly storeWaitingCalls: Gauge;
   readonly storeSentBytes: Counter<"kind" | "outcome">;
   readonly storeReceivedBytes: Counter<"kind" | "outcome">;
   /** Calls to the store by table, for the log. */
@@ -197,6 +198,11 @@
       buckets: STORE_BUCKETS_SECONDS,
       registers,
     }),
+    storeWaitingCalls: new Gauge({
+      name: "anvilrail_gateway_store_waiting_calls",
+      help: "Calls to the store that wait to be sent.",
+      registers,
+    }),
     storeSentBytes: new Counter({
       name: "anvilrail_gateway_store_sent_bytes_total",
       help: "Bytes of the bodies sent to the store.",
