Don't count a VM as ready while a read that lags may hide all targets of a service

What callers see: 503 no-target for a service whose targets are registered, from a VM that has just become ready.

Cause: readiness asks whether the targets were loaded. A load shows what is current only once the feed has gone on from it.

Change: where a service of the routes has no target in the load, the VM isn't ready before the feed has gone on from it, or 3 s after the start, so that a service without targets or a store that confirms no load keeps no VM away. Where each service has one, it is ready as before; it may know former targets then, or too few.

--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -20,6 +20,7 @@
   type TargetId,
   type Undo,
 } from "../../core/mod.ts";
+import type { RouteConfig } from "../../routes/mod.ts";
 import {
   applyListedTargets,
   applyReport,
@@ -61,6 +62,12 @@
 /** Pause between two calls, which batches the frequent writes of targets. */
 const FEED_PAUSE: Millis = 500;
 
+/**
+ * Time from the start after which a VM counts its targets as loaded though they
+ * may have been read from a copy that lags.
+ */
+const MAX_CONFIRMATION_WAIT: Millis = 3_000;
+
 /**
  * Time for which a target is kept after its entry has disappeared, if a call to
  * the store failed less than this time before. The target may still be up and
@@ -107,6 +114,7 @@
     ((target: ListedTarget, notice: LimitNotice) => void)[] = [];
   readonly #state: RoutingState;
   readonly #releases = new ReleaseHistory();
+  #startedAt: MonotonicTime = Infinity;
   /** Number of targets that limit their requests. */
   #limitedTargets = 0;
 
@@ -133,15 +141,31 @@
 
   /** Registers the dump and starts to follow the targets. */
   register(): Undo {
+    this.#startedAt = this.#context.clock.readMonotonic();
     return combineUndo([
       this.#context.kernel.registerDump("targets", () => this.#describe()),
       this.#follower.register(),
     ]);
   }
 
-  /** Whether the targets were loaded at least once. */
-  get isLoaded(): boolean {
-    return this.#follower.isLoaded;
+  /**
+   * Whether the targets were loaded at least once. Where a service of the routes
+   * has none, the load may lack them until the feed has gone on from it, which
+   * is waited for within a limit.
+   */
+  isLoadedFor(routes: readonly RouteConfig[]): boolean {
+    if (!this.#follower.isLoaded) return false;
+    if (this.#follower.currentUntil !== undefined) return true;
+    const waited = this.#context.clock.readMonotonic() - this.#startedAt;
+    if (waited > MAX_CONFIRMATION_WAIT) return true;
+    const listed = new Set(
+      [...this.#listed.values()].map((each) => each.service),
+    );
+    return routes.every(({ services }) =>
+      services.every(({ service, weight }) =>
+        weight === 0 || listed.has(service)
+      )
+    );
   }
 
   /** Sets the number of VMs that share the targets, this one included. */
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -237,12 +237,13 @@
 
   /**
    * Whether this VM should get new connections: it has loaded the configuration
-   * and the targets, knows of no newer configuration, and is not stopping.
+   * and the targets of its routes, knows of no newer configuration, and is not
+   * stopping.
    */
   get isReady(): boolean {
-    return this.#stopping === undefined &&
-      this.#configuration.read() !== undefined &&
-      !this.#configuration.isOutdated && this.#targets.isLoaded;
+    const routes = this.#configuration.read()?.configuration.routes;
+    return this.#stopping === undefined && routes !== undefined &&
+      !this.#configuration.isOutdated && this.#targets.isLoadedFor(routes);
   }
 
   /**
