Ask other VMs for a configuration that a restore has lost

Callers of a VM that was started after the store had come back from a copy got 404 for routes and 401 for keys in force, and moved routes ran at the old service, until the operator's newest configuration was written again.

Cause: such a VM knows no configuration but that of the copy. VMs that ran before keep the newer one, but give their row only to who asks for a higher version of the store, and each version of the new era is higher than theirs. A VM that reads from the store asks nobody unless its configuration is overdue.

A VM that starts now asks up to 16 others, if the store's era is above 0, whether they have a newer configuration by its own version, which a restore doesn't change, and they give their row. Until one has answered and none that answers has a newer one, it is not ready and answers 503; if none answers for 1 s, the peers that knew more are taken for gone. A VM that ran before does the same when the era changes, and meanwhile only refuses nothing as unknown. The operator's next configuration replaces the one from a peer as any other does. The row itself is handed over, since the calls between VMs bring it already: what is new is one number in the question and one in the answer.

--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -9,6 +9,7 @@
   type Millis,
   MILLIS_PER_SECOND,
   type MonotonicTime,
+  readEra,
   type ServiceId,
   type SliceType,
   type Undo,
@@ -34,6 +35,7 @@
   ConfigurationPeers,
   type ConfigurationRow,
 } from "./configuration_peers.ts";
+import { RestoreComparison } from "./restore_comparison.ts";
 
 const ROUTES: SliceType<RouteIndex | undefined> = {
   name: "routes",
@@ -63,6 +65,7 @@
   readonly #context: GatewayContext;
   readonly #follower: FeedFollower<StoredConfiguration>;
   readonly #peers: ConfigurationPeers;
+  readonly #comparison: RestoreComparison;
   readonly #listeners: ((configuration: GatewayConfiguration) => void)[] = [];
   /** Row of the configuration in effect. */
   #row: ConfigurationRow | undefined;
@@ -84,10 +87,15 @@
       peers,
       access: {
         readPage: () => this.#readPage(),
+        readNewest: () => this.#readNewest(),
         applyPage: (page, peer) => this.#applyPage(page, peer),
       },
     });
     this.#peers = exchange;
+    this.#comparison = new RestoreComparison(context, {
+      readVersion: () => this.#follower.highestVersion,
+      compare: () => exchange.compare(),
+    });
     this.#follower = new FeedFollower(context, {
       name: "configuration",
       feed: context.dialect.configurations,
@@ -120,6 +128,7 @@
       kernel.registerDump("configuration", () => this.#describe()),
       this.#follower.register(),
       this.#peers.register(),
+      this.#comparison.register(),
       startPeriodic({
         interval: AGE_CHECK_INTERVAL,
         random,
@@ -143,13 +152,14 @@
    * route or key that is not found may exist.
    */
   get isStale(): boolean {
-    return this.#isDamaged ||
+    return this.#isDamaged || this.#comparison.isPending ||
       this.#decideUse() !== ConfigurationUse.Current;
   }
 
   /** Whether requests have to be left to VMs with a newer configuration. */
   get isOutdated(): boolean {
-    return this.#decideUse() === ConfigurationUse.Outdated;
+    return this.#comparison.isFirstPending ||
+      this.#decideUse() === ConfigurationUse.Outdated;
   }
 
   /** Returns the current routes; undefined before the first configuration. */
@@ -183,13 +193,33 @@
     };
   }
 
+  #readNewest(): number | undefined {
+    if (this.#isDamaged) return undefined;
+    return this.#row?.value.configuration.version ?? -1;
+  }
+
   #applyPage({ version, currentUntil, row }: ConfigurationPage, peer: VmId) {
     const rows = row === undefined ? [] : [row];
     this.#applyingFrom = peer;
+    if (row !== undefined && this.#isLostInRestore(row)) {
+      this.#context.log.warn(LogEvent.ConfigurationBehind, {
+        version: this.read()?.configuration.version,
+        newest: row.value.configuration.version,
+        peer,
+      });
+      this.#apply(rows);
+    }
     this.#follower.applyPage({ version, rows }, currentUntil);
     this.#applyingFrom = undefined;
   }
 
+  /** Whether a row is newer than what the store has since its restore. */
+  #isLostInRestore({ version, value }: ConfigurationRow): boolean {
+    const newest = this.#readNewest() ?? Infinity;
+    return readEra(version) < readEra(this.#follower.highestVersion) &&
+      value.configuration.version > newest;
+  }
+
   #apply(changes: readonly RowChange<StoredConfiguration>[]): void {
     for (const { key, version, value, fault } of changes) {
       if (key === this.#row?.key) this.#isDamaged = fault !== undefined;
@@ -197,10 +227,16 @@
       if (value === undefined) continue;
       const { configuration } = value;
       const before = this.read()?.configuration;
+      const { kernel, log, metrics } = this.#context;
       // A restored store may have an older one until it is written again.
-      if (configuration.version < (before?.version ?? -Infinity)) continue;
+      if (before !== undefined && configuration.version < before.version) {
+        log.warn(LogEvent.ConfigurationBehind, {
+          version: configuration.version,
+          newest: before.version,
+        });
+        continue;
+      }
       this.#row = { key, version, value };
-      const { kernel, log, metrics } = this.#context;
       if (!kernel.dispatch(APPLY_CONFIGURATION, configuration)) continue;
       metrics.configurationVersion.set(configuration.version);
       log.info(LogEvent.ConfigurationApplied, {
@@ -215,6 +251,7 @@
       for (const listener of this.#listeners) listener(configuration);
     }
     this.#peers.notifyWaiters();
+    this.#comparison.check();
   }
 
   #decideUse(): ConfigurationUse {
@@ -246,7 +283,7 @@
 
   #logOutdated(): void {
     const wasOutdated = this.#isOutdated;
-    this.#isOutdated = this.isOutdated;
+    this.#isOutdated = this.#decideUse() === ConfigurationUse.Outdated;
     if (wasOutdated || !this.#isOutdated) return;
     this.#context.log.error(LogEvent.ConfigurationOutdated, {
       version: this.read()?.configuration.version,
--- a/packages/gateway/features/configuration/configuration_peers.ts
+++ b/packages/gateway/features/configuration/configuration_peers.ts
@@ -34,6 +34,7 @@
   isReadingShared,
   type KnownVms,
 } from "./choose_configuration_peer.ts";
+import type { ComparisonRound } from "./restore_comparison.ts";
 
 const compress = promisify(gzip);
 const decompress = promisify(gunzip);
@@ -68,6 +69,9 @@
 /** Time for which a VM that gave no answer of use is not asked. */
 const SILENT_TIME: Millis = 10_000;
 
+/** Maximum number of VMs that are asked at once for a newer configuration. */
+const MAX_COMPARED = 16;
+
 /** A row of the configuration with the version up to which it is the newest. */
 export interface ConfigurationPage {
   readonly version: number;
@@ -92,6 +96,11 @@
 export interface ConfigurationAccess {
   /** Returns what this VM knows. */
   readPage(): ConfigurationPage;
+  /**
+   * Returns the own version of the configuration in effect, -1 without one;
+   * undefined if a newer one is known that can't be read.
+   */
+  readNewest(): number | undefined;
   /** Applies what a peer knows, unless this VM knows better. */
   applyPage(page: ConfigurationPage, peer: VmId): void;
 }
@@ -154,12 +163,12 @@
 
   /** Answers a peer, at the latest when the time to hold its call is over. */
   async answer(
-    { after, wait }: PeerConfigurationQuery,
+    query: PeerConfigurationQuery,
   ): Promise<PeerConfigurationAnswer> {
     const { clock } = this.#context;
     const startedAt = clock.readMonotonic();
-    const until = startedAt + Math.min(wait, MAX_PEER_HOLD);
-    while (!this.#isNewer(after) && !this.#isOverdue) {
+    const until = startedAt + Math.min(query.wait, MAX_PEER_HOLD);
+    while (!this.#isNewer(query) && !this.#isOverdue) {
       const left = until - clock.readMonotonic();
       if (left <= 0) break;
       await this.#waitForNews(left);
@@ -172,12 +181,31 @@
       ...(currentUntil === undefined
         ? {}
         : { age: Math.max(0, now - currentUntil) }),
-      ...(row === undefined || row.version <= after
+      ...(row === undefined ? {} : { configuration: readOwnVersion(row) }),
+      ...(row === undefined || !this.#isNewer(query)
         ? {}
         : { row: await this.#formatRow(row) }),
     };
   }
 
+  /** Asks several VMs at once whether they have a newer configuration. */
+  async compare(): Promise<ComparisonRound> {
+    const peers = this.#drawPeers(MAX_COMPARED);
+    const answers = await Promise.all(peers.map((peer) => {
+      const end = sleep(TURN_TIME, undefined, { ref: false });
+      return Promise.race([this.#exchange(peer, 0), end]);
+    }));
+    const received = answers.filter((answer) => answer !== undefined);
+    const newest = this.#access.readNewest() ?? Infinity;
+    return {
+      answered: received.length,
+      isBehind: received.some(({ age, configuration }) =>
+        age !== undefined && (configuration ?? -Infinity) > newest
+      ),
+      isListLoaded: this.#peers.list.isLoaded,
+    };
+  }
+
   /** Number of calls that wait for a newer configuration. */
   get heldCalls(): number {
     return this.#waiters.size;
@@ -201,8 +229,21 @@
     return this.#context.clock.readMonotonic() - (currentUntil ?? 0);
   }
 
-  #isNewer(after: number): boolean {
-    return (this.#access.readPage().row?.version ?? 0) > after;
+  #isNewer(query: PeerConfigurationQuery): boolean {
+    const { row } = this.#access.readPage();
+    if (row === undefined) return false;
+    // After a restore the newer configuration may have the lower row version.
+    return row.version > query.after ||
+      readOwnVersion(row) > (query.known ?? Infinity);
+  }
+
+  #drawPeers(count: number): readonly PeerWithRegion[] {
+    const { random } = this.#context;
+    return this.#peers.list.listPeers()
+      .map((peer) => ({ peer, order: random() }))
+      .toSorted((one, other) => one.order - other.order)
+      .slice(0, count)
+      .map(({ peer }) => peer);
   }
 
   #listVms(): KnownPeers {
@@ -245,28 +286,40 @@
 
   async #ask(peer: PeerWithRegion, wait: Millis): Promise<void> {
     const { clock } = this.#context;
-    const sentAt = clock.readMonotonic();
-    const answer = await this.#peers.heldCallClient.followConfiguration(
+    const answer = await this.#exchange(peer, wait);
+    if (answer?.age === undefined) {
+      this.#silentUntil.set(peer.vm, clock.readMonotonic() + SILENT_TIME);
+    } else if (!this.#isOverdue) this.#attempt = 0;
+  }
+
+  /** Applies what a peer knows; returns its answer, undefined if it gave none. */
+  async #exchange(
+    peer: PeerWithRegion,
+    wait: Millis,
+  ): Promise<PeerConfigurationAnswer | undefined> {
+    const sentAt = this.#context.clock.readMonotonic();
+    const newest = this.#access.readNewest();
+    const received = await this.#peers.heldCallClient.followConfiguration(
       peer.address,
-      { after: this.#access.readPage().version, wait },
+      {
+        after: this.#access.readPage().version,
+        wait,
+        ...(newest === undefined ? {} : { known: newest }),
+      },
     );
-    const known = answer.toMaybe().extract();
-    const age = known?.age;
+    const answer = received.toMaybe().extract();
     // Without an age it has no configuration, or can't read the newest one,
     // which this VM may be able to read.
-    if (known === undefined || age === undefined) {
-      this.#silentUntil.set(peer.vm, clock.readMonotonic() + SILENT_TIME);
-      return;
-    }
-    const row = known.row === undefined
+    if (answer?.age === undefined) return answer;
+    const row = answer.row === undefined
       ? undefined
-      : await this.#parseRow(known.row, peer.vm);
+      : await this.#parseRow(answer.row, peer.vm);
     // Without its row, the version of a peer says nothing here.
-    if (known.row !== undefined && row === undefined) return;
-    const { version, held } = known;
+    if (answer.row !== undefined && row === undefined) return answer;
+    const { version, held, age } = answer;
     const currentUntil = sentAt + held - age;
     this.#access.applyPage({ version, currentUntil, row }, peer.vm);
-    if (!this.#isOverdue) this.#attempt = 0;
+    return answer;
   }
 
   async #parseRow(
@@ -320,3 +373,8 @@
     });
   }
 }
+
+/** Returns the configuration's own version, which a restore doesn't change. */
+function readOwnVersion(row: ConfigurationRow): number {
+  return row.value.configuration.version;
+}
--- /dev/null
+++ b/packages/gateway/features/configuration/restore_comparison_test.ts
@@ -0,0 +1,37 @@
+/** Tests when the comparison after a restore of the store ends. */
+import test from "ava";
+import { isComparisonOver } from "./restore_comparison.ts";
+
+const SILENT = { answered: 0, isBehind: false, isListLoaded: true };
+const ANSWERED = { ...SILENT, answered: 1 };
+const BEHIND = { ...ANSWERED, isBehind: true };
+const UNKNOWN = { ...SILENT, isListLoaded: false };
+
+for (
+  const { title, round, now, isOver } of [
+    { title: "an answer", round: ANSWERED, now: 0, isOver: true },
+    {
+      title: "a newer one elsewhere",
+      round: BEHIND,
+      now: 60_000,
+      isOver: false,
+    },
+    {
+      title: "less than 1 s of silence",
+      round: SILENT,
+      now: 999,
+      isOver: false,
+    },
+    { title: "1 s of silence", round: SILENT, now: 1_000, isOver: true },
+    {
+      title: "1 s without the list",
+      round: UNKNOWN,
+      now: 1_000,
+      isOver: false,
+    },
+  ]
+) {
+  test(`a comparison ${isOver ? "ends" : "goes on"} after ${title}`, (t) => {
+    t.is(isComparisonOver(round, { now, startedAt: 0 }), isOver);
+  });
+}
--- a/packages/gateway/features/peers/peer_list.ts
+++ b/packages/gateway/features/peers/peer_list.ts
@@ -147,6 +147,11 @@
     void this.announce(this.#address);
   }
 
+  /** Whether the list was loaded, or could not be for long. */
+  get isLoaded(): boolean {
+    return this.#follower.isLoaded || this.isSettled;
+  }
+
   /** Whether the list was complete, as far as known, at some time. */
   get isSettled(): boolean {
     return isPeerListSettled({
--- a/packages/peer/schemas.ts
+++ b/packages/peer/schemas.ts
@@ -151,6 +151,11 @@
 export const CONFIGURATION_QUERY_SCHEMA = z.object({
   /** Version of the store up to which the calling VM knows all changes. */
   after: z.number().nonnegative(),
+  /**
+   * The configuration's own version at the calling VM, which a restore of the
+   * store doesn't change; -1 if it has none. Absent if it knows of a newer one.
+   */
+  known: z.number().exactOptional(),
   /** Maximum time to wait for a newer configuration, in milliseconds. */
   wait: z.number().nonnegative(),
 });
@@ -166,7 +171,9 @@
   age: z.number().nonnegative().exactOptional(),
   /** Milliseconds for which the VM has waited for a newer configuration. */
   held: z.number().nonnegative(),
-  /** The configuration's row, if it has changed since. */
+  /** Own version of the configuration in effect. */
+  configuration: z.number().exactOptional(),
+  /** The configuration's row, if it has changed since or its own is newer. */
   row: z.object({
     key: z.string(),
     version: z.number().nonnegative(),
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -48,6 +48,7 @@
   /** Versions that must be in use by now may be missing. */
   ConfigurationStale = "configuration_stale",
   /** The store answers, but nothing confirms the configuration. */
+  ConfigurationBehind = "configuration_behind",
   ConfigurationOutdated = "configuration_outdated",
   ConfigurationCurrent = "configuration_current",
   KeyRevoked = "key_revoked",
