Write the row of a VM again that a restore has lost

Callers of a VM that was started after a restore got 404 for routes in force, though another VM had them, where that one had started after the copy was made.

Cause: a VM writes its address and the key of its incarnation once. If its row is younger than the copy, a restored store has none, or that of its earlier incarnation, whose key it refuses. VMs that start then can't ask it for its configuration, and those that ran before drop it from their lists, so that it also lends no tokens and relays no calls.

When the era changes, a VM compares its row with what it wrote, and writes it again if its key differs. That is at most one write for each VM and restore.

--- a/packages/gateway/features/peers/peer_list.ts
+++ b/packages/gateway/features/peers/peer_list.ts
@@ -14,6 +14,7 @@
   type JsonValue,
   type Millis,
   type MonotonicTime,
+  readEra,
   type RegionId,
   type RowOperation,
   type SliceType,
@@ -84,6 +85,8 @@
   /** What this VM's row says; undefined before it is written. */
   #address: string | undefined;
   #announcedRegion: RegionId | undefined;
+  /** Era of the store when rows last changed; undefined before the first. */
+  #era: number | undefined;
   /** Key that peers must send with requests to this incarnation. */
   readonly key = randomBytes(KEY_BYTES).toString("hex");
 
@@ -193,6 +196,7 @@
     if (!this.isSettled) {
       this.#changedAt = this.#context.clock.readMonotonic();
     }
+    this.#checkOwnRow(changes);
     const parsed = changes.map(({ key, version, value }) => {
       if (value === undefined) return { key, version };
       const entry = PEER_SCHEMA.safeParse(value);
@@ -206,6 +210,20 @@
     });
     this.#context.kernel.dispatch(CHANGE_PEERS, parsed);
   }
+
+  /** Writes this VM's row again if a restored store has none or an older one. */
+  #checkOwnRow(changes: readonly RowChange<JsonValue>[]): void {
+    const { vm } = this.#context;
+    const eras = changes.map(({ version }) => readEra(version));
+    const before = this.#era ?? Infinity;
+    this.#era = Math.max(this.#era ?? 0, ...eras);
+    const isRestored = this.#era > before;
+    if (!isRestored || this.#address === undefined) return;
+    const own = changes.find(({ key }) => key === vm)?.value;
+    const entry = PEER_SCHEMA.safeParse(own);
+    if (entry.data?.key === this.key) return;
+    void this.announce(this.#address);
+  }
 }
 
 function createPeerList(
