Compare after a restore that only a peer tells of

Cause: the comparison began with a configuration that was received. A VM that follows a reader hears of the new era by the version in its answer, without a row, since the reader keeps the newer configuration. The comparison stayed due.

The check is now part of the periodic one of the configuration's age as well.

--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -292,6 +292,8 @@
   }
 
   #checkAge(): void {
+    // A peer may tell of a new era without a configuration.
+    this.#comparison.check();
     this.#checkContact();
     this.#logOutdated();
     const { clock, log, metrics, settings } = this.#context;
--- a/packages/gateway/features/configuration/restore_comparison.ts
+++ b/packages/gateway/features/configuration/restore_comparison.ts
@@ -86,7 +86,7 @@
     return this.#process.stop;
   }
 
-  /** Compares if the store was restored; after each configuration it gave. */
+  /** Begins to compare if the era has changed since the last comparison. */
   check(): void {
     this.#process?.wake();
   }
