Begin no comparison after a restore before the first load

Callers of a VM that was started after a restore got 404 for routes in force again: the VM was ready with the configuration of the copy while it still asked.

Now nothing is compared before the first load.

--- a/packages/gateway/features/configuration/restore_comparison.ts
+++ b/packages/gateway/features/configuration/restore_comparison.ts
@@ -109,7 +109,8 @@
   /** Takes one round; returns whether another one is needed. */
   async #run(): Promise<boolean> {
     const { clock } = this.#context;
-    const era = readEra(this.#access.readVersion());
+    const version = this.#access.readVersion();
+    if (version === 0) return false;
     if (this.isPending) {
       this.#startedAt ??= clock.readMonotonic();
       const round = await this.#access.compare();
@@ -120,7 +121,7 @@
       this.#rounds++;
       if (!isComparisonOver(round, input)) return true;
     }
-    this.#era = era;
+    this.#era = readEra(version);
     this.#startedAt = undefined;
     this.#rounds = 0;
     return this.isPending;
