Wait longer for busy VMs in the comparison after a restore

A VM that starts after a restore took peers that hadn't answered in 0.4 s for gone, and after 1 s was ready by the configuration of the copy. A busy peer answers later than that, and may be the only one that knows more.

A round now ends when all have answered or failed, at the latest after 1 s, and VMs that are known and don't answer are waited for for 2 s. The longest wait stays 1 s where no other VM is known.

--- a/packages/gateway/features/configuration/configuration_peers.ts
+++ b/packages/gateway/features/configuration/configuration_peers.ts
@@ -72,6 +72,12 @@
 /** Maximum number of VMs that are asked at once for a newer configuration. */
 const MAX_COMPARED = 16;
 
+/**
+ * Maximum time for the answers of these VMs. It is longer than a turn, since a
+ * busy VM may be the only one that knows more.
+ */
+const COMPARISON_TIME: Millis = 1_000;
+
 /** A row of the configuration with the version up to which it is the newest. */
 export interface ConfigurationPage {
   readonly version: number;
@@ -192,12 +198,13 @@
   async compare(): Promise<ComparisonRound> {
     const peers = this.#drawPeers(MAX_COMPARED);
     const answers = await Promise.all(peers.map((peer) => {
-      const end = sleep(TURN_TIME, undefined, { ref: false });
+      const end = sleep(COMPARISON_TIME, undefined, { ref: false });
       return Promise.race([this.#exchange(peer, 0), end]);
     }));
     const received = answers.filter((answer) => answer !== undefined);
     const newest = this.#access.readNewest() ?? Infinity;
     return {
+      asked: peers.length,
       answered: received.length,
       isBehind: received.some(({ age, configuration }) =>
         age !== undefined && (configuration ?? -Infinity) > newest
--- a/packages/gateway/features/configuration/restore_comparison.ts
+++ b/packages/gateway/features/configuration/restore_comparison.ts
@@ -19,11 +19,14 @@
 } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
 
+/** Maximum time for which other VMs are asked if none answers. */
+const MAX_SILENCE: Millis = 2_000;
+
 /**
- * Maximum time for which other VMs are asked if none answers. It covers the time
- * in which VMs whose rows were lost write them again.
+ * The same while no other VM is known. It covers the time in which VMs whose
+ * rows were lost write them again.
  */
-const MAX_SILENCE: Millis = 1_000;
+const MAX_ALONE: Millis = 1_000;
 
 /** Bounds of the pause between two rounds. */
 const MIN_PAUSE: Millis = 100;
@@ -31,6 +34,8 @@
 
 /** What one round of questions to other VMs has shown. */
 export interface ComparisonRound {
+  /** Number of VMs that were asked. */
+  readonly asked: number;
   /** Number of VMs that answered in time. */
   readonly answered: number;
   /** Whether one of them has a newer configuration than this VM. */
@@ -46,12 +51,16 @@
 ): boolean {
   if (round.isBehind) return false;
   if (round.answered > 0) return true;
-  return round.isListLoaded && input.now - input.startedAt >= MAX_SILENCE;
+  const limit = round.asked === 0 ? MAX_ALONE : MAX_SILENCE;
+  return round.isListLoaded && input.now - input.startedAt >= limit;
 }
 
 /** What the comparison needs of the VM's configuration. */
 export interface ComparisonAccess {
-  /** Returns the version of the store up to which this VM knows all changes. */
+  /**
+   * Returns the version of the store up to which this VM knows all changes; 0
+   * before the first load.
+   */
   readVersion(): number;
   /** Asks other VMs for a newer configuration and applies it. */
   compare(): Promise<ComparisonRound>;
