Refuse a request as beyond its budget only by a later reading of the row

Callers got 402 for requests that the budget covers.

Cause: a VM asks all holders, each answers that it has no tokens, and the VM takes the budget for spent by its last reading of the row. But a holder had returned its tokens to the row since that reading, or was returning them when it answered.

Change: a VM whose exchange returns tokens says so, as one that takes tokens for its borrowers does, and is asked again, at most until the request's deadline. Once all holders have answered, the row is read, without a write, if the last reading began before their last answer or is over 1 s old. If the row shows that another VM has taken tokens since the VMs were asked, their refusals are dropped and they are asked again. So tokens that moved show either in the row or at the VM that took them. Without a store it is 503 as before.

--- a/packages/budget/account_test.ts
+++ b/packages/budget/account_test.ts
@@ -197,6 +197,7 @@
     closed: 0,
     holders: 0,
     otherHolders: [],
+    otherTakes: [],
     othersRate: 0,
     standbySize: 0,
   };
--- a/packages/budget/mod.ts
+++ b/packages/budget/mod.ts
@@ -136,7 +136,7 @@
   GrantExchange,
   GrantExchangeResult,
 } from "./rows/exchange_grants.ts";
-export { createGrantExchange } from "./rows/exchange_grants.ts";
+export { createGrantExchange, isReturning } from "./rows/exchange_grants.ts";
 export type { LowerLimitResult } from "./rows/lower_limit.ts";
 export { createLowerLimit } from "./rows/lower_limit.ts";
 export type {
--- a/packages/budget/rows/budget_row.ts
+++ b/packages/budget/rows/budget_row.ts
@@ -177,6 +177,19 @@
     .sort((left, right) => (rates[right] ?? 0) - (rates[left] ?? 0));
 }
 
+/**
+ * Returns the ids of the exchanges that last added tokens to the open grants of
+ * other VMs. A new id shows that another VM has taken tokens.
+ */
+export function listOtherTakes(
+  row: BudgetRow,
+  vm: string | undefined,
+): string[] {
+  return Object.entries(row.grants)
+    .filter(([, grant]) => grant.vm !== vm)
+    .map(([grantId, { growth }]) => growth?.exchange ?? grantId);
+}
+
 /**
  * Returns the total spending rate that the other VMs last reported, in tokens
  * per second.
--- a/packages/budget/rows/budget_rows_test.ts
+++ b/packages/budget/rows/budget_rows_test.ts
@@ -38,6 +38,7 @@
     closed: 0,
     holders: 1,
     otherHolders: [],
+    otherTakes: [],
     othersRate: 0,
     standbySize: 0,
   });
@@ -48,6 +49,7 @@
     closed: 0,
     holders: 1,
     otherHolders: [],
+    otherTakes: [],
     othersRate: 0,
     standbySize: 0,
   });
--- a/packages/budget/rows/exchange_grants.ts
+++ b/packages/budget/rows/exchange_grants.ts
@@ -16,6 +16,7 @@
   countHolders,
   formatBudgetKey,
   listOtherHolders,
+  listOtherTakes,
   readBudgetRow,
   sumOtherRates,
   sumOutstandingLoans,
@@ -110,6 +111,8 @@
    * first.
    */
   readonly otherHolders: readonly VmId[];
+  /** Ids of the exchanges in which the other holders last took tokens. */
+  readonly otherTakes: readonly string[];
   /**
    * Total spending rate that the other VMs last reported, in tokens per second.
    */
@@ -136,6 +139,13 @@
   return applyStandbyTake(row, exchange.standby?.take);
 }
 
+/** Whether an exchange may return tokens to the budget. */
+export function isReturning(exchange: GrantExchange): boolean {
+  const { closes, returns, shrinks, standby } = exchange;
+  return [closes, returns, shrinks, standby?.drops]
+    .some((each) => each !== undefined && each.length > 0);
+}
+
 /** Returns the row operation that carries out an exchange. */
 export function createGrantExchange(
   exchange: GrantExchange,
@@ -178,6 +188,7 @@
             sumSpentByOthers(row, vm),
           holders: countHolders(row),
           otherHolders: listOtherHolders(row, vm),
+          otherTakes: listOtherTakes(row, vm),
           othersRate: sumOtherRates(row, vm),
         },
       };
--- a/packages/gateway/features/budgets/budget_state.ts
+++ b/packages/gateway/features/budgets/budget_state.ts
@@ -70,6 +70,12 @@
   holders: number;
   /** The other holders, in descending order of their spending rate. */
   otherHolders: readonly VmId[];
+  /** Ids of the exchanges in which other VMs last took tokens, by the row. */
+  otherTakes: readonly string[];
+  /** {@link otherTakes} when this VM began to collect refusals of loans. */
+  refusalTakes: readonly string[];
+  /** When the latest answered reading or exchange of the row was started. */
+  readAt: MonotonicTime;
   /** Spending by other VMs in tokens per second, by the row. */
   othersRate: number;
   /** Spending rate of all VMs as a lender last told it; undefined before. */
@@ -123,6 +129,9 @@
     deferredUntil: -Infinity,
     holders: 0,
     otherHolders: [],
+    otherTakes: [],
+    refusalTakes: [],
+    readAt: -Infinity,
     othersRate: 0,
     lendersRate: undefined,
     isHolder: false,
--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -14,6 +14,7 @@
   computeReserved,
   type EventAccount,
   type ExchangeInput,
+  isReturning,
   listServable,
   planExchange,
   type Reservation,
@@ -53,6 +54,7 @@
   createBudgetState,
   isAnswerExpected,
   isLimitRaised,
+  MAX_EXCHANGE_TIME,
   MAX_TOKEN_WAIT,
   sumUnlockedTokens,
   sumWaitingTokens,
@@ -86,6 +88,12 @@
  */
 const REFILL_POLL_INTERVAL: Millis = 80;
 
+/**
+ * Maximum age of the reading of a budget's row by which a request is refused as
+ * beyond the budget. VMs that have left may have returned tokens since.
+ */
+const MAX_READING_AGE: Millis = 1_000;
+
 /** Weight of the newest request in the moving average of request sizes. */
 const REQUEST_SIZE_WEIGHT = 1 / 32;
 
@@ -350,7 +358,9 @@
       return NOTHING_PREPARED;
     }
     // The row has few writers: a VM that isn't a holder leaves it to them.
-    if (!this.#holders.update(budget)) return NOTHING_PREPARED;
+    if (!this.#holders.update(budget)) {
+      return { returning: 0, isRefilling: this.#areTokensReturning(budget) };
+    }
     if (this.#mayRowCover(budget, tokens)) {
       const now = this.#context.clock.readMonotonic();
       budget.borrowerDemand.record(borrower, { tokens, now });
@@ -360,7 +370,7 @@
     }
     const returning = sumStandbySizes(budget.standby);
     if (returning > 0) this.#exchanges.start(budget, planStandbyReturn);
-    return { returning, isRefilling: false };
+    return { returning, isRefilling: this.#areTokensReturning(budget) };
   }
 
   /**
@@ -540,6 +550,17 @@
     return this.#exchanges.isStoreDown && !isAnswerExpected(budget);
   }
 
+  /**
+   * Whether an exchange that returns tokens is in progress and its answer can be
+   * awaited. They are neither in the account nor, perhaps, in the row. One that
+   * only takes tokens shows in the row, either as left or as taken.
+   */
+  #areTokensReturning(budget: BudgetState): boolean {
+    const { exchange } = this.#accounts.read(budget.customer);
+    return budget.exchanging && !this.#isStoreUnresponsive(budget) &&
+      exchange !== undefined && isReturning(exchange);
+  }
+
   #computeOutage(budget: BudgetState): Millis {
     return computeOutage(budget, this.#context.clock.readMonotonic());
   }
@@ -600,8 +621,9 @@
     // Continues only after the caller has set `budget.loanRound`, without which
     // `readShortfall` returns undefined.
     await Promise.resolve();
+    this.#dropOutdatedRefusals(budget);
     // Each peer is asked once per round, so that no request waits for the same
-    // peer to refuse twice.
+    // peer to refuse twice, unless tokens have moved since.
     let since = this.#context.clock.readMonotonic();
     let returning = 0;
     let isRefilling = false;
@@ -620,27 +642,65 @@
         await sleep(LOAN_INTERVAL);
         continue;
       }
-      if (isRefilling && !budget.isHolder) {
+      const isCoverable = (waiter: Waiter) =>
+        this.#mayStoreCover(budget, waiter.tokens);
+      if (
+        isRefilling && !(budget.isHolder && budget.waiters.some(isCoverable))
+      ) {
         // Its tokens are on their way, and the row keeps few writers.
         await sleep(REFILL_POLL_INTERVAL);
         since = this.#context.clock.readMonotonic();
         isRefilling = false;
         continue;
       }
+      if (!budget.waiters.every(isCoverable)) {
+        await this.#readRowAfter(budget, step.answeredAt);
+        if (this.#dropOutdatedRefusals(budget)) {
+          since = this.#context.clock.readMonotonic();
+          continue;
+        }
+      }
       // A VM that is not a holder asks the store only after all peers.
-      const isCoverable = (waiter: Waiter) =>
-        this.#mayStoreCover(budget, waiter.tokens);
       if (budget.waiters.some(isCoverable)) {
         this.#exchanges.start(budget, planExchange);
       }
-      const haveAllAnswered = this.loans.haveAllHoldersAnswered(
-        budget.customer,
-        step,
-      );
+      const haveAllAnswered = budget.readAt >= step.answeredAt &&
+        this.loans.haveAllHoldersAnswered(budget.customer, step);
       return this.#refuseUnservable(budget, haveAllAnswered && returning === 0);
     }
   }
 
+  /**
+   * Reads the budget's row unless a reading is known that began after the peers'
+   * last answer: what a peer had returned by then is in the row. All requests
+   * that are refused until a peer is asked again share the reading.
+   */
+  async #readRowAfter(
+    budget: BudgetState,
+    answeredAt: MonotonicTime,
+  ): Promise<void> {
+    if (budget.exchanging || this.#isStoreUnresponsive(budget)) return;
+    const now = this.#context.clock.readMonotonic();
+    if (budget.readAt >= Math.max(answeredAt, now - MAX_READING_AGE)) return;
+    const giveUpAt = now + MAX_EXCHANGE_TIME;
+    await Promise.race([
+      this.#exchanges.readRow(budget, giveUpAt),
+      sleep(MAX_EXCHANGE_TIME),
+    ]);
+  }
+
+  /**
+   * Drops the refusals of peers if another VM has taken tokens since, which it
+   * may have left; returns whether it did.
+   */
+  #dropOutdatedRefusals(budget: BudgetState): boolean {
+    const { customer, otherTakes, refusalTakes } = budget;
+    budget.refusalTakes = otherTakes;
+    if (otherTakes.every((each) => refusalTakes.includes(each))) return false;
+    this.loans.dropRefusals(customer);
+    return true;
+  }
+
   /**
    * Refuses the requests that neither the store nor peers can serve. If all VMs
    * have answered, no VM has enough tokens; the reservations of requests in
--- a/packages/gateway/features/budgets/grant_exchanges.ts
+++ b/packages/gateway/features/budgets/grant_exchanges.ts
@@ -250,6 +250,31 @@
     return true;
   }
 
+  /**
+   * Reads a budget's row without writing it; resolves once the store has
+   * answered or `giveUpAt` has passed.
+   */
+  async readRow(budget: BudgetState, giveUpAt: MonotonicTime): Promise<void> {
+    const { vm, incarnation, clock } = this.#context;
+    const startedAt = clock.readMonotonic();
+    const operation = createGrantExchange({
+      eventId: budget.customer,
+      id: `${vm}/${incarnation}/${++this.#grantSequence}`,
+      initialLimit: budget.prepaid,
+      rate: { vm, rate: 0 },
+    });
+    const options = { giveUpAt };
+    const answer = await runBudgetOperation(this.#context, {
+      budget,
+      operation,
+      options,
+    });
+    answer.ifRight((result) => {
+      this.recordAnswer();
+      applyReading(budget, { result, startedAt });
+    });
+  }
+
   /**
    * Merges what this VM knows of some budgets into the rows of a store that has
    * come back from a copy, those that it knows best first.
@@ -388,12 +413,7 @@
         DEFERRAL_TIME;
       return;
     }
-    budget.budgetLeft = result.budgetLeft;
-    budget.rowLimit = result.limit;
-    budget.closed = result.closed;
-    budget.holders = result.holders;
-    budget.otherHolders = result.otherHolders;
-    budget.othersRate = result.othersRate;
+    applyReading(budget, { result, startedAt: sentAt });
     budget.wasTakeDenied = exchange.take !== undefined && result.size === 0;
     standby.receiveExchange(budget, input);
     accounts.change(
@@ -445,6 +465,25 @@
   }
 }
 
+/** Applies the contents of a budget's row as they are after an operation. */
+function applyReading(
+  budget: BudgetState,
+  input: {
+    readonly result: GrantExchangeResult;
+    readonly startedAt: MonotonicTime;
+  },
+): void {
+  const { result, startedAt } = input;
+  budget.readAt = startedAt;
+  budget.budgetLeft = result.budgetLeft;
+  budget.rowLimit = result.limit;
+  budget.closed = result.closed;
+  budget.holders = result.holders;
+  budget.otherHolders = result.otherHolders;
+  budget.otherTakes = result.otherTakes;
+  budget.othersRate = result.othersRate;
+}
+
 /** Whether a request, or a peer, waits for tokens. */
 function isUrgent(budget: BudgetState, now: MonotonicTime): boolean {
   return budget.waiters.length > 0 || budget.borrowerDemand.sum(now) > 0;
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -32,7 +32,10 @@
 export interface LendPreparation {
   /** Standby tokens that go back to the store, where the borrower takes them. */
   readonly returning: Tokens;
-  /** Whether an exchange that takes tokens for borrowers is in progress. */
+  /**
+   * Whether an exchange is in progress that takes tokens for borrowers or returns
+   * tokens to the store.
+   */
   readonly isRefilling: boolean;
 }
 
@@ -169,6 +172,11 @@
     return this.#loans.borrow(customer, need);
   }
 
+  /** Lets the next call of {@link borrow} ask the peers that have refused. */
+  dropRefusals(customer: CustomerId): void {
+    this.#loans.dropRefusals(customer);
+  }
+
   /**
    * Gives a customer's loans that no request uses back to their lenders, except
    * for `keep` tokens.
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -105,6 +105,8 @@
   readonly lenders: Set<VmId>;
   /** Time of the last request to each peer. */
   readonly askedAt: Map<VmId, MonotonicTime>;
+  /** Time of the last answer of any peer. */
+  answeredAt: MonotonicTime;
 }
 
 /** How many tokens to ask for, and which and how many peers to ask. */
@@ -138,6 +140,8 @@
   readonly returning: Tokens;
   /** Whether a peer is taking tokens from the store for these requests. */
   readonly isRefilling: boolean;
+  /** When a peer last answered; `-Infinity` if none has. */
+  readonly answeredAt: MonotonicTime;
   /** Spending rate of all VMs, the highest that a peer knows. */
   readonly totalRate?: number;
 }
@@ -273,9 +277,15 @@
       returning: answers
         .reduce((sum, each) => sum + (each?.returning ?? 0), 0),
       isRefilling: answers.some((each) => each?.refilling === true),
+      answeredAt: history.answeredAt,
     };
   }
 
+  /** Lets the next call of {@link borrow} ask the peers that have refused. */
+  dropRefusals(eventId: EventId): void {
+    this.#histories.get(eventId)?.askAgainAt.clear();
+  }
+
   /**
    * Gives loans of an event that no request uses back to their lenders, except
    * for `keep` tokens, and reports those that were settled before. A report
@@ -371,8 +381,12 @@
   }
 
   #readHistory(eventId: EventId): PeerHistory {
-    const history = this.#histories.get(eventId) ??
-      { askAgainAt: new Map(), lenders: new Set(), askedAt: new Map() };
+    const history = this.#histories.get(eventId) ?? {
+      askAgainAt: new Map(),
+      lenders: new Set(),
+      askedAt: new Map(),
+      answeredAt: -Infinity,
+    };
     this.#histories.set(eventId, history);
     return history;
   }
@@ -452,6 +466,7 @@
     const { clock, log } = this.#context;
     const now = clock.readMonotonic();
     const deadline = now + GRANT_TERM;
+    history.answeredAt = now;
     // An answer without tokens ends its request as well.
     this.#accounts.changeAccount(
       eventId,
