Keep connections whose answer is late, and use them again

VMs whose store was slow to accept connections stayed cut off from it: each call that exceeded its time limit closed its connection, and its repetition opened another one that waited behind it. A Node.js server accepts one in a turn of its loop, closed or not, so all its time went to connections that were given up.

--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -24,6 +24,9 @@
 /** Maximum time from the beginning of an answer's body to its end. */
 export const MAX_TRANSFER_TIME: Millis = 15_000;
 
+/** Maximum size of an answer that arrives after its time limit. */
+const MAX_LATE_BYTES: Bytes = 65_536;
+
 /** Maximum number of heads with status 1xx before an answer. */
 const MAX_INTERIM_HEADS = 16;
 
@@ -56,6 +59,12 @@
    * keeps arriving may take up to {@link MAX_TRANSFER_TIME}.
    */
   readonly progressTimeout?: Millis;
+  /**
+   * Called when no part of the body has arrived within the answer timeout.
+   * Returns for how long the connection stays open, so that it can be used again
+   * once the answer has arrived; 0 closes it, as without this function.
+   */
+  readonly keepLate?: (socket: Socket) => Millis;
   /** Called when a connection is established, or a pooled one is reused. */
   readonly onConnected?: (socket: Socket, isReused: boolean) => void;
   readonly agent?: Agent;
@@ -210,33 +219,55 @@
   if (answerTimeout === undefined) return await sendAndReadAnswer(input);
   const controller = new AbortController();
   const abort = () => controller.abort();
-  const timer = new AnswerTimer({ answerTimeout, progressTimeout, abort });
-  input.signal?.addEventListener("abort", abort, { once: true });
-  const answer = await sendAndReadAnswer({
-    ...input,
-    signal: controller.signal,
-    onConnected: (socket, isReused) => {
-      input.onConnected?.(socket, isReused);
-      timer.start();
-    },
-  }, () => timer.recordData());
-  timer.stop();
-  input.signal?.removeEventListener("abort", abort);
-  const { exceeded } = timer;
-  if (exceeded === undefined) return answer;
-  return answer.mapLeft((failure) => ({
-    ...failure,
-    timedOut: true,
-    detail: exceeded,
-  }));
+  return await new Promise((resolve) => {
+    let connection: Socket | undefined;
+    let hasData = false;
+    let lateTimer: NodeJS.Timeout | undefined;
+    const exceed = (detail: string) => {
+      const isKept = connection !== undefined && !hasData;
+      const keepTime = isKept ? input.keepLate?.(connection!) ?? 0 : 0;
+      if (keepTime === 0) return abort();
+      lateTimer = setTimeout(abort, keepTime).unref();
+      resolve(Left({ sent: true, cancelled: true, timedOut: true, detail }));
+    };
+    const timer = new AnswerTimer({ answerTimeout, progressTimeout, exceed });
+    input.signal?.addEventListener("abort", abort, { once: true });
+    void sendAndReadAnswer({
+      ...input,
+      signal: controller.signal,
+      onConnected: (socket, isReused) => {
+        connection = socket;
+        input.onConnected?.(socket, isReused);
+        timer.start();
+      },
+    }, {
+      onData: () => {
+        hasData = true;
+        timer.recordData();
+      },
+      getMaxBytes: () =>
+        timer.exceeded === undefined ? MAX_ANSWER_BYTES : MAX_LATE_BYTES,
+    }).then((answer) => {
+      timer.stop();
+      clearTimeout(lateTimer);
+      input.signal?.removeEventListener("abort", abort);
+      const { exceeded } = timer;
+      if (exceeded === undefined) return resolve(answer);
+      resolve(answer.mapLeft((failure) => ({
+        ...failure,
+        timedOut: true,
+        detail: exceeded,
+      })));
+    });
+  });
 }
 
-/** Aborts a request that exceeds its time limits. */
+/** Measures the time limits of a request. */
 class AnswerTimer {
   readonly #options: {
     readonly answerTimeout: Millis;
     readonly progressTimeout: Millis | undefined;
-    readonly abort: () => void;
+    readonly exceed: (detail: string) => void;
   };
   #timer: NodeJS.Timeout | undefined;
   #transferTimer: NodeJS.Timeout | undefined;
@@ -245,7 +276,7 @@
   constructor(options: {
     readonly answerTimeout: Millis;
     readonly progressTimeout: Millis | undefined;
-    readonly abort: () => void;
+    readonly exceed: (detail: string) => void;
   }) {
     this.#options = options;
   }
@@ -284,14 +315,17 @@
   #schedule(duration: Millis, detail: string): NodeJS.Timeout {
     return setTimeout(() => {
       this.#exceeded ??= detail;
-      this.#options.abort();
+      this.#options.exceed(detail);
     }, duration);
   }
 }
 
 async function sendAndReadAnswer(
   input: HttpRequest,
-  onData: () => void = () => {},
+  reading: {
+    readonly onData?: () => void;
+    readonly getMaxBytes?: () => Bytes;
+  } = {},
 ): Promise<Either<HttpFailure, HttpAnswer>> {
   const started = await startExchange(input);
   const incoming = started.extract();
@@ -300,9 +334,10 @@
   try {
     const body = await readBody(incoming, {
       signal: input.signal,
+      getMaxBytes: reading.getMaxBytes ?? (() => MAX_ANSWER_BYTES),
       onData: (bytes) => {
         receivedBytes += bytes;
-        onData();
+        reading.onData?.();
       },
     });
     return Right({
@@ -359,6 +394,7 @@
   input: {
     readonly signal: AbortSignal | undefined;
     readonly onData: (bytes: Bytes) => void;
+    readonly getMaxBytes: () => Bytes;
   },
 ): Promise<Uint8Array> {
   const parts: Buffer[] = [];
@@ -371,9 +407,10 @@
   for await (const part of incoming) {
     size += (part as Buffer).length;
     input.onData((part as Buffer).length);
-    if (size > MAX_ANSWER_BYTES) {
+    const maxBytes = input.getMaxBytes();
+    if (size > maxBytes) {
       incoming.destroy();
-      throw new Error(`answer is larger than ${MAX_ANSWER_BYTES} bytes`);
+      throw new Error(`answer is larger than ${maxBytes} bytes`);
     }
     parts.push(part as Buffer);
   }
