Return the tokens of a VM that is being stopped to those who need them

Callers got 402 for requests that their budget covers while a VM stops as planned: with 1,400 prepaid tokens, of which 140 were used, the other VM served two of nine requests and refused seven, while the VM that stops held up to 912 tokens until its open request ended.

Cause: a VM that stops lends nothing, so that its grants can be closed, and answers as one that has no tokens. Once all holders have answered so and the row has none left, the budget counts as spent. Besides, it went on taking tokens ahead of need: its holding rose from 120 to 531 tokens and 381 in standby.

Now a request for a loan makes it return all tokens that no request has reserved to the row. It says that tokens are coming, as other lenders do, so that the borrower asks again and takes them there. Meanwhile it takes tokens only for requests that wait.

--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -17,6 +17,7 @@
   isReturning,
   listServable,
   planExchange,
+  planLastExchange,
   type Reservation,
   settleReservation,
   SpendingMeter,
@@ -178,7 +179,7 @@
       run: () => {
         this.#countHolders();
         this.#exchanges.mergeRestored(this.#budgets.values());
-        this.#exchanges.rebalance(this.#budgets.values());
+        if (this.mayLend()) this.#exchanges.rebalance(this.#budgets.values());
         this.#giveIdleLoansBack();
         return Promise.resolve();
       },
@@ -339,7 +340,8 @@
    * Tries to make tokens available for a loan. In an outage of the store it
    * unlocks standby tokens. Otherwise it takes tokens from the store or, if
    * too few are left there, returns the standby tokens to it: a borrower can be
-   * expected to reach the store if this VM does.
+   * expected to reach the store if this VM does. In a planned stop it returns
+   * all tokens that no request has reserved.
    */
   async prepareToLend(
     customer: CustomerId,
@@ -348,6 +350,10 @@
     const { borrower, tokens } = request;
     const budget = this.#budgets.get(customer);
     if (budget === undefined) return NOTHING_PREPARED;
+    if (!this.mayLend()) {
+      this.#exchanges.start(budget, planLastExchange);
+      return { returning: 0, isRefilling: this.#areTokensReturning(budget) };
+    }
     const hasEnough = () => this.#accounts.computeRoom(customer) >= tokens;
     if (hasEnough()) {
       budget.borrowerDemand.remove(borrower);
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -108,14 +108,13 @@
     // Before more is taken from the store: what comes back may be enough. It
     // counts as spending undone.
     this.#accounts.recordLent(eventId, -this.#loans.settle(request));
-    if (request.wanted === 0 || !this.#accounts.mayLend()) {
-      return createEmptyAnswer(request.transferId);
-    }
+    const empty = createEmptyAnswer(request.transferId);
+    if (request.wanted === 0) return empty;
     const { returning, isRefilling } = await this.#accounts.prepareToLend(
       eventId,
       { borrower: request.borrower.vm, tokens: least },
     );
-    const answer = this.#loans.lend(request);
+    const answer = this.#accounts.mayLend() ? this.#loans.lend(request) : empty;
     this.#accounts.recordLent(eventId, answer.tokens);
     this.#context.metrics.tokensLent.inc(answer.tokens);
     const unreported = this.#loans.sumUnreported(eventId);
