Open one connection per interval also for a burst of calls

Cause: a call that finds that another connection may be opened goes on at once, and the opening was only recorded when it connects, after the turn.

Change: it is recorded with the decision, as it is for calls that have waited.

Evidence: the test gets a burst that begins when the interval is over.

Not changed: calls of one turn that find the same idle connection still go on all, and open one each but for the first.

--- a/packages/ports/adaptive_agent.ts
+++ b/packages/ports/adaptive_agent.ts
@@ -63,7 +63,12 @@
   async waitConnection(): Promise<boolean> {
     if (this.#waiting.size === 0) {
       if (Object.keys(this.freeSockets).length > 0) return true;
-      if (this.#late.nextOpening <= performance.now()) return true;
+      const now = performance.now();
+      if (this.#late.nextOpening <= now) {
+        // Now, since other calls may come before this one connects.
+        this.#late.recordOpening(now);
+        return true;
+      }
     }
     return await new Promise<boolean>((resolve) => {
       const start = () => {
--- a/packages/ports/adaptive_agent_test.ts
+++ b/packages/ports/adaptive_agent_test.ts
@@ -1,5 +1,6 @@
 import type { AddressInfo } from "node:net";
 import { createServer, type ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
 import { AdaptiveAgent, sendRequest } from "./mod.ts";
 
@@ -52,15 +53,19 @@
 });
 
 test("while connections get no answer one is opened per interval, and all once a later one got one", async (t) => {
-  const client = await startClient((outgoing, number) => {
-    if (number > 2) outgoing.end(String(number));
-  });
-  await client.call();
-  const calls = Array.from({ length: 6 }, () => client.call());
-  const answers = await Promise.all(calls);
-  t.is(answers.filter((each) => typeof each === "string").length, 5);
-  const [first, second, third, fourth = third!] = client.opened;
-  t.true(second! - first! > 250 && third! - second! > 250);
-  t.true(fourth - third! < 250);
-  client.stop();
+  // The second time, an interval has passed when the calls begin.
+  for (const pause of [0, 300]) {
+    const client = await startClient((outgoing, number) => {
+      if (number > 2) outgoing.end(String(number));
+    });
+    await client.call();
+    await sleep(pause);
+    const calls = Array.from({ length: 6 }, () => client.call());
+    const answers = await Promise.all(calls);
+    t.is(answers.filter((each) => typeof each === "string").length, 5);
+    const [first, second, third, fourth = third!] = client.opened;
+    t.true(second! - first! > 250 && third! - second! > 250);
+    t.true(fourth - third! < 250);
+    client.stop();
+  }
 });
