Keep the time limit of a row's reading in one place

The limit of a reading before a 402 was given to the reading as a deadline and kept once more by its caller, though the reading's comment promised that it ends by then. It keeps it itself now.

--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -55,7 +55,6 @@
   createBudgetState,
   isAnswerExpected,
   isLimitRaised,
-  MAX_EXCHANGE_TIME,
   MAX_TOKEN_WAIT,
   sumUnlockedTokens,
   sumWaitingTokens,
@@ -179,6 +178,7 @@
       run: () => {
         this.#countHolders();
         this.#exchanges.mergeRestored(this.#budgets.values());
+        // In a planned stop, tokens are taken only for requests that wait.
         if (this.mayLend()) this.#exchanges.rebalance(this.#budgets.values());
         this.#giveIdleLoansBack();
         return Promise.resolve();
@@ -688,11 +688,7 @@
     if (budget.exchanging || this.#isStoreUnresponsive(budget)) return;
     const now = this.#context.clock.readMonotonic();
     if (budget.readAt >= Math.max(answeredAt, now - MAX_READING_AGE)) return;
-    const giveUpAt = now + MAX_EXCHANGE_TIME;
-    await Promise.race([
-      this.#exchanges.readRow(budget, giveUpAt),
-      sleep(MAX_EXCHANGE_TIME),
-    ]);
+    await this.#exchanges.readRow(budget);
   }
 
   /**
--- a/packages/gateway/features/budgets/grant_exchanges.ts
+++ b/packages/gateway/features/budgets/grant_exchanges.ts
@@ -3,6 +3,7 @@
  * tokens that this VM takes, returns and has spent. At most one exchange per
  * customer is in progress.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   type Accounts,
   type BudgetRow,
@@ -252,9 +253,9 @@
 
   /**
    * Reads a budget's row without writing it; resolves once the store has
-   * answered or `giveUpAt` has passed.
+   * answered, or after {@link MAX_EXCHANGE_TIME}.
    */
-  async readRow(budget: BudgetState, giveUpAt: MonotonicTime): Promise<void> {
+  async readRow(budget: BudgetState): Promise<void> {
     const { vm, incarnation, clock } = this.#context;
     const startedAt = clock.readMonotonic();
     const operation = createGrantExchange({
@@ -263,16 +264,18 @@
       initialLimit: budget.prepaid,
       rate: { vm, rate: 0 },
     });
-    const options = { giveUpAt };
-    const answer = await runBudgetOperation(this.#context, {
+    const reading = runBudgetOperation(this.#context, {
       budget,
       operation,
-      options,
-    });
-    answer.ifRight((result) => {
-      this.recordAnswer();
-      applyReading(budget, { result, startedAt });
-    });
+      options: { giveUpAt: startedAt + MAX_EXCHANGE_TIME },
+    }).then((answer) =>
+      answer.ifRight((result) => {
+        this.recordAnswer();
+        applyReading(budget, { result, startedAt });
+      })
+    );
+    // A call in progress may end later than its operation is given up.
+    await Promise.race([reading, sleep(MAX_EXCHANGE_TIME)]);
   }
 
   /**
