Log what decides whether a late configuration is used

The reports of CONFIG name VMs that ran requests by an old configuration. Whether such a VM took itself for cut off from the store, or had heard of a newer version, could not be read from its logs. configuration_stale and configuration_outdated say now how long ago the store last answered the VM, and the newest version that another VM has named.

Nothing else changes.

--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -19,6 +19,7 @@
 import {
   createErrorReporter,
   LogEvent,
+  type LogFields,
   startPeriodic,
 } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
@@ -290,9 +291,22 @@
     this.#context.log.error(LogEvent.ConfigurationOutdated, {
       version: this.read()?.configuration.version,
       age_ms: Math.round(this.computeAge()),
+      ...this.#describeEvidence(),
     });
   }
 
+  /** Returns what decides whether requests are run by a late configuration. */
+  #describeEvidence(): LogFields {
+    const { clock, dialect } = this.#context;
+    const answeredAt = dialect.table.readTime?.()?.receivedAt;
+    return {
+      store_answer_ms: answeredAt === undefined
+        ? undefined
+        : Math.round(clock.readMonotonic() - answeredAt),
+      newest: this.#peers.newestKnown,
+    };
+  }
+
   #checkAge(): void {
     // A peer may tell of a new era without a configuration.
     this.#comparison.check();
@@ -314,6 +328,7 @@
         version,
         age_ms: Math.round(age),
         damaged: this.#isDamaged,
+        ...this.#describeEvidence(),
       });
     } else if (!isStale && this.#staleSince !== undefined) {
       log.info(LogEvent.ConfigurationCurrent, {
--- a/packages/gateway/features/configuration/configuration_peers.ts
+++ b/packages/gateway/features/configuration/configuration_peers.ts
@@ -199,6 +199,11 @@
     return newest !== undefined && this.#newestKnown > newest;
   }
 
+  /** Highest version that a peer has named; undefined if none has. */
+  get newestKnown(): number | undefined {
+    return this.#newestKnown === -Infinity ? undefined : this.#newestKnown;
+  }
+
   /** Asks several VMs at once whether they have a newer configuration. */
   async compare(): Promise<ComparisonRound> {
     const peers = this.#drawPeers(MAX_COMPARED);
