Decide in one place whether a late configuration is used, and refuse in contact

A VM that the store answers all the while so went on for two deadlines; after an outage, a late answer of a reader moved the start of that count again. A newer version that can't be decoded hid what peers said of newer ones, and the three parts of the decision stood in three modules.

decideConfigurationUse now has all evidence: age, contact with the store, newer versions that others use, a row that can't be decoded, a restore. From its deadline on, a configuration isn't used by a VM that has been in contact for three quarters of it. Without the store known routes are served as before.

--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -28,7 +28,8 @@
 import {
   ConfigurationUse,
   decideConfigurationUse,
-  findContactStart,
+  recordAnswer,
+  type StoreContact,
 } from "./decide_configuration_use.ts";
 import type {
   ConfigurationPage,
@@ -76,8 +77,7 @@
   #isDamaged = false;
   /** When the configuration became stale; undefined while it is current. */
   #staleSince: MonotonicTime | undefined;
-  /** Since when the store answers although the configuration is stale. */
-  #contactSince: MonotonicTime | undefined;
+  #contact: StoreContact | undefined;
   #startedAt: MonotonicTime = Infinity;
   /** Whether the configuration was outdated at the last check. */
   #isOutdated = false;
@@ -153,14 +153,12 @@
    * route or key that is not found may exist.
    */
   get isStale(): boolean {
-    return this.#isDamaged || this.#comparison.isPending ||
-      this.#decideUse() !== ConfigurationUse.Current;
+    return this.#decideUse() !== ConfigurationUse.Current;
   }
 
   /** Whether requests have to be left to VMs with a newer configuration. */
   get isOutdated(): boolean {
-    return this.#comparison.isFirstPending ||
-      this.#decideUse() === ConfigurationUse.Outdated;
+    return this.#decideUse() === ConfigurationUse.Outdated;
   }
 
   /** Returns the current routes; undefined before the first configuration. */
@@ -262,26 +260,19 @@
       now: clock.readMonotonic(),
       currentUntil: this.#follower.currentUntil ?? -Infinity,
       deadline: settings.configurationMillis,
-      contactSince: this.#contactSince,
+      contact: this.#contact,
       isNewerKnown: this.#peers.isNewerKnown,
+      isDamaged: this.#isDamaged,
+      restore: this.#comparison.state,
     });
   }
 
   #checkContact(): void {
-    const { clock, dialect, settings } = this.#context;
+    const { dialect, settings } = this.#context;
+    const answeredAt = dialect.table.readTime?.()?.receivedAt;
+    if (answeredAt === undefined) return;
     const { configurationMillis: deadline } = settings;
-    const now = clock.readMonotonic();
-    const { currentUntil = -Infinity } = this.#follower;
-    const staleSince = currentUntil + deadline;
-    this.#contactSince = staleSince > now ? undefined : findContactStart(
-      this.#contactSince,
-      {
-        now,
-        answeredAt: dialect.table.readTime?.()?.receivedAt,
-        staleSince,
-        deadline,
-      },
-    );
+    this.#contact = recordAnswer(this.#contact, { answeredAt, deadline });
   }
 
   #logOutdated(): void {
@@ -297,13 +288,13 @@
 
   /** Returns what decides whether requests are run by a late configuration. */
   #describeEvidence(): LogFields {
-    const { clock, dialect } = this.#context;
-    const answeredAt = dialect.table.readTime?.()?.receivedAt;
+    const now = this.#context.clock.readMonotonic();
+    const newest = this.#peers.newestKnown;
+    if (this.#contact === undefined) return { newest };
     return {
-      store_answer_ms: answeredAt === undefined
-        ? undefined
-        : Math.round(clock.readMonotonic() - answeredAt),
-      newest: this.#peers.newestKnown,
+      contact_ms: Math.round(now - this.#contact.since),
+      store_answer_ms: Math.round(now - this.#contact.until),
+      newest,
     };
   }
 
--- a/packages/gateway/features/configuration/configuration_peers.ts
+++ b/packages/gateway/features/configuration/configuration_peers.ts
@@ -193,10 +193,10 @@
     return this.#draw.isDrawn;
   }
 
-  /** Whether another VM has said that it has a newer configuration. */
+  /** Whether another VM has said that it uses a newer configuration. */
   get isNewerKnown(): boolean {
-    const newest = this.#access.readNewest();
-    return newest !== undefined && this.#newestKnown > newest;
+    const inUse = this.#access.readPage().row?.value.configuration.version;
+    return this.#newestKnown > (inUse ?? -1);
   }
 
   /** Highest version that a peer has named; undefined if none has. */
--- a/packages/gateway/features/configuration/decide_configuration_use.ts
+++ b/packages/gateway/features/configuration/decide_configuration_use.ts
@@ -1,9 +1,11 @@
 /**
- * Decides what a configuration may be used for, by what is known of its age. A
- * VM without the store can't know of newer versions; to refuse everything then
- * would end the service with the store. One that hears from the store and still
- * can't confirm its configuration has to take it for replaced, and one that has
- * heard of a newer one knows that it is.
+ * Decides what a configuration may be used for, by all that a VM knows of its
+ * currency. It is the only place that does, whatever made the configuration late.
+ *
+ * A VM may run requests by a configuration that is older than the deadline only
+ * while it can't learn of newer ones. One that the store answers can, and has to
+ * take its configuration for replaced; so does one that has heard of a newer
+ * one. To refuse everything without the store would end the service with it.
  */
 import type { Millis, MonotonicTime } from "../../../core/mod.ts";
 
@@ -20,48 +22,88 @@
   Outdated = "outdated",
 }
 
+/** What a VM knows of the configurations that a restored store may have lost. */
+export enum RestoreState {
+  /** The store wasn't restored, or other VMs had no newer one. */
+  Compared = "compared",
+  /** Other VMs may have a newer one. */
+  Pending = "pending",
+  /** The same, and this VM has had no other configuration since its start. */
+  FirstPending = "first-pending",
+}
+
+/** A run of answers of the store, to calls of any kind. */
+export interface StoreContact {
+  /** When the first of them was received. */
+  readonly since: MonotonicTime;
+  /** When the last of them was received. */
+  readonly until: MonotonicTime;
+}
+
+/**
+ * Fraction of the deadline without an answer after which contact with the store
+ * has ended. Calls that wait for changes are answered more often.
+ */
+const SILENCE_SHARE = 0.6;
+
 /**
- * Returns since when the store answers calls of any kind while the configuration
- * is stale; undefined if it has not answered since, or not for a whole deadline.
+ * Fraction of the deadline for which the store has to have answered until it can
+ * be relied on for newer configurations. After an outage the newest one is to be
+ * in use within the deadline, and a VM may notice late that the outage is over.
  */
-export function findContactStart(
-  known: MonotonicTime | undefined,
-  input: {
-    readonly now: MonotonicTime;
-    /** When the store last answered; undefined before its first answer. */
-    readonly answeredAt: MonotonicTime | undefined;
-    readonly staleSince: MonotonicTime;
-    readonly deadline: Millis;
-  },
-): MonotonicTime | undefined {
-  const { now, answeredAt, staleSince, deadline } = input;
-  if (answeredAt === undefined || answeredAt < staleSince) return undefined;
-  if (now - answeredAt > deadline) return undefined;
-  return known ?? answeredAt;
+const CONTACT_SHARE = 0.75;
+
+/**
+ * Returns the contact with the store once its last answer is known.
+ *
+ * @param known The contact so far; undefined before the first answer.
+ * @param input.answeredAt When the last answer was received.
+ */
+export function recordAnswer(
+  known: StoreContact | undefined,
+  input: { readonly answeredAt: MonotonicTime; readonly deadline: Millis },
+): StoreContact {
+  const { answeredAt, deadline } = input;
+  const isContinued = known !== undefined &&
+    answeredAt - known.until <= SILENCE_SHARE * deadline;
+  return { since: isContinued ? known.since : answeredAt, until: answeredAt };
+}
+
+/** What is known of a configuration's currency. */
+export interface ConfigurationEvidence {
+  readonly now: MonotonicTime;
+  /** Time up to which all versions are known; -Infinity before the first. */
+  readonly currentUntil: MonotonicTime;
+  /** Time within which a version has to be in use everywhere. */
+  readonly deadline: Millis;
+  /** Undefined before the store's first answer. */
+  readonly contact: StoreContact | undefined;
+  /** Whether another VM has said that it uses a newer one. */
+  readonly isNewerKnown: boolean;
+  /** Whether this VM knows a newer one that it can't decode. */
+  readonly isDamaged: boolean;
+  readonly restore: RestoreState;
 }
 
 /** Returns what a configuration may be used for. */
 export function decideConfigurationUse(
-  input: {
-    readonly now: MonotonicTime;
-    /** Time up to which all versions are known. */
-    readonly currentUntil: MonotonicTime;
-    /** Time within which a version has to be in use everywhere. */
-    readonly deadline: Millis;
-    /**
-     * Since when the store answers although the configuration is stale, see
-     * {@link findContactStart}.
-     */
-    readonly contactSince: MonotonicTime | undefined;
-    /** Whether another VM has said that it has a newer one. */
-    readonly isNewerKnown: boolean;
-  },
+  evidence: ConfigurationEvidence,
 ): ConfigurationUse {
-  const { now, currentUntil, deadline, contactSince, isNewerKnown } = input;
-  if (now - currentUntil <= deadline) return ConfigurationUse.Current;
-  if (isNewerKnown) return ConfigurationUse.Outdated;
-  // After an outage the newest version is to be in use within the deadline.
-  return contactSince !== undefined && now - contactSince > deadline
-    ? ConfigurationUse.Outdated
-    : ConfigurationUse.Stale;
+  const { now, currentUntil, deadline, isDamaged, restore } = evidence;
+  const isLate = now - currentUntil > deadline;
+  if (restore === RestoreState.FirstPending) return ConfigurationUse.Outdated;
+  if ((isLate || isDamaged) && evidence.isNewerKnown) {
+    return ConfigurationUse.Outdated;
+  }
+  if (isLate && isInContact(evidence)) return ConfigurationUse.Outdated;
+  return isLate || isDamaged || restore === RestoreState.Pending
+    ? ConfigurationUse.Stale
+    : ConfigurationUse.Current;
+}
+
+/** Whether the store answers, and has for long enough to rely on it. */
+function isInContact({ now, contact, deadline }: ConfigurationEvidence) {
+  return contact !== undefined &&
+    now - contact.until <= SILENCE_SHARE * deadline &&
+    now - contact.since > CONTACT_SHARE * deadline;
 }
--- a/packages/gateway/features/configuration/restore_comparison.ts
+++ b/packages/gateway/features/configuration/restore_comparison.ts
@@ -18,6 +18,7 @@
   startOnDemand,
 } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
+import { RestoreState } from "./decide_configuration_use.ts";
 
 /** Maximum time for which other VMs are asked if none answers. */
 const MAX_SILENCE: Millis = 2_000;
@@ -100,14 +101,16 @@
     this.#process?.wake();
   }
 
-  /** Whether other VMs may have a newer configuration than the store. */
-  get isPending(): boolean {
-    return readEra(this.#access.readVersion()) > (this.#era ?? 0);
+  /** Returns whether other VMs may have a newer configuration than the store. */
+  get state(): RestoreState {
+    if (!this.#isPending) return RestoreState.Compared;
+    return this.#era === undefined
+      ? RestoreState.FirstPending
+      : RestoreState.Pending;
   }
 
-  /** Whether that is so for all that this VM has had since its start. */
-  get isFirstPending(): boolean {
-    return this.#era === undefined && this.isPending;
+  get #isPending(): boolean {
+    return readEra(this.#access.readVersion()) > (this.#era ?? 0);
   }
 
   #computeWait(): Millis {
@@ -120,7 +123,7 @@
     const { clock } = this.#context;
     const version = this.#access.readVersion();
     if (version === 0) return false;
-    if (this.isPending) {
+    if (this.#isPending) {
       this.#startedAt ??= clock.readMonotonic();
       const round = await this.#access.compare();
       const input = {
@@ -133,6 +136,6 @@
     this.#era = readEra(version);
     this.#startedAt = undefined;
     this.#rounds = 0;
-    return this.isPending;
+    return this.#isPending;
   }
 }
