Read the newest configuration alone after an interruption of its feed

After an outage callers met VMs that were seconds late, and all of a region at once.

An interrupted feed of the configuration (a failed call, a time without calls, an answer with several versions) now loads the newest row once what it knows is older than half of the deadline, and goes on from there.

A loaded row counts as confirmed only when the feed has gone on from it, one call later.

--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -56,6 +56,12 @@
 /** The same where other VMs follow this one, so that theirs is younger. */
 const SHARED_WAITS_PER_DEADLINE = 4;
 
+/**
+ * Fraction of the deadline from which on the newest version is read alone after
+ * an interruption. All that were written since may take longer than the deadline.
+ */
+const MAX_RESUME_SHARE = 0.5;
+
 /** Pause between two calls, which batches a burst of versions. */
 const FEED_PAUSE: Millis = 60;
 
@@ -105,6 +111,9 @@
           (exchange.isShared ? SHARED_WAITS_PER_DEADLINE : WAITS_PER_DEADLINE);
       },
       pause: FEED_PAUSE,
+      get maxResumeAge() {
+        return MAX_RESUME_SHARE * context.settings.configurationMillis;
+      },
       apply: (changes) => this.#apply(changes),
       isNeeded: () => exchange.isStoreNeeded,
     });
--- a/packages/gateway/features/feed_follower.ts
+++ b/packages/gateway/features/feed_follower.ts
@@ -53,6 +53,12 @@
   /** Pause between two calls, which batches frequent writes. */
   readonly pause: Millis;
   apply(changes: readonly RowChange<Value>[]): void;
+  /**
+   * Age of what is known from which on a feed that was interrupted loads all
+   * rows, and not the changes since, which have each version of a row. Without
+   * it changes are read as long as the store has them.
+   */
+  readonly maxResumeAge?: Millis;
   /**
    * Whether the store has to be asked, once all rows were loaded; always if
    * absent. Rows may come from elsewhere, see {@link FeedFollower.applyPage}.
@@ -92,6 +98,8 @@
   /** Whether the call that confirms the last load is still to be sent. */
   #isConfirmationDue = false;
   #hasNewRows = false;
+  /** Whether versions may have been written while no call waited for them. */
+  #isInterrupted = false;
   #backoff = INITIAL_BACKOFF;
 
   constructor(context: FeedContext, options: FeedOptions<Value>) {
@@ -169,8 +177,10 @@
   }
 
   async #poll(): Promise<void> {
-    if (!this.#isNeeded) return;
-    if (this.#cursor === undefined) return await this.#load();
+    if (!this.#isNeeded) return void (this.#isInterrupted = true);
+    if (this.#cursor === undefined || this.#isTooOldToResume()) {
+      return await this.#load();
+    }
     this.#isConfirmationDue = false;
     const wait = this.#chooseWait();
     const sentAt = this.#context.clock.readMonotonic();
@@ -182,6 +192,7 @@
         this.#recordSuccess();
         const { page } = change;
         this.#hasNewRows = page.rows.length > 0;
+        this.#isInterrupted = hasReplacedRows(page);
         // The store answers at once when there are rows, else after the wait.
         const held = this.#hasNewRows ? 0 : wait;
         this.#isUnconfirmed = false;
@@ -191,6 +202,13 @@
     });
   }
 
+  #isTooOldToResume(): boolean {
+    const { maxResumeAge = Infinity } = this.#options;
+    if (!this.#isInterrupted || this.#isUnconfirmed) return false;
+    const now = this.#context.clock.readMonotonic();
+    return now - (this.#currentUntil ?? -Infinity) > maxResumeAge;
+  }
+
   #chooseWait(): Millis {
     const { wait } = this.#options;
     if (this.#isUnconfirmed) return 0;
@@ -279,6 +297,7 @@
   #recordFailure(error: PlatformError): void {
     const now = this.#context.clock.readMonotonic();
     this.#lastFailure = now;
+    this.#isInterrupted = true;
     if (this.#failingSince === undefined) {
       this.#failingSince = now;
       this.#backoff = INITIAL_BACKOFF;
@@ -303,6 +322,11 @@
   }
 }
 
+/** Whether a page has several versions of a row. */
+function hasReplacedRows({ rows }: FeedPage<unknown>): boolean {
+  return new Set(rows.map(({ key }) => key)).size < rows.length;
+}
+
 function createLaggingError(): PlatformError {
   return createPlatformError(
     PlatformErrorKind.BadAnswer,
