Ask several VMs for a late configuration, and again after a cut

Callers were refused, or served by an old configuration, at VMs that could have had the new one from their neighbours. A VM that had been cut off marked each peer that gave no answer as silent for 10 s, the good ones too, and asked one VM in 0.4 to 1.4 s; with its paths back it had nobody to ask. A transfer without end kept every other source from being asked.

A late VM asks up to three VMs at once, a reader in its turn and two others. A peer is passed over for one deadline, and no longer if several gave no answer in a row before one did: then the VM itself was cut off. A transfer keeps others from being asked for one deadline.

--- a/packages/gateway/features/configuration/choose_configuration_peer.ts
+++ b/packages/gateway/features/configuration/choose_configuration_peer.ts
@@ -6,7 +6,12 @@
  * that this answers is one version after another in a large fleet; in a small
  * region all VMs ask the store.
  */
-import type { Millis, VmId, VmWithRegion } from "../../../core/mod.ts";
+import type {
+  Millis,
+  RandomSource,
+  VmId,
+  VmWithRegion,
+} from "../../../core/mod.ts";
 import {
   chooseHomes,
   HOMES_PER_REGION,
@@ -22,6 +27,9 @@
  */
 const LATE_SHARE = 0.35;
 
+/** Maximum number of VMs that one whose configuration is overdue asks at once. */
+const MAX_ASKED = 3;
+
 /** The VMs that a VM knows, itself apart. */
 export interface KnownVms {
   readonly self: VmWithRegion;
@@ -121,6 +129,32 @@
   return ordered[(attempt / 2) % ordered.length];
 }
 
+/**
+ * Returns the VMs that are asked at once while the configuration is overdue:
+ * who has a newer one is not known, and may be no reader.
+ */
+export function chooseOverduePeers(
+  vms: KnownVms,
+  input: {
+    readonly attempt: number;
+    readonly lateAnswers: number;
+    readonly random: RandomSource;
+  },
+): readonly VmId[] {
+  const { attempt, lateAnswers, random } = input;
+  const chosen = Array.from(
+    { length: MAX_ASKED },
+    (_, index) =>
+      chooseConfigurationPeer(vms, {
+        // The first follows the turns, the others are any VMs.
+        attempt: index === 0 ? attempt : 1,
+        lateAnswers,
+        random: random(),
+      }),
+  );
+  return [...new Set(chosen)].filter((vm) => vm !== undefined);
+}
+
 function countLocal({ self, others }: KnownVms): number {
   return others.filter((each) => each.region === self.region).length + 1;
 }
--- a/packages/gateway/features/configuration/choose_configuration_peer_test.ts
+++ b/packages/gateway/features/configuration/choose_configuration_peer_test.ts
@@ -3,6 +3,7 @@
 import type { VmWithRegion } from "../../../core/mod.ts";
 import {
   chooseConfigurationPeer,
+  chooseOverduePeers,
   isConfigurationReader,
   isDrawnAsReader,
   isLateAnswer,
@@ -51,6 +52,19 @@
   t.true(readers.some(({ vm }) => vm === choose(4)));
 });
 
+test("a VM whose configuration is overdue asks a reader and other VMs at once", (t) => {
+  const [view] = listViews(ALL);
+  const draws = [0, 0.2, 0.7];
+  const input = { attempt: 0, lateAnswers: 0, random: () => draws.shift()! };
+  const first = chooseConfigurationPeer(view!, { ...input, random: 0 });
+  const drawn = [0.2, 0.7].map((random) =>
+    view!.others[Math.floor(random * view!.others.length)]!.vm
+  );
+  t.deepEqual(chooseOverduePeers(view!, input), [first!, ...drawn]);
+  const alone = { self: FAR[0]!, others: [] };
+  t.deepEqual(chooseOverduePeers(alone, { ...input, random: () => 0 }), []);
+});
+
 test("a VM whose reader answers late follows the other reader of its region", (t) => {
   t.false(isLateAnswer(1_400, 4_000));
   t.true(isLateAnswer(1_401, 4_000));
--- a/packages/gateway/features/configuration/configuration_peers.ts
+++ b/packages/gateway/features/configuration/configuration_peers.ts
@@ -19,6 +19,7 @@
 import type { PeerAccess } from "../peers/peer_access.ts";
 import {
   chooseConfigurationPeer,
+  chooseOverduePeers,
   isConfigurationReader,
   isDrawnAsReader,
   isLateAnswer,
@@ -69,8 +70,11 @@
 /** Maximum time between two answers of readers, who get each second turn. */
 const READER_INTERVAL: Millis = 2 * (MAX_PAUSE + TURN_TIME);
 
-/** Time for which a VM that gave no answer of use is not asked. */
-const SILENT_TIME: Millis = 10_000;
+/** Fraction of the deadline for which a VM that gave no answer is not asked. */
+const SILENT_SHARE = 1;
+
+/** Fraction of the deadline for which a transfer keeps others from being asked. */
+const MAX_TRANSFER_SHARE = 1;
 
 /** Maximum number of VMs that are asked at once for a newer configuration. */
 const MAX_COMPARED = 16;
@@ -105,6 +109,8 @@
   /** Answers the calls of other VMs. */
   readonly answers: ConfigurationAnswers;
   readonly #silentUntil = new Map<VmId, MonotonicTime>();
+  /** VMs that gave no answer since another one last did. */
+  readonly #unanswered = new Set<VmId>();
   /** Turns since the configuration was last confirmed. */
   #attempt = 0;
   /** Highest own version of a configuration that a peer has named. */
@@ -284,18 +290,24 @@
       this.#attempt = 0;
       return;
     }
-    const attempt = this.#attempt++;
-    const { random } = this.#context;
-    const chosen = chooseConfigurationPeer(vms, {
-      attempt,
-      lateAnswers: this.#lateAnswers,
-      random: random(),
-    });
-    const peer = vms.others.find((each) => each.vm === chosen);
-    if (peer === undefined) return;
+    const peers = this.#choosePeers(vms, isOverdue);
+    if (peers.length === 0) return;
     const wait = isOverdue ? 0 : HOLD_SHARE * this.#deadline;
     const turn = sleep(wait + TURN_TIME, undefined, { ref: false });
-    await Promise.race([this.#follow(peer, wait), turn]);
+    const answers = peers.map((peer) => this.#follow(peer, wait));
+    await Promise.race([Promise.all(answers), turn]);
+  }
+
+  #choosePeers(
+    vms: KnownPeers,
+    isOverdue: boolean,
+  ): readonly PeerWithRegion[] {
+    const { random } = this.#context;
+    const input = { attempt: this.#attempt++, lateAnswers: this.#lateAnswers };
+    const chosen = isOverdue
+      ? chooseOverduePeers(vms, { ...input, random })
+      : [chooseConfigurationPeer(vms, { ...input, random: random() })];
+    return vms.others.filter(({ vm }) => chosen.includes(vm));
   }
 
   async #follow(peer: PeerWithRegion, wait: Millis): Promise<void> {
@@ -306,15 +318,27 @@
     if (listReaders(this.#listVms()).includes(peer.vm)) {
       this.#recordReader(answer, now - startedAt);
     }
-    if (answer?.age === undefined) {
-      this.#silentUntil.set(peer.vm, now + SILENT_TIME);
-      return;
-    }
+    this.#recordSilence(peer.vm, answer);
+    if (answer?.age === undefined) return;
     // Otherwise others are asked meanwhile, who may know what has changed.
     if (!this.#isOverdue) await this.#transfer;
     if (!this.#isOverdue) this.#attempt = 0;
   }
 
+  /** Notes whether a VM gave an answer of use, so that it is asked again. */
+  #recordSilence(vm: VmId, answer: PeerConfigurationAnswer | undefined): void {
+    if (answer?.age === undefined) {
+      const now = this.#context.clock.readMonotonic();
+      this.#silentUntil.set(vm, now + SILENT_SHARE * this.#deadline);
+    }
+    if (answer === undefined) return void this.#unanswered.add(vm);
+    // If several gave no answer in a row, this VM was cut off, not they.
+    if (this.#unanswered.size > 1) {
+      for (const each of this.#unanswered) this.#silentUntil.delete(each);
+    }
+    this.#unanswered.clear();
+  }
+
   /** Notes whether a reader is late, and whether it is connected to the store. */
   #recordReader(
     answer: PeerConfigurationAnswer | undefined,
@@ -340,13 +364,20 @@
   ): Promise<PeerConfigurationAnswer | undefined> {
     const answer = await this.#exchange(peer, { wait, omitsLarge: true });
     if (answer?.isOmitted) {
-      this.#transfer ??= this.#exchange(peer, { wait: 0, omitsLarge: false })
-        .catch(this.#reportError)
+      this.#transfer ??= this.#startTransfer(peer)
         .finally(() => (this.#transfer = undefined));
     }
     return answer;
   }
 
+  /** Resolves when the row has arrived, or when another VM may be asked for it. */
+  async #startTransfer(peer: PeerWithRegion): Promise<void> {
+    const limit = MAX_TRANSFER_SHARE * this.#deadline;
+    const transfer = this.#exchange(peer, { wait: 0, omitsLarge: false })
+      .catch(this.#reportError);
+    await Promise.race([transfer, sleep(limit, undefined, { ref: false })]);
+  }
+
   /** Applies what a peer knows; returns its answer, undefined if it gave none. */
   async #exchange(
     peer: PeerWithRegion,
