--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -19,6 +19,7 @@
 import {
   createErrorReporter,
   LogEvent,
+  type LogFields,
   startPeriodic,
 } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
@@ -27,7 +28,8 @@
 import {
   ConfigurationUse,
   decideConfigurationUse,
-  findContactStart,
+  recordAnswer,
+  type StoreContact,
 } from "./decide_configuration_use.ts";
 import type {
   ConfigurationPage,
@@ -54,6 +56,12 @@
 /** The same where other VMs follow this one, so that theirs is younger. */
 const SHARED_WAITS_PER_DEADLINE = 4;
 
+/**
+ * Fraction of the deadline from which on the newest version is read alone after
+ * an interruption. All that were written since may take longer than the deadline.
+ */
+const MAX_RESUME_SHARE = 0.5;
+
 /** Pause between two calls, which batches a burst of versions. */
 const FEED_PAUSE: Millis = 60;
 
@@ -75,8 +83,7 @@
   #isDamaged = false;
   /** When the configuration became stale; undefined while it is current. */
   #staleSince: MonotonicTime | undefined;
-  /** Since when the store answers although the configuration is stale. */
-  #contactSince: MonotonicTime | undefined;
+  #contact: StoreContact | undefined;
   #startedAt: MonotonicTime = Infinity;
   /** Whether the configuration was outdated at the last check. */
   #isOutdated = false;
@@ -104,6 +111,9 @@
           (exchange.isShared ? SHARED_WAITS_PER_DEADLINE : WAITS_PER_DEADLINE);
       },
       pause: FEED_PAUSE,
+      get maxResumeAge() {
+        return MAX_RESUME_SHARE * context.settings.configurationMillis;
+      },
       apply: (changes) => this.#apply(changes),
       isNeeded: () => exchange.isStoreNeeded,
     });
@@ -152,14 +162,12 @@
    * route or key that is not found may exist.
    */
   get isStale(): boolean {
-    return this.#isDamaged || this.#comparison.isPending ||
-      this.#decideUse() !== ConfigurationUse.Current;
+    return this.#decideUse() !== ConfigurationUse.Current;
   }
 
   /** Whether requests have to be left to VMs with a newer configuration. */
   get isOutdated(): boolean {
-    return this.#comparison.isFirstPending ||
-      this.#decideUse() === ConfigurationUse.Outdated;
+    return this.#decideUse() === ConfigurationUse.Outdated;
   }
 
   /** Returns the current routes; undefined before the first configuration. */
@@ -261,26 +269,19 @@
       now: clock.readMonotonic(),
       currentUntil: this.#follower.currentUntil ?? -Infinity,
       deadline: settings.configurationMillis,
-      contactSince: this.#contactSince,
+      contact: this.#contact,
       isNewerKnown: this.#peers.isNewerKnown,
+      isDamaged: this.#isDamaged,
+      restore: this.#comparison.state,
     });
   }
 
   #checkContact(): void {
-    const { clock, dialect, settings } = this.#context;
+    const { dialect, settings } = this.#context;
+    const answeredAt = dialect.table.readTime?.()?.receivedAt;
+    if (answeredAt === undefined) return;
     const { configurationMillis: deadline } = settings;
-    const now = clock.readMonotonic();
-    const { currentUntil = -Infinity } = this.#follower;
-    const staleSince = currentUntil + deadline;
-    this.#contactSince = staleSince > now ? undefined : findContactStart(
-      this.#contactSince,
-      {
-        now,
-        answeredAt: dialect.table.readTime?.()?.receivedAt,
-        staleSince,
-        deadline,
-      },
-    );
+    this.#contact = recordAnswer(this.#contact, { answeredAt, deadline });
   }
 
   #logOutdated(): void {
@@ -290,9 +291,22 @@
     this.#context.log.error(LogEvent.ConfigurationOutdated, {
       version: this.read()?.configuration.version,
       age_ms: Math.round(this.computeAge()),
+      ...this.#describeEvidence(),
     });
   }
 
+  /** Returns what decides whether requests are run by a late configuration. */
+  #describeEvidence(): LogFields {
+    const now = this.#context.clock.readMonotonic();
+    const newest = this.#peers.newestKnown;
+    if (this.#contact === undefined) return { newest };
+    return {
+      contact_ms: Math.round(now - this.#contact.since),
+      store_answer_ms: Math.round(now - this.#contact.until),
+      newest,
+    };
+  }
+
   #checkAge(): void {
     // A peer may tell of a new era without a configuration.
     this.#comparison.check();
@@ -314,6 +328,7 @@
         version,
         age_ms: Math.round(age),
         damaged: this.#isDamaged,
+        ...this.#describeEvidence(),
       });
     } else if (!isStale && this.#staleSince !== undefined) {
       log.info(LogEvent.ConfigurationCurrent, {
