Load the newest configuration anew only where it is large

The versions that an interrupted feed missed are read alone only beyond 64 KB, where reading all takes time that counts. The feed's option is a function of the age now.

--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -3,6 +3,7 @@
  * comes from the store or from another VM.
  */
 import {
+  type Bytes,
   combineUndo,
   type CommandType,
   createCommand,
@@ -57,11 +58,15 @@
 const SHARED_WAITS_PER_DEADLINE = 4;
 
 /**
- * Fraction of the deadline from which on the newest version is read alone after
- * an interruption. All that were written since may take longer than the deadline.
+ * Fraction of the deadline after which an interrupted feed reads the newest of
+ * large versions alone. All that were written since may take longer to arrive
+ * than the deadline.
  */
 const MAX_RESUME_SHARE = 0.5;
 
+/** Maximum size of a version of which several are read after an interruption. */
+const MAX_RESUME_BYTES: Bytes = 65_536;
+
 /** Pause between two calls, which batches a burst of versions. */
 const FEED_PAUSE: Millis = 60;
 
@@ -111,9 +116,7 @@
           (exchange.isShared ? SHARED_WAITS_PER_DEADLINE : WAITS_PER_DEADLINE);
       },
       pause: FEED_PAUSE,
-      get maxResumeAge() {
-        return MAX_RESUME_SHARE * context.settings.configurationMillis;
-      },
+      mayResume: (age) => this.#mayResume(age),
       apply: (changes) => this.#apply(changes),
       isNeeded: () => exchange.isStoreNeeded,
     });
@@ -191,6 +194,12 @@
     this.#listeners.push(listener);
   }
 
+  #mayResume(age: Millis): boolean {
+    const { configurationMillis: deadline } = this.#context.settings;
+    const bytes = this.#row?.value.text.length ?? 0;
+    return bytes <= MAX_RESUME_BYTES || age <= MAX_RESUME_SHARE * deadline;
+  }
+
   #readPage(): ConfigurationPage {
     const { highestVersion, currentUntil } = this.#follower;
     const isReadable = this.#row !== undefined && !this.#isDamaged;
--- a/packages/gateway/features/feed_follower.ts
+++ b/packages/gateway/features/feed_follower.ts
@@ -54,11 +54,12 @@
   readonly pause: Millis;
   apply(changes: readonly RowChange<Value>[]): void;
   /**
-   * Age of what is known from which on a feed that was interrupted loads all
-   * rows, and not the changes since, which have each version of a row. Without
-   * it changes are read as long as the store has them.
+   * Whether a feed that was interrupted reads the changes since, which have each
+   * version of a row, and doesn't load all rows again; always if absent.
+   *
+   * @param age Time since the last moment up to which all changes are known.
    */
-  readonly maxResumeAge?: Millis;
+  mayResume?(age: Millis): boolean;
   /**
    * Whether the store has to be asked, once all rows were loaded; always if
    * absent. Rows may come from elsewhere, see {@link FeedFollower.applyPage}.
@@ -178,7 +179,7 @@
 
   async #poll(): Promise<void> {
     if (!this.#isNeeded) return void (this.#isInterrupted = true);
-    if (this.#cursor === undefined || this.#isTooOldToResume()) {
+    if (this.#cursor === undefined || !this.#mayResume()) {
       return await this.#load();
     }
     this.#isConfirmationDue = false;
@@ -202,11 +203,11 @@
     });
   }
 
-  #isTooOldToResume(): boolean {
-    const { maxResumeAge = Infinity } = this.#options;
-    if (!this.#isInterrupted || this.#isUnconfirmed) return false;
+  #mayResume(): boolean {
+    if (!this.#isInterrupted || this.#isUnconfirmed) return true;
     const now = this.#context.clock.readMonotonic();
-    return now - (this.#currentUntil ?? -Infinity) > maxResumeAge;
+    const age = now - (this.#currentUntil ?? -Infinity);
+    return this.#options.mayResume?.(age) ?? true;
   }
 
   #chooseWait(): Millis {
--- a/packages/gateway/features/feed_follower_test.ts
+++ b/packages/gateway/features/feed_follower_test.ts
@@ -70,7 +70,7 @@
 function startFollower(
   t: ExecutionContext,
   feed: FakeFeed,
-  options: { readonly maxResumeAge?: Millis } = {},
+  options: { readonly mayResume?: (age: Millis) => boolean } = {},
 ) {
   const follower = new FeedFollower(
     { clock: createSystemClock(), log: createSilentLog(), random: () => 0.5 },
@@ -124,7 +124,8 @@
 
 test("an interrupted feed loads the newest rows once what it knows is old, and goes on from them", async (t) => {
   const feed = new FakeFeed();
-  const follower = startFollower(t, feed, { maxResumeAge: 2 * WAIT });
+  const mayResume = (age: Millis) => age <= 2 * WAIT;
+  const follower = startFollower(t, feed, { mayResume });
   await waitFor(() => feed.waits.length >= 2);
   feed.answerFollow = async () => {
     await sleep(WAIT / 2);
