Take an answer of a feed that may be cut for no confirmation

The store ends an answer of a feed at about 1 MB, with the version of its last row, and without saying that it left out later changes. Each answer counted as complete up to when its call was sent. With a document of 425 KB three versions in a row are enough.

--- a/packages/gateway/features/feed_follower.ts
+++ b/packages/gateway/features/feed_follower.ts
@@ -99,6 +99,8 @@
   /** Whether the call that confirms the last load is still to be sent. */
   #isConfirmationDue = false;
   #hasNewRows = false;
+  /** Whether the last answer may lack later changes. */
+  #isCut = false;
   /** Whether versions may have been written while no call waited for them. */
   #isInterrupted = false;
   #backoff = INITIAL_BACKOFF;
@@ -194,10 +196,11 @@
         const { page } = change;
         this.#hasNewRows = page.rows.length > 0;
         this.#isInterrupted = hasReplacedRows(page);
+        this.#isCut = page.mayBeCut ?? false;
         // The store answers at once when there are rows, else after the wait.
         const held = this.#hasNewRows ? 0 : wait;
         this.#isUnconfirmed = false;
-        this.#recordCurrent(page, sentAt + held);
+        if (!this.#isCut) this.#recordCurrent(page, sentAt + held);
         this.#applyRows(page);
       },
     });
@@ -212,7 +215,7 @@
 
   #chooseWait(): Millis {
     const { wait } = this.#options;
-    if (this.#isUnconfirmed) return 0;
+    if (this.#isUnconfirmed || this.#isCut) return 0;
     if (this.#failingSince !== undefined) return Math.min(wait, RETRY_WAIT);
     // Rows only show what was current when the call was sent, so the next call
     // ends earlier.
--- a/packages/gateway/features/feed_follower_test.ts
+++ b/packages/gateway/features/feed_follower_test.ts
@@ -122,6 +122,28 @@
   t.deepEqual(feed.waits.slice(0, 2), [0, WAIT / 2]);
 });
 
+test("an answer that may lack later changes shows nothing that is current, and is followed at once", async (t) => {
+  const feed = new FakeFeed();
+  const follower = startFollower(t, feed);
+  await waitFor(() => feed.waits.length >= 2);
+  const page = { ...createPage(6, 1), mayBeCut: true };
+  feed.answerFollow = async () => {
+    await sleep(WAIT / 4);
+    return Right({ historyLost: false, page });
+  };
+  await waitFor(() => follower.highestVersion === 6);
+  const { currentUntil } = follower;
+  const calls = feed.waits.length;
+  await sleep(WAIT);
+  t.is(follower.currentUntil, currentUntil);
+  t.true(feed.waits.length > calls);
+  t.true(feed.waits.slice(calls).every((wait) => wait === 0));
+  feed.answerFollow = () =>
+    Promise.resolve(Right({ historyLost: false, page: createPage(6) }));
+  await waitFor(() => follower.currentUntil !== currentUntil);
+  t.true(follower.currentUntil! > currentUntil!);
+});
+
 test("an interrupted feed loads the newest rows once what it knows is old, and goes on from them", async (t) => {
   const feed = new FakeFeed();
   const mayResume = (age: Millis) => age <= 2 * WAIT;
--- a/packages/ports/feed_port.ts
+++ b/packages/ports/feed_port.ts
@@ -19,6 +19,11 @@
 export interface FeedPage<Value> {
   readonly rows: readonly FeedRow<Value>[];
   readonly version: number;
+  /**
+   * Whether later changes may have been left out for their size, so that the
+   * page doesn't show what was current when it was read.
+   */
+  readonly mayBeCut?: boolean;
 }
 
 /** Result of waiting for changes of a table. */
