Wait for a transfer of the configuration that is slow, as before

Since a second transfer began once the first had taken a deadline. A VM that waits refuses its callers, so that only the service depends on it; what a transfer without end costs stays open.

--- a/packages/gateway/features/configuration/configuration_peers.ts
+++ b/packages/gateway/features/configuration/configuration_peers.ts
@@ -73,9 +73,6 @@
 /** Fraction of the deadline for which a VM that gave no answer is not asked. */
 const SILENT_SHARE = 1;
 
-/** Fraction of the deadline for which a transfer keeps others from being asked. */
-const MAX_TRANSFER_SHARE = 1;
-
 /** Maximum number of VMs that are asked at once for a newer configuration. */
 const MAX_COMPARED = 16;
 
@@ -364,20 +361,13 @@
   ): Promise<PeerConfigurationAnswer | undefined> {
     const answer = await this.#exchange(peer, { wait, omitsLarge: true });
     if (answer?.isOmitted) {
-      this.#transfer ??= this.#startTransfer(peer)
+      this.#transfer ??= this.#exchange(peer, { wait: 0, omitsLarge: false })
+        .catch(this.#reportError)
         .finally(() => (this.#transfer = undefined));
     }
     return answer;
   }
 
-  /** Resolves when the row has arrived, or when another VM may be asked for it. */
-  async #startTransfer(peer: PeerWithRegion): Promise<void> {
-    const limit = MAX_TRANSFER_SHARE * this.#deadline;
-    const transfer = this.#exchange(peer, { wait: 0, omitsLarge: false })
-      .catch(this.#reportError);
-    await Promise.race([transfer, sleep(limit, undefined, { ref: false })]);
-  }
-
   /** Applies what a peer knows; returns its answer, undefined if it gave none. */
   async #exchange(
     peer: PeerWithRegion,
