Tell no age of a configuration that was measured across a suspension

A VM that was suspended for seconds gave its age of the configuration to others by its steady clock, which had not counted that time.

A watch compares the steady clock with the time of day. An age whose confirming call was sent before a suspension isn't told; the VM itself asks again. Its own requests need nothing: a VM that wakes up reaches its deadline before it counts as in contact. A time of day that is set forward looks the same, and costs one answer without an age.

--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -26,6 +26,7 @@
 import type { GatewayContext } from "../../gateway_context.ts";
 import { FeedFollower, type RowChange } from "../feed_follower.ts";
 import type { PeerAccess } from "../peers/peer_access.ts";
+import { SuspensionWatch } from "../suspension_watch.ts";
 import {
   ConfigurationUse,
   decideConfigurationUse,
@@ -36,6 +37,7 @@
   ConfigurationPage,
   ConfigurationRow,
   ConfigurationValue,
+  PageSource,
 } from "./configuration_page.ts";
 import { ConfigurationPeers } from "./configuration_peers.ts";
 import { RestoreComparison } from "./restore_comparison.ts";
@@ -79,6 +81,7 @@
   readonly #follower: FeedFollower<ConfigurationValue>;
   readonly #peers: ConfigurationPeers;
   readonly #comparison: RestoreComparison;
+  readonly #suspensions: SuspensionWatch;
   readonly #listeners: ((configuration: GatewayConfiguration) => void)[] = [];
   /** Row of the configuration in effect. */
   #row: ConfigurationRow | undefined;
@@ -95,12 +98,13 @@
 
   constructor(context: GatewayContext, peers: PeerAccess) {
     this.#context = context;
+    this.#suspensions = new SuspensionWatch(context.clock);
     const exchange = new ConfigurationPeers(context, {
       peers,
       access: {
         readPage: () => this.#readPage(),
         readNewest: () => this.#readNewest(),
-        applyPage: (page, peer) => this.#applyPage(page, peer),
+        applyPage: (page, source) => this.#applyPage(page, source),
       },
     });
     this.#peers = exchange;
@@ -201,11 +205,13 @@
   }
 
   #readPage(): ConfigurationPage {
-    const { highestVersion, currentUntil } = this.#follower;
+    const { highestVersion, currentUntil, confirmedBy } = this.#follower;
     const isReadable = this.#row !== undefined && !this.#isDamaged;
+    // The time of a suspension is missing in the age that others are told.
+    const isMeasured = this.#suspensions.isAwakeSince(confirmedBy);
     return {
       version: highestVersion,
-      currentUntil: isReadable ? currentUntil : undefined,
+      currentUntil: isReadable && isMeasured ? currentUntil : undefined,
       row: this.#row,
     };
   }
@@ -215,7 +221,10 @@
     return this.#row?.value.configuration.version ?? -1;
   }
 
-  #applyPage({ version, currentUntil, row }: ConfigurationPage, peer: VmId) {
+  #applyPage(
+    { version, currentUntil, row }: ConfigurationPage,
+    { peer, sentAt }: PageSource,
+  ): void {
     const rows = row === undefined ? [] : [row];
     this.#applyingFrom = peer;
     if (row !== undefined && this.#isLostInRestore(row)) {
@@ -226,7 +235,8 @@
       });
       this.#apply(rows);
     }
-    this.#follower.applyPage({ version, rows }, currentUntil);
+    const until = currentUntil;
+    this.#follower.applyPage({ version, rows }, { until, sentAt });
     this.#applyingFrom = undefined;
   }
 
--- a/packages/gateway/features/configuration/configuration_page.ts
+++ b/packages/gateway/features/configuration/configuration_page.ts
@@ -30,6 +30,13 @@
   readonly steps?: readonly ConfigurationStep[];
 }
 
+/** Where a page comes from. */
+export interface PageSource {
+  readonly peer: VmId;
+  /** When it was asked for. */
+  readonly sentAt: MonotonicTime;
+}
+
 /** What the exchange needs of the VM's own configuration. */
 export interface ConfigurationAccess {
   /** Returns what this VM knows. */
@@ -40,7 +47,7 @@
    */
   readNewest(): number | undefined;
   /** Applies what a peer knows, unless this VM knows better. */
-  applyPage(page: ConfigurationPage, peer: VmId): void;
+  applyPage(page: ConfigurationPage, source: PageSource): void;
 }
 
 /**
--- a/packages/gateway/features/configuration/configuration_peers.ts
+++ b/packages/gateway/features/configuration/configuration_peers.ts
@@ -420,7 +420,8 @@
     if (isChanged && row === undefined) return answer;
     const { version, held, age } = answer;
     const currentUntil = sentAt + held - age;
-    this.#access.applyPage({ version, currentUntil, row }, peer.vm);
+    const source = { peer: peer.vm, sentAt };
+    this.#access.applyPage({ version, currentUntil, row }, source);
     return answer;
   }
 
--- a/packages/gateway/features/feed_follower.ts
+++ b/packages/gateway/features/feed_follower.ts
@@ -94,6 +94,7 @@
   #failingSince: number | undefined;
   #lastFailure = -Infinity;
   #currentUntil: MonotonicTime | undefined;
+  #confirmedBy: MonotonicTime = -Infinity;
   /** Whether the feed has not gone on from the last load yet. */
   #isUnconfirmed = false;
   /** Whether the call that confirms the last load is still to be sent. */
@@ -128,6 +129,11 @@
     return this.#currentUntil;
   }
 
+  /** When the call was sent that showed this; -Infinity before the first. */
+  get confirmedBy(): MonotonicTime {
+    return this.#confirmedBy;
+  }
+
   /** Highest version up to which all changes were received at some time. */
   get highestVersion(): number {
     return this.#highestVersion;
@@ -137,12 +143,20 @@
    * Applies rows that came from elsewhere than the store: all that changed after
    * a version that this VM had, with the version up to which they are complete.
    *
-   * @param until Time up to which they show all changes.
+   * @param input.until Time up to which they show all changes.
+   * @param input.sentAt When the call that brought them was sent.
    */
-  applyPage(page: FeedPage<Value>, until: MonotonicTime | undefined): void {
+  applyPage(
+    page: FeedPage<Value>,
+    input: {
+      readonly until: MonotonicTime | undefined;
+      readonly sentAt: MonotonicTime;
+    },
+  ): void {
+    const { until, sentAt } = input;
     // Who has loaded nothing itself knows of no rows, not that there are none.
     if (!this.#isLoaded && page.rows.length === 0) return;
-    if (until !== undefined) this.#recordCurrent(page, until);
+    if (until !== undefined) this.#recordCurrent(page, { until, sentAt });
     this.#applyRows(page);
     this.#isLoaded = true;
   }
@@ -200,7 +214,8 @@
         // The store answers at once when there are rows, else after the wait.
         const held = this.#hasNewRows ? 0 : wait;
         this.#isUnconfirmed = false;
-        if (!this.#isCut) this.#recordCurrent(page, sentAt + held);
+        const until = sentAt + held;
+        if (!this.#isCut) this.#recordCurrent(page, { until, sentAt });
         this.#applyRows(page);
       },
     });
@@ -222,11 +237,18 @@
     return this.#hasNewRows ? wait / 2 : wait;
   }
 
-  #recordCurrent(page: FeedPage<Value>, until: MonotonicTime): void {
+  #recordCurrent(
+    page: FeedPage<Value>,
+    input: { readonly until: MonotonicTime; readonly sentAt: MonotonicTime },
+  ): void {
     if (page.version < this.#highestVersion) return;
-    const now = this.#context.clock.readMonotonic();
-    const known = this.#currentUntil ?? -Infinity;
-    this.#currentUntil = Math.max(known, Math.min(now, until));
+    const until = Math.min(
+      this.#context.clock.readMonotonic(),
+      input.until,
+    );
+    if (until < (this.#currentUntil ?? -Infinity)) return;
+    this.#currentUntil = until;
+    this.#confirmedBy = input.sentAt;
   }
 
   #recordHistoryLost(): void {
--- a/packages/gateway/features/feed_follower_test.ts
+++ b/packages/gateway/features/feed_follower_test.ts
@@ -239,9 +239,10 @@
   feed.answerLoad = () => new Promise(() => {});
   const follower = startFollower(t, feed);
   await waitFor(() => feed.loads === 1);
-  follower.applyPage({ version: 0, rows: [] }, undefined);
+  const input = { until: undefined, sentAt: 0 };
+  follower.applyPage({ version: 0, rows: [] }, input);
   t.false(follower.isLoaded);
-  follower.applyPage(createPage(5, 1), undefined);
+  follower.applyPage(createPage(5, 1), input);
   t.true(follower.isLoaded);
   t.is(follower.highestVersion, 5);
 });
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import { randomBytes } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
+  type Clock,
   combineUndo,
   createSystemClock,
   Kernel,
@@ -67,6 +68,8 @@
   readonly metrics?: GatewayMetrics;
   /** Starts direct connections to targets; over TCP by default. */
   readonly connect?: StartConnection;
+  /** That of the process by default. */
+  readonly clock?: Clock;
 }
 
 /** Number of random bytes in the identifier of an incarnation. */
@@ -453,7 +456,7 @@
 
 function createGatewayContext(options: GatewayOptions): GatewayContext {
   const { settings, dialect } = options;
-  const clock = createSystemClock();
+  const { clock = createSystemClock() } = options;
   const metrics = options.metrics ?? createGatewayMetrics();
   return {
     settings,
