--- a/packages/soak/fault_plan.ts
+++ b/packages/soak/fault_plan.ts
@@ -22,7 +22,10 @@
   CutAll = "cut-all",
   /** One VM's requests reach the store, but the store's answers are lost. */
   CutAnswers = "cut-answers",
-  /** One VM's connections to the store are reset. */
+  /**
+   * One VM's connections to the store are reset; if the fault is a long one, they
+   * go silent for good instead.
+   */
   ResetStore = "reset-store",
   /** Bytes between all VMs and the store are delayed. */
   DelayStore = "delay-store",
@@ -86,6 +89,9 @@
  */
 const MAX_FAULT_DURATION: Millis = 5_000;
 
+/** Minimum duration of a long fault. */
+export const LONG_DURATION: Millis = MAX_FAULT_DURATION / 2;
+
 /** Faults that last twice as long: their copy is older than most deadlines. */
 const LONG_FAULTS = [FaultKind.StoreRestored, FaultKind.KillInRestore];
 
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -31,7 +31,12 @@
   findService,
   listKeyVersions,
 } from "./configuration_effects.ts";
-import { FaultKind, planFaults, type PlannedFault } from "./fault_plan.ts";
+import {
+  FaultKind,
+  LONG_DURATION,
+  planFaults,
+  type PlannedFault,
+} from "./fault_plan.ts";
 import {
   type CallRecord,
   checkGuarantees,
@@ -401,7 +406,10 @@
         });
       case FaultKind.ResetStore:
         return await this.#recordDisruption([vm], {
-          duringDisruption: () => this.#findRelay(vm).resetAll(),
+          duringDisruption: () =>
+            fault.duration < LONG_DURATION
+              ? this.#findRelay(vm).resetAll()
+              : this.#findRelay(vm).silenceAll(),
         });
       case FaultKind.DelayStore:
         for (const each of this.#relays) each.delay = STORE_DELAY;
