Compare a version that peers named without building a page for each request

isNewerKnown built a page, with two readings of clocks for the suspension watch, for each request since, to read the version in use. It stands with that version now. A factor of 1 and a renamed variable go.

--- a/packages/gateway/features/configuration/configuration_follower.ts
+++ b/packages/gateway/features/configuration/configuration_follower.ts
@@ -235,8 +235,8 @@
       });
       this.#apply(rows);
     }
-    const until = currentUntil;
-    this.#follower.applyPage({ version, rows }, { until, sentAt });
+    const confirmation = { until: currentUntil, sentAt };
+    this.#follower.applyPage({ version, rows }, confirmation);
     this.#applyingFrom = undefined;
   }
 
@@ -282,6 +282,12 @@
     this.#comparison.check();
   }
 
+  /** Whether another VM has said that it uses a newer configuration. */
+  get #isNewerKnown(): boolean {
+    const { newestKnown = -Infinity } = this.#peers;
+    return newestKnown > (this.#row?.value.configuration.version ?? -1);
+  }
+
   #decideUse(): ConfigurationUse {
     const { clock, settings } = this.#context;
     return decideConfigurationUse({
@@ -289,7 +295,7 @@
       currentUntil: this.#follower.currentUntil ?? -Infinity,
       deadline: settings.configurationMillis,
       contact: this.#contact,
-      isNewerKnown: this.#peers.isNewerKnown,
+      isNewerKnown: this.#isNewerKnown,
       isDamaged: this.#isDamaged,
       restore: this.#comparison.state,
     });
--- a/packages/gateway/features/configuration/configuration_peers.ts
+++ b/packages/gateway/features/configuration/configuration_peers.ts
@@ -70,9 +70,6 @@
 /** Maximum time between two answers of readers, who get each second turn. */
 const READER_INTERVAL: Millis = 2 * (MAX_PAUSE + TURN_TIME);
 
-/** Fraction of the deadline for which a VM that gave no answer is not asked. */
-const SILENT_SHARE = 1;
-
 /** Maximum number of VMs that are asked at once for a newer configuration. */
 const MAX_COMPARED = 16;
 
@@ -105,6 +102,7 @@
   readonly #texts = new ConfigurationTexts();
   /** Answers the calls of other VMs. */
   readonly answers: ConfigurationAnswers;
+  /** Until when a VM that gave no answer of use is not asked. */
   readonly #silentUntil = new Map<VmId, MonotonicTime>();
   /** VMs that gave no answer since another one last did. */
   readonly #unanswered = new Set<VmId>();
@@ -196,12 +194,6 @@
     return this.#draw.isDrawn;
   }
 
-  /** Whether another VM has said that it uses a newer configuration. */
-  get isNewerKnown(): boolean {
-    const inUse = this.#access.readPage().row?.value.configuration.version;
-    return this.#newestKnown > (inUse ?? -1);
-  }
-
   /** Highest version that a peer has named; undefined if none has. */
   get newestKnown(): number | undefined {
     return this.#newestKnown === -Infinity ? undefined : this.#newestKnown;
@@ -326,7 +318,7 @@
   #recordSilence(vm: VmId, answer: PeerConfigurationAnswer | undefined): void {
     if (answer?.age === undefined) {
       const now = this.#context.clock.readMonotonic();
-      this.#silentUntil.set(vm, now + SILENT_SHARE * this.#deadline);
+      this.#silentUntil.set(vm, now + this.#deadline);
     }
     if (answer === undefined) return void this.#unanswered.add(vm);
     // If several gave no answer in a row, this VM was cut off, not they.
