Serve the calls of peers without the web's streams

Cause: tRPC's adapter for Node.js converts each request and answer to the web's Request, Response and streams. VMs that borrow tokens call each other more often than they serve requests, so that this is a large part of their processor time.

--- a/packages/peer/peer_router.ts
+++ b/packages/peer/peer_router.ts
@@ -2,7 +2,7 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { initTRPC, TRPCError } from "@trpc/server";
-import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { createRouterHandler } from "./peer_http_handler.ts";
 import {
   BILLS_SCHEMA,
   CONFIGURATION_QUERY_SCHEMA,
@@ -126,11 +126,11 @@
   router: PeerRouter | GatewayRouter,
   peerKey: string,
 ): (request: IncomingMessage, response: ServerResponse) => void {
-  return createHTTPHandler({
+  return createRouterHandler({
     router,
-    maxBodySize: MAX_BODY_BYTES,
-    createContext: ({ req }) => ({
-      trusted: isPeerKey(req.headers.authorization, peerKey),
+    maxBodyBytes: MAX_BODY_BYTES,
+    createContext: ({ headers }) => ({
+      trusted: isPeerKey(headers.authorization, peerKey),
     }),
   });
 }
