Divide what a cold target tolerates among all VMs by turns

A target that has just started tolerates few requests a second from all VMs together. Shares of live VMs can't keep a bound of 20 in one second among 71 VMs, and turns in the order of ids double when two VMs know different lists.

A turn at a cold target belongs to the VM that ranks first for it by rendezvous hashing, so VMs that know different VMs disagree only about the turns of those that they don't all know. A VM has turns 3 s after it is listed, leaves those of a VM that has left unused for as long, and takes the store's time from the answers that arrived fastest. What a target's entry, its reachability and evacuations say of its cold time is decided by functions of their own.

--- a/packages/routing/commands/record_limit_test.ts
+++ b/packages/routing/commands/record_limit_test.ts
@@ -1,4 +1,7 @@
-/** Tests of the limits that targets name, and of the choice among such targets. */
+/**
+ * Tests of the limits that targets name, and of the choice among such targets
+ * and cold ones.
+ */
 import test from "ava";
 import {
   createEmptyConfiguration,
@@ -9,8 +12,11 @@
 import {
   applyTargets,
   choosePlacement,
+  computeColdTurns,
   createRoutingState,
   type LimitNotice,
+  recordCold,
+  recordColdTurn,
   recordLimit,
   recordTurn,
   type RoutingState,
@@ -52,13 +58,14 @@
 ) {
   const { now = 10_000, hasOrder = true } = input;
   const turns = { order: { index: 0, count: 1 }, now };
+  const coldTurns = { group: { self: 1, others: [] }, now };
   return choosePlacement(state, {
     service: SERVICE,
     sharedTokens: 0,
     tried: [],
     dataCentre: "west-a",
     now: 0,
-    ...(hasOrder ? { turns } : {}),
+    ...(hasOrder ? { turns, coldTurns } : {}),
   });
 }
 
@@ -113,3 +120,42 @@
   t.is(refusal.kind, RefusalKind.TargetsLimited);
   t.is(refusal.retryAfter, 2_900);
 });
+
+/** Marks targets as cold, with a turn each second that lasts 2 s. */
+function makeCold(state: RoutingState, ...ids: string[]): void {
+  const turns = computeColdTurns({ perSecond: 1, overage: 1.5, slack: 5 });
+  for (const id of ids) recordCold(state, id, { until: Infinity, turns });
+}
+
+/** Sends as many requests as a time allows; returns their targets. */
+function sendAll(state: RoutingState, now: number): string[] {
+  const choice = choose(state, { now });
+  if (choice.isLeft()) return [];
+  const { target, turn, coldTurn } = choice.unsafeCoerce();
+  if (turn !== undefined) recordTurn(state, target.id, turn);
+  recordColdTurn(state, target.id, coldTurn!);
+  return [target.id, ...sendAll(state, now)];
+}
+
+// Guards against a whole service refused while one of its targets has a turn.
+test("requests use the turns at any cold target, each once, and without turns only others", (t) => {
+  const state = createState("a", "b");
+  makeCold(state, "a", "b");
+  t.deepEqual(sendAll(state, 10_100).sort(), ["a", "a", "b", "b"]);
+  t.deepEqual(sendAll(state, 11_100).sort(), ["a", "b"]);
+  const refusal = choose(state, { now: 11_100 }).swap().unsafeCoerce();
+  t.is(refusal.kind, RefusalKind.TargetsLimited);
+  t.is(refusal.retryAfter, 1_000);
+  t.true(choose(state, { hasOrder: false }).isLeft());
+  recordCold(state, "b", undefined);
+  t.is(choose(state, { hasOrder: false }).unsafeCoerce().target.id, "b");
+});
+
+test("a cold target gets no more requests than the lower limit that it names", (t) => {
+  const state = createState("a");
+  makeCold(state, "a");
+  recordLimit(state, "a", { perSecond: 0.25, at: 0 });
+  const times = Array.from({ length: 40 }, (_, index) => 20_000 + index * 500);
+  const sent = times.flatMap((now) => sendAll(state, now));
+  t.true(sent.length >= 4 && sent.length <= 8, String(sent.length));
+});
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -164,7 +164,29 @@
   BackpressureAction,
   decideBackpressure,
 } from "./stream/decide_backpressure.ts";
+export {
+  applyReportedCold,
+  type ColdPeriod,
+  ColdReason,
+  type ColdTimes,
+  findColdPeriod,
+  recordAnswered,
+  recordColdEvent,
+  recordUnreached,
+} from "./cold_target/cold_times.ts";
+export type { ColdTurns } from "./cold_target/compute_cold_turns.ts";
+export { computeColdTurns } from "./cold_target/compute_cold_turns.ts";
+export type { ColdTurnClock } from "./cold_target/find_cold_turn.ts";
+export { findColdTurn } from "./cold_target/find_cold_turn.ts";
+export type { TurnGroup } from "./cold_target/turn_groups.ts";
+export { TurnGroups } from "./cold_target/turn_groups.ts";
+export { TurnTime } from "./cold_target/turn_time.ts";
+export { recordCold, recordColdTurn } from "./commands/record_cold.ts";
 export type { TurnInput, VmOrder } from "./target_limit/find_turn.ts";
 export { computeNextTurn, findTurn } from "./target_limit/find_turn.ts";
 export type { TargetLimit, TargetState } from "./target_state.ts";
-export { computeHealth, TargetHealth } from "./target_state.ts";
+export {
+  computeHealth,
+  createTargetState,
+  TargetHealth,
+} from "./target_state.ts";
--- a/packages/routing/queries/choose_placement.ts
+++ b/packages/routing/queries/choose_placement.ts
@@ -41,6 +41,12 @@
   createTargetsLimited,
   createTargetsPaused,
 } from "./create_refusals.ts";
+import type { ColdTurnClock } from "../cold_target/find_cold_turn.ts";
+import {
+  computeNextColdSend,
+  findTargetColdTurn,
+  isCold,
+} from "../cold_target/find_target_turn.ts";
 
 /** Input of `choosePlacement`. */
 export interface PlacementInput {
@@ -62,6 +68,8 @@
    * are not used.
    */
   readonly turns?: TurnClock;
+  /** The same at targets that are cold. */
+  readonly coldTurns?: ColdTurnClock;
   readonly now: MonotonicTime;
 }
 
@@ -89,6 +97,8 @@
   readonly usable: number;
   /** The turn that the attempt uses, at a target that limits its requests. */
   readonly turn?: StoreTime;
+  /** The turn that the attempt uses, at a target that is cold. */
+  readonly coldTurn?: StoreTime;
 }
 
 /** Unread prompt tokens that delay a request as much as a full batch does. */
@@ -146,9 +156,12 @@
     .filter((target) => !input.tried.includes(target.config.id))
     .filter((target) => computePause(target, input.now) === 0);
   if (listed.length === 0) return Left(createNoTarget());
-  const usable = listed.filter((target) => mayUse(target, input.turns));
+  const usable = listed.filter((target) => mayUse(target, input));
   if (usable.length === 0) {
-    return Left(createTargetsLimited(computeNextSend(listed, input.turns)));
+    return Left(createTargetsLimited(Math.max(
+      computeNextSend(listed, input.turns),
+      computeNextColdSend(listed, input),
+    )));
   }
   const holders = findHolders(usable, input);
   let best: Candidate | undefined;
@@ -160,6 +173,7 @@
   if (best === undefined) return Left(createOverloaded());
   const { target, load } = best;
   const turn = findUsableTurn(target, input.turns);
+  const coldTurn = findTargetColdTurn(target, input);
   const report = target.report;
   return Right({
     target: target.config,
@@ -167,6 +181,7 @@
     isHolder: holders.has(target.config.id),
     usable: usable.length,
     ...(turn === undefined ? {} : { turn }),
+    ...(coldTurn === undefined ? {} : { coldTurn }),
     ...(report === undefined ? {} : { loadAge: input.now - report.measuredAt }),
   });
 }
@@ -266,10 +281,15 @@
   return health === TargetHealth.Healthy;
 }
 
-/** Whether a target sets no limit, or this VM has a turn there. */
-function mayUse(target: TargetState, turns: TurnClock | undefined): boolean {
-  return target.limit?.perSecond === undefined ||
-    findUsableTurn(target, turns) !== undefined;
+/**
+ * Whether a target sets no limit and is not cold, or this VM has a turn there:
+ * one by the limit, and one by what a cold target tolerates.
+ */
+function mayUse(target: TargetState, input: PlacementInput): boolean {
+  const isWithinLimit = target.limit?.perSecond === undefined ||
+    findUsableTurn(target, input.turns) !== undefined;
+  return isWithinLimit && (!isCold(target, input.now) ||
+    findTargetColdTurn(target, input) !== undefined);
 }
 
 function findUsableTurn(
--- a/packages/routing/target_state.ts
+++ b/packages/routing/target_state.ts
@@ -9,6 +9,7 @@
   TargetConfig,
   Tokens,
 } from "../core/mod.ts";
+import type { ColdTurns } from "./cold_target/compute_cold_turns.ts";
 
 /** Health of a target, which decides whether it gets new attempts. */
 export enum TargetHealth {
@@ -63,6 +64,15 @@
   readonly usedTurn?: StoreTime;
 }
 
+/** A target that tolerates few requests until a time. */
+export interface ColdState {
+  /** Infinity while it can't be reached. */
+  readonly until: MonotonicTime;
+  readonly turns: ColdTurns;
+  /** The last turn of this VM that it used; absent if it used none. */
+  readonly usedTurn?: StoreTime;
+}
+
 /** What one VM knows of a target. */
 export interface TargetState {
   readonly config: TargetConfig;
@@ -79,6 +89,8 @@
   readonly pausedUntil?: MonotonicTime;
   /** Absent if the target has never named a limit. */
   readonly limit?: TargetLimit;
+  /** Absent if the target was not cold since it was added. */
+  readonly cold?: ColdState;
   /** The latest samples of `inFlight`, one per report, oldest first. */
   readonly ownSamples: readonly OwnSample[];
   /** Whether the VM list shows it as leaving or no longer contains it. */
