Bound the requests to cold targets where the settings say so

The gateway ignored the cold time in targets' entries and the rate that the configuration gives for a service's cold targets.

With the optional setting coldTargets, targets are cold while their entries say so, after a new process appears, after they were unreachable, and after an evacuation of their data centre (recordColdDataCentre of the registry). An entry that only counts down is compared and changes nothing. A damaged cold time makes the entry damaged. Removing an optional setting is now named among the changed ones.

--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -140,6 +140,11 @@
   readonly slots: number;
   /** Whether it is shutting down and must not get new requests. */
   readonly leaving: boolean;
+  /**
+   * Time from when the entry was read for which it stays cold and tolerates few
+   * requests; usually 0.
+   */
+  readonly coldRemaining: Millis;
 }
 
 /** A configuration, and its text in the store, which VMs give to each other. */
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -266,7 +266,8 @@
     call: RoutedCall,
     input: { readonly placement: Placement; readonly sharedTokens: Tokens },
   ): void {
-    const { target, load, loadAge, isHolder, usable, turn } = input.placement;
+    const { target, load, loadAge, isHolder, usable, turn, coldTurn } =
+      input.placement;
     this.#options.context.log.info(LogEvent.TargetChosen, {
       request: call.request.id,
       target: target.id,
@@ -279,6 +280,7 @@
       shared_tokens: input.sharedTokens,
       usable,
       limited: turn === undefined ? undefined : true,
+      cold: coldTurn === undefined ? undefined : true,
     });
   }
 
@@ -537,6 +539,7 @@
         const { targets } = this.#options;
         targets.recordLimit(input.listed, { head, age });
         if (head.isOtherTarget) return;
+        targets.recordAnswered(input.listed);
         if (head.leaving) targets.recordLeaving(input.listed);
         if (head.pause !== undefined) {
           targets.recordPause(input.listed, head.pause);
--- a/packages/gateway/features/crashes/crash_detector.ts
+++ b/packages/gateway/features/crashes/crash_detector.ts
@@ -32,15 +32,22 @@
   readonly #context: GatewayContext;
   readonly #reports: CrashReports;
   readonly #probes: TargetProbes;
+  readonly #reportRefused: (target: TargetId) => void;
   readonly #watch = new CrashWatch();
 
   constructor(
     context: GatewayContext,
-    options: { readonly reports: CrashReports; readonly probes: TargetProbes },
+    options: {
+      readonly reports: CrashReports;
+      readonly probes: TargetProbes;
+      /** Called when a target's machine refuses a connection. */
+      readonly reportRefused: (target: TargetId) => void;
+    },
   ) {
     this.#context = context;
     this.#reports = options.reports;
     this.#probes = options.probes;
+    this.#reportRefused = options.reportRefused;
   }
 
   /**
@@ -67,6 +74,7 @@
 
   /** Records that a target's machine refused the connection of an attempt. */
   recordRefused(target: TargetId): void {
+    this.#reportRefused(target);
     const now = this.#context.clock.readMonotonic();
     this.#report(this.#watch.recordRefused(target, now), CrashProof.Refused);
   }
--- a/packages/gateway/features/paths/target_paths.ts
+++ b/packages/gateway/features/paths/target_paths.ts
@@ -57,6 +57,7 @@
   readonly #peers: PeerList;
   readonly #connect: StartConnection;
   readonly #findAddress: (target: TargetId) => TargetAddress | undefined;
+  readonly #reportUnreached: (target: TargetId) => void;
   readonly #table = new PathTable();
   readonly #avoidedUntil = new Map<VmId, MonotonicTime>();
   #pools: ConnectionPools | undefined;
@@ -69,12 +70,15 @@
       readonly connect: StartConnection | undefined;
       /** Returns where a listed target listens. */
       readonly findAddress: (target: TargetId) => TargetAddress | undefined;
+      /** Called when no path to a target led to a connection. */
+      readonly reportUnreached: (target: TargetId) => void;
     },
   ) {
     this.#context = context;
     this.#peers = options.peers;
     this.#connect = options.connect ?? createConnection;
     this.#findAddress = options.findAddress;
+    this.#reportUnreached = options.reportUnreached;
   }
 
   /** Starts to probe lost paths. */
@@ -119,11 +123,7 @@
       askPeers: (onSocket) => this.#askPeers(input.address, onSocket),
       recordDirect: () => this.#recordDirect(target),
       recordRelayed: (isHanging) => this.#recordRelayed(target, isHanging),
-      recordUnreached: () =>
-        this.#table.recordUnreached(
-          target,
-          this.#context.clock.readMonotonic(),
-        ),
+      recordUnreached: () => this.#recordUnreached(target),
       isRefusalProven: (outcomes) => this.#isRefusalProven(outcomes),
     }).start();
   }
@@ -220,6 +220,12 @@
     this.#avoidedUntil.set(vm, now + DECLINED_PERIOD);
   }
 
+  #recordUnreached(target: TargetId): void {
+    const now = this.#context.clock.readMonotonic();
+    this.#table.recordUnreached(target, now);
+    this.#reportUnreached(target);
+  }
+
   #recordDirect(target: TargetId): void {
     const now = this.#context.clock.readMonotonic();
     const lostFor = this.#table.recordDirect(target, now);
--- a/packages/gateway/features/peers/peer_list.ts
+++ b/packages/gateway/features/peers/peer_list.ts
@@ -22,7 +22,11 @@
   type VmId,
 } from "../../../core/mod.ts";
 import type { PeerWithRegion } from "../../../lending/mod.ts";
-import type { VmOrder } from "../../../routing/mod.ts";
+import {
+  type TurnGroup,
+  TurnGroups,
+  type VmOrder,
+} from "../../../routing/mod.ts";
 import type { StoreWriter } from "../../../ports/mod.ts";
 import { LogEvent } from "../../../runtime/mod.ts";
 import type { GatewayContext } from "../../gateway_context.ts";
@@ -87,6 +91,9 @@
   #announcedRegion: RegionId | undefined;
   /** Era of the store when rows last changed; undefined before the first. */
   #era: number | undefined;
+  /** When this VM first found its own row in the list. */
+  #listedSince: MonotonicTime | undefined;
+  readonly #turnGroups: TurnGroups;
   /** Key that peers must send with requests to this incarnation. */
   readonly key = randomBytes(KEY_BYTES).toString("hex");
 
@@ -94,6 +101,7 @@
     this.#context = context;
     const { dialect, clock } = context;
     this.#startedAt = clock.readMonotonic();
+    this.#turnGroups = new TurnGroups(context.vm);
     this.#follower = new FeedFollower(context, {
       name: "peers",
       feed: dialect.peers,
@@ -181,6 +189,21 @@
     return { index, count: peers.length + 1 };
   }
 
+  /**
+   * Returns the VMs that divide the turns at cold targets; undefined until the
+   * others know this VM. One that lends no tokens is in no list.
+   */
+  findTurnGroup(): TurnGroup | undefined {
+    if (!this.isSettled) return undefined;
+    return this.#turnGroups.read({
+      peers: this.listPeers(),
+      listedSince: this.#address === undefined
+        ? this.#startedAt
+        : this.#listedSince,
+      now: this.#context.clock.readMonotonic(),
+    });
+  }
+
   /** Returns the key of the peer at an address; empty for an unknown one. */
   findKey(address: string): string {
     const peer = [...this.#read().entries.values()]
@@ -197,6 +220,7 @@
       this.#changedAt = this.#context.clock.readMonotonic();
     }
     this.#checkOwnRow(changes);
+    this.#recordOwnRow(changes);
     const parsed = changes.map(({ key, version, value }) => {
       if (value === undefined) return { key, version };
       const entry = PEER_SCHEMA.safeParse(value);
@@ -211,6 +235,13 @@
     this.#context.kernel.dispatch(CHANGE_PEERS, parsed);
   }
 
+  #recordOwnRow(changes: readonly RowChange<JsonValue>[]): void {
+    if (this.#listedSince !== undefined) return;
+    const own = changes.find(({ key }) => key === this.#context.vm)?.value;
+    if (PEER_SCHEMA.safeParse(own).data?.key !== this.key) return;
+    this.#listedSince = this.#context.clock.readMonotonic();
+  }
+
   /** Writes this VM's row again if a restored store has none or an older one. */
   #checkOwnRow(changes: readonly RowChange<JsonValue>[]): void {
     const { vm } = this.#context;
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -8,6 +8,7 @@
 import {
   combineUndo,
   createEmptyConfiguration,
+  type DataCentreId,
   type Millis,
   type MonotonicTime,
   type Refusal,
@@ -20,7 +21,7 @@
   type TargetId,
   type Undo,
 } from "../../core/mod.ts";
-import type { RouteConfig } from "../../routes/mod.ts";
+import type { GatewayConfiguration, RouteConfig } from "../../routes/mod.ts";
 import {
   applyListedTargets,
   applyReport,
@@ -38,6 +39,7 @@
   type PlacementInput,
   recordAttemptEnd,
   recordAttemptStart,
+  recordColdTurn,
   recordLimit,
   recordPause,
   recordPrefillEnd,
@@ -48,12 +50,15 @@
   type SeenReleases,
   TargetHealth,
   type TurnClock,
+  type TurnGroup,
   type VmOrder,
 } from "../../routing/mod.ts";
 import { LogEvent, type LogFields } from "../../runtime/mod.ts";
 import type { AnswerHead, ListedTarget, LoadReport } from "../dialect.ts";
 import type { GatewayContext } from "../gateway_context.ts";
+import { ColdTargets } from "./cold_targets.ts";
 import { FeedFollower, type RowChange } from "./feed_follower.ts";
+import { isSameProcess } from "./is_same_process.ts";
 import { readStoreTime } from "./read_store_time.ts";
 
 /** Maximum time that one call waits for changes. */
@@ -93,7 +98,10 @@
 };
 
 /** What a choice depends on besides the targets, the VM and the time. */
-type ChoiceInput = Omit<PlacementInput, "now" | "dataCentre" | "turns">;
+type ChoiceInput = Omit<
+  PlacementInput,
+  "now" | "dataCentre" | "turns" | "coldTurns"
+>;
 
 /** Follows the registered targets and chooses a target for each attempt. */
 export class TargetRegistry {
@@ -117,12 +125,15 @@
   #startedAt: MonotonicTime = Infinity;
   /** Number of targets that limit their requests. */
   #limitedTargets = 0;
+  readonly #cold: ColdTargets;
 
   constructor(
     context: GatewayContext,
     options: {
       /** Returns this VM's place among all; undefined if not known yet. */
       readonly findVmOrder: () => VmOrder | undefined;
+      /** Returns the VMs that divide the turns at cold targets. */
+      readonly findTurnGroup: () => TurnGroup | undefined;
     },
   ) {
     this.#context = context;
@@ -130,6 +141,11 @@
     this.#state = createRoutingState(
       context.region === undefined ? {} : { region: context.region },
     );
+    this.#cold = new ColdTargets(context, {
+      state: this.#state,
+      findTurnGroup: options.findTurnGroup,
+      readStoreAnswer: () => context.dialect.table.readTime?.(),
+    });
     this.#follower = new FeedFollower(context, {
       name: "targets",
       feed: context.dialect.targets,
@@ -179,6 +195,16 @@
     this.#rebuild();
   }
 
+  /** Applies what a new configuration says of services with cold targets. */
+  applyServices(services: GatewayConfiguration["services"]): void {
+    this.#cold.applyServices(services);
+  }
+
+  /** Applies changed settings of cold targets. */
+  applyColdSettings(): void {
+    this.#cold.applySettings();
+  }
+
   /** Adds a function that is called with the id of each removed target. */
   addRemovalListener(listener: (target: TargetId) => void): void {
     this.#removalListeners.push(listener);
@@ -249,8 +275,11 @@
    * At a target that limits its requests this uses a turn of this VM.
    */
   choose(input: ChoiceInput): Either<Refusal, Placement> {
-    return this.#place(input).ifRight(({ target, turn }) => {
+    return this.#place(input).ifRight(({ target, turn, coldTurn }) => {
       if (turn !== undefined) recordTurn(this.#state, target.id, turn);
+      if (coldTurn !== undefined) {
+        recordColdTurn(this.#state, target.id, coldTurn);
+      }
     });
   }
 
@@ -261,14 +290,17 @@
 
   #place(input: ChoiceInput): Either<Refusal, Placement> {
     this.#dropMissing();
+    this.#cold.expire();
     const now = this.#context.clock.readMonotonic();
     const { dataCentre } = this.#context.settings;
     const turns = this.#readTurnClock();
+    const coldTurns = this.#cold.readClock();
     return choosePlacement(this.#state, {
       ...input,
       now,
       dataCentre,
       ...(turns === undefined ? {} : { turns }),
+      ...(coldTurns === undefined ? {} : { coldTurns }),
     });
   }
 
@@ -390,6 +422,7 @@
     const now = this.#context.clock.readMonotonic();
     if (refusal.isOther) {
       recordProbe(this.#state, target, { answered: false, now });
+      this.#cold.recordUnreached(target, true);
       return;
     }
     const slots = this.#listed.get(target)?.slots ?? 1;
@@ -397,6 +430,29 @@
     this.recordLoad(target, refusal.load ?? full);
   }
 
+  /**
+   * Records that a connection to a target could not be established, over any
+   * path, or that its machine refused it.
+   */
+  recordUnreached(target: TargetId, isRefused: boolean): void {
+    this.#cold.recordUnreached(target, isRefused);
+  }
+
+  /** Records an answer of a target to a request. */
+  recordAnswered(target: ListedTarget): void {
+    this.#cold.recordAnswered(target.id);
+  }
+
+  /**
+   * Records that the targets of a data centre are cold, since its evacuation has
+   * ended.
+   */
+  recordColdDataCentre(dataCentre: DataCentreId): void {
+    const targets = [...this.#listed.values()]
+      .filter((entry) => entry.dataCentre === dataCentre);
+    this.#cold.recordEvacuated(targets.map((entry) => entry.id));
+  }
+
   #readTurnClock(): TurnClock | undefined {
     if (this.#limitedTargets === 0) return undefined;
     const order = this.#findVmOrder();
@@ -422,6 +478,7 @@
       } else if (this.#applyEntry(value)) changed.push(value);
     }
     if (hasRemoved || changed.length > 0) this.#rebuild();
+    this.#cold.recordEntries(changes.flatMap(({ value }) => value ?? []));
     for (const entry of changed) {
       for (const listener of this.#listingListeners) listener(entry);
     }
@@ -478,6 +535,7 @@
     if (known === undefined) return false;
     this.#listed.delete(id);
     this.#ejected.delete(id);
+    this.#cold.remove(id);
     // Without an incarnation, the next process under the id looks the same.
     if (known.incarnation === "") this.#saidLeaving.delete(id);
     for (const listener of this.#removalListeners) listener(id);
@@ -569,6 +627,7 @@
       unreadTokens: each.unreadTokens,
       failures: each.failures,
       limit: each.limit?.perSecond,
+      cold: each.cold !== undefined && now < each.cold.until,
     }));
   }
 }
@@ -583,13 +642,6 @@
   };
 }
 
-/** Whether two entries with the same id are of the same process. */
-function isSameProcess(left: ListedTarget, right: ListedTarget): boolean {
-  return left.incarnation === right.incarnation &&
-    left.release === right.release &&
-    left.host === right.host && left.port === right.port;
-}
-
 /**
  * Whether two entries agree in the fields that matter here. Entries are
  * rewritten often, mostly without a change of these.
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -151,6 +151,7 @@
       peers: this.#peers.list,
       connect: options.connect,
       findAddress: (target) => this.#targets.find(target),
+      reportUnreached: (target) => this.#targets.recordUnreached(target, false),
     });
     this.#pools = new ConnectionPools(
       context.clock,
@@ -159,6 +160,7 @@
     this.#paths.setPools(this.#pools);
     this.#targets = new TargetRegistry(context, {
       findVmOrder: () => this.#peers.list.findOrder(),
+      findTurnGroup: () => this.#peers.list.findTurnGroup(),
     });
     this.#relay = new ConnectionRelay(context, {
       key: this.#peers.list.key,
@@ -177,6 +179,7 @@
     const crashDetector = new CrashDetector(context, {
       reports: this.#crashReports,
       probes,
+      reportRefused: (target) => this.#targets.recordUnreached(target, true),
     });
     const answerMemory = new AnswerMemory();
     const countVms = () => this.#budgets.countVms();
@@ -212,6 +215,7 @@
     this.#configuration.addListener((configuration) => {
       this.#callers.changeLimits(configuration.limits);
       this.#budgets.applyConfiguration(configuration);
+      this.#targets.applyServices(configuration.services);
     });
     this.#targets.addRemovalListener((target) => {
       this.#pools.dropPool(target);
@@ -328,6 +332,7 @@
     context.region = settings.regions[settings.dataCentre];
     context.log.changeLevel?.(settings.logLevel);
     this.#targets.applyRegions();
+    this.#targets.applyColdSettings();
     this.#peers.list.announceAgain();
     this.#changeVmCount(this.#budgets.countVms());
     this.#recordSettings();
--- a/packages/routes/gateway_configuration.ts
+++ b/packages/routes/gateway_configuration.ts
@@ -89,6 +89,13 @@
   readonly maxConnections: number;
   /** Present only for services of model engines. */
   readonly engine?: EngineConfig;
+  /** Time for which a target is cold after it starts; 0 if it is not. */
+  readonly coldStart: Millis;
+  /**
+   * Requests per second from all VMs together that a cold target tolerates; 0 if
+   * its targets are never cold.
+   */
+  readonly coldPerSecond: number;
 }
 
 /** One customer with its keys and its prepaid budget. */
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -61,6 +61,9 @@
   TargetLimited = "target_limited",
   /** A target has asked this VM to send it nothing for a while. */
   TargetPaused = "target_paused",
+  /** A target tolerates few requests for a while, or not any more. */
+  TargetCold = "target_cold",
+  TargetWarm = "target_warm",
   TargetBack = "target_back",
   /** A peer reaches a target that this VM does not; it relays from now on. */
   PathLost = "path_lost",
--- a/packages/settings/gateway_settings.ts
+++ b/packages/settings/gateway_settings.ts
@@ -46,6 +46,14 @@
      */
     slack: z.number().min(0).default(50),
   }).prefault({}),
+  /**
+   * Bound on the requests that a cold target gets in any second: what it
+   * tolerates times `overage`, and `slack`; not bounded if absent.
+   */
+  coldTargets: z.strictObject({
+    overage: z.number().positive(),
+    slack: z.number().min(0),
+  }).optional(),
   /** Maximum time until a newly stored configuration must be in use. */
   configurationMillis: MILLIS_SCHEMA.default(3_000),
   /** Time from a stop signal to the forced exit of the process. */
--- a/packages/settings/running_settings.ts
+++ b/packages/settings/running_settings.ts
@@ -44,7 +44,9 @@
   if (running.store.address !== changed.store.address) {
     refused.push("store.address");
   }
-  const names = Object.keys(settings) as (keyof GatewaySettings)[];
+  const names = Object.keys({ ...running, ...settings }) as (
+    keyof GatewaySettings
+  )[];
   return {
     settings,
     changed: names.filter((name) =>
--- a/packages/settings/running_settings_test.ts
+++ b/packages/settings/running_settings_test.ts
@@ -32,6 +32,13 @@
   });
 });
 
+test("an optional setting that is taken out is named as changed", (t) => {
+  const coldTargets = { overage: 1.5, slack: 5 };
+  const merged = mergeRunningSettings({ ...RUNNING, coldTargets }, RUNNING);
+  t.deepEqual(merged.changed, ["coldTargets"]);
+  t.is(merged.settings.coldTargets, undefined);
+});
+
 test("VMs with the same shared settings have the same digest", (t) => {
   const digest = computeSettingsDigest(RUNNING);
   const other = {
