--- a/review/lib/gateway.mjs
+++ b/review/lib/gateway.mjs
@@ -46,22 +46,12 @@
   });
 }
 
-/**
- * Fills in the fields that the template uses. A section is left out if its field
- * doesn't exist.
- */
+/** Fills in the fields that the template uses. */
 function fillTemplate(text, fields) {
-  const read = (path) =>
-    path.split(".").reduce((each, name) => each?.[name], fields);
-  return text
-    .replaceAll(/\{\{#([\w.]+)\}\}([^]*?)\{\{\/\1\}\}/g, (_, path, part) => {
-      const value = read(path);
-      return value === undefined ? "" : part.replaceAll("{{.}}", String(value));
-    })
-    .replaceAll(/\{\{([\w.]+)(\|json)?\}\}/g, (_, path, json) => {
-      const value = read(path);
-      return json === undefined ? String(value) : JSON.stringify(value);
-    });
+  return text.replaceAll(/\{\{([\w.]+)(\|json)?\}\}/g, (_, path, json) => {
+    const value = path.split(".").reduce((each, name) => each?.[name], fields);
+    return json === undefined ? String(value) : JSON.stringify(value);
+  });
 }
 
 export class GatewayProcess {
