Confine the requests of a route or a customer to their home regions

Cause: a configuration can now name regions for a route and a customer (allowedRegions), and the body of such a request must reach no VM elsewhere: not as a target, not as a relay, not over a kept connection.

Change: isAllowedRegion of packages/routes is the only rule. The choice of targets, the refusals of paused targets and the choice of relays ask it. Pools of connections are kept apart by home regions, and the regions of the relays of kept connections are compared before each use. Each attempt also obeys the home regions that the newest configuration gives the route and the customer, and a VM whose configuration is outdated makes no further attempt once regions are in use. A target whose data centre has no known region is no longer mistaken for one in a region of that name. Requests without a usable target are refused as no-home-target before they wait for tokens, and home_regions_unusable names regions by which nothing can be served, once for each configuration.

With a shared pool, and without the filter of relays, the test of the relay outside the home regions fails (confined requests get 200 over it).

--- a/packages/core/configuration.ts
+++ b/packages/core/configuration.ts
@@ -85,6 +85,11 @@
   /** Base URL, such as `http://10.0.0.5:8000`. */
   readonly url: string;
   readonly region: RegionId;
+  /**
+   * Whether the region of the data centre is not known, and `region` only stands
+   * for it.
+   */
+  readonly isRegionUnknown?: boolean;
   readonly dataCentre: DataCentreId;
   /**
    * Version of the target's software; absent if it states none. Streams of two
--- a/packages/core/enums.ts
+++ b/packages/core/enums.ts
@@ -92,6 +92,8 @@
   Overloaded = "overloaded",
   DeadlineTooSoon = "deadline-too-soon",
   NoTarget = "no-target",
+  /** No target is usable in the regions that the request is confined to. */
+  NoHomeTarget = "no-home-target",
   TargetsLimited = "targets-limited",
   TargetsPaused = "targets-paused",
   Quarantined = "quarantined",
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -2,7 +2,7 @@
  * Runs one request: sends it to targets until one returns a complete answer or
  * no further attempt is allowed.
  */
-import type { Either } from "purify-ts";
+import { type Either, Left } from "purify-ts";
 import {
   type Millis,
   type MonotonicTime,
@@ -25,7 +25,7 @@
   type Placement,
   type RetryBudgets,
 } from "../../routing/mod.ts";
-import { AnswerForm, isSplit } from "../../routes/mod.ts";
+import { AnswerForm, type HomeRegions, isSplit } from "../../routes/mod.ts";
 import {
   createRefusal,
   createUnknownOutcomeRefusal,
@@ -40,6 +40,7 @@
 import type { TargetRegistry } from "../features/target_registry.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { AnswerMemory } from "./answer_buffer.ts";
+import type { AttemptRules } from "./attempt_rules.ts";
 import { AttemptWatchdog, type StallSupport } from "./attempt_watchdog.ts";
 import {
   CallProgress,
@@ -92,10 +93,17 @@
   readonly eventsBefore: number;
 }
 
+/** A refusal before anything is done for a call with home regions. */
+export interface EarlyRefusal {
+  readonly refusal: Refusal;
+  readonly homeRegions: HomeRegions;
+}
+
 /** Dependencies of a {@link CallRunner}. */
 export interface CallRunnerOptions {
   readonly context: GatewayContext;
   readonly targets: TargetRegistry;
+  readonly rules: AttemptRules;
   readonly pools: ConnectionPools;
   readonly retries: RetryBudgets;
   readonly crashReports: CrashReports;
@@ -141,14 +149,19 @@
         const { refusal, detail } = quarantined;
         return { ...this.#refuse(call, refusal), detail };
       }
-      const choice = this.#chooseTarget(call, progress);
+      const homeRegions = this.#options.rules.findHomeRegions(call);
+      const choice = this.#chooseTarget(call, { progress, homeRegions });
       if (choice.isLeft()) {
         if (isRetry) break;
         return this.#refuse(call, choice.extract());
       }
       const chosen = choice.extract() as TargetConfig;
       if (isRetry) this.#recordRetry(call, { progress, failure });
-      const result = await this.#runAttempt(call, { progress, target: chosen });
+      const result = await this.#runAttempt(call, {
+        progress,
+        target: chosen,
+        homeRegions,
+      });
       if (result.isComplete) {
         const isFailure = this.#isFailedAnswer(call, result.answer);
         if (!isFailure) return this.#deliver(call, result.answer);
@@ -168,6 +181,26 @@
     return this.#giveUp(call, { progress, failure });
   }
 
+  /**
+   * Returns the refusal of a call with home regions for which no target is usable
+   * there, so that it doesn't wait for tokens. Of a stream that is taken up at a
+   * split route, the service isn't known yet.
+   */
+  findEarlyRefusal(call: RoutedCall): EarlyRefusal | undefined {
+    const { rules, targets } = this.#options;
+    const homeRegions = rules.findHomeRegions(call);
+    if (homeRegions === undefined) return undefined;
+    if (call.request.resumeAfter !== undefined && isSplit(call.route)) {
+      return undefined;
+    }
+    const progress = new CallProgress();
+    const refusal = targets.findNoTarget({
+      ...createChoice(call, { progress, homeRegions }),
+      ...findSharedPrefix(call.request.prompt),
+    });
+    return refusal === undefined ? undefined : { refusal, homeRegions };
+  }
+
   /**
    * Whether a repeatable call got a server error, which may be retried, or a
    * stream that has begun got an answer that can't continue it.
@@ -234,13 +267,16 @@
 
   #chooseTarget(
     call: RoutedCall,
-    progress: CallProgress,
+    input: {
+      readonly progress: CallProgress;
+      readonly homeRegions: HomeRegions | undefined;
+    },
   ): Either<Refusal, TargetConfig> {
+    const { rules, targets } = this.#options;
+    if (rules.isOutdatedFor(call)) return Left(createOutdated());
     const shared = findSharedPrefix(call.request.prompt);
-    return this.#options.targets.choose({
-      service: call.service,
-      tried: progress.triedTargets,
-      ...(progress.release === undefined ? {} : { release: progress.release }),
+    return targets.choose({
+      ...createChoice(call, input),
       ...shared,
     }).map((placement) => {
       this.#logChoice(call, { placement, sharedTokens: shared.sharedTokens });
@@ -253,13 +289,13 @@
   }
 
   #findPausedRefusal(
-    { service }: RoutedCall,
-    { release }: CallProgress,
+    call: RoutedCall,
+    progress: CallProgress,
   ): Refusal | undefined {
-    return this.#options.targets.findPausedRefusal({
-      service,
-      ...(release === undefined ? {} : { release }),
-    });
+    const homeRegions = this.#options.rules.findHomeRegions(call);
+    return this.#options.targets.findPausedRefusal(
+      createChoice(call, { progress, homeRegions }),
+    );
   }
 
   #logChoice(
@@ -284,7 +320,11 @@
 
   async #runAttempt(
     call: RoutedCall,
-    input: { readonly progress: CallProgress; readonly target: TargetConfig },
+    input: {
+      readonly progress: CallProgress;
+      readonly target: TargetConfig;
+      readonly homeRegions: HomeRegions | undefined;
+    },
   ): Promise<
     | { readonly isComplete: true; readonly answer: CompleteAnswer }
     | {
@@ -294,7 +334,7 @@
       readonly lossCheck?: Promise<void>;
     }
   > {
-    const { progress, target } = input;
+    const { progress, target, homeRegions } = input;
     const { context, targets } = this.#options;
     const listed = targets.find(target.id);
     if (listed === undefined) {
@@ -316,6 +356,7 @@
     const exchange = this.#createExchange(call, {
       progress,
       listed,
+      homeRegions,
       signal: watchdog.signal,
     });
     const result = call.route.form === AnswerForm.Events
@@ -415,17 +456,17 @@
     input: { readonly progress: CallProgress; readonly now: MonotonicTime },
   ): boolean {
     const { progress, now } = input;
-    const { retries, targets } = this.#options;
+    const { retries, rules, targets } = this.#options;
     const { service } = call;
+    if (rules.isOutdatedFor(call)) return false;
     if (call.deadline - now < MIN_TIME_LEFT) return false;
     if (progress.events > 0 && !mayResume(call, progress)) return false;
     if (!retries.covers(service, { extra: ExtraAttempt.Retry, now })) {
       return false;
     }
+    const homeRegions = rules.findHomeRegions(call);
     return targets.hasChoice({
-      service,
-      tried: progress.triedTargets,
-      ...(progress.release === undefined ? {} : { release: progress.release }),
+      ...createChoice(call, { progress, homeRegions }),
       ...findSharedPrefix(call.request.prompt),
     });
   }
@@ -515,6 +556,7 @@
     input: {
       readonly progress: CallProgress;
       readonly listed: ListedTarget;
+      readonly homeRegions: HomeRegions | undefined;
       readonly signal: AbortSignal;
     },
   ): TargetExchangeInput {
@@ -527,6 +569,7 @@
       dialect: context.dialect,
       pools,
       target: input.listed,
+      homeRegions: input.homeRegions,
       request,
       body: call.body,
       memory: answerMemory,
@@ -697,12 +740,37 @@
  */
 const RETRY_LATER = { retryAfter: 1_000 };
 
-/** Refusals whose time is known from the targets. */
+/** Refusals whose time is known. */
 const TIMED_REFUSALS: ReadonlySet<RefusalKind> = new Set([
+  RefusalKind.ConfigurationStale,
   RefusalKind.TargetsLimited,
   RefusalKind.TargetsPaused,
 ]);
 
+/** Returns what the choice of a call's next target depends on. */
+function createChoice(
+  { service }: RoutedCall,
+  input: {
+    readonly progress: CallProgress;
+    readonly homeRegions: HomeRegions | undefined;
+  },
+) {
+  const { progress: { triedTargets, release }, homeRegions } = input;
+  return {
+    service,
+    tried: triedTargets,
+    ...(release === undefined ? {} : { release }),
+    ...(homeRegions === undefined ? {} : { homeRegions }),
+  };
+}
+
+/** Returns the refusal of a call that other VMs may know better about. */
+function createOutdated(): Refusal {
+  return createRefusal(RefusalKind.ConfigurationStale, {
+    retryAfter: OTHER_VM_RETRY_AFTER,
+  });
+}
+
 /** Returns the id of the request that began the stream of a call. */
 function findStreamId({ request }: RoutedCall): string {
   return request.resumeAfter === undefined
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -26,6 +26,7 @@
   AnswerForm,
   type CallerLimits,
   chooseService,
+  combineHomeRegions,
   type GatewayConfiguration,
   hasService,
   isSplit,
@@ -47,6 +48,7 @@
 import type { CustomerBudgets } from "../features/budgets/customer_budgets.ts";
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
 import { createSuspectKeys } from "../features/crashes/suspect_keys.ts";
+import type { HomeRegionWatch } from "../features/home_region_watch.ts";
 import type { StreamOrigins } from "../features/streams/stream_origins.ts";
 import type { StreamOrigin } from "../features/streams/stream_record.ts";
 import type { GatewayContext } from "../gateway_context.ts";
@@ -57,7 +59,7 @@
   MAX_WAITING_CONNECTIONS,
 } from "./accept_queue.ts";
 import type { AnswerMemory } from "./answer_buffer.ts";
-import type { CallEnd, CallRunner } from "./call_runner.ts";
+import type { CallEnd, CallRunner, EarlyRefusal } from "./call_runner.ts";
 import { CallerExchange, isClosing } from "./caller_exchange.ts";
 import {
   CallProgress,
@@ -118,6 +120,7 @@
   readonly budgets: CustomerBudgets;
   readonly crashReports: CrashReports;
   readonly streams: StreamOrigins;
+  readonly homeRegions: HomeRegionWatch;
   readonly runner: CallRunner;
   readonly answerMemory: AnswerMemory;
 }
@@ -407,6 +410,10 @@
     return {
       ...rest,
       route,
+      homeRegions: combineHomeRegions(
+        route.homeRegions,
+        rest.customer?.homeRegions,
+      ),
       service,
       arrivedAt,
       suspectKeys: createSuspectKeys({
@@ -428,6 +435,8 @@
     const { budgets, runner } = this.#options;
     const progress = new CallProgress();
     let call = routedCall;
+    const early = runner.findEarlyRefusal(call);
+    if (early !== undefined) return this.#refuseEarly(call, early);
     if (isTakenUp(call)) {
       const found = await this.#findOrigin(call);
       if (found.isLeft()) {
@@ -474,6 +483,16 @@
     this.#logEnd(call, { end, progress });
   }
 
+  #refuseEarly(
+    call: RoutedCall,
+    { refusal, homeRegions }: EarlyRefusal,
+  ): void {
+    const { exchange, request, arrivedAt } = call;
+    this.#options.homeRegions.recordRefused({ ...call, homeRegions });
+    const detail = `home regions: ${[...homeRegions].join(",") || "none"}`;
+    this.#refuse(exchange, { refusal, detail, request, arrivedAt });
+  }
+
   /** Returns what began the stream that a call takes up. */
   #findOrigin(call: RoutedCall): Promise<Either<Refusal, StreamOrigin>> {
     const { request, service, route } = call;
--- a/packages/gateway/entry/routed_call.ts
+++ b/packages/gateway/entry/routed_call.ts
@@ -9,7 +9,11 @@
   type Tokens,
   type VmId,
 } from "../../core/mod.ts";
-import type { RouteConfig, RoutedCustomer } from "../../routes/mod.ts";
+import type {
+  HomeRegions,
+  RouteConfig,
+  RoutedCustomer,
+} from "../../routes/mod.ts";
 import type { CallerRequest, PromptFacts } from "../dialect.ts";
 import type { SuspectKeys } from "../features/crashes/suspect_keys.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
@@ -27,6 +31,8 @@
   readonly route: RouteConfig;
   readonly service: ServiceId;
   readonly customer: RoutedCustomer | undefined;
+  /** The home regions at its arrival; undefined if it may be sent anywhere. */
+  readonly homeRegions: HomeRegions | undefined;
   readonly configurationVersion: number;
   /** Time since that version was last known to be the newest. */
   readonly configurationAge: Millis;
--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import type { Bytes, Millis, VmId } from "../../core/mod.ts";
+import type { HomeRegions } from "../../routes/mod.ts";
 import {
   AttemptEnd,
   type ConnectionPools,
@@ -43,6 +44,8 @@
   readonly dialect: Dialect;
   readonly pools: ConnectionPools;
   readonly target: ListedTarget;
+  /** The only regions whose VMs may relay the request; any if undefined. */
+  readonly homeRegions: HomeRegions | undefined;
   readonly request: CallerRequest;
   readonly head: Omit<AttemptHead, "target" | "bodyBytes">;
   readonly body: Uint8Array;
@@ -217,7 +220,7 @@
     headers,
     idleTimeout: 0,
     connectTimeout: CONNECT_TIMEOUT,
-    agent: input.pools.getAgent(target.id),
+    agent: input.pools.getAgent(target.id, input.homeRegions),
     signal: input.signal,
     onConnected: (socket, wasUsed) => {
       isReused = wasUsed;
--- a/packages/gateway/features/paths/target_paths.ts
+++ b/packages/gateway/features/paths/target_paths.ts
@@ -12,6 +12,7 @@
   Undo,
   VmId,
 } from "../../../core/mod.ts";
+import { type HomeRegions, isAllowedRegion } from "../../../routes/mod.ts";
 import {
   checkConnection,
   type ConnectCallback,
@@ -104,26 +105,42 @@
     this.#recordCount();
   }
 
-  /** Connects to a target; the callback is called once. */
+  /** Whether a peer is in one of the regions, as far as known. */
+  mayRelay(vm: VmId, regions: HomeRegions): boolean {
+    const peer = this.#peers.listPeers().find((each) => each.vm === vm);
+    return isAllowedRegion(regions, peer?.region);
+  }
+
+  /**
+   * Connects to a target; the callback is called once. Only peers in the given
+   * regions relay the connection, any if there are none.
+   */
   connect(
     target: TargetId,
-    input: { readonly address: TargetAddress; readonly done: ConnectCallback },
+    input: {
+      readonly address: TargetAddress;
+      readonly done: ConnectCallback;
+      readonly relayRegions?: HomeRegions;
+    },
   ): void {
+    const { address, relayRegions } = input;
     const now = this.#context.clock.readMonotonic();
     const plan = this.#table.plan(target, now);
     new PathRace({
       plan,
       limit: CONNECT_LIMIT,
-      connect: () => this.#connect({ ...input.address, noDelay: true }),
+      connect: () => this.#connect({ ...address, noDelay: true }),
       done: input.done,
-      askPeers: (onSocket) => this.#askPeers(input.address, onSocket),
+      askPeers: (onSocket) =>
+        this.#askPeers({ ...address, relayRegions }, onSocket),
       recordDirect: () => this.#recordDirect(target),
       recordRelayed: (isHanging) => this.#recordRelayed(target, isHanging),
-      recordUnreached: () =>
-        this.#table.recordUnreached(
-          target,
-          this.#context.clock.readMonotonic(),
-        ),
+      recordUnreached: () => {
+        // Peers that weren't asked may reach it.
+        if (relayRegions !== undefined) return;
+        const now = this.#context.clock.readMonotonic();
+        this.#table.recordUnreached(target, now);
+      },
       isRefusalProven: (outcomes) => this.#isRefusalProven(outcomes),
     }).start();
   }
@@ -179,7 +196,7 @@
    * Passes on the first connection and resolves to the outcomes of all asked.
    */
   async #askPeers(
-    address: TargetAddress,
+    target: TargetAddress & { readonly relayRegions?: HomeRegions | undefined },
     onSocket: (socket: Socket) => void,
   ): Promise<RelayOutcome[]> {
     const { vm, region, clock } = this.#context;
@@ -187,6 +204,7 @@
       self: vm,
       region,
       avoidedUntil: this.#avoidedUntil,
+      homeRegions: target.relayRegions,
       now: clock.readMonotonic(),
     });
     const outcomes: RelayOutcome[] = [];
@@ -197,7 +215,7 @@
       const asking = startRelayedConnection({
         peer,
         key: this.#peers.findKey(peer.address),
-        target: `${address.host}:${address.port}`,
+        target: `${target.host}:${target.port}`,
         timeout: RELAY_TIMEOUT,
       }).then((answer) => {
         outcomes.push(answer.outcome);
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -11,7 +11,7 @@
   type Millis,
   type MonotonicTime,
   type Refusal,
-  type RegionId,
+  RefusalKind,
   type ReleaseId,
   type ServiceConfig,
   type ServiceId,
@@ -54,6 +54,7 @@
 import type { AnswerHead, ListedTarget, LoadReport } from "../dialect.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import { FeedFollower, type RowChange } from "./feed_follower.ts";
+import { findRegion } from "./find_region.ts";
 import { readStoreTime } from "./read_store_time.ts";
 
 /** Maximum time that one call waits for changes. */
@@ -92,6 +93,12 @@
   progressTimeout: 0,
 };
 
+/** Refusals that say that no target is usable. */
+const NO_TARGET_REFUSALS: ReadonlySet<RefusalKind> = new Set([
+  RefusalKind.NoTarget,
+  RefusalKind.NoHomeTarget,
+]);
+
 /** What a choice depends on besides the targets, the VM and the time. */
 type ChoiceInput = Omit<PlacementInput, "now" | "dataCentre" | "turns">;
 
@@ -259,6 +266,15 @@
     return this.#place(input).isRight();
   }
 
+  /**
+   * Returns the refusal of a request for which no target is usable; undefined if
+   * one is, even if it is full or takes no requests at the moment.
+   */
+  findNoTarget(input: ChoiceInput): Refusal | undefined {
+    return this.#place(input).swap().toMaybe()
+      .filter(({ kind }) => NO_TARGET_REFUSALS.has(kind)).extract();
+  }
+
   #place(input: ChoiceInput): Either<Refusal, Placement> {
     this.#dropMissing();
     const now = this.#context.clock.readMonotonic();
@@ -333,7 +349,7 @@
    * asked this VM for a pause; undefined otherwise.
    */
   findPausedRefusal(
-    input: { readonly service: ServiceId; readonly release?: ReleaseId },
+    input: Pick<ChoiceInput, "service" | "release" | "homeRegions">,
   ): Refusal | undefined {
     const now = this.#context.clock.readMonotonic();
     return findPausedRefusal(this.#state, { ...input, now });
@@ -529,21 +545,20 @@
   }
 
   #createTarget(entry: ListedTarget): TargetConfig {
+    const { dataCentre } = entry;
+    const region = findRegion(this.#context.settings, dataCentre);
     return {
       id: entry.id,
       service: entry.service,
       url: `http://${entry.host}:${entry.port}`,
-      region: this.#findRegion(entry.dataCentre),
-      dataCentre: entry.dataCentre,
+      region: region ?? dataCentre,
+      ...(region === undefined ? { isRegionUnknown: true } : {}),
+      dataCentre,
       release: entry.release,
       capacity: entry.slots,
     };
   }
 
-  #findRegion(dataCentre: string): RegionId {
-    return this.#context.settings.regions[dataCentre] ?? dataCentre;
-  }
-
   #logHealthChange(id: TargetId): void {
     const state = this.#state.targets.get(id);
     if (state === undefined) return;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -33,6 +33,7 @@
 } from "../settings/mod.ts";
 import type { Dialect } from "./dialect.ts";
 import { AnswerMemory } from "./entry/answer_buffer.ts";
+import { AttemptRules } from "./entry/attempt_rules.ts";
 import { CallRunner } from "./entry/call_runner.ts";
 import { CallerServer } from "./entry/caller_server.ts";
 import {
@@ -47,6 +48,7 @@
 import { TargetProbes } from "./features/paths/target_probes.ts";
 import { TargetPaths } from "./features/paths/target_paths.ts";
 import { PeerAccess } from "./features/peers/peer_access.ts";
+import { HomeRegionWatch } from "./features/home_region_watch.ts";
 import { LimitReports } from "./features/limit_reports.ts";
 import { ReleaseRows } from "./features/streams/release_rows.ts";
 import { StreamOrigins } from "./features/streams/stream_origins.ts";
@@ -152,10 +154,10 @@
       connect: options.connect,
       findAddress: (target) => this.#targets.find(target),
     });
-    this.#pools = new ConnectionPools(
-      context.clock,
-      (target, input) => this.#paths.connect(target, input),
-    );
+    this.#pools = new ConnectionPools(context.clock, {
+      connect: (target, input) => this.#paths.connect(target, input),
+      mayRelay: (vm, regions) => this.#paths.mayRelay(vm, regions),
+    });
     this.#paths.setPools(this.#pools);
     this.#targets = new TargetRegistry(context, {
       findVmOrder: () => this.#peers.list.findOrder(),
@@ -190,8 +192,10 @@
         countVms,
       }),
     });
+    const homeRegions = new HomeRegionWatch(context);
     this.#callers = new CallerServer({
       context,
+      homeRegions,
       configuration: this.#configuration,
       budgets: this.#budgets,
       crashReports: this.#crashReports,
@@ -199,6 +203,7 @@
       runner: new CallRunner({
         context,
         targets: this.#targets,
+        rules: new AttemptRules(this.#configuration),
         pools: this.#pools,
         retries: this.#retries,
         crashReports: this.#crashReports,
@@ -211,6 +216,7 @@
     });
     this.#configuration.addListener((configuration) => {
       this.#callers.changeLimits(configuration.limits);
+      homeRegions.applyConfiguration(configuration);
       this.#budgets.applyConfiguration(configuration);
     });
     this.#targets.addRemovalListener((target) => {
--- a/packages/ports/connection_pools.ts
+++ b/packages/ports/connection_pools.ts
@@ -1,11 +1,21 @@
 /**
- * Keep-alive connection pools, one per target. A pool is replaced when it
- * reaches its maximum age or when the network path to its target has failed:
- * requests in progress keep their connections, and new calls open new ones.
+ * Keep-alive connection pools, one per target and set of regions whose VMs may
+ * relay its connections. A pool is replaced when it reaches its maximum age or
+ * when the network path to its target has failed: requests in progress keep
+ * their connections, and new calls open new ones.
  */
 import { Agent, type ClientRequest, type ClientRequestArgs } from "node:http";
 import type { Duplex } from "node:stream";
-import type { Clock, Millis, MonotonicTime, TargetId } from "../core/mod.ts";
+import type { Socket } from "node:net";
+import type {
+  Clock,
+  Millis,
+  MonotonicTime,
+  RegionId,
+  TargetId,
+  VmId,
+} from "../core/mod.ts";
+import { findRelay } from "./relayed_connection.ts";
 
 /** Maximum age of a pool; later calls use a new pool. */
 export const MAX_POOL_AGE: Millis = 300_000;
@@ -33,9 +43,22 @@
   input: {
     readonly address: TargetAddress;
     readonly done: ConnectCallback;
+    /** The only regions whose VMs may relay the connection; any if absent. */
+    readonly relayRegions?: ReadonlySet<RegionId>;
   },
 ) => void;
 
+/** How the connections of pools are established and kept. */
+export interface PoolOptions {
+  /** How to connect to a target; over TCP if absent. */
+  readonly connect?: ConnectToTarget;
+  /**
+   * Whether a VM may relay kept connections of a pool with these regions; asked
+   * before each use, since regions of VMs change. None may if absent.
+   */
+  readonly mayRelay?: (vm: VmId, regions: ReadonlySet<RegionId>) => boolean;
+}
+
 /**
  * Agent that closes an idle connection on which bytes arrive: they answer no
  * request, and would be read as the answer to the next one.
@@ -85,49 +108,91 @@
   readonly createdAt: MonotonicTime;
 }
 
-/** Holds the connection pool of each target. */
+/** Key of the pool whose connections any VM may relay. */
+const ANY_RELAY = "";
+
+/** Holds the connection pools of each target. */
 export class ConnectionPools {
   readonly #clock: Clock;
-  readonly #pools = new Map<TargetId, Pool>();
+  readonly #options: PoolOptions;
+  /** The pools of each target, by the regions whose VMs may relay. */
+  readonly #pools = new Map<TargetId, Map<string, Pool>>();
 
-  readonly #connect: ConnectToTarget | undefined;
-
-  /** @param connect How to connect to a target; over TCP if absent. */
-  constructor(clock: Clock, connect?: ConnectToTarget) {
+  constructor(clock: Clock, options: PoolOptions = {}) {
     this.#clock = clock;
-    this.#connect = connect;
+    this.#options = options;
   }
 
-  /** Returns the HTTP agent for calls to a target, creating it if needed. */
-  getAgent(target: TargetId): Agent {
-    const known = this.#pools.get(target);
+  /**
+   * Returns the HTTP agent for calls to a target, creating it if needed.
+   *
+   * @param relayRegions The only regions whose VMs may relay its connections, new
+   * and kept ones; any if absent.
+   */
+  getAgent(target: TargetId, relayRegions?: ReadonlySet<RegionId>): Agent {
+    const key = relayRegions === undefined
+      ? ANY_RELAY
+      : JSON.stringify([...relayRegions].sort());
+    const pools = this.#pools.get(target) ?? new Map<string, Pool>();
+    this.#pools.set(target, pools);
+    const known = pools.get(key);
     const now = this.#clock.readMonotonic();
-    if (known !== undefined && now - known.createdAt < MAX_POOL_AGE) {
-      return known.agent;
-    }
-    this.dropPool(target);
-    const connect = this.#connect;
+    if (
+      known !== undefined && now - known.createdAt < MAX_POOL_AGE &&
+      !this.#hasForeignRelay(known, relayRegions)
+    ) return known.agent;
+    this.#dropExpired(pools, key);
+    const { connect } = this.#options;
     const agent = new TargetAgent(
-      connect === undefined
-        ? undefined
-        : (address, done) => connect(target, { address, done }),
+      connect === undefined ? undefined : (address, done) =>
+        connect(target, {
+          address,
+          done,
+          ...(relayRegions === undefined ? {} : { relayRegions }),
+        }),
     );
-    this.#pools.set(target, { agent, createdAt: now });
+    pools.set(key, { agent, createdAt: now });
     return agent;
   }
 
-  /** Removes a target's pool and closes its idle connections. */
+  /** Removes all pools of a target and closes their idle connections. */
   dropPool(target: TargetId): void {
-    const pool = this.#pools.get(target);
-    if (pool === undefined) return;
+    for (const pool of this.#pools.get(target)?.values() ?? []) closeIdle(pool);
     this.#pools.delete(target);
-    for (const sockets of Object.values(pool.agent.freeSockets)) {
-      for (const socket of sockets ?? []) socket.destroy();
-    }
   }
 
   /** Removes every pool and closes the idle connections. */
   dropAll(): void {
     for (const target of [...this.#pools.keys()]) this.dropPool(target);
   }
+
+  /** Whether a VM that may not relay any more relays an idle connection. */
+  #hasForeignRelay(
+    { agent }: Pool,
+    regions: ReadonlySet<RegionId> | undefined,
+  ): boolean {
+    if (regions === undefined) return false;
+    const { mayRelay = () => false } = this.#options;
+    return Object.values(agent.freeSockets).flat().some((socket) => {
+      const relay = findRelay(socket as Socket);
+      return relay !== undefined && !mayRelay(relay, regions);
+    });
+  }
+
+  /** Drops a pool, and those that have reached their maximum age. */
+  #dropExpired(pools: Map<string, Pool>, dropped: string): void {
+    const now = this.#clock.readMonotonic();
+    for (const [key, pool] of pools) {
+      if (key !== dropped && now - pool.createdAt < MAX_POOL_AGE) continue;
+      pools.delete(key);
+      closeIdle(pool);
+    }
+  }
+}
+
+/** Closes the connections of a pool that carry no request. */
+function closeIdle({ agent }: Pool): void {
+  for (const sockets of Object.values(agent.freeSockets)) {
+    for (const socket of sockets ?? []) socket.destroy();
+  }
 }
--- a/packages/routes/gateway_configuration.ts
+++ b/packages/routes/gateway_configuration.ts
@@ -12,6 +12,7 @@
   ServiceId,
   Tokens,
 } from "../core/mod.ts";
+import type { HomeRegions } from "./home_regions.ts";
 
 /** Form of a route's answers. */
 export enum AnswerForm {
@@ -64,6 +65,8 @@
   readonly rank: number;
   /** Whether requests are accepted without a customer key. */
   readonly anonymous: boolean;
+  /** Regions to which its requests are confined; absent if to none. */
+  readonly homeRegions?: HomeRegions;
 }
 
 /** Capacity of each model engine of a service. */
@@ -100,6 +103,8 @@
   readonly rank?: number;
   /** Total number of tokens that the customer may use; absent if unlimited. */
   readonly prepaid?: Tokens;
+  /** Regions to which its requests are confined; absent if to none. */
+  readonly homeRegions?: HomeRegions;
 }
 
 /** Size limits and timeouts for the connections of callers. */
--- a/packages/routes/mod.ts
+++ b/packages/routes/mod.ts
@@ -9,6 +9,14 @@
   ServiceShare,
 } from "./gateway_configuration.ts";
 export { AnswerForm } from "./gateway_configuration.ts";
+export type { UnknownHomes } from "./find_unknown_homes.ts";
+export { findUnknownHomes, hasKnownRegion } from "./find_unknown_homes.ts";
+export type { HomeRegions } from "./home_regions.ts";
+export {
+  combineHomeRegions,
+  createHomeRegions,
+  isAllowedRegion,
+} from "./home_regions.ts";
 export {
   chooseService,
   hasService,
--- a/packages/routes/route_index.ts
+++ b/packages/routes/route_index.ts
@@ -1,16 +1,20 @@
 /** Finds routes by host and path and customers by key, and selects services. */
-import type { ServiceId } from "../core/mod.ts";
+import type { CustomerId, ServiceId } from "../core/mod.ts";
 import type {
   GatewayConfiguration,
   RouteConfig,
   RoutedCustomer,
 } from "./gateway_configuration.ts";
+import { combineHomeRegions, type HomeRegions } from "./home_regions.ts";
 
 /** An immutable index of the routes and customers of one configuration. */
 export class RouteIndex {
   readonly configuration: GatewayConfiguration;
   readonly #routes = new Map<string, Map<string, RouteConfig>>();
   readonly #customers = new Map<string, RoutedCustomer>();
+  /** Home regions of the routes and customers that have any, by their ids. */
+  readonly #routeHomes = new Map<string, HomeRegions>();
+  readonly #customerHomes = new Map<CustomerId, HomeRegions>();
 
   constructor(configuration: GatewayConfiguration) {
     this.configuration = configuration;
@@ -19,9 +23,11 @@
       const prefixes = this.#routes.get(host) ?? new Map();
       prefixes.set(route.pathPrefix, route);
       this.#routes.set(host, prefixes);
+      addHomeRegions(this.#routeHomes, route);
     }
     for (const customer of configuration.customers) {
       for (const key of customer.keys) this.#customers.set(key, customer);
+      addHomeRegions(this.#customerHomes, customer);
     }
   }
 
@@ -47,6 +53,38 @@
   findCustomer(key: string): RoutedCustomer | undefined {
     return this.#customers.get(key);
   }
+
+  /** Whether any route or customer has home regions. */
+  get hasHomeRegions(): boolean {
+    return this.#routeHomes.size > 0 || this.#customerHomes.size > 0;
+  }
+
+  /**
+   * Returns the home regions of a route and a customer by their ids; those that
+   * are not in this configuration have none.
+   */
+  findHomeRegions(
+    ids: {
+      readonly route: string;
+      readonly customer: CustomerId | undefined;
+    },
+  ): HomeRegions | undefined {
+    if (!this.hasHomeRegions) return undefined;
+    const { route, customer } = ids;
+    return combineHomeRegions(
+      this.#routeHomes.get(route),
+      customer === undefined ? undefined : this.#customerHomes.get(customer),
+    );
+  }
+}
+
+/** Adds home regions; those of two routes or customers with one id all apply. */
+function addHomeRegions(
+  table: Map<string, HomeRegions>,
+  { id, homeRegions }: Pick<RouteConfig, "id" | "homeRegions">,
+): void {
+  const homes = combineHomeRegions(table.get(id), homeRegions);
+  if (homes !== undefined) table.set(id, homes);
 }
 
 /**
--- a/packages/routing/path/choose_relays.ts
+++ b/packages/routing/path/choose_relays.ts
@@ -6,6 +6,7 @@
   type RegionId,
   type VmId,
 } from "../../core/mod.ts";
+import { type HomeRegions, isAllowedRegion } from "../../routes/mod.ts";
 
 /** A peer that may relay. */
 export interface RelayCandidate {
@@ -22,7 +23,8 @@
  * order of this VM's own, so that the VMs of a data centre that is cut off spread
  * over the others. The last of those asked is of another region, if there is
  * one, since one cause may cut off all VMs of a region. Peers that recently
- * failed to relay follow after all others.
+ * failed to relay follow after all others. For a request with home regions, only
+ * peers in one of them are asked, since a relay receives the request's body.
  */
 export function chooseRelays<Peer extends RelayCandidate>(
   peers: readonly Peer[],
@@ -31,13 +33,16 @@
     readonly region: RegionId | undefined;
     /** Peers that failed, and until when they are avoided. */
     readonly avoidedUntil: ReadonlyMap<VmId, MonotonicTime>;
+    /** The only regions whose peers may relay; any if absent. */
+    readonly homeRegions?: HomeRegions | undefined;
     readonly now: MonotonicTime;
   },
 ): Peer[] {
-  const { self, region, avoidedUntil, now } = input;
+  const { self, region, avoidedUntil, homeRegions, now } = input;
   const selfHash = computeHash(self);
   const isAvoided = ({ vm }: Peer) => now < (avoidedUntil.get(vm) ?? -Infinity);
   const ranked = peers
+    .filter((peer) => isAllowedRegion(homeRegions, peer.region))
     .map((peer) => ({
       peer,
       score: computeScore(selfHash, computeHash(peer.vm)),
--- a/packages/routing/queries/choose_placement.ts
+++ b/packages/routing/queries/choose_placement.ts
@@ -23,6 +23,7 @@
   type TargetId,
   type Tokens,
 } from "../../core/mod.ts";
+import { type HomeRegions, isAllowedRegion } from "../../routes/mod.ts";
 import type { RoutingState } from "../state.ts";
 import {
   computeHealth,
@@ -36,6 +37,7 @@
   type VmOrder,
 } from "../target_limit/find_turn.ts";
 import {
+  createNoHomeTarget,
   createNoTarget,
   createOverloaded,
   createTargetsLimited,
@@ -55,6 +57,8 @@
   readonly tried: readonly TargetId[];
   /** The only release that may be chosen; any if absent. */
   readonly release?: ReleaseId;
+  /** The only regions whose targets may be chosen; any if absent. */
+  readonly homeRegions?: HomeRegions;
   /** This VM's data centre; targets in others cost a little more. */
   readonly dataCentre: string;
   /**
@@ -145,7 +149,11 @@
     .filter((target) => isUsable(target, input))
     .filter((target) => !input.tried.includes(target.config.id))
     .filter((target) => computePause(target, input.now) === 0);
-  if (listed.length === 0) return Left(createNoTarget());
+  if (listed.length === 0) {
+    return Left(
+      input.homeRegions === undefined ? createNoTarget() : createNoHomeTarget(),
+    );
+  }
   const usable = listed.filter((target) => mayUse(target, input.turns));
   if (usable.length === 0) {
     return Left(createTargetsLimited(computeNextSend(listed, input.turns)));
@@ -177,7 +185,7 @@
  */
 export function findPausedRefusal(
   state: RoutingState,
-  input: Pick<PlacementInput, "service" | "release" | "now">,
+  input: Pick<PlacementInput, "service" | "release" | "homeRegions" | "now">,
 ): Refusal | undefined {
   const pauses = state.targets.listService(input.service)
     .filter((target) => isUsable(target, input))
@@ -257,9 +265,11 @@
 
 function isUsable(
   target: TargetState,
-  input: Pick<PlacementInput, "release" | "now">,
+  input: Pick<PlacementInput, "release" | "homeRegions" | "now">,
 ): boolean {
-  const { release } = target.config;
+  const { release, region, isRegionUnknown = false } = target.config;
+  const knownRegion = isRegionUnknown ? undefined : region;
+  if (!isAllowedRegion(input.homeRegions, knownRegion)) return false;
   if (input.release !== undefined && release !== input.release) return false;
   const health = computeHealth(target, input.now);
   if (health === TargetHealth.Probation) return target.inFlight === 0;
--- a/packages/routing/queries/create_refusals.ts
+++ b/packages/routing/queries/create_refusals.ts
@@ -35,6 +35,18 @@
   );
 }
 
+/**
+ * Returns the refusal of a request for which no target is usable in its home
+ * regions.
+ */
+export function createNoHomeTarget(): Refusal {
+  return createNotRunRefusal(
+    RefusalKind.NoHomeTarget,
+    "We could not reach a service that can answer this in the regions that may. Nothing was done. Please try again shortly.",
+    { retryAfter: NO_TARGET_RETRY_AFTER },
+  );
+}
+
 /** Returns the refusal of a request for which all usable targets are full. */
 export function createOverloaded(): Refusal {
   return createNotRunRefusal(
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -54,6 +54,8 @@
   /** Calls between VMs for the configuration since the last such line. */
   ConfigurationTraffic = "configuration_traffic",
   KeyRevoked = "key_revoked",
+  /** Requests are refused, since their home regions allow no region at all. */
+  HomeRegionsUnusable = "home_regions_unusable",
   TargetListed = "target_listed",
   TargetLeaving = "target_leaving",
   TargetGone = "target_gone",
--- a/packages/runtime/refusals.ts
+++ b/packages/runtime/refusals.ts
@@ -26,6 +26,7 @@
   [RefusalKind.Overloaded]: 503,
   [RefusalKind.DeadlineTooSoon]: 503,
   [RefusalKind.NoTarget]: 503,
+  [RefusalKind.NoHomeTarget]: 503,
   [RefusalKind.TargetsLimited]: 503,
   [RefusalKind.TargetsPaused]: 503,
   [RefusalKind.Quarantined]: 422,
@@ -61,6 +62,8 @@
     "We could not check the prepaid budget just now. Nothing was done. Please try again shortly.",
   [RefusalKind.NoTarget]:
     "We could not reach a service that can answer this right now. Nothing was done. Please try again shortly.",
+  [RefusalKind.NoHomeTarget]:
+    "We could not reach a service that can answer this in the regions that may. Nothing was done. Please try again shortly.",
   [RefusalKind.Overloaded]:
     "We are very busy at the moment. Nothing was done. Please try again shortly.",
   [RefusalKind.DeadlineTooSoon]:
--- a/tools/check_imports.ts
+++ b/tools/check_imports.ts
@@ -19,7 +19,7 @@
   ports: ["core"],
   budget: ["core"],
   request: ["core"],
-  routing: ["core", "ports"],
+  routing: ["core", "ports", "routes"],
   document: ["core"],
   membership: ["core"],
   admin: ["core", "budget", "request", "document", "membership", "routing"],
--- a/tools/check_wire_names.ts
+++ b/tools/check_wire_names.ts
@@ -13,6 +13,7 @@
   "targetLatencyMs",
   "gapAimMs",
   "canResume",
+  "allowedRegions",
   "apiKeys",
   "healthPath",
   "coldRemainingMs",
