Send nothing to the targets of evacuated data centres

Cause: the operator asks by a row of the store (op/evacuate/NAME) that nothing more be sent to the targets of a data centre. Each VM that reaches the store has to follow within a bound (evacuationMillis of the settings; without it nothing is read).

Change: a VM reads the rows as a range, four times within the bound, and placement leaves out the targets of the listed data centres. One function decides from the age of the last reading, the readings since and the contact with the store whether anything may be sent; it is asked for each request and again for each attempt. Without a reading in time a VM that the store answers refuses requests and isn't ready; one without the store serves by what it knows. Readings are compared with the versions that other calls have shown, since copies of the store lag, and an evacuation that a restored store lacks stays in effect for 30 s. A request without a target that is left is refused before it waits for tokens. Settings that were removed are named in settings_reloaded.

--- a/packages/gateway/dialect.ts
+++ b/packages/gateway/dialect.ts
@@ -9,6 +9,7 @@
   DataCentreId,
   JsonValue,
   Millis,
+  PlatformError,
   ReleaseId,
   ServiceId,
   TargetId,
@@ -142,6 +143,25 @@
   readonly leaving: boolean;
 }
 
+/** The evacuations that one answer of the store lists. */
+export interface ListedEvacuations {
+  /** Data centres whose targets must get no requests; they may not exist. */
+  readonly dataCentres: readonly DataCentreId[];
+  /** Version of the store up to which the list is complete. */
+  readonly version: number;
+  /**
+   * Highest version that any answer had shown when the list was asked for;
+   * -Infinity before the first. The list may come from a copy that lags.
+   */
+  readonly knownVersion: number;
+}
+
+/** Reads the evacuations that the operator has requested. */
+export interface EvacuationPort {
+  /** Reads the complete list. The result may be older than an earlier one. */
+  load(): Promise<Either<PlatformError, ListedEvacuations>>;
+}
+
 /** A configuration, and its text in the store, which VMs give to each other. */
 export interface StoredConfiguration {
   readonly configuration: GatewayConfiguration;
@@ -164,6 +184,8 @@
   readonly configurations: FeedPort<StoredConfiguration>;
   /** Decodes the text of a stored configuration, as another VM received it. */
   parseConfiguration(text: string): Either<string, StoredConfiguration>;
+  /** Evacuations of data centres; read only where the settings ask for it. */
+  readonly evacuations: EvacuationPort;
   /** Feed of the registered targets. */
   readonly targets: FeedPort<ListedTarget>;
   /** Feed of the rows `peers/VM`, which the gateways themselves write. */
--- a/packages/gateway/entry/attempt_rules_test.ts
+++ b/packages/gateway/entry/attempt_rules_test.ts
@@ -52,7 +52,8 @@
 
 test("an attempt may go where its arrival and the newest configuration allow", (t) => {
   for (const [homeRegions, newest, expected] of TABLE) {
-    const rules = new AttemptRules({ read: () => newest, isOutdated: false });
+    const configuration = { read: () => newest, isOutdated: false };
+    const rules = new AttemptRules(configuration, { isOutdated: false });
     const call = { homeRegions, route: { id: "r" }, customer: { id: "c" } };
     const found = rules.findHomeRegions(call);
     t.deepEqual(found === undefined ? undefined : [...found], expected);
@@ -60,7 +61,7 @@
   const rules = new AttemptRules({
     read: () => createIndex({ r: BOTH }, { "": EAST }),
     isOutdated: false,
-  });
+  }, { isOutdated: false });
   const anonymous = {
     homeRegions: undefined,
     route: { id: "r" },
@@ -69,14 +70,27 @@
   t.deepEqual(rules.findHomeRegions(anonymous), BOTH);
 });
 
-test("with home regions in use, a VM that may lack newer ones makes no attempt", (t) => {
+test("a VM that may lack newer home regions in use, or evacuations, makes no attempt", (t) => {
   const isOutdatedFor = (
     homeRegions: HomeRegions | undefined,
     routes: Readonly<Record<string, HomeRegions | undefined>>,
   ) =>
-    new AttemptRules({ read: () => createIndex(routes, {}), isOutdated: true })
+    new AttemptRules(
+      { read: () => createIndex(routes, {}), isOutdated: true },
+      { isOutdated: false },
+    )
       .isOutdatedFor({ homeRegions, route: { id: "r" }, customer: undefined });
   t.false(isOutdatedFor(undefined, { r: undefined }));
   t.true(isOutdatedFor(undefined, { other: WEST }));
   t.true(isOutdatedFor(WEST, {}));
+  const configuration = { read: () => undefined, isOutdated: false };
+  const call = {
+    homeRegions: undefined,
+    route: { id: "r" },
+    customer: undefined,
+  };
+  for (const isOutdated of [false, true]) {
+    const rules = new AttemptRules(configuration, { isOutdated });
+    t.is(rules.isOutdatedFor(call), isOutdated);
+  }
 });
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -93,10 +93,10 @@
   readonly eventsBefore: number;
 }
 
-/** A refusal before anything is done for a call with home regions. */
+/** A refusal before anything is done for a call. */
 export interface EarlyRefusal {
   readonly refusal: Refusal;
-  readonly homeRegions: HomeRegions;
+  readonly homeRegions: HomeRegions | undefined;
 }
 
 /** Dependencies of a {@link CallRunner}. */
@@ -182,14 +182,14 @@
   }
 
   /**
-   * Returns the refusal of a call with home regions for which no target is usable
-   * there, so that it doesn't wait for tokens. Of a stream that is taken up at a
-   * split route, the service isn't known yet.
+   * Returns the refusal of a call for which no target is usable because of home
+   * regions or evacuations, so that it doesn't wait for tokens. Of a stream that is
+   * taken up at a split route, the service isn't known yet.
    */
   findEarlyRefusal(call: RoutedCall): EarlyRefusal | undefined {
     const { rules, targets } = this.#options;
     const homeRegions = rules.findHomeRegions(call);
-    if (homeRegions === undefined) return undefined;
+    if (homeRegions === undefined && !targets.hasEvacuations) return undefined;
     if (call.request.resumeAfter !== undefined && isSplit(call.route)) {
       return undefined;
     }
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -48,6 +48,7 @@
 import type { CustomerBudgets } from "../features/budgets/customer_budgets.ts";
 import type { CrashReports } from "../features/crashes/crash_reports.ts";
 import { createSuspectKeys } from "../features/crashes/suspect_keys.ts";
+import type { EvacuationFollower } from "../features/evacuations/evacuation_follower.ts";
 import type { HomeRegionWatch } from "../features/home_region_watch.ts";
 import type { StreamOrigins } from "../features/streams/stream_origins.ts";
 import type { StreamOrigin } from "../features/streams/stream_record.ts";
@@ -121,6 +122,7 @@
   readonly crashReports: CrashReports;
   readonly streams: StreamOrigins;
   readonly homeRegions: HomeRegionWatch;
+  readonly evacuations: Pick<EvacuationFollower, "isOutdated">;
   readonly runner: CallRunner;
   readonly answerMemory: AnswerMemory;
 }
@@ -312,6 +314,13 @@
     if (overdue !== undefined) {
       return this.#refuse(exchange, { ...overdue, request, arrivedAt });
     }
+    if (this.#options.evacuations.isOutdated) {
+      const refusal = createRefusal(RefusalKind.ConfigurationStale, {
+        retryAfter: OTHER_VM_RETRY_AFTER,
+      });
+      const detail = "the evacuations were not read in time";
+      return this.#refuse(exchange, { refusal, detail, request, arrivedAt });
+    }
     const routes = configuration.read();
     const resolved = routes === undefined || configuration.isOutdated
       ? {
@@ -488,6 +497,9 @@
     { refusal, homeRegions }: EarlyRefusal,
   ): void {
     const { exchange, request, arrivedAt } = call;
+    if (homeRegions === undefined) {
+      return this.#refuse(exchange, { refusal, request, arrivedAt });
+    }
     this.#options.homeRegions.recordRefused({ ...call, homeRegions });
     const detail = `home regions: ${[...homeRegions].join(",") || "none"}`;
     this.#refuse(exchange, { refusal, detail, request, arrivedAt });
--- a/packages/gateway/features/configuration/decide_configuration_use.ts
+++ b/packages/gateway/features/configuration/decide_configuration_use.ts
@@ -102,7 +102,12 @@
 }
 
 /** Whether the store answers, and has for long enough to rely on it. */
-function isInContact({ now, contact, deadline }: ConfigurationEvidence) {
+export function isInContact(
+  { now, contact, deadline }: Pick<
+    ConfigurationEvidence,
+    "now" | "contact" | "deadline"
+  >,
+): boolean {
   return contact !== undefined &&
     now - contact.until <= SILENCE_SHARE * deadline &&
     now - contact.since > CONTACT_SHARE * deadline;
--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -8,6 +8,7 @@
 import {
   combineUndo,
   createEmptyConfiguration,
+  type DataCentreId,
   type Millis,
   type MonotonicTime,
   type Refusal,
@@ -27,6 +28,7 @@
   applyTargets,
   type AttemptFinish,
   type AttemptStart,
+  changeEvacuated,
   changeRegion,
   choosePlacement,
   computeHealth,
@@ -186,6 +188,29 @@
     this.#rebuild();
   }
 
+  /** Sets the data centres whose targets get no requests from now on. */
+  applyEvacuations(dataCentres: ReadonlySet<DataCentreId>): void {
+    changeEvacuated(this.#state, dataCentres);
+  }
+
+  /** Whether any data centre is evacuated. */
+  get hasEvacuations(): boolean {
+    return this.#state.evacuated !== undefined;
+  }
+
+  /** Whether the targets were loaded at least once. */
+  get isLoaded(): boolean {
+    return this.#follower.isLoaded;
+  }
+
+  /** Whether the settings or the entry of a target name a data centre. */
+  hasDataCentre(dataCentre: DataCentreId): boolean {
+    const { settings } = this.#context;
+    return findRegion(settings, dataCentre) !== undefined ||
+      settings.dataCentre === dataCentre ||
+      [...this.#listed.values()].some((each) => each.dataCentre === dataCentre);
+  }
+
   /** Adds a function that is called with the id of each removed target. */
   addRemovalListener(listener: (target: TargetId) => void): void {
     this.#removalListeners.push(listener);
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -48,6 +48,7 @@
 import { TargetProbes } from "./features/paths/target_probes.ts";
 import { TargetPaths } from "./features/paths/target_paths.ts";
 import { PeerAccess } from "./features/peers/peer_access.ts";
+import { EvacuationFollower } from "./features/evacuations/evacuation_follower.ts";
 import { HomeRegionWatch } from "./features/home_region_watch.ts";
 import { LimitReports } from "./features/limit_reports.ts";
 import { ReleaseRows } from "./features/streams/release_rows.ts";
@@ -129,6 +130,7 @@
   readonly #context: GatewayContext;
   readonly #configuration: ConfigurationFollower;
   readonly #targets: TargetRegistry;
+  readonly #evacuations: EvacuationFollower;
   readonly #peers: PeerAccess;
   readonly #budgets: CustomerBudgets;
   readonly #crashReports: CrashReports;
@@ -162,6 +164,7 @@
     this.#targets = new TargetRegistry(context, {
       findVmOrder: () => this.#peers.list.findOrder(),
     });
+    this.#evacuations = new EvacuationFollower(context, this.#targets);
     this.#relay = new ConnectionRelay(context, {
       key: this.#peers.list.key,
       findTargetAt: (address) => this.#targets.findAt(address),
@@ -196,6 +199,7 @@
     this.#callers = new CallerServer({
       context,
       homeRegions,
+      evacuations: this.#evacuations,
       configuration: this.#configuration,
       budgets: this.#budgets,
       crashReports: this.#crashReports,
@@ -203,7 +207,7 @@
       runner: new CallRunner({
         context,
         targets: this.#targets,
-        rules: new AttemptRules(this.#configuration),
+        rules: new AttemptRules(this.#configuration, this.#evacuations),
         pools: this.#pools,
         retries: this.#retries,
         crashReports: this.#crashReports,
@@ -246,13 +250,14 @@
 
   /**
    * Whether this VM should get new connections: it has loaded the configuration
-   * and the targets of its routes, knows of no newer configuration, and is not
-   * stopping.
+   * and the targets of its routes, knows of no newer configuration, has read the
+   * evacuations in time, and is not stopping.
    */
   get isReady(): boolean {
     const routes = this.#configuration.read()?.configuration.routes;
     return this.#stopping === undefined && routes !== undefined &&
-      !this.#configuration.isOutdated && this.#targets.isLoadedFor(routes);
+      !this.#configuration.isOutdated && !this.#evacuations.isOutdated &&
+      this.#targets.isLoadedFor(routes);
   }
 
   /**
@@ -275,6 +280,7 @@
     this.#undo = combineUndo([
       this.#configuration.register(),
       this.#targets.register(),
+      this.#evacuations.register(),
       this.#paths.register(),
       this.#peers.register(),
       this.#budgets.register(),
@@ -334,6 +340,7 @@
     context.region = settings.regions[settings.dataCentre];
     context.log.changeLevel?.(settings.logLevel);
     this.#targets.applyRegions();
+    this.#evacuations.applySettings();
     this.#peers.list.announceAgain();
     this.#changeVmCount(this.#budgets.countVms());
     this.#recordSettings();
--- a/packages/gateway/gateway_metrics.ts
+++ b/packages/gateway/gateway_metrics.ts
@@ -57,6 +57,7 @@
   readonly settingsAppliedAt: Gauge;
   readonly targets: Gauge<"state">;
   readonly limitedTargets: Gauge;
+  readonly evacuatedDataCentres: Gauge;
   readonly lostPaths: Gauge;
   readonly relayedForPeers: Gauge;
   readonly streamsTakenUp: Counter<"source">;
@@ -159,6 +160,11 @@
       help: "Targets whose answers name a limit on requests.",
       registers,
     }),
+    evacuatedDataCentres: new Gauge({
+      name: "anvilrail_gateway_evacuated_data_centres",
+      help: "Data centres whose targets get no requests until further notice.",
+      registers,
+    }),
     lostPaths: new Gauge({
       name: "anvilrail_gateway_lost_paths",
       help: "Targets that this VM reaches over peers only.",
--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -5,6 +5,7 @@
   AttemptHead,
   CallerRequest,
   Dialect,
+  EvacuationPort,
   HeaderList,
   ListedTarget,
   LoadReport,
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -34,6 +34,7 @@
   recordAttemptStart,
   recordPrefillEnd,
 } from "./commands/record_attempt.ts";
+export { changeEvacuated } from "./commands/change_evacuated.ts";
 export { changeRegion } from "./commands/change_region.ts";
 export type { PeerReport } from "./commands/exchange_reports.ts";
 export { applyReports, listReports } from "./commands/exchange_reports.ts";
--- a/packages/routing/queries/choose_placement.ts
+++ b/packages/routing/queries/choose_placement.ts
@@ -146,7 +146,7 @@
   const paused = findPausedRefusal(state, input);
   if (paused !== undefined) return Left(paused);
   const listed = state.targets.listService(input.service)
-    .filter((target) => isUsable(target, input))
+    .filter((target) => isUsable(state, target, input))
     .filter((target) => !input.tried.includes(target.config.id))
     .filter((target) => computePause(target, input.now) === 0);
   if (listed.length === 0) {
@@ -188,7 +188,7 @@
   input: Pick<PlacementInput, "service" | "release" | "homeRegions" | "now">,
 ): Refusal | undefined {
   const pauses = state.targets.listService(input.service)
-    .filter((target) => isUsable(target, input))
+    .filter((target) => isUsable(state, target, input))
     .map((target) => computePause(target, input.now));
   if (pauses.length === 0) return undefined;
   const shortest = Math.min(...pauses);
@@ -264,12 +264,14 @@
 }
 
 function isUsable(
+  state: RoutingState,
   target: TargetState,
   input: Pick<PlacementInput, "release" | "homeRegions" | "now">,
 ): boolean {
   const { release, region, isRegionUnknown = false } = target.config;
   const knownRegion = isRegionUnknown ? undefined : region;
   if (!isAllowedRegion(input.homeRegions, knownRegion)) return false;
+  if (state.evacuated?.has(target.config.dataCentre)) return false;
   if (input.release !== undefined && release !== input.release) return false;
   const health = computeHealth(target, input.now);
   if (health === TargetHealth.Probation) return target.inFlight === 0;
--- a/packages/routing/state.ts
+++ b/packages/routing/state.ts
@@ -10,6 +10,7 @@
   type BodyDigest,
   type Bytes,
   type CustomerId,
+  type DataCentreId,
   Priority,
   type RegionId,
   type ServiceConfig,
@@ -26,6 +27,8 @@
   /** This VM's region; if absent, all regions are treated alike. */
   region?: RegionId;
   readonly targets: TargetTable;
+  /** Data centres whose targets get no requests; absent if there are none. */
+  evacuated?: ReadonlySet<DataCentreId>;
   readonly prefixes: PrefixTable;
   readonly links: LinkTable;
   readonly services: Map<ServiceId, ServiceConfig>;
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -56,6 +56,15 @@
   KeyRevoked = "key_revoked",
   /** Requests are refused, since their home regions allow no region at all. */
   HomeRegionsUnusable = "home_regions_unusable",
+  /** Nothing is sent to the targets of a data centre from now on. */
+  EvacuationStarted = "evacuation_started",
+  EvacuationEnded = "evacuation_ended",
+  /** A restored store lacks an evacuation, which stays in effect for a while. */
+  EvacuationKept = "evacuation_kept",
+  /** There is no data centre of the name that is to be evacuated. */
+  EvacuationUnknown = "evacuation_unknown",
+  /** The store answers, but the evacuations could not be read in time. */
+  EvacuationsOutdated = "evacuations_outdated",
   TargetListed = "target_listed",
   TargetLeaving = "target_leaving",
   TargetGone = "target_gone",
--- a/packages/settings/gateway_settings.ts
+++ b/packages/settings/gateway_settings.ts
@@ -48,6 +48,11 @@
   }).prefault({}),
   /** Maximum time until a newly stored configuration must be in use. */
   configurationMillis: MILLIS_SCHEMA.default(3_000),
+  /**
+   * Maximum time until an evacuation of a data centre must be in effect. They are
+   * not read if it is absent.
+   */
+  evacuationMillis: MILLIS_SCHEMA.optional(),
   /** Time from a stop signal to the forced exit of the process. */
   stopMillis: MILLIS_SCHEMA.default(8_000),
   logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
--- a/packages/settings/running_settings.ts
+++ b/packages/settings/running_settings.ts
@@ -44,7 +44,10 @@
   if (running.store.address !== changed.store.address) {
     refused.push("store.address");
   }
-  const names = Object.keys(settings) as (keyof GatewaySettings)[];
+  // A setting that was removed is one of the running ones alone.
+  const names = Object.keys(
+    { ...settings, ...running },
+  ) as (keyof GatewaySettings)[];
   return {
     settings,
     changed: names.filter((name) =>
