--- a/packages/gateway/features/target_registry.ts
+++ b/packages/gateway/features/target_registry.ts
@@ -12,7 +12,7 @@
   type Millis,
   type MonotonicTime,
   type Refusal,
-  type RegionId,
+  RefusalKind,
   type ReleaseId,
   type ServiceConfig,
   type ServiceId,
@@ -28,6 +28,7 @@
   applyTargets,
   type AttemptFinish,
   type AttemptStart,
+  changeEvacuated,
   changeRegion,
   choosePlacement,
   computeHealth,
@@ -59,6 +60,7 @@
 import { ColdTargets } from "./cold_targets.ts";
 import { FeedFollower, type RowChange } from "./feed_follower.ts";
 import { isSameProcess } from "./is_same_process.ts";
+import { findRegion } from "./find_region.ts";
 import { readStoreTime } from "./read_store_time.ts";
 
 /** Maximum time that one call waits for changes. */
@@ -97,6 +99,12 @@
   progressTimeout: 0,
 };
 
+/** Refusals that say that no target is usable. */
+const NO_TARGET_REFUSALS: ReadonlySet<RefusalKind> = new Set([
+  RefusalKind.NoTarget,
+  RefusalKind.NoHomeTarget,
+]);
+
 /** What a choice depends on besides the targets, the VM and the time. */
 type ChoiceInput = Omit<
   PlacementInput,
@@ -205,6 +213,29 @@
     this.#cold.applySettings();
   }
 
+  /** Sets the data centres whose targets get no requests from now on. */
+  applyEvacuations(dataCentres: ReadonlySet<DataCentreId>): void {
+    changeEvacuated(this.#state, dataCentres);
+  }
+
+  /** Whether any data centre is evacuated. */
+  get hasEvacuations(): boolean {
+    return this.#state.evacuated !== undefined;
+  }
+
+  /** Whether the targets were loaded at least once. */
+  get isLoaded(): boolean {
+    return this.#follower.isLoaded;
+  }
+
+  /** Whether the settings or the entry of a target name a data centre. */
+  hasDataCentre(dataCentre: DataCentreId): boolean {
+    const { settings } = this.#context;
+    return findRegion(settings, dataCentre) !== undefined ||
+      settings.dataCentre === dataCentre ||
+      [...this.#listed.values()].some((each) => each.dataCentre === dataCentre);
+  }
+
   /** Adds a function that is called with the id of each removed target. */
   addRemovalListener(listener: (target: TargetId) => void): void {
     this.#removalListeners.push(listener);
@@ -288,6 +319,15 @@
     return this.#place(input).isRight();
   }
 
+  /**
+   * Returns the refusal of a request for which no target is usable; undefined if
+   * one is, even if it is full or takes no requests at the moment.
+   */
+  findNoTarget(input: ChoiceInput): Refusal | undefined {
+    return this.#place(input).swap().toMaybe()
+      .filter(({ kind }) => NO_TARGET_REFUSALS.has(kind)).extract();
+  }
+
   #place(input: ChoiceInput): Either<Refusal, Placement> {
     this.#dropMissing();
     this.#cold.expire();
@@ -365,7 +405,7 @@
    * asked this VM for a pause; undefined otherwise.
    */
   findPausedRefusal(
-    input: { readonly service: ServiceId; readonly release?: ReleaseId },
+    input: Pick<ChoiceInput, "service" | "release" | "homeRegions">,
   ): Refusal | undefined {
     const now = this.#context.clock.readMonotonic();
     return findPausedRefusal(this.#state, { ...input, now });
@@ -587,21 +627,20 @@
   }
 
   #createTarget(entry: ListedTarget): TargetConfig {
+    const { dataCentre } = entry;
+    const region = findRegion(this.#context.settings, dataCentre);
     return {
       id: entry.id,
       service: entry.service,
       url: `http://${entry.host}:${entry.port}`,
-      region: this.#findRegion(entry.dataCentre),
-      dataCentre: entry.dataCentre,
+      region: region ?? dataCentre,
+      ...(region === undefined ? { isRegionUnknown: true } : {}),
+      dataCentre,
       release: entry.release,
       capacity: entry.slots,
     };
   }
 
-  #findRegion(dataCentre: string): RegionId {
-    return this.#context.settings.regions[dataCentre] ?? dataCentre;
-  }
-
   #logHealthChange(id: TargetId): void {
     const state = this.#state.targets.get(id);
     if (state === undefined) return;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -33,6 +33,7 @@
 } from "../settings/mod.ts";
 import type { Dialect } from "./dialect.ts";
 import { AnswerMemory } from "./entry/answer_buffer.ts";
+import { AttemptRules } from "./entry/attempt_rules.ts";
 import { CallRunner } from "./entry/call_runner.ts";
 import { CallerServer } from "./entry/caller_server.ts";
 import {
@@ -47,6 +48,8 @@
 import { TargetProbes } from "./features/paths/target_probes.ts";
 import { TargetPaths } from "./features/paths/target_paths.ts";
 import { PeerAccess } from "./features/peers/peer_access.ts";
+import { EvacuationFollower } from "./features/evacuations/evacuation_follower.ts";
+import { HomeRegionWatch } from "./features/home_region_watch.ts";
 import { LimitReports } from "./features/limit_reports.ts";
 import { ReleaseRows } from "./features/streams/release_rows.ts";
 import { StreamOrigins } from "./features/streams/stream_origins.ts";
@@ -127,6 +130,7 @@
   readonly #context: GatewayContext;
   readonly #configuration: ConfigurationFollower;
   readonly #targets: TargetRegistry;
+  readonly #evacuations: EvacuationFollower;
   readonly #peers: PeerAccess;
   readonly #budgets: CustomerBudgets;
   readonly #crashReports: CrashReports;
@@ -153,15 +157,19 @@
       findAddress: (target) => this.#targets.find(target),
       reportUnreached: (target) => this.#targets.recordUnreached(target, false),
     });
-    this.#pools = new ConnectionPools(
-      context.clock,
-      (target, input) => this.#paths.connect(target, input),
-    );
+    this.#pools = new ConnectionPools(context.clock, {
+      connect: (target, input) => this.#paths.connect(target, input),
+      mayRelay: (vm, regions) => this.#paths.mayRelay(vm, regions),
+    });
     this.#paths.setPools(this.#pools);
     this.#targets = new TargetRegistry(context, {
       findVmOrder: () => this.#peers.list.findOrder(),
       findTurnGroup: () => this.#peers.list.findTurnGroup(),
     });
+    this.#evacuations = new EvacuationFollower(context, this.#targets);
+    this.#evacuations.addEvacuationEndListener((dataCentre) =>
+      this.#targets.recordColdDataCentre(dataCentre)
+    );
     this.#relay = new ConnectionRelay(context, {
       key: this.#peers.list.key,
       findTargetAt: (address) => this.#targets.findAt(address),
@@ -193,8 +201,11 @@
         countVms,
       }),
     });
+    const homeRegions = new HomeRegionWatch(context);
     this.#callers = new CallerServer({
       context,
+      homeRegions,
+      evacuations: this.#evacuations,
       configuration: this.#configuration,
       budgets: this.#budgets,
       crashReports: this.#crashReports,
@@ -202,6 +213,7 @@
       runner: new CallRunner({
         context,
         targets: this.#targets,
+        rules: new AttemptRules(this.#configuration, this.#evacuations),
         pools: this.#pools,
         retries: this.#retries,
         crashReports: this.#crashReports,
@@ -214,6 +226,7 @@
     });
     this.#configuration.addListener((configuration) => {
       this.#callers.changeLimits(configuration.limits);
+      homeRegions.applyConfiguration(configuration);
       this.#budgets.applyConfiguration(configuration);
       this.#targets.applyServices(configuration.services);
     });
@@ -244,13 +257,14 @@
 
   /**
    * Whether this VM should get new connections: it has loaded the configuration
-   * and the targets of its routes, knows of no newer configuration, and is not
-   * stopping.
+   * and the targets of its routes, knows of no newer configuration, has read the
+   * evacuations in time, and is not stopping.
    */
   get isReady(): boolean {
     const routes = this.#configuration.read()?.configuration.routes;
     return this.#stopping === undefined && routes !== undefined &&
-      !this.#configuration.isOutdated && this.#targets.isLoadedFor(routes);
+      !this.#configuration.isOutdated && !this.#evacuations.isOutdated &&
+      this.#targets.isLoadedFor(routes);
   }
 
   /**
@@ -273,6 +287,7 @@
     this.#undo = combineUndo([
       this.#configuration.register(),
       this.#targets.register(),
+      this.#evacuations.register(),
       this.#paths.register(),
       this.#peers.register(),
       this.#budgets.register(),
@@ -333,6 +348,7 @@
     context.log.changeLevel?.(settings.logLevel);
     this.#targets.applyRegions();
     this.#targets.applyColdSettings();
+    this.#evacuations.applySettings();
     this.#peers.list.announceAgain();
     this.#changeVmCount(this.#budgets.countVms());
     this.#recordSettings();
--- a/packages/gateway/gateway_metrics.ts
+++ b/packages/gateway/gateway_metrics.ts
@@ -58,6 +58,7 @@
   readonly targets: Gauge<"state">;
   readonly limitedTargets: Gauge;
   readonly coldTargets: Gauge;
+  readonly evacuatedDataCentres: Gauge;
   readonly lostPaths: Gauge;
   readonly relayedForPeers: Gauge;
   readonly streamsTakenUp: Counter<"source">;
@@ -165,6 +166,11 @@
       help: "Targets that tolerate few requests at present.",
       registers,
     }),
+    evacuatedDataCentres: new Gauge({
+      name: "anvilrail_gateway_evacuated_data_centres",
+      help: "Data centres whose targets get no requests until further notice.",
+      registers,
+    }),
     lostPaths: new Gauge({
       name: "anvilrail_gateway_lost_paths",
       help: "Targets that this VM reaches over peers only.",
