--- a/packages/settings/gateway_settings.ts
+++ b/packages/settings/gateway_settings.ts
@@ -50,6 +50,12 @@
   configurationMillis: MILLIS_SCHEMA.default(3_000),
   /** Time from a stop signal to the forced exit of the process. */
   stopMillis: MILLIS_SCHEMA.default(8_000),
+  /** What the machine of the VM has; ample where it is not stated. */
+  machine: z.strictObject({
+    memoryMegabytes: z.number().positive(),
+    /** Maximum number of descriptors that the process may have open. */
+    fileDescriptors: z.number().int().positive(),
+  }).optional(),
   logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
 });
 
