Bound the memory and the connections that callers take

Cause: each chunk of each body was kept until its caller had been silent for the idle time, with a limit for one request and none for all, so that callers who send bodies in chunks and stop short of their end used up the VM's memory.

Change: one account of the memory that bodies, answers, connections and discarded rests hold, bounded by what the settings say of the machine; the requests that hold the most for the longest time without progress are refused. Small chunks are copied together. A body has a time by which it must be whole, heads a size and a time, and callers a share of the descriptors.

--- a/packages/core/enums.ts
+++ b/packages/core/enums.ts
@@ -76,6 +76,7 @@
  */
 export enum RefusalKind {
   BadRequest = "bad-request",
+  HeadersTooLarge = "headers-too-large",
   BodyTooLarge = "body-too-large",
   SlowSender = "slow-sender",
   BadKey = "bad-key",
--- a/packages/gateway/entry/answer_buffer_test.ts
+++ b/packages/gateway/entry/answer_buffer_test.ts
@@ -1,16 +1,16 @@
 /** Tests of the bounds of buffered answers. */
 import test from "ava";
 import { MAX_ANSWER_BYTES } from "../../ports/mod.ts";
-import {
-  AnswerBuffer,
-  AnswerMemory,
-  MAX_BUFFERED_BYTES,
-} from "./answer_buffer.ts";
+import { AnswerBuffer } from "./answer_buffer.ts";
+import { MAX_BUFFERED_BYTES, RequestMemory } from "./request_memory.ts";
+
+const createMemory = () =>
+  new RequestMemory({ capacity: 2 * MAX_BUFFERED_BYTES, readTime: () => 0 });
 
 const HALF = Buffer.alloc(MAX_ANSWER_BYTES / 2 - 1_024);
 
 test("one answer and all answers together are bounded, and closing one makes room", (t) => {
-  const memory = new AnswerMemory();
+  const memory = createMemory();
   const buffers = Array.from(
     { length: MAX_BUFFERED_BYTES / MAX_ANSWER_BYTES },
     () => new AnswerBuffer(memory),
@@ -28,7 +28,7 @@
 });
 
 test("an answer in tiny chunks is bounded by the memory that they take", (t) => {
-  const buffer = new AnswerBuffer(new AnswerMemory());
+  const buffer = new AnswerBuffer(createMemory());
   const chunk = Buffer.from("x");
   let count = 0;
   while (buffer.push(chunk) === undefined) count++;
--- a/packages/gateway/entry/call_runner.ts
+++ b/packages/gateway/entry/call_runner.ts
@@ -39,8 +39,8 @@
 import type { StreamOrigins } from "../features/streams/stream_origins.ts";
 import type { TargetRegistry } from "../features/target_registry.ts";
 import type { GatewayContext } from "../gateway_context.ts";
-import type { AnswerMemory } from "./answer_buffer.ts";
 import { AttemptWatchdog, type StallSupport } from "./attempt_watchdog.ts";
+import type { RequestMemory } from "./request_memory.ts";
 import {
   CallProgress,
   computeSeconds,
@@ -101,7 +101,7 @@
   readonly crashReports: CrashReports;
   readonly crashDetector: CrashDetector;
   readonly streams: StreamOrigins;
-  readonly answerMemory: AnswerMemory;
+  readonly memory: RequestMemory;
   readonly probes: TargetProbes;
 }
 
@@ -518,7 +518,7 @@
       readonly signal: AbortSignal;
     },
   ): TargetExchangeInput {
-    const { context, pools, answerMemory } = this.#options;
+    const { context, pools, memory } = this.#options;
     const { customer, request, route } = call;
     const rank = customer?.rank ?? route.rank;
     const resumeAfter = input.progress.lastEventId ?? request.resumeAfter;
@@ -529,7 +529,7 @@
       target: input.listed,
       request,
       body: call.body,
-      memory: answerMemory,
+      memory,
       signal: input.signal,
       recordConnected: (relay) => (input.progress.relay = relay),
       recordHead: (head) => {
--- a/packages/gateway/entry/caller_exchange.ts
+++ b/packages/gateway/entry/caller_exchange.ts
@@ -15,12 +15,22 @@
   readRefusalStatus,
 } from "../../runtime/mod.ts";
 import type { Dialect, HeaderList } from "../dialect.ts";
-import { AnswerBuffer, type AnswerMemory } from "./answer_buffer.ts";
+import { AnswerBuffer } from "./answer_buffer.ts";
+import { BodyBuffer, type BodyParts } from "./body_buffer.ts";
+import type { CallerConnection } from "./caller_connections.ts";
+import { computeHeaderBytes } from "./find_invalid_head.ts";
+import { MemoryKind, type MemoryShare } from "./request_memory.ts";
 
 /** Bounds of the rest of a refused request, which is read and discarded. */
 const MAX_DISCARDED_BYTES: Bytes = 8 * 1_048_576;
 const MAX_DISCARD_TIME: Millis = 3_000;
 
+/** Size of the pieces in which a large answer is sent. */
+const SENT_PIECE_BYTES: Bytes = 65_536;
+
+/** Retry-after of a request that was refused since memory is used up. */
+const MEMORY_RETRY_AFTER: Millis = 1_000;
+
 /** Connections that close after an answer; what else arrives there is not run. */
 const CLOSING_SOCKETS = new WeakSet<Socket>();
 
@@ -40,7 +50,11 @@
 export class CallerExchange {
   readonly #incoming: IncomingMessage;
   readonly #outgoing: ServerResponse;
-  readonly #memory: AnswerMemory;
+  readonly #connection: CallerConnection;
+  /** Memory of the complete body. */
+  readonly #bodyShare: MemoryShare;
+  /** Memory of what was written and is not sent. */
+  readonly #unsentShare: MemoryShare;
   readonly #disconnection = new AbortController();
   /**
    * Answer to a caller of HTTP/1.0, which has no chunks: the end of the
@@ -53,11 +67,15 @@
   constructor(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
-    memory: AnswerMemory,
+    connection: CallerConnection,
   ) {
     this.#incoming = incoming;
     this.#outgoing = outgoing;
-    this.#memory = memory;
+    this.#connection = connection;
+    this.#bodyShare = connection.memory.open(MemoryKind.Body);
+    this.#unsentShare = connection.memory.open(MemoryKind.Event);
+    const headBytes = computeHeaderBytes(incoming.rawHeaders);
+    connection.startRequest(headBytes);
     // Without listeners, an error event of a connection that the caller has
     // reset would end the process.
     outgoing.on("error", () => {});
@@ -69,6 +87,8 @@
     outgoing.on("close", () => {
       socket.removeListener("end", handleEnd);
       this.#takeHeld();
+      this.#unsentShare.release();
+      connection.endRequest(headBytes);
       if (!outgoing.writableFinished) this.#disconnection.abort();
     });
   }
@@ -89,47 +109,74 @@
   }
 
   /**
-   * Reads the complete body. Refuses a body of more than `maxBytes`, and a
-   * caller that sends nothing for `idle` or closes the connection.
+   * Reads the complete body and keeps it until {@link releaseBody} is called.
+   * Refuses a body of more than `maxBytes`, one for which there is no memory,
+   * and a caller that sends too slowly or closes the connection.
    */
-  readBody(
-    limits: { readonly maxBytes: Bytes; readonly idle: Millis },
-  ): Promise<Either<Refusal, Buffer>> {
+  readBody(maxBytes: Bytes): Promise<Either<Refusal, BodyParts>> {
     const incoming = this.#incoming;
     const declared = Number(incoming.headers["content-length"] ?? 0);
-    if (declared > limits.maxBytes) {
+    if (declared > maxBytes) {
       return Promise.resolve(Left(createRefusal(RefusalKind.BodyTooLarge)));
     }
+    // Its end would not be reported.
+    if (incoming.destroyed && !incoming.complete) {
+      return Promise.resolve(Left(createRefusal(RefusalKind.SlowSender)));
+    }
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
-      const finish = (result: Either<Refusal, Buffer>) => {
-        clearTimeout(idleTimer);
+      const connection = this.#connection;
+      const buffer = new BodyBuffer(connection.memory.blocks);
+      const share = connection.memory.open(MemoryKind.Upload, {
+        readProgress: () => connection.bodyBytes,
+        giveWay: () => refuseForMemory(),
+      });
+      let isFinished = false;
+      const finish = (result: Either<Refusal, BodyParts>) => {
+        if (isFinished) return;
+        isFinished = true;
         incoming.removeAllListeners("data");
+        buffer.discard();
+        share.release();
+        connection.endBody();
         resolve(result);
       };
-      let idleTimer = setTimeout(refuseSlowSender, limits.idle);
-      function refuseSlowSender(): void {
-        finish(Left(createRefusal(RefusalKind.SlowSender)));
-      }
+      const refuse = (kind: RefusalKind) => finish(Left(createRefusal(kind)));
+      const refuseForMemory = () => {
+        if (isFinished) return;
+        connection.recordOutOfMemory();
+        finish(Left(createRefusal(RefusalKind.Overloaded, {
+          retryAfter: MEMORY_RETRY_AFTER,
+        })));
+      };
+      connection.startBody(() => refuse(RefusalKind.SlowSender));
       incoming.on("data", (chunk: Buffer) => {
-        clearTimeout(idleTimer);
-        idleTimer = setTimeout(refuseSlowSender, limits.idle);
-        size += chunk.length;
-        if (size > limits.maxBytes) {
-          return finish(Left(createRefusal(RefusalKind.BodyTooLarge)));
+        connection.recordChunk(chunk.length);
+        if (buffer.size + chunk.length > maxBytes) {
+          return refuse(RefusalKind.BodyTooLarge);
         }
-        chunks.push(chunk);
+        if (!share.resize(buffer.computeHeld(chunk.length))) {
+          return refuseForMemory();
+        }
+        buffer.push(chunk);
+      });
+      incoming.on("end", () => {
+        if (isFinished) return;
+        const { bytes } = share;
+        share.release();
+        this.#bodyShare.hold(bytes);
+        finish(Right(buffer.takeParts()));
       });
-      incoming.on("end", () => finish(Right(Buffer.concat(chunks))));
       incoming.on("close", () => {
-        if (!incoming.complete) {
-          finish(Left(createRefusal(RefusalKind.SlowSender)));
-        }
+        if (!incoming.complete) refuse(RefusalKind.SlowSender);
       });
     });
   }
 
+  /** Releases the memory of the body, which is not used any more. */
+  releaseBody(): void {
+    this.#bodyShare.release();
+  }
+
   /**
    * Closes the connection after this answer: further requests that arrive on it
    * would be run without an answer, and are ignored.
@@ -183,13 +230,17 @@
    */
   #discardRest(): void {
     const incoming = this.#incoming;
+    const connection = this.#connection;
     const finish = () => {
       clearTimeout(timer);
       incoming.removeListener("data", count);
+      connection.endDiscarding();
       this.#outgoing.end();
     };
     let size = 0;
+    connection.startDiscarding();
     const count = (chunk: Buffer) => {
+      connection.recordChunk(chunk.length);
       size += chunk.length;
       if (size > MAX_DISCARDED_BYTES) finish();
     };
@@ -217,18 +268,46 @@
       String(answer.body.length),
     ]);
     this.#isFinished = true;
-    // A caller that reads slowly keeps the body in memory until it is sent.
-    const { length } = answer.body;
-    this.#memory.hold(length);
-    this.#outgoing.once("close", () => this.#memory.release(length));
-    this.#outgoing.end(answer.body);
+    void this.#sendBody(answer.body);
+  }
+
+  /**
+   * Sends a body in pieces, so that it is seen whether the caller reads it: one
+   * that reads slowly keeps it in memory until then.
+   */
+  async #sendBody(body: Uint8Array): Promise<void> {
+    const outgoing = this.#outgoing;
+    if (body.length <= SENT_PIECE_BYTES) {
+      this.#unsentShare.hold(body.length);
+      return void outgoing.end(body);
+    }
+    let sent = 0;
+    const share = this.#connection.memory.open(MemoryKind.Answer, {
+      readProgress: () => sent,
+      giveWay: () => {
+        share.release();
+        this.#connection.recordOutOfMemory();
+        outgoing.destroy();
+      },
+    });
+    share.hold(body.length);
+    outgoing.once("close", () => share.release());
+    for (
+      ;
+      sent < body.length && !this.isDisconnected;
+      sent += SENT_PIECE_BYTES
+    ) {
+      const piece = body.subarray(sent, sent + SENT_PIECE_BYTES);
+      if (!outgoing.write(piece)) await this.waitDrain();
+    }
+    outgoing.end();
   }
 
   /** Sends the head of an answer of unknown length, unless already sent. */
   sendHead(status: number, headers: HeaderList): void {
     if (this.hasSentHead || this.isDisconnected) return;
     if (this.#incoming.httpVersion === "1.0") {
-      const body = new AnswerBuffer(this.#memory);
+      const body = new AnswerBuffer(this.#connection.memory);
       this.#held = { status, headers, body };
       return;
     }
@@ -244,7 +323,9 @@
       if (this.#held.body.push(bytes) !== undefined) this.destroy();
       return true;
     }
-    return this.#outgoing.write(bytes);
+    if (this.#outgoing.write(bytes)) return true;
+    this.#unsentShare.hold(this.#outgoing.writableLength);
+    return false;
   }
 
   /** Resolves when the write buffer is empty or the caller has disconnected. */
@@ -254,6 +335,7 @@
       const { signal } = this.#disconnection;
       const finish = () => {
         this.#outgoing.removeListener("drain", finish);
+        this.#unsentShare.release();
         signal.removeEventListener("abort", finish);
         resolve();
       };
--- a/packages/gateway/entry/caller_exchange_test.ts
+++ b/packages/gateway/entry/caller_exchange_test.ts
@@ -5,8 +5,16 @@
 import test from "ava";
 import { RefusalKind } from "../../core/mod.ts";
 import { createRefusal } from "../../runtime/mod.ts";
-import { AnswerMemory } from "./answer_buffer.ts";
+import { CallerConnections } from "./caller_connections.ts";
 import { CallerExchange } from "./caller_exchange.ts";
+import { computeMachineLimits } from "./machine_limits.ts";
+
+const CONNECTIONS = new CallerConnections({
+  readTime: () => performance.now(),
+  machine: computeMachineLimits(undefined),
+  recordClosed: () => {},
+  recordHeld: () => {},
+});
 
 const INVALID_ANSWERS = {
   "status": { status: 0, headers: [] },
@@ -20,7 +28,7 @@
       const exchange = new CallerExchange(
         incoming,
         outgoing,
-        new AnswerMemory(),
+        CONNECTIONS.find(incoming.socket),
       );
       t.throws(() =>
         exchange.sendComplete({ ...answer, body: Buffer.from("ok") })
@@ -53,7 +61,7 @@
       const exchange = new CallerExchange(
         incoming,
         outgoing,
-        new AnswerMemory(),
+        CONNECTIONS.find(incoming.socket),
       );
       exchange.sendHead(200, []);
       for (let round = 0; round < 5; round++) {
--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -13,7 +13,6 @@
 import { type Either, Left } from "purify-ts";
 import type { Reservation } from "../../budget/mod.ts";
 import {
-  type Bytes,
   type Millis,
   type MonotonicTime,
   type Refusal,
@@ -50,14 +49,18 @@
 import type { StreamOrigins } from "../features/streams/stream_origins.ts";
 import type { StreamOrigin } from "../features/streams/stream_record.ts";
 import type { GatewayContext } from "../gateway_context.ts";
+import type { BodyParts } from "./body_buffer.ts";
 import { AcceptProbes } from "./accept_probes.ts";
 import {
   AcceptQueue,
   computeRetryAfter,
   MAX_WAITING_CONNECTIONS,
 } from "./accept_queue.ts";
-import type { AnswerMemory } from "./answer_buffer.ts";
 import type { CallEnd, CallRunner } from "./call_runner.ts";
+import {
+  type CallerConnections,
+  MAX_HEAD_BYTES,
+} from "./caller_connections.ts";
 import { CallerExchange, isClosing } from "./caller_exchange.ts";
 import {
   CallProgress,
@@ -68,26 +71,12 @@
   OTHER_VM_RETRY_AFTER,
   type RoutedCall,
 } from "./routed_call.ts";
-import { findInvalidHeader } from "./find_invalid_head.ts";
+import { computeHeaderBytes, findInvalidHeader } from "./find_invalid_head.ts";
 import {
   type DrainTimes,
   isAdmittedDuringDrain,
 } from "./is_admitted_during_drain.ts";
 
-/** Limits in force until the first configuration replaces them. */
-const INITIAL_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeout: 5_000,
-  idleTimeout: 15_000,
-};
-
-/**
- * Maximum size of a request's headers, fixed when the server is created. The
- * configured `maxHeaderBytes` is not enforced.
- */
-const PARSER_MAX_HEADER_BYTES: Bytes = 65_536;
-
 /** Time by which a request's deadline precedes its caller's timeout. */
 const ANSWER_MARGIN: Millis = 20;
 
@@ -101,6 +90,7 @@
 const CONFIGURED_REFUSALS: ReadonlySet<RefusalKind> = new Set([
   RefusalKind.UnknownRoute,
   RefusalKind.BadKey,
+  RefusalKind.HeadersTooLarge,
   RefusalKind.BodyTooLarge,
   RefusalKind.BudgetSpent,
 ]);
@@ -119,7 +109,7 @@
   readonly crashReports: CrashReports;
   readonly streams: StreamOrigins;
   readonly runner: CallRunner;
-  readonly answerMemory: AnswerMemory;
+  readonly connections: CallerConnections;
 }
 
 /** A request that the gateway refuses, and why. */
@@ -134,7 +124,6 @@
   readonly #options: CallerServerOptions;
   readonly #server: Server;
   readonly #unsentAnswers: UnsentAnswers;
-  #limits = INITIAL_LIMITS;
   #openRequests = 0;
   #lastConnectionAt: MonotonicTime = -Infinity;
   /** Defined once a planned stop has begun. */
@@ -153,12 +142,12 @@
     // One listener for each request in progress.
     setMaxListeners(0, this.#stop.signal);
     this.#server = createServer({
-      maxHeaderSize: PARSER_MAX_HEADER_BYTES,
-      // Disabled: CallerExchange bounds the time between the chunks of a body
-      // and sends the gateway's own refusal.
+      maxHeaderSize: MAX_HEAD_BYTES,
+      // Disabled: CallerConnections bounds the times of heads and bodies. Node
+      // would check them every 30 s.
       requestTimeout: 0,
-      keepAliveTimeout: INITIAL_LIMITS.idleTimeout,
-      headersTimeout: INITIAL_LIMITS.headerTimeout,
+      headersTimeout: 0,
+      keepAliveTimeout: options.connections.limits.idleTimeout,
     }, (incoming, outgoing) => void this.#serve(incoming, outgoing));
     registerIdleClose(this.#server);
     this.#unsentAnswers = new UnsentAnswers(this.#server);
@@ -205,9 +194,8 @@
 
   /** Applies the limits of a new configuration. */
   changeLimits(limits: CallerLimits): void {
-    this.#limits = limits;
+    this.#options.connections.limits = limits;
     this.#server.keepAliveTimeout = limits.idleTimeout;
-    this.#server.headersTimeout = limits.headerTimeout;
   }
 
   /**
@@ -247,6 +235,7 @@
       return this.#acceptQueue.recordProbe(probe);
     }
     this.#lastConnectionAt = this.#options.context.clock.readMonotonic();
+    this.#options.connections.add(socket);
     const wait = this.#acceptQueue.recordCaller();
     if (wait !== undefined) this.#overdue.set(socket, wait);
   }
@@ -256,9 +245,10 @@
     outgoing: ServerResponse,
   ): Promise<void> {
     if (isClosing(incoming.socket)) return;
-    const { context, answerMemory } = this.#options;
+    const { context, connections } = this.#options;
     const arrivedAt = context.clock.readMonotonic();
-    const exchange = new CallerExchange(incoming, outgoing, answerMemory);
+    const connection = connections.find(incoming.socket);
+    const exchange = new CallerExchange(incoming, outgoing, connection);
     this.#openRequests++;
     context.metrics.openRequests.inc();
     if (this.#drainTimes !== undefined) exchange.disableKeepAlive();
@@ -277,6 +267,7 @@
         { dialect: context.dialect },
       );
     } finally {
+      exchange.releaseBody();
       this.#openRequests--;
       context.metrics.openRequests.dec();
     }
@@ -290,7 +281,7 @@
     },
   ): Promise<void> {
     const { incoming, exchange, arrivedAt } = input;
-    const { context, configuration } = this.#options;
+    const { context, configuration, connections } = this.#options;
     const { method = "GET", url: path = "/", rawHeaders } = incoming;
     const invalid = findInvalidHeader(rawHeaders);
     const parsed = invalid === undefined
@@ -305,6 +296,10 @@
       return this.#refuse(exchange, { refusal, arrivedAt });
     }
     const request = parsed.extract() as CallerRequest;
+    if (computeHeaderBytes(rawHeaders) > connections.limits.maxHeaderBytes) {
+      const refusal = createRefusal(RefusalKind.HeadersTooLarge);
+      return this.#refuse(exchange, { refusal, request, arrivedAt });
+    }
     const overdue = this.#findOverdue(incoming.socket, request);
     if (overdue !== undefined) {
       return this.#refuse(exchange, { ...overdue, request, arrivedAt });
@@ -322,10 +317,7 @@
     if ("refusal" in resolved) {
       return this.#refuse(exchange, { ...resolved, request, arrivedAt });
     }
-    const bodyResult = await exchange.readBody({
-      maxBytes: this.#limits.maxBodyBytes,
-      idle: this.#limits.idleTimeout,
-    });
+    const bodyResult = await exchange.readBody(connections.limits.maxBodyBytes);
     // A caller that left while its request waited to be read is disconnected.
     await waitForPendingReads();
     if (exchange.isDisconnected) return this.#logDisconnect(request, arrivedAt);
@@ -338,7 +330,7 @@
       request,
       arrivedAt,
       routes: routes!,
-      body: bodyResult.extract() as Buffer,
+      body: bodyResult.extract() as BodyParts,
       ...resolved,
     });
     if (!this.#isAdmitted(call)) {
@@ -392,7 +384,7 @@
       readonly request: CallerRequest;
       readonly arrivedAt: number;
       readonly routes: RouteIndex;
-      readonly body: Buffer;
+      readonly body: BodyParts;
       readonly route: RouteConfig;
       readonly customer: RoutedCustomer | undefined;
     },
--- a/packages/gateway/entry/routed_call.ts
+++ b/packages/gateway/entry/routed_call.ts
@@ -12,6 +12,7 @@
 import type { RouteConfig, RoutedCustomer } from "../../routes/mod.ts";
 import type { CallerRequest, PromptFacts } from "../dialect.ts";
 import type { SuspectKeys } from "../features/crashes/suspect_keys.ts";
+import type { BodyParts } from "./body_buffer.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 
 /**
@@ -30,7 +31,7 @@
   readonly configurationVersion: number;
   /** Time since that version was last known to be the newest. */
   readonly configurationAge: Millis;
-  readonly body: Uint8Array;
+  readonly body: BodyParts;
   /** What of the request crashes of targets are counted by. */
   readonly suspectKeys: SuspectKeys;
   readonly arrivedAt: MonotonicTime;
--- a/packages/gateway/entry/target_exchange.ts
+++ b/packages/gateway/entry/target_exchange.ts
@@ -16,13 +16,11 @@
   Dialect,
   ListedTarget,
 } from "../dialect.ts";
-import {
-  AnswerBuffer,
-  type AnswerMemory,
-  StreamMemory,
-} from "./answer_buffer.ts";
+import type { BodyParts } from "./body_buffer.ts";
+import { AnswerBuffer } from "./answer_buffer.ts";
 import { EventSplitter, type ServerSentEvent } from "./event_splitter.ts";
 import { findInvalidHead } from "./find_invalid_head.ts";
+import { MemoryKind, type RequestMemory } from "./request_memory.ts";
 import { forwardInTurns, StreamBounds } from "./stream_bounds.ts";
 
 /**
@@ -45,9 +43,9 @@
   readonly target: ListedTarget;
   readonly request: CallerRequest;
   readonly head: Omit<AttemptHead, "target" | "bodyBytes">;
-  readonly body: Uint8Array;
+  readonly body: BodyParts;
   /** Memory for answers that are read completely before they are sent on. */
-  readonly memory: AnswerMemory;
+  readonly memory: RequestMemory;
   readonly signal: AbortSignal;
   /** Called with the peer that relays the connection, if one does. */
   readonly recordConnected: (relay: VmId | undefined) => void;
@@ -148,7 +146,7 @@
   }
   const splitter = new EventSplitter();
   const bounds = new StreamBounds(input.request.prompt?.maxOutputTokens);
-  const memory = new StreamMemory(input.memory);
+  const memory = input.memory.open(MemoryKind.Event);
   // A stream may be resumed after its last event.
   let hasEvent = input.head.resumeAfter !== undefined;
   const failure = await readAnswer(incoming, {
@@ -207,7 +205,7 @@
   const headers = dialect.formatAttempt(request, {
     ...input.head,
     target: target.id,
-    bodyBytes: body.length,
+    bodyBytes: body.reduce((sum, part) => sum + part.length, 0),
   });
   let isReused = false;
   const started = await startExchange({
--- a/packages/gateway/features/crashes/suspect_keys.ts
+++ b/packages/gateway/features/crashes/suspect_keys.ts
@@ -25,15 +25,15 @@
   input: {
     readonly request: CallerRequest;
     readonly customer: CustomerId | undefined;
-    readonly body: Uint8Array;
+    readonly body: readonly Uint8Array[];
   },
 ): SuspectKeys {
   const { request, customer, body } = input;
   const { method, host, path } = request;
-  const digest = createHash("sha256")
-    .update(JSON.stringify([method, host, path, customer]))
-    .update(body)
-    .digest("base64url");
+  const hash = createHash("sha256")
+    .update(JSON.stringify([method, host, path, customer]));
+  for (const part of body) hash.update(part);
+  const digest = hash.digest("base64url");
   const key = createRequestKey(digest.slice(0, DIGEST_CHARACTERS));
   const parts = (request.prompt?.parts ?? []).map((part) => part.id);
   return {
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -32,9 +32,11 @@
   mergeRunningSettings,
 } from "../settings/mod.ts";
 import type { Dialect } from "./dialect.ts";
-import { AnswerMemory } from "./entry/answer_buffer.ts";
 import { CallRunner } from "./entry/call_runner.ts";
+import type { CallerConnections } from "./entry/caller_connections.ts";
 import { CallerServer } from "./entry/caller_server.ts";
+import { createCallerConnections } from "./entry/connection_reports.ts";
+import { computeMachineLimits } from "./entry/machine_limits.ts";
 import {
   createOperatorServer,
   createReadinessServer,
@@ -133,6 +135,7 @@
   readonly #limitReports: LimitReports;
   readonly #streams: StreamOrigins;
   readonly #callers: CallerServer;
+  readonly #connections: CallerConnections;
   readonly #pools: ConnectionPools;
   readonly #paths: TargetPaths;
   readonly #relay: ConnectionRelay;
@@ -178,7 +181,7 @@
       reports: this.#crashReports,
       probes,
     });
-    const answerMemory = new AnswerMemory();
+    this.#connections = createCallerConnections(context);
     const countVms = () => this.#budgets.countVms();
     this.#streams = new StreamOrigins(context, {
       peers: this.#peers,
@@ -204,10 +207,10 @@
         crashReports: this.#crashReports,
         crashDetector,
         streams: this.#streams,
-        answerMemory,
+        memory: this.#connections.memory,
         probes,
       }),
-      answerMemory,
+      connections: this.#connections,
     });
     this.#configuration.addListener((configuration) => {
       this.#callers.changeLimits(configuration.limits);
@@ -275,6 +278,7 @@
       this.#crashReports.register(),
       this.#limitReports.register(),
       this.#streams.register(),
+      this.#connections.start(),
       this.#startTrafficLog(),
     ]);
     log.info(LogEvent.Started, {
@@ -328,6 +332,7 @@
     context.region = settings.regions[settings.dataCentre];
     context.log.changeLevel?.(settings.logLevel);
     this.#targets.applyRegions();
+    this.#connections.changeMachine(computeMachineLimits(settings.machine));
     this.#peers.list.announceAgain();
     this.#changeVmCount(this.#budgets.countVms());
     this.#recordSettings();
--- a/packages/gateway/gateway_metrics.ts
+++ b/packages/gateway/gateway_metrics.ts
@@ -46,6 +46,9 @@
   readonly refusals: Counter<"reason">;
   readonly attempts: Counter<"end">;
   readonly openRequests: Gauge;
+  readonly heldBytes: Gauge<"kind">;
+  readonly callerConnections: Gauge;
+  readonly callersClosed: Counter<"reason">;
   readonly firstByte: Histogram;
   readonly duration: Histogram;
   readonly tokensSpent: Counter;
@@ -100,6 +103,23 @@
       help: "Requests in progress.",
       registers,
     }),
+    heldBytes: new Gauge({
+      name: "anvilrail_gateway_held_bytes",
+      help: "Memory that requests and answers hold, by kind.",
+      labelNames: ["kind"],
+      registers,
+    }),
+    callerConnections: new Gauge({
+      name: "anvilrail_gateway_caller_connections",
+      help: "Open connections of callers.",
+      registers,
+    }),
+    callersClosed: new Counter({
+      name: "anvilrail_gateway_callers_closed_total",
+      help: "Callers that were cut off to protect the VM, by reason.",
+      labelNames: ["reason"],
+      registers,
+    }),
     firstByte: new Histogram({
       name: "anvilrail_gateway_first_byte_seconds",
       help: "Time from arrival to the first byte of a target's answer.",
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -44,7 +44,8 @@
    * sent unchanged, so it must include the host and the content length.
    */
   readonly headers?: Readonly<Record<string, string>> | readonly string[];
-  readonly body?: Uint8Array | string;
+  /** May come in parts if the headers are a list. */
+  readonly body?: Uint8Array | string | readonly Uint8Array[];
   /** Maximum time without data on the connection; 0 for no limit. */
   readonly idleTimeout: Millis;
   /** Maximum time to establish a connection, which Node does not limit. */
@@ -177,7 +178,10 @@
       incoming.on("error", () => {});
       resolve(Right(incoming));
     });
-    outgoing.end(input.body);
+    const { body } = input;
+    if (!Array.isArray(body)) return void outgoing.end(body);
+    for (const part of body.slice(0, -1)) outgoing.write(part);
+    outgoing.end(body[body.length - 1]);
   });
 }
 
--- a/packages/runtime/event_log.ts
+++ b/packages/runtime/event_log.ts
@@ -24,6 +24,8 @@
   Stopped = "stopped",
   RequestEnded = "request_ended",
   RequestRefused = "request_refused",
+  /** A caller was cut off to protect the VM. */
+  CallerClosed = "caller_closed",
   AttemptFailed = "attempt_failed",
   GrantExchanged = "grant_exchanged",
   LoanMade = "loan_made",
--- a/packages/runtime/refusals.ts
+++ b/packages/runtime/refusals.ts
@@ -10,6 +10,7 @@
 
 const HTTP_STATUS: Readonly<Record<RefusalKind, number>> = {
   [RefusalKind.BadRequest]: 400,
+  [RefusalKind.HeadersTooLarge]: 431,
   [RefusalKind.BodyTooLarge]: 413,
   [RefusalKind.SlowSender]: 408,
   [RefusalKind.BadKey]: 401,
@@ -43,6 +44,8 @@
 
 /** Messages of the refusals whose message depends only on their kind. */
 const MESSAGES: Partial<Record<RefusalKind, string>> = {
+  [RefusalKind.HeadersTooLarge]:
+    "The headers of this request are larger than we can take. Nothing was done. Please send it with smaller headers.",
   [RefusalKind.BodyTooLarge]:
     "This request is larger than we can take. Nothing was done. Please send it in smaller parts.",
   [RefusalKind.SlowSender]:
--- a/packages/settings/running_settings.ts
+++ b/packages/settings/running_settings.ts
@@ -15,6 +15,11 @@
   "peers",
 ] as const satisfies readonly (keyof GatewaySettings)[];
 
+/** Settings that may differ between VMs and are changed while one runs. */
+const MACHINE_SETTINGS: readonly string[] = [
+  "machine",
+] satisfies (keyof GatewaySettings)[];
+
 /** Number of hexadecimal digits of a digest. */
 const DIGEST_LENGTH = 12;
 
@@ -59,8 +64,9 @@
  * the same digest follow the same settings.
  */
 export function computeSettingsDigest(settings: GatewaySettings): string {
+  const own: readonly string[] = [...START_SETTINGS, ...MACHINE_SETTINGS];
   const shared = Object.entries(settings).filter(([name]) =>
-    !(START_SETTINGS as readonly string[]).includes(name)
+    !own.includes(name)
   );
   return createHash("sha256").update(formatCanonical(shared)).digest("hex")
     .slice(0, DIGEST_LENGTH);
