--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -32,10 +32,12 @@
   mergeRunningSettings,
 } from "../settings/mod.ts";
 import type { Dialect } from "./dialect.ts";
-import { AnswerMemory } from "./entry/answer_buffer.ts";
 import { AttemptRules } from "./entry/attempt_rules.ts";
 import { CallRunner } from "./entry/call_runner.ts";
+import type { CallerConnections } from "./entry/caller_connections.ts";
 import { CallerServer } from "./entry/caller_server.ts";
+import { createCallerConnections } from "./entry/connection_reports.ts";
+import { computeMachineLimits } from "./entry/machine_limits.ts";
 import {
   createOperatorServer,
   createReadinessServer,
@@ -137,6 +139,7 @@
   readonly #limitReports: LimitReports;
   readonly #streams: StreamOrigins;
   readonly #callers: CallerServer;
+  readonly #connections: CallerConnections;
   readonly #pools: ConnectionPools;
   readonly #paths: TargetPaths;
   readonly #relay: ConnectionRelay;
@@ -189,7 +192,7 @@
       probes,
       reportRefused: (target) => this.#targets.recordUnreached(target, true),
     });
-    const answerMemory = new AnswerMemory();
+    this.#connections = createCallerConnections(context);
     const countVms = () => this.#budgets.countVms();
     this.#streams = new StreamOrigins(context, {
       peers: this.#peers,
@@ -219,10 +222,10 @@
         crashReports: this.#crashReports,
         crashDetector,
         streams: this.#streams,
-        answerMemory,
+        memory: this.#connections.memory,
         probes,
       }),
-      answerMemory,
+      connections: this.#connections,
     });
     this.#configuration.addListener((configuration) => {
       this.#callers.changeLimits(configuration.limits);
@@ -294,6 +297,7 @@
       this.#crashReports.register(),
       this.#limitReports.register(),
       this.#streams.register(),
+      this.#connections.start(),
       this.#startTrafficLog(),
     ]);
     log.info(LogEvent.Started, {
@@ -349,6 +353,7 @@
     this.#targets.applyRegions();
     this.#targets.applyColdSettings();
     this.#evacuations.applySettings();
+    this.#connections.changeMachine(computeMachineLimits(settings.machine));
     this.#peers.list.announceAgain();
     this.#changeVmCount(this.#budgets.countVms());
     this.#recordSettings();
