Don't take a caller whose connection waits to be read for silent

Cause: connections with very small chunks are read one after the other. While one waited for its turn its caller seemed silent, and was refused with 408 after the idle time.

Change: a connection that waits to be read counts as active.

--- a/packages/gateway/entry/caller_connections.ts
+++ b/packages/gateway/entry/caller_connections.ts
@@ -328,7 +328,9 @@
       const arrived = this.socket.bytesRead - this.#idleBytes;
       this.#hold(Math.min(arrived, MAX_HEAD_BYTES));
     }
-    if (this.bodyBytes > this.#seenBytes) this.lastByteAt = now;
+    // A caller whose connection waits to be read is not silent.
+    const isActive = this.bodyBytes > this.#seenBytes || this.reader.isQueued;
+    if (isActive) this.lastByteAt = now;
     this.#seenBytes = this.bodyBytes;
     if (this.bodyBytes - this.#progressBytes < MIN_PROGRESS_BYTES) return;
     this.#progressBytes = this.bodyBytes;
--- a/packages/gateway/entry/connection_limits_test.ts
+++ b/packages/gateway/entry/connection_limits_test.ts
@@ -1,5 +1,7 @@
 /** Tests of the decisions which connections of callers are closed. */
+import { Socket } from "node:net";
 import test from "ava";
+import { CallerConnections } from "./caller_connections.ts";
 import {
   chooseClosedConnection,
   CloseReason,
@@ -7,6 +9,7 @@
   type ConnectionState,
   findExceededLimit,
 } from "./connection_limits.ts";
+import { computeMachineLimits } from "./machine_limits.ts";
 
 const { Idle, Head, Body, Rest, Busy } = ConnectionPhase;
 const NOW = 1_000_000;
@@ -114,3 +117,27 @@
     );
   });
 }
+
+// Guards against callers that are refused as silent while their connection waits
+// for its turn to be read.
+test("a caller whose connection waits to be read is not silent", (t) => {
+  let now = 0;
+  const connections = new CallerConnections({
+    readTime: () => now,
+    machine: computeMachineLimits(undefined),
+    recordClosed: () => {},
+    recordHeld: () => {},
+  });
+  connections.limits = { ...connections.limits, idleTimeout: 400 };
+  const connection = connections.find(new Socket());
+  connection.startBody(() => {});
+  connection.reader.isQueued = true;
+  now = connection.times.idleTimeout - 1;
+  connection.observe(now);
+  now += 2;
+  t.is(findExceededLimit(connection, now), undefined);
+  connection.reader.isQueued = false;
+  now += connection.times.idleTimeout;
+  connection.observe(now);
+  t.is(findExceededLimit(connection, now), CloseReason.SlowBody);
+});
--- a/packages/gateway/entry/read_turns.ts
+++ b/packages/gateway/entry/read_turns.ts
@@ -91,7 +91,9 @@
     this.#turnStartedAt = undefined;
     this.#cost = 0;
     this.#turn++;
-    if (this.#isHeld) { for (const each of this.#readers) each.endHold(); }
+    if (this.#isHeld) {
+      for (const each of this.#readers) each.endHold();
+    }
     this.#isHeld = false;
     if (this.#chunkBytes > this.uncollectedBytes) {
       this.#chunkBytes = 0;
