--- a/review/9/play.mjs
+++ b/review/9/play.mjs
@@ -63,8 +63,9 @@
     });
     return { ...answer, id, at };
   };
-  const clump = Array.from({ length: CLUMP }, (_, index) =>
-    send(`clump-${index}`, false)
+  const clump = Array.from(
+    { length: CLUMP },
+    (_, index) => send(`clump-${index}`, false),
   );
   // The machine is at work on the clump by then.
   await firstRun;
--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -36,13 +36,27 @@
   }
 }
 
-/** Returns a free port of an address. */
-export async function findPort(host = "127.0.0.1") {
-  const server = createTcpServer();
-  await new Promise((done) => server.listen(0, host, done));
-  const { port } = server.address();
-  await new Promise((done) => server.close(done));
-  return port;
+/** Ports below those that the kernel gives to outgoing connections. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 31_000;
+const GIVEN_PORTS = new Set();
+
+/** Returns a free port that no other call has returned. */
+export async function findPort() {
+  for (;;) {
+    const port = FIRST_PORT +
+      Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (GIVEN_PORTS.has(port)) continue;
+    GIVEN_PORTS.add(port);
+    const server = createTcpServer();
+    const isFree = await new Promise((resolve) => {
+      server.once("error", () => resolve(false));
+      server.listen(port, "127.0.0.1", () => resolve(true));
+    });
+    if (!isFree) continue;
+    await new Promise((done) => server.close(done));
+    return port;
+  }
 }
 
 /** Resolves when a condition holds; throws after a time. */
@@ -187,7 +201,14 @@
   async waitReady(names, millis = 20_000) {
     for (const name of names) {
       const vm = this.vms.get(name);
-      await waitFor(() => isReady(vm.ports.ready), millis, `${name} ready`);
+      await waitFor(
+        () => {
+          if (vm.exit === undefined) return isReady(vm.ports.ready);
+          throw new Error(`${name} ended: ${vm.log.join("").slice(-500)}`);
+        },
+        millis,
+        `${name} ready`,
+      );
     }
   }
 
