--- a/review/9/play.mjs
+++ b/review/9/play.mjs
@@ -27,7 +27,10 @@
   const firstRun = new Promise((resolve) => (handleFirstRun = resolve));
   for (const id of ["i-1", "i-2", "i-3"]) {
     const replica = await Replica.start(id, "llm", { events: 30 });
-    replica.onRun = handleFirstRun;
+    replica.onRun = ({ id: request }) => {
+      recorder.add(`${id} runs ${request}`);
+      handleFirstRun();
+    };
     deployment.onStop(() => replica.stop());
     store.put("servers", id, replica.createEntry());
   }
