--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -14,9 +14,17 @@
 
 const HERE = dirname(fileURLToPath(import.meta.url));
 export const ROOT = join(HERE, "..", "..");
+/** Exit code of a case that could not run. */
+const NOT_RUN = 2;
+/** Time after which a run is given up, below the 120 seconds that it may take. */
+const MAX_RUN_MS = 115_000;
+
 export const { StoreServer } = await import(
   join(ROOT, "dist/platform/stand_ins/mod.js")
-);
+).catch((error) => {
+  console.error(`review/build-2.sh has to run first: ${error.message}`);
+  process.exit(NOT_RUN);
+});
 export { sleep };
 
 /** Writes lines with the time since the start to a file and to the output. */
@@ -510,7 +518,19 @@
   const hasTrouble = process.env.TROUBLE !== "0";
   recorder.add(`TROUBLE=${hasTrouble ? process.env.TROUBLE ?? "1" : "0"}`);
   let deployment;
-  let code = 2;
+  let code = NOT_RUN;
+  const giveUp = async (reason) => {
+    console.error(reason);
+    recorder.add(`could not run: ${reason}`);
+    await deployment?.stop();
+    recorder.close();
+    process.exit(NOT_RUN);
+  };
+  process.on("uncaughtException", (error) => void giveUp(error.stack));
+  for (const signal of ["SIGTERM", "SIGINT"]) {
+    process.on(signal, () => void giveUp(`ended by ${signal}`));
+  }
+  setTimeout(() => void giveUp("it took too long"), MAX_RUN_MS).unref();
   try {
     deployment = await Deployment.start(recorder);
     const broken = await main({ deployment, recorder, hasTrouble });
