Count a planned stop from the earliest time of its signal

Cause: a signal waits until the event loop polls. A stop counted its notice time and its end from when it handled the signal; whoever sent it counts from the sending.

Evidence: with 1, 56 and 200 streams that arrive at once the log's drain_started came 3, 46 and 80 ms after the signal, and 0, 14 and 23 of the streams sent 3 ms apart after 3,000 ms were cut.

Change: the gateway observes the polls of its event loop. A signal that had arrived before a poll is handled in it, so the start of the last poll without one is the earliest time of the signal. Notice time and end count from there; requests in progress end at most 350 ms early. drain_started logs how long the signal may have waited.

--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -75,10 +75,7 @@
   type RoutedCall,
 } from "./routed_call.ts";
 import { computeHeaderBytes, findInvalidHeader } from "./find_invalid_head.ts";
-import {
-  type DrainTimes,
-  isAdmittedDuringDrain,
-} from "./is_admitted_during_drain.ts";
+import { type DrainTimes, isAdmittedDuringDrain } from "./drain_times.ts";
 
 /** Time by which a request's deadline precedes its caller's timeout. */
 const ANSWER_MARGIN: Millis = 20;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -24,6 +24,7 @@
   type EventLog,
   LogEvent,
   registerIdleClose,
+  SignalWatch,
   startPeriodic,
 } from "../runtime/mod.ts";
 import {
@@ -37,6 +38,7 @@
 import type { CallerConnections } from "./entry/caller_connections.ts";
 import { CallerServer } from "./entry/caller_server.ts";
 import { createCallerConnections } from "./entry/connection_reports.ts";
+import { computeDrainTimes } from "./entry/drain_times.ts";
 import { computeMachineLimits } from "./entry/machine_limits.ts";
 import {
   createOperatorServer,
@@ -145,6 +147,7 @@
   readonly #relay: ConnectionRelay;
   readonly #retries = new RetryBudgets();
   readonly #servers: Server[] = [];
+  readonly #signals: SignalWatch;
   #settingsAppliedAt: MonotonicTime = 0;
   #undo: Undo = () => {};
   #stopping: Promise<void> | undefined;
@@ -152,6 +155,7 @@
   constructor(options: GatewayOptions) {
     this.#context = createGatewayContext(options);
     const context = this.#context;
+    this.#signals = new SignalWatch(() => context.clock.readMonotonic());
     this.#peers = new PeerAccess(context);
     this.#configuration = new ConfigurationFollower(context, this.#peers);
     this.#paths = new TargetPaths(context, {
@@ -298,6 +302,7 @@
       this.#limitReports.register(),
       this.#streams.register(),
       this.#connections.start(),
+      this.#signals.start(),
       this.#startTrafficLog(),
     ]);
     log.info(LogEvent.Started, {
@@ -314,7 +319,8 @@
    * Stops gracefully: reports not ready, waits within the stop timeout until
    * open requests, also those relayed for peers, have ended and answers are
    * sent, returns unspent tokens and closes the servers. Resolves when the
-   * process may exit.
+   * process may exit. Must be called by the handler of the stop signal, whose
+   * earliest time counts.
    */
   stop(): Promise<void> {
     this.#stopping ??= this.#drain();
@@ -400,9 +406,19 @@
   async #drain(): Promise<void> {
     const { clock, log, settings } = this.#context;
     const startedAt = clock.readMonotonic();
-    log.info(LogEvent.DrainStarted, { open: this.#callers.openRequests });
-    const end = startedAt + settings.stopMillis - SHUTDOWN_RESERVE;
-    this.#callers.startDrain({ startedAt, endsAt: end });
+    const signalledAt = this.#signals.lastPollAt;
+    log.info(LogEvent.DrainStarted, {
+      open: this.#callers.openRequests,
+      max_signal_wait_ms: Math.round(startedAt - signalledAt),
+    });
+    const times = computeDrainTimes({
+      now: startedAt,
+      signalledAt,
+      stopTimeout: settings.stopMillis,
+      reserve: SHUTDOWN_RESERVE,
+    });
+    const { endsAt: end } = times;
+    this.#callers.startDrain(times);
     this.#budgets.startDrain();
     this.#relay.startDrain();
     await sleep(MIN_LISTEN_TIME);
--- a/packages/runtime/mod.ts
+++ b/packages/runtime/mod.ts
@@ -26,4 +26,5 @@
   formatRefusalBody,
   readRefusalStatus,
 } from "./refusals.ts";
+export { SignalWatch } from "./signal_watch.ts";
 export { UnsentAnswers } from "./unsent_answers.ts";
