Limit the time that a call waits for a connection to a peer

Cause: the client of peers had no limit on connecting, and TCP gives up an address that is silent after minutes. Node's agent opens four connections to one peer; further calls wait behind those, and a request that waits there can't be ended either: Node reports nothing before it has a connection.

Evidence: while 12 requests waited, the VM had connections to the lost peer in SYN-SENT and logged neither stream_taken_up nor peer_silent, also 3 s after their callers had left. With a peer that refuses connections each took 6 to 15 ms.

Change: each HTTP request states its time to connect, which was optional. A request that waits for one of its agent's connections has a limit as well, and ends when it is cancelled. The same was missing, and is stated now, for the daemon's calls to peers, forwarding to home VMs, targets, the store and the admin client. A request that is forwarded to a home VM comes back at its deadline if that never answers.

--- a/packages/cli/admin_client.ts
+++ b/packages/cli/admin_client.ts
@@ -60,6 +60,7 @@
     url: `${options.vm}${call.path}`,
     headers: { authorization: `Bearer ${readKey(options)}` },
     idleTimeout: CALL_TIMEOUT,
+    connectTimeout: CALL_TIMEOUT,
     ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
   });
   return answer.caseOf<JsonValue | undefined>({
--- a/packages/daemon/daemon.ts
+++ b/packages/daemon/daemon.ts
@@ -70,9 +70,12 @@
 
 const MAX_SOCKETS_PER_PEER = 8;
 
-/** Timeout of a call to a peer. */
+/** Timeout of a call to a peer, and of connecting to it. */
 const PEER_TIMEOUT: Millis = 700;
 
+/** Maximum time that a call waits for one of the connections to a peer. */
+const PEER_QUEUE_TIMEOUT: Millis = 2_100;
+
 /** Time for other VMs to stop sending requests here after the leave notice. */
 const LEAVE_NOTICE_DELAY: Millis = 200;
 
@@ -111,6 +114,8 @@
     this.#client = new PeerClient({
       findKey: () => readPeerKey(settings),
       timeout: PEER_TIMEOUT,
+      connectTimeout: PEER_TIMEOUT,
+      queueTimeout: PEER_QUEUE_TIMEOUT,
       tls: settings.peers.tls !== undefined,
       agent: createVmAgent(settings.peers, {
         maxSockets: MAX_SOCKETS_PER_PEER,
--- a/packages/daemon/features/home_forwarding.ts
+++ b/packages/daemon/features/home_forwarding.ts
@@ -4,7 +4,7 @@
  * is served by this VM.
  */
 import type { Agent, IncomingMessage, ServerResponse } from "node:http";
-import type { EventConfig, VmId } from "../../core/mod.ts";
+import type { EventConfig, Millis, VmId } from "../../core/mod.ts";
 import { startExchange } from "../../ports/mod.ts";
 import type { CallerRequest } from "../entry/caller_request.ts";
 import { LogEvent } from "../../runtime/mod.ts";
@@ -17,6 +17,12 @@
 /** Header with the entry VMs' shared key, which authenticates a forwarder. */
 export const PEER_KEY_HEADER = "x-anvilrail-peer-key";
 
+/**
+ * Maximum time to connect to a home VM; this VM serves the request itself after
+ * that.
+ */
+const CONNECT_TIMEOUT: Millis = 700;
+
 /** Headers that apply to one connection only and are not forwarded. */
 const CONNECTION_HEADERS = new Set([
   "connection",
@@ -92,12 +98,17 @@
 
   async #send(input: ForwardInput, address: string): Promise<boolean> {
     const { request, response, accepted } = input;
-    const { settings, log } = this.#context;
+    const { settings, log, clock } = this.#context;
     const abortController = new AbortController();
     // After a complete answer there is nothing left to cancel.
     response.on("close", () => {
       if (!response.writableFinished) abortController.abort();
     });
+    const timeLeft = accepted.deadline - clock.readMonotonic();
+    const timer = setTimeout(
+      () => abortController.abort(),
+      Math.max(0, timeLeft),
+    );
     const scheme = settings.callers.tls === undefined ? "http" : "https";
     const started = await startExchange({
       method: "POST",
@@ -105,9 +116,11 @@
       headers: this.#createHeaders(request, accepted),
       body: accepted.receivedBody,
       idleTimeout: 0,
+      connectTimeout: CONNECT_TIMEOUT,
       agent: this.#agent,
       signal: abortController.signal,
     });
+    clearTimeout(timer);
     if (started.isLeft()) {
       const failure = started.swap().unsafeCoerce();
       log.warn(LogEvent.ForwardFailed, { address, reason: failure.detail });
--- a/packages/gateway/features/peers/peer_access.ts
+++ b/packages/gateway/features/peers/peer_access.ts
@@ -17,6 +17,12 @@
  */
 const PEER_TIMEOUT: Millis = 300;
 
+/**
+ * Maximum time that a call waits for one of the connections to a peer. It covers
+ * several calls before it that the peer holds, or that get no connection.
+ */
+const PEER_QUEUE_TIMEOUT: Millis = 900;
+
 /**
  * Maximum number of connections to one peer. One is not enough, since a call
  * may wait at the peer for an answer of the store.
@@ -38,6 +44,8 @@
     this.client = new PeerClient({
       findKey: (address) => this.list.findKey(address),
       timeout: PEER_TIMEOUT,
+      connectTimeout: PEER_TIMEOUT,
+      queueTimeout: PEER_QUEUE_TIMEOUT,
       tls: false,
       agent: new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_PEER }),
     });
--- a/packages/peer/peer_client.ts
+++ b/packages/peer/peer_client.ts
@@ -39,8 +39,13 @@
   findKey(address: string): string;
   /** Maximum time without data from a peer, in milliseconds. */
   readonly timeout: Millis;
-  /** Maximum time to connect; that of TCP if absent. */
-  readonly connectTimeout?: Millis;
+  /** Maximum time to connect to a peer, whose machine may be silent. */
+  readonly connectTimeout: Millis;
+  /**
+   * Maximum time to wait for one of the agent's connections to a peer; that of
+   * connecting if absent.
+   */
+  readonly queueTimeout?: Millis;
   /** Whether the peer servers use TLS. */
   readonly tls: boolean;
   /** HTTP agent for all connections; for TLS it holds the certificates. */
@@ -196,14 +201,15 @@
   /** Implements the part of `fetch` that tRPC uses, over Node's `http`. */
   async #fetch(url: string, init: FetchInit) {
     const body = init.body ?? "";
-    const { connectTimeout } = this.#options;
+    const { connectTimeout, queueTimeout } = this.#options;
     const answer = await sendRequest({
       method: init.method === "POST" ? "POST" : "GET",
       url,
       headers: init.headers,
       body,
       idleTimeout: this.#options.timeout,
-      ...(connectTimeout === undefined ? {} : { connectTimeout }),
+      connectTimeout,
+      ...(queueTimeout === undefined ? {} : { queueTimeout }),
       agent: this.#options.agent,
     });
     return answer.caseOf({
--- a/packages/ports/adaptive_agent_test.ts
+++ b/packages/ports/adaptive_agent_test.ts
@@ -25,6 +25,7 @@
       method: "GET",
       url: `http://127.0.0.1:${port}/`,
       idleTimeout: 0,
+      connectTimeout: 0,
       answerTimeout: 100,
       keepLate,
       agent,
--- a/packages/ports/connection_pools_test.ts
+++ b/packages/ports/connection_pools_test.ts
@@ -14,7 +14,13 @@
 
 function sendOnce(pools: ConnectionPools, url: string) {
   const agent = pools.getAgent("t1");
-  return sendRequest({ method: "GET", url, idleTimeout: 1_000, agent });
+  return sendRequest({
+    method: "GET",
+    url,
+    idleTimeout: 1_000,
+    connectTimeout: 1_000,
+    agent,
+  });
 }
 
 test("an idle connection on which bytes arrive is closed and not reused", async (t) => {
--- a/packages/ports/http_client.ts
+++ b/packages/ports/http_client.ts
@@ -48,8 +48,16 @@
   readonly body?: Uint8Array | string | readonly Uint8Array[];
   /** Maximum time without data on the connection; 0 for no limit. */
   readonly idleTimeout: Millis;
-  /** Maximum time to establish a connection, which Node does not limit. */
-  readonly connectTimeout?: Millis;
+  /**
+   * Maximum time to establish a connection, which Node does not limit: to an
+   * address that is silent TCP takes minutes. 0 if the agent limits it.
+   */
+  readonly connectTimeout: Millis;
+  /**
+   * Maximum time to wait for one of the agent's connections if it limits their
+   * number; that of {@link connectTimeout} by default.
+   */
+  readonly queueTimeout?: Millis;
   /**
    * Maximum time from the connection until the complete answer has arrived, or
    * until its body begins if `progressTimeout` is set.
@@ -116,18 +124,22 @@
       // An address, a path or a header that can't be sent.
       return fail(describeError(error));
     }
-    const { connectTimeout } = input;
-    const connectTimer = connectTimeout === undefined ? undefined : setTimeout(
-      () =>
-        outgoing.destroy(
-          new Error(`could not connect within ${connectTimeout} ms`),
-        ),
-      connectTimeout,
-    );
+    let socket: Socket | undefined;
+    const end = (detail: string) => {
+      outgoing.destroy(new Error(detail));
+      // Node reports no error before the agent has assigned a connection.
+      if (socket === undefined) fail(detail);
+    };
+    const { connectTimeout, queueTimeout = connectTimeout } = input;
+    const startConnectTimer = (limit: Millis) =>
+      limit === 0 ? undefined : setTimeout(
+        () => end(`could not connect within ${limit} ms`),
+        limit,
+      );
+    let connectTimer = startConnectTimer(queueTimeout);
     // Node's `signal` option leaves a pooled socket without an error handler.
-    const cancel = () => outgoing.destroy(new Error("cancelled"));
+    const cancel = () => end("cancelled");
     input.signal?.addEventListener("abort", cancel, { once: true });
-    let socket: Socket | undefined;
     const detectReset = () => {
       if (socket !== undefined && isReset(socket)) {
         answer?.destroy(new Error("the connection was reset"));
@@ -150,8 +162,10 @@
       // Must run before Node's own listener, which completes the answer.
       socket.prependListener("end", detectReset);
       // A reused socket from the pool is already connected.
-      if (!socket.connecting) markConnected();
-      else socket.once("connect", markConnected);
+      if (!socket.connecting) return markConnected();
+      clearTimeout(connectTimer);
+      connectTimer = startConnectTimer(connectTimeout);
+      socket.once("connect", markConnected);
     });
     if (input.idleTimeout > 0) {
       outgoing.setTimeout(
--- a/packages/ports/http_client_test.ts
+++ b/packages/ports/http_client_test.ts
@@ -1,7 +1,9 @@
 /** Tests of the HTTP client: connection resets, timeouts and raw paths. */
 import { Agent } from "node:http";
 import { type AddressInfo, createServer, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
+import { DarkAddress } from "../stand_ins/mod.ts";
 import { type HttpFailure, sendRequest } from "./mod.ts";
 
 const HEAD = "HTTP/1.1 200 OK\r\n\r\n";
@@ -32,6 +34,7 @@
       method: "GET",
       url,
       idleTimeout: 0,
+      connectTimeout: 1_000,
       agent,
     });
     if (answer.isRight()) complete++;
@@ -59,6 +62,7 @@
     method: "GET",
     url: `http://127.0.0.1:${port}/`,
     idleTimeout: 0,
+    connectTimeout: 1_000,
     answerTimeout: 50,
   });
   t.true((answer.extract() as HttpFailure).sent);
@@ -81,6 +85,7 @@
     path: "/a/../b//c?d=%2e",
     headers: ["host", "x"],
     idleTimeout: 0,
+    connectTimeout: 1_000,
   });
   t.deepEqual(paths, ["/a/../b//c?d=%2e"]);
   server.close();
@@ -92,6 +97,7 @@
     method: "GET",
     url: server.url,
     idleTimeout: 0,
+    connectTimeout: 1_000,
     answerTimeout: 50,
   });
   t.is((answer.extract() as HttpFailure).receivedBytes, "a part".length);
@@ -113,6 +119,7 @@
       method: "GET",
       url: server.url,
       idleTimeout: 0,
+      connectTimeout: 1_000,
       answerTimeout: 150,
       progressTimeout: 150,
     });
@@ -137,8 +144,67 @@
     const answer = await sendRequest({
       method: "GET",
       idleTimeout: 0,
+      connectTimeout: 1_000,
       ...input,
     });
     t.false((answer.swap().unsafeCoerce() as HttpFailure).sent);
   }
 });
+
+/** How a request without an answer ended, or "open" if it has not. */
+async function readEnd(
+  request: ReturnType<typeof sendRequest>,
+): Promise<string> {
+  const answer = await Promise.race([request, sleep(3_000)]);
+  return answer?.swap().map(({ sent, detail }) => `${sent} ${detail}`)
+    .orDefault("answered") ?? "open";
+}
+
+// Guards against requests to a machine without power that last until TCP gives
+// up, also those that wait for one of the agent's connections.
+test("a request to an address that is silent fails when its time to connect is over", async (t) => {
+  const dark = await DarkAddress.start();
+  const agent = new Agent({ keepAlive: true, maxSockets: 2 });
+  const requests = Array.from({ length: 5 }, () =>
+    sendRequest({
+      method: "GET",
+      url: `http://${dark.address}/`,
+      idleTimeout: 100,
+      connectTimeout: 100,
+      queueTimeout: 350,
+      agent,
+    }));
+  const ends = await Promise.all(requests.map(readEnd));
+  t.deepEqual(ends, Array(5).fill("false could not connect within 100 ms"));
+  agent.destroy();
+  await dark.close();
+});
+
+// Guards against requests that stay open although nobody waits for them: Node
+// reports nothing before the agent has a connection for them.
+test("a request that waits for one of the agent's connections ends when its time is over, and when it is cancelled", async (t) => {
+  const server = createServer(() => {});
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  const send = (queueTimeout: number, signal?: AbortSignal) =>
+    sendRequest({
+      method: "GET",
+      url: `http://127.0.0.1:${port}/`,
+      idleTimeout: 0,
+      connectTimeout: 100,
+      queueTimeout,
+      agent,
+      ...(signal === undefined ? {} : { signal }),
+    });
+  const first = send(100);
+  const controller = new AbortController();
+  const waiting = send(100);
+  const cancelled = send(60_000, controller.signal);
+  controller.abort();
+  t.is(await readEnd(waiting), "false could not connect within 100 ms");
+  t.is(await readEnd(cancelled), "false cancelled");
+  agent.destroy();
+  t.regex(await readEnd(first), /^true /);
+  server.close();
+});
--- a/packages/ports/http_platform.ts
+++ b/packages/ports/http_platform.ts
@@ -52,7 +52,7 @@
 export interface HttpServiceOptions {
   /** Base URL without a trailing slash. */
   readonly url: string;
-  /** Maximum time without data from the service. */
+  /** Maximum time without data from the service, and to connect to it. */
   readonly timeout: Millis;
   /** Bearer token, if the service requires one. */
   readonly token?: string;
@@ -85,6 +85,7 @@
       url: `${this.#options.url}${path}`,
       headers: this.createHeaders(),
       idleTimeout: this.#options.timeout,
+      connectTimeout: this.#options.timeout,
       agent: this.#agent,
       ...(body === undefined ? {} : { body: JSON.stringify(body) }),
     });
@@ -104,6 +105,7 @@
       url: `${this.#options.url}${path}`,
       headers: this.createHeaders(),
       idleTimeout: this.#options.timeout,
+      connectTimeout: this.#options.timeout,
       agent: this.#agent,
       ...(body === undefined ? {} : { body }),
     });
--- a/packages/ports/http_targets.ts
+++ b/packages/ports/http_targets.ts
@@ -50,6 +50,12 @@
 
 const EMPTY_BODY = new Uint8Array();
 
+/**
+ * Maximum time to connect to a target for a request; some round trips, or one
+ * retransmission of a lost packet at short distance.
+ */
+const CONNECT_TIMEOUT: Millis = 1_000;
+
 /** Calls targets over HTTP, with one connection pool per target. */
 export class HttpTargets implements TargetPort {
   readonly #pools: ConnectionPools;
@@ -104,6 +110,7 @@
       url: `${target.url}${path}`,
       headers: { connection: "close" },
       idleTimeout: options.timeout,
+      connectTimeout: options.timeout,
     });
     return answer.map((received) => parseUsage(JSON.stringify(received.body)))
       .toMaybe().extract();
@@ -117,6 +124,7 @@
       headers: { connection: "close", "x-fencing-number": String(fence) },
       body: JSON.stringify({ type, name }),
       idleTimeout: timeout,
+      connectTimeout: timeout,
     });
     return answer.map((received) => received.status === 200).orDefault(false);
   }
@@ -131,6 +139,7 @@
       url: `${target.url}/load`,
       headers: { connection: "close" },
       idleTimeout: timeout,
+      connectTimeout: timeout,
     });
     return answer.map((received) => LOAD_SCHEMA.safeParse(received.body).data)
       .toMaybe().extract();
@@ -143,6 +152,7 @@
       headers: createHeaders(call),
       body: call.body,
       idleTimeout: call.progressTimeout,
+      connectTimeout: CONNECT_TIMEOUT,
       agent: this.#pools.getAgent(call.target.id),
       signal: call.signal,
     };
--- a/packages/ports/http_targets_test.ts
+++ b/packages/ports/http_targets_test.ts
@@ -1,7 +1,8 @@
-/** Tests of calls to targets whose answers are not final ones. */
+/** Tests of calls to targets that give no final answer. */
 import { type AddressInfo, createServer } from "node:net";
 import test from "ava";
 import { createSystemClock, type TargetConfig } from "../core/mod.ts";
+import { DarkAddress } from "../stand_ins/mod.ts";
 import { AttemptEnd, HttpTargets, type TargetCall } from "./mod.ts";
 
 /** Starts a target that sends a head with an empty body. */
@@ -48,3 +49,29 @@
     target.close();
   });
 }
+
+// Guards against attempts, probes and orders that a target without power holds
+// until TCP gives up.
+test("calls of a target that has no power end in time", async (t) => {
+  const dark = await DarkAddress.start();
+  const target = { id: "t", url: `http://${dark.address}` } as TargetConfig;
+  const targets = new HttpTargets(createSystemClock());
+  const call = {
+    target,
+    path: "/",
+    body: Buffer.from("{}"),
+    priority: "normal",
+    digest: "d",
+    progressTimeout: 60_000,
+    signal: new AbortController().signal,
+  } as unknown as TargetCall;
+  const order = { type: "load", name: "m", fence: 1, timeout: 100 };
+  t.is((await targets.call(call)).end, AttemptEnd.NotSent);
+  t.is((await targets.stream(call, () => {})).end, AttemptEnd.NotSent);
+  t.is(await targets.probe(target, 100), undefined);
+  t.false(await targets.order(target, order));
+  const cancel = { streamId: "s", timeout: 100 };
+  t.is(await targets.cancel(target, cancel), undefined);
+  targets.close();
+  await dark.close();
+});
--- a/packages/stand_ins/mod.ts
+++ b/packages/stand_ins/mod.ts
@@ -1,4 +1,5 @@
 /** Fakes of the systems that the fleet depends on, in process and over HTTP. */
+export { DarkAddress } from "./dark_address.ts";
 export { MemoryRows } from "./memory_rows.ts";
 export type { MemoryTableOptions, TableCounts } from "./memory_table.ts";
 export { CallFault, MemoryTable } from "./memory_table.ts";
