Refuse a stream at its caller's deadline while its release is unknown

What callers saw: a request that takes up a stream was held past its deadline while peers and the store were asked for the stream: up to 600 ms for the rows, 1.2 s for a lost peer, and 600 ms for the rows again.

Cause: each step has a limit of its own, and none was the request's.

Change: the search ends at the deadline, with 503 and a Retry-After.

--- a/packages/gateway/entry/caller_server.ts
+++ b/packages/gateway/entry/caller_server.ts
@@ -503,6 +503,7 @@
       service,
       isSplit: isSplit(route),
       period: computeStreamPeriod(call),
+      deadline: call.deadline,
     });
   }
 
--- a/packages/gateway/features/streams/stream_origins.ts
+++ b/packages/gateway/features/streams/stream_origins.ts
@@ -94,6 +94,8 @@
   readonly isSplit: boolean;
   /** How long ago the stream may have begun. */
   readonly period: Millis;
+  /** Time by which the caller needs an answer. */
+  readonly deadline: MonotonicTime;
 }
 
 /** Where the origin of a resumed stream is known from, as logged. */
@@ -114,6 +116,9 @@
   readonly answered: number;
 }
 
+/** The result of a search that the caller's deadline has ended. */
+const NOT_IN_TIME: FoundOrigin = { asked: 0, answered: 0 };
+
 /** What the store's rows tell of a stream. */
 interface StoredFacts {
   readonly origin?: StreamOrigin;
@@ -216,11 +221,14 @@
     };
   }
 
-  /** Returns what began a stream, or a refusal if that is not certain. */
+  /**
+   * Returns what began a stream, or a refusal if that is not certain by the
+   * deadline.
+   */
   async resolve(stream: ResumedStream): Promise<Either<Refusal, StreamOrigin>> {
     const { clock, log, metrics } = this.#context;
     const startedAt = clock.readMonotonic();
-    const found = await this.#find(stream);
+    const found = await this.#findInTime(stream);
     const source = found.source ?? "unknown";
     metrics.streamsTakenUp.inc({ source });
     log.info(LogEvent.StreamTakenUp, {
@@ -234,6 +242,11 @@
       ms: Math.round(clock.readMonotonic() - startedAt),
     });
     if (found.origin !== undefined) return Right(found.origin);
+    if (found === NOT_IN_TIME) {
+      return Left(createRefusal(RefusalKind.DeadlineTooSoon, {
+        retryAfter: UNHEARD_PEER_RETRY_AFTER,
+      }));
+    }
     return Left(createRefusal(RefusalKind.StreamUnknown, {
       retryAfter: this.#mayPeerKnow()
         ? UNHEARD_PEER_RETRY_AFTER
@@ -241,6 +254,20 @@
     }));
   }
 
+  async #findInTime(stream: ResumedStream): Promise<FoundOrigin> {
+    const timeLeft = stream.deadline - this.#context.clock.readMonotonic();
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<FoundOrigin>((resolve) => {
+      timer = setTimeout(
+        () => resolve(NOT_IN_TIME),
+        Math.max(0, timeLeft),
+      );
+    });
+    const found = await Promise.race([this.#find(stream), timeout]);
+    clearTimeout(timer);
+    return found;
+  }
+
   async #find(stream: ResumedStream): Promise<FoundOrigin> {
     const own = stream.stream === undefined
       ? undefined
