Take tokens from the store when all home VMs of a region are silent

What callers saw: 503 (budget-unreachable) after 1.2 s at a VM that is no home VM of their customer, while the customer's home VMs have no power and the store has tokens.

Cause: such a VM asks the store only after all peers, one after the other.

Evidence: with seven lost peers the log shows two peer_silent, one after the other, and then three times budget_short.

Change: once all home VMs of its own region have left a request unanswered, the VM asks the store while it goes on asking peers. While one of them answers, the row keeps few writers as before.

--- a/packages/gateway/features/budgets/customer_budgets.ts
+++ b/packages/gateway/features/budgets/customer_budgets.ts
@@ -651,12 +651,17 @@
       returning += step.returning;
       isRefilling ||= step.isRefilling;
       budget.lendersRate = step.totalRate ?? budget.lendersRate;
+      const isCoverable = (waiter: Waiter) =>
+        this.#mayStoreCover(budget, waiter.tokens);
       if (step.eligiblePeers > 0) {
+        // Other lost peers would take up the rest of the requests' time.
+        if (
+          this.loans.areHomesSilent(budget.customer) &&
+          budget.waiters.some(isCoverable)
+        ) this.#exchanges.start(budget, planExchange);
         await sleep(LOAN_INTERVAL);
         continue;
       }
-      const isCoverable = (waiter: Waiter) =>
-        this.#mayStoreCover(budget, waiter.tokens);
       if (
         isRefilling && !(budget.isHolder && budget.waiters.some(isCoverable))
       ) {
--- a/packages/gateway/features/budgets/token_loans.ts
+++ b/packages/gateway/features/budgets/token_loans.ts
@@ -155,6 +155,20 @@
     return this.#accounts.listHolders(customer).every((vm) => asked.has(vm));
   }
 
+  /**
+   * Whether all home VMs of this VM's region that it asks for loans have recently
+   * left a request unanswered.
+   */
+  areHomesSilent(customer: CustomerId): boolean {
+    const { region, clock } = this.#context;
+    const now = clock.readMonotonic();
+    const homes = new Set(this.#findHomes(customer));
+    const local = this.#peers.listPeers()
+      .filter((peer) => peer.region === region && homes.has(peer.vm));
+    return local.length > 0 &&
+      local.every(({ vm }) => this.#loans.isSilent(vm, now));
+  }
+
   /**
    * Asks the next peers for the tokens that a waiting request is short of.
    * Peers that were asked at or after `since` are skipped.
--- a/packages/lending/loans.ts
+++ b/packages/lending/loans.ts
@@ -241,11 +241,9 @@
     const history = this.#readHistory(eventId);
     const now = this.#context.clock.readMonotonic();
     const peers = this.#sortPeers(eventId, history);
-    const isBackedOff = (peer: Peer) =>
-      now < (this.#backoffUntil.get(peer.vm) ?? -Infinity);
     const { since = Infinity } = options;
     const eligible = peers.filter((peer) =>
-      !isBackedOff(peer) &&
+      !this.isSilent(peer.vm, now) &&
       now >= (history.refusals.get(peer.vm)?.askAgainAt ?? -Infinity) &&
       (history.askedAt.get(peer.vm) ?? -Infinity) < since
     );
@@ -283,13 +281,19 @@
         0,
         ...answers.map((each) => each?.reserved ?? 0),
       ),
-      unresponsivePeers: peers.filter(isBackedOff).length,
+      unresponsivePeers:
+        peers.filter(({ vm }) => this.isSilent(vm, now)).length,
       returning: heard.reduce((sum, each) => sum + (each.returning ?? 0), 0),
       isRefilling: heard.some((each) => each.refilling === true),
       answeredAt: history.answeredAt,
     };
   }
 
+  /** Whether a peer is not asked at a time, since it left a request unanswered. */
+  isSilent(peer: VmId, now: MonotonicTime): boolean {
+    return now < (this.#backoffUntil.get(peer) ?? -Infinity);
+  }
+
   /** Lets the next call of {@link borrow} ask the peers that have refused. */
   dropRefusals(eventId: EventId): void {
     this.#histories.get(eventId)?.refusals.clear();
