Tell peers of a planned stop, and keep no connection over a VM that stops

What callers saw: 502 for a call that may not be repeated.

Cause: peers did not know of a planned stop.

Change: a VM that stops writes that into its row, unless its next incarnation has written it.

--- a/packages/gateway/features/peers/peer_list.ts
+++ b/packages/gateway/features/peers/peer_list.ts
@@ -32,6 +32,15 @@
 import type { GatewayContext } from "../../gateway_context.ts";
 import { createRowWriter } from "../create_row_writer.ts";
 import { FeedFollower, type RowChange } from "../feed_follower.ts";
+import {
+  applyPeerChanges,
+  computeNextAbsence,
+  type KnownPeers,
+  listNewlyLeaving,
+  listPresentPeers,
+  type PeerChange,
+  type PeerEntry,
+} from "./peer_entries.ts";
 import { isPeerListSettled } from "./peer_settling.ts";
 
 const PEER_SCHEMA = z.object({
@@ -43,23 +52,24 @@
    * read the peer's row. It is new for each incarnation.
    */
   key: z.string().min(16),
+  leaving: z.boolean().optional(),
 });
 
-type PeerEntry = z.infer<typeof PEER_SCHEMA>;
-
-/** The other VMs. The list is derived from the entries once per change. */
+/** The other VMs. The list is derived from them once per change. */
 interface PeerState {
-  readonly entries: ReadonlyMap<VmId, PeerEntry>;
+  readonly known: KnownPeers;
   readonly list: readonly PeerWithRegion[];
 }
 
 const PEERS: SliceType<PeerState> = {
   name: "peers",
-  createInitial: () => ({ entries: new Map(), list: [] }),
+  createInitial: () => ({ known: new Map(), list: [] }),
 };
 
-const CHANGE_PEERS: CommandType<readonly RowChange<PeerEntry>[], void> =
-  createCommand("gateway.change_peers");
+const CHANGE_PEERS: CommandType<
+  { readonly changes: readonly PeerChange[]; readonly now: MonotonicTime },
+  void
+> = createCommand("gateway.change_peers");
 
 /**
  * Maximum time that one call waits for changes. It bounds how late the new key
@@ -89,6 +99,10 @@
   /** What this VM's row says; undefined before it is written. */
   #address: string | undefined;
   #announcedRegion: RegionId | undefined;
+  /** Whether a planned stop of this VM has begun. */
+  #isLeaving = false;
+  #absenceTimer: NodeJS.Timeout | undefined;
+  readonly #leavingListeners: ((vm: VmId) => void)[] = [];
   /** Era of the store when rows last changed; undefined before the first. */
   #era: number | undefined;
   /** When this VM first found its own row in the list. */
@@ -116,20 +130,34 @@
   register(): Undo {
     const { kernel, vm } = this.#context;
     return combineUndo([
-      kernel.registerCommand(CHANGE_PEERS, (changes, update) => {
-        const entries = new Map(update.read(PEERS).entries);
-        for (const { key, value } of changes) {
-          if (value === undefined || key === vm) entries.delete(key);
-          else entries.set(key, value);
-        }
-        update.write(PEERS, { entries, list: createPeerList(entries) });
+      kernel.registerCommand(CHANGE_PEERS, ({ changes, now }, update) => {
+        const before = update.read(PEERS).known;
+        const known = applyPeerChanges(before, changes, { self: vm, now });
+        update.write(PEERS, { known, list: listPresentPeers(known, now) });
       }),
       kernel.registerDump("peers", () => this.listPeers()),
       this.#follower.register(),
       () => this.#writer.close(),
+      () => clearTimeout(this.#absenceTimer),
     ]);
   }
 
+  /** Adds a function that is called when another VM's planned stop is known. */
+  addLeavingListener(listener: (vm: VmId) => void): void {
+    this.#leavingListeners.push(listener);
+  }
+
+  /** Whether another VM stops as planned, as far as known. */
+  isLeaving(vm: VmId): boolean {
+    return this.#read().known.get(vm)?.leavingSince !== undefined;
+  }
+
+  /** Tells the other VMs that this one stops as planned. */
+  async announceLeaving(): Promise<void> {
+    this.#isLeaving = true;
+    if (this.#address !== undefined) await this.announce(this.#address);
+  }
+
   /** Writes this VM's row; retried until the store answers. */
   async announce(address: string): Promise<void> {
     this.#address = address;
@@ -139,6 +167,7 @@
       address,
       key: this.key,
       ...(region === undefined ? {} : { region }),
+      ...(this.#isLeaving ? { leaving: true } : {}),
     };
     const answer = await this.#writer.run(createPeerWrite(vm, entry), {
       giveUpAt: Infinity,
@@ -206,7 +235,7 @@
 
   /** Returns the key of the peer at an address; empty for an unknown one. */
   findKey(address: string): string {
-    const peer = [...this.#read().entries.values()]
+    const peer = [...this.#read().known.values()]
       .find((each) => each.address === address);
     return peer?.key ?? "";
   }
@@ -232,7 +261,22 @@
       });
       return { key, version };
     });
-    this.#context.kernel.dispatch(CHANGE_PEERS, parsed);
+    this.#change(parsed);
+  }
+
+  #change(changes: readonly PeerChange[]): void {
+    const { kernel, clock } = this.#context;
+    const now = clock.readMonotonic();
+    const before = this.#read().known;
+    kernel.dispatch(CHANGE_PEERS, { changes, now });
+    const { known } = this.#read();
+    for (const vm of listNewlyLeaving(before, known)) {
+      for (const listener of this.#leavingListeners) listener(vm);
+    }
+    clearTimeout(this.#absenceTimer);
+    const next = computeNextAbsence(known, now);
+    if (next === undefined) return;
+    this.#absenceTimer = setTimeout(() => this.#change([]), next - now).unref();
   }
 
   #recordOwnRow(changes: readonly RowChange<JsonValue>[]): void {
@@ -257,22 +301,19 @@
   }
 }
 
-function createPeerList(
-  entries: ReadonlyMap<VmId, PeerEntry>,
-): PeerWithRegion[] {
-  return [...entries].map(([vm, { address, region }]) => ({
-    vm,
-    address,
-    ...(region === undefined ? {} : { region }),
-  }));
-}
-
 function createPeerWrite(vm: VmId, entry: PeerEntry): RowOperation<void> {
   const key = `peers/${vm}`;
   const value: JsonValue = { ...entry };
+  const state = entry.leaving ? "leaving" : "present";
   return {
-    id: `announce/${vm}/${entry.key}/${entry.region ?? ""}`,
+    id: `announce/${vm}/${entry.key}/${entry.region ?? ""}/${state}`,
     keys: [key],
-    decide: () => ({ writes: [{ key, value }], result: undefined }),
+    decide: (rows) => {
+      const current = PEER_SCHEMA.safeParse(rows.get(key)?.value).data;
+      // The next incarnation may have written its row before a late write.
+      const isReplaced = entry.leaving && current?.key !== entry.key;
+      const writes = isReplaced ? [] : [{ key, value }];
+      return { writes, result: undefined };
+    },
   };
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -167,7 +167,9 @@
     this.#pools = new ConnectionPools(context.clock, {
       connect: (target, input) => this.#paths.connect(target, input),
       mayRelay: (vm, regions) => this.#paths.mayRelay(vm, regions),
+      isLeaving: (vm) => this.#peers.list.isLeaving(vm),
     });
+    this.#peers.list.addLeavingListener((vm) => this.#pools.dropRelayed(vm));
     this.#paths.setPools(this.#pools);
     this.#targets = new TargetRegistry(context, {
       findVmOrder: () => this.#peers.list.findOrder(),
@@ -421,6 +423,7 @@
     this.#callers.startDrain(times);
     this.#budgets.startDrain();
     this.#relay.startDrain();
+    void this.#peers.list.announceLeaving();
     await sleep(MIN_LISTEN_TIME);
     for (;;) {
       const now = clock.readMonotonic();
--- a/packages/ports/connection_pools.ts
+++ b/packages/ports/connection_pools.ts
@@ -57,6 +57,11 @@
    * before each use, since regions of VMs change. None may if absent.
    */
   readonly mayRelay?: (vm: VmId, regions: ReadonlySet<RegionId>) => boolean;
+  /**
+   * Whether a VM will cut what it relays; its connections are not kept after the
+   * request that they carry. None will if absent.
+   */
+  readonly isLeaving?: (vm: VmId) => boolean;
 }
 
 /**
@@ -65,14 +70,19 @@
  */
 class TargetAgent extends Agent {
   readonly #connect: ConnectToAddress | undefined;
+  readonly #isLeaving: (vm: VmId) => boolean;
 
-  constructor(connect: ConnectToAddress | undefined) {
+  constructor(
+    connect: ConnectToAddress | undefined,
+    isLeaving: (vm: VmId) => boolean,
+  ) {
     super({
       keepAlive: true,
       maxFreeSockets: MAX_IDLE_SOCKETS,
       scheduling: "lifo",
     });
     this.#connect = connect;
+    this.#isLeaving = isLeaving;
   }
 
   override createConnection(
@@ -88,6 +98,8 @@
   }
 
   override keepSocketAlive(socket: Duplex): boolean {
+    const relay = findRelay(socket as Socket);
+    if (relay !== undefined && this.#isLeaving(relay)) return false;
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
     if (isKept) socket.on("data", closeSocket);
     return isKept;
@@ -142,7 +154,7 @@
       !this.#hasForeignRelay(known, relayRegions)
     ) return known.agent;
     this.#dropExpired(pools, key);
-    const { connect } = this.#options;
+    const { connect, isLeaving = () => false } = this.#options;
     const agent = new TargetAgent(
       connect === undefined ? undefined : (address, done) =>
         connect(target, {
@@ -150,6 +162,7 @@
           done,
           ...(relayRegions === undefined ? {} : { relayRegions }),
         }),
+      isLeaving,
     );
     pools.set(key, { agent, createdAt: now });
     return agent;
@@ -166,6 +179,16 @@
     for (const target of [...this.#pools.keys()]) this.dropPool(target);
   }
 
+  /** Closes the idle connections that a VM relays. */
+  dropRelayed(vm: VmId): void {
+    const pools = [...this.#pools.values()].flatMap((each) => [
+      ...each.values(),
+    ]);
+    for (const pool of pools) {
+      closeIdle(pool, (socket) => findRelay(socket) === vm);
+    }
+  }
+
   /** Whether a VM that may not relay any more relays an idle connection. */
   #hasForeignRelay(
     { agent }: Pool,
@@ -190,9 +213,14 @@
   }
 }
 
-/** Closes the connections of a pool that carry no request. */
-function closeIdle({ agent }: Pool): void {
+/** Closes connections of a pool that carry no request; all by default. */
+function closeIdle(
+  { agent }: Pool,
+  isClosed: (socket: Socket) => boolean = () => true,
+): void {
   for (const sockets of Object.values(agent.freeSockets)) {
-    for (const socket of sockets ?? []) socket.destroy();
+    for (const socket of (sockets ?? []) as Socket[]) {
+      if (isClosed(socket)) socket.destroy();
+    }
   }
 }
