Give forwarded requests time for the home VM's refusal

What callers saw, in a test only: budget-unreachable in place of store-unavailable for a booking that was forwarded to its home VM while the store was down (end_to_end_test, in each of 4 runs on and after it).

Cause: ended the forwarded request at its deadline, and this VM refused it itself. The home VM refuses 885 ms after the arrival of a request with a deadline of 500 ms, since it ends its call to the store first.

Change: the bound on a home VM that never answers is 5 s past the deadline.

Measured: end_to_end_test and home_forwarding_test pass (18 tests).

--- a/packages/daemon/features/home_forwarding.ts
+++ b/packages/daemon/features/home_forwarding.ts
@@ -23,6 +23,12 @@
  */
 const CONNECT_TIMEOUT: Millis = 700;
 
+/**
+ * Time after a request's deadline for the home VM's refusal to arrive. It ends a
+ * call to the store in progress before it refuses.
+ */
+const REFUSAL_MARGIN: Millis = 5_000;
+
 /** Headers that apply to one connection only and are not forwarded. */
 const CONNECTION_HEADERS = new Set([
   "connection",
@@ -104,10 +110,10 @@
     response.on("close", () => {
       if (!response.writableFinished) abortController.abort();
     });
-    const timeLeft = accepted.deadline - clock.readMonotonic();
+    const giveUpAt = accepted.deadline + REFUSAL_MARGIN;
     const timer = setTimeout(
       () => abortController.abort(),
-      Math.max(0, timeLeft),
+      giveUpAt - clock.readMonotonic(),
     );
     const scheme = settings.callers.tls === undefined ? "http" : "https";
     const started = await startExchange({
