--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -57,19 +57,28 @@
   }
 }
 
+/** Ports below those that the system gives to outgoing connections. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 30_000;
+
 /** Returns ports that are free now. */
 export async function findPorts(count) {
-  const servers = [];
-  for (let index = 0; index < count; index++) {
-    const server = createServer();
-    await new Promise((done) => server.listen(0, "127.0.0.1", done));
-    servers.push(server);
+  const ports = [];
+  while (ports.length < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (!ports.includes(port) && await isFree(port)) ports.push(port);
   }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
   return ports;
 }
 
+function isFree(port) {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.on("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+  });
+}
+
 /** The configuration of a small deployment: one plain service, one of engines. */
 export function createConfiguration(version, extra = {}) {
   const route = {
