--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -9,6 +9,26 @@
 import { performance } from "node:perf_hooks";
 import { get } from "node:http";
 
+/** Time after which a case that has not ended counts as one that can't run. */
+const MAX_RUN_MILLIS = 115_000;
+
+/** The processes that were started and have not ended. */
+const running = new Set();
+
+function stopUnfinished(reason) {
+  console.error(reason);
+  process.exit(2);
+}
+
+process.on("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+process.on("uncaughtException", (error) => stopUnfinished(error.stack));
+for (const name of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+  process.on(name, () => stopUnfinished(`ended by ${name}`));
+}
+setTimeout(() => stopUnfinished("not ended in time"), MAX_RUN_MILLIS).unref();
+
 const ROOT = resolve(import.meta.dirname, "../..");
 const standIns = await import(
   join(ROOT, "dist/platform/stand_ins/mod.js")
@@ -174,6 +194,7 @@
       stdio: ["ignore", "pipe", "pipe"],
     });
     this.child = child;
+    running.add(child);
     this.isKilled = false;
     const keep = (bytes) => {
       this.output = (this.output + bytes).slice(-this.maxOutput);
@@ -181,9 +202,10 @@
     child.stdout.on("data", keep);
     child.stderr.on("data", keep);
     child.on("exit", (code, signal) => {
+      running.delete(child);
+      child.hasEnded = true;
       this.recorder.write(`${this.vm} ended code=${code} signal=${signal}`);
       if (!this.isKilled) this.exits.push({ code, signal });
-      child.hasEnded = true;
     });
     this.recorder.write(`${this.vm} started pid=${child.pid}`);
   }
